--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,38 @@
+import tseslint from 'typescript-eslint';
+
+/** Rules follow the Google TypeScript Style Guide; layout is prettier's. */
+export default tseslint.config(
+  {ignores: ['**/lib/**', '**/node_modules/**', 'coverage/**']},
+  ...tseslint.configs.recommended,
+  {
+    files: ['**/*.ts', '**/*.mjs', '**/*.js'],
+    rules: {
+      'prefer-const': 'error',
+      'no-var': 'error',
+      eqeqeq: ['error', 'always', {null: 'ignore'}],
+      curly: ['error', 'multi-line'],
+      'no-throw-literal': 'error',
+      'default-case': 'off',
+      '@typescript-eslint/no-explicit-any': 'error',
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        {argsIgnorePattern: '^_', varsIgnorePattern: '^_'},
+      ],
+    },
+  },
+  {
+    files: ['**/*.ts'],
+    rules: {
+      '@typescript-eslint/naming-convention': [
+        'error',
+        {selector: 'typeLike', format: ['PascalCase']},
+        {selector: 'function', format: ['camelCase', 'PascalCase']},
+        {
+          selector: 'variable',
+          format: ['camelCase', 'UPPER_CASE', 'PascalCase'],
+          leadingUnderscore: 'allow',
+        },
+      ],
+    },
+  },
+);
--- /dev/null
+++ b/packages/banyanfold-config/src/index.ts
@@ -0,0 +1,2 @@
+export * from './artifact.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/banyanfold-core/src/clock.ts
@@ -0,0 +1,100 @@
+/** A handle of a pending timer. */
+export interface Timer {
+  cancel(): void;
+}
+
+/**
+ * The only source of time, so that tests run on a virtual one.
+ * All values are milliseconds.
+ */
+export interface Clock {
+  /** Monotonic; never jumps with the wall clock. */
+  nowMs(): number;
+  /** Wall-clock time since the epoch. */
+  wallMs(): number;
+  setTimer(delayMs: number, callback: () => void): Timer;
+}
+
+/** The machine's clock. */
+export const systemClock: Clock = {
+  nowMs: () => performance.now(),
+  wallMs: () => Date.now(),
+  setTimer(delayMs, callback) {
+    const handle = setTimeout(callback, delayMs);
+    return {cancel: () => clearTimeout(handle)};
+  },
+};
+
+interface PendingTimer {
+  dueMs: number;
+  sequence: number;
+  callback: () => void;
+}
+
+/** A clock that moves only when told to. */
+export class VirtualClock implements Clock {
+  private currentMs = 0;
+  private sequence = 0;
+  private readonly pending = new Set<PendingTimer>();
+
+  constructor(private readonly epochMs = 1_700_000_000_000) {}
+
+  nowMs(): number {
+    return this.currentMs;
+  }
+
+  wallMs(): number {
+    return this.epochMs + this.currentMs;
+  }
+
+  setTimer(delayMs: number, callback: () => void): Timer {
+    const timer: PendingTimer = {
+      dueMs: this.currentMs + Math.max(0, delayMs),
+      sequence: this.sequence++,
+      callback,
+    };
+    this.pending.add(timer);
+    return {cancel: () => this.pending.delete(timer)};
+  }
+
+  /** Moves on by `deltaMs`, running due timers in order. */
+  async advance(deltaMs: number): Promise<void> {
+    const endMs = this.currentMs + deltaMs;
+    for (;;) {
+      await flushMicrotasks();
+      const next = this.nextDue(endMs);
+      if (!next) break;
+      this.pending.delete(next);
+      this.currentMs = next.dueMs;
+      next.callback();
+    }
+    this.currentMs = endMs;
+    await flushMicrotasks();
+  }
+
+  private nextDue(endMs: number): PendingTimer | undefined {
+    let best: PendingTimer | undefined;
+    for (const timer of this.pending) {
+      if (timer.dueMs > endMs) continue;
+      if (!best || isBefore(timer, best)) best = timer;
+    }
+    return best;
+  }
+}
+
+function isBefore(a: PendingTimer, b: PendingTimer): boolean {
+  if (a.dueMs !== b.dueMs) return a.dueMs < b.dueMs;
+  return a.sequence < b.sequence;
+}
+
+/** Lets promise chains started by a timer run before the next timer. */
+function flushMicrotasks(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
+/** Resolves after `delayMs` on the given clock. */
+export function sleep(clock: Clock, delayMs: number): Promise<void> {
+  return new Promise(resolve => {
+    clock.setTimer(delayMs, resolve);
+  });
+}
--- /dev/null
+++ b/packages/banyanfold-core/src/logger.ts
@@ -0,0 +1,114 @@
+import {Roarr, ROARR} from 'roarr';
+
+export type LogFields = Record<
+  string,
+  string | number | boolean | null | undefined
+>;
+
+/** One line of key=value pairs for each event. */
+export interface Logger {
+  info(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  error(event: string, fields?: LogFields): void;
+  /** A logger that adds `fields` to each line. */
+  child(fields: LogFields): Logger;
+}
+
+const NEEDS_QUOTES = /[\s"=]/;
+
+function renderValue(value: string | number | boolean): string {
+  const text = String(value);
+  if (text === '') return '""';
+  return NEEDS_QUOTES.test(text) ? JSON.stringify(text) : text;
+}
+
+/**
+ * Renders one event as key=value pairs; undefined and null are left out.
+ *
+ * @example renderLine({event: 'route', ms: 3}) // 'event=route ms=3'
+ */
+export function renderLine(fields: LogFields): string {
+  const parts: string[] = [];
+  for (const [key, value] of Object.entries(fields)) {
+    if (value === undefined || value === null) continue;
+    parts.push(`${key}=${renderValue(value)}`);
+  }
+  return parts.join(' ');
+}
+
+interface RoarrMessage {
+  time: number;
+  message: string;
+  context: LogFields;
+}
+
+/**
+ * Sends roarr's messages to `write`, one key=value line each. It is for the
+ * whole process; the daemons call it once at their start.
+ */
+export function startLogOutput(
+  write: (line: string) => void = line => process.stdout.write(`${line}\n`),
+): void {
+  process.env['ROARR_LOG'] = 'true';
+  ROARR.write = (serialized: string) => {
+    const parsed = JSON.parse(serialized) as RoarrMessage;
+    const {level, ...context} = parsed.context;
+    write(
+      renderLine({
+        time: new Date(parsed.time).toISOString(),
+        level,
+        event: parsed.message,
+        ...context,
+      }),
+    );
+  };
+}
+
+/**
+ * Creates a logger on roarr.
+ *
+ * @example createLogger({process: 'entry'}).info('route', {agent: 'a1'})
+ */
+export function createLogger(base: LogFields = {}): Logger {
+  const log = (level: string, event: string, fields: LogFields = {}): void => {
+    const context: Record<string, string | number | boolean> = {};
+    for (const [key, value] of Object.entries({level, ...base, ...fields})) {
+      if (value !== undefined && value !== null) context[key] = value;
+    }
+    Roarr(context, event);
+  };
+  return {
+    info: (event, fields) => log('info', event, fields),
+    warn: (event, fields) => log('warn', event, fields),
+    error: (event, fields) => log('error', event, fields),
+    child: fields => createLogger({...base, ...fields}),
+  };
+}
+
+/** A logger that keeps its lines, for tests and golden files. */
+export class MemoryLogger implements Logger {
+  constructor(
+    readonly lines: string[] = [],
+    private readonly base: LogFields = {},
+  ) {}
+
+  info(event: string, fields: LogFields = {}): void {
+    this.add('info', event, fields);
+  }
+
+  warn(event: string, fields: LogFields = {}): void {
+    this.add('warn', event, fields);
+  }
+
+  error(event: string, fields: LogFields = {}): void {
+    this.add('error', event, fields);
+  }
+
+  child(fields: LogFields): Logger {
+    return new MemoryLogger(this.lines, {...this.base, ...fields});
+  }
+
+  private add(level: string, event: string, fields: LogFields): void {
+    this.lines.push(renderLine({level, event, ...this.base, ...fields}));
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-protocol/src/agentContract.ts
@@ -0,0 +1,113 @@
+import {initTRPC} from '@trpc/server';
+import {z} from 'zod';
+
+/** How a copy stands in the agent's ledger. */
+export const COPY_STATES = [
+  'reserved',
+  'held',
+  'releasing',
+  'in-doubt',
+] as const;
+
+/** One copy of an artifact on one backend server. */
+export const copySchema = z.object({
+  artifact: z.string(),
+  bytes: z.number(),
+  state: z.enum(COPY_STATES),
+  /** The id of the load order that made this copy. */
+  copyId: z.string(),
+  /** Since when no request used it. */
+  idleMs: z.number(),
+});
+
+/** Small enough to ride on every answer. */
+export const loadDigestSchema = z.object({
+  incarnation: z.number(),
+  /** Rises with every digest that the agent makes. */
+  sequence: z.number(),
+  running: z.number(),
+  queued: z.number(),
+  kvUsedBytes: z.number(),
+  kvCapacityBytes: z.number(),
+  /** Estimated wait to a first token for a request that came now. */
+  queueDelayMs: z.number(),
+  leaving: z.boolean(),
+});
+
+/** What an agent tells entries. */
+export const agentReportSchema = loadDigestSchema.extend({
+  vmId: z.string(),
+  failureDomain: z.string(),
+  region: z.string(),
+  runnerRole: z.string(),
+  configVersion: z.number(),
+  memoryCapacityBytes: z.number(),
+  memoryFreeBytes: z.number(),
+  checksFencing: z.boolean(),
+  copies: z.array(copySchema),
+  services: z.array(z.string()),
+  /** Demand met here since the agent started, by artifact. */
+  servedCount: z.record(z.string(), z.number()),
+  /** Prefix hashes believed cached, newest first, a bounded number. */
+  cachedPrefixes: z.array(z.string()),
+});
+
+export const sealResultSchema = z.object({
+  state: z.enum(['never-started', 'started', 'finished', 'unknown']),
+});
+
+export const proposalSchema = z.object({
+  proposalId: z.string(),
+  /** Offset of the planner's claim; an older planner is refused. */
+  plannerEpoch: z.number(),
+  kind: z.enum(['load', 'retire', 'set-role']),
+  artifact: z.string().default(''),
+  bytes: z.number().default(0),
+  runnerRole: z.string().default(''),
+  /** For retire: the copies elsewhere that it relies on. */
+  reliesOnCopyIds: z.array(z.string()).default([]),
+});
+
+export const proposalResultSchema = z.object({
+  accepted: z.boolean(),
+  /** Why not, in a word: `no-memory`, `old-planner`, `not-sole`, … */
+  reason: z.string(),
+});
+
+export type Copy = z.infer<typeof copySchema>;
+export type LoadDigest = z.infer<typeof loadDigestSchema>;
+export type AgentReport = z.infer<typeof agentReportSchema>;
+export type SealResult = z.infer<typeof sealResultSchema>;
+export type Proposal = z.infer<typeof proposalSchema>;
+export type ProposalResult = z.infer<typeof proposalResultSchema>;
+
+/** What an agent implements for the calls of entries and operators. */
+export interface AgentHandlers {
+  report(): Promise<AgentReport>;
+  seal(attemptId: string): Promise<SealResult>;
+  propose(proposal: Proposal): Promise<ProposalResult>;
+  /** Starts to leave: no new work, what runs is finished. */
+  drain(): Promise<{running: number}>;
+}
+
+const t = initTRPC.create();
+
+/** Mounts an agent's handlers as a trpc router. */
+export function createAgentRouter(handlers: AgentHandlers) {
+  return t.router({
+    report: t.procedure
+      .output(agentReportSchema)
+      .query(() => handlers.report()),
+    seal: t.procedure
+      .input(z.object({attemptId: z.string()}))
+      .output(sealResultSchema)
+      .mutation(({input}) => handlers.seal(input.attemptId)),
+    propose: t.procedure
+      .input(proposalSchema)
+      .output(proposalResultSchema)
+      .mutation(({input}) => handlers.propose(input)),
+    drain: t.procedure.mutation(() => handlers.drain()),
+  });
+}
+
+export type AgentRouter = ReturnType<typeof createAgentRouter>;
--- /dev/null
+++ b/packages/banyanfold-protocol/src/clients.ts
@@ -0,0 +1,48 @@
+import {createTRPCClient, httpLink} from '@trpc/client';
+import {fetch, type Dispatcher} from 'undici';
+import type {AgentRouter} from './agentContract.js';
+import type {EntryRouter} from './entryContract.js';
+import {PATHS} from './headers.js';
+
+/** How to reach a peer's control interface. */
+export interface ControlClientOptions {
+  host: string;
+  port: number;
+  internalKey: string;
+  timeoutMs?: number;
+  dispatcher?: Dispatcher;
+}
+
+const DEFAULT_TIMEOUT_MS = 2000;
+
+function controlLink(options: ControlClientOptions) {
+  const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  const send = (url: unknown, init: unknown) =>
+    fetch(String(url), {
+      ...(init as object),
+      dispatcher: options.dispatcher,
+      signal: AbortSignal.timeout(timeoutMs),
+    } as Parameters<typeof fetch>[1]);
+  return httpLink({
+    url: `http://${options.host}:${options.port}${PATHS.trpc}`,
+    headers: {authorization: `Bearer ${options.internalKey}`},
+    fetch: send as unknown as typeof globalThis.fetch,
+  });
+}
+
+/**
+ * A client of an agent's control interface.
+ *
+ * @example await createAgentClient({host, port, internalKey}).report.query()
+ */
+export function createAgentClient(options: ControlClientOptions) {
+  return createTRPCClient<AgentRouter>({links: [controlLink(options)]});
+}
+
+/** A client of an entry's control interface. */
+export function createEntryClient(options: ControlClientOptions) {
+  return createTRPCClient<EntryRouter>({links: [controlLink(options)]});
+}
+
+export type AgentClient = ReturnType<typeof createAgentClient>;
+export type EntryClient = ReturnType<typeof createEntryClient>;
--- /dev/null
+++ b/packages/banyanfold-protocol/src/entryContract.ts
@@ -0,0 +1,80 @@
+import {initTRPC} from '@trpc/server';
+import {z} from 'zod';
+
+export const entryStatusSchema = z.object({
+  vmId: z.string(),
+  failureDomain: z.string(),
+  configVersion: z.number(),
+  ready: z.boolean(),
+  leaving: z.boolean(),
+  openRequests: z.number(),
+  plannerEpoch: z.number(),
+  agents: z.array(
+    z.object({
+      vmId: z.string(),
+      reachable: z.boolean(),
+      ageMs: z.number(),
+      configVersion: z.number(),
+      running: z.number(),
+      queued: z.number(),
+      artifacts: z.array(z.string()),
+    }),
+  ),
+});
+
+/** The state of the configuration fold, for a peer that starts. */
+export const configSnapshotSchema = z.object({
+  version: z.number(),
+  foldedThrough: z.number(),
+  body: z.unknown(),
+});
+
+export const explainInputSchema = z.object({
+  caller: z.string(),
+  desk: z.string().default(''),
+  requestedName: z.string(),
+  headers: z.record(z.string(), z.string()).default({}),
+});
+
+export const explainResultSchema = z.object({
+  selector: z.string(),
+  artifact: z.string(),
+  reason: z.string(),
+  candidates: z.array(
+    z.object({vmId: z.string(), score: z.number(), reason: z.string()}),
+  ),
+});
+
+export type EntryStatus = z.infer<typeof entryStatusSchema>;
+export type ConfigSnapshot = z.infer<typeof configSnapshotSchema>;
+export type ExplainInput = z.infer<typeof explainInputSchema>;
+export type ExplainResult = z.infer<typeof explainResultSchema>;
+
+/** What an entry implements for the calls of peers and operators. */
+export interface EntryHandlers {
+  status(): Promise<EntryStatus>;
+  configSnapshot(): Promise<ConfigSnapshot>;
+  drain(): Promise<{openRequests: number}>;
+  explain(input: ExplainInput): Promise<ExplainResult>;
+}
+
+const t = initTRPC.create();
+
+/** Mounts an entry's handlers as a trpc router. */
+export function createEntryRouter(handlers: EntryHandlers) {
+  return t.router({
+    status: t.procedure
+      .output(entryStatusSchema)
+      .query(() => handlers.status()),
+    configSnapshot: t.procedure
+      .output(configSnapshotSchema)
+      .query(() => handlers.configSnapshot()),
+    drain: t.procedure.mutation(() => handlers.drain()),
+    explain: t.procedure
+      .input(explainInputSchema)
+      .output(explainResultSchema)
+      .query(({input}) => handlers.explain(input)),
+  });
+}
+
+export type EntryRouter = ReturnType<typeof createEntryRouter>;
--- /dev/null
+++ b/packages/banyanfold-protocol/src/index.ts
@@ -0,0 +1,4 @@
+export * from './agentContract.js';
+export * from './clients.js';
+export * from './entryContract.js';
+export * from './headers.js';
