--- a/packages/banyanfold-core/src/logger.ts
+++ b/packages/banyanfold-core/src/logger.ts
@@ -1,4 +1,5 @@
-import {Roarr, ROARR} from 'roarr';
+import './enableRoarr.js';
+import {Roarr, ROARR, type Message} from 'roarr';
 
 export type LogFields = Record<
   string,
@@ -36,32 +37,27 @@
   return parts.join(' ');
 }
 
-interface RoarrMessage {
-  time: number;
-  message: string;
-  context: LogFields;
+function renderMessage(message: Message): string {
+  const {level, ...context} = message.context as LogFields;
+  return renderLine({
+    time: new Date(message.time).toISOString(),
+    level,
+    event: message.message,
+    ...context,
+  });
 }
 
+ROARR.serializeMessage = renderMessage;
+ROARR.write = () => {};
+
 /**
- * Sends roarr's messages to `write`, one key=value line each. It is for the
- * whole process; the daemons call it once at their start.
+ * Sends log lines to `write`. It is for the whole process; the daemons call it
+ * once at their start, and until then nothing is printed.
  */
 export function startLogOutput(
   write: (line: string) => void = line => process.stdout.write(`${line}\n`),
 ): void {
-  process.env['ROARR_LOG'] = 'true';
-  ROARR.write = (serialized: string) => {
-    const parsed = JSON.parse(serialized) as RoarrMessage;
-    const {level, ...context} = parsed.context;
-    write(
-      renderLine({
-        time: new Date(parsed.time).toISOString(),
-        level,
-        event: parsed.message,
-        ...context,
-      }),
-    );
-  };
+  ROARR.write = write;
 }
 
 /**
