--- a/packages/banyanfold-platform/src/index.ts
+++ b/packages/banyanfold-platform/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './types.js';
