--- /dev/null
+++ b/packages/banyanfold-cli/src/commands/drain.ts
@@ -0,0 +1,54 @@
+import {Args, Flags} from '@oclif/core';
+import {createVmListService, type Vm} from '@banyanfold/platform';
+import {createAgentClient, createEntryClient} from '@banyanfold/protocol';
+import {EXIT_CODES} from '../exitCodes.js';
+import {OperatorCommand} from '../operatorCommand.js';
+
+const DRAIN_CALLS = {
+  entry: async (vm: Vm, internalKey: string): Promise<number> => {
+    const client = createEntryClient({host: vm.host, port: vm.port, internalKey});
+    return (await client.drain.mutate()).openRequests;
+  },
+  agent: async (vm: Vm, internalKey: string): Promise<number> => {
+    const client = createAgentClient({host: vm.host, port: vm.port, internalKey});
+    return (await client.drain.mutate()).running;
+  },
+};
+
+export default class Drain extends OperatorCommand {
+  static override summary =
+    'Make a VM leave: it takes no new work and finishes what it runs.';
+  static override examples = ['<%= config.bin %> drain agent-2'];
+  static override args = {
+    vm: Args.string({description: 'VM id, as in the VM list', required: true}),
+  };
+  static override flags = {
+    'internal-key': Flags.string({
+      description: "the key between processes; only for an agent's VM",
+      env: 'BANYANFOLD_INTERNAL_KEY',
+      default: '',
+    }),
+  };
+
+  async run(): Promise<void> {
+    const {args, flags} = await this.parse(Drain);
+    const settings = this.loadOperatorSettings(flags.settings);
+    const list = await createVmListService({
+      url: settings.platform.vmListUrl,
+    }).read();
+    if (list.isErr()) this.unreachable('VM list', list.error.message);
+    const vms = list.map(value => value.vms).unwrapOr([]);
+    const vm = vms.find(candidate => candidate.vmId === args.vm);
+    if (!vm) {
+      const known = vms.map(candidate => candidate.vmId).join(', ');
+      this.error(`no VM is named "${args.vm}"; the list has: ${known}`, {
+        exit: EXIT_CODES.badInput,
+      });
+    }
+    const key = flags['internal-key'] || this.operatorKey(settings);
+    const open = await DRAIN_CALLS[vm.role](vm, key).catch((error: Error) =>
+      this.unreachable(vm.vmId, error.message),
+    );
+    this.log(`${vm.vmId} leaves; ${open} requests in progress`);
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-cli/src/commands/validate.ts
@@ -0,0 +1,31 @@
+import {Args, Command} from '@oclif/core';
+import {parseConfig} from '@banyanfold/config';
+import {renderProblems} from '@banyanfold/core';
+import {EXIT_CODES} from '../exitCodes.js';
+import {readText} from '../settings.js';
+
+export default class Validate extends Command {
+  static override summary = 'Check a configuration without publishing it.';
+  static override examples = ['<%= config.bin %> validate published.jsonc'];
+  static override args = {
+    file: Args.string({description: 'configuration file', required: true}),
+  };
+
+  async run(): Promise<void> {
+    const {args} = await this.parse(Validate);
+    const text = readText(args.file).match(
+      value => value,
+      problem => this.error(problem, {exit: EXIT_CODES.badInput}),
+    );
+    parseConfig(args.file, text).match(
+      config =>
+        this.log(
+          `${args.file}: ok, ${config.models.length} models, ` +
+            `${config.adapters.length} adapters, ` +
+            `${config.selectors.length} selectors`,
+        ),
+      problems =>
+        this.error(renderProblems(problems), {exit: EXIT_CODES.badInput}),
+    );
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-cli/src/exitCodes.ts
@@ -0,0 +1,9 @@
+/** Exit codes of the command line; docs/cli.md explains them. */
+export const EXIT_CODES = {
+  ok: 0,
+  failed: 1,
+  badInput: 2,
+  publishVoid: 3,
+  notInForce: 4,
+  unreachable: 5,
+} as const;
--- /dev/null
+++ b/packages/banyanfold-cli/src/operatorCommand.ts
@@ -0,0 +1,74 @@
+import {Command, Flags} from '@oclif/core';
+import {createVmListService, type Vm} from '@banyanfold/platform';
+import {createEntryClient, type EntryClient} from '@banyanfold/protocol';
+import {EXIT_CODES} from './exitCodes.js';
+import {
+  loadSettings,
+  operatorSettingsSchema,
+  type OperatorSettings,
+} from './settings.js';
+
+const DEFAULT_SETTINGS_PATH = 'operator.jsonc';
+
+/** An entry and a client of its control interface. */
+export interface ReachedEntry {
+  vm: Vm;
+  client: EntryClient;
+}
+
+/** What the operators' commands have in common: settings and clients. */
+export abstract class OperatorCommand extends Command {
+  static override baseFlags = {
+    settings: Flags.string({
+      description: 'operator settings file',
+      env: 'BANYANFOLD_OPERATOR_SETTINGS',
+      default: DEFAULT_SETTINGS_PATH,
+    }),
+  };
+
+  protected loadOperatorSettings(path: string): OperatorSettings {
+    return loadSettings(path, operatorSettingsSchema).match(
+      settings => settings,
+      problems => this.error(problems, {exit: EXIT_CODES.badInput}),
+    );
+  }
+
+  /** The live entries in the platform's VM list, with clients. */
+  protected async liveEntries(
+    settings: OperatorSettings,
+  ): Promise<ReachedEntry[]> {
+    const list = await createVmListService({
+      url: settings.platform.vmListUrl,
+    }).read();
+    if (list.isErr()) this.unreachable('VM list', list.error.message);
+    const vms = list
+      .map(value => value.vms)
+      .unwrapOr([])
+      .filter(vm => vm.role === 'entry' && vm.state === 'live');
+    if (vms.length === 0) {
+      this.unreachable('VM list', 'it names no live entry');
+    }
+    const internalKey = this.operatorKey(settings);
+    return vms.map(vm => ({
+      vm,
+      client: createEntryClient({host: vm.host, port: vm.port, internalKey}),
+    }));
+  }
+
+  protected unreachable(peer: string, reason: string): never {
+    this.error(`${peer} can't be reached: ${reason}`, {
+      exit: EXIT_CODES.unreachable,
+    });
+  }
+
+  protected operatorKey(settings: OperatorSettings): string {
+    const key =
+      process.env['BANYANFOLD_OPERATOR_KEY'] ?? settings.operatorKey;
+    if (key) return key;
+    return this.error(
+      'no operator key: set operatorKey in the settings or the environment ' +
+        'variable BANYANFOLD_OPERATOR_KEY',
+      {exit: EXIT_CODES.badInput},
+    );
+  }
+}
