Decide routing, admission, queues, retries, ejections and placement

Entry and agent need the functions to call. These are simple working versions with their final signatures: each takes a view, the time and options with defaults, and gives a decision with its reasons. Randomness is passed in.

--- /dev/null
+++ b/packages/banyanfold-decisions/src/decideAdmission.ts
@@ -0,0 +1,82 @@
+import {DEFAULT_ADMISSION_OPTIONS, type AdmissionOptions} from './options.js';
+import type {
+  AdmissionDecision,
+  AdmissionRequest,
+  AdmissionView,
+} from './types.js';
+
+/**
+ * Whether an agent runs a request now, queues it or refuses it. A request that
+ * can't make its first-token target is refused at once, and told when the
+ * queue will have drained far enough.
+ *
+ * @example decideAdmission(view, request, clock.nowMs()).kind // 'run'
+ */
+export function decideAdmission(
+  view: AdmissionView,
+  request: AdmissionRequest,
+  nowMs: number,
+  options: AdmissionOptions = DEFAULT_ADMISSION_OPTIONS,
+): AdmissionDecision {
+  const waitMs = estimateWaitMs(view, request, nowMs);
+  const estimatedDelayMs = waitMs + view.firstTokenMs;
+  const allowedMs = request.firstTokenBudgetMs * options.budgetTolerance;
+  if (request.kvBytes > view.kvFreeBytes && view.running === 0) {
+    return refuse('no-kv-memory', estimatedDelayMs, view.serviceTimeMs);
+  }
+  if (estimatedDelayMs > allowedMs) {
+    return refuse('too-late', estimatedDelayMs, estimatedDelayMs - allowedMs);
+  }
+  if (canStart(view, request)) {
+    return {kind: 'run', estimatedDelayMs, reason: 'free-slot'};
+  }
+  if (view.queue.length >= view.maxQueued) {
+    return refuse('busy', estimatedDelayMs, waitMs);
+  }
+  return {kind: 'queue', estimatedDelayMs, reason: `wait=${round(waitMs)}ms`};
+
+  function refuse(
+    code: 'busy' | 'too-late' | 'no-kv-memory',
+    delayMs: number,
+    drainMs: number,
+  ): AdmissionDecision {
+    const atLeastMs = Math.max(drainMs, options.minRetryAfterMs);
+    return {
+      kind: 'refuse',
+      code,
+      estimatedDelayMs: delayMs,
+      retryAfterMs: Math.min(atLeastMs, options.maxRetryAfterMs),
+      reason: `${code}: needs ${round(delayMs)}ms, has ${round(allowedMs)}ms`,
+    };
+  }
+}
+
+function round(valueMs: number): number {
+  return Math.round(valueMs);
+}
+
+function canStart(view: AdmissionView, request: AdmissionRequest): boolean {
+  return (
+    view.running < view.maxRunning &&
+    request.kvBytes <= view.kvFreeBytes &&
+    view.queue.length === 0
+  );
+}
+
+/** Time until a slot is free for this request, behind those before it. */
+function estimateWaitMs(
+  view: AdmissionView,
+  request: AdmissionRequest,
+  nowMs: number,
+): number {
+  if (canStart(view, request)) return 0;
+  const deadlineMs = nowMs + request.firstTokenBudgetMs;
+  const ahead = view.queue.filter(
+    queued =>
+      queued.priority < request.priority ||
+      (queued.priority === request.priority && queued.deadlineMs <= deadlineMs),
+  ).length;
+  const freeSlots = Math.max(0, view.maxRunning - view.running);
+  const slotIntervalMs = view.serviceTimeMs / Math.max(1, view.maxRunning);
+  return Math.max(0, ahead + 1 - freeSlots) * slotIntervalMs;
+}
--- /dev/null
+++ b/packages/banyanfold-decisions/src/placement/growHot.ts
@@ -0,0 +1,100 @@
+import type {PlacementOptions} from '../options.js';
+import type {PlacementArtifact} from '../types.js';
+import {rankTargets} from './chooseTarget.js';
+import {findSurplus} from './freeMemory.js';
+import type {PlacementPlan, PlannedRunner} from './placementPlan.js';
+
+const MS_PER_SECOND = 1000;
+
+/** Plans extra copies of what keeps overloaded runners busy. */
+export function growHot(plan: PlacementPlan, options: PlacementOptions): void {
+  const highLoad = options.highUtilization * options.runnerRequestsPerSecond;
+  const hot = [...plan.runners.values()]
+    .filter(({load}) => load > highLoad)
+    .sort((a, b) => b.load - a.load);
+  for (const source of hot) {
+    if (plan.loadsLeft <= 0) return;
+    relieve(plan, source, options);
+  }
+}
+
+function relieve(
+  plan: PlacementPlan,
+  source: PlannedRunner,
+  options: PlacementOptions,
+): void {
+  for (const artifact of busiestArtifacts(plan, source)) {
+    if (plan.holders(artifact.artifact).length >= options.maxCopies) continue;
+    if (plan.holders(artifact.artifact).some(isLoading(artifact))) return;
+    if (addCopy(plan, source, artifact, options)) return;
+  }
+}
+
+/** A copy on its way will relieve the runner; wait for it. */
+function isLoading(artifact: PlacementArtifact) {
+  return ({copies}: PlannedRunner): boolean =>
+    copies.get(artifact.artifact)?.state === 'reserved';
+}
+
+function busiestArtifacts(
+  plan: PlacementPlan,
+  source: PlannedRunner,
+): PlacementArtifact[] {
+  return [...source.copies.keys()]
+    .map(name => plan.artifacts.get(name))
+    .filter(artifact => artifact !== undefined)
+    .sort((a, b) => plan.shareOf(b.artifact) - plan.shareOf(a.artifact));
+}
+
+function addCopy(
+  plan: PlacementPlan,
+  source: PlannedRunner,
+  artifact: PlacementArtifact,
+  options: PlacementOptions,
+): boolean {
+  for (const target of rankTargets(plan, artifact, options)) {
+    const moved = movedLoad(plan, source, target, artifact);
+    const surplus = findSurplus(
+      plan,
+      target,
+      artifact.bytes,
+      options.retireIdleMs,
+    );
+    if (!surplus) continue;
+    if (!isWorthwhile(moved, artifact, surplus.length, options)) continue;
+    if (target.freeBytes >= artifact.bytes) {
+      plan.load(target, artifact, `hot: +${moved.toFixed(2)}/s`);
+    }
+    for (const copy of surplus) {
+      plan.retire(target, copy, `room-for ${artifact.artifact}`);
+    }
+    return true;
+  }
+  return false;
+}
+
+/** Requests a second that would move from the source to the target. */
+function movedLoad(
+  plan: PlacementPlan,
+  source: PlannedRunner,
+  target: PlannedRunner,
+  artifact: PlacementArtifact,
+): number {
+  const copies = plan.holders(artifact.artifact).length;
+  const newShare = artifact.demandPerSecond / (copies + 1);
+  return Math.min(newShare, (source.load - target.load) / 2);
+}
+
+function isWorthwhile(
+  moved: number,
+  artifact: PlacementArtifact,
+  retirements: number,
+  options: PlacementOptions,
+): boolean {
+  const isAdapter = artifact.artifact !== artifact.modelArtifact;
+  const loadPrice = isAdapter ? options.adapterMoveShare : 1;
+  const price = (loadPrice + retirements) * options.moveWeight;
+  const horizonSeconds = options.horizonMs / MS_PER_SECOND;
+  const gain = moved * horizonSeconds * options.attainmentWeight;
+  return gain > price * options.hysteresis;
+}
--- /dev/null
+++ b/packages/banyanfold-decisions/src/placement/placementPlan.ts
@@ -0,0 +1,147 @@
+import type {
+  Move,
+  PlacementArtifact,
+  PlacementCopy,
+  PlacementRunner,
+  PlacementView,
+} from '../types.js';
+
+/** One runner as it will be once the moves planned so far are made. */
+export interface PlannedRunner {
+  runner: PlacementRunner;
+  freeBytes: number;
+  /** By artifact; copies planned for retirement are left out. */
+  copies: Map<string, PlacementCopy>;
+  /** Expected requests a second. */
+  load: number;
+}
+
+/** States in which a copy serves, or will without another order. */
+const COUNTED_STATES = new Set<PlacementCopy['state']>(['held', 'reserved']);
+
+/**
+ * The scratch pad of one placement decision: the view, with the moves planned
+ * so far applied to it.
+ */
+export class PlacementPlan {
+  readonly moves: Move[] = [];
+  readonly unplaced: Array<{artifact: string; reason: string}> = [];
+  /** Runners that can take copies, by VM. */
+  readonly runners = new Map<string, PlannedRunner>();
+  readonly artifacts = new Map<string, PlacementArtifact>();
+
+  constructor(
+    readonly view: PlacementView,
+    /** Loads that the weight store allows now. */
+    public loadsLeft: number,
+  ) {
+    for (const artifact of view.artifacts) {
+      this.artifacts.set(artifact.artifact, artifact);
+    }
+    for (const runner of view.runners) {
+      if (!runner.reachable || runner.leaving) continue;
+      this.runners.set(runner.vmId, plannedRunner(runner));
+    }
+    this.spreadLoad();
+  }
+
+  /** Runners whose copy serves, or is on its way. */
+  holders(artifact: string): PlannedRunner[] {
+    return [...this.runners.values()].filter(({copies}) => {
+      const copy = copies.get(artifact);
+      return copy !== undefined && COUNTED_STATES.has(copy.state);
+    });
+  }
+
+  /** Runners whose copy serves now. */
+  servers(artifact: string): PlannedRunner[] {
+    return [...this.runners.values()].filter(
+      ({copies}) => copies.get(artifact)?.state === 'held',
+    );
+  }
+
+  /** Requests a second that one copy of an artifact is expected to meet. */
+  shareOf(artifact: string): number {
+    const demand = this.artifacts.get(artifact)?.demandPerSecond ?? 0;
+    return demand / Math.max(1, this.holders(artifact).length);
+  }
+
+  load(target: PlannedRunner, artifact: PlacementArtifact, reason: string) {
+    this.moves.push({
+      kind: 'load',
+      vmId: target.runner.vmId,
+      artifact: artifact.artifact,
+      bytes: artifact.bytes,
+      runnerRole: '',
+      reliesOnCopyIds: [],
+      reason,
+    });
+    this.loadsLeft -= 1;
+    target.freeBytes -= artifact.bytes;
+    target.copies.set(artifact.artifact, {
+      artifact: artifact.artifact,
+      bytes: artifact.bytes,
+      copyId: '',
+      state: 'reserved',
+      idleMs: 0,
+    });
+    this.spreadLoad();
+  }
+
+  /**
+   * Plans a retirement that relies on the held copies elsewhere. They stay: a
+   * copy relied on in this decision is never retired in it, because both
+   * retirements would pass alone and together leave no copy.
+   */
+  retire(target: PlannedRunner, copy: PlacementCopy, reason: string) {
+    this.moves.push({
+      kind: 'retire',
+      vmId: target.runner.vmId,
+      artifact: copy.artifact,
+      bytes: copy.bytes,
+      runnerRole: '',
+      reliesOnCopyIds: this.reliableCopyIds(target, copy.artifact),
+      reason,
+    });
+    target.copies.delete(copy.artifact);
+    this.spreadLoad();
+  }
+
+  setRole(target: PlannedRunner, runnerRole: string, reason: string) {
+    this.moves.push({
+      kind: 'set-role',
+      vmId: target.runner.vmId,
+      artifact: '',
+      bytes: 0,
+      runnerRole,
+      reliesOnCopyIds: [],
+      reason,
+    });
+  }
+
+  /** Held copies on other usable runners. */
+  reliableCopyIds(target: PlannedRunner, artifact: string): string[] {
+    return this.servers(artifact)
+      .filter(({runner}) => runner.vmId !== target.runner.vmId)
+      .map(({copies}) => copies.get(artifact)!.copyId);
+  }
+
+  private spreadLoad(): void {
+    for (const planned of this.runners.values()) planned.load = 0;
+    for (const artifact of this.artifacts.values()) {
+      const holders = this.holders(artifact.artifact);
+      for (const holder of holders) {
+        holder.load += artifact.demandPerSecond / holders.length;
+      }
+    }
+  }
+}
+
+function plannedRunner(runner: PlacementRunner): PlannedRunner {
+  return {
+    runner,
+    freeBytes: runner.memoryFreeBytes,
+    copies: new Map(runner.copies.map(copy => [copy.artifact, copy])),
+    load: 0,
+  };
+}
--- a/packages/banyanfold-decisions/src/types.ts
+++ b/packages/banyanfold-decisions/src/types.ts
@@ -1,3 +1,11 @@
+/**
+ * What the decision functions read and return. Extend these types; a rename
+ * breaks entry and agent.
+ */
+
+/** A generator of numbers in [0, 1); passed in, so that runs repeat. */
+export type Random = () => number;
+
 /** One reason line for each candidate looked at. */
 export interface CandidateReason {
   vmId: string;
@@ -23,6 +31,8 @@
   queued: number;
   /** The runner's own estimate of the wait to a first token. */
   queueDelayMs: number;
+  /** Requests it runs at once, where the entry knows it. */
+  maxRunning?: number;
   kvUsedBytes: number;
   kvCapacityBytes: number;
   /** Requests this entry sent after the report was made, and still open. */
@@ -78,6 +88,17 @@
   kvBytes: number;
 }
 
+/** Which request an agent runs next, and which it refuses at once. */
+export interface QueueDecision {
+  /** Undefined when nothing waits, or nothing that waits can start now. */
+  next: QueuedRequest | undefined;
+  /** These can't make their deadline any more; refuse them now. */
+  tooLate: QueuedRequest[];
+  /** When a caller refused now may come back. */
+  retryAfterMs: number;
+  reason: string;
+}
+
 /** What an agent knows when a request comes or a slot gets free. */
 export interface AdmissionView {
   running: number;
@@ -129,7 +150,10 @@
   vmId: string;
   successes: number;
   failures: number;
+  /** Median over the window; 0 when no answer came. */
   firstTokenMs: number;
+  /** Until when it is ejected already; it counts against the limit. */
+  ejectedUntilMs?: number;
 }
 
 export interface EjectionDecision {
