--- /dev/null
+++ b/packages/banyanfold-config/src/labels.ts
@@ -0,0 +1,81 @@
+import type {
+  Adapter,
+  Group,
+  LabelSelector,
+  Labels,
+  Model,
+  PublishedConfig,
+  Service,
+} from './types.js';
+
+/** A model, adapter or service that a group's labels take in. */
+export type GroupMember =
+  | {kind: 'model'; model: Model}
+  | {kind: 'adapter'; adapter: Adapter}
+  | {kind: 'service'; service: Service};
+
+type MatchExpression = LabelSelector['matchExpressions'][number];
+
+const OPERATORS: Record<
+  MatchExpression['operator'],
+  (labels: Labels, expression: MatchExpression) => boolean
+> = {
+  In: (labels, {key, values}) => {
+    const value = labels[key];
+    return value !== undefined && values.includes(value);
+  },
+  NotIn: (labels, {key, values}) => {
+    const value = labels[key];
+    return value === undefined || !values.includes(value);
+  },
+  Exists: (labels, {key}) => labels[key] !== undefined,
+  DoesNotExist: (labels, {key}) => labels[key] === undefined,
+};
+
+/**
+ * Whether labels fit a label selector. An empty selector fits everything.
+ *
+ * @example
+ * matchesLabels({matchLabels: {desk: 'claims'}, matchExpressions: []},
+ *   {desk: 'claims'}) // true
+ */
+export function matchesLabels(
+  selector: LabelSelector,
+  labels: Labels,
+): boolean {
+  for (const [key, value] of Object.entries(selector.matchLabels)) {
+    if (labels[key] !== value) return false;
+  }
+  return selector.matchExpressions.every(expression =>
+    OPERATORS[expression.operator](labels, expression),
+  );
+}
+
+/**
+ * The members of a group in listed order: models, adapters, services.
+ *
+ * @example groupMembers(config, config.groups[0])
+ */
+export function groupMembers(
+  config: PublishedConfig,
+  group: Group,
+): GroupMember[] {
+  const selector = group.labelSelector;
+  const members: GroupMember[] = [];
+  for (const model of config.models) {
+    if (matchesLabels(selector, model.labels)) {
+      members.push({kind: 'model', model});
+    }
+  }
+  for (const adapter of config.adapters) {
+    if (matchesLabels(selector, adapter.labels)) {
+      members.push({kind: 'adapter', adapter});
+    }
+  }
+  for (const service of config.services) {
+    if (matchesLabels(selector, service.labels)) {
+      members.push({kind: 'service', service});
+    }
+  }
+  return members;
+}
