Add stand-ins for the platform, the engines and plain services

Each stand-in is a state class on Clock, for tests in process on a virtual clock, under a thin HTTP server with /control/faults and /control/truth.

The fault switches are there and not yet covered by tests.

--- /dev/null
+++ b/packages/banyanfold-standins/src/engine/EngineStandin.ts
@@ -0,0 +1,110 @@
+import {ok} from 'neverthrow';
+import {z} from 'zod';
+import {controlRoutes} from '../common/controlRoutes.js';
+import {HttpServer, type Route} from '../common/httpServer.js';
+import {refuse} from '../common/refusal.js';
+import {
+  listenSchema,
+  logTruth,
+  type ServerContext,
+} from '../common/standinOptions.js';
+import {EngineState, type EngineContext} from './EngineState.js';
+import {inferenceRoutes} from './inferenceRoutes.js';
+import {kvExportSchema} from './kvTransfer.js';
+import {engineFaultsSchema, engineOptionsSchema} from './options.js';
+import type {EngineOrderInput} from './orders.js';
+
+export const engineStandinSchema = engineOptionsSchema
+  .extend(listenSchema.shape)
+  .extend({faults: engineFaultsSchema.prefault({})});
+
+export type EngineStandinOptions = z.input<typeof engineStandinSchema>;
+
+const ACCEPTED = 202;
+
+const kvRequestSchema = z.object({requestId: z.string()});
+
+/** A model engine over HTTP. */
+export class EngineStandin {
+  readonly state: EngineState;
+  private readonly server: HttpServer;
+
+  constructor(
+    options: EngineStandinOptions = {},
+    context: ServerContext & EngineContext = {},
+  ) {
+    const settings = engineStandinSchema.parse(options);
+    const {weights} = context;
+    this.state = new EngineState(settings, {...logTruth(context), weights});
+    const served = [
+      ...inferenceRoutes(this.state),
+      ...engineRoutes(this.state),
+    ];
+    this.server = new HttpServer({
+      ...settings,
+      logger: context.logger,
+      beforeAnswer: response => {
+        response.setHeader('x-engine-now-ms', String(this.state.nowMs()));
+      },
+      routes: [
+        ...controlRoutes(this.state.faults, this.state.truth),
+        ...served.map(route => whenAwake(this.state, route)),
+      ],
+    });
+  }
+
+  start(): Promise<{port: number}> {
+    return this.server.start();
+  }
+
+  stop(): Promise<void> {
+    return this.server.stop();
+  }
+}
+
+/** Holds a request while the engine is paused. */
+function whenAwake(state: EngineState, route: Route): Route {
+  return {
+    ...route,
+    handle: async request => {
+      await state.gate.whenAwake();
+      return route.handle(request);
+    },
+  };
+}
+
+function engineRoutes(state: EngineState): Route[] {
+  return [
+    {method: 'GET', pattern: /^\/report$/, handle: () => ok(state.report())},
+    {
+      method: 'POST',
+      pattern: /^\/orders$/,
+      status: ACCEPTED,
+      handle: ({body}) => state.order(body as EngineOrderInput),
+    },
+    {
+      method: 'GET',
+      pattern: /^\/cache-events$/,
+      handle: ({query}) =>
+        ok(state.cacheEvents(Number(query.get('from') ?? 1) || 1)),
+    },
+    {
+      method: 'POST',
+      pattern: /^\/kv\/export$/,
+      handle: ({body}) => {
+        const request = kvRequestSchema.safeParse(body);
+        if (!request.success) return refuse(400, 'bad-request');
+        return state.exportKv(request.data.requestId);
+      },
+    },
+    {
+      method: 'POST',
+      pattern: /^\/kv\/import$/,
+      handle: ({body}) => {
+        const request = kvExportSchema.safeParse(body);
+        if (!request.success) return refuse(400, 'bad-request');
+        return state.importKv(request.data);
+      },
+    },
+  ];
+}
--- /dev/null
+++ b/packages/banyanfold-standins/src/log/LogState.ts
@@ -0,0 +1,159 @@
+import {sleep, type Clock} from '@banyanfold/core';
+import {ok} from 'neverthrow';
+import {FaultSwitches} from '../common/faultSwitches.js';
+import {outageRefusal} from '../common/outage.js';
+import type {Random} from '../common/random.js';
+import {RateLimit} from '../common/rateLimit.js';
+import {CONNECTION_CUT, never, refuse, type Answer} from '../common/refusal.js';
+import {resolveContext, type StateContext} from '../common/standinOptions.js';
+import {TruthRecord} from '../common/truth.js';
+import {LogStream, type StoredRecord} from './LogStream.js';
+import {
+  logFaultsSchema,
+  logOptionsSchema,
+  type LogFaults,
+  type LogOptions,
+} from './options.js';
+
+export interface AppendAnswer {
+  firstOffset: number;
+  lastOffset: number;
+  appendedAtMs: number;
+}
+
+export interface LogPage {
+  firstOffset: number;
+  nextOffset: number;
+  nowMs: number;
+  records: StoredRecord[];
+}
+
+export interface ReadRequest {
+  fromOffset: number;
+  limit?: number;
+  waitMs?: number;
+}
+
+/** The platform's log service in memory. */
+export class LogState {
+  readonly faults: FaultSwitches<typeof logFaultsSchema>;
+  readonly truth: TruthRecord;
+  private readonly options: LogOptions;
+  private readonly clock: Clock;
+  private readonly random: Random;
+  private readonly rateLimit: RateLimit;
+  private readonly streams = new Map<string, LogStream>();
+
+  constructor(
+    options: Partial<LogOptions> & {faults?: Partial<LogFaults>} = {},
+    context: StateContext = {},
+  ) {
+    this.options = logOptionsSchema.parse(options);
+    this.faults = new FaultSwitches(logFaultsSchema, options.faults);
+    const {clock, random} = resolveContext(context);
+    this.clock = clock;
+    this.random = random;
+    this.truth = new TruthRecord(clock, context.onTruth);
+    this.rateLimit = new RateLimit(clock, this.options.appendsPerSecond);
+    this.faults.onChange(() => this.wakeAll());
+  }
+
+  /** @example await log.append('claims', [{key: 'a'}]) */
+  async append(name: string, values: unknown[]): Promise<Answer<AppendAnswer>> {
+    await this.delay('requestDelayMs');
+    const refusal = outageRefusal(this.faults.get().outage);
+    if (refusal) return refusal;
+    if (values.length === 0) return refuse(400, 'no-records');
+    const retryAfterMs = this.rateLimit.take();
+    if (retryAfterMs > 0) return refuse(429, 'too-many', {retryAfterMs});
+    const answer = this.store(name, values);
+    await this.delay('answerDelayMs');
+    if (this.losesAnswer()) return this.loseAnswer(name, answer);
+    return ok(answer);
+  }
+
+  /** Reads a page; with `waitMs` it waits for a record when there is none. */
+  async read(name: string, request: ReadRequest): Promise<Answer<LogPage>> {
+    await this.delay('requestDelayMs');
+    const waitMs = Math.min(request.waitMs ?? 0, this.options.maxWaitMs);
+    const refusal = outageRefusal(this.faults.get().outage);
+    if (refusal) return refusal;
+    const stream = this.stream(name);
+    if (waitMs > 0 && request.fromOffset >= stream.nextOffset) {
+      await this.waitForChange(stream, waitMs);
+    }
+    await this.delay('answerDelayMs');
+    const laterRefusal = outageRefusal(this.faults.get().outage);
+    if (laterRefusal) return laterRefusal;
+    return ok(this.page(stream, request));
+  }
+
+  private store(name: string, values: unknown[]): AppendAnswer {
+    const stream = this.stream(name);
+    const appendedAtMs = this.clock.wallMs();
+    const firstOffset = stream.nextOffset;
+    stream.append(values, appendedAtMs);
+    const lastOffset = stream.nextOffset - 1;
+    this.truth.add('appended', {stream: name, firstOffset, lastOffset});
+    return {firstOffset, lastOffset, appendedAtMs};
+  }
+
+  private page(stream: LogStream, request: ReadRequest): LogPage {
+    const nowMs = this.clock.wallMs();
+    stream.dropOlderThan(nowMs - this.options.retentionMs);
+    const {maxPageRecords} = this.options;
+    const limit = Math.min(request.limit ?? maxPageRecords, maxPageRecords);
+    return {
+      firstOffset: stream.firstOffset,
+      nextOffset: stream.nextOffset,
+      nowMs,
+      records: stream.read(request.fromOffset, limit),
+    };
+  }
+
+  private losesAnswer(): boolean {
+    if (this.faults.takeNext('loseNextAppendAnswers')) return true;
+    const probability = this.faults.get().appendAnswerLossProbability;
+    return probability > 0 && this.random() < probability;
+  }
+
+  private loseAnswer(
+    stream: string,
+    {firstOffset}: AppendAnswer,
+  ): Promise<Answer<AppendAnswer>> | Answer<AppendAnswer> {
+    this.truth.add('append-answer-lost', {stream, firstOffset});
+    if (this.faults.get().lostAnswersHang) return never();
+    return refuse(CONNECTION_CUT, 'answer-lost');
+  }
+
+  private waitForChange(stream: LogStream, waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = this.clock.setTimer(waitMs, () => {
+        removeWaiter();
+        resolve();
+      });
+      const removeWaiter = stream.addWaiter(() => {
+        timer.cancel();
+        resolve();
+      });
+    });
+  }
+
+  private async delay(field: 'requestDelayMs' | 'answerDelayMs') {
+    const delayMs = this.faults.get()[field];
+    if (delayMs > 0) await sleep(this.clock, delayMs);
+  }
+
+  private stream(name: string): LogStream {
+    let stream = this.streams.get(name);
+    if (!stream) {
+      stream = new LogStream();
+      this.streams.set(name, stream);
+    }
+    return stream;
+  }
+
+  private wakeAll(): void {
+    for (const stream of this.streams.values()) stream.wake();
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-standins/src/service/PlainServiceState.ts
@@ -0,0 +1,83 @@
+import {sleep, type Clock} from '@banyanfold/core';
+import {ok} from 'neverthrow';
+import {FaultSwitches} from '../common/faultSwitches.js';
+import {outageRefusal} from '../common/outage.js';
+import type {Random} from '../common/random.js';
+import {CONNECTION_CUT, never, refuse, type Answer} from '../common/refusal.js';
+import {resolveContext, type StateContext} from '../common/standinOptions.js';
+import {TruthRecord} from '../common/truth.js';
+import {
+  serviceFaultsSchema,
+  serviceOptionsSchema,
+  type ServiceFaults,
+  type ServiceOptions,
+} from './options.js';
+
+export interface ServiceCall {
+  method: string;
+  path: string;
+  idempotencyKey?: string;
+  body?: unknown;
+}
+
+export interface ServiceAnswer {
+  service: string;
+  path: string;
+  /** How many calls have taken effect, this one included. */
+  calls: number;
+}
+
+/** A plain service in memory: each call that takes effect is in the truth. */
+export class PlainServiceState {
+  readonly faults: FaultSwitches<typeof serviceFaultsSchema>;
+  readonly truth: TruthRecord;
+  private readonly options: ServiceOptions;
+  private readonly clock: Clock;
+  private readonly random: Random;
+  private calls = 0;
+
+  constructor(
+    options: Partial<ServiceOptions> & {faults?: Partial<ServiceFaults>} = {},
+    context: StateContext = {},
+  ) {
+    this.options = serviceOptionsSchema.parse(options);
+    this.faults = new FaultSwitches(serviceFaultsSchema, options.faults);
+    const {clock, random} = resolveContext(context);
+    this.clock = clock;
+    this.random = random;
+    this.truth = new TruthRecord(clock, context.onTruth);
+  }
+
+  async call(call: ServiceCall): Promise<Answer<ServiceAnswer>> {
+    await this.delay('requestDelayMs');
+    const refusal = outageRefusal(this.faults.get().outage);
+    if (refusal) return refusal;
+    if (this.faults.takeNext('failNext')) return refuse(500, 'failed');
+    this.calls += 1;
+    const {name: service} = this.options;
+    const answer = {service, path: call.path, calls: this.calls};
+    this.truth.add('call', {...call});
+    await this.delay('answerDelayMs');
+    if (this.losesAnswer()) return this.loseAnswer(call);
+    return ok(answer);
+  }
+
+  private losesAnswer(): boolean {
+    if (this.faults.takeNext('loseNextAnswers')) return true;
+    const probability = this.faults.get().answerLossProbability;
+    return probability > 0 && this.random() < probability;
+  }
+
+  private loseAnswer({
+    path,
+  }: ServiceCall): Promise<Answer<ServiceAnswer>> | Answer<ServiceAnswer> {
+    this.truth.add('answer-lost', {path});
+    if (this.faults.get().lostAnswersHang) return never();
+    return refuse(CONNECTION_CUT, 'answer-lost');
+  }
+
+  private async delay(field: 'requestDelayMs' | 'answerDelayMs') {
+    const delayMs = this.faults.get()[field];
+    if (delayMs > 0) await sleep(this.clock, delayMs);
+  }
+}
