Serve control interfaces by key and let a seal name its incarnation

A successor agent cannot know what its predecessor started, so a seal that names no incarnation could be answered never-started wrongly. Status gains the requests refused for lack of a copy, which the planner of another entry needs.

--- a/packages/banyanfold-protocol/src/agentContract.ts
+++ b/packages/banyanfold-protocol/src/agentContract.ts
@@ -84,7 +84,12 @@
 /** What an agent implements for the calls of entries and operators. */
 export interface AgentHandlers {
   report(): Promise<AgentReport>;
-  seal(attemptId: string): Promise<SealResult>;
+  /**
+   * Stops the attempt when it runs, and keeps it from starting when it hasn't.
+   * `incarnation` is the one the attempt was addressed to; only that one can
+   * answer `never-started`, for an earlier one may have run it.
+   */
+  seal(attemptId: string, incarnation?: number): Promise<SealResult>;
   propose(proposal: Proposal): Promise<ProposalResult>;
   /** Starts to leave: no new work, what runs is finished. */
   drain(): Promise<{running: number}>;
@@ -99,9 +104,11 @@
       .output(agentReportSchema)
       .query(() => handlers.report()),
     seal: t.procedure
-      .input(z.object({attemptId: z.string()}))
+      .input(
+        z.object({attemptId: z.string(), incarnation: z.number().optional()}),
+      )
       .output(sealResultSchema)
-      .mutation(({input}) => handlers.seal(input.attemptId)),
+      .mutation(({input}) => handlers.seal(input.attemptId, input.incarnation)),
     propose: t.procedure
       .input(proposalSchema)
       .output(proposalResultSchema)
--- a/packages/banyanfold-protocol/src/entryContract.ts
+++ b/packages/banyanfold-protocol/src/entryContract.ts
@@ -9,6 +9,8 @@
   leaving: z.boolean(),
   openRequests: z.number(),
   plannerEpoch: z.number(),
+  /** Requests refused here for lack of a copy since the start, by artifact. */
+  missedCount: z.record(z.string(), z.number()).default({}),
   agents: z.array(
     z.object({
       vmId: z.string(),
--- a/packages/banyanfold-protocol/src/headers.ts
+++ b/packages/banyanfold-protocol/src/headers.ts
@@ -14,6 +14,12 @@
   outcome: 'x-banyanfold-outcome',
   lastEventId: 'last-event-id',
   retryAfter: 'retry-after',
+  /** The same in milliseconds; the usual client libraries read it first. */
+  retryAfterMs: 'retry-after-ms',
+  /** `false` tells the usual client libraries not to repeat the request. */
+  shouldRetry: 'x-should-retry',
+  desk: 'x-banyanfold-desk',
+  idempotencyKey: 'idempotency-key',
 } as const;
 
 /** Paths that processes of the system serve to each other. */
--- a/packages/banyanfold-protocol/src/index.ts
+++ b/packages/banyanfold-protocol/src/index.ts
@@ -1,4 +1,5 @@
 export * from './agentContract.js';
 export * from './clients.js';
+export * from './controlServer.js';
 export * from './entryContract.js';
 export * from './headers.js';
