Claim keys, retire copies and name the planner through the log

Cause: non-idempotent requests, retirements and planning are decided by the first record in a stream, and a lost answer must not become a second record or a false "not run".

Ruled out: forgetting a key when its owner dies; nobody can tell what the owner dispatched, so the key stays taken.

--- /dev/null
+++ b/packages/banyanfold-platform/src/__tests__/appendOnce.test.ts
@@ -0,0 +1,90 @@
+import {describe, expect, it} from 'vitest';
+import {acquireFence} from '../acquireFence.js';
+import {appendOnce} from '../appendOnce.js';
+import {claimPlanner, PlannerFold} from '../plannerFold.js';
+import {FakeLog, type AppendFault} from './fakeLog.js';
+import {createBasics, settle} from './testKit.js';
+
+interface FaultCase {
+  fault: AppendFault | undefined;
+  /** The log goes out right after the append. */
+  isOutAfter?: boolean;
+  notSeenCode?: 'append-unknown';
+  outcome: number | string;
+  inLog: number;
+}
+
+const CASES: FaultCase[] = [
+  {fault: undefined, outcome: 3, inLog: 1},
+  {fault: 'refused', outcome: 'log-unavailable', inLog: 0},
+  {fault: 'lost-before', outcome: 'log-unavailable', inLog: 0},
+  {fault: 'lost-after', outcome: 3, inLog: 1},
+  {fault: 'late', outcome: 'log-unavailable', inLog: 1},
+  {
+    fault: 'late',
+    notSeenCode: 'append-unknown',
+    outcome: 'append-unknown',
+    inLog: 1,
+  },
+  {
+    fault: 'lost-before',
+    isOutAfter: true,
+    outcome: 'append-unknown',
+    inLog: 0,
+  },
+  {fault: 'lost-after', isOutAfter: true, outcome: 'append-unknown', inLog: 1},
+];
+
+/*
+ * The caller asked for one record. The answer to its append is lost, before
+ * or after the log took the record, and the log may go out as well. It must
+ * learn the offset if the record is there, never append a second one, and
+ * not be told "not appended" while nobody can know.
+ */
+describe('appendOnce', () => {
+  it.each(CASES)('$fault, out after: $isOutAfter', async testCase => {
+    const {clock} = createBasics();
+    const log = new FakeLog(clock);
+    log.push('claims', {nonce: 'x'}, 'junk');
+    log.faults.push(testCase.fault);
+    const value = {nonce: 'mine'};
+    const {notSeenCode} = testCase;
+    const options = {log, stream: 'claims', value, notSeenCode} as const;
+    const appending = appendOnce(options);
+    if (testCase.isOutAfter) queueMicrotask(() => (log.isOut = true));
+    const result = await settle(clock, appending);
+    await clock.advance(1_000);
+    expect(result.match(String, ({code}) => code)).toBe(
+      String(testCase.outcome),
+    );
+    const mine = log.everything.filter(({value}) =>
+      JSON.stringify(value).includes('mine'),
+    );
+    expect(mine).toHaveLength(testCase.inLog);
+    expect(log.calls.append).toBe(1);
+  });
+});
+
+describe('acquireFence', () => {
+  it('gives rising numbers, also after a lost answer', async () => {
+    const {clock} = createBasics();
+    const log = new FakeLog(clock);
+    log.faults.push(undefined, 'lost-after');
+    const first = await acquireFence({log, vmId: 'a', nonce: '1'});
+    const second = await acquireFence({log, vmId: 'a', nonce: '2'});
+    expect([first._unsafeUnwrap(), second._unsafeUnwrap()]).toEqual([1, 2]);
+  });
+});
+
+describe('claimPlanner', () => {
+  it('makes the last claim the planner, whatever the order of reading', async () => {
+    const {clock} = createBasics();
+    const log = new FakeLog(clock);
+    await claimPlanner({log, vmId: 'a', nonce: '1'});
+    log.push('planner', 'junk');
+    const epoch = await claimPlanner({log, vmId: 'b', nonce: '2'});
+    const fold = new PlannerFold();
+    for (const record of log.everything.toReversed()) fold.apply(record);
+    expect(fold.state).toEqual({epoch: epoch._unsafeUnwrap(), vmId: 'b'});
+  });
+});
--- a/packages/banyanfold-platform/src/configFollower.ts
+++ b/packages/banyanfold-platform/src/configFollower.ts
@@ -15,8 +15,7 @@
 import {err, ok, ResultAsync, type Result} from 'neverthrow';
 import {v4 as uuidV4} from 'uuid';
 import {appendOnce} from './appendOnce.js';
-import {CheckpointAge} from './checkpointAge.js';
-import {rendezvousOrder} from './rendezvousOrder.js';
+import {Checkpointer} from './checkpointer.js';
 import {StreamFollower, type FollowedPage} from './streamFollower.js';
 import {STREAMS, type LogService} from './types.js';
 
@@ -46,10 +45,6 @@
 }
 
 const DEFAULT_CHECKPOINT_CHECK_MS = 5_000;
-/** The owner acts at half the retention, the others one step later each. */
-const OWNER_SHARE = 1 / 2;
-const RANK_SHARE = 1 / 16;
-const MAX_RANK = 4;
 const PUBLISH_PLACE = {step: 'publish-config', peer: 'log'} as const;
 
 /**
@@ -65,19 +60,17 @@
  */
 export class ConfigFollower {
   private readonly fold = new ConfigFold();
-  private readonly age = new CheckpointAge();
+  private readonly checkpointer: Checkpointer;
   private readonly follower: StreamFollower;
   private readonly createNonce: () => string;
   private timer: Timer | undefined;
-  private isCheckpointing = false;
-  /** Since when no newcomer could begin from the log; by the log's clock. */
-  private baseLostSinceMs: number | undefined;
   private lastVersion = 0;
   private readonly readyPromise: Promise<void>;
   private resolveReady: () => void = () => {};
 
   constructor(private readonly options: ConfigFollowerOptions) {
     this.createNonce = options.createNonce ?? uuidV4;
+    this.checkpointer = new Checkpointer(options);
     this.follower = new StreamFollower({
       log: options.log,
       stream: STREAMS.config,
@@ -188,7 +181,7 @@
     this.fold.noteFirstOffset(page.firstOffset);
     for (const record of page.records) {
       this.fold.apply(record);
-      this.age.note(record);
+      this.checkpointer.note(record);
     }
     this.noteChange();
     if (this.fold.needsBase) void this.askPeers();
@@ -231,47 +224,6 @@
 
   private async check(): Promise<void> {
     if (this.fold.needsBase) await this.askPeers();
-    if (this.isCheckpointing || !this.isCheckpointDue()) return;
-    this.isCheckpointing = true;
-    await this.appendCheckpoint();
-    this.isCheckpointing = false;
-  }
-
-  /** Two that append at once do no harm: both tell the same state. */
-  private isCheckpointDue(): boolean {
-    const {logNowMs, hasCaughtUp} = this.follower;
-    if (!this.fold.state || this.fold.needsBase) return false;
-    if (logNowMs === undefined || !hasCaughtUp) return false;
-    const {retentionMs} = this.options;
-    const delayMs = retentionMs * RANK_SHARE * this.rank();
-    const {neededSinceMs} = this.age;
-    if (neededSinceMs === undefined) {
-      this.baseLostSinceMs ??= logNowMs;
-      return logNowMs - this.baseLostSinceMs >= delayMs;
-    }
-    this.baseLostSinceMs = undefined;
-    return logNowMs - neededSinceMs >= retentionMs * OWNER_SHARE + delayMs;
-  }
-
-  private rank(): number {
-    const {vmId, liveVmIds} = this.options;
-    const index = rendezvousOrder('checkpoint', liveVmIds()).indexOf(vmId);
-    return index < 0 ? MAX_RANK : Math.min(index, MAX_RANK);
-  }
-
-  private async appendCheckpoint(): Promise<void> {
-    const {log, logger} = this.options;
-    const {state} = this.fold;
-    if (!state) return;
-    const value = {kind: 'checkpoint', ...state};
-    const appended = await log.append(STREAMS.config, [value]);
-    const {version, foldedThrough} = state;
-    if (appended.isErr()) {
-      const {code, step, peer} = appended.error;
-      logger.warn('checkpoint-failed', {code, step, peer, version});
-      return;
-    }
-    const offset = appended.value.firstOffset;
-    logger.info('checkpoint-appended', {offset, version, foldedThrough});
+    await this.checkpointer.appendWhenDue(this.follower, this.fold);
   }
 }
