--- a/packages/banyanfold-standins/src/engine/EngineStandin.ts
+++ b/packages/banyanfold-standins/src/engine/EngineStandin.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {controlRoutes} from '../common/controlRoutes.js';
 import {HttpServer, type Route} from '../common/httpServer.js';
+import {outageRefusal} from '../common/outage.js';
 import {refuse} from '../common/refusal.js';
 import {
   listenSchema,
@@ -48,7 +49,7 @@
       },
       routes: [
         ...controlRoutes(this.state.faults, this.state.truth),
-        ...served.map(route => whenAwake(this.state, route)),
+        ...served.map(route => whenReachable(this.state, route)),
       ],
     });
   }
@@ -62,12 +63,14 @@
   }
 }
 
-/** Holds a request while the engine is paused. */
-function whenAwake(state: EngineState, route: Route): Route {
+/** Holds a request while the engine is paused and refuses in an outage. */
+function whenReachable(state: EngineState, route: Route): Route {
   return {
     ...route,
     handle: async request => {
       await state.gate.whenAwake();
+      const refusal = outageRefusal(state.faults.get().outage);
+      if (refusal) return refusal;
       return route.handle(request);
     },
   };
--- a/packages/banyanfold-standins/src/engine/EngineState.ts
+++ b/packages/banyanfold-standins/src/engine/EngineState.ts
@@ -1,5 +1,4 @@
 import type {Clock} from '@banyanfold/core';
-import {ok} from 'neverthrow';
 import type {z} from 'zod';
 import {FaultSwitches} from '../common/faultSwitches.js';
 import type {Random} from '../common/random.js';
@@ -18,7 +17,7 @@
 import {PrefixCache} from './PrefixCache.js';
 import {ReportHistory, type EngineReport} from './ReportHistory.js';
 import {RequestRunner, type CancelState} from './RequestRunner.js';
-import {packPrompt, unpackPrompt, type KvExport} from './kvTransfer.js';
+import type {KvExport} from './kvTransfer.js';
 import {
   engineFaultsSchema,
   engineOptionsSchema,
@@ -48,7 +47,7 @@
   readonly truth: TruthRecord;
   readonly memory: ModelMemory;
   readonly gate = new PauseGate();
-  private readonly clock: Clock;
+  readonly clock: Clock;
   private readonly random: Random;
   private readonly cache: PrefixCache;
   private readonly cacheFeed = new CacheEventFeed();
@@ -107,8 +106,7 @@
   }
 
   report(): EngineReport {
-    const lagMs = this.faults.get().reportLagMs ?? this.options.reportLagMs;
-    return this.reports.at(this.nowMs() - lagMs);
+    return this.reports.at(this.reportTimeMs());
   }
 
   cacheEvents(fromSeq: number): {nextSeq: number; events: CacheEvent[]} {
@@ -118,19 +116,11 @@
   }
 
   exportKv(requestId: string): Answer<KvExport> {
-    const stream = this.runner.find(requestId);
-    if (!stream) return refuse(404, 'no-such-request');
-    const {artifact, prompt} = stream.request;
-    const tokens = stream.usage.promptTokens;
-    const bytes = tokens * this.options.kvBytesPerToken;
-    const blob = packPrompt(prompt);
-    return ok({requestId, artifact, tokens, bytes, blob});
+    return this.runner.exportKv(requestId);
   }
 
-  importKv({artifact, blob, bytes}: KvExport): Answer<{bytes: number}> {
-    this.cache.store(artifact, unpackPrompt(blob));
-    this.truth.add('kv-imported', {artifact, bytes});
-    return ok({bytes});
+  importKv(exported: KvExport): Answer<{bytes: number}> {
+    return this.runner.importKv(exported);
   }
 
   private createMemory(): ModelMemory {
@@ -181,6 +171,7 @@
       weights: weights ?? configured,
       unloadMs,
       isInUse: artifact => this.runner.isInUse(artifact),
+      onFreed: artifact => this.cache.dropArtifact(artifact),
       whenAwake: () => this.gate.whenAwake(),
     });
   }
@@ -239,12 +230,17 @@
     });
   }
 
+  private reportTimeMs(): number {
+    const lagMs = this.faults.get().reportLagMs ?? this.options.reportLagMs;
+    return this.nowMs() - lagMs;
+  }
+
   private applyFaults(): void {
     const {paused, reportsFrozen} = this.faults.get();
     this.gate.set(paused);
     if (paused) this.runner.scheduler.pause();
     else this.runner.scheduler.resume();
-    if (reportsFrozen) this.reports.freeze(this.nowMs());
+    if (reportsFrozen) this.reports.freeze(this.reportTimeMs());
     else this.reports.thaw();
   }
 }
--- a/packages/banyanfold-standins/src/engine/ModelLoader.ts
+++ b/packages/banyanfold-standins/src/engine/ModelLoader.ts
@@ -13,6 +13,8 @@
   unloadMs: number;
   /** Whether a request, waiting or running, needs the artifact. */
   isInUse: (artifact: string) => boolean;
+  /** Called when an unloaded artifact has left the memory. */
+  onFreed: (artifact: string) => void;
   /** Resolves when the engine is not paused. */
   whenAwake: () => Promise<void>;
 }
@@ -56,10 +58,11 @@
   }
 
   private async free(model: HeldModel): Promise<void> {
-    const {clock, memory, unloadMs, whenAwake} = this.options;
+    const {clock, memory, unloadMs, onFreed, whenAwake} = this.options;
     await sleep(clock, unloadMs);
     await whenAwake();
     memory.release(model.artifact);
+    onFreed(model.artifact);
   }
 
   private async fetch(model: HeldModel): Promise<void> {
--- a/packages/banyanfold-standins/src/engine/RequestRunner.ts
+++ b/packages/banyanfold-standins/src/engine/RequestRunner.ts
@@ -8,6 +8,7 @@
 import {Scheduler} from './Scheduler.js';
 import {Sequence} from './Sequence.js';
 import type {EngineOptions} from './options.js';
+import {packPrompt, unpackPrompt, type KvExport} from './kvTransfer.js';
 import {countTokens} from './text.js';
 
 export interface RequestRunnerOptions {
@@ -84,6 +85,24 @@
     return stream.state === 'finished' ? 'finished' : 'cancelled';
   }
 
+  exportKv(requestId: string): Answer<KvExport> {
+    const stream = this.find(requestId);
+    if (!stream) return refuse(404, 'no-such-request');
+    const {artifact, prompt} = stream.request;
+    const tokens = stream.usage.promptTokens;
+    const bytes = tokens * this.options.engine.kvBytesPerToken;
+    const blob = packPrompt(prompt);
+    return ok({requestId, artifact, tokens, bytes, blob});
+  }
+
+  /** Puts an exported prompt into the prefix cache. */
+  importKv({artifact, blob, bytes}: KvExport): Answer<{bytes: number}> {
+    const {cache, truth} = this.options;
+    cache.store(artifact, unpackPrompt(blob));
+    truth.add('kv-imported', {artifact, bytes});
+    return ok({bytes});
+  }
+
   isInUse(artifact: string): boolean {
     return this.scheduler.some(({stream}) => {
       const used = stream.request.artifact;
--- a/packages/banyanfold-standins/src/engine/inferenceRoutes.ts
+++ b/packages/banyanfold-standins/src/engine/inferenceRoutes.ts
@@ -1,3 +1,4 @@
+import {sleep} from '@banyanfold/core';
 import {ok} from 'neverthrow';
 import {
   ANSWERED,
@@ -5,7 +6,7 @@
   type Route,
   type StandinRequest,
 } from '../common/httpServer.js';
-import {refuse, type Answer} from '../common/refusal.js';
+import {CONNECTION_CUT, refuse, type Answer} from '../common/refusal.js';
 import type {EngineState} from './EngineState.js';
 import type {EngineStream, InferenceRequest} from './EngineStream.js';
 import {deliverStream, type StreamFaults} from './deliverStream.js';
@@ -66,6 +67,7 @@
     return async request => {
       const requestId = header(request, 'x-request-id') ?? this.ownId();
       const priority = Number(header(request, 'x-priority') ?? 0) || 0;
+      await this.delayRequest();
       const parsed = parse(request.body, {requestId, priority});
       if (!parsed) return openaiRefusal(400, 'bad-request');
       const submitted = this.state.submit(parsed);
@@ -73,7 +75,7 @@
         return openaiRefusal(submitted.error.status, submitted.error.code);
       }
       request.response.setHeader('x-request-id', requestId);
-      if (!parsed.stream) return answerWhole(submitted.value);
+      if (!parsed.stream) return this.answerWhole(submitted.value);
       return this.answerStream(request, submitted.value, 0);
     };
   }
@@ -89,6 +91,24 @@
     };
   }
 
+  private async answerWhole(stream: EngineStream): Promise<Answer<unknown>> {
+    await stream.over();
+    if (stream.state === 'cancelled') return openaiRefusal(499, 'cancelled');
+    const {faults} = this.state;
+    if (faults.takeNext('cutNextWholeAnswers')) {
+      return refuse(CONNECTION_CUT, 'answer-lost');
+    }
+    if (faults.takeNext('crossNextWholeAnswers')) {
+      return ok(renderWhole(stream, CROSSED_REQUEST_ID));
+    }
+    return ok(renderWhole(stream));
+  }
+
+  private async delayRequest(): Promise<void> {
+    const {requestDelayMs} = this.state.faults.get();
+    if (requestDelayMs > 0) await sleep(this.state.clock, requestDelayMs);
+  }
+
   private answerStream(
     {response}: StandinRequest,
     stream: EngineStream,
@@ -120,12 +140,6 @@
   }
 }
 
-async function answerWhole(stream: EngineStream): Promise<Answer<unknown>> {
-  await stream.over();
-  if (stream.state === 'cancelled') return openaiRefusal(499, 'cancelled');
-  return ok(renderWhole(stream));
-}
-
 function listModels(state: EngineState) {
   return state.memory
     .list()
--- a/packages/banyanfold-standins/src/engine/openaiFormat.ts
+++ b/packages/banyanfold-standins/src/engine/openaiFormat.ts
@@ -58,13 +58,18 @@
 }
 
 /** The answer of a request that is not streamed. */
-export function renderWhole(stream: EngineStream): unknown {
-  const {kind, finishReason} = stream.request;
+export function renderWhole(
+  stream: EngineStream,
+  requestId: string = stream.request.requestId,
+): unknown {
+  const request = {...stream.request, requestId};
+  const {kind, finishReason} = request;
+  const {createdAtMs} = stream;
   const text = stream.text();
   const content =
     kind === 'chat' ? {message: {role: 'assistant', content: text}} : {text};
   return {
-    ...envelope(stream, WHOLE_OBJECT[kind]),
+    ...envelope({request, createdAtMs}, WHOLE_OBJECT[kind]),
     choices: [
       {index: 0, ...content, logprobs: null, finish_reason: finishReason},
     ],
--- a/packages/banyanfold-standins/src/engine/options.ts
+++ b/packages/banyanfold-standins/src/engine/options.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {outageSchema} from '../common/outage.js';
 
 const GIB = 1024 ** 3;
 const KIB = 1024;
@@ -73,8 +74,16 @@
 export const engineFaultsSchema = z.strictObject({
   /** Nothing moves and nothing is answered until it is off again. */
   paused: z.boolean().default(false),
+  /** Of everything but the switches. */
+  outage: outageSchema,
   /** How many of the next requests are answered 500 and not run. */
   failNextRequests: count,
+  /** Delay of each inference request before it reaches the engine. */
+  requestDelayMs: z.number().min(0).default(0),
+  /** How many of the next whole answers are made and cut off. */
+  cutNextWholeAnswers: count,
+  /** How many of the next whole answers have the id of another request. */
+  crossNextWholeAnswers: count,
 
   /** Orders that are not applied and whose answer never comes. */
   loseNextOrders: count,
--- a/packages/banyanfold-standins/src/log/LogState.ts
+++ b/packages/banyanfold-standins/src/log/LogState.ts
@@ -82,10 +82,11 @@
     if (waitMs > 0 && request.fromOffset >= stream.nextOffset) {
       await this.waitForChange(stream, waitMs);
     }
-    await this.delay('answerDelayMs');
     const laterRefusal = outageRefusal(this.faults.get().outage);
     if (laterRefusal) return laterRefusal;
-    return ok(this.page(stream, request));
+    const page = this.page(stream, request);
+    await this.delay('answerDelayMs');
+    return ok(page);
   }
 
   private store(name: string, values: unknown[]): AppendAnswer {
--- a/packages/banyanfold-standins/src/vmList/VmListState.ts
+++ b/packages/banyanfold-standins/src/vmList/VmListState.ts
@@ -55,13 +55,12 @@
   }
 
   async list(): Promise<Answer<VmListPage>> {
-    const {answerDelayMs} = this.faults.get();
-    if (answerDelayMs > 0) await sleep(this.clock, answerDelayMs);
-    const {outage, lagMs} = this.faults.get();
+    const {outage, lagMs, answerDelayMs} = this.faults.get();
     const refusal = outageRefusal(outage);
     if (refusal) return refusal;
     const asOfMs = this.clock.wallMs() - lagMs;
     const seen = this.versions.findLast(({sinceMs}) => sinceMs <= asOfMs);
+    if (answerDelayMs > 0) await sleep(this.clock, answerDelayMs);
     return ok({asOfMs, vms: seen?.vms ?? []});
   }
 }
