Let the event before a cut reach the reader of a stand-in's stream

With cutStreamAfterEvents 2 the reader got one event. node holds a write back until the end of the turn, and destroying the response dropped it; the old test only saw that the connection was cut. The test now reads the events that came before the cut; it failed with "1 cut" for "1 2 cut".

--- a/packages/banyanfold-standins/src/__tests__/http.test.ts
+++ b/packages/banyanfold-standins/src/__tests__/http.test.ts
@@ -71,6 +71,32 @@
   return {status, body: JSON.parse(text)};
 }
 
+/** The numbers of a stream's events (`x`: another's), and `cut` if it was. */
+async function readEvents(
+  url: string,
+  body: unknown,
+  headers: Record<string, string>,
+): Promise<string> {
+  const answer = await request(url, {
+    method: 'POST',
+    headers,
+    body: JSON.stringify(body),
+  });
+  let text = '';
+  let end: string[] = [];
+  try {
+    for await (const part of answer.body) text += String(part);
+  } catch {
+    end = ['cut'];
+  }
+  const events = text.split('\n\n').slice(0, -1);
+  const seen = events.map(event => {
+    const id = /^id: (\d+)/.exec(event)?.[1];
+    return event.includes('chatcmpl-another') ? `${id}x` : id;
+  });
+  return [...seen, ...end].join(' ');
+}
+
 describe('startStandins', () => {
   it('serves the log', async () => {
     const {urlOf} = await start({log: {}});
@@ -239,7 +265,7 @@
   // The caller's connection breaks, ends early or carries what is not its own,
   // while the engine makes the whole answer, and a resumption gives all of it.
   const cases: Array<{fault: Partial<EngineFaults>; seen: string}> = [
-    {fault: {cutStreamAfterEvents: 2}, seen: 'cut'},
+    {fault: {cutStreamAfterEvents: 2}, seen: '1 2 cut'},
     {fault: {endStreamAfterEvents: 2}, seen: '1 2'},
     {fault: {doubleEvent: 2}, seen: '1 2 2 3 4 5 6 7'},
     {fault: {crossAfterEvents: 2}, seen: '1 2 3x 3 4 5 6 7'},
@@ -247,19 +273,7 @@
   it.each(cases)('streams with $fault', async ({fault, seen}) => {
     const {engine, url} = await startEngine({faultyStreams: 1, ...fault});
     const chat = `${url}/v1/chat/completions`;
-    const outcome = await call(chat, 'POST', streamBody, runHeaders).then(
-      ({text}) =>
-        text
-          .split('\n\n')
-          .slice(0, -1)
-          .map(event => {
-            const id = /^id: (\d+)/.exec(event)?.[1];
-            return event.includes('chatcmpl-another') ? `${id}x` : id;
-          })
-          .join(' '),
-      () => 'cut',
-    );
-    expect(outcome).toBe(seen);
+    expect(await readEvents(chat, streamBody, runHeaders)).toBe(seen);
     const resumed = await call(`${url}/v1/streams/r1`);
     expect(resumed.text).toContain('id: 7\ndata: [DONE]');
     expect(engine.state.truth.ofKind('request-finished')).toHaveLength(1);
--- a/packages/banyanfold-standins/src/engine/ModelMemory.ts
+++ b/packages/banyanfold-standins/src/engine/ModelMemory.ts
@@ -18,6 +18,7 @@
 /** The accelerator memory that models and adapters really take. */
 export class ModelMemory {
   private readonly models = new Map<string, HeldModel>();
+  private copies: readonly HeldModel[] | undefined;
   private committed = 0;
   private highest = 0;
 
@@ -38,8 +39,10 @@
     return this.models.get(artifact);
   }
 
-  list(): HeldModel[] {
-    return [...this.models.values()].map(model => ({...model}));
+  /** A copy that later changes leave alone; the same one until a change. */
+  list(): readonly HeldModel[] {
+    this.copies ??= [...this.models.values()].map(model => ({...model}));
+    return this.copies;
   }
 
   /** Takes memory for an artifact; false when there is not enough. */
@@ -55,7 +58,7 @@
     this.models.set(artifact, {artifact, bytes, state});
     this.committed = wantedBytes;
     this.recordHighest();
-    this.options.onChange();
+    this.changed();
     return true;
   }
 
@@ -64,7 +67,7 @@
     if (!model) return;
     model.state = state;
     this.truth.add(`model-${state}`, {artifact});
-    this.options.onChange();
+    this.changed();
   }
 
   release(artifact: string): void {
@@ -73,6 +76,11 @@
     this.models.delete(artifact);
     this.committed -= model.bytes;
     this.truth.add('model-released', {artifact, bytes: model.bytes});
+    this.changed();
+  }
+
+  private changed(): void {
+    this.copies = undefined;
     this.options.onChange();
   }
 
--- a/packages/banyanfold-standins/src/engine/ReportHistory.ts
+++ b/packages/banyanfold-standins/src/engine/ReportHistory.ts
@@ -8,7 +8,7 @@
   kvCapacityBytes: number;
   memoryCapacityBytes: number;
   role: string;
-  models: HeldModel[];
+  models: readonly HeldModel[];
   highestFencing: number;
 }
 
--- a/packages/banyanfold-standins/src/engine/RequestRunner.ts
+++ b/packages/banyanfold-standins/src/engine/RequestRunner.ts
@@ -7,6 +7,7 @@
 import type {PrefixCache} from './PrefixCache.js';
 import {Scheduler} from './Scheduler.js';
 import {Sequence} from './Sequence.js';
+import {StreamExpiry} from './StreamExpiry.js';
 import type {EngineOptions} from './options.js';
 import {packPrompt, unpackPrompt, type KvExport} from './kvTransfer.js';
 import {countTokens} from './text.js';
@@ -35,9 +36,13 @@
 export class RequestRunner {
   readonly scheduler: Scheduler;
   private readonly sequences = new Map<string, Sequence>();
+  private readonly expiry: StreamExpiry<Sequence>;
 
   constructor(private readonly options: RequestRunnerOptions) {
     const {clock, engine, onChange} = options;
+    this.expiry = new StreamExpiry(clock, engine.resumeWindowMs, sequence =>
+      this.forget(sequence),
+    );
     this.scheduler = new Scheduler(
       clock,
       {timeModel: engine, kvCapacityBytes: engine.kvCapacityBytes},
@@ -80,7 +85,7 @@
       this.scheduler.remove(sequence);
       this.record('request-cancelled', sequence);
       stream.end('cancelled');
-      this.forgetLater(sequence);
+      this.expiry.add(sequence);
     }
     return stream.state === 'finished' ? 'finished' : 'cancelled';
   }
@@ -137,16 +142,13 @@
     stream.add({kind: 'done'});
     this.record('request-finished', sequence);
     stream.end('finished');
-    this.forgetLater(sequence);
+    this.expiry.add(sequence);
   }
 
-  private forgetLater(sequence: Sequence): void {
-    const {clock, engine} = this.options;
+  private forget(sequence: Sequence): void {
     const {requestId} = sequence.stream.request;
-    clock.setTimer(engine.resumeWindowMs, () => {
-      if (this.sequences.get(requestId) !== sequence) return;
-      this.sequences.delete(requestId);
-    });
+    if (this.sequences.get(requestId) !== sequence) return;
+    this.sequences.delete(requestId);
   }
 
   private record(kind: string, {stream, isStarted}: Sequence): void {
--- a/packages/banyanfold-standins/src/engine/sseSink.ts
+++ b/packages/banyanfold-standins/src/engine/sseSink.ts
@@ -9,14 +9,23 @@
   stream: EngineStream,
   otherRequestId: string,
 ): StreamSink {
+  let lastWrite: Promise<unknown> = Promise.resolve();
   const write = (seq: number, data: string): void => {
-    response.write(`id: ${seq}\ndata: ${data}\n\n`);
+    lastWrite = new Promise(resolve => {
+      response.write(`id: ${seq}\ndata: ${data}\n\n`, resolve);
+    });
+  };
+  // Destroying a connection drops what node still holds back, so that the
+  // reader would miss the last event before a cut. It waits for that event.
+  const cut = async (): Promise<void> => {
+    await lastWrite;
+    response.destroy();
   };
   return {
     send: event => write(event.seq, renderEvent(stream, event)),
     sendCrossed: seq =>
       write(seq, renderCrossedEvent(stream, otherRequestId, seq)),
     end: () => response.end(),
-    cut: () => response.destroy(),
+    cut: () => void cut(),
   };
 }
