--- /dev/null
+++ b/packages/banyanfold-entry/src/attempts/finalError.ts
@@ -0,0 +1,75 @@
+import type {RoutingDecision} from '@banyanfold/decisions';
+import type {Outcome} from '@banyanfold/protocol';
+import {ApiError, type ApiErrorCode} from '../http/apiErrors.js';
+import type {AttemptRefusal} from './attemptTransport.js';
+
+const UNREACHABLE_RETRY_MS = 1000;
+const FIRST_SERVER_ERROR = 500;
+
+/** The last attempt that brought no answer. */
+export type LastFailure =
+  | {kind: 'refused'; refusal: AttemptRefusal}
+  | {kind: 'failed'; neverSent: boolean; reason: string};
+
+type RouteRefusal = Extract<RoutingDecision, {kind: 'refuse'}>;
+
+const ROUTE_ERRORS: Record<
+  RouteRefusal['code'],
+  {code: ApiErrorCode; message: string}
+> = {
+  'no-copy': {
+    code: 'no_copy',
+    message: 'no backend server holds it now; it is being loaded',
+  },
+  'all-busy': {
+    code: 'all_busy',
+    message: 'no backend server can answer in time now',
+  },
+  'no-runner': {
+    code: 'no_runner',
+    message: 'no backend server can be reached now',
+  },
+};
+
+/** A refusal by the entry's own view, before any attempt. */
+export function routeRefusal(decision: RouteRefusal): ApiError {
+  const {code, message} = ROUTE_ERRORS[decision.code];
+  return new ApiError(code, message, {retryAfterMs: decision.retryAfterMs});
+}
+
+/**
+ * The answer to a request whose tries are over.
+ *
+ * @param refusal why no further try was made, when routing refused it.
+ * @param outcome what is proved of all its attempts.
+ */
+export function finalError(
+  last: LastFailure | undefined,
+  refusal: ApiError | undefined,
+  outcome: Outcome,
+): ApiError {
+  if (!last) return refusal ?? new ApiError('internal', 'nothing was tried');
+  if (outcome === 'unknown') return unknownError(last);
+  if (last.kind === 'refused') return refusedError(last.refusal);
+  const code = last.reason === 'deadline' ? 'deadline_exceeded' : 'unreachable';
+  return new ApiError(code, `not run: ${last.reason}`, {
+    retryAfterMs: refusal?.retryAfterMs ?? UNREACHABLE_RETRY_MS,
+  });
+}
+
+function unknownError(last: LastFailure): ApiError {
+  const reason = last.kind === 'refused' ? last.refusal.message : last.reason;
+  const code = reason === 'deadline' ? 'deadline_exceeded' : 'outcome_unknown';
+  const message = `it may have run; no answer came back: ${reason}`;
+  return new ApiError(code, message, {outcome: 'unknown'});
+}
+
+function refusedError(refusal: AttemptRefusal): ApiError {
+  const {status, message, code, retryAfterMs} = refusal;
+  if (status < FIRST_SERVER_ERROR && status !== 429 && status !== 409) {
+    return new ApiError('invalid_request', `${code}: ${message}`);
+  }
+  return new ApiError('agent_refused', `${code}: ${message}`, {
+    retryAfterMs: retryAfterMs ?? UNREACHABLE_RETRY_MS,
+  });
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/attempts/frameScanner.ts
@@ -0,0 +1,114 @@
+const EVENT_END = Buffer.from('\n\n');
+const DONE_DATA = Buffer.from('data: [DONE]\n\n');
+const LINE_FEED = 0x0a;
+const COLON = 0x3a;
+const DIGIT_ZERO = 0x30;
+const DIGIT_NINE = 0x39;
+const RADIX = 10;
+
+/** Why a stream can't be followed further. */
+export type FrameFault = 'gap' | 'malformed' | 'too-long';
+
+export interface ScannedFrames {
+  /** Events to pass on in order, without their id lines. */
+  slices: Buffer[];
+  fault: FrameFault | undefined;
+  /** Frames of another attempt, or passed on before. */
+  dropped: number;
+}
+
+/** How the scanner is built. */
+export interface FrameScannerOptions {
+  attemptId: string;
+  maxEventBytes: number;
+}
+
+/**
+ * Takes one attempt's events from a stream without parsing their JSON.
+ *
+ * An answer can be crossed with another's, come twice after a resume, or lack
+ * an event in its middle; the caller would read a wrong or a short answer
+ * that looks whole. Each event names its attempt and its number, so what is
+ * foreign or doubled is dropped, and a gap ends the scan.
+ */
+export class FrameScanner {
+  /** The number of the last event passed on. */
+  lastSeq = 0;
+  /** Whether the end marker was passed on. */
+  done = false;
+  private held: Buffer = Buffer.alloc(0);
+  private readonly prefix: Buffer;
+
+  constructor(private readonly options: FrameScannerOptions) {
+    this.prefix = Buffer.from(`id: ${options.attemptId}/`);
+  }
+
+  /** Forgets a partial event, before a resumed stream is read. */
+  reset(): void {
+    this.held = Buffer.alloc(0);
+  }
+
+  /** Scans the next chunk; a partial event is held until it is complete. */
+  scan(chunk: Buffer): ScannedFrames {
+    const result: ScannedFrames = {slices: [], fault: undefined, dropped: 0};
+    const data =
+      this.held.length > 0 ? Buffer.concat([this.held, chunk]) : chunk;
+    let start = 0;
+    while (!this.done && result.fault === undefined) {
+      const end = data.indexOf(EVENT_END, start);
+      if (end < 0) break;
+      this.takeEvent(data.subarray(start, end + EVENT_END.length), result);
+      start = end + EVENT_END.length;
+    }
+    this.held = data.subarray(start);
+    if (this.held.length > this.options.maxEventBytes) {
+      result.fault = 'too-long';
+    }
+    return result;
+  }
+
+  private takeEvent(event: Buffer, result: ScannedFrames): void {
+    if (event[0] === COLON) return;
+    if (!startsWith(event, this.prefix)) {
+      if (startsWith(event, ID_FIELD)) result.dropped++;
+      else result.fault = 'malformed';
+      return;
+    }
+    const lineEnd = event.indexOf(LINE_FEED, this.prefix.length);
+    const seq = readNumber(event, this.prefix.length, lineEnd);
+    if (seq === undefined) {
+      result.fault = 'malformed';
+    } else if (seq <= this.lastSeq) {
+      result.dropped++;
+    } else if (seq > this.lastSeq + 1) {
+      result.fault = 'gap';
+    } else {
+      this.lastSeq = seq;
+      const slice = event.subarray(lineEnd + 1);
+      this.done = slice.equals(DONE_DATA);
+      result.slices.push(slice);
+    }
+  }
+}
+
+const ID_FIELD = Buffer.from('id: ');
+
+function startsWith(data: Buffer, prefix: Buffer): boolean {
+  if (data.length < prefix.length) return false;
+  return data.compare(prefix, 0, prefix.length, 0, prefix.length) === 0;
+}
+
+function readNumber(
+  data: Buffer,
+  start: number,
+  end: number,
+): number | undefined {
+  if (end <= start) return undefined;
+  let value = 0;
+  for (let i = start; i < end; i++) {
+    const byte = data[i]!;
+    if (byte < DIGIT_ZERO || byte > DIGIT_NINE) return undefined;
+    value = value * RADIX + (byte - DIGIT_ZERO);
+  }
+  return value;
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/attempts/outcomeProof.ts
@@ -0,0 +1,40 @@
+import type {Outcome} from '@banyanfold/protocol';
+
+/**
+ * What is proved of a request's attempts.
+ *
+ * A caller who reads "not run" sends the claim again, and a crew goes to the
+ * ravine twice if that was untrue. So it is said only when each attempt is
+ * proved not to have started; whatever can't be proved counts as started.
+ */
+export class OutcomeProof {
+  private readonly open = new Set<Promise<void>>();
+  private mayHaveStarted = false;
+
+  /** Notes an attempt whose fate is known now. */
+  note(neverStarted: boolean): void {
+    if (!neverStarted) this.mayHaveStarted = true;
+  }
+
+  /** Notes an attempt whose seal has yet to answer. */
+  noteLater(neverStarted: Promise<boolean>): void {
+    const settled = neverStarted
+      .catch(() => false)
+      .then(proved => {
+        this.note(proved);
+        this.open.delete(settled);
+      });
+    this.open.add(settled);
+  }
+
+  /** Whether each attempt is proved, as far as known at this moment. */
+  get allNeverStarted(): boolean {
+    return !this.mayHaveStarted && this.open.size === 0;
+  }
+
+  /** Waits for the seals, which have a time limit of their own. */
+  async settle(): Promise<Outcome> {
+    await Promise.all(this.open);
+    return this.mayHaveStarted ? 'unknown' : 'not-run';
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/attempts/streamRelay.ts
@@ -0,0 +1,168 @@
+import {sleep} from '@banyanfold/core';
+import type {EntryContext} from '../context.js';
+import type {RequestJob} from '../requests/types.js';
+import type {AgentState} from '../view/agentState.js';
+import {callerHeaders, type AttemptAnswer} from './attemptTransport.js';
+import {FrameScanner} from './frameScanner.js';
+import {IdleWatch} from './idleWatch.js';
+
+type Body = AttemptAnswer['body'];
+
+/** How the relay of one attempt's stream ended. */
+export type RelayResult =
+  | {kind: 'streamed'}
+  /** Broken; `started` says whether the caller has had any of it. */
+  | {kind: 'broken'; started: boolean; reason: string}
+  | {kind: 'caller-gone'};
+
+/** One attempt whose stream is passed on. */
+export interface RelayOptions {
+  context: EntryContext;
+  job: RequestJob;
+  agent: AgentState;
+  attemptId: string;
+  signal: AbortSignal;
+  /** Called when the first event goes to the caller. */
+  onFirstEvent(): void;
+}
+
+/** Passes a stream on to the caller and mends it by resuming at its agent. */
+export class StreamRelay {
+  private readonly scanner: FrameScanner;
+  private firstEventSent = false;
+
+  constructor(private readonly options: RelayOptions) {
+    this.scanner = new FrameScanner({
+      attemptId: options.attemptId,
+      maxEventBytes: options.context.settings.limits.eventBytes,
+    });
+  }
+
+  async run(opened: AttemptAnswer): Promise<RelayResult> {
+    const {job, context} = this.options;
+    const {resumeTries} = context.settings.attempts;
+    let body: Body | undefined = opened.body;
+    let triesLeft = resumeTries;
+    let reason = '';
+    for (;;) {
+      if (body) {
+        const seqBefore = this.scanner.lastSeq;
+        reason = await this.pump(body, opened);
+        if (this.scanner.done) return this.finish();
+        if (this.scanner.lastSeq > seqBefore) triesLeft = resumeTries;
+      }
+      if (job.signal.aborted) return {kind: 'caller-gone'};
+      if (this.mayRunElsewhere() || triesLeft === 0) break;
+      await this.pauseBeforeResume(resumeTries - triesLeft);
+      triesLeft--;
+      const resumed = await this.resume(reason);
+      if (resumed === 'gone') break;
+      body = resumed;
+    }
+    return {kind: 'broken', started: job.out.started, reason};
+  }
+
+  /** Passes on what comes; the answer says why it stopped. */
+  private async pump(body: Body, opened: AttemptAnswer): Promise<string> {
+    const {context, job} = this.options;
+    const {clock, settings} = context;
+    let fault: string | undefined;
+    const stop = (why: string) => {
+      fault ??= why;
+      body.destroy();
+    };
+    const idle = new IdleWatch(clock, settings.attempts.streamIdleMs, () =>
+      stop('idle'),
+    );
+    const onGone = () => stop('caller-gone');
+    job.signal.addEventListener('abort', onGone);
+    this.scanner.reset();
+    try {
+      // Not destroyed when the loop is left: after the end marker the rest of
+      // the answer is read off, so that its connection can be used again.
+      const chunks = body.iterator({destroyOnReturn: false});
+      for await (const chunk of chunks as AsyncIterable<Buffer>) {
+        idle.note();
+        const frames = this.scanner.scan(chunk);
+        this.noteDropped(frames.dropped);
+        if (frames.slices.length > 0) await this.pass(frames.slices, opened);
+        // A caller that reads slowly is not an agent that sends nothing.
+        idle.note();
+        if (frames.fault) stop(frames.fault);
+        if (this.scanner.done || fault) break;
+      }
+    } catch (error) {
+      fault ??= (error as {code?: string}).code ?? 'broken';
+    } finally {
+      idle.stop();
+      job.signal.removeEventListener('abort', onGone);
+    }
+    if (this.scanner.done) body.on('error', () => {}).resume();
+    return fault ?? 'ended-early';
+  }
+
+  private async pass(slices: Buffer[], opened: AttemptAnswer): Promise<void> {
+    const {job, onFirstEvent} = this.options;
+    if (!this.firstEventSent) {
+      this.firstEventSent = true;
+      job.out.begin(opened.status, callerHeaders(opened.headers));
+      onFirstEvent();
+    }
+    await job.out.write(slices);
+  }
+
+  private finish(): RelayResult {
+    this.options.job.out.end();
+    return {kind: 'streamed'};
+  }
+
+  /** Nothing was sent yet and it may be repeated: a fresh try is simpler. */
+  private mayRunElsewhere(): boolean {
+    const {job} = this.options;
+    return !job.out.started && job.target.selector.repeatable;
+  }
+
+  private async resume(reason: string): Promise<Body | 'gone' | undefined> {
+    const {context, agent, attemptId, job, signal} = this.options;
+    const {lastSeq} = this.scanner;
+    const opened = await context.transport.resume(
+      {agent, attemptId, signal},
+      lastSeq,
+    );
+    const isOpen = opened.kind === 'answered' && opened.isStream;
+    context.metrics.count('stream_resumes_total', {
+      result: isOpen ? 'resumed' : opened.kind,
+    });
+    context.logger.warn('stream-resume', {
+      request: job.requestId,
+      attempt: attemptId,
+      agent: agent.vmId,
+      lastSeq,
+      reason,
+      result: isOpen ? 'resumed' : opened.kind,
+    });
+    if (isOpen) return opened.body;
+    if (opened.kind === 'failed') return undefined;
+    // The agent answered, and has the stream no more.
+    if (opened.kind === 'answered') opened.body.on('error', () => {}).destroy();
+    return 'gone';
+  }
+
+  private async pauseBeforeResume(triesMade: number): Promise<void> {
+    const {clock, random, settings} = this.options.context;
+    if (triesMade === 0) return;
+    const ceilingMs = settings.attempts.resumeBackoffMs * 2 ** triesMade;
+    await sleep(clock, random() * ceilingMs);
+  }
+
+  private noteDropped(dropped: number): void {
+    if (dropped === 0) return;
+    const {context, attemptId, agent} = this.options;
+    context.metrics.count('frames_dropped_total', {}, dropped);
+    context.logger.warn('frames-dropped', {
+      attempt: attemptId,
+      agent: agent.vmId,
+      dropped,
+    });
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/control/entryHandlers.ts
@@ -0,0 +1,119 @@
+import {
+  DEFAULT_ROUTE_OPTIONS,
+  decideRoute,
+  type CandidateReason,
+} from '@banyanfold/decisions';
+import type {
+  EntryHandlers,
+  EntryStatus,
+  ExplainInput,
+  ExplainResult,
+} from '@banyanfold/protocol';
+import type {EntryContext, EntryPlugin} from '../context.js';
+import {isReady} from '../http/readiness.js';
+import type {AgentState} from '../view/agentState.js';
+
+/** JSON has no infinity; a runner that is no candidate gets this score. */
+const NO_CANDIDATE_SCORE = -1;
+
+export interface EntryHandlersOptions {
+  context: EntryContext;
+  plugins: readonly EntryPlugin[];
+  /** Begins to leave; doesn't wait for the end. */
+  beginDrain(): void;
+}
+
+/** Answers the control calls of peers and operators. */
+export function createEntryHandlers(
+  options: EntryHandlersOptions,
+): EntryHandlers {
+  const {context, plugins, beginDrain} = options;
+  const {configWatch, lifecycle} = context;
+  return {
+    status: async () => statusOf(context, plugins),
+    configSnapshot: async () => {
+      const state = configWatch.snapshot();
+      return state ?? {version: 0, foldedThrough: 0, body: null};
+    },
+    drain: async () => {
+      beginDrain();
+      return {openRequests: lifecycle.open};
+    },
+    explain: async input => explain(context, input),
+  };
+}
+
+function statusOf(
+  context: EntryContext,
+  plugins: readonly EntryPlugin[],
+): EntryStatus {
+  const {settings, configWatch, lifecycle, view, misses, clock} = context;
+  const epochs = plugins.map(plugin => plugin.plannerEpoch?.() ?? 0);
+  return {
+    vmId: settings.vmId,
+    failureDomain: settings.failureDomain,
+    configVersion: configWatch.version,
+    ready: isReady(context),
+    leaving: lifecycle.leaving,
+    openRequests: lifecycle.open,
+    plannerEpoch: Math.max(0, ...epochs),
+    missedCount: misses.snapshot(),
+    agents: view.agents().map(agent => agentStatus(agent, clock.nowMs())),
+  };
+}
+
+function agentStatus(
+  agent: AgentState,
+  nowMs: number,
+): EntryStatus['agents'][number] {
+  const {reachable, reportReceivedMs, running, queued, artifacts} =
+    agent.runner;
+  return {
+    vmId: agent.vmId,
+    reachable,
+    ageMs: Math.round(nowMs - reportReceivedMs),
+    configVersion: agent.report?.configVersion ?? 0,
+    running,
+    queued,
+    artifacts: [...artifacts].sort(),
+  };
+}
+
+function explain(context: EntryContext, input: ExplainInput): ExplainResult {
+  const {configWatch, view, clock} = context;
+  const resolved = configWatch.current?.resolve(input);
+  if (!resolved) return unresolved('no configuration is known here');
+  if (resolved.isErr()) return unresolved(resolved.error.message);
+  const {selector, artifact, modelArtifact} = resolved.value;
+  const decision = decideRoute(
+    view.routingView(),
+    {
+      artifact,
+      modelArtifact: modelArtifact || artifact,
+      priority: selector.priority,
+      runnerRole: selector.runnerRole ?? '',
+      prefixHash: '',
+      promptTokens: 0,
+      maxTokens: 0,
+      firstTokenBudgetMs: selector.targets.firstTokenMs,
+      triedVmIds: [],
+    },
+    clock.nowMs(),
+    DEFAULT_ROUTE_OPTIONS,
+  );
+  return {
+    selector: selector.name,
+    artifact,
+    reason: decision.kind === 'route' ? decision.vmId : decision.code,
+    candidates: decision.reasons.map(toCandidate),
+  };
+}
+
+function unresolved(reason: string): ExplainResult {
+  return {selector: '', artifact: '', reason, candidates: []};
+}
+
+function toCandidate({vmId, scoreMs, reason}: CandidateReason) {
+  const score = Number.isFinite(scoreMs) ? scoreMs : NO_CANDIDATE_SCORE;
+  return {vmId, score, reason};
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/createEntry.ts
@@ -0,0 +1,160 @@
+import type {Server} from 'node:http';
+import {
+  Kernel,
+  Metrics,
+  createLogger,
+  systemClock,
+  type Clock,
+  type Logger,
+} from '@banyanfold/core';
+import {
+  RetryBudget,
+  createLogService,
+  createVmListService,
+  type LogService,
+  type VmListService,
+} from '@banyanfold/platform';
+import {
+  createControlHandler,
+  createEntryRouter,
+  type EntryHandlers,
+} from '@banyanfold/protocol';
+import {AttemptTransport} from './attempts/attemptTransport.js';
+import {ConfigWatch} from './config/configWatch.js';
+import {entryPlugins, type EntryContext} from './context.js';
+import {createEntryHandlers} from './control/entryHandlers.js';
+import {drainEntry} from './drain.js';
+import {CallerDirectory} from './http/callers.js';
+import {createListener, listen} from './http/createListener.js';
+import {InferenceHandler} from './http/inference.js';
+import {createRequestListener} from './http/routes.js';
+import {Lifecycle} from './lifecycle.js';
+import './plugins/index.js';
+import {MissCounter} from './routing/missCounter.js';
+import {entrySettingsSchema, type EntrySettingsInput} from './settings.js';
+import {AgentClients} from './view/agentClients.js';
+import {ClusterView} from './view/clusterView.js';
+import {ViewPollers} from './view/viewPollers.js';
+
+/** What tests put in place of the machine and the platform. */
+export interface EntryOverrides {
+  clock?: Clock;
+  logger?: Logger;
+  metrics?: Metrics;
+  log?: LogService;
+  vmList?: VmListService;
+  random?: () => number;
+}
+
+/** A running entry. */
+export interface Entry {
+  /** Listens; readiness follows once configuration and agents are known. */
+  start(): Promise<{port: number}>;
+  /** Finishes what is open, up to `drainBoundMs`. */
+  drain(): Promise<void>;
+  /** Ends everything at once. */
+  stop(): Promise<void>;
+  handlers: EntryHandlers;
+}
+
+/**
+ * Creates the process of an entry VM.
+ *
+ * @example
+ * const entry = createEntry(settings);
+ * const {port} = await entry.start();
+ * process.once('SIGTERM', () => entry.drain().then(() => entry.stop()));
+ */
+export function createEntry(
+  input: EntrySettingsInput,
+  overrides: EntryOverrides = {},
+): Entry {
+  const settings = entrySettingsSchema.parse(input);
+  const context = createContext(settings, overrides);
+  const {logger} = context;
+  const plugins = settings.plugins.map(name =>
+    entryPlugins.create(name, context, {}),
+  );
+  const kernel = new Kernel(plugins, logger);
+  const pollers = new ViewPollers(context, vmListOf(settings, overrides));
+  let server: Server | undefined;
+  let draining: Promise<void> | undefined;
+  const drain = () => {
+    if (server) draining ??= drainEntry(context, server);
+    return draining ?? Promise.resolve();
+  };
+  const beginDrain = () => void drain();
+  const handlers = createEntryHandlers({context, plugins, beginDrain});
+  return {
+    handlers,
+    drain,
+    async start() {
+      const {internalKey, operatorKey} = settings;
+      const control = createControlHandler({
+        router: createEntryRouter(handlers),
+        keys: [internalKey, operatorKey],
+      });
+      const inference = new InferenceHandler(context, plugins);
+      const listener = createRequestListener({context, inference, control});
+      server = createListener(settings, listener);
+      const port = await listen(server, settings);
+      await pollers.start();
+      context.configWatch.start();
+      await kernel.start();
+      return {port};
+    },
+    async stop() {
+      context.lifecycle.leaving = true;
+      pollers.stop();
+      await kernel.stop();
+      context.configWatch.stop();
+      await context.transport.close();
+      server?.close();
+      server?.closeAllConnections();
+    },
+  };
+}
+
+type Settings = EntryContext['settings'];
+
+function createContext(
+  settings: Settings,
+  overrides: EntryOverrides,
+): EntryContext {
+  const clock = overrides.clock ?? systemClock;
+  const logger = overrides.logger ?? createLogger({vm: settings.vmId});
+  const random = overrides.random ?? Math.random;
+  const log =
+    overrides.log ?? createLogService({url: settings.platform.logUrl, clock});
+  const {vmId, failureDomain, region, retry} = settings;
+  const view = new ClusterView({vmId, failureDomain, region});
+  return {
+    settings,
+    clock,
+    logger,
+    random,
+    log,
+    view,
+    metrics: overrides.metrics ?? new Metrics(),
+    clients: new AgentClients(settings, settings.attempts.sealMs),
+    transport: new AttemptTransport(settings),
+    configWatch: new ConfigWatch({settings, clock, logger, random, log, view}),
+    callers: new CallerDirectory(settings.callers),
+    retryBudget: new RetryBudget({
+      clock,
+      tokensPerAttempt: retry.budgetRatio,
+      capacity: retry.budgetMaxTokens,
+    }),
+    misses: new MissCounter(),
+    lifecycle: new Lifecycle(),
+  };
+}
+
+function vmListOf(
+  settings: Settings,
+  overrides: EntryOverrides,
+): VmListService {
+  const clock = overrides.clock ?? systemClock;
+  const url = settings.platform.vmListUrl;
+  return overrides.vmList ?? createVmListService({url, clock});
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/http/callerStream.ts
@@ -0,0 +1,63 @@
+import type {ServerResponse} from 'node:http';
+import type {ApiError} from './apiErrors.js';
+
+/** The caller's end of a streamed answer. */
+export class CallerStream {
+  /** Aborted when the caller goes away before its answer is whole. */
+  readonly signal: AbortSignal;
+  private readonly gone = new AbortController();
+
+  constructor(private readonly res: ServerResponse) {
+    this.signal = this.gone.signal;
+    res.once('close', () => {
+      if (!res.writableFinished) this.gone.abort();
+    });
+  }
+
+  /** Whether any byte may have reached the caller. */
+  get started(): boolean {
+    return this.res.headersSent;
+  }
+
+  begin(status: number, headers: Record<string, string>): void {
+    this.res.writeHead(status, headers);
+  }
+
+  /** Writes events in one go; resolves when the caller takes more. */
+  async write(slices: readonly Buffer[]): Promise<void> {
+    const {res} = this;
+    if (res.destroyed) return;
+    let hasRoom = true;
+    res.cork();
+    for (const slice of slices) hasRoom = res.write(slice);
+    res.uncork();
+    if (!hasRoom) await this.drained();
+  }
+
+  end(): void {
+    this.res.end();
+  }
+
+  /**
+   * Says that the stream is broken and breaks the connection. A clean end
+   * would make the part look like a whole answer to most clients.
+   */
+  abort(error: ApiError): void {
+    const {res} = this;
+    if (res.destroyed) return;
+    res.write(`data: ${error.toBody()}\n\n`, () => res.destroy());
+  }
+
+  private drained(): Promise<void> {
+    const {res} = this;
+    return new Promise(resolve => {
+      const settle = () => {
+        res.off('drain', settle);
+        res.off('close', settle);
+        resolve();
+      };
+      res.once('drain', settle);
+      res.once('close', settle);
+    });
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/http/callers.ts
@@ -0,0 +1,73 @@
+import {createHash, timingSafeEqual} from 'node:crypto';
+import type {IncomingMessage} from 'node:http';
+import {bearerKey} from '@banyanfold/core';
+import type {CallerSettings} from '../settings.js';
+import {ApiError} from './apiErrors.js';
+
+const CONCURRENCY_RETRY_MS = 1000;
+
+interface KnownCaller {
+  settings: CallerSettings;
+  keyDigest: Buffer;
+  open: number;
+}
+
+/** A caller whose key was right, holding one of its places. */
+export interface AdmittedCaller {
+  settings: CallerSettings;
+  release(): void;
+}
+
+/** Who may call, and how much at once. */
+export class CallerDirectory {
+  private readonly callers: KnownCaller[];
+
+  constructor(callers: readonly CallerSettings[]) {
+    this.callers = callers.map(settings => ({
+      settings,
+      keyDigest: digest(settings.key),
+      open: 0,
+    }));
+  }
+
+  /** @throws ApiError `invalid_api_key`. */
+  authenticate(req: IncomingMessage): CallerSettings {
+    return this.find(req).settings;
+  }
+
+  /** @throws ApiError `invalid_api_key` or `too_many_requests`. */
+  admit(req: IncomingMessage): AdmittedCaller {
+    const caller = this.find(req);
+    if (caller.open >= caller.settings.maxConcurrent) {
+      throw new ApiError(
+        'too_many_requests',
+        `more than ${caller.settings.maxConcurrent} requests at once`,
+        {retryAfterMs: CONCURRENCY_RETRY_MS},
+      );
+    }
+    caller.open++;
+    let held = true;
+    const release = () => {
+      if (held) caller.open--;
+      held = false;
+    };
+    return {settings: caller.settings, release};
+  }
+
+  /** Compares with every key, so that time tells nothing of which is near. */
+  private find(req: IncomingMessage): KnownCaller {
+    const given = digest(bearerKey(req.headers.authorization) ?? '');
+    let found: KnownCaller | undefined;
+    for (const caller of this.callers) {
+      if (timingSafeEqual(given, caller.keyDigest)) found = caller;
+    }
+    if (!found) {
+      throw new ApiError('invalid_api_key', 'the API key is missing or wrong');
+    }
+    return found;
+  }
+}
+
+function digest(text: string): Buffer {
+  return createHash('sha256').update(text).digest();
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/http/inference.ts
@@ -0,0 +1,132 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {runRequest} from '../attempts/runRequest.js';
+import type {EntryContext, EntryPlugin, NextStep} from '../context.js';
+import {acceptRequest} from '../requests/acceptRequest.js';
+import type {
+  RequestFacts,
+  RequestJob,
+  RequestResult,
+} from '../requests/types.js';
+import {ApiError, writeApiError} from './apiErrors.js';
+import {CallerStream} from './callerStream.js';
+import {readBody} from './readBody.js';
+
+const OVERLOADED_RETRY_MS = 1000;
+
+/** A call that reaches a model or a service. */
+export interface InferenceCall {
+  req: IncomingMessage;
+  res: ServerResponse;
+  path: string;
+  readFacts(body: Buffer): RequestFacts;
+}
+
+/** Serves calls that reach a model or a service. */
+export class InferenceHandler {
+  constructor(
+    private readonly context: EntryContext,
+    private readonly plugins: readonly EntryPlugin[],
+  ) {}
+
+  async handle(call: InferenceCall): Promise<void> {
+    const {callers, lifecycle, settings} = this.context;
+    const caller = callers.admit(call.req);
+    lifecycle.requestOpened();
+    try {
+      if (lifecycle.open > settings.limits.maxOpenRequests) {
+        throw new ApiError('overloaded', 'too many requests are open here', {
+          retryAfterMs: OVERLOADED_RETRY_MS,
+        });
+      }
+      await this.serve(call, caller.settings);
+    } finally {
+      caller.release();
+      lifecycle.requestClosed();
+    }
+  }
+
+  private async serve(
+    {req, res, path, readFacts}: InferenceCall,
+    caller: Parameters<typeof acceptRequest>[1]['caller'],
+  ): Promise<void> {
+    const {context} = this;
+    const startedMs = context.clock.nowMs();
+    const out = new CallerStream(res);
+    const body = await readBody(req, context.settings.limits.bodyBytes);
+    const facts = readFacts(body);
+    const options = {req, caller, facts, path, body, out, startedMs};
+    const job = acceptRequest(context, options);
+    const result = await this.run(job);
+    this.logEnd(job, result);
+    await this.answer(res, job, result);
+    for (const plugin of this.plugins) plugin.requestEnded?.(job, result);
+  }
+
+  private async run(job: RequestJob): Promise<RequestResult> {
+    this.requireGuard(job);
+    let next: NextStep = () => runRequest(this.context, job);
+    for (const plugin of [...this.plugins].reverse()) {
+      const inner = next;
+      if (plugin.aroundRequest) {
+        next = () => plugin.aroundRequest!(job, inner);
+      }
+    }
+    try {
+      return await next();
+    } catch (error) {
+      if (!(error instanceof ApiError)) throw error;
+      return {kind: 'failed', error};
+    }
+  }
+
+  /** Without its guard a request that may not be repeated isn't run at all. */
+  private requireGuard(job: RequestJob): void {
+    if (job.target.selector.repeatable) return;
+    if (this.plugins.some(plugin => plugin.guardsNonRepeatable)) return;
+    throw new ApiError('not_ready', 'this entry runs no idempotency plug-in');
+  }
+
+  private async answer(
+    res: ServerResponse,
+    job: RequestJob,
+    result: RequestResult,
+  ): Promise<void> {
+    if (result.kind === 'failed') {
+      writeApiError(res, result.error);
+    } else if (result.kind === 'broken') {
+      const message = `the answer broke off: ${result.reason}`;
+      const options = {outcome: 'unknown'} as const;
+      job.out.abort(new ApiError('outcome_unknown', message, options));
+    } else if (result.kind === 'answer' && !res.destroyed) {
+      const {status, headers, body} = result.answer;
+      res.writeHead(status, headers);
+      res.end(body);
+    }
+    await closed(res);
+  }
+
+  private logEnd(job: RequestJob, result: RequestResult): void {
+    const {logger, clock} = this.context;
+    const error = result.kind === 'failed' ? result.error : undefined;
+    logger.info('request', {
+      request: job.requestId,
+      caller: job.caller,
+      selector: job.target.selector.name,
+      artifact: job.target.artifact,
+      result: result.kind,
+      code: error?.code,
+      outcome: error?.outcome,
+      attempts: job.attempts,
+      tookMs: Math.round(clock.nowMs() - job.startedMs),
+    });
+  }
+}
+
+/** Resolves once the answer has left, or the caller has. */
+function closed(res: ServerResponse): Promise<void> {
+  if (res.writableFinished || res.destroyed) return Promise.resolve();
+  return new Promise(resolve => {
+    res.once('finish', resolve);
+    res.once('close', resolve);
+  });
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/http/readBody.ts
@@ -0,0 +1,30 @@
+import type {IncomingMessage} from 'node:http';
+import {ApiError} from './apiErrors.js';
+
+/**
+ * Reads a caller's whole body.
+ *
+ * @throws ApiError `body_too_large` as soon as the limit is passed.
+ */
+export async function readBody(
+  req: IncomingMessage,
+  limitBytes: number,
+): Promise<Buffer> {
+  const declaredBytes = Number(req.headers['content-length'] ?? 0);
+  if (declaredBytes > limitBytes) throw tooLarge(limitBytes);
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > limitBytes) throw tooLarge(limitBytes);
+    chunks.push(chunk);
+  }
+  return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+}
+
+function tooLarge(limitBytes: number): ApiError {
+  return new ApiError(
+    'body_too_large',
+    `the body is larger than ${limitBytes} bytes; send a shorter one`,
+  );
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/plugins/idempotency.ts
@@ -0,0 +1,215 @@
+import type {BanyanfoldError} from '@banyanfold/core';
+import {KeyClaims, readTimedKey, type ClaimOutcome} from '@banyanfold/platform';
+import {v4 as uuidV4} from 'uuid';
+import {
+  entryPlugins,
+  type EntryContext,
+  type EntryPlugin,
+  type NextStep,
+} from '../context.js';
+import {ApiError, type ApiErrorCode} from '../http/apiErrors.js';
+import type {RequestJob, RequestResult} from '../requests/types.js';
+import {outcomeUnknown, recordedAnswer, toFinishedRun} from './keyOutcome.js';
+
+const IN_PROGRESS_RETRY_MS = 1000;
+const LOG_RETRY_MS = 2000;
+/** The answer in base64 and what stands around it in its record. */
+const KEPT_BODY_FACTOR = 1.5;
+const KEPT_BODY_OVERHEAD_BYTES = 512;
+
+type Taken = Extract<ClaimOutcome, {kind: 'taken'}>;
+
+/**
+ * Runs a request that may not be repeated at most once.
+ *
+ * The same key may come twice at once through two entries, or again after its
+ * answer was lost. Only the owner of the key, by the log, dispatches; whoever
+ * else comes gets what is known of that run.
+ */
+class KeyGuard {
+  private readonly claims: KeyClaims;
+  /** Keys whose request this process is running now. */
+  private readonly running = new Set<string>();
+  /** Appends on their way; they are waited for when the process leaves. */
+  private readonly appends = new Set<Promise<unknown>>();
+  private caughtUp = false;
+
+  constructor(private readonly context: EntryContext) {
+    const {settings, log, clock, logger, random} = context;
+    this.claims = new KeyClaims({
+      log,
+      clock,
+      logger,
+      random,
+      owner: `${settings.vmId}/${uuidV4()}`,
+      retentionMs: settings.logRetentionMs,
+      horizonMs: settings.keyHorizonMs,
+      bodyLimitBytes:
+        settings.keyBodyBytes * KEPT_BODY_FACTOR + KEPT_BODY_OVERHEAD_BYTES,
+    });
+  }
+
+  start(): void {
+    this.claims.start();
+    void this.claims.caughtUp().then(() => {
+      this.caughtUp = true;
+    });
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.appends);
+    this.claims.stop();
+  }
+
+  async run(job: RequestJob, next: NextStep): Promise<RequestResult> {
+    const key = readTimedKey(job.idempotencyKey ?? '')?.key;
+    if (key === undefined) {
+      throw new ApiError(
+        'invalid_idempotency_key',
+        'this request may not be repeated; send a new UUIDv7 with it in the ' +
+          'header Idempotency-Key',
+      );
+    }
+    const claimed = await this.claims.claim(key);
+    if (claimed.isErr()) throw this.claimError(claimed.error);
+    const outcome = claimed.value;
+    if (outcome.kind === 'taken') return this.answerTaken(job, key, outcome);
+    return this.dispatch(job, key, outcome.claimOffset, next);
+  }
+
+  private async dispatch(
+    job: RequestJob,
+    key: string,
+    claimOffset: number,
+    next: NextStep,
+  ): Promise<RequestResult> {
+    this.running.add(key);
+    try {
+      const result = await next();
+      this.note(job, key, claimOffset, result);
+      return result;
+    } catch (error) {
+      // Whatever went wrong here, it may have run.
+      this.note(job, key, claimOffset, {kind: 'broken', reason: 'internal'});
+      throw error;
+    } finally {
+      this.running.delete(key);
+    }
+  }
+
+  /** The caller's answer doesn't wait for these: it is final already. */
+  private note(
+    job: RequestJob,
+    key: string,
+    claimOffset: number,
+    result: RequestResult,
+  ): void {
+    const {keyBodyBytes} = this.context.settings;
+    const append = neverRan(job, result)
+      ? this.claims.release(key, claimOffset)
+      : this.claims.finish(key, toFinishedRun(job, result, keyBodyBytes));
+    const settled = append
+      .match(
+        () => undefined,
+        () => undefined,
+      )
+      .finally(() => this.appends.delete(settled));
+    this.appends.add(settled);
+  }
+
+  private answerTaken(
+    job: RequestJob,
+    key: string,
+    {finished, ownedBySelf}: Taken,
+  ): RequestResult {
+    if (finished) {
+      return {kind: 'answer', answer: recordedAnswer(job, finished)};
+    }
+    const mayRunStill = ownedBySelf
+      ? this.running.has(key)
+      : this.isYoung(job, key);
+    if (!mayRunStill) throw outcomeUnknown();
+    throw new ApiError('key_in_progress', 'it is being run under this key', {
+      outcome: 'unknown',
+      retryAfterMs: IN_PROGRESS_RETRY_MS,
+    });
+  }
+
+  /** Another entry can't have it in progress for longer than a run takes. */
+  private isYoung(job: RequestJob, key: string): boolean {
+    const keyMs = readTimedKey(key)?.keyMs ?? 0;
+    const {wholeAnswerMs} = job.target.selector.targets;
+    return this.context.clock.wallMs() - keyMs < 2 * wholeAnswerMs;
+  }
+
+  private claimError(error: BanyanfoldError): ApiError {
+    this.context.logger.warn('claim-failed', {
+      code: error.code,
+      step: error.step,
+      peer: error.peer,
+    });
+    const known = CLAIM_ERRORS[error.code];
+    if (known) return new ApiError(known.code, known.message, known);
+    // Before the claims were read once, an earlier run of the key can't be
+    // ruled out, and "not run" would be said of what ran.
+    return new ApiError(
+      'log_unavailable',
+      'keys cannot be claimed now, and this call ran nothing; send it again ' +
+        'with the same key',
+      {
+        outcome: this.caughtUp ? 'not-run' : 'unknown',
+        retryAfterMs: LOG_RETRY_MS,
+      },
+    );
+  }
+}
+
+interface ClaimErrorAnswer {
+  code: ApiErrorCode;
+  message: string;
+  outcome: 'not-run' | 'unknown';
+}
+
+const CLAIM_ERRORS: Record<string, ClaimErrorAnswer | undefined> = {
+  'key-not-uuidv7': {
+    code: 'invalid_idempotency_key',
+    message: 'the key must be a UUIDv7',
+    outcome: 'not-run',
+  },
+  'key-from-future': {
+    code: 'invalid_idempotency_key',
+    message: "the key's time is ahead of the log's clock",
+    outcome: 'not-run',
+  },
+  // Its record may be gone from the log by now, and it may have run.
+  'key-too-old': {
+    code: 'key_outcome_unknown',
+    message: 'the key is too old to tell whether it ran; it will not run now',
+    outcome: 'unknown',
+  },
+};
+
+/** Whether it is proved that no attempt of the request ever started. */
+function neverRan(job: RequestJob, result: RequestResult): boolean {
+  if (result.kind === 'failed') return result.error.outcome === 'not-run';
+  return result.kind === 'caller-gone' && job.attempts === 0;
+}
+
+/** Creates the plug-in that guards requests which may not be repeated. */
+export function idempotencyPlugin(context: EntryContext): EntryPlugin {
+  const guard = new KeyGuard(context);
+  return {
+    name: 'idempotency',
+    guardsNonRepeatable: true,
+    async start() {
+      guard.start();
+    },
+    stop: () => guard.stop(),
+    async aroundRequest(job, next) {
+      if (job.target.selector.repeatable) return next();
+      return guard.run(job, next);
+    },
+  };
+}
+
+entryPlugins.register('idempotency', idempotencyPlugin);
--- /dev/null
+++ b/packages/banyanfold-entry/src/plugins/index.ts
@@ -0,0 +1,4 @@
+import './ejection.js';
+import './idempotency.js';
+import './metrics.js';
+import './planner.js';
--- /dev/null
+++ b/packages/banyanfold-entry/src/plugins/placementView.ts
@@ -0,0 +1,108 @@
+import type {
+  Move,
+  PlacementCopy,
+  PlacementRunner,
+  PlacementView,
+} from '@banyanfold/decisions';
+import type {AgentReport} from '@banyanfold/protocol';
+import type {EntryContext} from '../context.js';
+import type {AgentState} from '../view/agentState.js';
+import type {DemandMeter} from './demandMeter.js';
+
+/** A move that an agent accepted, until its reports show it. */
+export interface PendingMove {
+  move: Move;
+  copyId: string;
+  /** The agent's digest when the move was accepted. */
+  incarnation: number;
+  sequence: number;
+}
+
+/** Whether the agent has reported since it accepted the move. */
+export function isReported(pending: PendingMove, agent: AgentState): boolean {
+  const {report} = agent;
+  if (!report) return false;
+  if (report.incarnation !== pending.incarnation) return true;
+  return report.sequence > pending.sequence;
+}
+
+/**
+ * Whether each live agent was heard or given up. A planner that starts before
+ * would take the copies of those not heard yet for missing, and load them all.
+ */
+export function isViewSettled(context: EntryContext): boolean {
+  const {view, settings} = context;
+  const live = view.agents().filter(agent => agent.vm.state === 'live');
+  return (
+    live.length > 0 &&
+    live.every(
+      agent =>
+        agent.report !== undefined ||
+        agent.failedReports >= settings.unreachableAfter,
+    )
+  );
+}
+
+/** Collects what the placement decision looks at. */
+export function placementView(
+  context: EntryContext,
+  meter: DemandMeter,
+  pending: readonly PendingMove[],
+  lastLoadMs: number,
+): PlacementView {
+  const misses = meter.takeMisses();
+  const labelled = context.configWatch.current?.artifacts() ?? [];
+  const runners = context.view.agents().flatMap(agent => {
+    const moves = pending.filter(({move}) => move.vmId === agent.vmId);
+    return agent.report ? [toRunner(agent, agent.report, moves)] : [];
+  });
+  const isLoading = (copy: PlacementCopy) => copy.state === 'reserved';
+  return {
+    runners,
+    artifacts: labelled.map(artifact => ({
+      ...artifact,
+      demandPerSecond: meter.demandPerSecond(artifact.artifact),
+      waiting: misses.get(artifact.artifact) ?? 0,
+    })),
+    loadsInFlight: runners.flatMap(({copies}) => copies.filter(isLoading))
+      .length,
+    lastLoadMs,
+  };
+}
+
+function toRunner(
+  agent: AgentState,
+  report: AgentReport,
+  pending: readonly PendingMove[],
+): PlacementRunner {
+  const {reachable, leaving, running, queued} = agent.runner;
+  let copies: PlacementCopy[] = [...report.copies];
+  let {memoryFreeBytes, runnerRole} = report;
+  for (const {move, copyId} of pending) {
+    if (move.kind === 'load') {
+      const {artifact, bytes} = move;
+      copies.push({artifact, bytes, copyId, state: 'reserved', idleMs: 0});
+      memoryFreeBytes -= bytes;
+    } else if (move.kind === 'retire') {
+      copies = copies.map(copy =>
+        copy.artifact === move.artifact
+          ? {...copy, state: 'releasing' as const}
+          : copy,
+      );
+    } else {
+      runnerRole = move.runnerRole;
+    }
+  }
+  return {
+    vmId: agent.vmId,
+    failureDomain: report.failureDomain,
+    runnerRole,
+    reachable,
+    leaving,
+    memoryCapacityBytes: report.memoryCapacityBytes,
+    memoryFreeBytes,
+    running,
+    queued,
+    copies,
+  };
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/plugins/planner.ts
@@ -0,0 +1,177 @@
+import {
+  DEFAULT_PLACEMENT_OPTIONS,
+  decidePlacement,
+  type Move,
+  type PlacementDecision,
+} from '@banyanfold/decisions';
+import {createEntryClient} from '@banyanfold/protocol';
+import {v4 as uuidV4} from 'uuid';
+import {entryPlugins, type EntryContext, type EntryPlugin} from '../context.js';
+import {Poller} from '../view/poller.js';
+import {DemandMeter} from './demandMeter.js';
+import {
+  isReported,
+  isViewSettled,
+  placementView,
+  type PendingMove,
+} from './placementView.js';
+import {PlannerEpoch} from './plannerEpoch.js';
+
+/** Plans placement while this entry is the one that the VM list names. */
+class Planner {
+  readonly epoch: PlannerEpoch;
+  private readonly meter: DemandMeter;
+  private pending: PendingMove[] = [];
+  private lastLoadMs = -Infinity;
+  private lastRoleChangeMs = -Infinity;
+  private unplacedLine = '';
+
+  constructor(private readonly context: EntryContext) {
+    this.epoch = new PlannerEpoch(context);
+    this.meter = new DemandMeter(context.settings.planner.demandHalfLifeMs);
+  }
+
+  /** One round; every entry measures demand, so that any can take over. */
+  async plan(): Promise<boolean> {
+    const {context} = this;
+    this.noteDemand();
+    this.epoch.refresh();
+    if (this.epoch.current === 0) return true;
+    await this.askPeersForMisses();
+    const isReady = context.configWatch.ready && isViewSettled(context);
+    if (!isReady) return true;
+    await this.send(this.decide());
+    return true;
+  }
+
+  private noteDemand(): void {
+    const {view, misses, settings, clock} = this.context;
+    for (const {report} of view.agents()) {
+      if (report) this.meter.noteReport(report);
+    }
+    this.meter.noteMisses(settings.vmId, misses.snapshot());
+    this.meter.close(clock.nowMs());
+  }
+
+  private async askPeersForMisses(): Promise<void> {
+    const {settings, view} = this.context;
+    const peers = view.peers().filter(vm => vm.state === 'live');
+    await Promise.allSettled(
+      peers.map(async ({vmId, host, port}) => {
+        const {internalKey, reportTimeoutMs: timeoutMs} = settings;
+        const client = createEntryClient({host, port, internalKey, timeoutMs});
+        const {missedCount} = await client.status.query();
+        this.meter.noteMisses(vmId, missedCount);
+      }),
+    );
+  }
+
+  private decide(): PlacementDecision {
+    const {context} = this;
+    const {loadsPerSecond, loadsAtOnce, attainmentWeight, moveWeight} =
+      context.settings.planner;
+    this.dropReported();
+    const view = placementView(
+      context,
+      this.meter,
+      this.pending,
+      this.lastLoadMs,
+    );
+    const decision = decidePlacement(view, context.clock.nowMs(), {
+      ...DEFAULT_PLACEMENT_OPTIONS,
+      loadsPerSecond,
+      loadsAtOnce,
+      attainmentWeight,
+      moveWeight,
+      lastRoleChangeMs: this.lastRoleChangeMs,
+    });
+    this.logUnplaced(decision);
+    return decision;
+  }
+
+  private dropReported(): void {
+    const {view} = this.context;
+    this.pending = this.pending.filter(pending => {
+      const agent = view.agent(pending.move.vmId);
+      return agent !== undefined && !isReported(pending, agent);
+    });
+  }
+
+  private async send({moves}: PlacementDecision): Promise<void> {
+    const nowMs = this.context.clock.nowMs();
+    if (moves.some(({kind}) => kind === 'load')) this.lastLoadMs = nowMs;
+    if (moves.some(({kind}) => kind === 'set-role')) {
+      this.lastRoleChangeMs = nowMs;
+    }
+    await Promise.all(moves.map(move => this.propose(move)));
+  }
+
+  private async propose(move: Move): Promise<void> {
+    const {context} = this;
+    const agent = context.view.agent(move.vmId);
+    if (!agent) return;
+    const proposalId = uuidV4();
+    const {incarnation} = agent;
+    const sequence = agent.digest?.sequence ?? 0;
+    const {reason, vmId: _vmId, ...what} = move;
+    const result = await context.clients
+      .of(agent)
+      .propose.mutate({proposalId, plannerEpoch: this.epoch.current, ...what})
+      .catch((error: unknown) => ({
+        accepted: false,
+        reason: error instanceof Error ? error.message : String(error),
+      }));
+    context.metrics.count('moves_total', {
+      kind: move.kind,
+      result: result.accepted ? 'accepted' : 'refused',
+    });
+    context.logger.info('move', {
+      kind: move.kind,
+      agent: move.vmId,
+      artifact: move.artifact,
+      runnerRole: move.runnerRole || undefined,
+      reason,
+      epoch: this.epoch.current,
+      accepted: result.accepted,
+      answer: result.reason,
+    });
+    if (result.reason === 'old-planner') this.epoch.lost();
+    if (!result.accepted) return;
+    this.pending.push({move, copyId: proposalId, incarnation, sequence});
+  }
+
+  /** The same list each second would hide everything else in the log. */
+  private logUnplaced({unplaced}: PlacementDecision): void {
+    const line = unplaced
+      .map(({artifact, reason}) => `${artifact}:${reason}`)
+      .join(',');
+    if (line === this.unplacedLine) return;
+    this.unplacedLine = line;
+    this.context.logger.warn('unplaced', {artifacts: line || 'none'});
+  }
+}
+
+/** Creates the plug-in that plans placement. */
+export function plannerPlugin(context: EntryContext): EntryPlugin {
+  const {clock, random, settings} = context;
+  const planner = new Planner(context);
+  const poller = new Poller({
+    clock,
+    random,
+    intervalMs: settings.planner.intervalMs,
+    maxBackoffMs: settings.planner.intervalMs,
+    poll: () => planner.plan(),
+  });
+  return {
+    name: 'planner',
+    async start() {
+      if (settings.planner.enabled) void poller.start();
+    },
+    async stop() {
+      poller.stop();
+    },
+    plannerEpoch: () => planner.epoch.current,
+  };
+}
+
+entryPlugins.register('planner', plannerPlugin);
--- /dev/null
+++ b/packages/banyanfold-entry/src/requests/acceptRequest.ts
@@ -0,0 +1,102 @@
+import type {IncomingMessage} from 'node:http';
+import type {CompiledConfig, ResolvedTarget} from '@banyanfold/config';
+import {HEADERS} from '@banyanfold/protocol';
+import {v4 as uuidV4} from 'uuid';
+import type {EntryContext} from '../context.js';
+import {ApiError, type ApiErrorCode} from '../http/apiErrors.js';
+import type {CallerStream} from '../http/callerStream.js';
+import type {CallerSettings} from '../settings.js';
+import {prefixHashOf} from './parseRequest.js';
+import type {RequestFacts, RequestJob} from './types.js';
+
+const RETRY_WHEN_READY_MS = 1000;
+const NEVER_ABORTED = new AbortController().signal;
+
+const RESOLVE_ERRORS: Record<string, ApiErrorCode> = {
+  forbidden: 'not_allowed',
+  'unknown-name': 'model_not_found',
+  'no-selector': 'model_not_found',
+};
+
+/** Who asks, as selectors see it. */
+export interface Asker {
+  caller: string;
+  desk: string;
+  headers: Record<string, string>;
+}
+
+/** What a job is made from. */
+export interface AcceptOptions {
+  req: IncomingMessage;
+  caller: CallerSettings;
+  facts: RequestFacts;
+  path: string;
+  body: Buffer;
+  out: CallerStream;
+  startedMs: number;
+}
+
+/** The configuration in force, or a refusal while none is known. */
+export function requireConfig(context: EntryContext): CompiledConfig {
+  const {configWatch} = context;
+  if (configWatch.current && configWatch.ready) return configWatch.current;
+  throw new ApiError('not_ready', 'no configuration is known here yet', {
+    retryAfterMs: RETRY_WHEN_READY_MS,
+  });
+}
+
+/** The caller and desk of a call, and its headers without the key. */
+export function askerOf(req: IncomingMessage, caller: CallerSettings): Asker {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(req.headers)) {
+    if (name !== 'authorization' && typeof value === 'string') {
+      headers[name] = value;
+    }
+  }
+  const desk = headers[HEADERS.desk] ?? caller.desk;
+  return {caller: caller.name, desk, headers};
+}
+
+/**
+ * Resolves a request and fixes its deadlines.
+ *
+ * @throws ApiError `not_ready`, `not_allowed` or `model_not_found`.
+ */
+export function acceptRequest(
+  context: EntryContext,
+  options: AcceptOptions,
+): RequestJob {
+  const {req, caller, facts, path, body, out, startedMs} = options;
+  const asker = askerOf(req, caller);
+  const target = resolveTarget(requireConfig(context), asker, facts);
+  const {targets, repeatable} = target.selector;
+  return {
+    requestId: uuidV4(),
+    caller: asker.caller,
+    desk: asker.desk,
+    target,
+    facts,
+    prefixHash: prefixHashOf(target.artifact, facts.prefixText),
+    path,
+    contentType: req.headers['content-type'] ?? 'application/json',
+    body,
+    idempotencyKey: asker.headers[HEADERS.idempotencyKey],
+    startedMs,
+    firstTokenDeadlineMs: startedMs + targets.firstTokenMs,
+    wholeDeadlineMs: startedMs + targets.wholeAnswerMs,
+    out,
+    signal: repeatable ? out.signal : NEVER_ABORTED,
+    attempts: 0,
+  };
+}
+
+function resolveTarget(
+  config: CompiledConfig,
+  asker: Asker,
+  {requestedName}: RequestFacts,
+): ResolvedTarget {
+  const resolved = config.resolve({...asker, requestedName});
+  if (resolved.isOk()) return resolved.value;
+  const {code, message} = resolved.error;
+  throw new ApiError(RESOLVE_ERRORS[code] ?? 'internal', message);
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/requests/parseRequest.ts
@@ -0,0 +1,78 @@
+import {createHash} from 'node:crypto';
+import {z} from 'zod';
+import {ApiError} from '../http/apiErrors.js';
+import type {RequestFacts} from './types.js';
+
+/** Prompts that agree in this many characters count as having one prefix. */
+const PREFIX_CHARACTERS = 1024;
+const CHARACTERS_PER_TOKEN = 4;
+const DEFAULT_MAX_TOKENS = 512;
+const PREFIX_HASH_LENGTH = 16;
+
+const countSchema = z.number().int().positive().nullish();
+
+const completionSchema = z.looseObject({
+  model: z.string().min(1),
+  stream: z.boolean().nullish(),
+  max_tokens: countSchema,
+  max_completion_tokens: countSchema,
+  messages: z.array(z.unknown()).optional(),
+  prompt: z.unknown().optional(),
+});
+
+/**
+ * Reads what routing needs of a completion request; the engine judges the rest.
+ *
+ * @throws ApiError `invalid_request`, naming the field.
+ */
+export function parseCompletion(body: Buffer): RequestFacts {
+  const checked = completionSchema.safeParse(parseJson(body));
+  if (!checked.success) {
+    const {path, message} = checked.error.issues[0]!;
+    throw new ApiError('invalid_request', `${path.join('.')}: ${message}`);
+  }
+  const request = checked.data;
+  return {
+    requestedName: request.model,
+    stream: request.stream === true,
+    promptTokens: Math.ceil(body.length / CHARACTERS_PER_TOKEN),
+    maxTokens:
+      request.max_completion_tokens ?? request.max_tokens ?? DEFAULT_MAX_TOKENS,
+    prefixText: prefixOf(request.messages ?? request.prompt),
+  };
+}
+
+/** A plain service's request is passed on unread. */
+export function serviceFacts(service: string): RequestFacts {
+  return {
+    requestedName: service,
+    stream: false,
+    promptTokens: 0,
+    maxTokens: 0,
+    prefixText: '',
+  };
+}
+
+/**
+ * The hash under which agents report a cached prefix. It has the artifact in
+ * it: the same text in the cache of another model is of no use.
+ */
+export function prefixHashOf(artifact: string, prefixText: string): string {
+  if (prefixText === '') return '';
+  const hash = createHash('sha256').update(`${artifact}\n${prefixText}`);
+  return hash.digest('hex').slice(0, PREFIX_HASH_LENGTH);
+}
+
+function prefixOf(prompt: unknown): string {
+  if (prompt === undefined) return '';
+  const text = typeof prompt === 'string' ? prompt : JSON.stringify(prompt);
+  return text.slice(0, PREFIX_CHARACTERS);
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8'));
+  } catch {
+    throw new ApiError('invalid_request', 'the body is not valid JSON');
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/routing/routeAttempt.ts
@@ -0,0 +1,101 @@
+import {
+  DEFAULT_ROUTE_OPTIONS,
+  decideRoute,
+  type CandidateReason,
+  type RoutingDecision,
+  type RoutingRequest,
+  type RoutingView,
+} from '@banyanfold/decisions';
+import type {EntryContext} from '../context.js';
+import type {RequestJob} from '../requests/types.js';
+
+/** A log line stays readable with many runners. */
+const REASONS_LOGGED = 8;
+
+/** Decides where the next attempt of a request goes, and logs why. */
+export function routeAttempt(
+  context: EntryContext,
+  job: RequestJob,
+  triedVmIds: readonly string[],
+): RoutingDecision {
+  const {clock, view, random} = context;
+  const nowMs = clock.nowMs();
+  const request = routingRequest(job, triedVmIds, nowMs);
+  const decide = (routingView: RoutingView) =>
+    decideRoute(routingView, request, nowMs, DEFAULT_ROUTE_OPTIONS, random);
+  const routingView = view.routingView();
+  let decision = decide(routingView);
+  // Ejection is about choosing better runners. When the ejected ones are all
+  // that hold the artifact, a slow answer is better than none.
+  if (decision.kind === 'refuse' && hasEjected(decision.reasons)) {
+    decision = decide(withoutEjections(routingView));
+  }
+  logDecision(context, job, decision, triedVmIds.length);
+  return decision;
+}
+
+function routingRequest(
+  job: RequestJob,
+  triedVmIds: readonly string[],
+  nowMs: number,
+): RoutingRequest {
+  const {target, facts} = job;
+  return {
+    artifact: target.artifact,
+    // A service has no model; it is held where it is offered.
+    modelArtifact: target.modelArtifact || target.artifact,
+    priority: target.selector.priority,
+    runnerRole: target.selector.runnerRole ?? '',
+    prefixHash: job.prefixHash,
+    promptTokens: facts.promptTokens,
+    maxTokens: facts.maxTokens,
+    firstTokenBudgetMs: job.firstTokenDeadlineMs - nowMs,
+    triedVmIds,
+  };
+}
+
+function hasEjected(reasons: readonly CandidateReason[]): boolean {
+  return reasons.some(({reason}) => reason === 'ejected');
+}
+
+function withoutEjections(view: RoutingView): RoutingView {
+  const runners = view.runners.map(runner => ({...runner, ejectedUntilMs: 0}));
+  return {...view, runners};
+}
+
+function logDecision(
+  context: EntryContext,
+  job: RequestJob,
+  decision: RoutingDecision,
+  tried: number,
+): void {
+  const isRoute = decision.kind === 'route';
+  context.metrics.count('route_decisions_total', {
+    kind: isRoute ? 'route' : decision.code,
+  });
+  context.logger.info('route', {
+    request: job.requestId,
+    caller: job.caller,
+    desk: job.desk,
+    selector: job.target.selector.name,
+    artifact: job.target.artifact,
+    attempt: tried + 1,
+    decision: isRoute ? decision.vmId : `refuse:${decision.code}`,
+    delayMs: isRoute ? Math.round(decision.estimatedDelayMs) : undefined,
+    retryAfterMs: isRoute ? undefined : Math.round(decision.retryAfterMs),
+    candidates: renderReasons(decision.reasons),
+  });
+}
+
+/** `agent-1:12:chosen-wait,agent-2:-:no-copy`, the best ones first. */
+export function renderReasons(reasons: readonly CandidateReason[]): string {
+  const sorted = [...reasons].sort((a, b) => a.scoreMs - b.scoreMs);
+  const shown = sorted.slice(0, REASONS_LOGGED).map(renderReason);
+  const hidden = sorted.length - shown.length;
+  return hidden > 0 ? `${shown.join(',')},+${hidden}` : shown.join(',');
+}
+
+function renderReason({vmId, scoreMs, reason}: CandidateReason): string {
+  const score = Number.isFinite(scoreMs) ? String(Math.round(scoreMs)) : '-';
+  return `${vmId}:${score}:${reason}`;
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/view/agentClients.ts
@@ -0,0 +1,30 @@
+import {createAgentClient, type AgentClient} from '@banyanfold/protocol';
+import type {EntrySettings} from '../settings.js';
+import type {AgentState} from './agentState.js';
+
+/** The control clients of the agents, one for each address. */
+export class AgentClients {
+  private readonly clients = new Map<string, AgentClient>();
+
+  constructor(
+    private readonly settings: EntrySettings,
+    private readonly timeoutMs: number,
+  ) {}
+
+  of(agent: AgentState): AgentClient {
+    const {host, port} = agent.vm;
+    const address = `${host}:${port}`;
+    let client = this.clients.get(address);
+    if (!client) {
+      const {internalKey} = this.settings;
+      client = createAgentClient({
+        host,
+        port,
+        internalKey,
+        timeoutMs: this.timeoutMs,
+      });
+      this.clients.set(address, client);
+    }
+    return client;
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/view/clusterView.ts
@@ -0,0 +1,77 @@
+import type {RoutingView, RunnerView} from '@banyanfold/decisions';
+import type {Vm, VmList} from '@banyanfold/platform';
+import {AgentState} from './agentState.js';
+
+/** Where this entry stands. */
+export interface ClusterPlace {
+  vmId: string;
+  failureDomain: string;
+  region: string;
+}
+
+/** What this entry knows of the other VMs. */
+export class ClusterView {
+  private readonly agentsById = new Map<string, AgentState>();
+  private runners: RunnerView[] = [];
+  private peerEntries: Vm[] = [];
+  private listAsOfMs = -Infinity;
+
+  constructor(private readonly place: ClusterPlace) {}
+
+  /** False until a VM list was read; the list itself may be empty. */
+  get known(): boolean {
+    return this.listAsOfMs > -Infinity;
+  }
+
+  /** Takes a VM list, unless a newer one was taken before. */
+  applyVmList(list: VmList): boolean {
+    if (list.asOfMs < this.listAsOfMs) return false;
+    this.listAsOfMs = list.asOfMs;
+    const agentVms = list.vms.filter(vm => vm.role === 'agent');
+    const listed = new Set(agentVms.map(vm => vm.vmId));
+    for (const vmId of this.agentsById.keys()) {
+      if (!listed.has(vmId)) this.agentsById.delete(vmId);
+    }
+    for (const vm of agentVms) this.applyAgentVm(vm);
+    this.runners = this.agents().map(agent => agent.runner);
+    this.peerEntries = list.vms.filter(
+      vm => vm.role === 'entry' && vm.vmId !== this.place.vmId,
+    );
+    return true;
+  }
+
+  agents(): AgentState[] {
+    return [...this.agentsById.values()];
+  }
+
+  agent(vmId: string): AgentState | undefined {
+    return this.agentsById.get(vmId);
+  }
+
+  /** The other entries of the VM list, those that leave among them. */
+  peers(): Vm[] {
+    return this.peerEntries;
+  }
+
+  /** The entries that may plan; this one counts unless it leaves. */
+  plannerCandidates(selfLeaving: boolean): string[] {
+    const others = this.peerEntries
+      .filter(vm => vm.state === 'live')
+      .map(vm => vm.vmId);
+    return selfLeaving ? others : [...others, this.place.vmId];
+  }
+
+  routingView(): RoutingView {
+    const {failureDomain, region} = this.place;
+    return {runners: this.runners, failureDomain, region};
+  }
+
+  /** A VM id at another address is another VM under the same name. */
+  private applyAgentVm(vm: Vm): void {
+    const known = this.agentsById.get(vm.vmId);
+    const moved =
+      known && (known.vm.host !== vm.host || known.vm.port !== vm.port);
+    if (known && !moved) known.setVm(vm);
+    else this.agentsById.set(vm.vmId, new AgentState(vm));
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/view/viewPollers.ts
@@ -0,0 +1,69 @@
+import type {VmListService} from '@banyanfold/platform';
+import type {EntryContext} from '../context.js';
+import {AgentClients} from './agentClients.js';
+import {Poller} from './poller.js';
+import {ReportPoller} from './reportPoller.js';
+
+const MAX_VM_LIST_BACKOFF_MS = 10_000;
+
+/** Keeps the view up to date from the VM list and the agents' reports. */
+export class ViewPollers {
+  private readonly vmListPoller: Poller;
+  private readonly reportPoller: Poller;
+  private readonly reports: ReportPoller;
+  private vmListFailed = false;
+
+  constructor(
+    private readonly context: EntryContext,
+    private readonly vmList: VmListService,
+  ) {
+    const {clock, random, settings} = context;
+    this.reports = new ReportPoller(
+      context,
+      new AgentClients(settings, settings.reportTimeoutMs),
+    );
+    this.vmListPoller = new Poller({
+      clock,
+      random,
+      intervalMs: settings.vmListIntervalMs,
+      maxBackoffMs: MAX_VM_LIST_BACKOFF_MS,
+      poll: () => this.pollVmList(),
+    });
+    this.reportPoller = new Poller({
+      clock,
+      random,
+      intervalMs: settings.reportIntervalMs,
+      maxBackoffMs: settings.reportIntervalMs,
+      // Not waited for: one agent that hangs must not hold up the others.
+      poll: async () => {
+        void this.reports.pollAll();
+        return true;
+      },
+    });
+  }
+
+  /** Resolves after the first VM list was read, or could not be. */
+  async start(): Promise<void> {
+    await this.vmListPoller.start();
+    void this.reportPoller.start();
+  }
+
+  stop(): void {
+    this.vmListPoller.stop();
+    this.reportPoller.stop();
+  }
+
+  /** While the list can't be read the last one stays good. */
+  private async pollVmList(): Promise<boolean> {
+    const {logger, view} = this.context;
+    const list = await this.vmList.read();
+    const failed = list.isErr();
+    if (list.isOk()) view.applyVmList(list.value);
+    if (failed && !this.vmListFailed) {
+      const {code, step, peer} = list.error;
+      logger.warn('vm-list-failed', {code, step, peer});
+    }
+    this.vmListFailed = failed;
+    return !failed;
+  }
+}
