Give the stand-ins one HTTP base and one way for faults to happen

HttpStandin now holds a state class and its server; FaultSwitches rolls the dice for probabilities with the generator passed in.

--- a/packages/banyanfold-standins/src/common/faultSwitches.ts
+++ b/packages/banyanfold-standins/src/common/faultSwitches.ts
@@ -1,5 +1,6 @@
 import type {z} from 'zod';
 import {ok} from 'neverthrow';
+import {DEFAULT_SEED, createRandom, type Random} from './random.js';
 import {refuse, type Answer} from './refusal.js';
 
 /**
@@ -13,6 +14,7 @@
   constructor(
     private readonly schema: S,
     initial: Partial<z.output<S>> = {},
+    private readonly random: Random = createRandom(DEFAULT_SEED),
   ) {
     this.current = schema.parse(initial);
   }
@@ -38,6 +40,13 @@
     this.listeners.push(listener);
   }
 
+  /** Whether a fault with this probability happens now. */
+  happens(field: keyof z.output<S>): boolean {
+    const probability = this.current[field];
+    if (typeof probability !== 'number' || probability <= 0) return false;
+    return this.random() < probability;
+  }
+
   /** Takes one from a count; false when it is used up. */
   takeNext(field: keyof z.output<S>): boolean {
     const left = this.current[field];
--- a/packages/banyanfold-standins/src/common/refusal.ts
+++ b/packages/banyanfold-standins/src/common/refusal.ts
@@ -30,6 +30,15 @@
   return new Err({status, code, ...extra});
 }
 
+/**
+ * What the caller gets when its answer is lost: a cut connection, or nothing
+ * for ever.
+ */
+export function lostAnswer<T>(hangs: boolean): Promise<Answer<T>> {
+  if (hangs) return never();
+  return Promise.resolve(refuse(CONNECTION_CUT, 'answer-lost'));
+}
+
 /** For an answer that never comes. */
 export function never<T>(): Promise<T> {
   return new Promise<T>(() => {});
--- a/packages/banyanfold-standins/src/common/standinOptions.ts
+++ b/packages/banyanfold-standins/src/common/standinOptions.ts
@@ -1,10 +1,8 @@
 import {systemClock, type Clock, type Logger} from '@banyanfold/core';
 import {z} from 'zod';
-import {createRandom, type Random} from './random.js';
+import {DEFAULT_SEED, createRandom, type Random} from './random.js';
 import type {TruthEntry} from './truth.js';
 
-const DEFAULT_SEED = 1;
-
 /** What every state class takes besides its own options. */
 export interface StateContext {
   clock?: Clock;
--- a/packages/banyanfold-standins/src/engine/EngineStandin.ts
+++ b/packages/banyanfold-standins/src/engine/EngineStandin.ts
@@ -1,7 +1,7 @@
 import {ok} from 'neverthrow';
 import {z} from 'zod';
-import {controlRoutes} from '../common/controlRoutes.js';
-import {HttpServer, type Route} from '../common/httpServer.js';
+import {HttpStandin} from '../common/HttpStandin.js';
+import type {Route} from '../common/httpServer.js';
 import {outageRefusal} from '../common/outage.js';
 import {refuse} from '../common/refusal.js';
 import {
@@ -17,7 +17,8 @@
 
 export const engineStandinSchema = engineOptionsSchema
   .extend(listenSchema.shape)
-  .extend({faults: engineFaultsSchema.prefault({})});
+  .extend({faults: engineFaultsSchema.prefault({})})
+  .strict();
 
 export type EngineStandinOptions = z.input<typeof engineStandinSchema>;
 
@@ -26,41 +27,27 @@
 const kvRequestSchema = z.object({requestId: z.string()});
 
 /** A model engine over HTTP. */
-export class EngineStandin {
-  readonly state: EngineState;
-  private readonly server: HttpServer;
-
+export class EngineStandin extends HttpStandin<
+  typeof engineFaultsSchema,
+  EngineState
+> {
   constructor(
     options: EngineStandinOptions = {},
     context: ServerContext & EngineContext = {},
   ) {
     const settings = engineStandinSchema.parse(options);
-    const {weights} = context;
-    this.state = new EngineState(settings, {...logTruth(context), weights});
-    const served = [
-      ...inferenceRoutes(this.state),
-      ...engineRoutes(this.state),
-    ];
-    this.server = new HttpServer({
+    const {logger, weights} = context;
+    const state = new EngineState(settings, {...logTruth(context), weights});
+    const routes = [...inferenceRoutes(state), ...engineRoutes(state)];
+    super(state, {
       ...settings,
-      logger: context.logger,
+      logger,
       beforeAnswer: response => {
-        response.setHeader('x-engine-now-ms', String(this.state.nowMs()));
+        response.setHeader('x-engine-now-ms', String(state.nowMs()));
       },
-      routes: [
-        ...controlRoutes(this.state.faults, this.state.truth),
-        ...served.map(route => whenReachable(this.state, route)),
-      ],
+      routes: routes.map(route => whenReachable(state, route)),
     });
   }
-
-  start(): Promise<{port: number}> {
-    return this.server.start();
-  }
-
-  stop(): Promise<void> {
-    return this.server.stop();
-  }
 }
 
 /** Holds a request while the engine is paused and refuses in an outage. */
--- a/packages/banyanfold-standins/src/engine/EngineState.ts
+++ b/packages/banyanfold-standins/src/engine/EngineState.ts
@@ -1,7 +1,6 @@
 import type {Clock} from '@banyanfold/core';
 import type {z} from 'zod';
 import {FaultSwitches} from '../common/faultSwitches.js';
-import type {Random} from '../common/random.js';
 import {refuse, type Answer} from '../common/refusal.js';
 import {resolveContext, type StateContext} from '../common/standinOptions.js';
 import {TruthRecord} from '../common/truth.js';
@@ -48,7 +47,6 @@
   readonly memory: ModelMemory;
   readonly gate = new PauseGate();
   readonly clock: Clock;
-  private readonly random: Random;
   private readonly cache: PrefixCache;
   private readonly cacheFeed = new CacheEventFeed();
   private readonly reports = new ReportHistory();
@@ -60,10 +58,10 @@
 
   constructor(options: EngineStateOptions = {}, context: EngineContext = {}) {
     this.options = engineOptionsSchema.parse(options);
-    this.faults = new FaultSwitches(engineFaultsSchema, options.faults);
     const {clock, random} = resolveContext(context);
+    const {faults} = options;
+    this.faults = new FaultSwitches(engineFaultsSchema, faults, random);
     this.clock = withOffset(clock, this.options.clockOffsetMs);
-    this.random = random;
     this.role = this.options.role;
     this.truth = new TruthRecord(this.clock, context.onTruth);
     this.memory = this.createMemory();
@@ -141,8 +139,7 @@
       blockTokens: cacheBlockTokens,
       bytesPerToken: kvBytesPerToken,
       onChange: change => {
-        const probability = this.faults.get().cacheEventLossProbability;
-        const isLost = probability > 0 && this.random() < probability;
+        const isLost = this.faults.happens('cacheEventLossProbability');
         this.cacheFeed.add({atMs: this.nowMs(), ...change}, isLost);
       },
     });
@@ -191,7 +188,6 @@
   private createDelivery(): OrderDelivery {
     return new OrderDelivery({
       clock: this.clock,
-      random: this.random,
       faults: this.faults,
       truth: this.truth,
       apply: order => this.applyOrder(order),
--- a/packages/banyanfold-standins/src/engine/OrderDelivery.ts
+++ b/packages/banyanfold-standins/src/engine/OrderDelivery.ts
@@ -1,6 +1,5 @@
 import {sleep, type Clock} from '@banyanfold/core';
 import type {FaultSwitches} from '../common/faultSwitches.js';
-import type {Random} from '../common/random.js';
 import {CONNECTION_CUT, never, refuse, type Answer} from '../common/refusal.js';
 import type {TruthRecord} from '../common/truth.js';
 import type {engineFaultsSchema} from './options.js';
@@ -8,7 +7,6 @@
 
 export interface OrderDeliveryOptions {
   clock: Clock;
-  random: Random;
   faults: FaultSwitches<typeof engineFaultsSchema>;
   truth: TruthRecord;
   apply: (order: EngineOrder) => Answer<OrderAnswer>;
@@ -46,11 +44,10 @@
   }
 
   private pickFault(): OrderFault | undefined {
-    const {faults, random} = this.options;
+    const {faults} = this.options;
     for (const [fault, countField, probabilityField] of FAULT_FIELDS) {
       if (faults.takeNext(countField)) return fault;
-      const probability = faults.get()[probabilityField];
-      if (probability > 0 && random() < probability) return fault;
+      if (faults.happens(probabilityField)) return fault;
     }
     return undefined;
   }
--- a/packages/banyanfold-standins/src/engine/inferenceRoutes.ts
+++ b/packages/banyanfold-standins/src/engine/inferenceRoutes.ts
@@ -1,4 +1,3 @@
-import {sleep} from '@banyanfold/core';
 import {ok} from 'neverthrow';
 import {
   ANSWERED,
@@ -6,6 +5,7 @@
   type Route,
   type StandinRequest,
 } from '../common/httpServer.js';
+import {pauseFor} from '../common/pauseFor.js';
 import {CONNECTION_CUT, refuse, type Answer} from '../common/refusal.js';
 import type {EngineState} from './EngineState.js';
 import type {EngineStream, InferenceRequest} from './EngineStream.js';
@@ -67,7 +67,8 @@
     return async request => {
       const requestId = header(request, 'x-request-id') ?? this.ownId();
       const priority = Number(header(request, 'x-priority') ?? 0) || 0;
-      await this.delayRequest();
+      const {clock, faults} = this.state;
+      await pauseFor(clock, faults.get().requestDelayMs);
       const parsed = parse(request.body, {requestId, priority});
       if (!parsed) return openaiRefusal(400, 'bad-request');
       const submitted = this.state.submit(parsed);
@@ -104,11 +105,6 @@
     return ok(renderWhole(stream));
   }
 
-  private async delayRequest(): Promise<void> {
-    const {requestDelayMs} = this.state.faults.get();
-    if (requestDelayMs > 0) await sleep(this.state.clock, requestDelayMs);
-  }
-
   private answerStream(
     {response}: StandinRequest,
     stream: EngineStream,
--- a/packages/banyanfold-standins/src/index.ts
+++ b/packages/banyanfold-standins/src/index.ts
@@ -1,3 +1,5 @@
+export * from './common/HttpStandin.js';
+export * from './common/faultSwitches.js';
 export * from './common/random.js';
 export * from './common/refusal.js';
 export * from './common/standinOptions.js';
--- a/packages/banyanfold-standins/src/log/LogStandin.ts
+++ b/packages/banyanfold-standins/src/log/LogStandin.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
-import {controlRoutes} from '../common/controlRoutes.js';
-import {HttpServer, type Route} from '../common/httpServer.js';
+import {HttpStandin} from '../common/HttpStandin.js';
+import type {Route} from '../common/httpServer.js';
 import {refuse} from '../common/refusal.js';
 import {
   listenSchema,
@@ -12,7 +12,8 @@
 
 export const logStandinSchema = logOptionsSchema
   .extend(listenSchema.shape)
-  .extend({faults: logFaultsSchema.prefault({})});
+  .extend({faults: logFaultsSchema.prefault({})})
+  .strict();
 
 export type LogStandinOptions = z.input<typeof logStandinSchema>;
 
@@ -27,29 +28,12 @@
 });
 
 /** The log service over HTTP. */
-export class LogStandin {
-  readonly state: LogState;
-  private readonly server: HttpServer;
-
+export class LogStandin extends HttpStandin<typeof logFaultsSchema, LogState> {
   constructor(options: LogStandinOptions = {}, context: ServerContext = {}) {
     const settings = logStandinSchema.parse(options);
-    this.state = new LogState(settings, logTruth(context));
-    this.server = new HttpServer({
-      ...settings,
-      logger: context.logger,
-      routes: [
-        ...controlRoutes(this.state.faults, this.state.truth),
-        ...logRoutes(this.state),
-      ],
-    });
-  }
-
-  start(): Promise<{port: number}> {
-    return this.server.start();
-  }
-
-  stop(): Promise<void> {
-    return this.server.stop();
+    const state = new LogState(settings, logTruth(context));
+    const {logger} = context;
+    super(state, {...settings, logger, routes: logRoutes(state)});
   }
 }
 
--- a/packages/banyanfold-standins/src/log/LogState.ts
+++ b/packages/banyanfold-standins/src/log/LogState.ts
@@ -1,10 +1,10 @@
-import {sleep, type Clock} from '@banyanfold/core';
+import type {Clock} from '@banyanfold/core';
 import {ok} from 'neverthrow';
 import {FaultSwitches} from '../common/faultSwitches.js';
 import {outageRefusal} from '../common/outage.js';
-import type {Random} from '../common/random.js';
+import {pauseFor} from '../common/pauseFor.js';
 import {RateLimit} from '../common/rateLimit.js';
-import {CONNECTION_CUT, never, refuse, type Answer} from '../common/refusal.js';
+import {lostAnswer, refuse, type Answer} from '../common/refusal.js';
 import {resolveContext, type StateContext} from '../common/standinOptions.js';
 import {TruthRecord} from '../common/truth.js';
 import {LogStream, type StoredRecord} from './LogStream.js';
@@ -40,7 +40,6 @@
   readonly truth: TruthRecord;
   private readonly options: LogOptions;
   private readonly clock: Clock;
-  private readonly random: Random;
   private readonly rateLimit: RateLimit;
   private readonly streams = new Map<string, LogStream>();
 
@@ -49,10 +48,9 @@
     context: StateContext = {},
   ) {
     this.options = logOptionsSchema.parse(options);
-    this.faults = new FaultSwitches(logFaultsSchema, options.faults);
     const {clock, random} = resolveContext(context);
+    this.faults = new FaultSwitches(logFaultsSchema, options.faults, random);
     this.clock = clock;
-    this.random = random;
     this.truth = new TruthRecord(clock, context.onTruth);
     this.rateLimit = new RateLimit(clock, this.options.appendsPerSecond);
     this.faults.onChange(() => this.wakeAll());
@@ -60,21 +58,21 @@
 
   /** @example await log.append('claims', [{key: 'a'}]) */
   async append(name: string, values: unknown[]): Promise<Answer<AppendAnswer>> {
-    await this.delay('requestDelayMs');
+    await pauseFor(this.clock, this.faults.get().requestDelayMs);
     const refusal = outageRefusal(this.faults.get().outage);
     if (refusal) return refusal;
     if (values.length === 0) return refuse(400, 'no-records');
     const retryAfterMs = this.rateLimit.take();
     if (retryAfterMs > 0) return refuse(429, 'too-many', {retryAfterMs});
     const answer = this.store(name, values);
-    await this.delay('answerDelayMs');
+    await pauseFor(this.clock, this.faults.get().answerDelayMs);
     if (this.losesAnswer()) return this.loseAnswer(name, answer);
     return ok(answer);
   }
 
   /** Reads a page; with `waitMs` it waits for a record when there is none. */
   async read(name: string, request: ReadRequest): Promise<Answer<LogPage>> {
-    await this.delay('requestDelayMs');
+    await pauseFor(this.clock, this.faults.get().requestDelayMs);
     const waitMs = Math.min(request.waitMs ?? 0, this.options.maxWaitMs);
     const refusal = outageRefusal(this.faults.get().outage);
     if (refusal) return refusal;
@@ -85,7 +83,7 @@
     const laterRefusal = outageRefusal(this.faults.get().outage);
     if (laterRefusal) return laterRefusal;
     const page = this.page(stream, request);
-    await this.delay('answerDelayMs');
+    await pauseFor(this.clock, this.faults.get().answerDelayMs);
     return ok(page);
   }
 
@@ -114,17 +112,15 @@
 
   private losesAnswer(): boolean {
     if (this.faults.takeNext('loseNextAppendAnswers')) return true;
-    const probability = this.faults.get().appendAnswerLossProbability;
-    return probability > 0 && this.random() < probability;
+    return this.faults.happens('appendAnswerLossProbability');
   }
 
   private loseAnswer(
     stream: string,
     {firstOffset}: AppendAnswer,
-  ): Promise<Answer<AppendAnswer>> | Answer<AppendAnswer> {
+  ): Promise<Answer<AppendAnswer>> {
     this.truth.add('append-answer-lost', {stream, firstOffset});
-    if (this.faults.get().lostAnswersHang) return never();
-    return refuse(CONNECTION_CUT, 'answer-lost');
+    return lostAnswer(this.faults.get().lostAnswersHang);
   }
 
   private waitForChange(stream: LogStream, waitMs: number): Promise<void> {
@@ -140,11 +136,6 @@
     });
   }
 
-  private async delay(field: 'requestDelayMs' | 'answerDelayMs') {
-    const delayMs = this.faults.get()[field];
-    if (delayMs > 0) await sleep(this.clock, delayMs);
-  }
-
   private stream(name: string): LogStream {
     let stream = this.streams.get(name);
     if (!stream) {
--- a/packages/banyanfold-standins/src/main.ts
+++ b/packages/banyanfold-standins/src/main.ts
@@ -34,4 +34,4 @@
   process.once('SIGINT', stop);
 }
 
-await main();
+await main().catch(error => exitWith(`the start failed: ${String(error)}`));
--- a/packages/banyanfold-standins/src/service/PlainServiceStandin.ts
+++ b/packages/banyanfold-standins/src/service/PlainServiceStandin.ts
@@ -1,6 +1,6 @@
 import type {z} from 'zod';
-import {controlRoutes} from '../common/controlRoutes.js';
-import {HttpServer, type Handler} from '../common/httpServer.js';
+import {HttpStandin} from '../common/HttpStandin.js';
+import type {Handler} from '../common/httpServer.js';
 import {
   listenSchema,
   logTruth,
@@ -11,40 +11,31 @@
 
 export const plainServiceStandinSchema = serviceOptionsSchema
   .extend(listenSchema.shape)
-  .extend({faults: serviceFaultsSchema.prefault({})});
+  .extend({faults: serviceFaultsSchema.prefault({})})
+  .strict();
 
 export type PlainServiceStandinOptions = z.input<
   typeof plainServiceStandinSchema
 >;
 
 /** A plain service over HTTP; it takes any method and path. */
-export class PlainServiceStandin {
-  readonly state: PlainServiceState;
-  private readonly server: HttpServer;
-
+export class PlainServiceStandin extends HttpStandin<
+  typeof serviceFaultsSchema,
+  PlainServiceState
+> {
   constructor(
     options: PlainServiceStandinOptions = {},
     context: ServerContext = {},
   ) {
     const settings = plainServiceStandinSchema.parse(options);
-    this.state = new PlainServiceState(settings, logTruth(context));
-    this.server = new HttpServer({
+    const state = new PlainServiceState(settings, logTruth(context));
+    const {logger} = context;
+    super(state, {
       ...settings,
-      logger: context.logger,
-      routes: [
-        ...controlRoutes(this.state.faults, this.state.truth),
-        {method: '*', pattern: /^/, handle: callHandler(this.state)},
-      ],
+      logger,
+      routes: [{method: '*', pattern: /^/, handle: callHandler(state)}],
     });
   }
-
-  start(): Promise<{port: number}> {
-    return this.server.start();
-  }
-
-  stop(): Promise<void> {
-    return this.server.stop();
-  }
 }
 
 function callHandler(state: PlainServiceState): Handler {
--- a/packages/banyanfold-standins/src/service/PlainServiceState.ts
+++ b/packages/banyanfold-standins/src/service/PlainServiceState.ts
@@ -1,9 +1,9 @@
-import {sleep, type Clock} from '@banyanfold/core';
+import type {Clock} from '@banyanfold/core';
 import {ok} from 'neverthrow';
 import {FaultSwitches} from '../common/faultSwitches.js';
 import {outageRefusal} from '../common/outage.js';
-import type {Random} from '../common/random.js';
-import {CONNECTION_CUT, never, refuse, type Answer} from '../common/refusal.js';
+import {pauseFor} from '../common/pauseFor.js';
+import {lostAnswer, refuse, type Answer} from '../common/refusal.js';
 import {resolveContext, type StateContext} from '../common/standinOptions.js';
 import {TruthRecord} from '../common/truth.js';
 import {
@@ -33,7 +33,6 @@
   readonly truth: TruthRecord;
   private readonly options: ServiceOptions;
   private readonly clock: Clock;
-  private readonly random: Random;
   private calls = 0;
 
   constructor(
@@ -41,15 +40,18 @@
     context: StateContext = {},
   ) {
     this.options = serviceOptionsSchema.parse(options);
-    this.faults = new FaultSwitches(serviceFaultsSchema, options.faults);
     const {clock, random} = resolveContext(context);
+    this.faults = new FaultSwitches(
+      serviceFaultsSchema,
+      options.faults,
+      random,
+    );
     this.clock = clock;
-    this.random = random;
     this.truth = new TruthRecord(clock, context.onTruth);
   }
 
   async call(call: ServiceCall): Promise<Answer<ServiceAnswer>> {
-    await this.delay('requestDelayMs');
+    await pauseFor(this.clock, this.faults.get().requestDelayMs);
     const refusal = outageRefusal(this.faults.get().outage);
     if (refusal) return refusal;
     if (this.faults.takeNext('failNext')) return refuse(500, 'failed');
@@ -57,27 +59,18 @@
     const {name: service} = this.options;
     const answer = {service, path: call.path, calls: this.calls};
     this.truth.add('call', {...call});
-    await this.delay('answerDelayMs');
+    await pauseFor(this.clock, this.faults.get().answerDelayMs);
     if (this.losesAnswer()) return this.loseAnswer(call);
     return ok(answer);
   }
 
   private losesAnswer(): boolean {
     if (this.faults.takeNext('loseNextAnswers')) return true;
-    const probability = this.faults.get().answerLossProbability;
-    return probability > 0 && this.random() < probability;
+    return this.faults.happens('answerLossProbability');
   }
 
-  private loseAnswer({
-    path,
-  }: ServiceCall): Promise<Answer<ServiceAnswer>> | Answer<ServiceAnswer> {
+  private loseAnswer({path}: ServiceCall): Promise<Answer<ServiceAnswer>> {
     this.truth.add('answer-lost', {path});
-    if (this.faults.get().lostAnswersHang) return never();
-    return refuse(CONNECTION_CUT, 'answer-lost');
-  }
-
-  private async delay(field: 'requestDelayMs' | 'answerDelayMs') {
-    const delayMs = this.faults.get()[field];
-    if (delayMs > 0) await sleep(this.clock, delayMs);
+    return lostAnswer(this.faults.get().lostAnswersHang);
   }
 }
--- a/packages/banyanfold-standins/src/startStandins.ts
+++ b/packages/banyanfold-standins/src/startStandins.ts
@@ -31,14 +31,14 @@
 ): Promise<StartedStandins> {
   const standins = createStandins(settings, logger);
   const ports: Record<string, number> = {};
+  const stop = async (): Promise<void> => {
+    await Promise.all([...standins.values()].map(standin => standin.stop()));
+  };
   for (const [name, standin] of standins) {
     const {port} = await standin.start();
     ports[name] = port;
     logger.info('standin-started', {standin: name, port});
   }
-  const stop = async (): Promise<void> => {
-    await Promise.all([...standins.values()].map(standin => standin.stop()));
-  };
   return {ports, stop};
 }
 
--- a/packages/banyanfold-standins/src/vmList/VmListStandin.ts
+++ b/packages/banyanfold-standins/src/vmList/VmListStandin.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
-import {controlRoutes} from '../common/controlRoutes.js';
-import {HttpServer, type Route} from '../common/httpServer.js';
+import {HttpStandin} from '../common/HttpStandin.js';
+import type {Route} from '../common/httpServer.js';
 import {
   listenSchema,
   logTruth,
@@ -11,34 +11,21 @@
 
 export const vmListStandinSchema = vmListOptionsSchema
   .extend(listenSchema.shape)
-  .extend({faults: vmListFaultsSchema.prefault({})});
+  .extend({faults: vmListFaultsSchema.prefault({})})
+  .strict();
 
 export type VmListStandinOptions = z.input<typeof vmListStandinSchema>;
 
 /** The list of VMs over HTTP; `PUT /control/vms` replaces it. */
-export class VmListStandin {
-  readonly state: VmListState;
-  private readonly server: HttpServer;
-
+export class VmListStandin extends HttpStandin<
+  typeof vmListFaultsSchema,
+  VmListState
+> {
   constructor(options: VmListStandinOptions = {}, context: ServerContext = {}) {
     const settings = vmListStandinSchema.parse(options);
-    this.state = new VmListState(settings, logTruth(context));
-    this.server = new HttpServer({
-      ...settings,
-      logger: context.logger,
-      routes: [
-        ...controlRoutes(this.state.faults, this.state.truth),
-        ...vmListRoutes(this.state),
-      ],
-    });
-  }
-
-  start(): Promise<{port: number}> {
-    return this.server.start();
-  }
-
-  stop(): Promise<void> {
-    return this.server.stop();
+    const state = new VmListState(settings, logTruth(context));
+    const {logger} = context;
+    super(state, {...settings, logger, routes: vmListRoutes(state)});
   }
 }
 
--- a/packages/banyanfold-standins/src/vmList/VmListState.ts
+++ b/packages/banyanfold-standins/src/vmList/VmListState.ts
@@ -1,8 +1,9 @@
-import {sleep, type Clock} from '@banyanfold/core';
+import type {Clock} from '@banyanfold/core';
 import {ok} from 'neverthrow';
 import {z} from 'zod';
 import {FaultSwitches} from '../common/faultSwitches.js';
 import {outageRefusal} from '../common/outage.js';
+import {pauseFor} from '../common/pauseFor.js';
 import {refuse, type Answer} from '../common/refusal.js';
 import {resolveContext, type StateContext} from '../common/standinOptions.js';
 import {TruthRecord} from '../common/truth.js';
@@ -60,7 +61,7 @@
     if (refusal) return refusal;
     const asOfMs = this.clock.wallMs() - lagMs;
     const seen = this.versions.findLast(({sinceMs}) => sinceMs <= asOfMs);
-    if (answerDelayMs > 0) await sleep(this.clock, answerDelayMs);
+    await pauseFor(this.clock, answerDelayMs);
     return ok({asOfMs, vms: seen?.vms ?? []});
   }
 }
--- a/packages/banyanfold-standins/src/weightStore/WeightStoreStandin.ts
+++ b/packages/banyanfold-standins/src/weightStore/WeightStoreStandin.ts
@@ -1,7 +1,7 @@
 import {ok} from 'neverthrow';
 import {z} from 'zod';
-import {controlRoutes} from '../common/controlRoutes.js';
-import {HttpServer, type Route} from '../common/httpServer.js';
+import {HttpStandin} from '../common/HttpStandin.js';
+import type {Route} from '../common/httpServer.js';
 import {refuse} from '../common/refusal.js';
 import {
   listenSchema,
@@ -13,7 +13,8 @@
 
 export const weightStoreStandinSchema = weightStoreOptionsSchema
   .extend(listenSchema.shape)
-  .extend({faults: weightStoreFaultsSchema.prefault({})});
+  .extend({faults: weightStoreFaultsSchema.prefault({})})
+  .strict();
 
 export type WeightStoreStandinOptions = z.input<
   typeof weightStoreStandinSchema
@@ -22,32 +23,18 @@
 const loadSchema = z.object({artifact: z.string(), bytes: z.number().min(0)});
 
 /** The weight store over HTTP. */
-export class WeightStoreStandin {
-  readonly state: WeightStoreState;
-  private readonly server: HttpServer;
-
+export class WeightStoreStandin extends HttpStandin<
+  typeof weightStoreFaultsSchema,
+  WeightStoreState
+> {
   constructor(
     options: WeightStoreStandinOptions = {},
     context: ServerContext = {},
   ) {
     const settings = weightStoreStandinSchema.parse(options);
-    this.state = new WeightStoreState(settings, logTruth(context));
-    this.server = new HttpServer({
-      ...settings,
-      logger: context.logger,
-      routes: [
-        ...controlRoutes(this.state.faults, this.state.truth),
-        ...weightStoreRoutes(this.state),
-      ],
-    });
-  }
-
-  start(): Promise<{port: number}> {
-    return this.server.start();
-  }
-
-  stop(): Promise<void> {
-    return this.server.stop();
+    const state = new WeightStoreState(settings, logTruth(context));
+    const {logger} = context;
+    super(state, {...settings, logger, routes: weightStoreRoutes(state)});
   }
 }
 
--- a/packages/banyanfold-standins/src/weightStore/WeightStoreState.ts
+++ b/packages/banyanfold-standins/src/weightStore/WeightStoreState.ts
@@ -1,7 +1,8 @@
-import {sleep, type Clock, type Timer} from '@banyanfold/core';
+import type {Clock, Timer} from '@banyanfold/core';
 import {ok} from 'neverthrow';
 import {FaultSwitches} from '../common/faultSwitches.js';
 import {outageRefusal} from '../common/outage.js';
+import {pauseFor} from '../common/pauseFor.js';
 import {RateLimit} from '../common/rateLimit.js';
 import {refuse, type Answer} from '../common/refusal.js';
 import {resolveContext, type StateContext} from '../common/standinOptions.js';
@@ -55,7 +56,7 @@
 
   async beginLoad(artifact: string, bytes: number): Promise<Answer<LoadGrant>> {
     const {answerDelayMs} = this.faults.get();
-    if (answerDelayMs > 0) await sleep(this.clock, answerDelayMs);
+    await pauseFor(this.clock, answerDelayMs);
     const refusal = outageRefusal(this.faults.get().outage);
     if (refusal) return refusal;
     if (this.expiries.size >= this.options.loadsAtOnce) {
