--- a/packages/banyanfold-platform/src/__tests__/appendOnce.test.ts
+++ b/packages/banyanfold-platform/src/__tests__/appendOnce.test.ts
@@ -7,8 +7,6 @@
 
 interface FaultCase {
   fault: AppendFault | undefined;
-  /** The log goes out right after the append. */
-  isOutAfter?: boolean;
   notSeenCode?: 'append-unknown';
   outcome: number | string;
   inLog: number;
@@ -26,13 +24,8 @@
     outcome: 'append-unknown',
     inLog: 1,
   },
-  {
-    fault: 'lost-before',
-    isOutAfter: true,
-    outcome: 'append-unknown',
-    inLog: 0,
-  },
-  {fault: 'lost-after', isOutAfter: true, outcome: 'append-unknown', inLog: 1},
+  {fault: 'lost-before-outage', outcome: 'append-unknown', inLog: 0},
+  {fault: 'lost-after-outage', outcome: 'append-unknown', inLog: 1},
 ];
 
 /*
@@ -42,7 +35,7 @@
  * not be told "not appended" while nobody can know.
  */
 describe('appendOnce', () => {
-  it.each(CASES)('$fault, out after: $isOutAfter', async testCase => {
+  it.each(CASES)('$fault, then $outcome', async testCase => {
     const {clock} = createBasics();
     const log = new FakeLog(clock);
     log.push('claims', {nonce: 'x'}, 'junk');
@@ -51,7 +44,6 @@
     const {notSeenCode} = testCase;
     const options = {log, stream: 'claims', value, notSeenCode} as const;
     const appending = appendOnce(options);
-    if (testCase.isOutAfter) queueMicrotask(() => (log.isOut = true));
     const result = await settle(clock, appending);
     await clock.advance(1_000);
     expect(result.match(String, ({code}) => code)).toBe(
--- a/packages/banyanfold-platform/src/__tests__/fakeLog.ts
+++ b/packages/banyanfold-platform/src/__tests__/fakeLog.ts
@@ -16,6 +16,9 @@
   | 'lost-before'
   /** It was appended, but the answer was lost. */
   | 'lost-after'
+  /** The same two, and from then on the log is out. */
+  | 'lost-before-outage'
+  | 'lost-after-outage'
   /** The caller gives up; the request arrives at the log later. */
   | 'late';
 
@@ -79,14 +82,16 @@
   ): Promise<Result<AppendAnswer, BanyanfoldError>> {
     await this.delay();
     if (this.isOut || fault === 'refused') return fail('log-unavailable');
-    if (fault === 'lost-before') return fail('append-unknown');
+    if (fault?.endsWith('-outage')) this.isOut = true;
+    if (fault?.startsWith('lost-before')) return fail('append-unknown');
     if (fault === 'late') {
       this.clock.setTimer(LATE_MS, () => this.push(stream, ...values));
       return fail('append-unknown');
     }
     const answer = this.push(stream, ...values);
     await this.delay();
-    return fault === 'lost-after' ? fail('append-unknown') : ok(answer);
+    const isLost = fault?.startsWith('lost-after');
+    return isLost ? fail('append-unknown') : ok(answer);
   }
 
   private async readPage(
@@ -148,23 +153,48 @@
   }
 }
 
-/**
- * A process's access to the log. While it is paused, neither its calls nor
- * the answers to them come through.
- */
+/** A gate that calls wait at while it is closed. */
+class Gate {
+  private opening: Promise<void> = Promise.resolve();
+  open: () => void = () => {};
+  isClosed = false;
+
+  close(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.opening = new Promise(resolve => {
+      this.open = () => {
+        this.isClosed = false;
+        resolve();
+      };
+    });
+  }
+
+  pass(): Promise<void> {
+    return this.opening;
+  }
+}
+
+/** A process's access to the log. */
 export class PausableLog implements LogService {
-  private gate: Promise<void> = Promise.resolve();
-  private open: () => void = () => {};
+  private readonly process = new Gate();
+  private readonly reads = new Gate();
 
   constructor(private readonly log: LogService) {}
 
+  /** Neither calls nor the answers to them come through until `resume`. */
   pause(): void {
-    this.open();
-    this.gate = new Promise(resolve => (this.open = resolve));
+    this.process.close();
+  }
+
+  /** Breaks reads in flight and holds new ones until `resume`. */
+  holdReads(): void {
+    this.reads.close();
   }
 
   resume(): void {
-    this.open();
+    this.process.open();
+    this.reads.open();
   }
 
   append(stream: StreamName, values: unknown[]) {
@@ -172,16 +202,22 @@
   }
 
   read(...args: Parameters<LogService['read']>) {
-    return this.gated(() => this.log.read(...args));
+    return this.gated(async () => {
+      await this.reads.pass();
+      const page = await this.log.read(...args);
+      if (!this.reads.isClosed) return page;
+      await this.reads.pass();
+      return fail<LogPage>('log-unavailable');
+    });
   }
 
   private gated<T>(
-    call: () => ResultAsync<T, BanyanfoldError>,
+    call: () => PromiseLike<Result<T, BanyanfoldError>>,
   ): ResultAsync<T, BanyanfoldError> {
     const run = async () => {
-      await this.gate;
+      await this.process.pass();
       const answer = await call();
-      await this.gate;
+      await this.process.pass();
       return answer;
     };
     return new ResultAsync(run());
