Add the agent beside a backend server, first version

Every order and every request to an engine goes through one process, so that its memory has one authority. The package has the memory ledger (reserve before the order, release only on a report taken after it, by the engine's clock), the order sender (resends under the same id), the fence and its barrier, admission by the shared decisions, attempts with their registry and tombstones, the stream reader that resumes at the engine, plain services, proposals and reports.

Weighed and left out: an intent in the log before each load order, which would stop loads whenever the log is out. In place of it, until the inventory is certain, KV cache is kept to a floor that loads never take.

--- /dev/null
+++ b/packages/banyanfold-agent/src/attempts/attemptHeaders.ts
@@ -0,0 +1,78 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import {HEADERS} from '@banyanfold/protocol';
+import {z} from 'zod';
+
+const SERVICES_PREFIX = 'services/';
+
+const wholeNumber = z.coerce.number().int().nonnegative();
+const budgetMs = z.coerce.number().min(0).default(Number.POSITIVE_INFINITY);
+
+const attemptHeadersSchema = z.object({
+  attemptId: z.string().min(1).max(128),
+  requestId: z.string().min(1).max(128),
+  incarnation: z.coerce.number(),
+  artifact: z.string().default(''),
+  priority: wholeNumber.default(5),
+  firstTokenBudgetMs: budgetMs,
+  wholeBudgetMs: budgetMs,
+  promptTokens: wholeNumber.default(0),
+  maxTokens: wholeNumber.default(0),
+  prefixHash: z.string().default(''),
+  kvBytesPerToken: z.coerce.number().int().positive().optional(),
+  idempotencyKey: z.string().optional(),
+});
+
+/** Not among the shared header names yet; entries may leave it out. */
+export const KV_BYTES_HEADER = 'x-banyanfold-kv-bytes';
+
+const HEADER_OF_FIELD = {
+  attemptId: HEADERS.attemptId,
+  requestId: HEADERS.requestId,
+  incarnation: HEADERS.incarnation,
+  artifact: HEADERS.artifact,
+  priority: HEADERS.priority,
+  firstTokenBudgetMs: HEADERS.firstTokenBudgetMs,
+  wholeBudgetMs: HEADERS.wholeBudgetMs,
+  promptTokens: HEADERS.promptTokens,
+  maxTokens: HEADERS.maxTokens,
+  prefixHash: HEADERS.prefixHash,
+  kvBytesPerToken: KV_BYTES_HEADER,
+  idempotencyKey: 'idempotency-key',
+} as const satisfies Record<keyof AttemptHeaders, string>;
+
+/** What an entry says about an attempt. */
+export type AttemptHeaders = z.infer<typeof attemptHeadersSchema>;
+
+/** Reads an attempt's headers; undefined when one is missing or wrong. */
+export function readAttemptHeaders(
+  headers: IncomingHttpHeaders,
+): AttemptHeaders | undefined {
+  const fields = Object.entries(HEADER_OF_FIELD).map(([field, name]) => [
+    field,
+    headers[name],
+  ]);
+  const checked = attemptHeadersSchema.safeParse(Object.fromEntries(fields));
+  return checked.success ? checked.data : undefined;
+}
+
+/**
+ * The request id that the engine sees. It is made of ids that the entry sends
+ * again when it resumes, so that a restarted agent finds the stream; and it has
+ * the attempt in it, so that two attempts of one request can't be mixed up.
+ *
+ * @example engineRequestId({requestId: 'r1', attemptId: 'a1'}) // 'r1.a1'
+ */
+export function engineRequestId(
+  ids: Pick<AttemptHeaders, 'requestId' | 'attemptId'>,
+): string {
+  return `${ids.requestId}.${ids.attemptId}`;
+}
+
+/** Splits `services/{service}/{path…}`; undefined for a model's path. */
+export function servicePath(
+  path: string,
+): {service: string; path: string} | undefined {
+  if (!path.startsWith(SERVICES_PREFIX)) return undefined;
+  const [service = '', ...rest] = path.slice(SERVICES_PREFIX.length).split('/');
+  return {service, path: rest.join('/')};
+}
--- /dev/null
+++ b/packages/banyanfold-agent/src/control/engineWatch.ts
@@ -0,0 +1,111 @@
+import type {Clock, Logger, Metrics, Timer} from '@banyanfold/core';
+import type {EngineClient} from '../engine/engineClient.js';
+import type {EngineReport} from '../engine/engineSchemas.js';
+import type {FenceKeeper} from '../engine/fenceKeeper.js';
+import type {OrderSender} from '../engine/orderSender.js';
+import type {LedgerEvent} from '../memory/allocation.js';
+import type {MemoryLedger} from '../memory/memoryLedger.js';
+import type {PrefixTracker} from './prefixTracker.js';
+
+/** What an engine watch works with. */
+export interface EngineWatchOptions {
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  engine: Pick<EngineClient, 'report' | 'cacheEvents'>;
+  ledger: MemoryLedger;
+  orders: OrderSender;
+  fence: FenceKeeper;
+  prefixes: PrefixTracker;
+  intervalMs: number;
+  /** The role to repeat in a barrier, which must change nothing. */
+  runnerRole(): string;
+  nextOrderId(artifact: string): string;
+  onReport(report: EngineReport): void;
+}
+
+/** Reads the engine's reports, one at a time, and feeds the ledger. */
+export class EngineWatch {
+  private timer: Timer | undefined;
+  private stopped = false;
+  private barrierOpen = false;
+  private barrierFencing = 0;
+
+  constructor(private readonly options: EngineWatchOptions) {}
+
+  /** Reads once, then at each interval. */
+  async start(): Promise<void> {
+    await this.poll();
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.timer?.cancel();
+  }
+
+  private async poll(): Promise<void> {
+    await this.readReport();
+    await this.readCacheEvents();
+    void this.passBarrier();
+    if (this.stopped) return;
+    const {clock, intervalMs} = this.options;
+    this.timer = clock.setTimer(intervalMs, () => void this.poll());
+  }
+
+  private async readReport(): Promise<void> {
+    const {engine, ledger, logger, metrics, onReport} = this.options;
+    const answer = await engine.report();
+    if (answer.isErr()) {
+      const {code, step, peer} = answer.error;
+      metrics.count('agent_engine_report_failures_total');
+      logger.warn('report-failed', {code, step, peer});
+      return;
+    }
+    const {report, timing} = answer.value;
+    for (const event of ledger.observe(report, timing)) this.note(event);
+    onReport(report);
+  }
+
+  private note(event: LedgerEvent): void {
+    const {logger, metrics, orders, nextOrderId} = this.options;
+    const {kind, artifact, copyId} = event;
+    metrics.count('agent_ledger_events_total', {kind});
+    logger.info('ledger', {kind, artifact, copy: copyId});
+    if (kind !== 'unload-ignored') return;
+    void orders.unload(artifact, () => nextOrderId(artifact));
+  }
+
+  private async readCacheEvents(): Promise<void> {
+    const {engine, prefixes, metrics} = this.options;
+    const answer = await engine.cacheEvents(prefixes.fromSeq);
+    if (answer.isErr()) return;
+    const hadGap = prefixes.apply(answer.value);
+    if (hadGap) metrics.count('agent_cache_event_gaps_total');
+  }
+
+  /**
+   * Ends what earlier fencing numbers may still bring: at the start what a
+   * predecessor sent, later the load orders of our own that are in doubt. The
+   * latter bear our number, so a higher one is taken for it.
+   */
+  private async passBarrier(): Promise<void> {
+    const {ledger, fence, orders, runnerRole, nextOrderId} = this.options;
+    if (this.barrierOpen || !ledger.needsBarrier()) return;
+    if (fence.current() === undefined) return;
+    this.barrierOpen = true;
+    const doubtful = ledger.doubts().map(({copyId}) => copyId);
+    const needsNumber =
+      doubtful.length > 0 && this.barrierFencing === fence.current();
+    if (!needsNumber || (await fence.tryAcquire())) {
+      this.barrierFencing = fence.current() ?? 0;
+      const receivedAtMs = await orders.setRole(
+        runnerRole(),
+        nextOrderId('barrier'),
+      );
+      if (receivedAtMs !== undefined) {
+        ledger.barrierPassed(receivedAtMs, doubtful);
+      }
+    }
+    this.barrierOpen = false;
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-agent/src/control/loadReporter.ts
@@ -0,0 +1,75 @@
+import type {Clock} from '@banyanfold/core';
+import type {AgentReport, Copy, LoadDigest} from '@banyanfold/protocol';
+import type {AdmissionQueue} from '../attempts/admissionQueue.js';
+import type {Allocation} from '../memory/allocation.js';
+import type {MemoryLedger} from '../memory/memoryLedger.js';
+import type {AgentSettings} from '../settings.js';
+import type {PrefixTracker} from './prefixTracker.js';
+
+/** Where a reporter reads. */
+export interface LoadReporterOptions {
+  settings: AgentSettings;
+  clock: Clock;
+  ledger: MemoryLedger;
+  queue: AdmissionQueue;
+  prefixes: PrefixTracker;
+  incarnation(): number;
+  isLeaving(): boolean;
+  configVersion(): number;
+  runnerRole(): string;
+}
+
+/** Makes the digests and reports that entries decide by. */
+export class LoadReporter {
+  private sequence = 0;
+  private readonly servedCount = new Map<string, number>();
+
+  constructor(private readonly options: LoadReporterOptions) {}
+
+  noteServed(artifact: string): void {
+    const count = this.servedCount.get(artifact) ?? 0;
+    this.servedCount.set(artifact, count + 1);
+  }
+
+  digest(): LoadDigest {
+    const {ledger, queue, incarnation, isLeaving} = this.options;
+    return {
+      incarnation: incarnation(),
+      sequence: ++this.sequence,
+      running: queue.runningCount(),
+      queued: queue.queuedCount(),
+      kvUsedBytes: ledger.kvUsedBytes(),
+      kvCapacityBytes: ledger.kvCapacityBytes(),
+      queueDelayMs: queue.queueDelayMs(),
+      leaving: isLeaving(),
+    };
+  }
+
+  report(): AgentReport {
+    const {settings, ledger, prefixes, configVersion, runnerRole} =
+      this.options;
+    return {
+      ...this.digest(),
+      vmId: settings.vmId,
+      failureDomain: settings.failureDomain,
+      region: settings.region,
+      runnerRole: runnerRole(),
+      configVersion: configVersion(),
+      memoryCapacityBytes: ledger.capacityBytes(),
+      memoryFreeBytes: ledger.freeBytes(),
+      checksFencing: settings.engine.checksFencing,
+      copies: ledger.all().map(allocation => this.toCopy(allocation)),
+      services: settings.services.map(({name}) => name),
+      servedCount: Object.fromEntries(this.servedCount),
+      cachedPrefixes: prefixes.newestFirst(),
+    };
+  }
+
+  /** A copy that drains for its retirement must get no new requests. */
+  private toCopy(allocation: Allocation): Copy {
+    const {artifact, bytes, state, copyId, users, lastUsedMs} = allocation;
+    const idleMs = users > 0 ? 0 : this.options.clock.nowMs() - lastUsedMs;
+    const shownState = allocation.retiring ? 'releasing' : state;
+    return {artifact, bytes, state: shownState, copyId, idleMs};
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-agent/src/control/proposalHandler.ts
@@ -0,0 +1,167 @@
+import {sleep, type Clock, type Logger, type Metrics} from '@banyanfold/core';
+import type {Retirements} from '@banyanfold/platform';
+import type {Proposal, ProposalResult} from '@banyanfold/protocol';
+import type {OrderSender} from '../engine/orderSender.js';
+import type {Allocation} from '../memory/allocation.js';
+import {modelOf, type MemoryLedger} from '../memory/memoryLedger.js';
+
+const MAX_REMEMBERED = 1_024;
+const DRAIN_POLL_MS = 20;
+
+/** What a proposal handler works with. */
+export interface ProposalHandlerOptions {
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  ledger: MemoryLedger;
+  orders: OrderSender;
+  retirements: Pick<Retirements, 'retireCopy'>;
+  inheritedRetireHoldMs: number;
+  hasFence(): boolean;
+  isLeaving(): boolean;
+  nextOrderId(artifact: string): string;
+  /** The engine took the role, at this time of its clock. */
+  setRunnerRole(role: string, setAtMs: number): void;
+}
+
+/**
+ * Judges what a planner proposes. Proposals are only that: the ledger, the
+ * fence and the log decide here, so two planners at once, or one that was
+ * paused, cost moves and never memory or the last copy.
+ */
+export class ProposalHandler {
+  private highestEpoch = 0;
+  private stopped = false;
+  /** Results by proposal id, so that a repeated proposal has one effect. */
+  private readonly results = new Map<string, Promise<ProposalResult>>();
+  private readonly handlers: Record<
+    Proposal['kind'],
+    (proposal: Proposal) => Promise<ProposalResult>
+  > = {
+    load: proposal => this.load(proposal),
+    retire: proposal => this.retire(proposal),
+    'set-role': proposal => this.setRole(proposal),
+  };
+
+  constructor(private readonly options: ProposalHandlerOptions) {}
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** @example await handler.propose(proposal) // {accepted: true, …} */
+  propose(proposal: Proposal): Promise<ProposalResult> {
+    const known = this.results.get(proposal.proposalId);
+    if (known) return known;
+    const result = this.judge(proposal);
+    this.results.set(proposal.proposalId, result);
+    for (const oldest of this.results.keys()) {
+      if (this.results.size <= MAX_REMEMBERED) break;
+      this.results.delete(oldest);
+    }
+    return result;
+  }
+
+  private async judge(proposal: Proposal): Promise<ProposalResult> {
+    const result = await this.checkAndHandle(proposal);
+    const {logger, metrics} = this.options;
+    const {kind, reason} = {kind: proposal.kind, reason: result.reason};
+    metrics.count('agent_proposals_total', {kind, reason});
+    logger.info('proposal', {
+      proposal: proposal.proposalId,
+      epoch: proposal.plannerEpoch,
+      kind,
+      artifact: proposal.artifact || undefined,
+      accepted: result.accepted,
+      reason,
+    });
+    return result;
+  }
+
+  private async checkAndHandle(proposal: Proposal): Promise<ProposalResult> {
+    if (proposal.plannerEpoch < this.highestEpoch) {
+      return refused('old-planner');
+    }
+    this.highestEpoch = proposal.plannerEpoch;
+    if (this.options.isLeaving()) return refused('leaving');
+    if (!this.options.hasFence()) return refused('no-fence');
+    return this.handlers[proposal.kind](proposal);
+  }
+
+  private async load({artifact, bytes}: Proposal): Promise<ProposalResult> {
+    const {ledger, orders, nextOrderId} = this.options;
+    if (!artifact || bytes <= 0) return refused('bad-proposal');
+    const model = modelOf(artifact);
+    if (model !== artifact && !ledger.canServe(model)) {
+      return refused('no-model');
+    }
+    const orderId = nextOrderId(artifact);
+    const reserved = ledger.reserveLoad({artifact, bytes, orderId});
+    if (reserved.isErr()) return refused(reserved.error);
+    if (reserved.value.copyId !== orderId) return accepted('present');
+    void orders.load(artifact, bytes, orderId);
+    return accepted('reserved');
+  }
+
+  private async retire(proposal: Proposal): Promise<ProposalResult> {
+    const {ledger, retirements} = this.options;
+    const allocation = ledger.get(proposal.artifact);
+    if (!allocation || allocation.state !== 'held') return refused('not-held');
+    if (allocation.retiring) return accepted('retiring');
+    if (this.hasAdapters(proposal.artifact)) return refused('adapters-held');
+    if (this.isHeldBack(allocation)) return refused('inherited-too-new');
+    const verdict = await retirements.retireCopy({
+      copyId: allocation.copyId,
+      artifact: proposal.artifact,
+      reliesOnCopyIds: proposal.reliesOnCopyIds,
+    });
+    if (verdict.isErr()) return refused(verdict.error.code);
+    if (verdict.value.kind === 'void') return refused(verdict.value.why);
+    allocation.retiring = true;
+    void this.unloadWhenUnused(allocation);
+    return accepted('retiring');
+  }
+
+  private async setRole({runnerRole}: Proposal): Promise<ProposalResult> {
+    const {orders, nextOrderId, setRunnerRole} = this.options;
+    const setAtMs = await orders.setRole(runnerRole, nextOrderId('role'));
+    if (setAtMs === undefined) return refused('not-confirmed');
+    setRunnerRole(runnerRole, setAtMs);
+    return accepted('role-set');
+  }
+
+  private hasAdapters(model: string): boolean {
+    return this.options.ledger
+      .all()
+      .some(({artifact}) => artifact !== model && modelOf(artifact) === model);
+  }
+
+  /**
+   * Others may still rely on an inherited copy under the id its earlier
+   * process gave it, and a record here under the new id would not void theirs:
+   * both copies would go. Their proposals are over after the hold.
+   */
+  private isHeldBack({isInherited, knownSinceMs}: Allocation): boolean {
+    const {clock, inheritedRetireHoldMs} = this.options;
+    return isInherited && clock.nowMs() - knownSinceMs < inheritedRetireHoldMs;
+  }
+
+  /** Requests that run on the copy, or were admitted to it, end first. */
+  private async unloadWhenUnused(allocation: Allocation): Promise<void> {
+    const {clock, orders, nextOrderId} = this.options;
+    while (allocation.users > 0) {
+      if (this.stopped) return;
+      await sleep(clock, DRAIN_POLL_MS);
+    }
+    const {artifact} = allocation;
+    await orders.unload(artifact, () => nextOrderId(artifact));
+  }
+}
+
+function accepted(reason: string): ProposalResult {
+  return {accepted: true, reason};
+}
+
+function refused(reason: string): ProposalResult {
+  return {accepted: false, reason};
+}
--- /dev/null
+++ b/packages/banyanfold-agent/src/memory/allocation.ts
@@ -0,0 +1,74 @@
+import type {Copy} from '@banyanfold/protocol';
+
+export type AllocationState = Copy['state'];
+
+/** The memory of one copy of an artifact, from its order to its release. */
+export interface Allocation {
+  artifact: string;
+  bytes: number;
+  state: AllocationState;
+  /** The id of the load order; made up for a copy found at the start. */
+  copyId: string;
+  /** Own clock: when its load order was last sent; undefined if found. */
+  loadSentMs?: number;
+  /**
+   * Engine clock: from then on a report that lacks the copy proves that it
+   * isn't there, and that no order still under way can bring it.
+   */
+  provenAfterMs?: number;
+  /** Whether some report has listed it. */
+  seen: boolean;
+  /** Engine clock: when the engine took the unload order. */
+  unloadReceivedMs?: number;
+  unloadOrderId?: string;
+  /** Requests that use it now. */
+  users: number;
+  lastUsedMs: number;
+  /** Set while it drains for its retirement: no new request gets it. */
+  retiring: boolean;
+  /** Found in a report: an earlier process ordered it, under another id. */
+  isInherited: boolean;
+  /** Own clock. */
+  knownSinceMs: number;
+}
+
+/** Why a load can't be reserved. */
+export type ReserveRefusal =
+  'no-report' | 'quarantine' | 'no-memory' | 'releasing';
+
+/** What changed in the ledger, for the log. */
+export interface LedgerEvent {
+  kind:
+    | 'adopted'
+    | 'held'
+    | 'load-failed'
+    | 'doubt-ended'
+    | 'released'
+    | 'vanished'
+    | 'foreign-unload'
+    | 'unload-ignored'
+    | 'engine-restarted';
+  artifact: string;
+  copyId: string;
+}
+
+/** The engine's view of its memory, with the times that make it evidence. */
+export interface LedgerReport {
+  takenAtMs: number;
+  kvUsedBytes: number;
+  kvCapacityBytes: number;
+  memoryCapacityBytes: number;
+  models: ReadonlyArray<{
+    artifact: string;
+    bytes: number;
+    state: 'loading' | 'loaded' | 'unloading';
+  }>;
+}
+
+/** When a report was asked for and answered. */
+export interface ReportTiming {
+  /** Own clock, before the request left. */
+  askedAtMs: number;
+  /** Engine clock, when it answered. */
+  engineNowMs: number;
+}
