Check the entry by the openai client against a fake agent

Models, whole and streamed completions, usage chunks and the shapes of refusals go through the client that callers use. Attempts now carry the KV size of a token and the idempotency key, and one that may not be repeated fetches its kept answer before it is given up.

--- /dev/null
+++ b/packages/banyanfold-entry/src/__tests__/kit/behaviours.ts
@@ -0,0 +1,122 @@
+import {HEADERS, type Outcome} from '@banyanfold/protocol';
+import type {AttemptCall, Behaviour} from './fakeAgent.js';
+
+/** What every whole answer says, in three events when it is streamed. */
+export const WORDS = ['You ', 'are ', 'eligible.'];
+export const TEXT = WORDS.join('');
+
+/** Events of one attempt with ids, the end marker among them. */
+export function framesOf(
+  call: Pick<AttemptCall, 'attemptId' | 'requestId'>,
+  words: readonly string[] = WORDS,
+): string[] {
+  const data = [...words.map(word => chunkOf(call.requestId, word)), '[DONE]'];
+  return data.map((text, i) => frame(call.attemptId, i + 1, text));
+}
+
+export function frame(attemptId: string, seq: number, data: string): string {
+  return `id: ${attemptId}/${seq}\ndata: ${data}\n\n`;
+}
+
+export function chunkOf(requestId: string, content: string): string {
+  return JSON.stringify({
+    id: `chatcmpl-${requestId}`,
+    object: 'chat.completion.chunk',
+    created: 1,
+    model: 'claims',
+    choices: [{index: 0, delta: {content}, finish_reason: null}],
+  });
+}
+
+export function wholeBody(requestId: string): string {
+  const message = {role: 'assistant', content: TEXT};
+  return JSON.stringify({
+    id: `chatcmpl-${requestId}`,
+    object: 'chat.completion',
+    created: 1,
+    model: 'claims',
+    choices: [{index: 0, message, finish_reason: 'stop'}],
+    usage: {prompt_tokens: 3, completion_tokens: 3, total_tokens: 6},
+  });
+}
+
+export function streamHead(call: AttemptCall, echo = call.attemptId): void {
+  call.res.writeHead(200, {
+    'content-type': 'text/event-stream',
+    [HEADERS.attemptId]: echo,
+    [HEADERS.load]: JSON.stringify(call.agent.digest()),
+  });
+}
+
+/** Does the work and answers it, streamed if it was asked to be. */
+export const answerWhole: Behaviour = call => {
+  if (call.afterSeq === undefined) call.agent.ran++;
+  if (call.isStream) {
+    streamHead(call);
+    call.res.end(
+      framesOf(call)
+        .slice(call.afterSeq ?? 0)
+        .join(''),
+    );
+    return;
+  }
+  answerJson(call, wholeBody(call.requestId));
+};
+
+export function answerJson(
+  call: AttemptCall,
+  body: string,
+  headers: Record<string, string | number> = {},
+): void {
+  call.res.writeHead(200, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    [HEADERS.attemptId]: call.attemptId,
+    [HEADERS.load]: JSON.stringify(call.agent.digest()),
+    ...headers,
+  });
+  call.res.end(body);
+}
+
+/** Sends these events after the head and goes on with `then`. */
+export function send(
+  frames: (call: AttemptCall) => string[],
+  then: (call: AttemptCall) => void = call => call.res.end(),
+): Behaviour {
+  return call => {
+    call.agent.ran++;
+    streamHead(call);
+    call.res.write(frames(call).join(''), () => then(call));
+  };
+}
+
+/** The connection breaks, as it does when the agent's process is killed. */
+export const cut = (call: AttemptCall): void => {
+  call.socket.destroy();
+};
+
+/** Dies with the request taken in and nothing answered. */
+export const dieSilently: Behaviour = call => {
+  call.agent.ran++;
+  cut(call);
+};
+
+export function refuse(
+  code: string,
+  status: number,
+  outcome: Outcome = 'not-run',
+  retryAfterMs = 0,
+): Behaviour {
+  return call => {
+    const error = {message: code, type: 'not_run', code};
+    const body = JSON.stringify({error, outcome, retryAfterMs});
+    call.res.writeHead(status, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+      [HEADERS.attemptId]: call.attemptId,
+      [HEADERS.load]: JSON.stringify(call.agent.digest()),
+      [HEADERS.outcome]: outcome,
+    });
+    call.res.end(body);
+  };
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/__tests__/kit/fakeAgent.ts
@@ -0,0 +1,169 @@
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {
+  HEADERS,
+  createAgentRouter,
+  createControlHandler,
+  type AgentReport,
+  type Proposal,
+  type SealResult,
+} from '@banyanfold/protocol';
+import type {Vm} from '@banyanfold/platform';
+import {answerWhole} from './behaviours.js';
+
+export const INTERNAL_KEY = 'internal';
+const PLANNED_BYTES = 1_000_000;
+
+/** One call of an entry, as the fake agent sees it. */
+export interface AttemptCall {
+  agent: FakeAgent;
+  attemptId: string;
+  requestId: string;
+  /** For a call that comes back: the last event it has. */
+  afterSeq: number | undefined;
+  isStream: boolean;
+  path: string;
+  headers: IncomingMessage['headers'];
+  res: ServerResponse;
+  socket: Socket;
+}
+
+/** What the fake agent does with a call. */
+export type Behaviour = (call: AttemptCall) => void;
+
+/** A small agent without an engine that does as the test says. */
+export class FakeAgent {
+  /** For the next calls, in order; after them each is answered whole. */
+  next: Behaviour[] = [];
+  /** For the next calls that come back. */
+  nextResumes: Behaviour[] = [];
+  otherwise: Behaviour = answerWhole;
+  sealState: SealResult['state'] = 'started';
+  incarnation = 7;
+  leaving = false;
+  artifacts = ['claims@1'];
+  readonly calls: AttemptCall[] = [];
+  readonly resumes: AttemptCall[] = [];
+  readonly sealed: string[] = [];
+  readonly proposals: Proposal[] = [];
+  /** How often work was really done. */
+  ran = 0;
+  port = 0;
+  private sequence = 0;
+  private readonly server: http.Server;
+
+  constructor(
+    readonly vmId: string,
+    private readonly failureDomain = 'a',
+  ) {
+    const router = createAgentRouter({
+      report: async () => this.report(),
+      seal: async attemptId => {
+        this.sealed.push(attemptId);
+        return {state: this.sealState};
+      },
+      propose: async proposal => this.propose(proposal),
+      drain: async () => ({running: 0}),
+    });
+    const control = createControlHandler({router, keys: [INTERNAL_KEY]});
+    this.server = http.createServer((req, res) => {
+      if (req.url?.startsWith('/trpc')) control(req, res);
+      else this.takeCall(req, res);
+    });
+  }
+
+  async start(port = 0): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.server.listen(port, '127.0.0.1', resolve);
+    });
+    const address = this.server.address();
+    if (typeof address === 'object' && address) this.port = address.port;
+  }
+
+  async stop(): Promise<void> {
+    const closed = new Promise(resolve => this.server.close(resolve));
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  vm(state: Vm['state'] = 'live'): Vm {
+    const {vmId, port, failureDomain} = this;
+    const host = '127.0.0.1';
+    return {vmId, role: 'agent', host, port, failureDomain, region: 'r', state};
+  }
+
+  digest() {
+    return {
+      incarnation: this.incarnation,
+      sequence: ++this.sequence,
+      running: 0,
+      queued: 0,
+      kvUsedBytes: 0,
+      kvCapacityBytes: 1_000_000,
+      queueDelayMs: 0,
+      leaving: this.leaving,
+    };
+  }
+
+  private report(): AgentReport {
+    return {
+      ...this.digest(),
+      vmId: this.vmId,
+      failureDomain: this.failureDomain,
+      region: 'r',
+      runnerRole: '',
+      configVersion: 1,
+      memoryCapacityBytes: 10 * PLANNED_BYTES,
+      memoryFreeBytes: (10 - this.artifacts.length) * PLANNED_BYTES,
+      checksFencing: true,
+      copies: this.artifacts.map(artifact => ({
+        artifact,
+        bytes: PLANNED_BYTES,
+        state: 'held' as const,
+        copyId: `${this.vmId}/${artifact}`,
+        idleMs: 0,
+      })),
+      services: ['lodging'],
+      servedCount: {},
+      cachedPrefixes: [],
+    };
+  }
+
+  private propose(proposal: Proposal) {
+    this.proposals.push(proposal);
+    if (proposal.kind === 'load') this.artifacts.push(proposal.artifact);
+    return {accepted: true, reason: 'reserved'};
+  }
+
+  private takeCall(req: IncomingMessage, res: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    req.on('data', (chunk: Buffer) => chunks.push(chunk));
+    req.on('end', () => {
+      const call = this.toCall(req, res, Buffer.concat(chunks).toString());
+      const isResume = req.method === 'GET';
+      (isResume ? this.resumes : this.calls).push(call);
+      const queue = isResume ? this.nextResumes : this.next;
+      (queue.shift() ?? this.otherwise)(call);
+    });
+  }
+
+  private toCall(
+    req: IncomingMessage,
+    res: ServerResponse,
+    body: string,
+  ): AttemptCall {
+    const path = req.url!.slice('/attempt/'.length);
+    const isResume = req.method === 'GET';
+    return {
+      agent: this,
+      attemptId: isResume ? path : String(req.headers[HEADERS.attemptId]),
+      requestId: String(req.headers[HEADERS.requestId]),
+      afterSeq: isResume ? Number(req.headers['last-event-id']) : undefined,
+      isStream: isResume || body.includes('"stream":true'),
+      path,
+      headers: req.headers,
+      res,
+      socket: req.socket,
+    };
+  }
+}
--- a/packages/banyanfold-entry/src/attempts/attemptTransport.ts
+++ b/packages/banyanfold-entry/src/attempts/attemptTransport.ts
@@ -9,6 +9,8 @@
 import type {EntrySettings} from '../settings.js';
 import type {AgentState} from '../view/agentState.js';
 
+const MS_PER_SECOND = 1000;
+
 /** Headers that are this hop's own and are never passed on. */
 const HEADERS_KEPT_BACK = new Set([
   'connection',
@@ -26,15 +28,24 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
-/** One attempt as it goes to an agent. */
-export interface AttemptRequest {
+/** Which attempt is meant, and at which agent. */
+export interface AttemptAddress {
   agent: AgentState;
   attemptId: string;
+  signal: AbortSignal;
+}
+
+/** Comes back for an attempt's answer. */
+export interface ResumeRequest extends AttemptAddress {
+  requestId: string;
+}
+
+/** One attempt as it goes to an agent. */
+export interface AttemptRequest extends AttemptAddress {
   /** `v1/chat/completions`, or `services/{service}/{path…}`. */
   path: string;
   headers: Record<string, string>;
   body: Buffer;
-  signal: AbortSignal;
 }
 
 /** An agent's answer whose head was checked. */
@@ -98,15 +109,19 @@
     });
   }
 
-  /** Asks for a stream's events after `lastSeq`. */
+  /** Asks for a stream's events after `lastSeq`, or for a whole answer. */
   async resume(
-    request: Pick<AttemptRequest, 'agent' | 'attemptId' | 'signal'>,
+    request: ResumeRequest,
     lastSeq: number,
   ): Promise<AttemptOpening> {
     return this.send(request, {
       method: 'GET',
       path: `${PATHS.attempt}${request.attemptId}`,
-      headers: {[HEADERS.lastEventId]: String(lastSeq)},
+      headers: {
+        [HEADERS.lastEventId]: String(lastSeq),
+        // An agent that was restarted asks the engine by both ids.
+        [HEADERS.requestId]: request.requestId,
+      },
     });
   }
 
@@ -115,7 +130,7 @@
   }
 
   private async send(
-    request: Pick<AttemptRequest, 'agent' | 'attemptId' | 'signal'>,
+    request: AttemptAddress,
     options: {
       method: 'GET' | 'POST';
       path: string;
@@ -215,13 +230,13 @@
     outcome: outcome === 'not-run' ? 'not-run' : 'unknown',
     code: String(body?.error?.code ?? 'refused'),
     message: String(body?.error?.message ?? 'the agent refused'),
-    retryAfterMs: body?.retryAfterMs ?? retryAfterOf(headers),
+    retryAfterMs: body?.retryAfterMs || retryAfterOf(headers),
   };
 }
 
 function retryAfterOf(headers: Record<string, string>): number | undefined {
-  const seconds = Number(headers[HEADERS.retryAfter]);
-  return Number.isFinite(seconds) ? seconds * 1000 : undefined;
+  const seconds = Number(headers[HEADERS.retryAfter] ?? 0);
+  return seconds > 0 ? seconds * MS_PER_SECOND : undefined;
 }
 
 function flattenHeaders(
--- a/packages/banyanfold-entry/src/attempts/finalError.ts
+++ b/packages/banyanfold-entry/src/attempts/finalError.ts
@@ -4,7 +4,7 @@
 import type {AttemptRefusal} from './attemptTransport.js';
 
 const UNREACHABLE_RETRY_MS = 1000;
-const FIRST_SERVER_ERROR = 500;
+const REQUEST_FAULT_STATUSES: ReadonlySet<number> = new Set([400, 413, 422]);
 
 /** The last attempt that brought no answer. */
 export type LastFailure =
@@ -64,9 +64,14 @@
   return new ApiError(code, message, {outcome: 'unknown'});
 }
 
+/** Whether an agent refused for what the caller sent. */
+export function isRequestFault({status}: AttemptRefusal): boolean {
+  return REQUEST_FAULT_STATUSES.has(status);
+}
+
 function refusedError(refusal: AttemptRefusal): ApiError {
-  const {status, message, code, retryAfterMs} = refusal;
-  if (status < FIRST_SERVER_ERROR && status !== 429 && status !== 409) {
+  const {message, code, retryAfterMs} = refusal;
+  if (isRequestFault(refusal)) {
     return new ApiError('invalid_request', `${code}: ${message}`);
   }
   return new ApiError('agent_refused', `${code}: ${message}`, {
--- a/packages/banyanfold-entry/src/attempts/runAttempt.ts
+++ b/packages/banyanfold-entry/src/attempts/runAttempt.ts
@@ -1,3 +1,4 @@
+import {sleep} from '@banyanfold/core';
 import {HEADERS} from '@banyanfold/protocol';
 import type {EntryContext} from '../context.js';
 import type {RequestJob, RequestResult} from '../requests/types.js';
@@ -5,6 +6,7 @@
 import {
   digestOf,
   type AttemptAnswer,
+  type AttemptOpening,
   type AttemptRefusal,
 } from './attemptTransport.js';
 import {collectAnswer} from './collectAnswer.js';
@@ -82,6 +84,51 @@
       body: job.body,
       signal: this.stop.signal,
     });
+    const first = await this.take(opened, onFirstEvent);
+    if (!this.mayRecover(first)) return first;
+    return this.recover(first, onFirstEvent);
+  }
+
+  /**
+   * One that may not be repeated is lost with its answer, unless the answer
+   * can still be had: its agent keeps it for a while.
+   */
+  private mayRecover(result: AttemptResult): boolean {
+    const {repeatable} = this.options.job.target.selector;
+    return result.kind === 'failed' && !result.neverSent && !repeatable;
+  }
+
+  private async recover(
+    first: AttemptResult,
+    onFirstEvent: () => void,
+  ): Promise<AttemptResult> {
+    const {context, job, agent, attemptId} = this.options;
+    const {clock, random, settings} = context;
+    const {resumeTries, resumeBackoffMs} = settings.attempts;
+    const {signal} = this.stop;
+    const address = {agent, attemptId, requestId: job.requestId, signal};
+    for (let tries = 0; tries < resumeTries && !signal.aborted; tries++) {
+      await sleep(clock, random() * resumeBackoffMs * 2 ** tries);
+      const opened = await context.transport.resume(address, 0);
+      const result = await this.take(opened, onFirstEvent);
+      context.logger.warn('answer-resume', {
+        request: job.requestId,
+        attempt: attemptId,
+        agent: agent.vmId,
+        result: result.kind,
+      });
+      if (result.kind === 'done') return result;
+      // Whether it started is for the seal to say.
+      if (result.kind === 'refused') break;
+    }
+    return first;
+  }
+
+  private async take(
+    opened: AttemptOpening,
+    onFirstEvent: () => void,
+  ): Promise<AttemptResult> {
+    const {context, job, agent} = this.options;
     if (job.signal.aborted) return callerGone();
     if (opened.kind === 'failed') {
       return {...opened, reason: this.reasonOr(opened.reason)};
@@ -167,6 +214,10 @@
       [HEADERS.promptTokens]: String(job.facts.promptTokens),
       [HEADERS.maxTokens]: String(job.facts.maxTokens),
       [HEADERS.prefixHash]: job.prefixHash,
+      [HEADERS.kvBytesPerToken]: String(job.target.kvBytesPerToken),
+      ...(job.idempotencyKey && {
+        [HEADERS.idempotencyKey]: job.idempotencyKey,
+      }),
     };
   }
 }
--- a/packages/banyanfold-entry/src/attempts/runRequest.ts
+++ b/packages/banyanfold-entry/src/attempts/runRequest.ts
@@ -10,7 +10,12 @@
 import type {RequestJob, RequestResult} from '../requests/types.js';
 import {routeAttempt} from '../routing/routeAttempt.js';
 import type {AgentState} from '../view/agentState.js';
-import {finalError, routeRefusal, type LastFailure} from './finalError.js';
+import {
+  finalError,
+  isRequestFault,
+  routeRefusal,
+  type LastFailure,
+} from './finalError.js';
 import {OutcomeProof} from './outcomeProof.js';
 import {runAttempt, type AttemptResult} from './runAttempt.js';
 import {sealAttempt, type SealTarget} from './sealAttempt.js';
@@ -159,12 +164,7 @@
   return result.result.kind === 'broken' ? result.result.reason : undefined;
 }
 
-/** Statuses of a refusal that another agent may not repeat. */
-const RETRIED_CLIENT_STATUSES = new Set([409, 429]);
-
 /** The request itself is at fault; every agent would say the same. */
 function isFinalRefusal(last: LastFailure | undefined): boolean {
-  if (last?.kind !== 'refused') return false;
-  const {status} = last.refusal;
-  return status < 500 && !RETRIED_CLIENT_STATUSES.has(status);
+  return last?.kind === 'refused' && isRequestFault(last.refusal);
 }
--- a/packages/banyanfold-entry/src/attempts/streamRelay.ts
+++ b/packages/banyanfold-entry/src/attempts/streamRelay.ts
@@ -126,7 +126,7 @@
     const {context, agent, attemptId, job, signal} = this.options;
     const {lastSeq} = this.scanner;
     const opened = await context.transport.resume(
-      {agent, attemptId, signal},
+      {agent, attemptId, requestId: job.requestId, signal},
       lastSeq,
     );
     const isOpen = opened.kind === 'answered' && opened.isStream;
--- a/packages/banyanfold-protocol/src/headers.ts
+++ b/packages/banyanfold-protocol/src/headers.ts
@@ -10,6 +10,8 @@
   promptTokens: 'x-banyanfold-prompt-tokens',
   maxTokens: 'x-banyanfold-max-tokens',
   prefixHash: 'x-banyanfold-prefix-hash',
+  /** KV cache that one token of this model takes, for the reservation. */
+  kvBytesPerToken: 'x-banyanfold-kv-bytes',
   load: 'x-banyanfold-load',
   outcome: 'x-banyanfold-outcome',
   lastEventId: 'last-event-id',
