--- a/packages/banyanfold-cli/src/commands/agent.ts
+++ b/packages/banyanfold-cli/src/commands/agent.ts
@@ -6,9 +6,7 @@
     'Run the agent beside a backend server until a signal.';
   static override description =
     'SIGTERM or SIGINT drains it: no new work, requests in progress finish.';
-  static override examples = [
-    '<%= config.bin %> agent --settings agent.jsonc',
-  ];
+  static override examples = ['<%= config.bin %> agent --settings agent.jsonc'];
 
   async run(): Promise<void> {
     const {flags} = await this.parse(Agent);
--- a/packages/banyanfold-cli/src/commands/drain.ts
+++ b/packages/banyanfold-cli/src/commands/drain.ts
@@ -6,11 +6,19 @@
 
 const DRAIN_CALLS = {
   entry: async (vm: Vm, internalKey: string): Promise<number> => {
-    const client = createEntryClient({host: vm.host, port: vm.port, internalKey});
+    const client = createEntryClient({
+      host: vm.host,
+      port: vm.port,
+      internalKey,
+    });
     return (await client.drain.mutate()).openRequests;
   },
   agent: async (vm: Vm, internalKey: string): Promise<number> => {
-    const client = createAgentClient({host: vm.host, port: vm.port, internalKey});
+    const client = createAgentClient({
+      host: vm.host,
+      port: vm.port,
+      internalKey,
+    });
     return (await client.drain.mutate()).running;
   },
 };
--- a/packages/banyanfold-cli/src/commands/validate.ts
+++ b/packages/banyanfold-cli/src/commands/validate.ts
@@ -17,15 +17,16 @@
       value => value,
       problem => this.error(problem, {exit: EXIT_CODES.badInput}),
     );
-    parseConfig(args.file, text).match(
-      config =>
-        this.log(
-          `${args.file}: ok, ${config.models.length} models, ` +
-            `${config.adapters.length} adapters, ` +
-            `${config.selectors.length} selectors`,
-        ),
-      problems =>
-        this.error(renderProblems(problems), {exit: EXIT_CODES.badInput}),
+    const parsed = parseConfig(args.file, text);
+    if (parsed.isErr()) {
+      this.error(renderProblems(parsed.error), {exit: EXIT_CODES.badInput});
+    }
+    const {config, warnings} = parsed.value;
+    for (const warning of warnings) this.warn(renderProblems([warning]));
+    this.log(
+      `${args.file}: ok, ${config.models.length} models, ` +
+        `${config.adapters.length} adapters, ` +
+        `${config.selectors.length} selectors`,
     );
   }
 }
--- /dev/null
+++ b/packages/banyanfold-cli/src/configLog.ts
@@ -0,0 +1,24 @@
+import {createLogger, systemClock} from '@banyanfold/core';
+import {ConfigFollower, createLogService} from '@banyanfold/platform';
+import type {OperatorSettings} from './settings.js';
+
+const OPERATOR_VM_ID = 'operator';
+const ONE_HOUR_MS = 3_600_000;
+
+/**
+ * A follower of the configuration for one command. It takes part in no
+ * checkpoints: those are the entries' work.
+ */
+export function createOperatorFollower(
+  settings: OperatorSettings,
+): ConfigFollower {
+  return new ConfigFollower({
+    log: createLogService({url: settings.platform.logUrl}),
+    clock: systemClock,
+    logger: createLogger({process: OPERATOR_VM_ID}),
+    random: Math.random,
+    vmId: OPERATOR_VM_ID,
+    liveVmIds: () => [],
+    retentionMs: ONE_HOUR_MS,
+  });
+}
--- a/packages/banyanfold-cli/src/operatorCommand.ts
+++ b/packages/banyanfold-cli/src/operatorCommand.ts
@@ -62,8 +62,7 @@
   }
 
   protected operatorKey(settings: OperatorSettings): string {
-    const key =
-      process.env['BANYANFOLD_OPERATOR_KEY'] ?? settings.operatorKey;
+    const key = process.env['BANYANFOLD_OPERATOR_KEY'] ?? settings.operatorKey;
     if (key) return key;
     return this.error(
       'no operator key: set operatorKey in the settings or the environment ' +
--- /dev/null
+++ b/packages/banyanfold-testing/src/ManagedProcess.ts
@@ -0,0 +1,84 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createInterface} from 'node:readline';
+import {waitUntil} from './waitUntil.js';
+
+/** How many lines of a process's output are kept for failed tests. */
+const KEPT_LINES = 2000;
+
+/** A child process whose log lines are kept. */
+export class ManagedProcess {
+  readonly lines: string[] = [];
+  private child: ChildProcess | undefined;
+
+  constructor(
+    readonly name: string,
+    private readonly args: () => string[],
+  ) {}
+
+  get pid(): number {
+    return this.child?.pid ?? 0;
+  }
+
+  get running(): boolean {
+    return this.child !== undefined;
+  }
+
+  start(): void {
+    const child = spawn(process.execPath, this.args(), {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.child = child;
+    for (const stream of [child.stdout, child.stderr]) {
+      createInterface({input: stream}).on('line', line => this.keep(line));
+    }
+    child.on('exit', (code, signal) => {
+      this.keep(`exited code=${code} signal=${signal}`);
+      if (this.child === child) this.child = undefined;
+    });
+  }
+
+  /** Waits for a log line of this event and gives its fields. */
+  async lineWith(event: string): Promise<Record<string, string>> {
+    const pattern = new RegExp(`\\bevent=${event}\\b`);
+    const find = () => this.lines.findLast(line => pattern.test(line));
+    await waitUntil(`${this.name} logs ${event}`, () => {
+      if (!this.running) throw new Error(this.describe());
+      return find() !== undefined;
+    }).catch(error => {
+      throw new Error(`${String(error)}\n${this.describe()}`);
+    });
+    return parseFields(find() ?? '');
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
+  /** Ends the process and waits until it is gone. */
+  async end(signal: NodeJS.Signals = 'SIGKILL'): Promise<void> {
+    const child = this.child;
+    if (!child) return;
+    const gone = new Promise(resolve => child.once('exit', resolve));
+    child.kill(signal);
+    await gone;
+  }
+
+  describe(): string {
+    const state = this.running ? 'runs' : 'ended';
+    return `${this.name} ${state}:\n${this.lines.slice(-30).join('\n')}`;
+  }
+
+  private keep(line: string): void {
+    this.lines.push(line);
+    if (this.lines.length > KEPT_LINES) this.lines.shift();
+  }
+}
+
+function parseFields(line: string): Record<string, string> {
+  const fields: Record<string, string> = {};
+  for (const pair of line.split(' ')) {
+    const at = pair.indexOf('=');
+    if (at > 0) fields[pair.slice(0, at)] = pair.slice(at + 1);
+  }
+  return fields;
+}
