--- a/packages/banyanfold-decisions/src/decideEjections.ts
+++ b/packages/banyanfold-decisions/src/decideEjections.ts
@@ -24,7 +24,6 @@
     outcome =>
       !isEjected(outcome, nowMs) && totalOf(outcome) >= options.minOutcomes,
   );
-  if (judged.length < options.minPeers) return {ejected: []};
   const allowed = ejectionLimit(outcomes.length, options) - ejectedNow.length;
   const outliers = judged
     .map(outcome => outlierOf(outcome, judged, options))
@@ -59,7 +58,11 @@
   judged: readonly RunnerOutcomes[],
   options: EjectionOptions,
 ): Outlier | undefined {
-  const peers = judged.filter(({vmId}) => vmId !== outcome.vmId);
+  const peers = judged.filter(
+    ({vmId, peerGroup}) =>
+      vmId !== outcome.vmId && peerGroup === outcome.peerGroup,
+  );
+  if (peers.length + 1 < options.minPeers) return undefined;
   const excess = failureShare(outcome) - median(peers.map(failureShare));
   if (excess > options.failureMargin) {
     const percent = Math.round(failureShare(outcome) * 100);
--- a/packages/banyanfold-decisions/src/types.ts
+++ b/packages/banyanfold-decisions/src/types.ts
@@ -154,6 +154,11 @@
   firstTokenMs: number;
   /** Until when it is ejected already; it counts against the limit. */
   ejectedUntilMs?: number;
+  /**
+   * Runners are compared only within a group, for example their role: drafts
+   * take longer to a first token than short answers on a healthy runner.
+   */
+  peerGroup?: string;
 }
 
 export interface EjectionDecision {
