--- a/packages/banyanfold-config/src/configFold.ts
+++ b/packages/banyanfold-config/src/configFold.ts
@@ -100,10 +100,7 @@
   restore(snapshot: unknown): boolean {
     const state = readConfigState(snapshot);
     if (!state || state.foldedThrough <= this.foldedThroughOffset) return false;
-    if (!this.buffer) {
-      this.replaceState(state);
-      return true;
-    }
+    if (!this.buffer) return this.replaceState(state);
     return this.tryBase(state) || this.replaceState(state);
   }
 
--- a/packages/banyanfold-config/src/index.ts
+++ b/packages/banyanfold-config/src/index.ts
@@ -4,5 +4,6 @@
 export * from './configRecords.js';
 export * from './labels.js';
 export * from './parseConfig.js';
+export * from './renderSchema.js';
 export * from './types.js';
 export * from './validateConfig.js';
--- a/packages/banyanfold-config/src/labels.ts
+++ b/packages/banyanfold-config/src/labels.ts
@@ -21,15 +21,15 @@
   (labels: Labels, expression: MatchExpression) => boolean
 > = {
   In: (labels, {key, values}) => {
-    const value = labels[key];
+    const value = labelOf(labels, key);
     return value !== undefined && values.includes(value);
   },
   NotIn: (labels, {key, values}) => {
-    const value = labels[key];
+    const value = labelOf(labels, key);
     return value === undefined || !values.includes(value);
   },
-  Exists: (labels, {key}) => labels[key] !== undefined,
-  DoesNotExist: (labels, {key}) => labels[key] === undefined,
+  Exists: (labels, {key}) => labelOf(labels, key) !== undefined,
+  DoesNotExist: (labels, {key}) => labelOf(labels, key) === undefined,
 };
 
 /**
@@ -44,13 +44,18 @@
   labels: Labels,
 ): boolean {
   for (const [key, value] of Object.entries(selector.matchLabels)) {
-    if (labels[key] !== value) return false;
+    if (labelOf(labels, key) !== value) return false;
   }
   return selector.matchExpressions.every(expression =>
     OPERATORS[expression.operator](labels, expression),
   );
 }
 
+/** A key such as `constructor` must not find what objects inherit. */
+function labelOf(labels: Labels, key: string): string | undefined {
+  return Object.hasOwn(labels, key) ? labels[key] : undefined;
+}
+
 /**
  * The members of a group in listed order: models, adapters, services.
  *
