--- a/packages/banyanfold-entry/src/__tests__/kit/testSystem.ts
+++ b/packages/banyanfold-entry/src/__tests__/kit/testSystem.ts
@@ -12,7 +12,7 @@
 import OpenAI from 'openai';
 import {vi} from 'vitest';
 import {createEntry, type Entry, type EntrySettingsInput} from '../../index.js';
-import {FakeAgent, INTERNAL_KEY} from './fakeAgent.js';
+import {FakeAgent, INTERNAL_KEY, type Behaviour} from './fakeAgent.js';
 
 export const CALLER_KEY = 'counter-key';
 
@@ -55,6 +55,9 @@
     logger: MemoryLogger;
     metrics: Metrics;
   }> = [];
+  /** What is done with the next calls, whichever agent they reach. */
+  readonly next: Behaviour[] = [];
+  readonly nextResumes: Behaviour[] = [];
   leaving = new Set<string>();
   vmListIsDown = false;
   logService!: LogService;
@@ -65,6 +68,8 @@
     this.logService = createLogService({url: `http://127.0.0.1:${port}`});
     for (let i = 1; i <= agentCount; i++) {
       const agent = new FakeAgent(`agent-${i}`);
+      agent.next = this.next;
+      agent.nextResumes = this.nextResumes;
       await agent.start();
       this.agents.push(agent);
     }
@@ -113,6 +118,18 @@
     this.log.state.faults.set({outage});
   }
 
+  /** Calls and resumes at all agents since the last time. */
+  takeCounts(): {calls: number; resumes: number; ran: number} {
+    const counts = {calls: 0, resumes: 0, ran: 0};
+    for (const agent of this.agents) {
+      counts.calls += agent.calls.splice(0).length;
+      counts.resumes += agent.resumes.splice(0).length;
+      counts.ran += agent.ran;
+      agent.ran = 0;
+    }
+    return counts;
+  }
+
   get lines(): string[] {
     return this.entries.flatMap(({logger}) => logger.lines);
   }
@@ -161,7 +178,7 @@
     drainNoticeMs: 0,
     configLogWaitMs: 50,
     planner: {enabled: false},
-    attempts: {resumeBackoffMs: 5},
+    attempts: {resumeBackoffMs: 5, resumeMs: 100, streamIdleMs: 200},
   };
 }
 
--- a/packages/banyanfold-entry/src/__tests__/openaiContract.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/openaiContract.test.ts
@@ -41,7 +41,7 @@
 
   it('passes on the chunk with the usage', async () => {
     const usage = {prompt_tokens: 3, completion_tokens: 3, total_tokens: 6};
-    system.agents[0]!.next.push(
+    system.next.push(
       send(call => {
         const frames = framesOf(call).slice(0, -1);
         const last = JSON.stringify({choices: [], usage});
--- a/packages/banyanfold-entry/src/attempts/collectAnswer.ts
+++ b/packages/banyanfold-entry/src/attempts/collectAnswer.ts
@@ -14,10 +14,12 @@
   limitBytes: number,
 ): Promise<WholeAnswer | string> {
   const {headers, body, status} = opened;
+  // The loop below may be left before the error that its end gives comes.
+  body.on('error', () => {});
   const lengthText = headers['content-length'];
   const isChunked = headers['transfer-encoding']?.includes('chunked') === true;
   if (lengthText === undefined && !isChunked) {
-    body.on('error', () => {}).destroy();
+    body.destroy();
     return 'no-length';
   }
   const chunks: Buffer[] = [];
--- a/packages/banyanfold-entry/src/attempts/streamRelay.ts
+++ b/packages/banyanfold-entry/src/attempts/streamRelay.ts
@@ -74,6 +74,9 @@
     const idle = new IdleWatch(clock, settings.attempts.streamIdleMs, () =>
       stop('idle'),
     );
+    // The loop below may be left before the error that `destroy` gives comes;
+    // unheard, it would end the whole process.
+    body.on('error', () => {});
     const onGone = () => stop('caller-gone');
     job.signal.addEventListener('abort', onGone);
     this.scanner.reset();
@@ -97,7 +100,7 @@
       idle.stop();
       job.signal.removeEventListener('abort', onGone);
     }
-    if (this.scanner.done) body.on('error', () => {}).resume();
+    if (this.scanner.done) body.resume();
     return fault ?? 'ended-early';
   }
 
@@ -125,9 +128,18 @@
   private async resume(reason: string): Promise<Body | 'gone' | undefined> {
     const {context, agent, attemptId, job, signal} = this.options;
     const {lastSeq} = this.scanner;
-    const opened = await context.transport.resume(
-      {agent, attemptId, requestId: job.requestId, signal},
-      lastSeq,
+    const opened = await this.openWithin(
+      context.settings.attempts.resumeMs,
+      limit =>
+        context.transport.resume(
+          {
+            agent,
+            attemptId,
+            requestId: job.requestId,
+            signal: AbortSignal.any([signal, limit]),
+          },
+          lastSeq,
+        ),
     );
     const isOpen = opened.kind === 'answered' && opened.isStream;
     context.metrics.count('stream_resumes_total', {
@@ -148,6 +160,19 @@
     return 'gone';
   }
 
+  /** An agent that takes the connection and hangs must not hold the caller. */
+  private async openWithin<T>(
+    limitMs: number,
+    open: (limit: AbortSignal) => Promise<T>,
+  ): Promise<T> {
+    const limit = new AbortController();
+    const {clock} = this.options.context;
+    const timer = clock.setTimer(limitMs, () => limit.abort());
+    const opened = await open(limit.signal);
+    timer.cancel();
+    return opened;
+  }
+
   private async pauseBeforeResume(triesMade: number): Promise<void> {
     const {clock, random, settings} = this.options.context;
     if (triesMade === 0) return;
--- a/packages/banyanfold-entry/src/settings.ts
+++ b/packages/banyanfold-entry/src/settings.ts
@@ -28,6 +28,8 @@
   sealMs: z.number().positive().default(500),
   /** A stream with no event for so long counts as broken. */
   streamIdleMs: z.number().positive().default(10_000),
+  /** How long an agent may take to answer that it resumes a stream. */
+  resumeMs: z.number().positive().default(1_000),
   resumeTries: z.number().int().min(0).default(4),
   resumeBackoffMs: z.number().positive().default(100),
   connectionsPerAgent: z.number().int().positive().default(256),
