Spread requests before a runner's slots are full

Each further request slows the others' tokens. Own unreported requests counted as waiting even where slots were free.

Now a request open at a runner costs 20 ms (2 before), the other role as much as one request (60 ms before), and unreported ones wait only beyond the free slots.

--- a/packages/banyanfold-decisions/src/decideRoute.ts
+++ b/packages/banyanfold-decisions/src/decideRoute.ts
@@ -99,8 +99,9 @@
 
 /**
  * The report lags: since it was made the queue has drained for its age, and
- * this entry's own later requests have joined it. Without the second part all
- * requests of one report interval go to the runner that looked idle.
+ * this entry's own later requests have taken free slots or joined the queue.
+ * Without the second part all requests of one report interval go to the runner
+ * that looked idle.
  */
 function estimateWaitMs(
   runner: RunnerView,
@@ -109,7 +110,10 @@
 ): number {
   const ageMs = Math.max(0, nowMs - runner.reportReceivedMs);
   const drainedMs = Math.max(0, runner.queueDelayMs - ageMs);
-  return drainedMs + runner.ownUnreported * options.unreportedCostMs;
+  const maxRunning = runner.maxRunning ?? options.assumedMaxRunning;
+  const freeSlots = Math.max(0, maxRunning - runner.running - runner.queued);
+  const waiting = Math.max(0, runner.ownUnreported - freeSlots);
+  return drainedMs + waiting * options.unreportedCostMs;
 }
 
 function scoreRunner(
@@ -120,7 +124,8 @@
   options: RouteOptions,
 ): Candidate {
   const waitMs = estimateWaitMs(runner, nowMs, options);
-  let scoreMs = waitMs + runner.running * options.runningCostMs;
+  const open = runner.running + runner.queued + runner.ownUnreported;
+  let scoreMs = waitMs + open * options.runningCostMs;
   if (request.runnerRole !== '' && runner.runnerRole !== request.runnerRole) {
     scoreMs += options.otherRoleCostMs;
   }
--- a/packages/banyanfold-decisions/src/options.ts
+++ b/packages/banyanfold-decisions/src/options.ts
@@ -7,10 +7,15 @@
 export const routeOptionsSchema = z.strictObject({
   /** Added for each own request that the latest report doesn't include. */
   unreportedCostMs: durationMsSchema.default(20),
-  /** Added for each request running, so that even idle runners differ. */
-  runningCostMs: durationMsSchema.default(2),
+  /** Requests a runner runs at once, where its view doesn't say. */
+  assumedMaxRunning: z.number().int().nonnegative().default(16),
+  /**
+   * Added for each request open there: each slows the others' tokens down,
+   * long before any of them queues.
+   */
+  runningCostMs: durationMsSchema.default(20),
   /** Added for a runner of another role than the selector prefers. */
-  otherRoleCostMs: durationMsSchema.default(60),
+  otherRoleCostMs: durationMsSchema.default(20),
   /** Added for a runner in another region. */
   otherRegionCostMs: durationMsSchema.default(50),
   /** Added for a runner in another failure domain; small, to break ties. */
