--- a/packages/banyanfold-standins/src/__tests__/EngineStandin.test.ts
+++ b/packages/banyanfold-standins/src/__tests__/EngineStandin.test.ts
@@ -52,13 +52,18 @@
       stream: true,
       stream_options: {include_usage: true},
     });
+    const roles: Array<string | undefined> = [];
     let text = '';
     let totalTokens: number | undefined;
     for await (const chunk of stream) {
-      text += chunk.choices[0]?.delta.content ?? '';
+      const delta = chunk.choices[0]?.delta;
+      roles.push(delta?.role);
+      text += delta?.content ?? '';
       totalTokens = chunk.usage?.total_tokens;
     }
     expect(text).toBe(EXPECTED);
+    expect(roles.filter(Boolean)).toEqual(['assistant']);
+    expect(roles[0]).toBe('assistant');
     expect(totalTokens).toBe(whole.usage?.total_tokens);
     const completion = await client.completions.create({
       model: 'claims@3',
@@ -118,6 +123,19 @@
     expect(engine.state.truth.ofKind('request-finished')).toHaveLength(1);
   });
 
+  // A paused engine takes the connection and says nothing; its switches still
+  // answer. What it was sent meanwhile takes effect when the pause is over.
+  it('holds every call in a pause', async () => {
+    const {engine, url} = await startEngine({paused: true});
+    const body = {...streamBody, stream: false};
+    const held = callJson(`${url}/v1/chat/completions`, 'POST', body);
+    const faultsUrl = `${url}/control/faults`;
+    expect((await callJson(faultsUrl)).body.paused).toBe(true);
+    expect(engine.state.truth.ofKind('request-received')).toEqual([]);
+    await call(faultsUrl, 'PUT', {paused: false});
+    expect((await held).status).toBe(200);
+  });
+
   const wholeCases: Array<{
     fault: Partial<EngineFaults>;
     seen: string;
--- a/packages/banyanfold-standins/src/__tests__/engineRequests.test.ts
+++ b/packages/banyanfold-standins/src/__tests__/engineRequests.test.ts
@@ -77,7 +77,9 @@
     const {clock, engine, submit} = setUp({kvCapacityBytes: 100});
     submit({requestId: 'a', prompt: 'x'.repeat(40), maxTokens: 50});
     submit({requestId: 'b', prompt: 'x'.repeat(40), maxTokens: 50});
-    expect(engine.report()).toMatchObject({running: 1, kvUsedBytes: 60});
+    await clock.advance(5 * STEP_MS);
+    const whileOneRuns = {running: 1, queued: 1, kvUsedBytes: 60};
+    expect(engine.report()).toMatchObject(whileOneRuns);
     const tooLong = engine.submit(chatRequest({maxTokens: 100}));
     expect(tooLong._unsafeUnwrapErr().code).toBe('context-too-long');
     await clock.advance(5000);
