--- a/packages/banyanfold-decisions/src/decidePlacement.ts
+++ b/packages/banyanfold-decisions/src/decidePlacement.ts
@@ -23,8 +23,10 @@
   options: PlacementOptions = DEFAULT_PLACEMENT_OPTIONS,
 ): PlacementDecision {
   const plan = new PlacementPlan(view, allowedLoads(view, nowMs, options));
-  placeOrphans(plan, options);
-  growHot(plan, options);
+  const orphansWait = placeOrphans(plan, options);
+  // An extra copy would take the memory that is being released for an orphan,
+  // which would stay out of reach while others are retired for it in turn.
+  if (!orphansWait) growHot(plan, options);
   changeRole(plan, nowMs, options);
   return {moves: plan.moves, unplaced: plan.unplaced};
 }
--- a/packages/banyanfold-decisions/src/placement/chooseTarget.ts
+++ b/packages/banyanfold-decisions/src/placement/chooseTarget.ts
@@ -17,20 +17,25 @@
   return target.copies.get(artifact.modelArtifact)?.state === 'held';
 }
 
+/** A runner that could take an artifact; a lower cost is better. */
+export interface Target {
+  target: PlannedRunner;
+  cost: number;
+}
+
 /** Runners that could take the artifact, best first; memory is not asked. */
 export function rankTargets(
   plan: PlacementPlan,
   artifact: PlacementArtifact,
   options: PlacementOptions,
-): PlannedRunner[] {
+): Target[] {
   const domains = new Set(
     plan.holders(artifact.artifact).map(({runner}) => runner.failureDomain),
   );
   return [...plan.runners.values()]
     .filter(target => isEligible(target, artifact))
     .map(target => ({target, cost: costOf(target, artifact, domains, options)}))
-    .sort((a, b) => a.cost - b.cost || compareVmIds(a.target, b.target))
-    .map(({target}) => target);
+    .sort((a, b) => a.cost - b.cost || compareVmIds(a.target, b.target));
 }
 
 function costOf(
--- a/packages/banyanfold-decisions/src/placement/freeMemory.ts
+++ b/packages/banyanfold-decisions/src/placement/freeMemory.ts
@@ -1,30 +1,87 @@
 import type {PlacementCopy} from '../types.js';
 import type {PlacementPlan, PlannedRunner} from './placementPlan.js';
 
+/** Copies that go together: a model's with its adapters', or one adapter's. */
+export interface Bundle {
+  copies: PlacementCopy[];
+  bytes: number;
+}
+
+/** What has to go from a runner so that an artifact fits. */
+export interface Room {
+  copies: PlacementCopy[];
+  /** Requests a second that the copies meet now and others must take over. */
+  lostPerSecond: number;
+}
+
 /**
- * Copies on a runner whose retirement frees enough for `bytes`, least used
- * first, or undefined when there are not enough. Each is held elsewhere too.
+ * Finds copies whose retirement frees enough for `bytes`, least used for their
+ * size first, or undefined when there are not enough. Each is held elsewhere
+ * too, or is no longer published.
  */
-export function findSurplus(
+export function findRoom(
   plan: PlacementPlan,
   target: PlannedRunner,
   bytes: number,
   minIdleMs: number,
-): PlacementCopy[] | undefined {
-  const chosen: PlacementCopy[] = [];
+  keep = '',
+): Room | undefined {
+  const room: Room = {copies: [], lostPerSecond: 0};
   let missingBytes = bytes - target.freeBytes - releasingBytes(target);
-  if (missingBytes <= 0) return chosen;
-  const candidates = [...target.copies.values()]
-    .filter(copy => isSurplus(plan, target, copy, minIdleMs))
+  if (missingBytes <= 0) return room;
+  const bundles = bundlesOn(target)
+    .filter(({copies}) => copies.every(({artifact}) => artifact !== keep))
+    .filter(({copies}) =>
+      copies.every(copy => isSurplus(plan, target, copy, minIdleMs)),
+    )
     .sort((a, b) => lossPerByte(plan, a) - lossPerByte(plan, b));
-  for (const copy of candidates) {
-    chosen.push(copy);
-    missingBytes -= copy.bytes;
-    if (missingBytes <= 0) return chosen;
+  for (const bundle of bundles) {
+    const added = bundle.copies.filter(copy => !room.copies.includes(copy));
+    room.copies.push(...added);
+    for (const {artifact, bytes: freed} of added) {
+      room.lostPerSecond += plan.shareOf(artifact);
+      missingBytes -= freed;
+    }
+    if (missingBytes <= 0) return room;
   }
   return undefined;
 }
 
+/**
+ * Plans the retirements. A model serves its adapters, so it goes only in a
+ * later decision, once its adapters' memory there has been released.
+ */
+export function retireAll(
+  plan: PlacementPlan,
+  target: PlannedRunner,
+  copies: readonly PlacementCopy[],
+  reason: string,
+): void {
+  for (const copy of copies) {
+    if (adaptersOn(target, copy.artifact).length > 0) continue;
+    plan.retire(target, copy, reason);
+  }
+}
+
+/** Each adapter alone, and each model with the adapters that need it there. */
+export function bundlesOn(target: PlannedRunner): Bundle[] {
+  return [...target.copies.values()].map(copy => {
+    const copies = [...adaptersOn(target, copy.artifact), copy];
+    const bytes = copies.reduce((sum, member) => sum + member.bytes, 0);
+    return {copies, bytes};
+  });
+}
+
+export function adaptersOn(
+  {copies}: PlannedRunner,
+  modelArtifact: string,
+): PlacementCopy[] {
+  const prefix = `${modelArtifact}+`;
+  return [...copies.values()].filter(({artifact}) =>
+    artifact.startsWith(prefix),
+  );
+}
+
 function releasingBytes(target: PlannedRunner): number {
   let sum = 0;
   for (const copy of target.copies.values()) {
@@ -39,22 +96,22 @@
   copy: PlacementCopy,
   minIdleMs: number,
 ): boolean {
-  if (copy.state !== 'held' || copy.idleMs < minIdleMs) return false;
-  if (hasAdapters(target, copy.artifact)) return false;
+  if (copy.state === 'releasing') return true;
+  if (copy.state !== 'held') return false;
+  if (!plan.artifacts.has(copy.artifact)) return true;
+  if (copy.idleMs < minIdleMs) return false;
   if (isReliedOn(plan, copy.copyId)) return false;
   return plan.reliableCopyIds(target, copy.artifact).length > 0;
 }
 
-/** An adapter serves only beside its model. */
-function hasAdapters(target: PlannedRunner, modelArtifact: string): boolean {
-  const prefix = `${modelArtifact}+`;
-  return [...target.copies.keys()].some(name => name.startsWith(prefix));
-}
-
 function isReliedOn(plan: PlacementPlan, copyId: string): boolean {
   return plan.moves.some(move => move.reliesOnCopyIds.includes(copyId));
 }
 
-function lossPerByte(plan: PlacementPlan, copy: PlacementCopy): number {
-  return plan.shareOf(copy.artifact) / Math.max(1, copy.bytes);
+function lossPerByte(plan: PlacementPlan, bundle: Bundle): number {
+  const lost = bundle.copies.reduce(
+    (sum, {artifact}) => sum + plan.shareOf(artifact),
+    0,
+  );
+  return lost / Math.max(1, bundle.bytes);
 }
--- a/packages/banyanfold-decisions/src/placement/growHot.ts
+++ b/packages/banyanfold-decisions/src/placement/growHot.ts
@@ -1,7 +1,7 @@
 import type {PlacementOptions} from '../options.js';
 import type {PlacementArtifact} from '../types.js';
 import {rankTargets} from './chooseTarget.js';
-import {findSurplus} from './freeMemory.js';
+import {findRoom, retireAll} from './freeMemory.js';
 import type {PlacementPlan, PlannedRunner} from './placementPlan.js';
 
 const MS_PER_SECOND = 1000;
@@ -52,22 +52,21 @@
   artifact: PlacementArtifact,
   options: PlacementOptions,
 ): boolean {
-  for (const target of rankTargets(plan, artifact, options)) {
+  for (const {target} of rankTargets(plan, artifact, options)) {
     const moved = movedLoad(plan, source, target, artifact);
-    const surplus = findSurplus(
+    const room = findRoom(
       plan,
       target,
       artifact.bytes,
       options.retireIdleMs,
+      artifact.modelArtifact,
     );
-    if (!surplus) continue;
-    if (!isWorthwhile(moved, artifact, surplus.length, options)) continue;
+    if (!room) continue;
+    if (!isWorthwhile(moved, artifact, room.copies.length, options)) continue;
     if (target.freeBytes >= artifact.bytes) {
       plan.load(target, artifact, `hot: +${moved.toFixed(2)}/s`);
     }
-    for (const copy of surplus) {
-      plan.retire(target, copy, `room-for ${artifact.artifact}`);
-    }
+    retireAll(plan, target, room.copies, `room-for ${artifact.artifact}`);
     return true;
   }
   return false;
--- a/packages/banyanfold-decisions/src/placement/placementPlan.ts
+++ b/packages/banyanfold-decisions/src/placement/placementPlan.ts
@@ -10,7 +10,7 @@
 export interface PlannedRunner {
   runner: PlacementRunner;
   freeBytes: number;
-  /** By artifact; copies planned for retirement are left out. */
+  /** By artifact; copies planned for retirement are `releasing`. */
   copies: Map<string, PlacementCopy>;
   /** Expected requests a second. */
   load: number;
@@ -94,6 +94,7 @@
    * retirements would pass alone and together leave no copy.
    */
   retire(target: PlannedRunner, copy: PlacementCopy, reason: string) {
+    if (copy.state !== 'held') return;
     this.moves.push({
       kind: 'retire',
       vmId: target.runner.vmId,
@@ -103,7 +104,7 @@
       reliesOnCopyIds: this.reliableCopyIds(target, copy.artifact),
       reason,
     });
-    target.copies.delete(copy.artifact);
+    target.copies.set(copy.artifact, {...copy, state: 'releasing'});
     this.spreadLoad();
   }
 
@@ -119,8 +120,9 @@
     });
   }
 
-  /** Held copies on other usable runners. */
+  /** Held copies on other usable runners; none for what isn't published. */
   reliableCopyIds(target: PlannedRunner, artifact: string): string[] {
+    if (!this.artifacts.has(artifact)) return [];
     return this.servers(artifact)
       .filter(({runner}) => runner.vmId !== target.runner.vmId)
       .map(({copies}) => copies.get(artifact)!.copyId);
