--- a/packages/banyanfold-platform/src/__tests__/fakeLog.ts
+++ b/packages/banyanfold-platform/src/__tests__/fakeLog.ts
@@ -5,6 +5,7 @@
   LogPage,
   LogRecord,
   LogService,
+  ReadOptions,
   StreamName,
 } from '../types.js';
 
@@ -52,10 +53,7 @@
     return new ResultAsync(this.appendWith(fault, stream, values));
   }
 
-  read(
-    stream: StreamName,
-    options: {fromOffset: number; limit?: number; waitMs?: number},
-  ) {
+  read(stream: StreamName, options: ReadOptions) {
     this.calls.read++;
     return new ResultAsync(this.readPage(stream, options));
   }
@@ -96,11 +94,7 @@
 
   private async readPage(
     stream: StreamName,
-    {
-      fromOffset,
-      limit = Infinity,
-      waitMs = 0,
-    }: {fromOffset: number; limit?: number; waitMs?: number},
+    {fromOffset, limit = Infinity, waitMs = 0}: ReadOptions,
   ): Promise<Result<LogPage, BanyanfoldError>> {
     await this.delay();
     if (this.isOut) return fail('log-unavailable');
--- /dev/null
+++ b/packages/banyanfold-platform/src/__tests__/streamFollower.test.ts
@@ -0,0 +1,142 @@
+import {describe, expect, it} from 'vitest';
+import {BatchAppender} from '../batchAppender.js';
+import {StreamFollower, type FollowedPage} from '../streamFollower.js';
+import {FakeLog, PausableLog} from './fakeLog.js';
+import {createBasics, settle} from './testKit.js';
+
+const RETENTION_MS = 60_000;
+
+function createWorld(options: {pageLimit?: number; fromOffset?: number} = {}) {
+  const basics = createBasics();
+  const log = new FakeLog(basics.clock, RETENTION_MS);
+  const gate = new PausableLog(log);
+  const seen: string[] = [];
+  const onPage = ({records, gap}: FollowedPage) => {
+    if (gap) seen.push(`gap ${gap.fromOffset}-${gap.toOffset}`);
+    for (const {offset} of records) seen.push(String(offset));
+  };
+  const follower = new StreamFollower({
+    ...basics,
+    ...options,
+    log: gate,
+    stream: 'claims',
+    onPage,
+  });
+  return {...basics, log, gate, follower, seen};
+}
+
+describe('StreamFollower', () => {
+  it('hands on each record once, in order, whatever the pages', async () => {
+    const {clock, log, follower, seen} = createWorld({pageLimit: 2});
+    log.push('claims', 1, 2, 3, 4, 5);
+    follower.start();
+    await settle(clock, follower.caughtUp());
+    await clock.advance(100);
+    log.push('claims', 6);
+    log.push('claims', 7);
+    await settle(clock, follower.readNow());
+    await clock.advance(1_000);
+    expect(seen.join(' ')).toBe('1 2 3 4 5 6 7');
+    expect(follower.position).toBe(8);
+  });
+
+  /*
+   * A long poll hangs at the log while another reader asks for the present
+   * end; waiting for the poll would hold a caller at the counter for seconds.
+   */
+  it('reads now beside a long poll, and later calls share one read', async () => {
+    const {clock, log, follower} = createWorld();
+    follower.start();
+    await settle(clock, follower.caughtUp());
+    await clock.advance(100);
+    const readsBefore = log.calls.read;
+    const reads = [1, 2, 3].map(() => follower.readNow());
+    await clock.advance(0);
+    expect((await Promise.all(reads)).every(read => read.isOk())).toBe(true);
+    expect(log.calls.read - readsBefore).toBe(2);
+  });
+
+  /*
+   * The process is paused while the log forgets records. What it missed must
+   * be reported, for a fold that doesn't know of it would decide wrongly.
+   */
+  it('reports a gap after a pause', async () => {
+    const {clock, log, gate, follower, seen} = createWorld();
+    follower.start();
+    await settle(clock, follower.caughtUp());
+    gate.holdReads();
+    log.push('claims', 1, 2);
+    await clock.advance(RETENTION_MS + 1_000);
+    log.push('claims', 3);
+    gate.resume();
+    await clock.advance(20_000);
+    expect(seen).toEqual(['gap 1-3', '3']);
+  });
+
+  /*
+   * The log is out for a minute. One try after the other at growing random
+   * delays, never two at once, or its return is met by a stampede.
+   */
+  it('backs off during an outage and goes on after it', async () => {
+    const {clock, log, follower, seen} = createWorld();
+    log.isOut = true;
+    log.push('claims', 1);
+    follower.start();
+    await clock.advance(50_000);
+    expect(log.calls.read).toBeLessThan(50);
+    expect((await follower.readNow())._unsafeUnwrapErr().code).toBe(
+      'log-unavailable',
+    );
+    log.isOut = false;
+    await clock.advance(5_000);
+    expect(seen).toEqual(['1']);
+  });
+
+  it('reads nothing after it was stopped', async () => {
+    const {clock, log, follower, seen} = createWorld();
+    follower.start();
+    await settle(clock, follower.caughtUp());
+    follower.stop();
+    log.push('claims', 1);
+    await clock.advance(60_000);
+    expect(seen).toEqual([]);
+  });
+});
+
+describe('BatchAppender.append', () => {
+  it('gives each caller its own offset from few calls', async () => {
+    const {clock, log} = createWorld();
+    const options = {log, clock, stream: 'claims', maxBatchSize: 3} as const;
+    const appender = new BatchAppender(options);
+    const appends = ['a', 'b', 'c', 'd'].map(value => appender.append(value));
+    const results = await settle(clock, Promise.all(appends));
+    expect(results.map(result => result._unsafeUnwrap())).toEqual([1, 2, 3, 4]);
+    expect(log.calls.append).toBe(2);
+  });
+
+  it('has one call in flight, and tells all of a call what became of it', async () => {
+    const {clock, log} = createWorld();
+    const appender = new BatchAppender({log, clock, stream: 'claims'});
+    log.delayMs = 100;
+    log.faults.push('lost-after', undefined);
+    const first = [appender.append('a'), appender.append('b')];
+    await clock.advance(50);
+    const second = appender.append('c');
+    await clock.advance(50);
+    expect(log.calls.append).toBe(1);
+    const results = await settle(clock, Promise.all([...first, second]));
+    const seen = results.map(result =>
+      result.unwrapOr(result.isErr() ? -1 : 0),
+    );
+    expect(seen).toEqual([-1, -1, 3]);
+  });
+
+  it('refuses at once when too many wait', async () => {
+    const {clock, log} = createWorld();
+    const options = {log, clock, stream: 'claims', maxWaiting: 1} as const;
+    const appender = new BatchAppender(options);
+    void appender.append('a');
+    const result = await appender.append('b');
+    expect(result._unsafeUnwrapErr().code).toBe('log-unavailable');
+  });
+});
--- a/packages/banyanfold-platform/src/createLogService.ts
+++ b/packages/banyanfold-platform/src/createLogService.ts
@@ -49,7 +49,7 @@
         notDoneCode: 'log-unavailable',
         unknownCode: 'append-unknown',
       }),
-    read: (stream, {fromOffset, limit, waitMs = 0}) => {
+    read: (stream, {fromOffset, limit, waitMs = 0, signal}) => {
       const query = new URLSearchParams({from: String(fromOffset)});
       if (limit !== undefined) query.set('limit', String(limit));
       if (waitMs > 0) query.set('waitMs', String(waitMs));
@@ -60,6 +60,7 @@
         place: {step: `read-${stream}`, peer},
         clock,
         timeoutMs: timeoutMs + waitMs,
+        signal,
         dispatcher: options.dispatcher,
         notDoneCode: 'log-unavailable',
         unknownCode: 'log-unavailable',
--- a/packages/banyanfold-platform/src/httpJson.ts
+++ b/packages/banyanfold-platform/src/httpJson.ts
@@ -17,6 +17,8 @@
   place: ErrorPlace;
   clock: Clock;
   timeoutMs: number;
+  /** Gives up the call, beside the timeout. */
+  signal?: AbortSignal | undefined;
   dispatcher?: Dispatcher | undefined;
   /** The code when nothing was done at the other side. */
   notDoneCode: string;
@@ -34,7 +36,10 @@
 ): ResultAsync<z.output<S>, BanyanfoldError> {
   const abort = new AbortController();
   const timer = call.clock.setTimer(call.timeoutMs, () => abort.abort());
-  const answer = exchange(call, abort.signal).finally(() => timer.cancel());
+  const signals = call.signal ? [abort.signal, call.signal] : [abort.signal];
+  const answer = exchange(call, AbortSignal.any(signals)).finally(() =>
+    timer.cancel(),
+  );
   return ResultAsync.fromPromise(answer, thrown => {
     const code = wasNeverSent(thrown) ? call.notDoneCode : call.unknownCode;
     return toBanyanfoldError(thrown, code, call.place);
--- a/packages/banyanfold-platform/src/streamFollower.ts
+++ b/packages/banyanfold-platform/src/streamFollower.ts
@@ -70,7 +70,7 @@
   private readonly backoff: Backoff;
   private nextOffset: number;
   private isRunning = false;
-  private runs = 0;
+  private pollAbort = new AbortController();
   private isCaughtUp = false;
   private readonly caughtUpPromise: Promise<void>;
   private resolveCaughtUp: () => void = () => {};
@@ -110,13 +110,14 @@
   start(): void {
     if (this.isRunning) return;
     this.isRunning = true;
-    void this.poll(++this.runs);
+    this.pollAbort = new AbortController();
+    void this.poll(this.pollAbort.signal);
   }
 
-  /** Stops polling; the answer of a poll in flight is dropped. */
+  /** Stops polling and gives up a poll in flight. */
   stop(): void {
     this.isRunning = false;
-    this.runs++;
+    this.pollAbort.abort();
   }
 
   /** Resolves once the end of the log was reached for the first time. */
@@ -167,12 +168,11 @@
     }
   }
 
-  private async poll(run: number): Promise<void> {
+  private async poll(signal: AbortSignal): Promise<void> {
     const {clock, logger, stream, waitMs, minPollIntervalMs} = this.options;
-    const isCurrent = () => this.isRunning && this.runs === run;
-    while (isCurrent()) {
-      const page = await this.read(this.isCaughtUp ? waitMs : 0);
-      if (!isCurrent()) return;
+    while (!signal.aborted) {
+      const page = await this.read(this.isCaughtUp ? waitMs : 0, signal);
+      if (signal.aborted) return;
       if (page.isOk()) {
         this.backoff.reset();
         this.handOn(page.value);
@@ -186,10 +186,14 @@
     }
   }
 
-  private read(waitMs: number): ResultAsync<LogPage, BanyanfoldError> {
+  private read(
+    waitMs: number,
+    signal?: AbortSignal,
+  ): ResultAsync<LogPage, BanyanfoldError> {
     const {log, stream, pageLimit} = this.options;
     const fromOffset = this.nextOffset;
-    return log.read(stream, {fromOffset, limit: pageLimit, waitMs});
+    const range = {fromOffset, limit: pageLimit, waitMs};
+    return log.read(stream, signal ? {...range, signal} : range);
   }
 
   private handOn(page: LogPage): void {
--- a/packages/banyanfold-platform/src/types.ts
+++ b/packages/banyanfold-platform/src/types.ts
@@ -36,6 +36,15 @@
 
 export type StreamName = (typeof STREAMS)[keyof typeof STREAMS];
 
+/** What to read, and how long the log may wait for something new. */
+export interface ReadOptions {
+  fromOffset: number;
+  limit?: number;
+  waitMs?: number;
+  /** Gives up a read in flight. */
+  signal?: AbortSignal;
+}
+
 /**
  * The platform's log. Errors have the codes `log-unavailable` (nothing was
  * appended, or nothing could be read) and `append-unknown` (the answer was
@@ -48,7 +57,7 @@
   ): ResultAsync<AppendAnswer, BanyanfoldError>;
   read(
     stream: StreamName,
-    options: {fromOffset: number; limit?: number; waitMs?: number},
+    options: ReadOptions,
   ): ResultAsync<LogPage, BanyanfoldError>;
 }
 
