Cover keys, leaving VMs, readiness and the planner at the entry

Found by the tests: between the end of a run and its record in the log, a second call at the same entry was told that the outcome is unknown while it was known there. The process now keeps its own runs until the log has them. Calls with one key are sent at once through two entries against the log stand-in, with its outages and lost answers; drains, leaving agents and a start with the log out are run against a fake agent.

--- /dev/null
+++ b/packages/banyanfold-entry/src/__tests__/leaving.test.ts
@@ -0,0 +1,165 @@
+import {request, type IncomingMessage} from 'node:http';
+import {createEntryClient} from '@banyanfold/protocol';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {framesOf, streamHead, answerWhole} from './kit/behaviours.js';
+import {INTERNAL_KEY, type AttemptCall} from './kit/fakeAgent.js';
+import {eventually} from './kit/eventually.js';
+import {CALLER_KEY, CHAT, TestSystem, isReady, post} from './kit/testSystem.js';
+
+const CHAT_PATH = '/v1/chat/completions';
+
+let system: TestSystem;
+
+beforeEach(async () => {
+  system = new TestSystem();
+  await system.start(2);
+});
+afterEach(() => system.stop());
+
+describe('createEntry, VMs that leave', () => {
+  // The VM list lags, and an agent may know first, or the other way round.
+  // New work for a leaving server would be cut off with it.
+  it.each([
+    ['the VM list says so', (vmId: string) => system.leaving.add(vmId)],
+    [
+      'its own report says so',
+      (vmId: string) => {
+        system.agents.find(agent => agent.vmId === vmId)!.leaving = true;
+      },
+    ],
+  ])('sends no new work to an agent when %s', async (_name, leave) => {
+    const port = await system.startReadyEntry();
+    leave('agent-1');
+    const [agent1, agent2] = system.agents;
+    await eventually(
+      () => system.lines.length && explainCandidates(port),
+    ).toContainEqual(['agent-1', 'leaving']);
+    agent1!.calls.length = 0;
+    for (let i = 0; i < 6; i++) await post(port, CHAT_PATH);
+    expect(agent1!.calls).toHaveLength(0);
+    expect(agent2!.calls.length).toBeGreaterThanOrEqual(6);
+  });
+
+  it('keeps the last view while the VM list cannot be read', async () => {
+    const port = await system.startReadyEntry();
+    system.vmListIsDown = true;
+    await eventually(() =>
+      system.lines.some(line => line.includes('vm-list-failed')),
+    ).toBe(true);
+    expect((await post(port, CHAT_PATH)).status).toBe(200);
+  });
+
+  // An operator drains the entry while a long answer streams. Readiness fails,
+  // new connections are refused, and the stream still runs to its end marker.
+  it('finishes an open stream before it ends', async () => {
+    const port = await system.startReadyEntry();
+    const {entry} = system.entries[0]!;
+    let call: AttemptCall | undefined;
+    system.next.push(taken => {
+      call = taken;
+      streamHead(taken);
+      taken.res.write(framesOf(taken)[0]!);
+    });
+    const response = await fetch(`http://127.0.0.1:${port}${CHAT_PATH}`, {
+      method: 'POST',
+      headers: {authorization: `Bearer ${CALLER_KEY}`},
+      body: JSON.stringify({...CHAT, stream: true}),
+    });
+    const drained = entry.drain();
+    await eventually(() => post(port, CHAT_PATH).catch(refused)).toBe(
+      'refused',
+    );
+    call!.res.end(framesOf(call!).slice(1).join(''));
+    expect(await response.text()).toContain('[DONE]');
+    await drained;
+    expect(system.lines.at(-1)).toContain('drain-finished');
+  });
+
+  it('says in the log what the bound of a drain cuts off', async () => {
+    await system.startReadyEntry({drainBoundMs: 30});
+    const {entry, port} = system.entries[0]!;
+    system.next.push(() => {});
+    const cutOff = post(port, CHAT_PATH).catch(refused);
+    await eventually(() => system.takeCounts().calls).toBe(1);
+    await entry.drain();
+    expect(system.lines.join('\n')).toContain(
+      'event=drain-bound-passed cutOff=1',
+    );
+    await entry.stop();
+    await cutOff;
+  });
+
+  it('is not ready and closes kept connections while it leaves', async () => {
+    const port = await system.startReadyEntry({drainNoticeMs: 60_000});
+    const client = createEntryClient({
+      host: '127.0.0.1',
+      port,
+      internalKey: INTERNAL_KEY,
+    });
+    await client.drain.mutate();
+    expect(await isReady(port)).toBe(false);
+    expect((await client.status.query()).leaving).toBe(true);
+    const answer = await headOf(port);
+    expect(answer.headers.connection).toBe('close');
+  });
+});
+
+describe('createEntry, readiness', () => {
+  it('is not ready without a configuration, and says so to callers', async () => {
+    system.setLogOutage('refuse');
+    const port = await system.startEntry();
+    expect(await isReady(port)).toBe(false);
+    const answer = await post(port, CHAT_PATH);
+    expect([answer.status, answer.outcome, answer.code]).toEqual([
+      503,
+      'not-run',
+      'not_ready',
+    ]);
+  });
+
+  // A VM is replaced while the log is down. Its peers have the configuration
+  // in force; it must take it from them and serve.
+  it('takes the configuration from a peer while the log is out', async () => {
+    await system.startReadyEntry();
+    system.setLogOutage('cut');
+    const port = await system.startReadyEntry();
+    for (const agent of system.agents) agent.otherwise = answerWhole;
+    expect((await post(port, CHAT_PATH)).status).toBe(200);
+    const [first, second] = await Promise.all(
+      system.entries.map(({entry}) => entry.handlers.status()),
+    );
+    expect(second!.configVersion).toBe(first!.configVersion);
+  });
+
+  it('lets nobody without a key into the control interface', async () => {
+    const port = await system.startReadyEntry();
+    const client = createEntryClient({
+      host: '127.0.0.1',
+      port,
+      internalKey: CALLER_KEY,
+    });
+    await expect(client.status.query()).rejects.toThrow();
+  });
+});
+
+const refused = () => 'refused' as const;
+
+async function explainCandidates(_port: number) {
+  const {entry} = system.entries[0]!;
+  const {candidates} = await entry.handlers.explain({
+    caller: 'counter',
+    desk: '',
+    requestedName: 'claims',
+    headers: {},
+  });
+  return candidates.map(({vmId, reason}) => [vmId, reason]);
+}
+
+function headOf(port: number): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    request({port, path: '/healthz', headers: {connection: 'keep-alive'}})
+      .on('response', resolve)
+      .on('error', reject)
+      .end();
+  });
+}
--- /dev/null
+++ b/packages/banyanfold-entry/src/__tests__/planner.test.ts
@@ -0,0 +1,82 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {rendezvousOrder} from '@banyanfold/platform';
+import {eventually} from './kit/eventually.js';
+import {TestSystem, post} from './kit/testSystem.js';
+
+const PLANNING = {planner: {enabled: true, intervalMs: 20, loadsPerSecond: 50}};
+
+let system: TestSystem;
+
+beforeEach(async () => {
+  system = new TestSystem();
+  await system.start(2);
+  for (const agent of system.agents) agent.artifacts = [];
+});
+afterEach(() => system.stop());
+
+function proposals() {
+  return system.agents.flatMap(agent => agent.proposals);
+}
+
+async function epochs(): Promise<number[]> {
+  const statuses = await Promise.all(
+    system.entries.map(({entry}) => entry.handlers.status()),
+  );
+  return statuses.map(({plannerEpoch}) => plannerEpoch);
+}
+
+describe('the planner plug-in', () => {
+  it('loads labelled models, and says why in a line for each move', async () => {
+    const port = await system.startReadyEntry(PLANNING);
+    await eventually(
+      async () => (await post(port, '/v1/chat/completions')).status,
+    ).toBe(200);
+    const loaded = proposals().map(({artifact}) => artifact);
+    expect(loaded).toEqual(expect.arrayContaining(['claims@1', 'hidden@1']));
+    const moves = system.lines.filter(line => line.includes('event=move'));
+    expect(moves.length).toBe(proposals().length);
+    for (const move of moves) expect(move).toMatch(/ reason=\S+ epoch=\d+ /);
+  });
+
+  // The first entry plans alone. The second is the one that the hash names once
+  // both are listed, so the first must hand over, or both would go on loading.
+  it('hands over to the entry that the VM list names', async () => {
+    const ids = ['entry-1', 'entry-2', 'entry-3'];
+    const [second, first] = rendezvousOrder('planner', ids);
+    await system.startReadyEntry({...PLANNING, vmId: first!});
+    await eventually(async () => (await epochs())[0]).toBeGreaterThan(0);
+    const [firstEpoch] = await epochs();
+    await system.startReadyEntry({...PLANNING, vmId: second!});
+    await eventually(async () => (await epochs())[0]).toBe(0);
+    await eventually(async () => (await epochs())[1]).toBeGreaterThan(
+      firstEpoch!,
+    );
+  });
+
+  // The log goes out after the planner has its epoch. An agent's copy is lost;
+  // the model must come back although nothing can be agreed anew.
+  it('goes on with its epoch while the log is out', async () => {
+    await system.startReadyEntry(PLANNING);
+    await eventually(() => proposals().length).toBeGreaterThanOrEqual(2);
+    system.setLogOutage('refuse');
+    const before = proposals().length;
+    for (const agent of system.agents) agent.artifacts = [];
+    await eventually(() => proposals().length).toBeGreaterThan(before);
+    const all = proposals().map(({plannerEpoch}) => plannerEpoch);
+    expect(new Set(all).size).toBe(1);
+  });
+
+  // Without an epoch no agent would take its word, and two planners that race
+  // would both load.
+  it('proposes nothing without an epoch', async () => {
+    await system.startReadyEntry();
+    system.setLogOutage('refuse');
+    await system.startReadyEntry({...PLANNING, vmId: 'entry-planner'});
+    const {entry} = system.entries[1]!;
+    await eventually(() => system.lines.join('\n')).toContain(
+      'planner-claim-failed',
+    );
+    expect((await entry.handlers.status()).plannerEpoch).toBe(0);
+    expect(proposals()).toEqual([]);
+  });
+});
--- a/packages/banyanfold-entry/src/__tests__/wholeAnswerFaults.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/wholeAnswerFaults.test.ts
@@ -10,6 +10,7 @@
   wholeBody,
 } from './kit/behaviours.js';
 import type {AttemptCall, Behaviour} from './kit/fakeAgent.js';
+import {eventually} from './kit/eventually.js';
 import {CHAT, TestSystem, openaiClient, post} from './kit/testSystem.js';
 
 const system = new TestSystem();
@@ -133,7 +134,7 @@
     await expect(request).rejects.toThrow();
     const call = system.agents.flatMap(({calls}) => calls)[0]!;
     const {agent, attemptId} = call;
-    await expect.poll(() => agent.sealed).toContain(attemptId);
-    await expect.poll(() => call.socket.destroyed).toBe(true);
+    await eventually(() => agent.sealed).toContain(attemptId);
+    await eventually(() => call.socket.destroyed).toBe(true);
   });
 });
--- a/packages/banyanfold-entry/src/plugins/idempotency.ts
+++ b/packages/banyanfold-entry/src/plugins/idempotency.ts
@@ -1,5 +1,6 @@
 import type {BanyanfoldError} from '@banyanfold/core';
 import {KeyClaims, readTimedKey, type ClaimOutcome} from '@banyanfold/platform';
+import type {ResultAsync} from 'neverthrow';
 import {v4 as uuidV4} from 'uuid';
 import {
   entryPlugins,
@@ -10,6 +11,7 @@
 import {ApiError, type ApiErrorCode} from '../http/apiErrors.js';
 import type {RequestJob, RequestResult} from '../requests/types.js';
 import {outcomeUnknown, recordedAnswer, toFinishedRun} from './keyOutcome.js';
+import {OwnRuns} from './ownRuns.js';
 
 const IN_PROGRESS_RETRY_MS = 1000;
 const LOG_RETRY_MS = 2000;
@@ -28,8 +30,7 @@
  */
 class KeyGuard {
   private readonly claims: KeyClaims;
-  /** Keys whose request this process is running now. */
-  private readonly running = new Set<string>();
+  private readonly ownRuns = new OwnRuns();
   /** Appends on their way; they are waited for when the process leaves. */
   private readonly appends = new Set<Promise<unknown>>();
   private caughtUp = false;
@@ -83,7 +84,7 @@
     claimOffset: number,
     next: NextStep,
   ): Promise<RequestResult> {
-    this.running.add(key);
+    this.ownRuns.set(key, {kind: 'running'});
     try {
       const result = await next();
       this.note(job, key, claimOffset, result);
@@ -92,8 +93,6 @@
       // Whatever went wrong here, it may have run.
       this.note(job, key, claimOffset, {kind: 'broken', reason: 'internal'});
       throw error;
-    } finally {
-      this.running.delete(key);
     }
   }
 
@@ -104,11 +103,20 @@
     claimOffset: number,
     result: RequestResult,
   ): void {
+    if (neverRan(job, result)) {
+      this.ownRuns.set(key, {kind: 'releasing'});
+      const release = this.claims.release(key, claimOffset);
+      this.track(release.andTee(() => this.ownRuns.forget(key)));
+      return;
+    }
     const {keyBodyBytes} = this.context.settings;
-    const append = neverRan(job, result)
-      ? this.claims.release(key, claimOffset)
-      : this.claims.finish(key, toFinishedRun(job, result, keyBodyBytes));
-    const settled = append
+    const run = toFinishedRun(job, result, keyBodyBytes);
+    this.ownRuns.set(key, {kind: 'finished', run});
+    this.track(this.claims.finish(key, run));
+  }
+
+  private track(append: ResultAsync<unknown, BanyanfoldError>): void {
+    const settled: Promise<void> = append
       .match(
         () => undefined,
         () => undefined,
@@ -120,23 +128,20 @@
   private answerTaken(
     job: RequestJob,
     key: string,
-    {finished, ownedBySelf}: Taken,
+    {finished}: Taken,
   ): RequestResult {
-    if (finished) {
-      return {kind: 'answer', answer: recordedAnswer(job, finished)};
-    }
-    const mayRunStill = ownedBySelf
-      ? this.running.has(key)
-      : this.isYoung(job, key);
-    if (!mayRunStill) throw outcomeUnknown();
+    const own = this.ownRuns.get(key);
+    const run = own?.kind === 'finished' ? own.run : finished;
+    if (run) return {kind: 'answer', answer: recordedAnswer(job, run)};
+    if (!own && !this.mayStillRun(job, key)) throw outcomeUnknown();
     throw new ApiError('key_in_progress', 'it is being run under this key', {
       outcome: 'unknown',
       retryAfterMs: IN_PROGRESS_RETRY_MS,
     });
   }
 
-  /** Another entry can't have it in progress for longer than a run takes. */
-  private isYoung(job: RequestJob, key: string): boolean {
+  /** No run takes longer, from its key's making to its record in the log. */
+  private mayStillRun(job: RequestJob, key: string): boolean {
     const keyMs = readTimedKey(key)?.keyMs ?? 0;
     const {wholeAnswerMs} = job.target.selector.targets;
     return this.context.clock.wallMs() - keyMs < 2 * wholeAnswerMs;
