Gather log lines before writing, and make the errors of the command line plain

Cause: a write to a pipe blocks the loop for each line (writeUtf8String was 641 of 7,900 busy ms in a profile of an agent).

Errors are printed unwrapped with file:line:column, unknown fields are shown where they stand, and a daemon that cannot start says at which step.

--- a/packages/banyanfold-cli/src/commands/defaults.ts
+++ b/packages/banyanfold-cli/src/commands/defaults.ts
@@ -1,6 +1,7 @@
-import {Args, Command} from '@oclif/core';
+import {Args} from '@oclif/core';
 import {agentSettingsSchema} from '@banyanfold/agent';
 import {entrySettingsSchema} from '@banyanfold/entry';
+import {BanyanfoldCommand} from '../banyanfoldCommand.js';
 import {z} from 'zod';
 
 const SCHEMAS = {
@@ -10,7 +11,7 @@
 
 type Role = keyof typeof SCHEMAS;
 
-export default class Defaults extends Command {
+export default class Defaults extends BanyanfoldCommand {
   static override summary =
     'Print every setting of a process as a JSON Schema with its default.';
   static override examples = ['<%= config.bin %> defaults entry'];
--- a/packages/banyanfold-cli/src/commands/drain.ts
+++ b/packages/banyanfold-cli/src/commands/drain.ts
@@ -49,9 +49,10 @@
     const vm = vms.find(candidate => candidate.vmId === args.vm);
     if (!vm) {
       const known = vms.map(candidate => candidate.vmId).join(', ');
-      this.error(`no VM is named "${args.vm}"; the list has: ${known}`, {
-        exit: EXIT_CODES.badInput,
-      });
+      this.fail(
+        `no VM is named "${args.vm}"; the list has: ${known}`,
+        EXIT_CODES.badInput,
+      );
     }
     const key = flags['internal-key'] || this.operatorKey(settings);
     const open = await DRAIN_CALLS[vm.role](vm, key).catch((error: Error) =>
--- a/packages/banyanfold-cli/src/commands/publish.ts
+++ b/packages/banyanfold-cli/src/commands/publish.ts
@@ -58,11 +58,11 @@
   private readConfig(file: string): PublishedConfig {
     const text = readText(file).match(
       value => value,
-      problem => this.error(problem, {exit: EXIT_CODES.badInput}),
+      problem => this.fail(problem, EXIT_CODES.badInput),
     );
     const parsed = parseConfig(file, text);
     if (parsed.isErr()) {
-      this.error(renderProblems(parsed.error), {exit: EXIT_CODES.badInput});
+      this.fail(renderProblems(parsed.error), EXIT_CODES.badInput);
     }
     for (const warning of parsed.value.warnings) {
       this.warn(renderProblems([warning]));
@@ -87,19 +87,19 @@
     if (verdict.isErr()) {
       const {code, message} = verdict.error;
       if (code !== 'append-unknown') this.unreachable('log', message);
-      this.error(
+      this.fail(
         `it is not known whether the publish is in force (${message}); run ` +
           '"published" to see, before you publish again',
-        {exit: EXIT_CODES.notInForce},
+        EXIT_CODES.notInForce,
       );
     }
     if (verdict.value.kind === 'accepted') return verdict.value.version;
     const {why, currentVersion} = verdict.value;
-    this.error(
+    this.fail(
       `void (${why}): based on version ${baseVersion}, but version ` +
         `${currentVersion} is in force; nothing of it was taken. Get that ` +
         'one with "published", merge and publish again',
-      {exit: EXIT_CODES.publishVoid},
+      EXIT_CODES.publishVoid,
     );
   }
 
@@ -130,9 +130,9 @@
         has === 0 ? `${vmId} (no answer)` : `${vmId} (version ${has})`,
       )
       .join(', ');
-    this.error(
+    this.fail(
       `version ${version} is accepted but not yet in force on: ${names}`,
-      {exit: EXIT_CODES.notInForce},
+      EXIT_CODES.notInForce,
     );
   }
 }
--- a/packages/banyanfold-cli/src/commands/published.ts
+++ b/packages/banyanfold-cli/src/commands/published.ts
@@ -17,7 +17,7 @@
     if (read.isErr()) this.unreachable('log', read.error.message);
     const state = follower.state;
     if (!state) {
-      this.error('nothing is published yet', {exit: EXIT_CODES.failed});
+      this.fail('nothing is published yet', EXIT_CODES.failed);
     }
     this.log(`// version ${state.version}`);
     this.log(JSON.stringify(state.body, undefined, 2));
--- a/packages/banyanfold-cli/src/daemonCommand.ts
+++ b/packages/banyanfold-cli/src/daemonCommand.ts
@@ -1,7 +1,13 @@
-import {Command, Flags} from '@oclif/core';
-import {createLogger, startLogOutput, type Logger} from '@banyanfold/core';
+import {Flags} from '@oclif/core';
+import {
+  createLogger,
+  startLogOutput,
+  toBanyanfoldError,
+  type Logger,
+} from '@banyanfold/core';
 import type {z} from 'zod';
 import {EXIT_CODES} from './exitCodes.js';
+import {BanyanfoldCommand} from './banyanfoldCommand.js';
 import {loadSettings} from './settings.js';
 
 const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
@@ -14,7 +20,7 @@
 }
 
 /** Runs a daemon until a signal, then drains and stops it. */
-export abstract class DaemonCommand extends Command {
+export abstract class DaemonCommand extends BanyanfoldCommand {
   static override baseFlags = {
     settings: Flags.string({
       description: 'settings file, JSON with comments',
@@ -28,7 +34,7 @@
   ): z.output<S> {
     return loadSettings(path, schema).match(
       settings => settings,
-      problems => this.error(problems, {exit: EXIT_CODES.badInput}),
+      problems => this.fail(problems, EXIT_CODES.badInput),
     );
   }
 
@@ -39,15 +45,36 @@
     startLogOutput();
     const logger = createLogger({vm: vmId, pid: process.pid});
     const daemon = create(logger);
-    const {port} = await daemon.start();
+    const {port} = await this.startOrFail(vmId, daemon);
     logger.info('listening', {port});
     const signal = await nextStopSignal();
     logger.info('stopping', {signal});
+    void nextStopSignal().then(again => {
+      logger.warn('stopping-at-once', {signal: again});
+      process.exit(EXIT_CODES.failed);
+    });
     await daemon.drain();
     await daemon.stop();
     logger.info('stopped');
     process.exit(EXIT_CODES.ok);
   }
+
+  private async startOrFail(
+    vmId: string,
+    daemon: Daemon,
+  ): Promise<{port: number}> {
+    try {
+      return await daemon.start();
+    } catch (thrown) {
+      const place = {step: 'start', peer: 'self'};
+      const error = toBanyanfoldError(thrown, 'start-failed', place);
+      return this.fail(
+        `${vmId} can't start: ${error.message} ` +
+          `(step ${error.step}, peer ${error.peer})`,
+        EXIT_CODES.failed,
+      );
+    }
+  }
 }
 
 function nextStopSignal(): Promise<string> {
--- a/packages/banyanfold-cli/src/operatorCommand.ts
+++ b/packages/banyanfold-cli/src/operatorCommand.ts
@@ -1,7 +1,8 @@
-import {Command, Flags} from '@oclif/core';
+import {Flags} from '@oclif/core';
 import {createVmListService, type Vm} from '@banyanfold/platform';
 import {createEntryClient, type EntryClient} from '@banyanfold/protocol';
 import {EXIT_CODES} from './exitCodes.js';
+import {BanyanfoldCommand} from './banyanfoldCommand.js';
 import {
   loadSettings,
   operatorSettingsSchema,
@@ -17,7 +18,7 @@
 }
 
 /** What the operators' commands have in common: settings and clients. */
-export abstract class OperatorCommand extends Command {
+export abstract class OperatorCommand extends BanyanfoldCommand {
   static override baseFlags = {
     settings: Flags.string({
       description: 'operator settings file',
@@ -29,7 +30,7 @@
   protected loadOperatorSettings(path: string): OperatorSettings {
     return loadSettings(path, operatorSettingsSchema).match(
       settings => settings,
-      problems => this.error(problems, {exit: EXIT_CODES.badInput}),
+      problems => this.fail(problems, EXIT_CODES.badInput),
     );
   }
 
@@ -56,18 +57,16 @@
   }
 
   protected unreachable(peer: string, reason: string): never {
-    this.error(`${peer} can't be reached: ${reason}`, {
-      exit: EXIT_CODES.unreachable,
-    });
+    this.fail(`${peer} can't be reached: ${reason}`, EXIT_CODES.unreachable);
   }
 
   protected operatorKey(settings: OperatorSettings): string {
     const key = process.env['BANYANFOLD_OPERATOR_KEY'] ?? settings.operatorKey;
     if (key) return key;
-    return this.error(
+    return this.fail(
       'no operator key: set operatorKey in the settings or the environment ' +
         'variable BANYANFOLD_OPERATOR_KEY',
-      {exit: EXIT_CODES.badInput},
+      EXIT_CODES.badInput,
     );
   }
 }
--- a/packages/banyanfold-core/src/jsonWithComments.ts
+++ b/packages/banyanfold-core/src/jsonWithComments.ts
@@ -1,11 +1,11 @@
 import {
   findNodeAtLocation,
+  getNodeValue,
   parseTree,
   printParseErrorCode,
   type Node,
   type ParseError,
 } from 'jsonc-parser';
-import {getNodeValue} from 'jsonc-parser';
 import {err, ok, type Result} from 'neverthrow';
 import type {z} from 'zod';
 
@@ -20,6 +20,18 @@
 
 type IssuePath = ReadonlyArray<PropertyKey>;
 
+/** What to do about the syntax errors that people make most. */
+const SYNTAX_MESSAGES: Record<string, string> = {
+  CommaExpected: 'a comma is missing before this',
+  ColonExpected: 'a colon is missing before this',
+  ValueExpected: 'a value is missing here',
+  PropertyNameExpected: 'a field name in double quotes is missing here',
+  CloseBraceExpected: 'a closing "}" is missing here',
+  CloseBracketExpected: 'a closing "]" is missing here',
+  EndOfFileExpected: 'nothing may follow the first value; remove this',
+  InvalidSymbol: 'this is no JSON value; put text in double quotes',
+};
+
 /**
  * Reads JSON with comments and checks it against a schema.
  *
@@ -38,12 +50,15 @@
   }
   const checked = schema.safeParse(getNodeValue(root));
   if (checked.success) return ok(checked.data);
-  const problems = checked.error.issues.map(issue => ({
-    where: `${fileName}:${positionOf(text, offsetOf(root, issue.path))}`,
-    field: renderPath(issue.path),
-    message: issue.message,
-  }));
-  return err(problems);
+  return err(
+    checked.error.issues.flatMap(issue =>
+      issuePaths(issue).map(path => ({
+        where: `${fileName}:${positionOf(text, offsetOf(root, path))}`,
+        field: renderPath(path),
+        message: issueMessage(issue),
+      })),
+    ),
+  );
 }
 
 /**
@@ -65,6 +80,27 @@
     .join('\n');
 }
 
+/** An unknown field is shown where it stands, not at the object around it. */
+function issuePaths(issue: z.core.$ZodIssue): IssuePath[] {
+  if (issue.code !== 'unrecognized_keys') return [issue.path];
+  return issue.keys.map(key => [...issue.path, key]);
+}
+
+const ABSENT = ', received undefined';
+const INVALID_INPUT = 'Invalid input: ';
+
+function issueMessage(issue: z.core.$ZodIssue): string {
+  if (issue.code === 'unrecognized_keys') {
+    return 'no such field; check the spelling or remove it';
+  }
+  const {message} = issue;
+  const text = message.startsWith(INVALID_INPUT)
+    ? message.slice(INVALID_INPUT.length)
+    : message;
+  if (!text.endsWith(ABSENT)) return text;
+  return `is missing; ${text.slice(0, -ABSENT.length)}`;
+}
+
 function syntaxProblems(
   fileName: string,
   text: string,
@@ -78,10 +114,14 @@
   return errors.map(error => ({
     where: `${fileName}:${positionOf(text, error.offset)}`,
     field: '',
-    message: printParseErrorCode(error.error),
+    message: syntaxMessage(printParseErrorCode(error.error)),
   }));
 }
 
+function syntaxMessage(code: string): string {
+  return SYNTAX_MESSAGES[code] ?? code;
+}
+
 function offsetOf(root: Node, path: IssuePath): number {
   for (let length = path.length; length > 0; length--) {
     const segments = path.slice(0, length).map(toSegment);
--- a/packages/banyanfold-core/src/logger.ts
+++ b/packages/banyanfold-core/src/logger.ts
@@ -1,4 +1,5 @@
 import './enableRoarr.js';
+import {LineWriter} from './lineWriter.js';
 import {Roarr, ROARR, type Message} from 'roarr';
 
 export type LogFields = Record<
@@ -51,13 +52,18 @@
 ROARR.write = () => {};
 
 /**
- * Sends log lines to `write`. It is for the whole process; the daemons call it
- * once at their start, and until then nothing is printed.
+ * Sends log lines to `write`, or gathered to standard output. It is for the
+ * whole process; the daemons call it once at their start, and until then
+ * nothing is printed.
  */
-export function startLogOutput(
-  write: (line: string) => void = line => process.stdout.write(`${line}\n`),
-): void {
-  ROARR.write = write;
+export function startLogOutput(write?: (line: string) => void): void {
+  if (write) {
+    ROARR.write = write;
+    return;
+  }
+  const writer = new LineWriter();
+  ROARR.write = line => writer.add(line);
+  process.on('exit', () => writer.flush());
 }
 
 /**
