Hash a prompt prefix as the engines do

Cause: the entry hashed the JSON of the messages, the engines hash the rendered prompt, so the two never agreed: a prefix that an engine reported as cached looked uncached to routing, and an eviction was never noticed. Ruled out: the artifact in the hash (the same on both sides).

--- a/packages/banyanfold-entry/src/requests/parseRequest.ts
+++ b/packages/banyanfold-entry/src/requests/parseRequest.ts
@@ -1,10 +1,9 @@
 import {createHash} from 'node:crypto';
 import {z} from 'zod';
 import {ApiError} from '../http/apiErrors.js';
+import {promptPrefix} from './promptPrefix.js';
 import type {RequestFacts} from './types.js';
 
-/** Prompts that agree in this many characters count as having one prefix. */
-const PREFIX_CHARACTERS = 1024;
 const CHARACTERS_PER_TOKEN = 4;
 const DEFAULT_MAX_TOKENS = 512;
 const PREFIX_HASH_LENGTH = 16;
@@ -38,7 +37,7 @@
     promptTokens: Math.ceil(body.length / CHARACTERS_PER_TOKEN),
     maxTokens:
       request.max_completion_tokens ?? request.max_tokens ?? DEFAULT_MAX_TOKENS,
-    prefixText: prefixOf(request.messages ?? request.prompt),
+    prefixText: promptPrefix(request.messages ?? request.prompt ?? ''),
   };
 }
 
@@ -63,12 +62,6 @@
   return hash.digest('hex').slice(0, PREFIX_HASH_LENGTH);
 }
 
-function prefixOf(prompt: unknown): string {
-  if (prompt === undefined) return '';
-  const text = typeof prompt === 'string' ? prompt : JSON.stringify(prompt);
-  return text.slice(0, PREFIX_CHARACTERS);
-}
-
 function parseJson(body: Buffer): unknown {
   try {
     return JSON.parse(body.toString('utf8'));
