--- /dev/null
+++ b/packages/banyanfold-entry/src/__tests__/agentState.test.ts
@@ -0,0 +1,96 @@
+import type {AgentReport} from '@banyanfold/protocol';
+import type {Vm} from '@banyanfold/platform';
+import {describe, expect, it} from 'vitest';
+import {AgentState} from '../view/agentState.js';
+
+const VM: Vm = {
+  vmId: 'agent-1',
+  role: 'agent',
+  host: '127.0.0.1',
+  port: 1,
+  failureDomain: 'a',
+  region: 'r',
+  state: 'live',
+};
+
+function digest(sequence: number, queued: number, incarnation = 1) {
+  return {
+    incarnation,
+    sequence,
+    queued,
+    running: 0,
+    kvUsedBytes: 0,
+    kvCapacityBytes: 1,
+    queueDelayMs: 0,
+    leaving: false,
+  };
+}
+
+function report(
+  sequence: number,
+  artifact: string,
+  incarnation = 1,
+): AgentReport {
+  return {
+    ...digest(sequence, 0, incarnation),
+    vmId: 'agent-1',
+    failureDomain: 'a',
+    region: 'r',
+    runnerRole: '',
+    configVersion: 1,
+    memoryCapacityBytes: 1,
+    memoryFreeBytes: 1,
+    checksFencing: true,
+    copies: [{artifact, bytes: 1, state: 'held', copyId: 'c', idleMs: 0}],
+    services: [],
+    servedCount: {},
+    cachedPrefixes: [],
+  };
+}
+
+describe('AgentState', () => {
+  it('ignores a digest that an answer brought late', () => {
+    const agent = new AgentState(VM);
+    agent.applyDigest(digest(2, 9), 10);
+    agent.applyDigest(digest(1, 0), 20);
+    expect(agent.runner.queued).toBe(9);
+  });
+
+  // At a busy agent a newer digest overtakes almost every report. Its copies
+  // are news all the same; without them the agent would get no work at all.
+  it('takes the copies of a report that a newer digest overtook', () => {
+    const agent = new AgentState(VM);
+    agent.applyDigest(digest(5, 9), 10);
+    agent.applyReport(report(4, 'claims@1'), 20);
+    expect([...agent.runner.artifacts]).toEqual(['claims@1']);
+    expect(agent.runner.queued).toBe(9);
+  });
+
+  it('ignores a report older than the one it has', () => {
+    const agent = new AgentState(VM);
+    agent.applyReport(report(4, 'claims@1'), 10);
+    agent.applyReport(report(3, 'claims@0'), 20);
+    expect([...agent.runner.artifacts]).toEqual(['claims@1']);
+  });
+
+  // A new process came up beside the server. What the old one held isn't known
+  // to be there, and an attempt for the old one would be refused.
+  it('forgets the copies of an earlier incarnation', () => {
+    const agent = new AgentState(VM);
+    agent.applyReport(report(40, 'claims@1'), 10);
+    agent.applyDigest(digest(1, 0, 2), 20);
+    agent.applyReport(report(41, 'claims@1'), 30);
+    expect([...agent.runner.artifacts]).toEqual([]);
+    expect(agent.incarnation).toBe(2);
+  });
+
+  it('counts its own requests until a digest includes them', () => {
+    const agent = new AgentState(VM);
+    agent.attemptSent('a');
+    agent.attemptSent('b');
+    agent.attemptEnded('a');
+    expect(agent.runner.ownUnreported).toBe(1);
+    agent.applyDigest(digest(1, 0), 10);
+    expect(agent.runner.ownUnreported).toBe(0);
+  });
+});
--- /dev/null
+++ b/packages/banyanfold-entry/src/__tests__/demandMeter.test.ts
@@ -0,0 +1,52 @@
+import {describe, expect, it} from 'vitest';
+import {DemandMeter} from '../plugins/demandMeter.js';
+
+describe('DemandMeter', () => {
+  // An entry that begins to plan sees counters that have risen for days. Taken
+  // as new they would look like a burst, and models would move for it.
+  it('takes no demand from what was counted before it looked', () => {
+    const meter = new DemandMeter(1_000);
+    meter.close(0);
+    meter.noteMisses('entry-2', {'claims@1': 5_000});
+    meter.close(1_000);
+    expect(meter.demandPerSecond('claims@1')).toBe(0);
+    expect(meter.takeMisses().size).toBe(0);
+  });
+
+  it('comes near a steady rate and forgets it again', () => {
+    const meter = new DemandMeter(1_000);
+    const rates: number[] = [];
+    meter.close(0);
+    meter.noteMisses('entry-2', {});
+    for (let second = 1; second <= 12; second++) {
+      const count = Math.min(second, 6) * 10;
+      meter.noteMisses('entry-2', {'claims@1': count});
+      meter.close(second * 1_000);
+      meter.takeMisses();
+      rates.push(Math.round(meter.demandPerSecond('claims@1') * 100) / 100);
+    }
+    expect(rates).toMatchInlineSnapshot(`
+      [
+        5,
+        7.5,
+        8.75,
+        9.38,
+        9.69,
+        9.84,
+        4.92,
+        2.46,
+        1.23,
+        0.62,
+        0.31,
+        0.15,
+      ]
+    `);
+  });
+
+  it('counts on from nothing when the source has restarted', () => {
+    const meter = new DemandMeter(1_000);
+    meter.noteMisses('entry-2', {'claims@1': 50});
+    meter.noteMisses('entry-2', {'claims@1': 3});
+    expect(meter.takeMisses().get('claims@1')).toBe(3);
+  });
+});
--- a/packages/banyanfold-entry/src/__tests__/keys.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/keys.test.ts
@@ -203,4 +203,14 @@
     const answer = await post(ports[0]!, '/v1/chat/completions');
     expect(answer.status).toBe(200);
   });
+
+  // An entry starts in the outage and has never read the claims. An earlier
+  // run of the key can't be ruled out there, so "not run" could be untrue.
+  it('says unknown where the claims were never read', async () => {
+    system.setLogOutage('refuse');
+    const late = await system.startReadyEntry();
+    ports = [...ports.slice(0, 2), late];
+    const answer = await lodgeWith(uuidV7(), {entry: 2});
+    expect(short(answer)).toEqual([503, 'unknown', 'log_unavailable']);
+  });
 });
--- a/packages/banyanfold-entry/src/__tests__/kit/fakeAgent.ts
+++ b/packages/banyanfold-entry/src/__tests__/kit/fakeAgent.ts
@@ -48,6 +48,8 @@
   readonly proposals: Proposal[] = [];
   /** How often work was really done. */
   ran = 0;
+  /** Reports wait for it. */
+  reportGate: Promise<void> = Promise.resolve();
   port = 0;
   private sequence = 0;
   private readonly server: http.Server;
@@ -57,7 +59,10 @@
     private readonly failureDomain = 'a',
   ) {
     const router = createAgentRouter({
-      report: async () => this.report(),
+      report: async () => {
+        await this.reportGate;
+        return this.report();
+      },
       seal: async attemptId => {
         this.sealed.push(attemptId);
         return {state: this.sealState};
--- a/packages/banyanfold-entry/src/__tests__/kit/testSystem.ts
+++ b/packages/banyanfold-entry/src/__tests__/kit/testSystem.ts
@@ -34,6 +34,12 @@
       group: 'lodgings',
       repeatable: false,
     },
+    {
+      name: 'counter-hurry',
+      match: {callers: ['counter'], headers: {'x-hurry': 'yes'}},
+      group: 'counter',
+      targets: {firstTokenMs: 5_000, wholeAnswerMs: 100},
+    },
     {
       name: 'counter',
       match: {callers: ['counter']},
--- a/packages/banyanfold-entry/src/__tests__/planner.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/planner.test.ts
@@ -1,7 +1,7 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {rendezvousOrder} from '@banyanfold/platform';
 import {eventually} from './kit/eventually.js';
-import {TestSystem, post} from './kit/testSystem.js';
+import {TestSystem, isReady, post} from './kit/testSystem.js';
 
 const PLANNING = {planner: {enabled: true, intervalMs: 20, loadsPerSecond: 50}};
 
@@ -79,4 +79,49 @@
     expect((await entry.handlers.status()).plannerEpoch).toBe(0);
     expect(proposals()).toEqual([]);
   });
+
+  // Reports come late, and the planner has gone round several times by then. A
+  // load that was accepted must not be proposed again in between.
+  it('proposes a load once although the reports lag', async () => {
+    const port = await system.startEntry({
+      planner: {...PLANNING.planner, intervalMs: 1, loadsPerSecond: 1_000},
+      reportIntervalMs: 60_000,
+    });
+    await eventually(() => isReady(port)).toBe(true);
+    await eventually(() => proposals().length).toBeGreaterThanOrEqual(2);
+    const before = (await system.entries[0]!.entry.handlers.status())
+      .plannerEpoch;
+    expect(before).toBeGreaterThan(0);
+    await eventually(() => rounds()).toBeGreaterThan(20);
+    const artifacts = proposals().map(({artifact}) => artifact);
+    expect(artifacts.toSorted()).toEqual(['claims@1', 'hidden@1']);
+  });
+
+  // One agent answers late. What it holds isn't missing, and loading it
+  // elsewhere would be moves for nothing.
+  it('waits until every live agent was heard', async () => {
+    const [agent1, agent2] = system.agents;
+    let open = () => {};
+    agent2!.reportGate = new Promise(resolve => {
+      open = resolve;
+    });
+    agent2!.artifacts = ['claims@1', 'hidden@1'];
+    await system.startReadyEntry({...PLANNING, reportTimeoutMs: 30_000});
+    await eventually(() => rounds()).toBeGreaterThan(5);
+    open();
+    await eventually(() => agentsHeard()).toBe(2);
+    const heardAt = rounds();
+    await eventually(() => rounds()).toBeGreaterThan(heardAt + 5);
+    expect(agent1!.proposals).toEqual([]);
+  });
 });
+
+/** How often the planner has gone round. */
+function rounds(): number {
+  return system.entries[0]!.metrics.counterValue('planner_rounds_total');
+}
+
+async function agentsHeard(): Promise<number> {
+  const {agents} = await system.entries[0]!.entry.handlers.status();
+  return agents.filter(({reachable}) => reachable).length;
+}
--- a/packages/banyanfold-entry/src/__tests__/wholeAnswerFaults.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/wholeAnswerFaults.test.ts
@@ -116,6 +116,56 @@
     },
   );
 
+  // The agent takes the request in and hangs. The person who waits gets the
+  // final answer when the selector's target is over, and the attempt is
+  // stopped; it ran, so the outcome is unknown.
+  it('gives up at the deadline and says that it may have run', async () => {
+    for (const agent of system.agents) agent.otherwise = () => {};
+    const answer = await post(port, '/v1/chat/completions', {
+      headers: {'x-hurry': 'yes'},
+    });
+    expect([answer.status, answer.outcome, answer.code]).toEqual([
+      504,
+      'unknown',
+      'deadline_exceeded',
+    ]);
+    expect(system.takeCounts().calls).toBe(1);
+  });
+
+  it('says not run when no agent takes a connection', async () => {
+    const lonely = new TestSystem();
+    await lonely.start();
+    const lonelyPort = await lonely.startReadyEntry({unreachableAfter: 1_000});
+    await lonely.agents[0]!.stop();
+    const answer = await post(lonelyPort, '/v1/chat/completions');
+    expect([answer.status, answer.outcome, answer.code]).toEqual([
+      503,
+      'not-run',
+      'unreachable',
+    ]);
+    await lonely.stop();
+  });
+
+  it('refuses a caller over its concurrency', async () => {
+    const held: AttemptCall[] = [];
+    for (const agent of system.agents) {
+      agent.otherwise = call => held.push(call);
+    }
+    const open = Array.from({length: 8}, () =>
+      post(port, '/v1/chat/completions'),
+    );
+    await eventually(() => held.length).toBe(8);
+    const answer = await post(port, '/v1/chat/completions');
+    expect([answer.status, answer.outcome, answer.retryAfter]).toEqual([
+      429,
+      'not-run',
+      '1',
+    ]);
+    for (const call of held) answerWhole(call);
+    const statuses = (await Promise.all(open)).map(({status}) => status);
+    expect(new Set(statuses)).toEqual(new Set([200]));
+  });
+
   it('passes on what the caller did wrong, without another try', async () => {
     system.next.push(refuse('engine-rejected', 400));
     const answer = await post(port, '/v1/chat/completions');
--- a/packages/banyanfold-entry/src/http/readBody.ts
+++ b/packages/banyanfold-entry/src/http/readBody.ts
@@ -14,7 +14,7 @@
   if (declaredBytes > limitBytes) throw tooLarge(limitBytes);
   const chunks: Buffer[] = [];
   let sizeBytes = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
+  for await (const chunk of wholeBodyOf(req)) {
     sizeBytes += chunk.length;
     if (sizeBytes > limitBytes) throw tooLarge(limitBytes);
     chunks.push(chunk);
@@ -22,6 +22,15 @@
   return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
 }
 
+/** A caller that goes away in its body is no error of ours. */
+async function* wholeBodyOf(req: IncomingMessage): AsyncIterable<Buffer> {
+  try {
+    yield* req as AsyncIterable<Buffer>;
+  } catch {
+    throw new ApiError('invalid_request', 'the body broke off');
+  }
+}
+
 function tooLarge(limitBytes: number): ApiError {
   return new ApiError(
     'body_too_large',
--- a/packages/banyanfold-entry/src/http/routes.ts
+++ b/packages/banyanfold-entry/src/http/routes.ts
@@ -38,7 +38,7 @@
     }
     const route = routes.get(path) ?? serviceRoute(options, path);
     serveRoute(route, req, res).catch((error: unknown) =>
-      answerThrown(context, res, error),
+      answerThrown(context, path, res, error),
     );
   };
 }
@@ -140,10 +140,14 @@
 
 function answerThrown(
   context: EntryContext,
+  path: string,
   res: ServerResponse,
   error: unknown,
 ): void {
   if (error instanceof ApiError) {
+    const {code, outcome} = error;
+    context.metrics.count('refusals_total', {code});
+    context.logger.info('refused', {path, code, outcome});
     // The rest of a body that is too large would be read as a next request.
     if (error.code === 'body_too_large') res.setHeader('connection', 'close');
     writeApiError(res, error);
--- a/packages/banyanfold-entry/src/plugins/ejection.ts
+++ b/packages/banyanfold-entry/src/plugins/ejection.ts
@@ -27,7 +27,7 @@
 }
 
 function judgeRunners(context: EntryContext): void {
-  const {clock, logger, metrics, view} = context;
+  const {clock, logger, metrics, settings, view} = context;
   const outcomes = view.agents().map(agent => agent.readOutcomes());
   const {ejected} = decideEjections(outcomes, clock.nowMs());
   for (const {vmId, untilMs, reason} of ejected) {
@@ -35,7 +35,9 @@
     metrics.count('ejections_total', {agent: vmId});
     logger.warn('runner-ejected', {agent: vmId, reason});
   }
-  for (const agent of view.agents()) agent.decayOutcomes();
+  const {ejectionIntervalMs, outcomeHalfLifeMs} = settings;
+  const kept = 0.5 ** (ejectionIntervalMs / outcomeHalfLifeMs);
+  for (const agent of view.agents()) agent.decayOutcomes(kept);
 }
 
 entryPlugins.register('ejection', ejectionPlugin);
--- a/packages/banyanfold-entry/src/plugins/planner.ts
+++ b/packages/banyanfold-entry/src/plugins/planner.ts
@@ -34,6 +34,7 @@
   /** One round; every entry measures demand, so that any can take over. */
   async plan(): Promise<boolean> {
     const {context} = this;
+    context.metrics.count('planner_rounds_total');
     this.noteDemand();
     this.epoch.refresh();
     if (this.epoch.current === 0) return true;
--- a/packages/banyanfold-entry/src/settings.ts
+++ b/packages/banyanfold-entry/src/settings.ts
@@ -1,3 +1,4 @@
+import {DEFAULT_CLAIM_WINDOW} from '@banyanfold/platform';
 import {z} from 'zod';
 
 const callerSchema = z.strictObject({
@@ -51,8 +52,7 @@
   demandHalfLifeMs: z.number().positive().default(30_000),
 });
 
-/** Settings of an entry, written in JSON with comments. */
-export const entrySettingsSchema = z.strictObject({
+const fieldsSchema = z.strictObject({
   vmId: z.string().min(1),
   host: z.string(),
   port: z.number().int().min(0),
@@ -76,6 +76,8 @@
   /** Failed reports in a row after which an agent counts as unreachable. */
   unreachableAfter: z.number().int().positive().default(3),
   ejectionIntervalMs: z.number().positive().default(2_000),
+  /** One entry sees few outcomes of each runner, so they count for long. */
+  outcomeHalfLifeMs: z.number().positive().default(15_000),
   /** From failing readiness to closing the listener, for the balancer. */
   drainNoticeMs: z.number().min(0).default(2_000),
   drainBoundMs: z.number().positive().default(120_000),
@@ -89,6 +91,27 @@
   keyBodyBytes: z.number().int().min(0).default(16_384),
 });
 
+/** Settings of an entry, written in JSON with comments. */
+export const entrySettingsSchema = fieldsSchema
+  .refine(({callers}) => distinct(callers.map(({key}) => key)), {
+    path: ['callers'],
+    message: 'two callers have the same key; give each its own',
+  })
+  .refine(
+    ({keyHorizonMs, logRetentionMs}) =>
+      keyHorizonMs + DEFAULT_CLAIM_WINDOW.maxAheadMs < logRetentionMs,
+    {
+      path: ['keyHorizonMs'],
+      message:
+        'the log must keep records for longer than a key may be old; lower ' +
+        'keyHorizonMs, or set logRetentionMs to what the log really keeps',
+    },
+  );
+
 export type EntrySettings = z.output<typeof entrySettingsSchema>;
 export type EntrySettingsInput = z.input<typeof entrySettingsSchema>;
 export type CallerSettings = z.output<typeof callerSchema>;
+
+function distinct(texts: readonly string[]): boolean {
+  return new Set(texts).size === texts.length;
+}
--- a/packages/banyanfold-entry/src/view/agentState.ts
+++ b/packages/banyanfold-entry/src/view/agentState.ts
@@ -4,8 +4,6 @@
 
 /** How much one new first-token time counts against the earlier ones. */
 const FIRST_TOKEN_WEIGHT = 0.2;
-/** What of the outcomes so far counts in the next window. */
-const WINDOW_DECAY = 0.5;
 
 type MutableRunnerView = {
   -readonly [K in keyof RunnerView]: RunnerView[K];
@@ -113,10 +111,10 @@
     return {vmId: this.vmId, ejectedUntilMs, ...this.outcomes};
   }
 
-  /** Starts the next window of outcomes; the smoothed time is kept. */
-  decayOutcomes(): void {
-    this.outcomes.successes *= WINDOW_DECAY;
-    this.outcomes.failures *= WINDOW_DECAY;
+  /** Lets outcomes so far count less; the smoothed time is kept. */
+  decayOutcomes(factor: number): void {
+    this.outcomes.successes *= factor;
+    this.outcomes.failures *= factor;
   }
 
   eject(untilMs: number): void {
