Weigh load in slots, and complete rollouts model by model

Placement counted requests a second against one rate for every runner, though a draft holds a slot ten times as long as a desk answer: it copied desk models that needed none and missed busy drafting runners. Load is now the share of slots in use, from each artifact's measured service time (optional in the view; 4 s where unknown). A runner is hot from 60 % on.

A rollout stuck: a model's new version took the memory that its own adapters then lacked, and the first three orphans without memory kept all later ones from being tried. Room is now made for a model with its adapters, what they will need is kept for them, adapters go first, and only orphans for which room was made count against the limit. Growth of an overloaded runner takes turns with orphans that nobody asks for yet.

--- a/bench/src/decisions/fakes/catalog.ts
+++ b/bench/src/decisions/fakes/catalog.ts
@@ -65,8 +65,10 @@
 
   toPlacementArtifact(
     entry: CatalogEntry,
-    demandPerSecond: number,
-    waiting: number,
+    measured: Pick<
+      PlacementArtifact,
+      'demandPerSecond' | 'serviceTimeMs' | 'waiting'
+    >,
   ): PlacementArtifact {
     return {
       artifact: entry.artifact,
@@ -74,8 +76,7 @@
       bytes: entry.bytes,
       priority: TARGETS[entry.model.kind].priority,
       runnerRole: entry.model.kind,
-      demandPerSecond,
-      waiting,
+      ...measured,
     };
   }
 
--- a/bench/src/decisions/fakes/fakeEntry.ts
+++ b/bench/src/decisions/fakes/fakeEntry.ts
@@ -52,6 +52,7 @@
 const LOST_AFTER_MS = 3_000;
 const OUTCOME_WINDOW_MS = 5_000;
 const RETRY_TOKENS_PER_REQUEST = 0.2;
+const SERVICE_TIME_SMOOTHING = 0.1;
 const MAX_RETRY_TOKENS = 50;
 const REGION = 'region';
 
@@ -60,6 +61,8 @@
   /** Arrivals since the planner last asked, by artifact. */
   readonly arrivals = new Map<string, number>();
   readonly noCopy = new Map<string, number>();
+  /** Smoothed time of a whole answer, by artifact. */
+  readonly serviceTimeMs = new Map<string, number>();
   private readonly known = new Map<string, Known>();
   private readonly routingView: RoutingView;
   private retryTokens = MAX_RETRY_TOKENS;
@@ -199,6 +202,7 @@
         },
         onDone: () => {
           close();
+          this.learnServiceTime(entry.artifact, events.nowMs - sentMs);
           events.after(oneWayMs, () => ask.listener.onDone());
         },
         onRefused: (_code, retryAfterMs) => {
@@ -244,6 +248,12 @@
     else ask.listener.onRefused(decision.reason, ask.retryAfterMs);
   }
 
+  private learnServiceTime(artifact: string, tookMs: number): void {
+    const before = this.serviceTimeMs.get(artifact) ?? tookMs;
+    const after = before + SERVICE_TIME_SMOOTHING * (tookMs - before);
+    this.serviceTimeMs.set(artifact, after);
+  }
+
   private isHeld(artifact: string): boolean {
     return this.runners.some(
       ({reachable, artifacts}) => reachable && artifacts.has(artifact),
--- a/bench/src/decisions/fakes/fakePlanner.ts
+++ b/bench/src/decisions/fakes/fakePlanner.ts
@@ -144,15 +144,14 @@
   }
 
   private placementArtifacts(): PlacementArtifact[] {
-    const {catalog} = this.context;
-    return catalog
-      .all()
-      .map(entry =>
-        catalog.toPlacementArtifact(
-          entry,
-          this.demand.get(entry.artifact) ?? 0,
-          this.waiting.get(entry.artifact) ?? 0,
-        ),
-      );
+    const {catalog, entries} = this.context;
+    const planner = entries[0]!;
+    return catalog.all().map(entry =>
+      catalog.toPlacementArtifact(entry, {
+        demandPerSecond: this.demand.get(entry.artifact) ?? 0,
+        serviceTimeMs: planner.serviceTimeMs.get(entry.artifact),
+        waiting: this.waiting.get(entry.artifact) ?? 0,
+      }),
+    );
   }
 }
--- a/packages/banyanfold-decisions/src/decidePlacement.ts
+++ b/packages/banyanfold-decisions/src/decidePlacement.ts
@@ -1,11 +1,12 @@
 import {DEFAULT_PLACEMENT_OPTIONS, type PlacementOptions} from './options.js';
 import {changeRole} from './placement/changeRole.js';
 import {growHot} from './placement/growHot.js';
-import {placeOrphans} from './placement/placeOrphans.js';
+import {isAskedFor, placeOrphans} from './placement/placeOrphans.js';
 import {PlacementPlan} from './placement/placementPlan.js';
 import type {PlacementDecision, PlacementView} from './types.js';
 
 const MS_PER_SECOND = 1000;
+const FULL_LOAD = 1;
 
 /**
  * Proposes moves: first a copy of each labelled artifact that has none, then
@@ -22,15 +23,27 @@
   nowMs: number,
   options: PlacementOptions = DEFAULT_PLACEMENT_OPTIONS,
 ): PlacementDecision {
-  const plan = new PlacementPlan(view, allowedLoads(view, nowMs, options));
-  const orphansWait = placeOrphans(plan, options);
+  const plan = new PlacementPlan(
+    view,
+    allowedLoads(view, nowMs, options),
+    options,
+  );
+  const askedForWait = placeOrphans(plan, options, isAskedFor);
+  // Callers are refused at an overloaded runner, while nobody asks for the
+  // other orphans yet. Turn about, so that neither keeps the other waiting.
+  if (!askedForWait && isOverloadTurn(nowMs)) growHot(plan, options, FULL_LOAD);
+  const orphansWait = placeOrphans(plan, options, o => !isAskedFor(o));
   // An extra copy would take the memory that is being released for an orphan,
   // which would stay out of reach while others are retired for it in turn.
-  if (!orphansWait) growHot(plan, options);
+  if (!orphansWait) growHot(plan, options, options.highUtilization);
   changeRole(plan, nowMs, options);
   return {moves: plan.moves, unplaced: plan.unplaced};
 }
 
+function isOverloadTurn(nowMs: number): boolean {
+  return Math.floor(nowMs / MS_PER_SECOND) % 2 === 0;
+}
+
 /** How many loads the weight store takes now. */
 function allowedLoads(
   view: PlacementView,
--- a/packages/banyanfold-decisions/src/options.ts
+++ b/packages/banyanfold-decisions/src/options.ts
@@ -104,10 +104,12 @@
   horizonMs: durationMsSchema.default(120_000),
   /** A gain must pass the price by this factor. */
   hysteresis: z.number().min(1).default(1.5),
-  /** Requests a second that one runner serves within target. */
-  runnerRequestsPerSecond: z.number().positive().default(4),
-  /** Above this share of that rate a runner counts as hot. */
-  highUtilization: shareSchema.default(0.7),
+  /** Requests a runner runs at once, where its view doesn't say. */
+  assumedMaxRunning: z.number().int().positive().default(16),
+  /** Time of an answer, where no request has shown it yet. */
+  assumedServiceTimeMs: z.number().positive().default(4_000),
+  /** Above this share of its slots in use a runner counts as hot. */
+  highUtilization: shareSchema.default(0.6),
   /** Below this share a runner can help others. */
   lowUtilization: shareSchema.default(0.4),
   /** A surplus copy may be retired after this long without a request. */
--- a/packages/banyanfold-decisions/src/placement/chooseTarget.ts
+++ b/packages/banyanfold-decisions/src/placement/chooseTarget.ts
@@ -1,4 +1,3 @@
-import type {PlacementOptions} from '../options.js';
 import type {PlacementArtifact} from '../types.js';
 import type {PlacementPlan, PlannedRunner} from './placementPlan.js';
 
@@ -27,14 +26,13 @@
 export function rankTargets(
   plan: PlacementPlan,
   artifact: PlacementArtifact,
-  options: PlacementOptions,
 ): Target[] {
   const domains = new Set(
     plan.holders(artifact.artifact).map(({runner}) => runner.failureDomain),
   );
   return [...plan.runners.values()]
     .filter(target => isEligible(target, artifact))
-    .map(target => ({target, cost: costOf(target, artifact, domains, options)}))
+    .map(target => ({target, cost: costOf(target, artifact, domains)}))
     .sort((a, b) => a.cost - b.cost || compareVmIds(a.target, b.target));
 }
 
@@ -42,10 +40,9 @@
   target: PlannedRunner,
   artifact: PlacementArtifact,
   domains: ReadonlySet<string>,
-  options: PlacementOptions,
 ): number {
   const {runner} = target;
-  let cost = target.load / options.runnerRequestsPerSecond;
+  let cost = target.load;
   if (domains.has(runner.failureDomain)) cost += SAME_DOMAIN_COST;
   if (artifact.runnerRole !== '' && runner.runnerRole !== artifact.runnerRole) {
     cost += OTHER_ROLE_COST;
--- a/packages/banyanfold-decisions/src/placement/freeMemory.ts
+++ b/packages/banyanfold-decisions/src/placement/freeMemory.ts
@@ -10,8 +10,8 @@
 /** What has to go from a runner so that an artifact fits. */
 export interface Room {
   copies: PlacementCopy[];
-  /** Requests a second that the copies meet now and others must take over. */
-  lostPerSecond: number;
+  /** Slots that the copies keep in use, and that others must take over. */
+  lostSlots: number;
 }
 
 /**
@@ -26,7 +26,7 @@
   minIdleMs: number,
   keep = '',
 ): Room | undefined {
-  const room: Room = {copies: [], lostPerSecond: 0};
+  const room: Room = {copies: [], lostSlots: 0};
   let missingBytes = bytes - target.freeBytes - releasingBytes(target);
   if (missingBytes <= 0) return room;
   const bundles = bundlesOn(target)
@@ -39,7 +39,7 @@
     const added = bundle.copies.filter(copy => !room.copies.includes(copy));
     room.copies.push(...added);
     for (const {artifact, bytes: freed} of added) {
-      room.lostPerSecond += plan.shareOf(artifact);
+      room.lostSlots += plan.slotsShareOf(artifact);
       missingBytes -= freed;
     }
     if (missingBytes <= 0) return room;
@@ -110,7 +110,7 @@
 
 function lossPerByte(plan: PlacementPlan, bundle: Bundle): number {
   const lost = bundle.copies.reduce(
-    (sum, {artifact}) => sum + plan.shareOf(artifact),
+    (sum, {artifact}) => sum + plan.slotsShareOf(artifact),
     0,
   );
   return lost / Math.max(1, bundle.bytes);
--- a/packages/banyanfold-decisions/src/placement/growHot.ts
+++ b/packages/banyanfold-decisions/src/placement/growHot.ts
@@ -6,11 +6,14 @@
 
 const MS_PER_SECOND = 1000;
 
-/** Plans extra copies of what keeps overloaded runners busy. */
-export function growHot(plan: PlacementPlan, options: PlacementOptions): void {
-  const highLoad = options.highUtilization * options.runnerRequestsPerSecond;
+/** Plans extra copies of what keeps runners busy above a load. */
+export function growHot(
+  plan: PlacementPlan,
+  options: PlacementOptions,
+  aboveLoad: number,
+): void {
   const hot = [...plan.runners.values()]
-    .filter(({load}) => load > highLoad)
+    .filter(({load}) => load > aboveLoad)
     .sort((a, b) => b.load - a.load);
   for (const source of hot) {
     if (plan.loadsLeft <= 0) return;
@@ -43,7 +46,9 @@
   return [...source.copies.keys()]
     .map(name => plan.artifacts.get(name))
     .filter(artifact => artifact !== undefined)
-    .sort((a, b) => plan.shareOf(b.artifact) - plan.shareOf(a.artifact));
+    .sort(
+      (a, b) => plan.slotsShareOf(b.artifact) - plan.slotsShareOf(a.artifact),
+    );
 }
 
 function addCopy(
@@ -52,8 +57,8 @@
   artifact: PlacementArtifact,
   options: PlacementOptions,
 ): boolean {
-  for (const {target} of rankTargets(plan, artifact, options)) {
-    const moved = movedLoad(plan, source, target, artifact);
+  for (const {target} of rankTargets(plan, artifact)) {
+    const movedPerSecond = movedRate(plan, source, target, artifact);
     const room = findRoom(
       plan,
       target,
@@ -62,9 +67,10 @@
       artifact.modelArtifact,
     );
     if (!room) continue;
-    if (!isWorthwhile(moved, artifact, room.copies.length, options)) continue;
+    const retirements = room.copies.length;
+    if (!isWorthwhile(movedPerSecond, artifact, retirements, options)) continue;
     if (target.freeBytes >= artifact.bytes) {
-      plan.load(target, artifact, `hot: +${moved.toFixed(2)}/s`);
+      plan.load(target, artifact, `hot: +${movedPerSecond.toFixed(2)}/s`);
     }
     retireAll(plan, target, room.copies, `room-for ${artifact.artifact}`);
     return true;
@@ -73,19 +79,21 @@
 }
 
 /** Requests a second that would move from the source to the target. */
-function movedLoad(
+function movedRate(
   plan: PlacementPlan,
   source: PlannedRunner,
   target: PlannedRunner,
   artifact: PlacementArtifact,
 ): number {
   const copies = plan.holders(artifact.artifact).length;
-  const newShare = artifact.demandPerSecond / (copies + 1);
-  return Math.min(newShare, (source.load - target.load) / 2);
+  const newSharePerSecond = artifact.demandPerSecond / (copies + 1);
+  const slotsForOne = plan.slotsFor(artifact, 1);
+  const spareSlots = ((source.load - target.load) / 2) * plan.slotsOf(target);
+  return Math.min(newSharePerSecond, spareSlots / slotsForOne);
 }
 
 function isWorthwhile(
-  moved: number,
+  movedPerSecond: number,
   artifact: PlacementArtifact,
   retirements: number,
   options: PlacementOptions,
@@ -94,6 +102,6 @@
   const loadPrice = isAdapter ? options.adapterMoveShare : 1;
   const price = (loadPrice + retirements) * options.moveWeight;
   const horizonSeconds = options.horizonMs / MS_PER_SECOND;
-  const gain = moved * horizonSeconds * options.attainmentWeight;
+  const gain = movedPerSecond * horizonSeconds * options.attainmentWeight;
   return gain > price * options.hysteresis;
 }
--- a/packages/banyanfold-decisions/src/placement/placeOrphans.ts
+++ b/packages/banyanfold-decisions/src/placement/placeOrphans.ts
@@ -5,6 +5,14 @@
 import type {PlacementPlan, PlannedRunner} from './placementPlan.js';
 import {relocateFor} from './relocateFor.js';
 
+/** Smoothed demand falls off for long; below this nobody asks any more. */
+const MIN_DEMAND_PER_SECOND = 0.01;
+
+/** Whether callers ask for it now. */
+export function isAskedFor(orphan: PlacementArtifact): boolean {
+  return orphan.waiting > 0 || orphan.demandPerSecond >= MIN_DEMAND_PER_SECOND;
+}
+
 /** Labelled artifacts that no usable runner holds or loads, most urgent first. */
 export function findOrphans(plan: PlacementPlan): PlacementArtifact[] {
   return plan.view.artifacts
@@ -23,12 +31,18 @@
 export function placeOrphans(
   plan: PlacementPlan,
   options: PlacementOptions,
+  isWanted: (orphan: PlacementArtifact) => boolean,
 ): boolean {
+  const orphans = findOrphans(plan).filter(isWanted);
   let roomsMade = 0;
   let isWaiting = false;
-  for (const orphan of findOrphans(plan)) {
-    const targets = rankTargets(plan, orphan, options);
-    const roomy = targets.find(({target}) => target.freeBytes >= orphan.bytes);
+  for (const orphan of orphans) {
+    const needed = withAdapters(orphan, orphans);
+    const targets = rankTargets(plan, orphan);
+    const spoken = spokenFor(plan, orphans, orphan.modelArtifact);
+    const roomy = targets.find(
+      ({target}) => target.freeBytes - (spoken.get(target) ?? 0) >= needed,
+    );
     if (roomy && plan.loadsLeft > 0) {
       plan.load(roomy.target, orphan, 'orphan');
       continue;
@@ -38,11 +52,11 @@
       isWaiting = true;
       continue;
     }
-    roomsMade += 1;
     if (
-      makeRoom(plan, orphan, targets, options) ||
-      relocateFor(plan, orphan, targets)
+      makeRoom(plan, orphan, needed, targets) ||
+      relocateFor(plan, orphan, needed, targets)
     ) {
+      roomsMade += 1;
       isWaiting = true;
       continue;
     }
@@ -51,6 +65,38 @@
   return isWaiting;
 }
 
+/** Bytes of an orphan with those of its adapters that have no copy either. */
+function withAdapters(
+  orphan: PlacementArtifact,
+  orphans: readonly PlacementArtifact[],
+): number {
+  return orphans
+    .filter(
+      ({artifact, modelArtifact}) =>
+        artifact === orphan.artifact || modelArtifact === orphan.artifact,
+    )
+    .reduce((sum, {bytes}) => sum + bytes, 0);
+}
+
+/**
+ * Memory that orphaned adapters will need beside a model that is held or on
+ * its way. Given to another orphan, it would leave them nowhere to go.
+ */
+function spokenFor(
+  plan: PlacementPlan,
+  orphans: readonly PlacementArtifact[],
+  exceptModel: string,
+): Map<PlannedRunner, number> {
+  const spoken = new Map<PlannedRunner, number>();
+  for (const {artifact, modelArtifact, bytes} of orphans) {
+    if (artifact === modelArtifact || modelArtifact === exceptModel) continue;
+    if (plan.holders(artifact).length > 0) continue;
+    const [home] = plan.holders(modelArtifact);
+    if (home) spoken.set(home, (spoken.get(home) ?? 0) + bytes);
+  }
+  return spoken;
+}
+
 function refuse(
   plan: PlacementPlan,
   {artifact}: PlacementArtifact,
@@ -63,15 +109,14 @@
 function makeRoom(
   plan: PlacementPlan,
   orphan: PlacementArtifact,
+  neededBytes: number,
   targets: readonly Target[],
-  options: PlacementOptions,
 ): boolean {
   let best: {target: PlannedRunner; room: Room; cost: number} | undefined;
   for (const {target, cost} of targets) {
-    const room = findRoom(plan, target, orphan.bytes, 0, orphan.modelArtifact);
+    const room = findRoom(plan, target, neededBytes, 0, orphan.modelArtifact);
     if (!room) continue;
-    const lost = room.lostPerSecond / options.runnerRequestsPerSecond;
-    const total = cost + lost;
+    const total = cost + room.lostSlots / plan.slotsOf(target);
     if (!best || total < best.cost) best = {target, room, cost: total};
   }
   if (!best) return false;
@@ -79,8 +124,12 @@
   return true;
 }
 
+/** Adapters before models: they are short to load and complete a model. */
 function byUrgency(a: PlacementArtifact, b: PlacementArtifact): number {
   if (a.priority !== b.priority) return a.priority - b.priority;
+  const aIsModel = a.artifact === a.modelArtifact;
+  const bIsModel = b.artifact === b.modelArtifact;
+  if (aIsModel !== bIsModel) return aIsModel ? 1 : -1;
   if (a.waiting !== b.waiting) return b.waiting - a.waiting;
   if (a.demandPerSecond !== b.demandPerSecond) {
     return b.demandPerSecond - a.demandPerSecond;
--- a/packages/banyanfold-decisions/src/placement/placementPlan.ts
+++ b/packages/banyanfold-decisions/src/placement/placementPlan.ts
@@ -1,3 +1,4 @@
+import type {PlacementOptions} from '../options.js';
 import type {
   Move,
   PlacementArtifact,
@@ -12,10 +13,12 @@
   freeBytes: number;
   /** By artifact; copies planned for retirement are `releasing`. */
   copies: Map<string, PlacementCopy>;
-  /** Expected requests a second. */
+  /** Expected share of its slots that is in use; may pass 1. */
   load: number;
 }
 
+const MS_PER_SECOND = 1000;
+
 /** States in which a copy serves, or will without another order. */
 const COUNTED_STATES = new Set<PlacementCopy['state']>(['held', 'reserved']);
 
@@ -34,6 +37,7 @@
     readonly view: PlacementView,
     /** Loads that the weight store allows now. */
     public loadsLeft: number,
+    private readonly options: PlacementOptions,
   ) {
     for (const artifact of view.artifacts) {
       this.artifacts.set(artifact.artifact, artifact);
@@ -60,10 +64,12 @@
     );
   }
 
-  /** Requests a second that one copy of an artifact is expected to meet. */
-  shareOf(artifact: string): number {
-    const demand = this.artifacts.get(artifact)?.demandPerSecond ?? 0;
-    return demand / Math.max(1, this.holders(artifact).length);
+  /** Slots that one copy of an artifact is expected to keep in use. */
+  slotsShareOf(name: string): number {
+    const artifact = this.artifacts.get(name);
+    if (!artifact) return 0;
+    const copies = Math.max(1, this.holders(name).length);
+    return this.slotsFor(artifact, artifact.demandPerSecond / copies);
   }
 
   load(target: PlannedRunner, artifact: PlacementArtifact, reason: string) {
@@ -128,12 +134,24 @@
       .map(({copies}) => copies.get(artifact)!.copyId);
   }
 
+  /** Slots that a rate of requests for an artifact keeps in use. */
+  slotsFor(artifact: PlacementArtifact, ratePerSecond: number): number {
+    const {assumedServiceTimeMs} = this.options;
+    const serviceTimeMs = artifact.serviceTimeMs ?? assumedServiceTimeMs;
+    return (ratePerSecond * serviceTimeMs) / MS_PER_SECOND;
+  }
+
+  slotsOf({runner}: PlannedRunner): number {
+    return runner.maxRunning ?? this.options.assumedMaxRunning;
+  }
+
   private spreadLoad(): void {
     for (const planned of this.runners.values()) planned.load = 0;
     for (const artifact of this.artifacts.values()) {
       const holders = this.holders(artifact.artifact);
+      const rate = artifact.demandPerSecond / holders.length;
       for (const holder of holders) {
-        holder.load += artifact.demandPerSecond / holders.length;
+        holder.load += this.slotsFor(artifact, rate) / this.slotsOf(holder);
       }
     }
   }
--- a/packages/banyanfold-decisions/src/placement/relocateFor.ts
+++ b/packages/banyanfold-decisions/src/placement/relocateFor.ts
@@ -1,6 +1,6 @@
 import type {PlacementArtifact} from '../types.js';
 import type {Target} from './chooseTarget.js';
-import {bundlesOn, type Bundle} from './freeMemory.js';
+import {bundlesOn, findRoom, retireAll, type Bundle} from './freeMemory.js';
 import type {PlacementPlan, PlannedRunner} from './placementPlan.js';
 
 interface Relocation {
@@ -21,13 +21,14 @@
 export function relocateFor(
   plan: PlacementPlan,
   orphan: PlacementArtifact,
+  neededBytes: number,
   targets: readonly Target[],
 ): boolean {
   let best: Relocation | undefined;
   for (const {target} of targets) {
     for (const bundle of bundlesOn(target)) {
-      if (!wouldFit(target, bundle, orphan)) continue;
-      const relocation = relocationOf(plan, target, bundle);
+      if (!wouldFit(target, bundle, orphan, neededBytes)) continue;
+      const relocation = relocationOf(plan, target, bundle, orphan);
       if (!relocation) continue;
       if (!best || relocation.missingBytes < best.missingBytes) {
         best = relocation;
@@ -35,10 +36,14 @@
     }
   }
   if (!best) return false;
+  const {home, missingBytes} = best;
+  const room = findRoom(plan, home, missingBytes, 0, orphan.modelArtifact);
+  const reason = `make-room-for ${orphan.artifact}`;
+  if (room) retireAll(plan, home, room.copies, reason);
   for (const artifact of best.missing) {
     if (plan.loadsLeft <= 0) break;
-    if (!canLoadNow(best.home, artifact)) continue;
-    plan.load(best.home, artifact, `make-room-for ${orphan.artifact}`);
+    if (home.freeBytes < artifact.bytes) break;
+    if (canLoadNow(home, artifact)) plan.load(home, artifact, reason);
   }
   return true;
 }
@@ -47,19 +52,21 @@
   target: PlannedRunner,
   bundle: Bundle,
   orphan: PlacementArtifact,
+  neededBytes: number,
 ): boolean {
   const needsModel = bundle.copies.some(
     ({artifact}) => artifact === orphan.modelArtifact,
   );
   if (needsModel) return false;
   if (bundle.copies.some(({state}) => state !== 'held')) return false;
-  return target.freeBytes + bundle.bytes >= orphan.bytes;
+  return target.freeBytes + bundle.bytes >= neededBytes;
 }
 
 function relocationOf(
   plan: PlacementPlan,
   target: PlannedRunner,
   bundle: Bundle,
+  orphan: PlacementArtifact,
 ): Relocation | undefined {
   const missing: PlacementArtifact[] = [];
   for (const {artifact} of [...bundle.copies].reverse()) {
@@ -69,12 +76,16 @@
     if (others.length === 0) missing.push(published);
   }
   const missingBytes = missing.reduce((sum, {bytes}) => sum + bytes, 0);
-  const home = [...plan.runners.values()].find(
+  const homes = [...plan.runners.values()].filter(
     other =>
       other !== target &&
-      other.freeBytes >= missingBytes &&
       missing.every(artifact => couldServe(other, artifact, missing)),
   );
+  const home =
+    homes.find(({freeBytes}) => freeBytes >= missingBytes) ??
+    homes.find(other =>
+      findRoom(plan, other, missingBytes, 0, orphan.modelArtifact),
+    );
   return home && {home, missing, missingBytes};
 }
 
--- a/packages/banyanfold-decisions/src/types.ts
+++ b/packages/banyanfold-decisions/src/types.ts
@@ -185,6 +185,8 @@
   memoryFreeBytes: number;
   running: number;
   queued: number;
+  /** Requests it runs at once, where the planner knows it. */
+  maxRunning?: number;
   copies: readonly PlacementCopy[];
 }
 
@@ -200,6 +202,8 @@
   runnerRole: string;
   /** Smoothed requests a second. */
   demandPerSecond: number;
+  /** Smoothed time from dispatch to the end of an answer, where known. */
+  serviceTimeMs?: number;
   /** Callers refused or waiting for lack of a copy since the last decision. */
   waiting: number;
 }
