--- a/packages/banyanfold-platform/src/configFollower.ts
+++ b/packages/banyanfold-platform/src/configFollower.ts
@@ -29,7 +29,10 @@
   liveVmIds(): readonly string[];
   /** How long the log keeps a record. */
   retentionMs: number;
-  /** Asked at the start, and while a gap keeps the fold from going on. */
+  /**
+   * Asked until the end of the log was reached once, and while a gap keeps the
+   * fold from going on. Two peers are enough; each answer is a whole state.
+   */
   fetchPeerSnapshots?(): Promise<readonly unknown[]>;
   /** Called after each change of version. */
   onChange?(state: ConfigState): void;
@@ -223,7 +226,8 @@
   }
 
   private async check(): Promise<void> {
-    if (this.fold.needsBase) await this.askPeers();
+    const {hasCaughtUp} = this.follower;
+    if (this.fold.needsBase || !hasCaughtUp) await this.askPeers();
     await this.checkpointer.appendWhenDue(this.follower, this.fold);
   }
 }
