--- /dev/null
+++ b/packages/banyanfold-agent/src/__tests__/admissionQueue.test.ts
@@ -0,0 +1,108 @@
+import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
+import {describe, expect, it} from 'vitest';
+import {AdmissionQueue} from '../attempts/admissionQueue.js';
+
+function createQueue(options: {maxRunning?: number; kvFreeBytes?: number}) {
+  const clock = new VirtualClock();
+  const logger = new MemoryLogger();
+  const events: string[] = [];
+  let kvFreeBytes = options.kvFreeBytes ?? Number.POSITIVE_INFINITY;
+  const queue = new AdmissionQueue({
+    clock,
+    logger,
+    metrics: new Metrics(),
+    memory: {
+      kvFreeBytes: () => kvFreeBytes,
+      reserveKv: (_key, bytes) => {
+        kvFreeBytes -= bytes;
+      },
+    },
+    maxRunning: options.maxRunning ?? 1,
+    maxQueued: 2,
+  });
+  const submit = (
+    attemptId: string,
+    fields: {priority?: number; budgetMs?: number; kvBytes?: number} = {},
+  ) => {
+    const note = (what: string) =>
+      events.push(`${clock.nowMs()} ${attemptId} ${what}`);
+    queue.submit({
+      attemptId,
+      artifact: 'claims@1',
+      priority: fields.priority ?? 5,
+      firstTokenBudgetMs: fields.budgetMs ?? 10_000,
+      kvBytes: fields.kvBytes ?? 0,
+      start: () => note('start'),
+      refuse: ({code, outcome}) => note(`${code} ${outcome}`),
+    });
+  };
+  return {clock, queue, submit, events, logger};
+}
+
+describe('AdmissionQueue', () => {
+  it('runs the more urgent first when a slot gets free', () => {
+    const {queue, submit, events} = createQueue({});
+    submit('running');
+    submit('low', {priority: 7});
+    submit('high', {priority: 1});
+    queue.release('running', 100);
+    expect(events).toEqual(['0 running start', '0 high start']);
+  });
+
+  it('refuses at once what can not come in time', () => {
+    const {submit, events} = createQueue({});
+    submit('running');
+    submit('hurried', {budgetMs: 20});
+    expect(events).toEqual(['0 running start', '0 hurried too-late not-run']);
+  });
+
+  // A caller waits in the queue, and the slot doesn't get free. It must hear
+  // of it when its first token can't come in time any more, with nothing else
+  // happening at that moment, so that it can turn elsewhere.
+  it('refuses a waiting request the moment it is too late', async () => {
+    const {clock, submit, events} = createQueue({});
+    submit('running');
+    submit('waiting', {budgetMs: 800});
+    await clock.advance(700);
+    expect(events).toEqual(['0 running start']);
+    await clock.advance(100);
+    expect(events.at(-1)).toBe('751 waiting too-late not-run');
+  });
+
+  it('refuses what finds the queue full', () => {
+    const {submit, events} = createQueue({});
+    for (const id of ['a', 'b', 'c', 'd']) submit(id);
+    expect(events).toEqual(['0 a start', '0 d busy not-run']);
+  });
+
+  it('runs no more than there is KV memory for', () => {
+    const {queue, submit, events} = createQueue({
+      maxRunning: 4,
+      kvFreeBytes: 100,
+    });
+    submit('a', {kvBytes: 60});
+    submit('b', {kvBytes: 60});
+    submit('c', {kvBytes: 200});
+    queue.pump();
+    expect(events).toEqual(['0 a start']);
+  });
+
+  // The engine stalled once, and the smoothed time to a first token is above
+  // every budget. All would be refused, and no sample would ever correct it.
+  it('admits again some time after a stall', async () => {
+    const {clock, queue, submit, events} = createQueue({maxRunning: 4});
+    for (let sample = 0; sample < 50; sample++) queue.noteFirstToken(5_000);
+    submit('during', {budgetMs: 310});
+    await clock.advance(20_000);
+    submit('after', {budgetMs: 310});
+    expect(events).toEqual(['0 during too-late not-run', '20000 after start']);
+  });
+
+  it('logs each decision with its reason', () => {
+    const {queue, submit, logger} = createQueue({});
+    submit('a');
+    submit('b', {budgetMs: 20});
+    queue.stop();
+    expect(logger.lines).toMatchSnapshot();
+  });
+});
--- a/packages/banyanfold-agent/src/__tests__/testAgent.ts
+++ b/packages/banyanfold-agent/src/__tests__/testAgent.ts
@@ -14,7 +14,8 @@
 
 export interface TestAgentOptions {
   engine?: EngineOptions;
-  engineStandin?: EngineStandin;
+  /** In place of the stand-in. */
+  fakeEngine?: {start(): Promise<{port: number}>; stop(): Promise<void>};
   settings?: Partial<Omit<AgentSettingsInput, 'engine'>> & {
     engine?: Partial<AgentSettingsInput['engine']>;
   };
@@ -25,18 +26,17 @@
 export async function startTestAgent(options: TestAgentOptions = {}) {
   const logStandin = new LogStandin();
   const logPort = options.logUrl ? 0 : (await logStandin.start()).port;
-  const engine =
-    options.engineStandin ??
-    new EngineStandin({
-      models: [{artifact: MODEL, bytes: 4 * GIB}],
-      baseStepMs: 2,
-      stepMsPerSequence: 0,
-      reportLagMs: 5,
-      unloadMs: 5,
-      loadBytesPerSecond: 1e12,
-      ...options.engine,
-    });
-  const enginePort = (await engine.start()).port;
+  const engine = new EngineStandin({
+    models: [{artifact: MODEL, bytes: 4 * GIB}],
+    baseStepMs: 2,
+    stepMsPerSequence: 0,
+    reportLagMs: 5,
+    unloadMs: 5,
+    loadBytesPerSecond: 1e12,
+    ...options.engine,
+  });
+  const usedEngine = options.fakeEngine ?? engine;
+  const enginePort = (await usedEngine.start()).port;
   const logger = new MemoryLogger();
   const metrics = new Metrics();
   const agent = createAgent(
@@ -62,15 +62,25 @@
   const {port} = await agent.start();
   const stop = async () => {
     await agent.stop();
-    await engine.stop();
-    await logStandin.stop();
+    await usedEngine.stop();
+    if (!options.logUrl) await logStandin.stop();
   };
   const client = createAgentClient({
     host: '127.0.0.1',
     port,
     internalKey: INTERNAL_KEY,
   });
-  return {agent, port, engine, logStandin, logger, metrics, client, stop};
+  return {
+    agent,
+    port,
+    engine,
+    enginePort,
+    logStandin,
+    logger,
+    metrics,
+    client,
+    stop,
+  };
 }
 
 export interface AttemptOptions {
--- a/packages/banyanfold-agent/src/agentParts.ts
+++ b/packages/banyanfold-agent/src/agentParts.ts
@@ -84,7 +84,7 @@
     clock,
     logger,
     metrics,
-    memory: ledger,
+    memory: ledger.budget,
     maxRunning: settings.maxRunning,
     maxQueued: settings.maxQueued,
   });
@@ -228,7 +228,9 @@
   metrics.gauge('agent_running', () => queue.runningCount());
   metrics.gauge('agent_queued', () => queue.queuedCount());
   metrics.gauge('agent_open_attempts', () => registry.openCount());
-  metrics.gauge('agent_memory_capacity_bytes', () => ledger.capacityBytes());
-  metrics.gauge('agent_memory_free_bytes', () => ledger.freeBytes());
-  metrics.gauge('agent_kv_free_bytes', () => ledger.kvFreeBytes());
+  metrics.gauge('agent_memory_capacity_bytes', () =>
+    ledger.budget.capacityBytes(),
+  );
+  metrics.gauge('agent_memory_free_bytes', () => ledger.budget.freeBytes());
+  metrics.gauge('agent_kv_free_bytes', () => ledger.budget.kvFreeBytes());
 }
--- a/packages/banyanfold-agent/src/attempts/attemptServer.ts
+++ b/packages/banyanfold-agent/src/attempts/attemptServer.ts
@@ -9,7 +9,9 @@
 import {ModelAttempt} from './modelAttempt.js';
 import {readBody} from '../http/readBody.js';
 import {sendRefusal, type Refusal, type RefusalCode} from './refusal.js';
-import {runServiceAttempt} from './serviceAttempt.js';
+import {runServiceAttempt, serviceUrl} from './serviceAttempt.js';
+import {parseJsonObject} from './wholeAnswer.js';
+import {ANSWER_LOST} from './engineRejection.js';
 
 const MODEL_PATHS = new Set(['v1/chat/completions', 'v1/completions']);
 const LEAVING_RETRY_AFTER_MS = 250;
@@ -137,7 +139,9 @@
 
   private run(attempt: ModelAttempt): void {
     attempt.run().catch((error: unknown) => {
+      // Without this a fault of ours would keep the slot taken for good.
       this.context.logger.error('attempt-failed', {error: String(error)});
+      return attempt.endUnknown(ANSWER_LOST);
     });
   }
 
@@ -153,6 +157,11 @@
       this.giveUp(attempt, notRun('unknown-service', `no ${service} here`));
       return;
     }
+    const url = serviceUrl(target.url, path);
+    if (!url) {
+      this.giveUp(attempt, notRun('bad-request', 'no path of the service'));
+      return;
+    }
     if (this.serviceCalls >= settings.maxServiceCalls) {
       this.giveUp(attempt, notRun('busy', 'too many calls are open', 1_000));
       return;
@@ -160,7 +169,7 @@
     registry.dispatch(headers.attemptId);
     this.serviceCalls++;
     await runServiceAttempt(this.context, this.serviceDispatcher, {
-      url: `${target.url.replace(/\/$/, '')}/${path}`,
+      url,
       headers,
       incoming: req.headers,
       body,
@@ -202,14 +211,3 @@
 ): Refusal {
   return {code, outcome: 'not-run', message, retryAfterMs};
 }
-
-function parseJsonObject(body: Buffer): Record<string, unknown> | undefined {
-  try {
-    const parsed: unknown = JSON.parse(body.toString('utf8'));
-    const isObject =
-      typeof parsed === 'object' && parsed !== null && !Array.isArray(parsed);
-    return isObject ? (parsed as Record<string, unknown>) : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- /dev/null
+++ b/packages/banyanfold-agent/src/attempts/engineRejection.ts
@@ -0,0 +1,46 @@
+import type {EngineResponse} from '../engine/engineClient.js';
+import type {Refusal} from './refusal.js';
+
+const MAX_MESSAGE_CHARS = 500;
+const RETRY_AFTER_MS = 1_000;
+
+/**
+ * Statuses by which an engine says that it did not take the request. After any
+ * other error status the request may have run.
+ */
+const NOT_RUN_CODE_OF_STATUS: Record<number, Refusal['code']> = {
+  400: 'engine-rejected',
+  404: 'not-held',
+  413: 'engine-rejected',
+  422: 'engine-rejected',
+  429: 'busy',
+};
+
+/** What an error status of the engine means for the caller. */
+export async function readRejection(
+  response: EngineResponse,
+): Promise<Refusal> {
+  const {statusCode} = response;
+  const text = await response.body.text().catch(() => '');
+  const message =
+    text.slice(0, MAX_MESSAGE_CHARS) || `the engine answered ${statusCode}`;
+  const code = NOT_RUN_CODE_OF_STATUS[statusCode];
+  if (!code) return {code: 'engine-failed', outcome: 'unknown', message};
+  return {code, outcome: 'not-run', message, retryAfterMs: RETRY_AFTER_MS};
+}
+
+/** Nothing left this process. */
+export function unreachable(message: string): Refusal {
+  return {
+    code: 'engine-unreachable',
+    outcome: 'not-run',
+    message,
+    retryAfterMs: RETRY_AFTER_MS,
+  };
+}
+
+export const ANSWER_LOST: Refusal = {
+  code: 'answer-lost',
+  outcome: 'unknown',
+  message: "the engine's answer was lost or is not this request's",
+};
--- a/packages/banyanfold-agent/src/attempts/resumeAttempt.ts
+++ b/packages/banyanfold-agent/src/attempts/resumeAttempt.ts
@@ -1,7 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import type {AttemptContext} from './attemptContext.js';
 import {engineRequestId} from './attemptHeaders.js';
-import {writeStreamHead} from './modelAttempt.js';
+import {writeStreamHead} from './answerHeads.js';
 import {sendRefusal, type Refusal} from './refusal.js';
 import {StreamPump} from './streamPump.js';
 import {StreamRecord} from './streamRecord.js';
@@ -95,7 +95,7 @@
   });
   const isWhole = await pump.run(first.value);
   if (isWhole) record.complete();
-  else record.abort();
+  else record.fail();
   if (isNew) {
     context.registry.finish(attemptId);
     clock.setTimer(settings.resumeWindowMs, () =>
--- a/packages/banyanfold-agent/src/attempts/serviceAttempt.ts
+++ b/packages/banyanfold-agent/src/attempts/serviceAttempt.ts
@@ -3,7 +3,7 @@
 import {isNotSent} from '../engine/engineClient.js';
 import type {AttemptHeaders} from './attemptHeaders.js';
 import type {AttemptContext} from './attemptContext.js';
-import {commonHeaders} from './modelAttempt.js';
+import {commonHeaders} from './answerHeads.js';
 import {sendRefusal, type Refusal} from './refusal.js';
 import {WholeRecord} from './wholeRecord.js';
 
@@ -40,6 +40,20 @@
   });
 }
 
+/**
+ * The URL of a call, or undefined when its path leads out of the service's own
+ * paths: `..` in a caller's path would reach what operators did not publish.
+ *
+ * @example serviceUrl('http://h:1/api', 'cases?x=1') // 'http://h:1/api/cases?x=1'
+ */
+export function serviceUrl(base: string, path: string): string | undefined {
+  const root = base.endsWith('/') ? base : `${base}/`;
+  const url = `${root}${path}`;
+  if (!URL.canParse(url)) return undefined;
+  const isInside = new URL(url).href.startsWith(new URL(root).href);
+  return isInside ? url : undefined;
+}
+
 /** Calls a plain service exactly once and keeps its answer for the entry. */
 export async function runServiceAttempt(
   context: AttemptContext,
--- a/packages/banyanfold-agent/src/attempts/streamPump.ts
+++ b/packages/banyanfold-agent/src/attempts/streamPump.ts
@@ -10,6 +10,9 @@
 /** Where the events of one stream go. */
 export interface EventSink {
   append(seq: number, data: string): void;
+  /** Whether reading should wait: the reader is slower than the engine. */
+  isFull(): boolean;
+  /** Resolves when it isn't full any more. */
   writable(): Promise<void>;
 }
 
@@ -110,7 +113,7 @@
         parser.feed(decoder.decode(chunk as Buffer, {stream: true}));
         const end = overlong ? 'failed' : this.takeAll(events.splice(0));
         if (end) return end;
-        await this.options.sink.writable();
+        if (this.options.sink.isFull()) await this.writableOrAborted();
       }
     } catch {
       // Cut: what came is kept, the rest is asked for again.
@@ -120,6 +123,16 @@
     return 'broken';
   }
 
+  /** A reader that never drains must not hold the slot past its abort. */
+  private async writableOrAborted(): Promise<void> {
+    const {sink, signal} = this.options;
+    if (signal.aborted) return;
+    const aborted = new Promise<void>(resolve => {
+      signal.addEventListener('abort', () => resolve(), {once: true});
+    });
+    await Promise.race([sink.writable(), aborted]);
+  }
+
   private takeAll(events: EventSourceMessage[]): ReadEnd | undefined {
     for (const event of events) {
       const verified = this.verifier.take(event);
--- a/packages/banyanfold-agent/src/attempts/streamRecord.ts
+++ b/packages/banyanfold-agent/src/attempts/streamRecord.ts
@@ -33,6 +33,8 @@
   private readonly frames: Frame[] = [];
   private readonly watch: ReaderWatch;
   private keptBytes = 0;
+  private wasAttached = false;
+  private readerHasThrough = 0;
   private state: 'open' | 'complete' | 'broken' = 'open';
 
   constructor(private readonly options: StreamRecordOptions) {
@@ -47,6 +49,8 @@
     if (this.state === 'broken' || afterSeq < this.droppedThrough()) {
       return false;
     }
+    this.wasAttached = true;
+    this.readerHasThrough = afterSeq;
     this.options.writeHead(res);
     for (const frame of this.frames) {
       if (frame.seq > afterSeq) res.write(frame.text);
@@ -56,11 +60,17 @@
     return true;
   }
 
+  /** Attaches the caller's own connection, the first time it is called. */
+  attachOnce(res: ServerResponse): void {
+    if (this.wasAttached) return;
+    this.attach(res, 0);
+  }
+
   append(seq: number, data: string): void {
     const text = `id: ${this.options.attemptId}/${seq}\ndata: ${data}\n\n`;
     this.frames.push({seq, text});
     this.keptBytes += text.length;
-    this.watch.current?.write(text);
+    if (seq > this.readerHasThrough) this.watch.current?.write(text);
     while (this.keptBytes > this.options.maxBytes && this.frames.length > 1) {
       this.keptBytes -= this.frames.shift()!.text.length;
     }
@@ -80,14 +90,14 @@
   }
 
   /** Ends visibly broken: a clean end would make a part look whole. */
-  abort(): void {
+  fail(): undefined {
     this.state = 'broken';
     const reader = this.watch.current;
     this.watch.end();
     reader?.destroy();
   }
 
-  private isFull(): boolean {
+  isFull(): boolean {
     const reader = this.watch.current;
     if (reader) return reader.writableNeedDrain;
     return this.keptBytes >= this.options.maxBytes / 2;
--- a/packages/banyanfold-agent/src/control/configView.ts
+++ b/packages/banyanfold-agent/src/control/configView.ts
@@ -1,5 +1,5 @@
 import type {ConfigState} from '@banyanfold/config';
-import {modelOf} from '../memory/memoryLedger.js';
+import {modelOf} from '../memory/allocationTable.js';
 
 /** What the configuration in force says of a model's KV cache. */
 export function kvBytesPerTokenOf(
--- a/packages/banyanfold-agent/src/control/proposalHandler.ts
+++ b/packages/banyanfold-agent/src/control/proposalHandler.ts
@@ -3,7 +3,8 @@
 import type {Proposal, ProposalResult} from '@banyanfold/protocol';
 import type {OrderSender} from '../engine/orderSender.js';
 import type {Allocation} from '../memory/allocation.js';
-import {modelOf, type MemoryLedger} from '../memory/memoryLedger.js';
+import {modelOf} from '../memory/allocationTable.js';
+import type {MemoryLedger} from '../memory/memoryLedger.js';
 
 const MAX_REMEMBERED = 1_024;
 const DRAIN_POLL_MS = 20;
@@ -148,12 +149,14 @@
 
   /** Requests that run on the copy, or were admitted to it, end first. */
   private async unloadWhenUnused(allocation: Allocation): Promise<void> {
-    const {clock, orders, nextOrderId} = this.options;
+    const {clock, ledger, orders, nextOrderId} = this.options;
     while (allocation.users > 0) {
       if (this.stopped) return;
       await sleep(clock, DRAIN_POLL_MS);
     }
     const {artifact} = allocation;
+    // It may have vanished and been loaded anew, which nobody retired.
+    if (ledger.get(artifact) !== allocation) return;
     await orders.unload(artifact, () => nextOrderId(artifact));
   }
 }
--- a/packages/banyanfold-agent/src/engine/engineClient.ts
+++ b/packages/banyanfold-agent/src/engine/engineClient.ts
@@ -91,10 +91,13 @@
   > {
     const askedAtMs = this.options.clock.nowMs();
     const answer = await this.getJson('/report', engineReportSchema);
-    return answer.map(({value, engineNowMs}) => ({
-      report: value,
-      timing: {askedAtMs, engineNowMs},
-    }));
+    return answer.andThen(({value, engineNowMs}) => {
+      if (Number.isFinite(engineNowMs)) {
+        return ok({report: value, timing: {askedAtMs, engineNowMs}});
+      }
+      const cause = `no ${ENGINE_NOW_HEADER}: the report proves nothing`;
+      return err(this.fault('bad-answer', 'read-report', cause));
+    });
   }
 
   async cacheEvents(
@@ -235,14 +238,8 @@
 
   private fault(code: string, step: string, cause: unknown): BanyanfoldError {
     const message = cause instanceof Error ? cause.message : String(cause);
-    return new BanyanfoldError(
-      code,
-      message,
-      {step, peer: this.peer},
-      {
-        cause,
-      },
-    );
+    const place = {step, peer: this.peer};
+    return new BanyanfoldError(code, message, place, {cause});
   }
 }
 
--- a/packages/banyanfold-agent/src/engine/orderSender.ts
+++ b/packages/banyanfold-agent/src/engine/orderSender.ts
@@ -95,6 +95,7 @@
         return;
       }
       await sleep(clock, RESEND_CAP_MS);
+      if (ledger.get(artifact)?.unloadOrderId !== orderId) return;
     }
   }
 
--- a/packages/banyanfold-agent/src/http/agentServer.ts
+++ b/packages/banyanfold-agent/src/http/agentServer.ts
@@ -85,9 +85,10 @@
     // the process.
     res.on('error', () => res.destroy());
     if (this.options.isLeaving()) res.setHeader('connection', 'close');
-    const path = (req.url ?? '/').split('?')[0] ?? '/';
+    const url = req.url ?? '/';
+    const path = url.split('?')[0] ?? '/';
     const handler = this.findHandler(req.method ?? 'GET', path);
-    if (handler) handler(path, req, res);
+    if (handler) handler(url, req, res);
     else sendJson(res, NOT_FOUND, {error: {message: 'no such path'}});
   }
 
@@ -112,13 +113,13 @@
   };
 
   private readonly attemptHandlers: Record<string, Handler> = {
-    POST: this.guarded((path, req, res) =>
-      this.options.attempt(path.slice(PATHS.attempt.length), req, res),
+    POST: this.guarded((url, req, res) =>
+      this.options.attempt(url.slice(PATHS.attempt.length), req, res),
     ),
-    GET: this.guarded((path, req, res) =>
+    GET: this.guarded((url, req, res) =>
       this.options.resume(
         {
-          attemptId: decodeURIComponent(path.slice(PATHS.attempt.length)),
+          attemptId: decodeURIComponent(url.slice(PATHS.attempt.length)),
           requestId: textHeader(req, HEADERS.requestId),
           afterSeq: readSeq(textHeader(req, HEADERS.lastEventId)),
         },
@@ -129,22 +130,18 @@
 
   /** Lets only those in who have the internal key. */
   private guarded(
-    handle: (
-      path: string,
-      req: IncomingMessage,
-      res: ServerResponse,
-    ) => unknown,
+    handle: (url: string, req: IncomingMessage, res: ServerResponse) => unknown,
   ): Handler {
-    return (path, req, res) => {
+    return (url, req, res) => {
       const given = bearerKey(req.headers.authorization) ?? '';
       if (!secretsEqual(given, this.options.internalKey)) {
         res.setHeader(HEADERS.outcome, 'not-run');
         sendJson(res, UNAUTHORIZED, {error: {message: 'unauthorized'}});
         return;
       }
-      Promise.resolve(handle(path, req, res)).catch((error: unknown) => {
+      Promise.resolve(handle(url, req, res)).catch((error: unknown) => {
         const {logger} = this.options;
-        logger.error('request-failed', {path, error: String(error)});
+        logger.error('request-failed', {url, error: String(error)});
         res.destroy();
       });
     };
--- a/packages/banyanfold-agent/src/memory/allocation.ts
+++ b/packages/banyanfold-agent/src/memory/allocation.ts
@@ -72,3 +72,17 @@
   /** Engine clock, when it answered. */
   engineNowMs: number;
 }
+
+/** Makes the times of an engine that is gone prove nothing any more. */
+export function forgetEngineTimes(
+  allocation: Allocation,
+  engineNowMs: number,
+  nowMs: number,
+): void {
+  const isDoubt = allocation.state === 'in-doubt';
+  allocation.provenAfterMs = isDoubt ? undefined : engineNowMs;
+  if (isDoubt) allocation.loadSentMs = nowMs;
+  if (allocation.unloadReceivedMs !== undefined) {
+    allocation.unloadReceivedMs = engineNowMs;
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-agent/src/memory/allocationTable.ts
@@ -0,0 +1,75 @@
+import type {Allocation} from './allocation.js';
+
+/**
+ * The model of an artifact; a model is its own.
+ *
+ * @example modelOf('claims@3+suva@1') // 'claims@3'
+ */
+export function modelOf(artifact: string): string {
+  return artifact.split('+')[0] ?? artifact;
+}
+
+/** The allocations of one engine, by artifact. */
+export class AllocationTable {
+  private readonly allocations = new Map<string, Allocation>();
+
+  get(artifact: string): Allocation | undefined {
+    return this.allocations.get(artifact);
+  }
+
+  set(allocation: Allocation): void {
+    this.allocations.set(allocation.artifact, allocation);
+  }
+
+  delete(artifact: string): void {
+    this.allocations.delete(artifact);
+  }
+
+  all(): Allocation[] {
+    return [...this.allocations.values()];
+  }
+
+  byCopy(copyId: string): Allocation | undefined {
+    return this.all().find(allocation => allocation.copyId === copyId);
+  }
+
+  byUnloadOrder(orderId: string): Allocation | undefined {
+    return this.all().find(({unloadOrderId}) => unloadOrderId === orderId);
+  }
+
+  /** Copies whose load order may or may not still arrive. */
+  doubts(): Allocation[] {
+    return this.all().filter(
+      ({state, provenAfterMs}) =>
+        state === 'in-doubt' && provenAfterMs === undefined,
+    );
+  }
+
+  weightBytes(): number {
+    let total = 0;
+    for (const {bytes} of this.allocations.values()) total += bytes;
+    return total;
+  }
+
+  canServe(artifact: string): boolean {
+    return neededArtifacts(artifact).every(needed => {
+      const allocation = this.allocations.get(needed);
+      return allocation?.state === 'held' && !allocation.retiring;
+    });
+  }
+
+  countUse(artifact: string, change: 1 | -1, nowMs: number): void {
+    for (const needed of neededArtifacts(artifact)) {
+      const allocation = this.allocations.get(needed);
+      if (!allocation) continue;
+      allocation.users = Math.max(0, allocation.users + change);
+      allocation.lastUsedMs = nowMs;
+    }
+  }
+}
+
+/** An adapter needs its model too. */
+function neededArtifacts(artifact: string): string[] {
+  const model = modelOf(artifact);
+  return model === artifact ? [artifact] : [artifact, model];
+}
--- a/packages/banyanfold-agent/src/memory/kvAccount.ts
+++ b/packages/banyanfold-agent/src/memory/kvAccount.ts
@@ -18,8 +18,9 @@
 export class KvAccount {
   private readonly reserved = new Map<string, number>();
   private reservedTotalBytes = 0;
-  /** In use by requests that came before this process; only shrinks. */
-  private inheritedBytes: number | undefined;
+  /** In use by requests that came before this process. */
+  private inheritedBytes = 0;
+  private wasCertain = false;
 
   constructor(private readonly options: KvAccountOptions) {}
 
@@ -36,11 +37,14 @@
 
   /**
    * Takes the engine's use as the bound of what was there before us. It counts
-   * our own first requests twice for a while, which is the safe side.
+   * our own first requests twice for a while, which is the safe side. Until
+   * the inventory is certain, a lagging report may lack the predecessor's last
+   * requests, so a lower figure from then on is the bound, and not before.
    */
-  observe(report: LedgerReport): void {
-    const known = this.inheritedBytes ?? Number.POSITIVE_INFINITY;
-    this.inheritedBytes = Math.min(known, report.kvUsedBytes);
+  observe({kvUsedBytes}: LedgerReport, {isCertain}: {isCertain: boolean}) {
+    if (!isCertain || !this.wasCertain) this.inheritedBytes = kvUsedBytes;
+    else this.inheritedBytes = Math.min(this.inheritedBytes, kvUsedBytes);
+    this.wasCertain = isCertain;
   }
 
   ownBytes(): number {
@@ -50,7 +54,7 @@
   committedBytes(nowMs: number): number {
     const ageMs = nowMs - this.options.startMs;
     const isOver = ageMs > this.options.inheritedBoundMs;
-    const inheritedBytes = isOver ? 0 : (this.inheritedBytes ?? 0);
+    const inheritedBytes = isOver ? 0 : this.inheritedBytes;
     return this.reservedTotalBytes + inheritedBytes;
   }
 }
--- a/packages/banyanfold-agent/src/memory/memoryLedger.ts
+++ b/packages/banyanfold-agent/src/memory/memoryLedger.ts
@@ -1,20 +1,21 @@
 import type {Clock} from '@banyanfold/core';
 import {err, ok, type Result} from 'neverthrow';
-import type {
-  Allocation,
-  LedgerEvent,
-  LedgerReport,
-  ReportTiming,
-  ReserveRefusal,
+import {
+  forgetEngineTimes,
+  type Allocation,
+  type LedgerEvent,
+  type LedgerReport,
+  type ReportTiming,
+  type ReserveRefusal,
 } from './allocation.js';
-import {KvAccount} from './kvAccount.js';
+import {AllocationTable} from './allocationTable.js';
 import {judgeAbsent, judgeListed} from './judgeReport.js';
+import {MemoryBudget, type KvPool} from './memoryBudget.js';
+import {Quarantine} from './quarantine.js';
 
 /** An engine clock that fell by more than this belongs to a new engine. */
 const ENGINE_RESTART_STEP_MS = 1_000;
 
-export type KvPool = 'shared' | 'separate';
-
 /** How a ledger is built. */
 export interface MemoryLedgerOptions {
   clock: Clock;
@@ -36,105 +37,59 @@
  * that lacks a copy says nothing about a load that is still under way.
  */
 export class MemoryLedger {
-  private readonly allocations = new Map<string, Allocation>();
-  private readonly kv: KvAccount;
+  /** How much may still be promised. */
+  readonly budget: MemoryBudget;
+  private readonly table = new AllocationTable();
+  private readonly quarantine: Quarantine;
   private latest: LedgerReport | undefined;
   private lastEngineNowMs = Number.NEGATIVE_INFINITY;
-  private quarantineStartMs: number;
-  /** Engine clock: a report taken later shows all that there is. */
-  private certainAfterMs: number | undefined;
-  private certain = false;
 
   constructor(private readonly options: MemoryLedgerOptions) {
-    this.quarantineStartMs = options.clock.nowMs();
-    this.kv = new KvAccount({
-      startMs: this.quarantineStartMs,
-      inheritedBoundMs: options.inheritedBoundMs,
+    const startMs = options.clock.nowMs();
+    this.quarantine = new Quarantine({...options, startMs});
+    this.budget = new MemoryBudget({
+      ...options,
+      table: this.table,
+      inQuarantine: () => this.inQuarantine(),
     });
   }
 
   /** The copy of an artifact, in whatever state it is. */
   get(artifact: string): Allocation | undefined {
-    return this.allocations.get(artifact);
+    return this.table.get(artifact);
   }
 
   all(): Allocation[] {
-    return [...this.allocations.values()];
+    return this.table.all();
   }
 
   hasReport(): boolean {
     return this.latest !== undefined;
   }
 
-  capacityBytes(): number {
-    return this.latest?.memoryCapacityBytes ?? 0;
-  }
-
-  kvCapacityBytes(): number {
-    return this.latest?.kvCapacityBytes ?? 0;
-  }
-
-  kvUsedBytes(): number {
-    return Math.max(this.kv.ownBytes(), this.latest?.kvUsedBytes ?? 0);
-  }
-
-  weightBytes(): number {
-    let total = 0;
-    for (const {bytes} of this.allocations.values()) total += bytes;
-    return total;
-  }
-
-  /** What a load may take now. */
-  freeBytes(): number {
-    const free =
-      this.capacityBytes() - this.weightBytes() - this.kvShareBytes();
-    return Math.max(0, free);
-  }
-
-  /**
-   * What a request's KV cache may take now. Until the inventory is certain it
-   * is kept to the floor: a predecessor's late load may still come, and loads
-   * never take the floor.
-   */
-  kvFreeBytes(): number {
-    const ceilingBytes = Math.min(this.kvCapacityBytes(), this.kvRoomBytes());
-    return Math.max(0, ceilingBytes - this.kvCommittedBytes());
-  }
-
   /** Whether requests for an artifact can be served: it and its model. */
   canServe(artifact: string): boolean {
-    return neededArtifacts(artifact).every(needed => {
-      const allocation = this.allocations.get(needed);
-      return allocation?.state === 'held' && !allocation.retiring;
-    });
+    return this.table.canServe(artifact);
   }
 
   /** A request for the artifact is admitted: it isn't unloaded meanwhile. */
   beginUse(artifact: string): void {
-    this.countUse(artifact, 1);
+    this.table.countUse(artifact, 1, this.nowMs());
   }
 
   endUse(artifact: string): void {
-    this.countUse(artifact, -1);
-  }
-
-  reserveKv(requestKey: string, bytes: number): void {
-    this.kv.reserve(requestKey, bytes);
-  }
-
-  releaseKv(requestKey: string): void {
-    this.kv.release(requestKey);
+    this.table.countUse(artifact, -1, this.nowMs());
   }
 
   /** Whether orders of an earlier incarnation can still change the engine. */
   inQuarantine(): boolean {
-    return !this.certain;
+    return !this.quarantine.isOver;
   }
 
   /** Whether an order under our fencing number is needed as a barrier. */
   needsBarrier(): boolean {
     if (!this.options.checksFencing) return false;
-    return this.certainAfterMs === undefined || this.doubts().length > 0;
+    return this.quarantine.needsBarrier || this.doubts().length > 0;
   }
 
   /**
@@ -143,7 +98,7 @@
    */
   barrierPassed(receivedAtMs: number, doubtful: readonly string[]): void {
     if (!this.options.checksFencing) return;
-    this.certainAfterMs ??= receivedAtMs;
+    this.quarantine.barrierPassed(receivedAtMs);
     for (const allocation of this.doubts()) {
       if (!doubtful.includes(allocation.copyId)) continue;
       allocation.provenAfterMs = receivedAtMs;
@@ -152,10 +107,7 @@
 
   /** Copies whose load order may or may not still arrive. */
   doubts(): Allocation[] {
-    return this.all().filter(
-      ({state, provenAfterMs}) =>
-        state === 'in-doubt' && provenAfterMs === undefined,
-    );
+    return this.table.doubts();
   }
 
   /** Sets a copy's bytes aside, before its load order leaves. */
@@ -164,14 +116,14 @@
     bytes: number;
     orderId: string;
   }): Result<Allocation, ReserveRefusal> {
-    const present = this.allocations.get(order.artifact);
+    const present = this.table.get(order.artifact);
     if (present?.state === 'releasing' || present?.retiring) {
       return err('releasing');
     }
     if (present) return ok(present);
     if (!this.latest) return err('no-report');
-    if (!this.certain) return err('quarantine');
-    if (order.bytes > this.freeBytes()) return err('no-memory');
+    if (this.inQuarantine()) return err('quarantine');
+    if (order.bytes > this.budget.freeBytes()) return err('no-memory');
     const nowMs = this.options.clock.nowMs();
     const allocation: Allocation = {
       artifact: order.artifact,
@@ -186,19 +138,19 @@
       isInherited: false,
       knownSinceMs: nowMs,
     };
-    this.allocations.set(order.artifact, allocation);
+    this.table.set(allocation);
     return ok(allocation);
   }
 
   /** The load order leaves, for the first time or again. */
   loadSent(copyId: string): void {
-    const allocation = this.byCopy(copyId);
+    const allocation = this.table.byCopy(copyId);
     if (allocation) allocation.loadSentMs = this.options.clock.nowMs();
   }
 
   /** The engine said when it took the order; copies of it do no more. */
   loadReceived(copyId: string, receivedAtMs: number): void {
-    const allocation = this.byCopy(copyId);
+    const allocation = this.table.byCopy(copyId);
     if (!allocation || allocation.state === 'held') return;
     allocation.state = 'reserved';
     allocation.provenAfterMs ??= receivedAtMs;
@@ -206,7 +158,7 @@
 
   /** The order's answer was lost, or it was refused and may be repeated. */
   loadInDoubt(copyId: string): void {
-    const allocation = this.byCopy(copyId);
+    const allocation = this.table.byCopy(copyId);
     if (allocation?.state === 'reserved' && !allocation.seen) {
       allocation.state = 'in-doubt';
     }
@@ -214,14 +166,14 @@
 
   /** The order provably never left, or can never be taken. */
   loadNeverSent(copyId: string): void {
-    const allocation = this.byCopy(copyId);
+    const allocation = this.table.byCopy(copyId);
     if (!allocation || allocation.seen) return;
-    this.allocations.delete(allocation.artifact);
+    this.table.delete(allocation.artifact);
   }
 
   /** The unload order is about to leave; its bytes stay counted. */
   startRelease(artifact: string, orderId: string): void {
-    const allocation = this.allocations.get(artifact);
+    const allocation = this.table.get(artifact);
     if (!allocation) return;
     allocation.state = 'releasing';
     allocation.unloadOrderId = orderId;
@@ -229,81 +181,48 @@
   }
 
   unloadReceived(orderId: string, receivedAtMs: number): void {
-    const allocation = this.all().find(a => a.unloadOrderId === orderId);
+    const allocation = this.table.byUnloadOrder(orderId);
     if (allocation) allocation.unloadReceivedMs = receivedAtMs;
   }
 
   /** Takes a report as evidence, if it is newer than all before it. */
   observe(report: LedgerReport, timing: ReportTiming): LedgerEvent[] {
     const events = this.noticeEngineRestart(timing);
+    this.quarantine.noteTiming(timing);
     this.endLateBounds(timing);
     if (report.takenAtMs <= (this.latest?.takenAtMs ?? -1)) return events;
     this.latest = report;
-    this.kv.observe(report);
-    const listed = new Set(report.models.map(({artifact}) => artifact));
-    for (const model of report.models) {
-      const known = this.allocations.get(model.artifact);
-      const context = {
-        takenAtMs: report.takenAtMs,
-        nowMs: this.nowMs(),
-        nameCopy: this.options.nameCopy,
-      };
+    this.quarantine.noteReport(report.takenAtMs);
+    this.budget.observe(report);
+    return [...events, ...this.judge(report)];
+  }
+
+  private judge(report: LedgerReport): LedgerEvent[] {
+    const events: LedgerEvent[] = [];
+    const {takenAtMs, models} = report;
+    const {nameCopy} = this.options;
+    const context = {takenAtMs, nowMs: this.nowMs(), nameCopy};
+    for (const model of models) {
+      const known = this.table.get(model.artifact);
       const judged = judgeListed(known, model, context);
-      if (judged.adopt) this.allocations.set(model.artifact, judged.adopt);
+      if (judged.adopt) this.table.set(judged.adopt);
       if (judged.event) events.push(judged.event);
     }
+    const listed = new Set(models.map(({artifact}) => artifact));
     for (const allocation of this.all()) {
       if (listed.has(allocation.artifact)) continue;
-      const event = judgeAbsent(allocation, report.takenAtMs);
+      const event = judgeAbsent(allocation, takenAtMs);
       if (!event) continue;
-      this.allocations.delete(allocation.artifact);
+      this.table.delete(allocation.artifact);
       events.push(event);
     }
-    if (report.takenAtMs > (this.certainAfterMs ?? Number.POSITIVE_INFINITY)) {
-      this.certain = true;
-    }
     return events;
   }
 
-  private countUse(artifact: string, change: 1 | -1): void {
-    for (const needed of neededArtifacts(artifact)) {
-      const allocation = this.allocations.get(needed);
-      if (!allocation) continue;
-      allocation.users = Math.max(0, allocation.users + change);
-      allocation.lastUsedMs = this.nowMs();
-    }
-  }
-
   private nowMs(): number {
     return this.options.clock.nowMs();
   }
 
-  private kvFloorBytes(): number {
-    return this.capacityBytes() * this.options.kvFloorShare;
-  }
-
-  /** What of the model memory counts as taken by KV cache. */
-  private kvShareBytes(): number {
-    if (this.options.kvPool === 'separate') return 0;
-    return Math.max(this.kvCommittedBytes(), this.kvFloorBytes());
-  }
-
-  /** How far KV cache may grow before it meets the weights. */
-  private kvRoomBytes(): number {
-    if (this.options.kvPool === 'separate') return this.kvCapacityBytes();
-    const memoryBytes = this.capacityBytes() - this.weightBytes();
-    if (this.certain) return memoryBytes;
-    return Math.min(memoryBytes, this.kvFloorBytes());
-  }
-
-  private kvCommittedBytes(): number {
-    return this.kv.committedBytes(this.nowMs());
-  }
-
-  private byCopy(copyId: string): Allocation | undefined {
-    return this.all().find(allocation => allocation.copyId === copyId);
-  }
-
   /**
    * Without fencing, a lost load order can arrive until the bound on late
    * delivery has passed. Only a report taken after that moment, on the engine's
@@ -316,8 +235,6 @@
       const endMs = (doubt.loadSentMs ?? 0) + orderLateBoundMs;
       if (timing.askedAtMs >= endMs) doubt.provenAfterMs = timing.engineNowMs;
     }
-    const endMs = this.quarantineStartMs + orderLateBoundMs;
-    if (timing.askedAtMs >= endMs) this.certainAfterMs ??= timing.engineNowMs;
   }
 
   /**
@@ -329,9 +246,7 @@
     const previousMs = this.lastEngineNowMs;
     this.lastEngineNowMs = timing.engineNowMs;
     if (timing.engineNowMs >= previousMs - ENGINE_RESTART_STEP_MS) return [];
-    this.certain = false;
-    this.certainAfterMs = undefined;
-    this.quarantineStartMs = this.nowMs();
+    this.quarantine.restart(this.nowMs());
     if (this.latest) this.latest = {...this.latest, takenAtMs: -1};
     for (const allocation of this.all()) {
       forgetEngineTimes(allocation, timing.engineNowMs, this.nowMs());
@@ -339,30 +254,3 @@
     return [{kind: 'engine-restarted', artifact: '', copyId: ''}];
   }
 }
-
-/**
- * The model of an artifact; a model is its own.
- *
- * @example modelOf('claims@3+suva@1') // 'claims@3'
- */
-export function modelOf(artifact: string): string {
-  return artifact.split('+')[0] ?? artifact;
-}
-
-function neededArtifacts(artifact: string): string[] {
-  const model = modelOf(artifact);
-  return model === artifact ? [artifact] : [artifact, model];
-}
-
-function forgetEngineTimes(
-  allocation: Allocation,
-  engineNowMs: number,
-  nowMs: number,
-): void {
-  const isDoubt = allocation.state === 'in-doubt';
-  allocation.provenAfterMs = isDoubt ? undefined : engineNowMs;
-  if (isDoubt) allocation.loadSentMs = nowMs;
-  if (allocation.unloadReceivedMs !== undefined) {
-    allocation.unloadReceivedMs = engineNowMs;
-  }
-}
