Let the test of the forgotten configuration start from a node that had read

Change: the node reads the log once before it is cut off, which is the case the test is about. No expectation changed.

--- a/packages/banyanfold-platform/src/__tests__/configFollower.model.test.ts
+++ b/packages/banyanfold-platform/src/__tests__/configFollower.model.test.ts
@@ -272,6 +272,7 @@
     const world = new World();
     const {clock} = world.basics;
     const versions = () => world.nodes.map(({follower}) => follower.version);
+    await clock.advance(100);
     world.nodes[0]?.gate.holdReads();
     world.publish(1, false);
     await clock.advance(1_000);
