--- /dev/null
+++ b/bench/src/capacity/index.ts
@@ -0,0 +1,105 @@
+import {dataCosts} from './model/dataCosts.js';
+import {failureCosts} from './model/failures.js';
+import {mechanisms} from './model/mechanisms.js';
+import {needsToday, totalsOf} from './model/multiply.js';
+import {platformLoads} from './model/platformLoad.js';
+import type {Slope, Slopes} from './model/slope.js';
+import {
+  printData,
+  printFailures,
+  printLoads,
+  printMechanisms,
+  printNeeds,
+  printRun,
+  printSlopes,
+} from './print.js';
+import {compareRun} from './processes/predict.js';
+import {runProcesses} from './processes/runProcesses.js';
+import {readPathFigures, readSlopes, writeSection} from './results.js';
+import {agentSlopes} from './slopes/agentSlopes.js';
+import {claimSlopes} from './slopes/claimSlopes.js';
+import {configSlopes} from './slopes/configSlopes.js';
+import {decisionSlopes} from './slopes/decisionSlopes.js';
+import {entrySlopes} from './slopes/entrySlopes.js';
+import {wireSlopes} from './slopes/wireSlopes.js';
+
+const COMMAND = 'npm run bench -- capacity';
+
+const SLOPE_GROUPS: Array<() => Slope[] | Promise<Slope[]>> = [
+  decisionSlopes,
+  configSlopes,
+  claimSlopes,
+  wireSlopes,
+  agentSlopes,
+  entrySlopes,
+];
+
+/** Sizes of the runs with real processes; the largest stays under 100. */
+const RUN_SIZES = [
+  {entries: 2, agents: 8},
+  {entries: 4, agents: 16},
+  {entries: 6, agents: 32},
+  {entries: 12, agents: 60},
+];
+
+const MODES: Record<string, () => Promise<void>> = {
+  '': measureAndMultiply,
+  '--processes': measureProcesses,
+  '--multiply': async () => multiply(readSlopes()),
+};
+
+/**
+ * Measures slopes and multiplies them by the letter's size.
+ *
+ * @param args `--processes` for runs of real processes against the slopes of
+ *   the last run; `--multiply` for the tables of the last run's slopes.
+ */
+export async function run(args: string[]): Promise<void> {
+  const mode = MODES[args[0] ?? ''];
+  if (!mode) throw new Error(`modes: ${Object.keys(MODES).join(' ')}`);
+  await mode();
+}
+
+async function measureAndMultiply(): Promise<void> {
+  const slopes: Slopes = {};
+  for (const measure of SLOPE_GROUPS) {
+    for (const slope of await measure()) slopes[slope.name] = slope;
+  }
+  writeSection('slopes', COMMAND, {slopes});
+  printSlopes(slopes);
+  multiply(slopes);
+}
+
+function multiply(slopes: Slopes): void {
+  const needs = needsToday(slopes);
+  const totals = totalsOf(needs);
+  const loads = platformLoads(slopes);
+  const ways = mechanisms(slopes);
+  const failures = failureCosts(slopes);
+  const data = dataCosts(slopes, readPathFigures());
+  printNeeds(needs, totals);
+  printLoads(loads);
+  printData(data);
+  printMechanisms(ways);
+  printFailures(failures);
+  writeSection('multiplied', `${COMMAND} --multiply`, {
+    needs,
+    totals,
+    loads,
+    data,
+    ways,
+    failures,
+  });
+}
+
+async function measureProcesses(): Promise<void> {
+  const slopes = readSlopes();
+  const runs = [];
+  for (const size of RUN_SIZES) {
+    const measured = await runProcesses(size);
+    const compared = compareRun(measured, slopes);
+    printRun(measured, compared);
+    runs.push({...measured, compared});
+  }
+  writeSection('processes', `${COMMAND} --processes`, {runs});
+}
