--- a/packages/banyanfold-decisions/src/decideAdmission.ts
+++ b/packages/banyanfold-decisions/src/decideAdmission.ts
@@ -30,7 +30,7 @@
   if (canStart(view, request)) {
     return {kind: 'run', estimatedDelayMs, reason: 'free-slot'};
   }
-  if (view.queue.length >= view.maxQueued) {
+  if (view.queue.length >= queueLimit(view, request, options)) {
     return refuse('busy', estimatedDelayMs, waitMs);
   }
   return {kind: 'queue', estimatedDelayMs, reason: `wait=${round(waitMs)}ms`};
@@ -55,6 +55,19 @@
   return Math.round(valueMs);
 }
 
+/**
+ * Only the best class may fill the queue. Else a burst of drafts fills it, and
+ * the counter is refused for want of a place though it would go first.
+ */
+function queueLimit(
+  view: AdmissionView,
+  request: AdmissionRequest,
+  options: AdmissionOptions,
+): number {
+  if (request.priority === 0) return view.maxQueued;
+  return Math.floor(view.maxQueued * options.lowerClassQueueShare);
+}
+
 function canStart(view: AdmissionView, request: AdmissionRequest): boolean {
   return (
     view.running < view.maxRunning &&
@@ -78,5 +91,8 @@
   ).length;
   const freeSlots = Math.max(0, view.maxRunning - view.running);
   const slotIntervalMs = view.serviceTimeMs / Math.max(1, view.maxRunning);
-  return Math.max(0, ahead + 1 - freeSlots) * slotIntervalMs;
+  const slotWaitMs = Math.max(0, ahead + 1 - freeSlots) * slotIntervalMs;
+  if (request.kvBytes <= view.kvFreeBytes) return slotWaitMs;
+  const kvWaitMs = view.serviceTimeMs / Math.max(1, view.running);
+  return Math.max(slotWaitMs, kvWaitMs);
 }
--- a/packages/banyanfold-decisions/src/decideRoute.ts
+++ b/packages/banyanfold-decisions/src/decideRoute.ts
@@ -61,19 +61,14 @@
   if (candidates.length === 0) return refuseNoRunner(reasons, options);
   applyAffinity(candidates, request, options);
   candidates.sort(byScore);
-  const chosen = choose(candidates, options, random);
+  const inTime = candidates.filter(
+    ({waitMs}) => waitMs <= request.firstTokenBudgetMs,
+  );
+  const chosen = choose(inTime, options, random);
   for (const candidate of candidates) {
     reasons.push(reasonOf(candidate, candidate === chosen));
   }
-  const lateByMs = chosen.waitMs - request.firstTokenBudgetMs;
-  if (lateByMs > 0) {
-    return {
-      kind: 'refuse',
-      code: 'all-busy',
-      retryAfterMs: boundRetryAfter(lateByMs, options),
-      reasons,
-    };
-  }
+  if (!chosen) return refuseLate(candidates, request, reasons, options);
   return {
     kind: 'route',
     vmId: chosen.runner.vmId,
@@ -173,9 +168,9 @@
   candidates: Candidate[],
   options: RouteOptions,
   random: Random | undefined,
-): Candidate {
-  const best = candidates[0]!;
-  if (!random) return best;
+): Candidate | undefined {
+  const best = candidates[0];
+  if (!best || !random) return best;
   const limitMs = best.scoreMs + options.randomSpreadMs;
   const near = candidates.filter(({scoreMs}) => scoreMs <= limitMs);
   return near[Math.floor(random() * near.length)] ?? best;
@@ -190,6 +185,25 @@
   };
 }
 
+/** The shortest queue says when it will have drained far enough. */
+function refuseLate(
+  candidates: Candidate[],
+  request: RoutingRequest,
+  reasons: CandidateReason[],
+  options: RouteOptions,
+): RoutingDecision {
+  const shortestMs = Math.min(...candidates.map(({waitMs}) => waitMs));
+  return {
+    kind: 'refuse',
+    code: 'all-busy',
+    retryAfterMs: boundRetryAfter(
+      shortestMs - request.firstTokenBudgetMs,
+      options,
+    ),
+    reasons,
+  };
+}
+
 function refuseNoRunner(
   reasons: CandidateReason[],
   options: RouteOptions,
--- a/packages/banyanfold-decisions/src/options.ts
+++ b/packages/banyanfold-decisions/src/options.ts
@@ -45,6 +45,8 @@
 export const admissionOptionsSchema = z.strictObject({
   /** The estimate may pass the budget by this factor before refusal. */
   budgetTolerance: z.number().positive().default(1),
+  /** Share of the queue that classes other than 0 may fill. */
+  lowerClassQueueShare: shareSchema.default(0.75),
   minRetryAfterMs: durationMsSchema.default(250),
   maxRetryAfterMs: durationMsSchema.default(30_000),
 });
