Split the claims and the config model into smaller files

Change: options and outcomes in keyClaimsTypes, refusals in refuseClaim, the model's world in configWorld. Nothing else moved.

--- a/packages/banyanfold-platform/src/__tests__/configFollower.model.test.ts
+++ b/packages/banyanfold-platform/src/__tests__/configFollower.model.test.ts
@@ -1,114 +1,14 @@
-import {ConfigFold, publishedConfigSchema} from '@banyanfold/config';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {ConfigFollower} from '../configFollower.js';
-import {FakeLog, PausableLog, type AppendFault} from './fakeLog.js';
-import {createBasics, createRandom} from './testKit.js';
+import {ConfigWorld, NODES, RETENTION_MS} from './configWorld.js';
+import type {AppendFault} from './fakeLog.js';
 
 const SEED = 20_264;
 const RUNS = 500;
-const NODES = 3;
-const RETENTION_MS = 60_000;
 /** Longer than a poll, a backoff and a check for peers together. */
 const CONVERGE_MS = 30_000;
-const IN_FLIGHT_MS = 1_000;
 
-interface Node {
-  gate: PausableLog;
-  follower: ConfigFollower;
-  lastVersion: number;
-}
-
-interface Publish {
-  nonce: string;
-  outcome: string;
-}
-
-function bodyOf(name: string) {
-  return publishedConfigSchema.parse({services: [{name}]});
-}
-
-/** Nodes that follow the configuration, and operators who publish at them. */
-class World {
-  readonly basics = createBasics();
-  readonly log = new FakeLog(this.basics.clock, RETENTION_MS);
-  readonly nodes: Node[] = [];
-  readonly publishes: Publish[] = [];
-  arePeersReachable = true;
-  private serial = 0;
-
-  constructor() {
-    for (let index = 0; index < NODES; index++) this.start(index);
-  }
-
-  /** A successor starts with nothing. */
-  start(index: number): void {
-    const old = this.nodes[index];
-    old?.follower.stop();
-    const gate = new PausableLog(this.log);
-    const follower = new ConfigFollower({
-      ...this.basics,
-      random: createRandom(++this.serial),
-      log: gate,
-      vmId: `node-${index}`,
-      liveVmIds: () => ['node-0', 'node-1', 'node-2'],
-      retentionMs: RETENTION_MS,
-      fetchPeerSnapshots: async () => this.peersOf(index),
-      createNonce: () => `nonce-${++this.serial}`,
-    });
-    follower.start();
-    this.nodes[index] = {gate, follower, lastVersion: 0};
-  }
-
-  publish(index: number, isStale: boolean): void {
-    const {follower} = this.nodes[index]!;
-    const nonce = follower.needsBase ? 'none' : `nonce-${this.serial + 1}`;
-    const baseVersion = isStale ? follower.version - 1 : follower.version;
-    void follower
-      .publishConfig({
-        baseVersion: Math.max(0, baseVersion),
-        publisher: 'ana',
-        body: bodyOf(nonce),
-      })
-      .then(result => {
-        const outcome = result.match(
-          ({kind}) => kind,
-          ({code}) => code,
-        );
-        this.publishes.push({nonce, outcome});
-      });
-  }
-
-  /** What the whole log, nothing forgotten, says. */
-  truth(): {fold: ConfigFold; versions: number[]} {
-    const fold = new ConfigFold();
-    const versions = [0];
-    for (const record of this.log.everything) {
-      fold.apply(record);
-      versions.push(fold.state?.version ?? 0);
-    }
-    return {fold, versions};
-  }
-
-  /** Appends in flight may still begin an outage, so they end first. */
-  async heal(): Promise<void> {
-    this.log.delayMs = 0;
-    this.log.faults.length = 0;
-    this.arePeersReachable = true;
-    for (const {gate} of this.nodes) gate.resume();
-    await this.basics.clock.advance(IN_FLIGHT_MS);
-    this.log.isOut = false;
-  }
-
-  private peersOf(index: number): unknown[] {
-    if (!this.arePeersReachable) throw new Error('no peer answers');
-    return this.nodes
-      .filter((_, other) => other !== index)
-      .map(({follower}) => follower.state);
-  }
-}
-
-function checkNodes(world: World): void {
+function checkNodes(world: ConfigWorld): void {
   const {versions} = world.truth();
   for (const node of world.nodes) {
     const {state, version} = node.follower;
@@ -119,7 +19,7 @@
 }
 
 /** What an operator was told must be what the log says in the end. */
-function checkPublishes(world: World): void {
+function checkPublishes(world: ConfigWorld): void {
   const {fold} = world.truth();
   const nonces = new Set(world.log.everything.map(({value}) => nonceOf(value)));
   for (const {nonce, outcome} of world.publishes) {
@@ -136,7 +36,7 @@
   return (value as {nonce?: string} | null)?.nonce;
 }
 
-type Step = (world: World) => void | Promise<void>;
+type Step = (world: ConfigWorld) => void | Promise<void>;
 
 const node = fc.nat({max: NODES - 1});
 
@@ -206,7 +106,7 @@
       fc.asyncProperty(
         fc.array(stepArbitrary, {minLength: 5, maxLength: 50}),
         async steps => {
-          const world = new World();
+          const world = new ConfigWorld();
           for (const step of steps) {
             await step(world);
             await world.basics.clock.advance(0);
@@ -246,7 +146,7 @@
    * force, and without asking them it could serve nobody until the log is back.
    */
   it('starts from a peer while the log is out', async () => {
-    const world = new World();
+    const world = new ConfigWorld();
     const {clock} = world.basics;
     world.publish(0, false);
     await clock.advance(1_000);
@@ -269,7 +169,7 @@
    * that knows, though it never read the record, and must hand it on.
    */
   it('learns from peers what the log forgot, and hands it on', async () => {
-    const world = new World();
+    const world = new ConfigWorld();
     const {clock} = world.basics;
     const versions = () => world.nodes.map(({follower}) => follower.version);
     await clock.advance(100);
@@ -306,7 +206,7 @@
    * log has forgotten the record by then; only checkpoints carry it on.
    */
   it('keeps the configuration past the retention, without peers', async () => {
-    const world = new World();
+    const world = new ConfigWorld();
     const {clock} = world.basics;
     world.arePeersReachable = false;
     world.publish(0, false);
--- a/packages/banyanfold-platform/src/index.ts
+++ b/packages/banyanfold-platform/src/index.ts
@@ -9,6 +9,7 @@
 export * from './createLogService.js';
 export * from './createVmListService.js';
 export * from './keyClaims.js';
+export * from './keyClaimsTypes.js';
 export * from './keyTime.js';
 export * from './plannerFold.js';
 export * from './rendezvousOrder.js';
--- a/packages/banyanfold-platform/src/keyClaims.ts
+++ b/packages/banyanfold-platform/src/keyClaims.ts
@@ -1,4 +1,4 @@
-import {BanyanfoldError, type Clock, type Logger} from '@banyanfold/core';
+import type {BanyanfoldError} from '@banyanfold/core';
 import {err, ok, ResultAsync, type Result} from 'neverthrow';
 import {v4 as uuidV4} from 'uuid';
 import {BatchAppender, DEFAULT_BATCH_OPTIONS} from './batchAppender.js';
@@ -16,41 +16,18 @@
   type JudgedClaim,
   type KeyState,
 } from './claimsFold.js';
+import {
+  DEFAULT_BODY_LIMIT_BYTES,
+  type ClaimOutcome,
+  type KeyClaimsOptions,
+} from './keyClaimsTypes.js';
 import {readTimedKey, type TimedKey} from './keyTime.js';
 import {OwnClaims} from './ownClaims.js';
+import {refuseClaim} from './refuseClaim.js';
 import {StreamFollower, type FollowedPage} from './streamFollower.js';
-import {STREAMS, type LogService} from './types.js';
+import {STREAMS} from './types.js';
 import {UnseenRecords} from './unseenRecords.js';
 
-export interface KeyClaimsOptions extends Partial<ClaimWindow> {
-  log: LogService;
-  clock: Clock;
-  logger: Logger;
-  random: () => number;
-  /** Names this process, not its VM: a new one for each start. */
-  owner: string;
-  /** How long the log keeps a record, at least. */
-  retentionMs: number;
-  /** Larger bodies aren't kept; a second caller gets the status alone. */
-  bodyLimitBytes?: number;
-  collectMs?: number;
-  createNonce?(): string;
-}
-
-export const DEFAULT_BODY_LIMIT_BYTES = 16 * 1024;
-
-/** What came of a claim. Only `owner` may dispatch. */
-export type ClaimOutcome =
-  | {kind: 'owner'; claimOffset: number}
-  | {kind: 'taken'; finished?: FinishedRun | undefined; ownedBySelf: boolean};
-
-export type ClaimErrorCode =
-  | 'key-not-uuidv7'
-  | 'key-too-old'
-  | 'key-from-future'
-  | 'log-unavailable'
-  | 'claim-unknown';
-
 /**
  * Claims idempotency keys, so that a request which may not be repeated runs at
  * most once: of all claims of a key the first in the log owns it, and only its
@@ -161,10 +138,10 @@
     text: string,
   ): Promise<Result<ClaimOutcome, BanyanfoldError>> {
     const timed = readTimedKey(text);
-    if (!timed) return this.refuse('key-not-uuidv7', 'not a UUIDv7');
+    if (!timed) return refuseClaim('key-not-uuidv7', 'not a UUIDv7');
     if (!this.follower.hasCaughtUp) {
       const read = await this.follower.readNow();
-      if (read.isErr()) return this.refuse('log-unavailable', '', read.error);
+      if (read.isErr()) return refuseClaim('log-unavailable', '', read.error);
     }
     const early = this.judgeEarly(timed);
     if (early) return early;
@@ -180,7 +157,7 @@
     if (state && !state.isReleased) return ok(this.toTaken(state));
     const logNowMs = this.follower.logNowMs ?? keyMs;
     const refusal = checkWindow(keyMs, logNowMs, this.window);
-    return refusal && this.refuse(refusal, `the log's clock is ${logNowMs}`);
+    return refusal && refuseClaim(refusal, `the log's clock is ${logNowMs}`);
   }
 
   private async appendClaim({
@@ -222,13 +199,13 @@
     const error = offset.isErr() ? offset.error : undefined;
     if (error && error.code !== 'append-unknown') {
       this.own.forget(nonce);
-      return this.refuse('log-unavailable', error.message, error);
+      return refuseClaim('log-unavailable', error.message, error);
     }
     this.own.abandon(nonce);
     if (read.isErr()) {
-      return this.refuse('claim-unknown', read.error.message, read.error);
+      return refuseClaim('claim-unknown', read.error.message, read.error);
     }
-    return this.refuse('log-unavailable', 'the claim is not in the log', error);
+    return refuseClaim('log-unavailable', 'the claim is not in the log', error);
   }
 
   private toOutcome(
@@ -241,12 +218,12 @@
         verdict: Extract<ClaimVerdict, {kind: K}>,
       ) => Result<ClaimOutcome, BanyanfoldError>;
     } = {
-      refused: ({code}) => this.refuse(code, 'by the time of its append'),
+      refused: ({code}) => refuseClaim(code, 'by the time of its append'),
       taken: () => ok(this.toTaken(this.fold.stateOf(key))),
       owner: owned => {
         if (this.hasSeenAllOf(keyMs)) return ok(owned);
         void this.release(key, offset);
-        return this.refuse('key-too-old', 'an earlier claim may be forgotten');
+        return refuseClaim('key-too-old', 'an earlier claim may be forgotten');
       },
     };
     const handler = handlers[verdict.kind] as (
@@ -284,13 +261,4 @@
     this.options.logger.info('late-claim-released', {claimOffset: offset});
     void this.release(claim.key, offset);
   }
-
-  private refuse(
-    code: ClaimErrorCode,
-    message: string,
-    cause?: BanyanfoldError,
-  ): Result<ClaimOutcome, BanyanfoldError> {
-    const {step, peer} = cause ?? {step: 'claim-key', peer: 'log'};
-    return err(new BanyanfoldError(code, message, {step, peer}, {cause}));
-  }
 }
