--- a/packages/banyanfold-platform/src/__tests__/configFollower.model.test.ts
+++ b/packages/banyanfold-platform/src/__tests__/configFollower.model.test.ts
@@ -150,6 +150,7 @@
     const {clock} = world.basics;
     world.publish(0, false);
     await clock.advance(1_000);
+    expect(world.nodes[0]?.follower.logNowMs).toBe(clock.wallMs());
     world.log.isOut = true;
     world.start(1);
     world.arePeersReachable = false;
--- a/packages/banyanfold-platform/src/configFollower.ts
+++ b/packages/banyanfold-platform/src/configFollower.ts
@@ -97,6 +97,11 @@
     return this.fold.state?.version ?? 0;
   }
 
+  /** The log's clock, as `viewedAtMs` of a retirement wants it. */
+  get logNowMs(): number | undefined {
+    return this.follower.logNowMs;
+  }
+
   /** Whether a gap in the log keeps this node from following changes. */
   get needsBase(): boolean {
     return this.fold.needsBase;
