Close gaps that removing each safeguard of the entry showed

Each of 45 safeguards was removed in a scratch copy and the tests run; the baseline passed. 40 were killed at once. Of the five that survived, "leaving by report" and "body limit" have a second guard behind them, and three lacked a test: the wait for a seal before another attempt of a request that may not be repeated, the process's memory of its own runs, and the planner's epoch.

--- a/packages/banyanfold-entry/src/__tests__/agentState.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/agentState.test.ts
@@ -84,6 +84,17 @@
     expect(agent.incarnation).toBe(2);
   });
 
+  // The VM list lags behind the agent, or the agent behind the list.
+  it.each([
+    ['the list', true, false],
+    ['the agent', false, true],
+  ])('is leaving as soon as %s says so', (_name, byList, byAgent) => {
+    const agent = new AgentState(VM);
+    agent.setVm({...VM, state: byList ? 'leaving' : 'live'});
+    agent.applyDigest({...digest(1, 0), leaving: byAgent}, 10);
+    expect(agent.runner.leaving).toBe(true);
+  });
+
   it('counts its own requests until a digest includes them', () => {
     const agent = new AgentState(VM);
     agent.attemptSent('a');
--- a/packages/banyanfold-entry/src/__tests__/keys.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/keys.test.ts
@@ -133,6 +133,30 @@
     expect(system.takeCounts().calls).toBe(2);
   });
 
+  // The agent dies before the call reached it, and its successor's seal proves
+  // that. Stopping there would refuse a claim that another agent can lodge.
+  it('tries another agent when the seal proves that nothing ran', async () => {
+    for (const agent of system.agents) agent.sealState = 'never-started';
+    system.next.push(cut);
+    system.nextResumes.push(refuse('unknown-attempt', 404, 'unknown'));
+    expect(short(await lodgeWith(uuidV7()))).toEqual([200, RECEIPT]);
+    const {ran, calls} = system.takeCounts();
+    expect([ran, calls]).toEqual([1, 2]);
+  });
+
+  // The log goes out while the claim is being lodged, so its outcome can't be
+  // recorded yet. The entry that ran it knows it all the same.
+  it('answers a second caller by its own run while the log is out', async () => {
+    const key = uuidV7();
+    system.next.push(call => {
+      system.setLogOutage('refuse');
+      lodge(call);
+    });
+    expect(short(await lodgeWith(key))).toEqual([200, RECEIPT]);
+    expect(short(await lodgeWith(key))).toEqual([200, RECEIPT]);
+    expect(system.takeCounts().ran).toBe(1);
+  });
+
   // Nothing was dispatched, so the key is given back: a caller who comes again
   // with it, as it was told to, must not find it taken for ever.
   it('gives back the key of a request that never ran', async () => {
--- a/packages/banyanfold-entry/src/__tests__/leaving.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/leaving.test.ts
@@ -96,11 +96,19 @@
       port,
       internalKey: INTERNAL_KEY,
     });
+    let call: AttemptCall | undefined;
+    system.next.push(taken => {
+      call = taken;
+    });
+    const before = headOf(port, CHAT_PATH, JSON.stringify(CHAT));
+    await eventually(() => call !== undefined).toBe(true);
     await client.drain.mutate();
     expect(await isReady(port)).toBe(false);
     expect((await client.status.query()).leaving).toBe(true);
-    const answer = await headOf(port);
-    expect(answer.headers.connection).toBe('close');
+    const later = await headOf(port);
+    expect(later.headers.connection).toBe('close');
+    answerWhole(call!);
+    expect((await before).headers.connection).toBe('close');
   });
 });
 
@@ -155,11 +163,20 @@
   return candidates.map(({vmId, reason}) => [vmId, reason]);
 }
 
-function headOf(port: number): Promise<IncomingMessage> {
+function headOf(
+  port: number,
+  path = '/healthz',
+  body = '',
+): Promise<IncomingMessage> {
+  const headers = {
+    connection: 'keep-alive',
+    authorization: `Bearer ${CALLER_KEY}`,
+  };
+  const method = body === '' ? 'GET' : 'POST';
   return new Promise((resolve, reject) => {
-    request({port, path: '/healthz', headers: {connection: 'keep-alive'}})
+    request({port, path, method, headers})
       .on('response', resolve)
       .on('error', reject)
-      .end();
+      .end(body);
   });
 }
--- a/packages/banyanfold-entry/src/__tests__/openaiContract.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/openaiContract.test.ts
@@ -83,6 +83,16 @@
     expect(answer).toMatchSnapshot();
   });
 
+  it.each([
+    ['a service asked for as a model', '/v1/chat/completions', 'lodging'],
+    ['a model asked for as a service', '/services/claims/x', 'claims'],
+    ['a path out of a service', '/services/lodging/%2E%2e/x', 'claims'],
+  ])('does not find %s', async (_name, path, model) => {
+    const body = JSON.stringify({...CHAT, model});
+    const {status, outcome} = await post(port, path, {body});
+    expect([status, outcome]).toEqual([404, 'not-run']);
+  });
+
   it('never logs a key', () => {
     const text = system.lines.join('\n');
     expect(text).not.toContain(CALLER_KEY);
--- a/packages/banyanfold-entry/src/__tests__/planner.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/planner.test.ts
@@ -76,6 +76,8 @@
     await eventually(() => system.lines.join('\n')).toContain(
       'planner-claim-failed',
     );
+    const begun = rounds(1);
+    await eventually(() => rounds(1)).toBeGreaterThan(begun + 5);
     expect((await entry.handlers.status()).plannerEpoch).toBe(0);
     expect(proposals()).toEqual([]);
   });
@@ -117,8 +119,8 @@
 });
 
 /** How often the planner has gone round. */
-function rounds(): number {
-  return system.entries[0]!.metrics.counterValue('planner_rounds_total');
+function rounds(entry = 0): number {
+  return system.entries[entry]!.metrics.counterValue('planner_rounds_total');
 }
 
 async function agentsHeard(): Promise<number> {
--- a/packages/banyanfold-entry/src/createEntry.ts
+++ b/packages/banyanfold-entry/src/createEntry.ts
@@ -104,7 +104,7 @@
       return {port};
     },
     async stop() {
-      context.lifecycle.leaving = true;
+      context.lifecycle.leave();
       pollers.stop();
       await kernel.stop();
       context.configWatch.stop();
--- a/packages/banyanfold-entry/src/drain.ts
+++ b/packages/banyanfold-entry/src/drain.ts
@@ -14,7 +14,7 @@
   server: Server,
 ): Promise<void> {
   const {clock, lifecycle, logger, settings} = context;
-  lifecycle.leaving = true;
+  lifecycle.leave();
   logger.info('drain-started', {open: lifecycle.open});
   await sleep(clock, settings.drainNoticeMs);
   // Closes idle connections too; those in use get `Connection: close` with
--- a/packages/banyanfold-entry/src/http/routes.ts
+++ b/packages/banyanfold-entry/src/http/routes.ts
@@ -29,8 +29,7 @@
   const {context, control} = options;
   const routes = routeTable(options);
   return (req, res) => {
-    // A caller that keeps its connection would keep coming to a VM that goes.
-    if (context.lifecycle.leaving) res.setHeader('connection', 'close');
+    context.lifecycle.responseOpened(res);
     const path = (req.url ?? '/').split('?', 1)[0]!;
     if (path === PATHS.trpc || path.startsWith(`${PATHS.trpc}/`)) {
       control(req, res);
@@ -74,7 +73,7 @@
 ): Route | undefined {
   if (!path.startsWith(SERVICES_PREFIX)) return undefined;
   const service = path.slice(SERVICES_PREFIX.length).split('/', 1)[0]!;
-  if (service === '') return undefined;
+  if (service === '' || path.split('/').some(isDots)) return undefined;
   return {
     method: 'POST',
     handle: (req, res) =>
@@ -87,6 +86,11 @@
   };
 }
 
+/** `/services/a/../b` would leave the path that the service is offered at. */
+function isDots(segment: string): boolean {
+  return /^(\.|%2e){1,2}$/i.test(segment);
+}
+
 async function serveRoute(
   route: Route | undefined,
   req: IncomingMessage,
--- a/packages/banyanfold-entry/src/requests/acceptRequest.ts
+++ b/packages/banyanfold-entry/src/requests/acceptRequest.ts
@@ -93,10 +93,20 @@
 function resolveTarget(
   config: CompiledConfig,
   asker: Asker,
-  {requestedName}: RequestFacts,
+  {requestedName, isService}: RequestFacts,
 ): ResolvedTarget {
   const resolved = config.resolve({...asker, requestedName});
-  if (resolved.isOk()) return resolved.value;
-  const {code, message} = resolved.error;
-  throw new ApiError(RESOLVE_ERRORS[code] ?? 'internal', message);
+  if (resolved.isErr()) {
+    const {code, message} = resolved.error;
+    throw new ApiError(RESOLVE_ERRORS[code] ?? 'internal', message);
+  }
+  const target = resolved.value;
+  if ((target.kind === 'service') !== isService) {
+    const wanted = isService ? 'service' : 'model';
+    throw new ApiError(
+      'model_not_found',
+      `"${requestedName}" is a ${target.kind} and no ${wanted}`,
+    );
+  }
+  return target;
 }
--- a/packages/banyanfold-entry/src/requests/parseRequest.ts
+++ b/packages/banyanfold-entry/src/requests/parseRequest.ts
@@ -32,6 +32,7 @@
   }
   const request = checked.data;
   return {
+    isService: false,
     requestedName: request.model,
     stream: request.stream === true,
     promptTokens: Math.ceil(body.length / CHARACTERS_PER_TOKEN),
@@ -44,6 +45,7 @@
 /** A plain service's request is passed on unread. */
 export function serviceFacts(service: string): RequestFacts {
   return {
+    isService: true,
     requestedName: service,
     stream: false,
     promptTokens: 0,
--- a/packages/banyanfold-entry/src/requests/types.ts
+++ b/packages/banyanfold-entry/src/requests/types.ts
@@ -4,6 +4,8 @@
 
 /** What of a request's body routing and admission need. */
 export interface RequestFacts {
+  /** Which kind of call it is; a name of the other kind isn't found. */
+  isService: boolean;
   requestedName: string;
   stream: boolean;
   promptTokens: number;
