Weigh a model's extra copy together with its adapters

Copies also waited for each other: none was added while another was on its way.

The gain now counts the adapters' demand too, the price their loads at an adapter's price, and a copy on its way is only counted, not waited for. The horizon goes from 120 s to 60 s.

Tried and reverted: retiring copies in use where a runner is overloaded.

--- a/packages/banyanfold-decisions/src/decidePlacement.ts
+++ b/packages/banyanfold-decisions/src/decidePlacement.ts
@@ -1,12 +1,11 @@
 import {DEFAULT_PLACEMENT_OPTIONS, type PlacementOptions} from './options.js';
 import {changeRole} from './placement/changeRole.js';
-import {growHot} from './placement/growHot.js';
+import {FULL_LOAD, growHot} from './placement/growHot.js';
 import {isAskedFor, placeOrphans} from './placement/placeOrphans.js';
 import {PlacementPlan} from './placement/placementPlan.js';
 import type {PlacementDecision, PlacementView} from './types.js';
 
 const MS_PER_SECOND = 1000;
-const FULL_LOAD = 1;
 
 /**
  * Proposes moves: first a copy of each labelled artifact that has none, then
--- a/packages/banyanfold-decisions/src/options.ts
+++ b/packages/banyanfold-decisions/src/options.ts
@@ -103,7 +103,7 @@
   loadsPerSecond: z.number().positive().default(1),
   loadsAtOnce: z.number().int().min(1).default(4),
   /** Over this horizon a gain is counted against the price of its moves. */
-  horizonMs: durationMsSchema.default(120_000),
+  horizonMs: durationMsSchema.default(60_000),
   /** A gain must pass the price by this factor. */
   hysteresis: z.number().min(1).default(1.5),
   /** Requests a runner runs at once, where its view doesn't say. */
--- a/packages/banyanfold-decisions/src/placement/freeMemory.ts
+++ b/packages/banyanfold-decisions/src/placement/freeMemory.ts
@@ -18,13 +18,16 @@
  * Finds copies whose retirement frees enough for `bytes`, least used for their
  * size first, or undefined when there are not enough. Each is held elsewhere
  * too, or is no longer published.
+ *
+ * @param keep the model whose copy has to stay.
+ * @param isSpare which of the copies held elsewhere may go.
  */
 export function findRoom(
   plan: PlacementPlan,
   target: PlannedRunner,
   bytes: number,
-  minIdleMs: number,
   keep = '',
+  isSpare: (copy: PlacementCopy) => boolean = () => true,
 ): Room | undefined {
   const room: Room = {copies: [], lostSlots: 0};
   let missingBytes = bytes - target.freeBytes - releasingBytes(target);
@@ -32,7 +35,7 @@
   const bundles = bundlesOn(target)
     .filter(({copies}) => copies.every(({artifact}) => artifact !== keep))
     .filter(({copies}) =>
-      copies.every(copy => isSurplus(plan, target, copy, minIdleMs)),
+      copies.every(copy => isSurplus(plan, target, copy, isSpare)),
     )
     .sort((a, b) => lossPerByte(plan, a) - lossPerByte(plan, b));
   for (const bundle of bundles) {
@@ -94,12 +97,12 @@
   plan: PlacementPlan,
   target: PlannedRunner,
   copy: PlacementCopy,
-  minIdleMs: number,
+  isSpare: (copy: PlacementCopy) => boolean,
 ): boolean {
   if (copy.state === 'releasing') return true;
   if (copy.state !== 'held') return false;
   if (!plan.artifacts.has(copy.artifact)) return true;
-  if (copy.idleMs < minIdleMs) return false;
+  if (!isSpare(copy)) return false;
   if (isReliedOn(plan, copy.copyId)) return false;
   return plan.reliableCopyIds(target, copy.artifact).length > 0;
 }
--- a/packages/banyanfold-decisions/src/placement/growHot.ts
+++ b/packages/banyanfold-decisions/src/placement/growHot.ts
@@ -1,10 +1,12 @@
 import type {PlacementOptions} from '../options.js';
 import type {PlacementArtifact} from '../types.js';
 import {rankTargets} from './chooseTarget.js';
-import {findRoom, retireAll} from './freeMemory.js';
+import {adaptersOn, findRoom, retireAll, type Room} from './freeMemory.js';
 import type {PlacementPlan, PlannedRunner} from './placementPlan.js';
 
 const MS_PER_SECOND = 1000;
+/** Above this callers are refused at a runner. */
+export const FULL_LOAD = 1;
 
 /** Plans extra copies of what keeps runners busy above a load. */
 export function growHot(
@@ -21,54 +23,72 @@
   }
 }
 
+/** What a copy of an artifact takes over from a busy runner. */
+interface Candidate {
+  artifact: PlacementArtifact;
+  /** Requests a second for it; for a model, with those for its adapters. */
+  demandPerSecond: number;
+  /** Slots that the demand keeps in use on the busy runner. */
+  sourceSlots: number;
+  /** The price of its load, with its adapters', in moves of a model. */
+  loadPrice: number;
+}
+
 function relieve(
   plan: PlacementPlan,
   source: PlannedRunner,
   options: PlacementOptions,
 ): void {
-  for (const artifact of busiestArtifacts(plan, source)) {
-    if (plan.holders(artifact.artifact).length >= options.maxCopies) continue;
-    if (plan.holders(artifact.artifact).some(isLoading(artifact))) return;
-    if (addCopy(plan, source, artifact, options)) return;
+  for (const candidate of candidatesOn(plan, source, options)) {
+    const {artifact} = candidate.artifact;
+    if (plan.holders(artifact).length >= options.maxCopies) continue;
+    if (addCopy(plan, source, candidate, options)) return;
   }
 }
 
-/** A copy on its way will relieve the runner; wait for it. */
-function isLoading(artifact: PlacementArtifact) {
-  return ({copies}: PlannedRunner): boolean =>
-    copies.get(artifact.artifact)?.state === 'reserved';
-}
-
-function busiestArtifacts(
+/** Artifacts on a runner, those that keep it busiest first. */
+function candidatesOn(
   plan: PlacementPlan,
   source: PlannedRunner,
-): PlacementArtifact[] {
-  return [...source.copies.keys()]
-    .map(name => plan.artifacts.get(name))
-    .filter(artifact => artifact !== undefined)
-    .sort(
-      (a, b) => plan.slotsShareOf(b.artifact) - plan.slotsShareOf(a.artifact),
-    );
+  options: PlacementOptions,
+): Candidate[] {
+  const candidates: Candidate[] = [];
+  for (const name of source.copies.keys()) {
+    const artifact = plan.artifacts.get(name);
+    if (!artifact) continue;
+    const adapters = adaptersOn(source, name)
+      .map(copy => plan.artifacts.get(copy.artifact))
+      .filter(adapter => adapter !== undefined);
+    const members = [artifact, ...adapters];
+    candidates.push({
+      artifact,
+      demandPerSecond: sum(members.map(member => member.demandPerSecond)),
+      sourceSlots: sum(members.map(m => plan.slotsShareOf(m.artifact))),
+      loadPrice: sum(members.map(member => movePrice(member, options))),
+    });
+  }
+  return candidates.sort((a, b) => b.sourceSlots - a.sourceSlots);
 }
 
 function addCopy(
   plan: PlacementPlan,
   source: PlannedRunner,
-  artifact: PlacementArtifact,
+  candidate: Candidate,
   options: PlacementOptions,
 ): boolean {
+  const {artifact} = candidate;
   for (const {target} of rankTargets(plan, artifact)) {
-    const movedPerSecond = movedRate(plan, source, target, artifact);
     const room = findRoom(
       plan,
       target,
       artifact.bytes,
-      options.retireIdleMs,
       artifact.modelArtifact,
+      copy => copy.idleMs >= options.retireIdleMs,
     );
     if (!room) continue;
-    const retirements = room.copies.length;
-    if (!isWorthwhile(movedPerSecond, artifact, retirements, options)) continue;
+    const movedPerSecond = movedRate(plan, source, target, candidate);
+    const price = candidate.loadPrice + priceOf(plan, room, options);
+    if (!isWorthwhile(movedPerSecond, price, options)) continue;
     if (target.freeBytes >= artifact.bytes) {
       plan.load(target, artifact, `hot: +${movedPerSecond.toFixed(2)}/s`);
     }
@@ -83,25 +103,46 @@
   plan: PlacementPlan,
   source: PlannedRunner,
   target: PlannedRunner,
-  artifact: PlacementArtifact,
+  {artifact, demandPerSecond}: Candidate,
 ): number {
   const copies = plan.holders(artifact.artifact).length;
-  const newSharePerSecond = artifact.demandPerSecond / (copies + 1);
+  const newSharePerSecond = demandPerSecond / (copies + 1);
   const slotsForOne = plan.slotsFor(artifact, 1);
   const spareSlots = ((source.load - target.load) / 2) * plan.slotsOf(target);
   return Math.min(newSharePerSecond, spareSlots / slotsForOne);
 }
 
+function movePrice(
+  {artifact, modelArtifact}: PlacementArtifact,
+  options: PlacementOptions,
+): number {
+  return artifact === modelArtifact ? 1 : options.adapterMoveShare;
+}
+
+/** The price of making room; what isn't published any more goes anyway. */
+function priceOf(
+  plan: PlacementPlan,
+  room: Room,
+  options: PlacementOptions,
+): number {
+  return sum(
+    room.copies.map(({artifact}) => {
+      const published = plan.artifacts.get(artifact);
+      return published ? movePrice(published, options) : 0;
+    }),
+  );
+}
+
 function isWorthwhile(
   movedPerSecond: number,
-  artifact: PlacementArtifact,
-  retirements: number,
+  price: number,
   options: PlacementOptions,
 ): boolean {
-  const isAdapter = artifact.artifact !== artifact.modelArtifact;
-  const loadPrice = isAdapter ? options.adapterMoveShare : 1;
-  const price = (loadPrice + retirements) * options.moveWeight;
   const horizonSeconds = options.horizonMs / MS_PER_SECOND;
   const gain = movedPerSecond * horizonSeconds * options.attainmentWeight;
-  return gain > price * options.hysteresis;
+  return gain > price * options.moveWeight * options.hysteresis;
+}
+
+function sum(values: number[]): number {
+  return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/banyanfold-decisions/src/placement/placeOrphans.ts
+++ b/packages/banyanfold-decisions/src/placement/placeOrphans.ts
@@ -114,7 +114,7 @@
 ): boolean {
   let best: {target: PlannedRunner; room: Room; cost: number} | undefined;
   for (const {target, cost} of targets) {
-    const room = findRoom(plan, target, neededBytes, 0, orphan.modelArtifact);
+    const room = findRoom(plan, target, neededBytes, orphan.modelArtifact);
     if (!room) continue;
     const total = cost + room.lostSlots / plan.slotsOf(target);
     if (!best || total < best.cost) best = {target, room, cost: total};
--- a/packages/banyanfold-decisions/src/placement/relocateFor.ts
+++ b/packages/banyanfold-decisions/src/placement/relocateFor.ts
@@ -37,7 +37,7 @@
   }
   if (!best) return false;
   const {home, missingBytes} = best;
-  const room = findRoom(plan, home, missingBytes, 0, orphan.modelArtifact);
+  const room = findRoom(plan, home, missingBytes, orphan.modelArtifact);
   const reason = `make-room-for ${orphan.artifact}`;
   if (room) retireAll(plan, home, room.copies, reason);
   for (const artifact of best.missing) {
@@ -84,7 +84,7 @@
   const home =
     homes.find(({freeBytes}) => freeBytes >= missingBytes) ??
     homes.find(other =>
-      findRoom(plan, other, missingBytes, 0, orphan.modelArtifact),
+      findRoom(plan, other, missingBytes, orphan.modelArtifact),
     );
   return home && {home, missing, missingBytes};
 }
