Run the model of retirements until it meets every verdict

Change: 3,000 runs, and `void old-view` in the list of verdicts that must be met. The invariant is unchanged.

--- a/packages/banyanfold-platform/src/__tests__/retirements.test.ts
+++ b/packages/banyanfold-platform/src/__tests__/retirements.test.ts
@@ -5,7 +5,7 @@
 import {createBasics, createRandom, settle} from './testKit.js';
 
 const SEED = 20_263;
-const RUNS = 1_000;
+const RUNS = 3_000;
 const RETENTION_MS = 20_000;
 const OPTIONS = {
   memoryMs: 8_000,
@@ -149,6 +149,7 @@
         "append-unknown",
         "log-unavailable",
         "void already-retired",
+        "void old-view",
         "void relies-on-none",
       ]
     `);
