Search for a lost record over several pages in a test

Cause: the table for appendOnce had short streams only, and its safeguards had not been seen to fail.

Change: two cases in a stream of three pages.

Each safeguard was removed once: no look-up after a lost answer, 6 cases fail; appending again in place of looking, 8; an unreadable log taken for "not appended", 2; the first page only, the 2 new ones; the code for late records ignored, 1; the planner by order of reading in place of offset, its test fails.

Conclusion: 98 tests of the two packages green with the safeguards in.

--- a/packages/banyanfold-platform/src/__tests__/appendOnce.test.ts
+++ b/packages/banyanfold-platform/src/__tests__/appendOnce.test.ts
@@ -57,6 +57,25 @@
   });
 });
 
+describe('appendOnce, in a long stream', () => {
+  it.each([
+    ['lost-after', 1_201],
+    ['lost-before', 'log-unavailable'],
+  ] as const)('after %s searches every page', async (fault, outcome) => {
+    const {clock} = createBasics();
+    const log = new FakeLog(clock);
+    log.push('claims', ...Array<string>(1_200).fill('junk'));
+    log.faults.push(fault);
+    const value = {nonce: 'mine'};
+    const result = await appendOnce({log, stream: 'claims', value});
+    const seen = result.match<number | string>(
+      offset => offset,
+      ({code}) => code,
+    );
+    expect([seen, log.calls.read]).toEqual([outcome, 3]);
+  });
+});
+
 describe('acquireFence', () => {
   it('gives rising numbers, also after a lost answer', async () => {
     const {clock} = createBasics();
