Clear a runner of several sole copies for a large orphan

When a failure domain of vanua was lost, the 48 GB model found no runner for the 150 s until the replacement: one relocated model was never enough. Orphans also made room on the same runner at the same time, in an order that changed with each second's waiting callers, so that copies were retired for one and loaded again for another.

A runner may now be cleared of as many models as needed, the way with the fewest bytes to load. What fits is loaded first; then room is made for three orphans at once, the largest of a class first, each on a runner of its own.

--- a/packages/banyanfold-decisions/src/options.ts
+++ b/packages/banyanfold-decisions/src/options.ts
@@ -102,6 +102,8 @@
   /** The weight store's limits. */
   loadsPerSecond: z.number().positive().default(1),
   loadsAtOnce: z.number().int().min(1).default(4),
+  /** Artifacts without a copy for which memory is made free at once. */
+  roomsAtOnce: z.number().int().min(1).default(3),
   /** Over this horizon a gain is counted against the price of its moves. */
   horizonMs: durationMsSchema.default(60_000),
   /** A gain must pass the price by this factor. */
--- a/packages/banyanfold-decisions/src/placement/placeOrphans.ts
+++ b/packages/banyanfold-decisions/src/placement/placeOrphans.ts
@@ -1,9 +1,8 @@
 import type {PlacementOptions} from '../options.js';
 import type {PlacementArtifact} from '../types.js';
-import {rankTargets, type Target} from './chooseTarget.js';
-import {findRoom, retireAll, type Room} from './freeMemory.js';
+import {rankTargets} from './chooseTarget.js';
+import {makeRooms, type TightOrphan} from './makeRooms.js';
 import type {PlacementPlan, PlannedRunner} from './placementPlan.js';
-import {relocateFor} from './relocateFor.js';
 
 /** Smoothed demand falls off for long; below this nobody asks any more. */
 const MIN_DEMAND_PER_SECOND = 0.01;
@@ -34,35 +33,25 @@
   isWanted: (orphan: PlacementArtifact) => boolean,
 ): boolean {
   const orphans = findOrphans(plan).filter(isWanted);
-  let roomsMade = 0;
+  const tight: TightOrphan[] = [];
   let isWaiting = false;
   for (const orphan of orphans) {
-    const needed = withAdapters(orphan, orphans);
+    const neededBytes = withAdapters(orphan, orphans);
     const targets = rankTargets(plan, orphan);
     const spoken = spokenFor(plan, orphans, orphan.modelArtifact);
     const roomy = targets.find(
-      ({target}) => target.freeBytes - (spoken.get(target) ?? 0) >= needed,
+      ({target}) => target.freeBytes - (spoken.get(target) ?? 0) >= neededBytes,
     );
-    if (roomy && plan.loadsLeft > 0) {
+    if (!roomy) {
+      tight.push({orphan, neededBytes});
+    } else if (plan.loadsLeft > 0) {
       plan.load(roomy.target, orphan, 'orphan');
-      continue;
-    }
-    if (roomy || roomsMade >= options.loadsAtOnce) {
-      refuse(plan, orphan, 'weight-store-limit');
-      isWaiting = true;
-      continue;
-    }
-    if (
-      makeRoom(plan, orphan, needed, targets) ||
-      relocateFor(plan, orphan, needed, targets)
-    ) {
-      roomsMade += 1;
+    } else {
+      plan.refuse(orphan, 'weight-store-limit');
       isWaiting = true;
-      continue;
     }
-    refuse(plan, orphan, targets.length === 0 ? 'no-runner' : 'no-memory');
   }
-  return isWaiting;
+  return makeRooms(plan, tight, options) || isWaiting;
 }
 
 /** Bytes of an orphan with those of its adapters that have no copy either. */
@@ -97,33 +86,6 @@
   return spoken;
 }
 
-function refuse(
-  plan: PlacementPlan,
-  {artifact}: PlacementArtifact,
-  reason: string,
-): void {
-  plan.unplaced.push({artifact, reason});
-}
-
-/** Retires surplus where the rest loses least; true when that will do. */
-function makeRoom(
-  plan: PlacementPlan,
-  orphan: PlacementArtifact,
-  neededBytes: number,
-  targets: readonly Target[],
-): boolean {
-  let best: {target: PlannedRunner; room: Room; cost: number} | undefined;
-  for (const {target, cost} of targets) {
-    const room = findRoom(plan, target, neededBytes, orphan.modelArtifact);
-    if (!room) continue;
-    const total = cost + room.lostSlots / plan.slotsOf(target);
-    if (!best || total < best.cost) best = {target, room, cost: total};
-  }
-  if (!best) return false;
-  retireAll(plan, best.target, best.room.copies, `room-for ${orphan.artifact}`);
-  return true;
-}
-
 /** Adapters before models: they are short to load and complete a model. */
 function byUrgency(a: PlacementArtifact, b: PlacementArtifact): number {
   if (a.priority !== b.priority) return a.priority - b.priority;
--- a/packages/banyanfold-decisions/src/placement/placementPlan.ts
+++ b/packages/banyanfold-decisions/src/placement/placementPlan.ts
@@ -114,6 +114,11 @@
     this.spreadLoad();
   }
 
+  /** Notes why an artifact gets no copy now. */
+  refuse({artifact}: PlacementArtifact, reason: string): void {
+    this.unplaced.push({artifact, reason});
+  }
+
   setRole(target: PlannedRunner, runnerRole: string, reason: string) {
     this.moves.push({
       kind: 'set-role',
