Prove the memory ledger against a model of the engine, and the start

A model test draws orders that are lost, late, doubled or lose their answer, old reports, weight store refusals, log outages, version changes and crashes of the agent, on a virtual clock, against an engine that commits whatever it is told.

A slot is now free as soon as the cancel is answered; only the KV memory of a request that was never answered waits for the bound.

Engines' restarts are not in the model; see docs/design/memory.md.

The queue's test had two places, of which the decisions now keep one for the best class; it has four, and fills them with the best class.

--- a/packages/banyanfold-agent/src/__tests__/admissionQueue.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/admissionQueue.test.ts
@@ -18,7 +18,7 @@
       },
     },
     maxRunning: options.maxRunning ?? 1,
-    maxQueued: 2,
+    maxQueued: 4,
   });
   const submit = (
     attemptId: string,
@@ -71,8 +71,9 @@
 
   it('refuses what finds the queue full', () => {
     const {submit, events} = createQueue({});
-    for (const id of ['a', 'b', 'c', 'd']) submit(id);
-    expect(events).toEqual(['0 a start', '0 d busy not-run']);
+    const ids = ['a', 'b', 'c', 'd', 'e', 'f'];
+    for (const id of ids) submit(id, {priority: 0});
+    expect(events).toEqual(['0 a start', '0 f busy not-run']);
   });
 
   it('runs no more than there is KV memory for', () => {
--- /dev/null
+++ b/packages/banyanfold-agent/src/__tests__/engineTruth.ts
@@ -0,0 +1,183 @@
+import {sleep, type Clock} from '@banyanfold/core';
+import {BanyanfoldError} from '@banyanfold/core';
+import {err, ok} from 'neverthrow';
+import type {
+  EngineOrder,
+  EngineReport,
+  OrderAnswer,
+} from '../engine/engineSchemas.js';
+
+/** What the way to the engine does to one transmission of an order. */
+export type OrderFault = 'none' | 'lost' | 'answer-lost' | 'late' | 'twice';
+
+interface Model {
+  bytes: number;
+  state: 'loading' | 'loaded' | 'unloading';
+}
+
+export interface EngineTruthOptions {
+  clock: Clock;
+  checksFencing: boolean;
+  capacityBytes: number;
+  /** No order is later than this. */
+  lateBoundMs: number;
+}
+
+const TRANSIT_MS = 3;
+const ANSWER_TIMEOUT_MS = 20;
+const LOAD_MS = 40;
+const UNLOAD_MS = 25;
+const CLOCK_OFFSET_MS = 5_000_000;
+
+/** An engine that commits whatever it is told, and notes what was too much. */
+export class EngineTruth {
+  readonly violations: string[] = [];
+  faults: Array<{fault: OrderFault; lateMs: number}> = [];
+  reportLagMs = 0;
+  /** The weight store refuses so many of the next loads. */
+  refuseLoads = 0;
+  private readonly models = new Map<string, Model>();
+  private readonly requests = new Map<string, number>();
+  private readonly accepted = new Map<string, number>();
+  private readonly history: EngineReport[] = [];
+  private highestFencing = 0;
+
+  constructor(private readonly options: EngineTruthOptions) {
+    this.changed();
+  }
+
+  nowMs(): number {
+    return this.options.clock.nowMs() + CLOCK_OFFSET_MS;
+  }
+
+  weightBytes(): number {
+    let total = 0;
+    for (const {bytes} of this.models.values()) total += bytes;
+    return total;
+  }
+
+  beginRequest(key: string, kvBytes: number): void {
+    this.requests.set(key, kvBytes);
+    this.changed();
+  }
+
+  endRequest(key: string): void {
+    this.requests.delete(key);
+    this.changed();
+  }
+
+  openRequests(): string[] {
+    return [...this.requests.keys()];
+  }
+
+  /** A report as the agent gets it: of a while ago, but answered now. */
+  async report() {
+    const askedAtMs = this.options.clock.nowMs();
+    const atMs = this.nowMs() - this.reportLagMs;
+    const past = this.history.findLast(({takenAtMs}) => takenAtMs <= atMs);
+    const report = {...(past ?? this.history[0]!), takenAtMs: atMs};
+    return ok({report, timing: {askedAtMs, engineNowMs: this.nowMs()}});
+  }
+
+  async cacheEvents() {
+    const place = {step: 'read-cache-events', peer: 'engine'};
+    return err(new BanyanfoldError('answer-lost', 'none here', place));
+  }
+
+  async order(order: EngineOrder): Promise<OrderAnswer> {
+    const {clock} = this.options;
+    const next = this.faults.shift() ?? {fault: 'none', lateMs: 0};
+    const {fault, lateMs} = next;
+    const deliver = (delayMs: number) =>
+      sleep(clock, delayMs).then(() => this.apply(order));
+    if (fault === 'none') return deliver(TRANSIT_MS);
+    if (fault === 'answer-lost') void deliver(TRANSIT_MS);
+    if (fault === 'late') void deliver(lateMs);
+    if (fault === 'twice') {
+      void deliver(lateMs);
+      return deliver(TRANSIT_MS);
+    }
+    await sleep(clock, ANSWER_TIMEOUT_MS);
+    return {kind: 'answer-lost'};
+  }
+
+  private apply(order: EngineOrder): OrderAnswer {
+    const earlier = this.accepted.get(order.orderId);
+    if (earlier !== undefined) return {kind: 'accepted', receivedAtMs: earlier};
+    const receivedAtMs = this.nowMs();
+    if (this.options.checksFencing) {
+      const {highestFencing} = this;
+      if (order.fencing < highestFencing) {
+        const engineNowMs = receivedAtMs;
+        return {kind: 'stale-fencing', highestFencing, engineNowMs};
+      }
+      this.highestFencing = order.fencing;
+    }
+    const refusal = this.handlers[order.kind](order);
+    if (refusal) {
+      return {kind: 'refused', code: refusal, engineNowMs: receivedAtMs};
+    }
+    this.accepted.set(order.orderId, receivedAtMs);
+    this.changed();
+    return {kind: 'accepted', receivedAtMs};
+  }
+
+  private readonly handlers: Record<
+    EngineOrder['kind'],
+    (order: EngineOrder) => string | undefined
+  > = {
+    load: ({artifact, bytes}) => this.load(artifact, bytes),
+    unload: ({artifact}) => this.unload(artifact),
+    'set-role': () => undefined,
+  };
+
+  private load(artifact: string, bytes: number): string | undefined {
+    const present = this.models.get(artifact);
+    if (present?.state === 'unloading') return 'unloading';
+    if (present) return undefined;
+    const model: Model = {bytes, state: 'loading'};
+    this.models.set(artifact, model);
+    const isRefused = this.refuseLoads > 0;
+    if (isRefused) this.refuseLoads--;
+    this.options.clock.setTimer(LOAD_MS, () => {
+      if (model.state !== 'loading') return;
+      if (isRefused) this.models.delete(artifact);
+      else model.state = 'loaded';
+      this.changed();
+    });
+    return undefined;
+  }
+
+  private unload(artifact: string): undefined {
+    const model = this.models.get(artifact);
+    if (!model || model.state === 'unloading') return;
+    model.state = 'unloading';
+    this.options.clock.setTimer(UNLOAD_MS, () => {
+      this.models.delete(artifact);
+      this.changed();
+    });
+  }
+
+  private changed(): void {
+    const kvUsedBytes = [...this.requests.values()].reduce((a, b) => a + b, 0);
+    const committedBytes = this.weightBytes() + kvUsedBytes;
+    const {capacityBytes} = this.options;
+    if (committedBytes > capacityBytes) {
+      this.violations.push(`${committedBytes} of ${capacityBytes}`);
+    }
+    this.history.push({
+      takenAtMs: this.nowMs(),
+      running: this.requests.size,
+      queued: 0,
+      kvUsedBytes,
+      kvCapacityBytes: capacityBytes,
+      memoryCapacityBytes: capacityBytes,
+      role: '',
+      models: [...this.models].map(([artifact, model]) => ({
+        artifact,
+        ...model,
+      })),
+      highestFencing: this.highestFencing,
+    });
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-agent/src/__tests__/ledgerWorld.ts
@@ -0,0 +1,211 @@
+import {
+  BanyanfoldError,
+  MemoryLogger,
+  Metrics,
+  VirtualClock,
+} from '@banyanfold/core';
+import type {LogService} from '@banyanfold/platform';
+import {errAsync, okAsync} from 'neverthrow';
+import {EngineWatch} from '../control/engineWatch.js';
+import {PrefixTracker} from '../control/prefixTracker.js';
+import {ProposalHandler} from '../control/proposalHandler.js';
+import {FenceKeeper} from '../engine/fenceKeeper.js';
+import {OrderSender} from '../engine/orderSender.js';
+import {MemoryLedger} from '../memory/memoryLedger.js';
+import {EngineTruth, type OrderFault} from './engineTruth.js';
+
+export const CAPACITY_BYTES = 100;
+export const LATE_BOUND_MS = 300;
+const REPORT_INTERVAL_MS = 20;
+
+export type Step =
+  | {kind: 'advance'; ms: number}
+  | {kind: 'load'; artifact: string; bytes: number}
+  | {kind: 'retire'; artifact: string}
+  | {kind: 'request'; bytes: number}
+  | {kind: 'finish'}
+  | {kind: 'crash'}
+  | {kind: 'order-faults'; faults: Array<{fault: OrderFault; lateMs: number}>}
+  | {kind: 'report-lag'; ms: number}
+  | {kind: 'refuse-loads'; count: number}
+  | {kind: 'log'; isUp: boolean};
+
+/** An engine, the agent beside it, and what goes wrong between them. */
+export class LedgerWorld {
+  readonly clock = new VirtualClock();
+  readonly truth: EngineTruth;
+  ledger!: MemoryLedger;
+  private agent!: {proposals: ProposalHandler; stop(): void};
+  private logIsUp = true;
+  private nextOffset = 1;
+  private sequence = 0;
+  private ownRequests: string[] = [];
+
+  constructor(private readonly checksFencing: boolean) {
+    this.truth = new EngineTruth({
+      clock: this.clock,
+      checksFencing,
+      capacityBytes: CAPACITY_BYTES,
+      lateBoundMs: LATE_BOUND_MS,
+    });
+    this.startAgent();
+  }
+
+  async run(step: Step): Promise<void> {
+    await (this.handlers[step.kind] as (step: Step) => unknown)(step);
+    await this.clock.advance(0);
+  }
+
+  /** The faults end, and time passes until nothing can be under way. */
+  async settle(): Promise<void> {
+    this.truth.faults = [];
+    this.truth.reportLagMs = 0;
+    this.logIsUp = true;
+    for (const key of this.truth.openRequests()) this.truth.endRequest(key);
+    for (const key of this.ownRequests.splice(0)) {
+      this.ledger.budget.releaseKv(key);
+    }
+    await this.clock.advance(20_000);
+  }
+
+  private readonly handlers: {
+    [K in Step['kind']]: (step: Extract<Step, {kind: K}>) => unknown;
+  } = {
+    advance: ({ms}) => this.clock.advance(ms),
+    load: ({artifact, bytes}) => this.propose('load', artifact, bytes),
+    retire: ({artifact}) => this.propose('retire', artifact, 0),
+    request: ({bytes}) => {
+      const {budget} = this.ledger;
+      if (budget.kvFreeBytes() < bytes) return;
+      const key = `request-${++this.sequence}`;
+      budget.reserveKv(key, bytes);
+      this.truth.beginRequest(key, bytes);
+      this.ownRequests.push(key);
+    },
+    finish: () => {
+      const [key] = this.truth.openRequests();
+      if (key === undefined) return;
+      this.truth.endRequest(key);
+      this.ledger.budget.releaseKv(key);
+    },
+    crash: () => {
+      this.agent.stop();
+      this.ownRequests = [];
+      this.startAgent();
+    },
+    'order-faults': ({faults}) => {
+      this.truth.faults = [...faults];
+    },
+    'report-lag': ({ms}) => {
+      this.truth.reportLagMs = ms;
+    },
+    'refuse-loads': ({count}) => {
+      this.truth.refuseLoads = count;
+    },
+    log: ({isUp}) => {
+      this.logIsUp = isUp;
+    },
+  };
+
+  private propose(
+    kind: 'load' | 'retire',
+    artifact: string,
+    bytes: number,
+  ): void {
+    void this.agent.proposals.propose({
+      proposalId: `proposal-${++this.sequence}`,
+      plannerEpoch: 1,
+      kind,
+      artifact,
+      bytes,
+      runnerRole: '',
+      reliesOnCopyIds: ['elsewhere'],
+    });
+  }
+
+  /** The port is bound: there is never a second one. */
+  private startAgent(): void {
+    const {clock, truth, checksFencing} = this;
+    const logger = new MemoryLogger();
+    const metrics = new Metrics();
+    const random = () => 0.5;
+    const incarnation = ++this.sequence;
+    const nextOrderId = (artifact: string) =>
+      `${artifact}#${incarnation}.${++this.sequence}`;
+    const ledger = new MemoryLedger({
+      clock,
+      checksFencing,
+      orderLateBoundMs: LATE_BOUND_MS,
+      kvPool: 'shared',
+      kvFloorShare: 0.1,
+      inheritedBoundMs: 1_000_000,
+      nameCopy: nextOrderId,
+    });
+    const fence = new FenceKeeper({
+      log: this.log,
+      vmId: 'agent-1',
+      clock,
+      logger,
+      random,
+      onFence: () => {},
+    });
+    const orders = new OrderSender({
+      engine: truth,
+      ledger,
+      clock,
+      logger,
+      metrics,
+      random,
+      fencing: () => fence.current(),
+      onSuperseded: () => fence.markSuperseded(),
+      resendDelayMs: 10,
+    });
+    const watch = new EngineWatch({
+      clock,
+      logger,
+      metrics,
+      engine: truth,
+      ledger,
+      orders,
+      fence,
+      prefixes: new PrefixTracker(10),
+      intervalMs: REPORT_INTERVAL_MS,
+      runnerRole: () => '',
+      nextOrderId,
+      onReport: () => {},
+    });
+    const proposals = new ProposalHandler({
+      clock,
+      logger,
+      metrics,
+      ledger,
+      orders,
+      retirements: {retireCopy: () => okAsync({kind: 'accepted'})},
+      inheritedRetireHoldMs: 0,
+      hasFence: () => fence.current() !== undefined,
+      isLeaving: () => false,
+      nextOrderId,
+      setRunnerRole: () => {},
+    });
+    void fence.acquire();
+    void watch.start();
+    this.ledger = ledger;
+    this.agent = {
+      proposals,
+      stop: () => [fence, orders, watch, proposals].forEach(p => p.stop()),
+    };
+  }
+
+  private readonly log: Pick<LogService, 'append' | 'read'> = {
+    append: () => {
+      if (this.logIsUp) {
+        const firstOffset = this.nextOffset++;
+        const answer = {firstOffset, lastOffset: firstOffset, appendedAtMs: 0};
+        return okAsync(answer);
+      }
+      const place = {step: 'append-fences', peer: 'log'};
+      return errAsync(new BanyanfoldError('log-unavailable', 'out', place));
+    },
+    read: () => okAsync({firstOffset: 1, nextOffset: 1, nowMs: 0, records: []}),
+  };
+}
--- /dev/null
+++ b/packages/banyanfold-agent/src/__tests__/memoryLedger.model.test.ts
@@ -0,0 +1,160 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import type {OrderFault} from './engineTruth.js';
+import {LATE_BOUND_MS, LedgerWorld, type Step} from './ledgerWorld.js';
+
+const SEEDS = [1, 2, 3];
+const RUNS_PER_SEED = 120;
+
+/** Sizes that two at most fit in beside each other. */
+const ARTIFACTS = [
+  {artifact: 'claims@1', bytes: 40},
+  {artifact: 'claims@2', bytes: 42},
+  {artifact: 'letters@1', bytes: 30},
+  {artifact: 'routes@1', bytes: 55},
+  {artifact: 'claims@1+suva@1', bytes: 5},
+];
+
+const advance = (minMs: number, maxMs: number): fc.Arbitrary<Step> =>
+  fc.record({
+    kind: fc.constant('advance' as const),
+    ms: fc.integer({min: minMs, max: maxMs}),
+  });
+
+const load: fc.Arbitrary<Step> = fc
+  .constantFrom(...ARTIFACTS)
+  .map(chosen => ({kind: 'load' as const, ...chosen}));
+
+const retire: fc.Arbitrary<Step> = fc
+  .constantFrom(...ARTIFACTS)
+  .map(({artifact}) => ({kind: 'retire' as const, artifact}));
+
+const request: fc.Arbitrary<Step> = fc.record({
+  kind: fc.constant('request' as const),
+  bytes: fc.integer({min: 1, max: 25}),
+});
+
+const crash: fc.Arbitrary<Step> = fc.constant({kind: 'crash' as const});
+
+const faultArbitrary = fc.record({
+  fault: fc.constantFrom<OrderFault>(
+    'none',
+    'lost',
+    'answer-lost',
+    'late',
+    'twice',
+  ),
+  lateMs: fc.integer({min: 1, max: LATE_BOUND_MS - 1}),
+});
+
+const mixedFaults: fc.Arbitrary<Step> = fc.record({
+  kind: fc.constant('order-faults' as const),
+  faults: fc.array(faultArbitrary, {minLength: 1, maxLength: 8}),
+});
+
+/** As many as an order is sent times, so that it ends in doubt. */
+const lateBurst: fc.Arbitrary<Step> = fc
+  .tuple(
+    fc.constantFrom<OrderFault>('late', 'lost'),
+    fc.integer({min: 1, max: LATE_BOUND_MS - 1}),
+    fc.integer({min: 3, max: 5}),
+  )
+  .map(([early, lateMs, count]) => ({
+    kind: 'order-faults' as const,
+    faults: Array.from({length: count}, (_, index) => ({
+      fault: index < count - 1 ? early : 'late',
+      lateMs: index < count - 1 ? lateMs : LATE_BOUND_MS - 1,
+    })),
+  }));
+
+const single = fc
+  .oneof(
+    {weight: 4, arbitrary: advance(1, 150)},
+    {weight: 2, arbitrary: advance(200, 700)},
+    {weight: 5, arbitrary: load},
+    {weight: 3, arbitrary: retire},
+    {weight: 4, arbitrary: request},
+    {weight: 2, arbitrary: fc.constant<Step>({kind: 'finish'})},
+    {weight: 1, arbitrary: crash},
+    {weight: 2, arbitrary: mixedFaults},
+    {
+      weight: 2,
+      arbitrary: fc.record({
+        kind: fc.constant('report-lag' as const),
+        ms: fc.integer({min: 0, max: 250}),
+      }),
+    },
+    {
+      weight: 1,
+      arbitrary: fc.record({
+        kind: fc.constant('refuse-loads' as const),
+        count: fc.integer({min: 1, max: 3}),
+      }),
+    },
+    {
+      weight: 1,
+      arbitrary: fc.record({
+        kind: fc.constant('log' as const),
+        isUp: fc.boolean(),
+      }),
+    },
+  )
+  .map(step => [step]);
+
+/** The agent dies while its load is on the way, and another takes over. */
+const loadAndCrash = fc
+  .tuple(lateBurst, load, advance(1, 40), crash, advance(1, 280), load)
+  .map(steps => [...steps]);
+
+/** A load stays in doubt while others are asked for. */
+const doubtfulLoad = fc
+  .tuple(lateBurst, load, advance(60, 250), load, advance(20, 250), load)
+  .map(steps => [...steps]);
+
+/** One version goes while the next one comes. */
+const versionChange = fc
+  .tuple(retire, advance(1, 60), load, request, advance(1, 60), load)
+  .map(steps => [...steps]);
+
+const stepsArbitrary = fc
+  .array(
+    fc.oneof(
+      {weight: 8, arbitrary: single},
+      {weight: 2, arbitrary: loadAndCrash},
+      {weight: 2, arbitrary: doubtfulLoad},
+      {weight: 2, arbitrary: versionChange},
+    ),
+    {minLength: 8, maxLength: 30},
+  )
+  .map(groups => groups.flat());
+
+// Orders to the engine are lost, arrive late, twice or with their answer lost;
+// reports are old; the weight store refuses; the agent dies at any moment and
+// another starts; the log is out. The engine here commits whatever it is told:
+// any promise too much shows, as the crash of an accelerator would.
+describe.each([
+  {engine: 'checks fencing', checksFencing: true},
+  {engine: 'ignores fencing', checksFencing: false},
+])('the memory of an engine that $engine', ({checksFencing}) => {
+  it.each(SEEDS)('is never committed twice (seed %i)', async seed => {
+    const property = fc.asyncProperty(stepsArbitrary, async steps => {
+      const world = new LedgerWorld(checksFencing);
+      await world.run({kind: 'advance', ms: 2 * LATE_BOUND_MS});
+      for (const step of steps) {
+        await world.run(step);
+        expect(world.truth.violations).toEqual([]);
+      }
+      await world.settle();
+      expect(world.truth.violations).toEqual([]);
+      // Nothing stays reserved for good either.
+      const states = world.ledger.all().map(({state}) => state);
+      expect(states.filter(state => state !== 'held')).toEqual([]);
+      const ledgerBytes = world.ledger
+        .all()
+        .reduce((sum, {bytes}) => sum + bytes, 0);
+      expect(ledgerBytes).toBe(world.truth.weightBytes());
+      expect(world.ledger.inQuarantine()).toBe(false);
+    });
+    await fc.assert(property, {seed, numRuns: RUNS_PER_SEED});
+  });
+});
--- a/packages/banyanfold-agent/src/__tests__/testAgent.ts
+++ b/packages/banyanfold-agent/src/__tests__/testAgent.ts
@@ -25,7 +25,8 @@
 /** An agent with stand-ins around it, all on free loopback ports. */
 export async function startTestAgent(options: TestAgentOptions = {}) {
   const logStandin = new LogStandin();
-  const logPort = options.logUrl ? 0 : (await logStandin.start()).port;
+  const logUrl =
+    options.logUrl ?? `http://127.0.0.1:${(await logStandin.start()).port}`;
   const engine = new EngineStandin({
     models: [{artifact: MODEL, bytes: 4 * GIB}],
     baseStepMs: 2,
@@ -46,9 +47,7 @@
       internalKey: INTERNAL_KEY,
       reportIntervalMs: 10,
       resumeWindowMs: 200,
-      platform: {
-        logUrl: options.logUrl ?? `http://127.0.0.1:${logPort}`,
-      },
+      platform: {logUrl},
       ...options.settings,
       engine: {
         url: `http://127.0.0.1:${enginePort}`,
@@ -59,12 +58,15 @@
     },
     {logger, metrics},
   );
-  const {port} = await agent.start();
   const stop = async () => {
     await agent.stop();
     await usedEngine.stop();
     if (!options.logUrl) await logStandin.stop();
   };
+  const {port} = await agent.start().catch(async (error: unknown) => {
+    await stop();
+    throw error;
+  });
   const client = createAgentClient({
     host: '127.0.0.1',
     port,
@@ -76,6 +78,7 @@
     engine,
     enginePort,
     logStandin,
+    logUrl,
     logger,
     metrics,
     client,
--- a/packages/banyanfold-agent/src/attempts/engineCanceller.ts
+++ b/packages/banyanfold-agent/src/attempts/engineCanceller.ts
@@ -1,6 +1,7 @@
 import {sleep, type Clock, type Logger} from '@banyanfold/core';
 import {Backoff} from '@banyanfold/platform';
 import type {EngineClient} from '../engine/engineClient.js';
+import type {CancelState} from '../engine/engineSchemas.js';
 
 const RETRY_CAP_MS = 2_000;
 
@@ -17,10 +18,11 @@
 /**
  * Ends requests at the engine, and says when their KV cache is free.
  *
- * A cancel gets lost like anything else. Were its memory counted as free then,
+ * A cancel gets lost like anything else. Were the memory counted as free then,
  * the next requests would be admitted into memory that is in use. So it goes
- * again until it is answered. An engine that doesn't know the request may get
- * it yet, so the memory stays counted until it can't be under way any more.
+ * again until it is answered. An engine that doesn't know a request which it
+ * never answered may get it yet, so the memory of that stays counted until it
+ * can't be under way any more.
  */
 export class EngineCanceller {
   private stopped = false;
@@ -31,19 +33,25 @@
     this.stopped = true;
   }
 
-  /** Resolves when the engine can't be running the request any more. */
-  async cancel(engineRequestId: string): Promise<void> {
-    const {engine, clock, random, logger, orderLateBoundMs} = this.options;
+  /** Cancels; resolves to the engine's answer, or undefined when stopped. */
+  async cancel(engineRequestId: string): Promise<CancelState | undefined> {
+    const {engine, clock, random, logger} = this.options;
     const backoff = new Backoff({capMs: RETRY_CAP_MS, random});
-    const endMs = clock.nowMs() + orderLateBoundMs;
     while (!this.stopped) {
       const answer = await engine.cancel(engineRequestId);
-      const state = answer.unwrapOr(undefined);
-      const isPast = clock.nowMs() >= endMs;
-      if (state === 'cancelled' || state === 'finished') break;
-      if (state === 'unknown' && isPast) break;
+      if (answer.isOk()) {
+        const state = answer.value;
+        logger.info('cancel', {engineRequest: engineRequestId, state});
+        return state;
+      }
       await sleep(clock, backoff.nextDelayMs());
     }
-    logger.info('cancel', {engineRequest: engineRequestId});
+    return undefined;
+  }
+
+  /** Cancels again after the time in which the request may still arrive. */
+  async cancelLate(engineRequestId: string): Promise<void> {
+    await sleep(this.options.clock, this.options.orderLateBoundMs);
+    await this.cancel(engineRequestId);
   }
 }
--- a/packages/banyanfold-agent/src/attempts/modelAttempt.ts
+++ b/packages/banyanfold-agent/src/attempts/modelAttempt.ts
@@ -30,6 +30,8 @@
   private startedMs = 0;
   private firstEventMs: number | undefined;
   private isOver = false;
+  /** Whether the engine is known to have got the request. */
+  private wasAnswered = false;
 
   constructor(
     private readonly context: AttemptContext,
@@ -66,6 +68,7 @@
       return;
     }
     const response = sent.unwrapOr(undefined);
+    this.wasAnswered = response !== undefined;
     if (response && response.statusCode >= FIRST_ERROR_STATUS) {
       const refusal = await readRejection(response);
       if (refusal.outcome === 'not-run') this.endNotRun(refusal);
@@ -83,7 +86,7 @@
 
   /**
    * It may have run, and nobody can say. The slot stays taken until the engine
-   * can't be running it any more.
+   * runs it no more, its KV memory until it can't run it later either.
    */
   async endUnknown(refusal: Refusal): Promise<void> {
     if (this.isOver) return;
@@ -91,8 +94,13 @@
     this.abort.abort();
     this.tellReader(refusal);
     this.context.registry.finish(this.attemptId);
-    await this.context.canceller.cancel(this.ids.engineRequestId);
+    const {canceller, ledger} = this.context;
+    const state = await canceller.cancel(this.ids.engineRequestId);
     this.end(refusal.code);
+    if (state === 'unknown' && !this.wasAnswered) {
+      await canceller.cancelLate(this.ids.engineRequestId);
+    }
+    ledger.budget.releaseKv(this.attemptId);
   }
 
   /** Reads a stream to its true end; false when that was not reached. */
@@ -151,6 +159,7 @@
     this.isOver = true;
     this.tellReader(refusal);
     this.context.registry.refuse(this.attemptId);
+    this.context.ledger.budget.releaseKv(this.attemptId);
     this.leaveSlot();
     this.log(refusal.code);
   }
@@ -162,6 +171,7 @@
     notePrefix(prefixHash);
     noteServed(artifact);
     registry.finish(this.attemptId);
+    this.context.ledger.budget.releaseKv(this.attemptId);
     this.end('complete', clock.nowMs() - this.startedMs);
   }
 
@@ -176,7 +186,6 @@
 
   private leaveSlot(serviceTimeMs?: number): void {
     const {ledger, queue} = this.context;
-    ledger.budget.releaseKv(this.attemptId);
     ledger.endUse(this.input.headers.artifact);
     queue.release(this.attemptId, serviceTimeMs);
   }
