Leave out the KV size of a service's call, and resume for longer

A trial of the whole path with real agents and stand-ins found that every call to a service was refused: the entry sent 0 bytes of KV cache for each token, which agents refuse as a bad header, and without an echo. No test met it, since the fake agent reads no such header.

--- a/packages/banyanfold-entry/src/__tests__/streamFaults.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/streamFaults.test.ts
@@ -186,7 +186,10 @@
 
   it.each([
     ['the agent has forgotten it', [gone]],
-    ['no resume brings a further event', Array<Behaviour>(6).fill(dieSilently)],
+    [
+      'no resume brings a further event',
+      Array<Behaviour>(10).fill(dieSilently),
+    ],
   ])(
     'never ends a part cleanly when %s',
     // The caller has had the first word when the agent dies for good. It must
--- a/packages/banyanfold-entry/src/attempts/runAttempt.ts
+++ b/packages/banyanfold-entry/src/attempts/runAttempt.ts
@@ -104,11 +104,13 @@
   ): Promise<AttemptResult> {
     const {context, job, agent, attemptId} = this.options;
     const {clock, random, settings} = context;
-    const {resumeTries, resumeBackoffMs} = settings.attempts;
+    const {resumeTries, resumeBackoffMs, resumeBackoffMaxMs} =
+      settings.attempts;
     const {signal} = this.stop;
     const address = {agent, attemptId, requestId: job.requestId, signal};
     for (let tries = 0; tries < resumeTries && !signal.aborted; tries++) {
-      await sleep(clock, random() * resumeBackoffMs * 2 ** tries);
+      const ceilingMs = resumeBackoffMs * 2 ** tries;
+      await sleep(clock, random() * Math.min(resumeBackoffMaxMs, ceilingMs));
       const opened = await context.transport.resume(address, 0);
       const result = await this.take(opened, onFirstEvent);
       context.logger.warn('answer-resume', {
@@ -214,7 +216,10 @@
       [HEADERS.promptTokens]: String(job.facts.promptTokens),
       [HEADERS.maxTokens]: String(job.facts.maxTokens),
       [HEADERS.prefixHash]: job.prefixHash,
-      [HEADERS.kvBytesPerToken]: String(job.target.kvBytesPerToken),
+      // A service's call takes no KV cache, and agents refuse a zero here.
+      ...(job.target.kvBytesPerToken > 0 && {
+        [HEADERS.kvBytesPerToken]: String(job.target.kvBytesPerToken),
+      }),
       ...(job.idempotencyKey && {
         [HEADERS.idempotencyKey]: job.idempotencyKey,
       }),
--- a/packages/banyanfold-entry/src/attempts/streamRelay.ts
+++ b/packages/banyanfold-entry/src/attempts/streamRelay.ts
@@ -176,8 +176,9 @@
   private async pauseBeforeResume(triesMade: number): Promise<void> {
     const {clock, random, settings} = this.options.context;
     if (triesMade === 0) return;
-    const ceilingMs = settings.attempts.resumeBackoffMs * 2 ** triesMade;
-    await sleep(clock, random() * ceilingMs);
+    const {resumeBackoffMs, resumeBackoffMaxMs} = settings.attempts;
+    const ceilingMs = resumeBackoffMs * 2 ** triesMade;
+    await sleep(clock, random() * Math.min(resumeBackoffMaxMs, ceilingMs));
   }
 
   private noteDropped(dropped: number): void {
--- a/packages/banyanfold-entry/src/settings.ts
+++ b/packages/banyanfold-entry/src/settings.ts
@@ -31,8 +31,10 @@
   streamIdleMs: z.number().positive().default(10_000),
   /** How long an agent may take to answer that it resumes a stream. */
   resumeMs: z.number().positive().default(1_000),
-  resumeTries: z.number().int().min(0).default(4),
+  /** Tries without progress; an agent that restarts is back in seconds. */
+  resumeTries: z.number().int().min(0).default(9),
   resumeBackoffMs: z.number().positive().default(100),
+  resumeBackoffMaxMs: z.number().positive().default(1_000),
   connectionsPerAgent: z.number().int().positive().default(256),
 });
 
