Estimate the first token by class

After a domain was lost on the reports desk, a large drafting model stood in on a desk runner. Desk requests were refused there as too late while the runner was half idle: one smoothed first-token time for all classes, made up of drafts, was longer than the desk's whole budget. Admission and the queue now take the time of a request's class where the agent gives it (`firstTokenMs`, optional; the view's figure stands in).

--- a/bench/src/decisions/fakes/fakeAgent.ts
+++ b/bench/src/decisions/fakes/fakeAgent.ts
@@ -72,7 +72,8 @@
   private readonly waiting = new Map<string, Waiting>();
   private kvUsedBytes = 0;
   private serviceTimeMs = FIRST_SERVICE_MS;
-  private firstTokenMs = FIRST_TOKEN_MS;
+  /** Smoothed, by class. */
+  private readonly firstTokenMs = new Map<number, number>();
   private dispatchCount = 0;
 
   constructor(
@@ -95,6 +96,7 @@
       priority: attempt.priority,
       firstTokenBudgetMs: attempt.firstTokenBudgetMs,
       kvBytes: kvBytesOf(attempt),
+      firstTokenMs: this.firstTokenOf(attempt.priority),
     };
     const nowMs = this.context.events.nowMs;
     const decision = this.admission.admit(this.view(), request, nowMs);
@@ -163,7 +165,7 @@
       maxQueued: MAX_QUEUED,
       kvFreeBytes: KV_MEMORY_BYTES - this.kvUsedBytes,
       serviceTimeMs: this.serviceTimeMs,
-      firstTokenMs: this.firstTokenMs,
+      firstTokenMs: this.firstTokenOf(0),
     };
   }
 
@@ -178,9 +180,11 @@
       enqueuedMs: nowMs,
       deadlineMs: nowMs + request.firstTokenBudgetMs,
       kvBytes: request.kvBytes,
+      firstTokenMs: request.firstTokenMs,
     };
     this.waiting.set(attempt.attemptId, {attempt, entry});
-    const lateInMs = request.firstTokenBudgetMs - this.firstTokenMs + 1;
+    const firstTokenMs = this.firstTokenOf(request.priority);
+    const lateInMs = request.firstTokenBudgetMs - firstTokenMs + 1;
     this.context.events.after(lateInMs, () => {
       if (this.waiting.has(attempt.attemptId)) this.pump();
     });
@@ -194,7 +198,7 @@
       const nowMs = this.context.events.nowMs;
       const queue = [...this.waiting.values()].map(({entry}) => entry);
       const decision = this.admission.pick(queue, nowMs, {
-        firstTokenMs: this.firstTokenMs,
+        firstTokenMs: this.firstTokenOf(0),
         dispatchIntervalMs: this.serviceTimeMs / MAX_RUNNING,
         kvFreeBytes: KV_MEMORY_BYTES - this.kvUsedBytes,
         dispatchCount: this.dispatchCount,
@@ -209,6 +213,10 @@
     }
   }
 
+  private firstTokenOf(priority: number): number {
+    return this.firstTokenMs.get(priority) ?? FIRST_TOKEN_MS;
+  }
+
   private take(attemptId: string): Waiting {
     const waiting = this.waiting.get(attemptId)!;
     this.waiting.delete(attemptId);
@@ -225,7 +233,9 @@
       ...attempt,
       onFirstToken: () => {
         const tookMs = events.nowMs - startedMs;
-        this.firstTokenMs += SMOOTHING * (tookMs - this.firstTokenMs);
+        const beforeMs = this.firstTokenOf(attempt.priority);
+        const afterMs = beforeMs + SMOOTHING * (tookMs - beforeMs);
+        this.firstTokenMs.set(attempt.priority, afterMs);
         attempt.onFirstToken();
       },
       onDone: () => {
--- a/packages/banyanfold-decisions/src/__tests__/admissionAndQueue.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/admissionAndQueue.test.ts
@@ -22,6 +22,11 @@
     ['keeps the last places for the best class', room, {}],
     ['gives the last places to the best class', room, {priority: 0}],
     ['refuses what comes too late', {running: 4}, {firstTokenBudgetMs: 100}],
+    [
+      'goes by the first-token time of its class, where known',
+      {firstTokenMs: 900},
+      {firstTokenMs: 30},
+    ],
     ['refuses a spent budget', {}, {firstTokenBudgetMs: -1}],
   ];
 
@@ -76,6 +81,16 @@
     expect(decision.retryAfterMs).toBeGreaterThan(0);
   });
 
+  it('refuses no short answer for the time that drafts take', () => {
+    // Callers at the counter were refused by an idle runner: its smoothed
+    // first token, all from drafts, was longer than their whole budget.
+    const options = {...DEFAULT_QUEUE_OPTIONS, firstTokenMs: 600};
+    const short = {...urgent, firstTokenMs: 30};
+    const {next, tooLate} = pickNext([short, urgent], 0, options, 0);
+    expect(next).toBe(short);
+    expect(tooLate).toEqual([urgent]);
+  });
+
   it('passes over what lacks KV memory', () => {
     const options = {...DEFAULT_QUEUE_OPTIONS, kvFreeBytes: 5};
     const large = {...urgent, kvBytes: 9};
--- a/packages/banyanfold-decisions/src/decideAdmission.ts
+++ b/packages/banyanfold-decisions/src/decideAdmission.ts
@@ -19,7 +19,8 @@
   options: AdmissionOptions = DEFAULT_ADMISSION_OPTIONS,
 ): AdmissionDecision {
   const waitMs = estimateWaitMs(view, request, nowMs);
-  const estimatedDelayMs = waitMs + view.firstTokenMs;
+  const firstTokenMs = request.firstTokenMs ?? view.firstTokenMs;
+  const estimatedDelayMs = waitMs + firstTokenMs;
   const allowedMs = request.firstTokenBudgetMs * options.budgetTolerance;
   if (request.kvBytes > view.kvFreeBytes && view.running === 0) {
     return refuse('no-kv-memory', estimatedDelayMs, view.serviceTimeMs);
--- a/packages/banyanfold-decisions/src/pickNext.ts
+++ b/packages/banyanfold-decisions/src/pickNext.ts
@@ -21,7 +21,8 @@
   const tooLate: QueuedRequest[] = [];
   const inTime: QueuedRequest[] = [];
   for (const request of queue) {
-    const late = request.deadlineMs < nowMs + options.firstTokenMs;
+    const firstTokenMs = request.firstTokenMs ?? options.firstTokenMs;
+    const late = request.deadlineMs < nowMs + firstTokenMs;
     (late ? tooLate : inTime).push(request);
   }
   const startable = inTime.filter(
--- a/packages/banyanfold-decisions/src/types.ts
+++ b/packages/banyanfold-decisions/src/types.ts
@@ -86,6 +86,8 @@
   /** When its first token is due. */
   deadlineMs: number;
   kvBytes: number;
+  /** As in {@link AdmissionRequest}. */
+  firstTokenMs?: number;
 }
 
 /** Which request an agent runs next, and which it refuses at once. */
@@ -116,6 +118,12 @@
   priority: number;
   firstTokenBudgetMs: number;
   kvBytes: number;
+  /**
+   * Smoothed time from dispatch to first token of requests of this class; the
+   * view's when left out. A draft takes many times a short answer's, so that
+   * one figure for both has short answers refused beside drafts.
+   */
+  firstTokenMs?: number;
 }
 
 export type AdmissionDecision =
