--- a/packages/banyanfold-entry/src/attempts/collectAnswer.ts
+++ b/packages/banyanfold-entry/src/attempts/collectAnswer.ts
@@ -1,5 +1,5 @@
 import type {WholeAnswer} from '../requests/types.js';
-import {callerHeaders, type AttemptAnswer} from './attemptTransport.js';
+import {callerHeaders, type AttemptAnswer} from './attemptOpening.js';
 
 /**
  * Reads an answer that isn't streamed, to its end.
--- a/packages/banyanfold-entry/src/attempts/finalError.ts
+++ b/packages/banyanfold-entry/src/attempts/finalError.ts
@@ -1,7 +1,7 @@
 import type {RoutingDecision} from '@banyanfold/decisions';
 import type {Outcome} from '@banyanfold/protocol';
 import {ApiError, type ApiErrorCode} from '../http/apiErrors.js';
-import type {AttemptRefusal} from './attemptTransport.js';
+import type {AttemptRefusal} from './attemptOpening.js';
 
 const UNREACHABLE_RETRY_MS = 1000;
 const REQUEST_FAULT_STATUSES: ReadonlySet<number> = new Set([400, 413, 422]);
--- a/packages/banyanfold-entry/src/attempts/idleWatch.ts
+++ b/packages/banyanfold-entry/src/attempts/idleWatch.ts
@@ -6,6 +6,7 @@
  */
 export class IdleWatch {
   private lastMs: number;
+  private paused = false;
   private timer: Timer | undefined;
 
   constructor(
@@ -17,7 +18,13 @@
     this.arm(idleMs);
   }
 
+  /** Nothing counts as idle until the next `note`. */
+  pause(): void {
+    this.paused = true;
+  }
+
   note(): void {
+    this.paused = false;
     this.lastMs = this.clock.nowMs();
   }
 
@@ -27,6 +34,7 @@
 
   private arm(delayMs: number): void {
     this.timer = this.clock.setTimer(delayMs, () => {
+      if (this.paused) this.lastMs = this.clock.nowMs();
       const leftMs = this.lastMs + this.idleMs - this.clock.nowMs();
       if (leftMs > 0) this.arm(leftMs);
       else this.onIdle();
--- /dev/null
+++ b/packages/banyanfold-entry/src/attempts/resumePause.ts
@@ -0,0 +1,20 @@
+import {sleep} from '@banyanfold/core';
+import type {EntryContext} from '../context.js';
+
+/**
+ * Waits before a resume; the first one is not waited for. Half of each pause
+ * is random, so that the streams of one agent don't all come back together,
+ * and half is not, so that the tries last until a restarted agent is back.
+ */
+export async function pauseBeforeResume(
+  {clock, random, settings}: EntryContext,
+  triesMade: number,
+): Promise<void> {
+  if (triesMade === 0) return;
+  const {resumeBackoffMs, resumeBackoffMaxMs} = settings.attempts;
+  const ceilingMs = Math.min(
+    resumeBackoffMaxMs,
+    resumeBackoffMs * 2 ** triesMade,
+  );
+  await sleep(clock, (ceilingMs * (1 + random())) / 2);
+}
--- a/packages/banyanfold-entry/src/attempts/runAttempt.ts
+++ b/packages/banyanfold-entry/src/attempts/runAttempt.ts
@@ -1,4 +1,3 @@
-import {sleep} from '@banyanfold/core';
 import {HEADERS} from '@banyanfold/protocol';
 import type {EntryContext} from '../context.js';
 import type {RequestJob, RequestResult} from '../requests/types.js';
@@ -8,8 +7,9 @@
   type AttemptAnswer,
   type AttemptOpening,
   type AttemptRefusal,
-} from './attemptTransport.js';
+} from './attemptOpening.js';
 import {collectAnswer} from './collectAnswer.js';
+import {pauseBeforeResume} from './resumePause.js';
 import {StreamRelay} from './streamRelay.js';
 
 const FIRST_SERVER_ERROR = 500;
@@ -103,14 +103,11 @@
     onFirstEvent: () => void,
   ): Promise<AttemptResult> {
     const {context, job, agent, attemptId} = this.options;
-    const {clock, random, settings} = context;
-    const {resumeTries, resumeBackoffMs, resumeBackoffMaxMs} =
-      settings.attempts;
+    const {resumeTries} = context.settings.attempts;
     const {signal} = this.stop;
     const address = {agent, attemptId, requestId: job.requestId, signal};
     for (let tries = 0; tries < resumeTries && !signal.aborted; tries++) {
-      const ceilingMs = resumeBackoffMs * 2 ** tries;
-      await sleep(clock, random() * Math.min(resumeBackoffMaxMs, ceilingMs));
+      await pauseBeforeResume(context, tries);
       const opened = await context.transport.resume(address, 0);
       const result = await this.take(opened, onFirstEvent);
       context.logger.warn('answer-resume', {
--- a/packages/banyanfold-entry/src/attempts/streamRelay.ts
+++ b/packages/banyanfold-entry/src/attempts/streamRelay.ts
@@ -1,10 +1,10 @@
-import {sleep} from '@banyanfold/core';
 import type {EntryContext} from '../context.js';
 import type {RequestJob} from '../requests/types.js';
 import type {AgentState} from '../view/agentState.js';
-import {callerHeaders, type AttemptAnswer} from './attemptTransport.js';
+import {callerHeaders, type AttemptAnswer} from './attemptOpening.js';
 import {FrameScanner} from './frameScanner.js';
 import {IdleWatch} from './idleWatch.js';
+import {pauseBeforeResume} from './resumePause.js';
 
 type Body = AttemptAnswer['body'];
 
@@ -53,7 +53,7 @@
       }
       if (job.signal.aborted) return {kind: 'caller-gone'};
       if (this.mayRunElsewhere() || triesLeft === 0) break;
-      await this.pauseBeforeResume(resumeTries - triesLeft);
+      await pauseBeforeResume(context, resumeTries - triesLeft);
       triesLeft--;
       const resumed = await this.resume(reason);
       if (resumed === 'gone') break;
@@ -88,8 +88,9 @@
         idle.note();
         const frames = this.scanner.scan(chunk);
         this.noteDropped(frames.dropped);
-        if (frames.slices.length > 0) await this.pass(frames.slices, opened);
         // A caller that reads slowly is not an agent that sends nothing.
+        idle.pause();
+        if (frames.slices.length > 0) await this.pass(frames.slices, opened);
         idle.note();
         if (frames.fault) stop(frames.fault);
         if (this.scanner.done || fault) break;
@@ -173,14 +174,6 @@
     return opened;
   }
 
-  private async pauseBeforeResume(triesMade: number): Promise<void> {
-    const {clock, random, settings} = this.options.context;
-    if (triesMade === 0) return;
-    const {resumeBackoffMs, resumeBackoffMaxMs} = settings.attempts;
-    const ceilingMs = resumeBackoffMs * 2 ** triesMade;
-    await sleep(clock, random() * Math.min(resumeBackoffMaxMs, ceilingMs));
-  }
-
   private noteDropped(dropped: number): void {
     if (dropped === 0) return;
     const {context, attemptId, agent} = this.options;
--- a/packages/banyanfold-entry/src/http/callerStream.ts
+++ b/packages/banyanfold-entry/src/http/callerStream.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {ApiError} from './apiErrors.js';
+import {untilTaken, type StallLimit} from './untilTaken.js';
 
 /** The caller's end of a streamed answer. */
 export class CallerStream {
@@ -7,7 +8,10 @@
   readonly signal: AbortSignal;
   private readonly gone = new AbortController();
 
-  constructor(private readonly res: ServerResponse) {
+  constructor(
+    private readonly res: ServerResponse,
+    private readonly limit: StallLimit,
+  ) {
     this.signal = this.gone.signal;
     res.once('close', () => {
       if (!res.writableFinished) this.gone.abort();
@@ -31,7 +35,7 @@
     res.cork();
     for (const slice of slices) hasRoom = res.write(slice);
     res.uncork();
-    if (!hasRoom) await this.drained();
+    if (!hasRoom) await untilTaken(res, 'drain', this.limit);
   }
 
   end(): void {
@@ -47,17 +51,4 @@
     if (res.destroyed) return;
     res.write(`data: ${error.toBody()}\n\n`, () => res.destroy());
   }
-
-  private drained(): Promise<void> {
-    const {res} = this;
-    return new Promise(resolve => {
-      const settle = () => {
-        res.off('drain', settle);
-        res.off('close', settle);
-        resolve();
-      };
-      res.once('drain', settle);
-      res.once('close', settle);
-    });
-  }
 }
--- a/packages/banyanfold-entry/src/http/inference.ts
+++ b/packages/banyanfold-entry/src/http/inference.ts
@@ -10,6 +10,7 @@
 import {ApiError, writeApiError} from './apiErrors.js';
 import {CallerStream} from './callerStream.js';
 import {readBody} from './readBody.js';
+import {untilTaken, type StallLimit} from './untilTaken.js';
 
 const OVERLOADED_RETRY_MS = 1000;
 
@@ -51,7 +52,7 @@
   ): Promise<void> {
     const {context} = this;
     const startedMs = context.clock.nowMs();
-    const out = new CallerStream(res);
+    const out = new CallerStream(res, this.stallLimit());
     const body = await readBody(req, context.settings.limits.bodyBytes);
     const facts = readFacts(body);
     const options = {req, caller, facts, path, body, out, startedMs};
@@ -102,7 +103,12 @@
       res.writeHead(status, headers);
       res.end(body);
     }
-    await closed(res);
+    await untilTaken(res, 'finish', this.stallLimit());
+  }
+
+  private stallLimit(): StallLimit {
+    const {clock, settings} = this.context;
+    return {clock, stallMs: settings.limits.callerStallMs};
   }
 
   private logEnd(job: RequestJob, result: RequestResult): void {
@@ -121,12 +127,3 @@
     });
   }
 }
-
-/** Resolves once the answer has left, or the caller has. */
-function closed(res: ServerResponse): Promise<void> {
-  if (res.writableFinished || res.destroyed) return Promise.resolve();
-  return new Promise(resolve => {
-    res.once('finish', resolve);
-    res.once('close', resolve);
-  });
-}
--- a/packages/banyanfold-entry/src/settings.ts
+++ b/packages/banyanfold-entry/src/settings.ts
@@ -17,6 +17,8 @@
   headerMs: z.number().positive().default(10_000),
   /** How long a caller may take to send its whole request. */
   requestMs: z.number().positive().default(60_000),
+  /** How long a caller may take nothing of its answer. */
+  callerStallMs: z.number().positive().default(30_000),
   maxOpenRequests: z.number().int().positive().default(2_000),
   /** A whole answer that isn't streamed is kept in memory up to this. */
   answerBytes: z.number().int().positive().default(33_554_432),
@@ -95,10 +97,11 @@
 
 /** Settings of an entry, written in JSON with comments. */
 export const entrySettingsSchema = fieldsSchema
-  .refine(({callers}) => distinct(callers.map(({key}) => key)), {
-    path: ['callers'],
-    message: 'two callers have the same key; give each its own',
-  })
+  .refine(
+    ({callers, internalKey, operatorKey}) =>
+      distinct([internalKey, operatorKey, ...callers.map(({key}) => key)]),
+    {path: ['callers'], message: 'a key is used twice; give each its own'},
+  )
   .refine(
     ({keyHorizonMs, logRetentionMs}) =>
       keyHorizonMs + DEFAULT_CLAIM_WINDOW.maxAheadMs < logRetentionMs,
