--- a/packages/banyanfold-agent/src/__tests__/attemptFaults.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/attemptFaults.test.ts
@@ -131,6 +131,42 @@
   });
 });
 
+// The entry has stalled and reads nothing. Were the engine's events taken in
+// all the same, a few such readers would fill the agent's memory; and a reader
+// that never wakes must not keep its slot once the attempt is given up.
+describe('a reader that stops reading', () => {
+  it('stops the reading at the engine, and is let go by a seal', async () => {
+    const chunk = 'x'.repeat(60_000);
+    let blockedCount = 0;
+    let lastSeq = 0;
+    const target = await startWithFake({
+      onRequest: (_req, res, requestId) => {
+        res.writeHead(200, {'content-type': 'text/event-stream'});
+        const write = () => {
+          while (!res.destroyed) {
+            const name = `chatcmpl-${requestId}`;
+            if (!res.write(event(++lastSeq, name, chunk))) break;
+          }
+        };
+        res.on('drain', write);
+        write();
+      },
+    });
+    const {attemptId} = await sendAttempt(target);
+    let seenSeq = 0;
+    await until(async () => {
+      await new Promise(resolve => setTimeout(resolve, 20));
+      blockedCount = lastSeq === seenSeq ? blockedCount + 1 : 0;
+      seenSeq = lastSeq;
+      return blockedCount === 10;
+    });
+    expect((await target.client.report.query()).running).toBe(1);
+    await target.client.seal.mutate({attemptId});
+    await until(async () => (await target.client.report.query()).running === 0);
+    expect(target.fakeEngine.cancelled).toHaveLength(1);
+  });
+});
+
 // The engine's answer is lost, short or somebody else's. The caller must hear
 // that the outcome is unknown: the request may have run.
 describe('a whole answer that is not whole', () => {
--- a/packages/banyanfold-agent/src/__tests__/attemptOutcome.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/attemptOutcome.test.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import {request as httpRequest} from 'node:http';
 import {HEADERS} from '@banyanfold/protocol';
 import {PlainServiceStandin} from '@banyanfold/standins';
 import {request} from 'undici';
@@ -7,6 +8,7 @@
 import {
   chatBody,
   INTERNAL_KEY,
+  MODEL,
   readFrames,
   readUntilCut,
   sendAttempt,
@@ -76,6 +78,41 @@
     expect(received(target).join()).not.toContain(attemptId);
   });
 
+  // Its head has arrived, its body is slow; the seal comes in between.
+  it('keeps an attempt whose body is on its way from running', async () => {
+    const target = await start();
+    const attemptId = randomUUID();
+    const {incarnation} = await target.client.report.query();
+    const path = '/attempt/v1/chat/completions';
+    const sending = httpRequest({
+      port: target.port,
+      path,
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${INTERNAL_KEY}`,
+        [HEADERS.attemptId]: attemptId,
+        [HEADERS.requestId]: randomUUID(),
+        [HEADERS.incarnation]: incarnation,
+        [HEADERS.artifact]: MODEL,
+      },
+    });
+    const closed = new Promise(resolve => sending.on('close', resolve));
+    sending.on('error', () => {});
+    sending.on('response', response => response.resume());
+    const body = JSON.stringify(chatBody());
+    sending.write(body.slice(0, 10));
+    await until(() => target.openAttempts() === 1);
+    const sealed = await target.client.seal.mutate({attemptId, incarnation});
+    expect(sealed).toEqual({state: 'never-started'});
+    sending.end(body.slice(10));
+    await closed;
+    // What comes after it has been through the same door.
+    const {response} = await sendAttempt(target);
+    await readUntilCut(response.body);
+    expect(received(target)).toHaveLength(1);
+    expect(received(target).join()).not.toContain(attemptId);
+  });
+
   it('says started of one that runs, and stops it', async () => {
     const target = await start();
     const body = chatBody({max_tokens: 400});
--- /dev/null
+++ b/packages/banyanfold-agent/src/__tests__/memoryLedger.test.ts
@@ -0,0 +1,212 @@
+import {VirtualClock} from '@banyanfold/core';
+import {describe, expect, it} from 'vitest';
+import {MemoryLedger} from '../memory/memoryLedger.js';
+
+const LATE_BOUND_MS = 1_000;
+
+type EngineModel = {
+  artifact: string;
+  bytes: number;
+  state: 'loading' | 'loaded' | 'unloading';
+};
+
+/** A ledger whose engine's clock is an hour ahead. */
+function createLedger(options: {checksFencing?: boolean; kvPool?: 'separate'}) {
+  const clock = new VirtualClock();
+  const ledger = new MemoryLedger({
+    clock,
+    checksFencing: true,
+    orderLateBoundMs: LATE_BOUND_MS,
+    kvPool: 'shared',
+    kvFloorShare: 0.1,
+    inheritedBoundMs: 10_000,
+    nameCopy: artifact => `found/${artifact}`,
+    ...options,
+  });
+  const observe = (
+    takenAtMs: number,
+    models: EngineModel[] = [],
+    fields: {engineNowMs?: number; kvUsedBytes?: number} = {},
+  ) =>
+    ledger
+      .observe(
+        {
+          takenAtMs,
+          kvUsedBytes: fields.kvUsedBytes ?? 0,
+          kvCapacityBytes: 50,
+          memoryCapacityBytes: 100,
+          models,
+        },
+        {
+          askedAtMs: clock.nowMs(),
+          engineNowMs: fields.engineNowMs ?? takenAtMs,
+        },
+      )
+      .map(({kind, artifact}) => `${kind} ${artifact}`.trim());
+  /** Ends the quarantine of an engine that checks fencing. */
+  const open = (takenAtMs = 10) => {
+    ledger.barrierPassed(takenAtMs - 1, []);
+    observe(takenAtMs);
+  };
+  const load = (artifact: string, bytes: number) =>
+    ledger.reserveLoad({artifact, bytes, orderId: `order/${artifact}`}).match(
+      ({state}) => state as string,
+      refusal => refusal,
+    );
+  return {clock, ledger, observe, open, load};
+}
+
+const loaded = (artifact: string, bytes = 20): EngineModel => ({
+  artifact,
+  bytes,
+  state: 'loaded',
+});
+
+describe('MemoryLedger', () => {
+  it('promises nothing before a report, nor in quarantine', () => {
+    const {load, observe, open} = createLedger({});
+    expect(load('a@1', 1)).toBe('no-report');
+    observe(5);
+    expect(load('a@1', 1)).toBe('quarantine');
+    open();
+    expect(load('a@1', 1)).toBe('reserved');
+  });
+
+  it('keeps the floor and running requests from loads', () => {
+    const {load, open, ledger} = createLedger({});
+    open();
+    expect(load('a@1', 91)).toBe('no-memory');
+    expect(load('a@1', 60)).toBe('reserved');
+    ledger.budget.reserveKv('r', 30);
+    expect(load('b@1', 11)).toBe('no-memory');
+    expect(load('b@1', 10)).toBe('reserved');
+    expect(ledger.budget.kvFreeBytes()).toBe(0);
+  });
+
+  it('does not count KV cache that the engine set aside', () => {
+    const {load, open, ledger} = createLedger({kvPool: 'separate'});
+    open();
+    ledger.budget.reserveKv('r', 30);
+    expect(load('a@1', 100)).toBe('reserved');
+    expect(ledger.budget.kvFreeBytes()).toBe(20);
+  });
+
+  // A predecessor's load may be on its way. It was reserved beside the floor,
+  // so requests may have the floor and no more until it must have arrived.
+  it('keeps requests to the floor in quarantine', () => {
+    const {observe, open, ledger} = createLedger({});
+    observe(5, [], {kvUsedBytes: 4});
+    expect(ledger.budget.kvFreeBytes()).toBe(6);
+    open();
+    expect(ledger.budget.kvFreeBytes()).toBe(50);
+  });
+
+  it('frees a failed load only by a report from after its order', () => {
+    const {observe, open, load, ledger} = createLedger({});
+    open();
+    load('a@1', 60);
+    expect(observe(20)).toEqual([]);
+    ledger.loadReceived('order/a@1', 30);
+    expect(observe(25)).toEqual([]);
+    expect(observe(30)).toEqual([]);
+    expect(observe(31)).toEqual(['load-failed a@1']);
+  });
+
+  it('frees an unloaded copy only by a report from after its order', () => {
+    const {observe, open, ledger} = createLedger({});
+    open();
+    observe(20, [loaded('a@1')]);
+    ledger.startRelease('a@1', 'unload-1');
+    expect(observe(30)).toEqual([]);
+    ledger.unloadReceived('unload-1', 40);
+    expect(observe(35)).toEqual([]);
+    expect(observe(41)).toEqual(['released a@1']);
+  });
+
+  // Two reports cross on their way. The older one lists a copy that is gone;
+  // taken at its word, requests would be sent to it.
+  it('does not bring a copy back by an older report', () => {
+    const {observe, open, ledger} = createLedger({});
+    open();
+    observe(20, [loaded('a@1')]);
+    expect(observe(30)).toEqual(['vanished a@1']);
+    expect(observe(25, [loaded('a@1')])).toEqual([]);
+    expect(ledger.canServe('a@1')).toBe(false);
+  });
+
+  it('ends a doubt by a barrier and a later report', () => {
+    const {observe, open, load, ledger} = createLedger({});
+    open();
+    load('a@1', 60);
+    ledger.loadInDoubt('order/a@1');
+    expect(ledger.needsBarrier()).toBe(true);
+    expect(observe(50)).toEqual([]);
+    ledger.barrierPassed(60, ['order/a@1']);
+    expect(observe(60)).toEqual([]);
+    expect(observe(61)).toEqual(['doubt-ended a@1']);
+  });
+
+  it('ends a doubt without fencing by the bound and a later report', async () => {
+    const {clock, observe, load, ledger} = createLedger({checksFencing: false});
+    await clock.advance(LATE_BOUND_MS);
+    observe(100);
+    observe(101);
+    load('a@1', 60);
+    ledger.loadInDoubt('order/a@1');
+    await clock.advance(LATE_BOUND_MS - 1);
+    expect(observe(200, [], {engineNowMs: 210})).toEqual([]);
+    await clock.advance(1);
+    // The bound has passed, but this report was taken before.
+    expect(observe(205, [], {engineNowMs: 220})).toEqual([]);
+    expect(observe(220, [], {engineNowMs: 230})).toEqual([]);
+    expect(observe(221, [], {engineNowMs: 231})).toEqual(['doubt-ended a@1']);
+  });
+
+  it('takes over what it finds, in each state', () => {
+    const {observe, ledger} = createLedger({});
+    const models: EngineModel[] = [
+      loaded('a@1'),
+      {artifact: 'b@1', bytes: 1, state: 'loading'},
+      {artifact: 'c@1', bytes: 1, state: 'unloading'},
+    ];
+    observe(20, models);
+    const states = ledger.all().map(({copyId, state}) => `${copyId} ${state}`);
+    expect(states).toEqual([
+      'found/a@1 held',
+      'found/b@1 reserved',
+      'found/c@1 releasing',
+    ]);
+  });
+
+  it('serves an adapter only with its model', () => {
+    const {observe, ledger} = createLedger({});
+    observe(20, [loaded('a@1+x@1')]);
+    expect(ledger.canServe('a@1+x@1')).toBe(false);
+    observe(21, [loaded('a@1+x@1'), loaded('a@1')]);
+    expect(ledger.canServe('a@1+x@1')).toBe(true);
+  });
+
+  it('asks for an unload again that the engine took and did not do', () => {
+    const {observe, open, ledger} = createLedger({});
+    open();
+    observe(20, [loaded('a@1')]);
+    ledger.startRelease('a@1', 'unload-1');
+    ledger.unloadReceived('unload-1', 40);
+    expect(observe(39, [loaded('a@1')])).toEqual([]);
+    expect(observe(41, [loaded('a@1')])).toEqual(['unload-ignored a@1']);
+  });
+
+  // The engine's process is a new one: its clock has fallen back, and it may
+  // have forgotten which orders it took. Old times prove nothing any more.
+  it('goes back into quarantine when the engine is a new one', () => {
+    const {observe, open, load, ledger} = createLedger({});
+    open(50_000);
+    load('a@1', 60);
+    ledger.loadReceived('order/a@1', 50_010);
+    expect(observe(100)).toEqual(['engine-restarted']);
+    expect(ledger.inQuarantine()).toBe(true);
+    expect(observe(101)).toEqual(['load-failed a@1']);
+    open(200);
+    expect(ledger.inQuarantine()).toBe(false);
+  });
+});
--- a/packages/banyanfold-agent/src/__tests__/testAgent.ts
+++ b/packages/banyanfold-agent/src/__tests__/testAgent.ts
@@ -82,6 +82,10 @@
     logger,
     metrics,
     client,
+    openAttempts: () => {
+      const line = /^agent_open_attempts (\d+)$/m.exec(metrics.render());
+      return Number(line?.[1]);
+    },
     stop,
   };
 }
--- a/packages/banyanfold-agent/src/attempts/attemptHeaders.ts
+++ b/packages/banyanfold-agent/src/attempts/attemptHeaders.ts
@@ -22,9 +22,6 @@
   idempotencyKey: z.string().optional(),
 });
 
-/** Not among the shared header names yet; entries may leave it out. */
-export const KV_BYTES_HEADER = 'x-banyanfold-kv-bytes';
-
 const HEADER_OF_FIELD = {
   attemptId: HEADERS.attemptId,
   requestId: HEADERS.requestId,
@@ -36,8 +33,8 @@
   promptTokens: HEADERS.promptTokens,
   maxTokens: HEADERS.maxTokens,
   prefixHash: HEADERS.prefixHash,
-  kvBytesPerToken: KV_BYTES_HEADER,
-  idempotencyKey: 'idempotency-key',
+  kvBytesPerToken: HEADERS.kvBytesPerToken,
+  idempotencyKey: HEADERS.idempotencyKey,
 } as const satisfies Record<keyof AttemptHeaders, string>;
 
 /** What an entry says about an attempt. */
--- a/packages/banyanfold-agent/src/attempts/streamPump.ts
+++ b/packages/banyanfold-agent/src/attempts/streamPump.ts
@@ -127,10 +127,13 @@
   private async writableOrAborted(): Promise<void> {
     const {sink, signal} = this.options;
     if (signal.aborted) return;
+    let onAbort = (): void => {};
     const aborted = new Promise<void>(resolve => {
-      signal.addEventListener('abort', () => resolve(), {once: true});
+      onAbort = resolve;
+      signal.addEventListener('abort', onAbort);
     });
     await Promise.race([sink.writable(), aborted]);
+    signal.removeEventListener('abort', onAbort);
   }
 
   private takeAll(events: EventSourceMessage[]): ReadEnd | undefined {
--- a/packages/banyanfold-agent/src/http/agentServer.ts
+++ b/packages/banyanfold-agent/src/http/agentServer.ts
@@ -139,7 +139,8 @@
         sendJson(res, UNAUTHORIZED, {error: {message: 'unauthorized'}});
         return;
       }
-      Promise.resolve(handle(url, req, res)).catch((error: unknown) => {
+      const run = async () => handle(url, req, res);
+      run().catch((error: unknown) => {
         const {logger} = this.options;
         logger.error('request-failed', {url, error: String(error)});
         res.destroy();
