Build the agent from small parts and start it by plug-ins

They are now built in four steps (memory, admission, control, data), and what runs in the background is started and stopped by the kernel as plug-ins that register themselves, as the house style has it. Their order is fixed and not a setting: without any of them an agent would promise what it can't keep. Reading cache events is a plug-in of its own and no longer holds up the reports.

--- a/packages/banyanfold-agent/src/__tests__/engineTruth.ts
+++ b/packages/banyanfold-agent/src/__tests__/engineTruth.ts
@@ -1,6 +1,5 @@
 import {sleep, type Clock} from '@banyanfold/core';
-import {BanyanfoldError} from '@banyanfold/core';
-import {err, ok} from 'neverthrow';
+import {ok} from 'neverthrow';
 import type {
   EngineOrder,
   EngineReport,
@@ -79,11 +78,6 @@
     return ok({report, timing: {askedAtMs, engineNowMs: this.nowMs()}});
   }
 
-  async cacheEvents() {
-    const place = {step: 'read-cache-events', peer: 'engine'};
-    return err(new BanyanfoldError('answer-lost', 'none here', place));
-  }
-
   async order(order: EngineOrder): Promise<OrderAnswer> {
     const {clock} = this.options;
     const next = this.faults.shift() ?? {fault: 'none', lateMs: 0};
--- a/packages/banyanfold-agent/src/__tests__/ledgerWorld.ts
+++ b/packages/banyanfold-agent/src/__tests__/ledgerWorld.ts
@@ -7,7 +7,6 @@
 import type {LogService} from '@banyanfold/platform';
 import {errAsync, okAsync} from 'neverthrow';
 import {EngineWatch} from '../control/engineWatch.js';
-import {PrefixTracker} from '../control/prefixTracker.js';
 import {ProposalHandler} from '../control/proposalHandler.js';
 import {FenceKeeper} from '../engine/fenceKeeper.js';
 import {OrderSender} from '../engine/orderSender.js';
@@ -147,7 +146,6 @@
       clock,
       logger,
       random,
-      onFence: () => {},
     });
     const orders = new OrderSender({
       engine: truth,
@@ -168,7 +166,6 @@
       ledger,
       orders,
       fence,
-      prefixes: new PrefixTracker(10),
       intervalMs: REPORT_INTERVAL_MS,
       runnerRole: () => '',
       nextOrderId,
--- a/packages/banyanfold-agent/src/agent.ts
+++ b/packages/banyanfold-agent/src/agent.ts
@@ -1,5 +1,6 @@
 import {
   createLogger,
+  Kernel,
   Metrics,
   sleep,
   systemClock,
@@ -12,9 +13,11 @@
   createControlHandler,
   type AgentHandlers,
 } from '@banyanfold/protocol';
-import {createAgentParts, type AgentParts} from './agentParts.js';
+import {agentPlugins, type AgentContext} from './agentContext.js';
 import {resumeAttempt} from './attempts/resumeAttempt.js';
 import {AgentServer} from './http/agentServer.js';
+import {createAgentContext} from './parts/createAgentContext.js';
+import {AGENT_PLUGINS} from './plugins/index.js';
 import {agentSettingsSchema, type AgentSettingsInput} from './settings.js';
 
 const DRAIN_POLL_MS = 20;
@@ -64,7 +67,7 @@
   const log =
     overrides.log ?? createLogService({url: settings.platform.logUrl, clock});
   const random = overrides.random ?? Math.random;
-  const parts = createAgentParts({
+  const context = createAgentContext({
     settings,
     clock,
     logger,
@@ -72,8 +75,12 @@
     log,
     random,
   });
-  const handlers = createHandlers(parts, () => void drain());
-  const server = createServer(parts, handlers);
+  const plugins = AGENT_PLUGINS.map(name =>
+    agentPlugins.create(name, context, {}),
+  );
+  const kernel = new Kernel(plugins, logger);
+  const handlers = createHandlers(context, () => void drain());
+  const server = createServer(context, handlers);
   let draining: Promise<void> | undefined;
 
   async function start(): Promise<{port: number}> {
@@ -82,53 +89,50 @@
     const port = await server.listen(settings.host, settings.port);
     logger.info('agent-start', {
       port,
-      incarnation: parts.fence.incarnation,
+      incarnation: context.fence.incarnation,
       checksFencing: settings.engine.checksFencing,
     });
-    const [hasFence] = await Promise.all([
-      parts.fence.tryAcquire(),
-      parts.watch.start(),
-    ]);
-    if (!hasFence) void parts.fence.acquire();
-    parts.retirements.start();
-    parts.config.start();
+    await kernel.start();
     return {port};
   }
 
   function drain(): Promise<void> {
-    draining ??= finishWork(parts);
+    draining ??= finishWork(context);
     return draining;
   }
 
   async function stop(): Promise<void> {
-    parts.setLeaving();
-    for (const part of parts.stoppable) part.stop();
+    context.setLeaving();
+    await kernel.stop();
     await server.close();
-    await parts.close();
+    await context.close();
   }
 
   return {start, drain, stop, handlers, metrics};
 }
 
 function createHandlers(
-  parts: AgentParts,
+  context: AgentContext,
   startDrain: () => void,
 ): AgentHandlers {
   return {
-    report: async () => parts.reporter.report(),
+    report: async () => context.reporter.report(),
     seal: async (attemptId, incarnation) => ({
-      state: parts.seals.seal(attemptId, incarnation),
+      state: context.seals.seal(attemptId, incarnation),
     }),
-    propose: proposal => parts.proposals.propose(proposal),
+    propose: proposal => context.proposals.propose(proposal),
     drain: async () => {
       startDrain();
-      return {running: parts.registry.openCount()};
+      return {running: context.registry.openCount()};
     },
   };
 }
 
-function createServer(parts: AgentParts, handlers: AgentHandlers): AgentServer {
-  const {settings, logger, metrics} = parts;
+function createServer(
+  context: AgentContext,
+  handlers: AgentHandlers,
+): AgentServer {
+  const {settings, logger, metrics} = context;
   return new AgentServer({
     internalKey: settings.internalKey,
     logger,
@@ -137,16 +141,17 @@
       router: createAgentRouter(handlers),
       keys: [settings.internalKey],
     }),
-    attempt: (path, req, res) => parts.attempts.handle(path, req, res),
-    resume: (input, res) => resumeAttempt(parts.context, {...input, res}),
+    attempt: (path, req, res) => context.attempts.handle(path, req, res),
+    resume: (input, res) =>
+      resumeAttempt(context.attemptContext, {...input, res}),
     health: () => ({
-      ok: !parts.isLeaving(),
-      leaving: parts.isLeaving(),
-      incarnation: parts.fence.incarnation,
-      hasFence: parts.fence.current() !== undefined,
-      hasReport: parts.ledger.hasReport(),
+      ok: !context.isLeaving(),
+      leaving: context.isLeaving(),
+      incarnation: context.fence.incarnation,
+      hasFence: context.fence.current() !== undefined,
+      hasReport: context.ledger.hasReport(),
     }),
-    isLeaving: parts.isLeaving,
+    isLeaving: context.isLeaving,
   });
 }
 
@@ -155,9 +160,9 @@
  * resume and seal here, and a successor that bound the port now would be a
  * second agent beside the engine.
  */
-async function finishWork(parts: AgentParts): Promise<void> {
-  const {clock, logger, registry, settings} = parts;
-  parts.setLeaving();
+async function finishWork(context: AgentContext): Promise<void> {
+  const {clock, logger, registry, settings} = context;
+  context.setLeaving();
   logger.info('drain', {open: registry.openCount()});
   const endMs = clock.nowMs() + settings.drainBoundMs;
   while (registry.openCount() > 0 && clock.nowMs() < endMs) {
--- a/packages/banyanfold-agent/src/control/engineWatch.ts
+++ b/packages/banyanfold-agent/src/control/engineWatch.ts
@@ -5,18 +5,16 @@
 import type {OrderSender} from '../engine/orderSender.js';
 import type {LedgerEvent} from '../memory/allocation.js';
 import type {MemoryLedger} from '../memory/memoryLedger.js';
-import type {PrefixTracker} from './prefixTracker.js';
 
 /** What an engine watch works with. */
 export interface EngineWatchOptions {
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
-  engine: Pick<EngineClient, 'report' | 'cacheEvents'>;
+  engine: Pick<EngineClient, 'report'>;
   ledger: MemoryLedger;
   orders: OrderSender;
   fence: FenceKeeper;
-  prefixes: PrefixTracker;
   intervalMs: number;
   /** The role to repeat in a barrier, which must change nothing. */
   runnerRole(): string;
@@ -45,7 +43,6 @@
 
   private async poll(): Promise<void> {
     await this.readReport();
-    await this.readCacheEvents();
     void this.passBarrier();
     if (this.stopped) return;
     const {clock, intervalMs} = this.options;
@@ -75,14 +72,6 @@
     void orders.unload(artifact, () => nextOrderId(artifact));
   }
 
-  private async readCacheEvents(): Promise<void> {
-    const {engine, prefixes, metrics} = this.options;
-    const answer = await engine.cacheEvents(prefixes.fromSeq);
-    if (answer.isErr()) return;
-    const hadGap = prefixes.apply(answer.value);
-    if (hadGap) metrics.count('agent_cache_event_gaps_total');
-  }
-
   /**
    * Ends what earlier fencing numbers may still bring: at the start what a
    * predecessor sent, later the load orders of our own that are in doubt. The
--- a/packages/banyanfold-agent/src/engine/fenceKeeper.ts
+++ b/packages/banyanfold-agent/src/engine/fenceKeeper.ts
@@ -13,7 +13,6 @@
   clock: Clock;
   logger: Logger;
   random: () => number;
-  onFence(fencing: number): void;
 }
 
 /**
@@ -61,7 +60,7 @@
 
   /** Tries once; a lost answer leaves at worst a number that nobody uses. */
   async tryAcquire(): Promise<boolean> {
-    const {log, vmId, logger, onFence} = this.options;
+    const {log, vmId, logger} = this.options;
     const acquired = await acquireFence({log, vmId, nonce: uuidV4()});
     if (acquired.isErr()) {
       const {code, step, peer} = acquired.error;
@@ -71,7 +70,6 @@
     this.fencing = acquired.value;
     this.first ??= acquired.value;
     logger.info('fence', {fencing: this.fencing, incarnation: this.first});
-    onFence(this.fencing);
     return true;
   }
 
