Ask for fencing numbers with backoff, and log an engine's outage once

With a load in doubt and the log out, the agent asked the log for a new number at each report, four times a second and without jitter; on the log's return all agents would have come at once. It now backs off with full jitter up to 5 s. A silent engine is logged once an outage and counted each time. Found by reading; there is no test of the delays. 112 tests pass.

--- a/packages/banyanfold-agent/src/__tests__/ledgerWorld.ts
+++ b/packages/banyanfold-agent/src/__tests__/ledgerWorld.ts
@@ -162,6 +162,7 @@
       clock,
       logger,
       metrics,
+      random,
       engine: truth,
       ledger,
       orders,
--- a/packages/banyanfold-agent/src/control/engineWatch.ts
+++ b/packages/banyanfold-agent/src/control/engineWatch.ts
@@ -1,4 +1,5 @@
 import type {Clock, Logger, Metrics, Timer} from '@banyanfold/core';
+import {Backoff} from '@banyanfold/platform';
 import type {EngineClient} from '../engine/engineClient.js';
 import type {EngineReport} from '../engine/engineSchemas.js';
 import type {FenceKeeper} from '../engine/fenceKeeper.js';
@@ -6,11 +7,15 @@
 import type {LedgerEvent} from '../memory/allocation.js';
 import type {MemoryLedger} from '../memory/memoryLedger.js';
 
+/** While the log is out, new numbers are asked for no more often. */
+const BARRIER_RETRY_CAP_MS = 5_000;
+
 /** What an engine watch works with. */
 export interface EngineWatchOptions {
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
+  random: () => number;
   engine: Pick<EngineClient, 'report'>;
   ledger: MemoryLedger;
   orders: OrderSender;
@@ -28,8 +33,14 @@
   private stopped = false;
   private barrierOpen = false;
   private barrierFencing = 0;
+  private barrierNotBeforeMs = 0;
+  private isOut = false;
+  private readonly backoff: Backoff;
 
-  constructor(private readonly options: EngineWatchOptions) {}
+  constructor(private readonly options: EngineWatchOptions) {
+    const {random} = options;
+    this.backoff = new Backoff({capMs: BARRIER_RETRY_CAP_MS, random});
+  }
 
   /** Reads once, then at each interval. */
   async start(): Promise<void> {
@@ -55,9 +66,12 @@
     if (answer.isErr()) {
       const {code, step, peer} = answer.error;
       metrics.count('agent_engine_report_failures_total');
-      logger.warn('report-failed', {code, step, peer});
+      // Once an outage, not four times a second.
+      if (!this.isOut) logger.warn('report-failed', {code, step, peer});
+      this.isOut = true;
       return;
     }
+    this.isOut = false;
     const {report, timing} = answer.value;
     for (const event of ledger.observe(report, timing)) this.note(event);
     onReport(report);
@@ -78,23 +92,28 @@
    * latter bear our number, so a higher one is taken for it.
    */
   private async passBarrier(): Promise<void> {
-    const {ledger, fence, orders, runnerRole, nextOrderId} = this.options;
+    const {clock, ledger, fence} = this.options;
     if (this.barrierOpen || !ledger.needsBarrier()) return;
     if (fence.current() === undefined) return;
+    if (clock.nowMs() < this.barrierNotBeforeMs) return;
     this.barrierOpen = true;
     const doubtful = ledger.doubts().map(({copyId}) => copyId);
-    const needsNumber =
-      doubtful.length > 0 && this.barrierFencing === fence.current();
-    if (!needsNumber || (await fence.tryAcquire())) {
-      this.barrierFencing = fence.current() ?? 0;
-      const receivedAtMs = await orders.setRole(
-        runnerRole(),
-        nextOrderId('barrier'),
-      );
-      if (receivedAtMs !== undefined) {
-        ledger.barrierPassed(receivedAtMs, doubtful);
-      }
-    }
+    const receivedAtMs = await this.sendBarrier(doubtful.length > 0);
     this.barrierOpen = false;
+    if (receivedAtMs !== undefined) {
+      ledger.barrierPassed(receivedAtMs, doubtful);
+      this.backoff.reset();
+      return;
+    }
+    this.barrierNotBeforeMs = clock.nowMs() + this.backoff.nextDelayMs();
+  }
+
+  /** @returns when the engine took it, on its clock, or undefined. */
+  private async sendBarrier(hasDoubts: boolean): Promise<number | undefined> {
+    const {fence, orders, runnerRole, nextOrderId} = this.options;
+    const needsNumber = hasDoubts && this.barrierFencing === fence.current();
+    if (needsNumber && !(await fence.tryAcquire())) return undefined;
+    this.barrierFencing = fence.current() ?? 0;
+    return orders.setRole(runnerRole(), nextOrderId('barrier'));
   }
 }
