See a shift by its queue, before the smoothed demand shows it

A runner where requests queue now counts as loaded with at least what runs and waits there. The holders of each artifact are indexed, so that a decision on the reports desk does not scan all runners for each of 134 artifacts.

--- a/packages/banyanfold-decisions/src/placement/placementPlan.ts
+++ b/packages/banyanfold-decisions/src/placement/placementPlan.ts
@@ -32,6 +32,7 @@
   /** Runners that can take copies, by VM. */
   readonly runners = new Map<string, PlannedRunner>();
   readonly artifacts = new Map<string, PlacementArtifact>();
+  private readonly holderIndex = new Map<string, PlannedRunner[]>();
 
   constructor(
     readonly view: PlacementView,
@@ -46,20 +47,17 @@
       if (!runner.reachable || runner.leaving) continue;
       this.runners.set(runner.vmId, plannedRunner(runner));
     }
-    this.spreadLoad();
+    this.recount();
   }
 
   /** Runners whose copy serves, or is on its way. */
-  holders(artifact: string): PlannedRunner[] {
-    return [...this.runners.values()].filter(({copies}) => {
-      const copy = copies.get(artifact);
-      return copy !== undefined && COUNTED_STATES.has(copy.state);
-    });
+  holders(artifact: string): readonly PlannedRunner[] {
+    return this.holderIndex.get(artifact) ?? [];
   }
 
   /** Runners whose copy serves now. */
   servers(artifact: string): PlannedRunner[] {
-    return [...this.runners.values()].filter(
+    return this.holders(artifact).filter(
       ({copies}) => copies.get(artifact)?.state === 'held',
     );
   }
@@ -91,7 +89,7 @@
       state: 'reserved',
       idleMs: 0,
     });
-    this.spreadLoad();
+    this.recount();
   }
 
   /**
@@ -111,7 +109,7 @@
       reason,
     });
     target.copies.set(copy.artifact, {...copy, state: 'releasing'});
-    this.spreadLoad();
+    this.recount();
   }
 
   /** Notes why an artifact gets no copy now. */
@@ -150,8 +148,23 @@
     return runner.maxRunning ?? this.options.assumedMaxRunning;
   }
 
-  private spreadLoad(): void {
-    for (const planned of this.runners.values()) planned.load = 0;
+  /** Brings the index and the loads up to date with the copies. */
+  private recount(): void {
+    this.holderIndex.clear();
+    for (const planned of this.runners.values()) {
+      planned.load = 0;
+      for (const {artifact, state} of planned.copies.values()) {
+        if (!COUNTED_STATES.has(state)) continue;
+        const holders = this.holderIndex.get(artifact);
+        if (holders) holders.push(planned);
+        else this.holderIndex.set(artifact, [planned]);
+      }
+    }
+    this.spreadDemand();
+    this.raiseToObserved();
+  }
+
+  private spreadDemand(): void {
     for (const artifact of this.artifacts.values()) {
       const holders = this.holders(artifact.artifact);
       const rate = artifact.demandPerSecond / holders.length;
@@ -160,6 +173,16 @@
       }
     }
   }
+
+  /** Demand is smoothed; where requests queue already, a shift is seen first. */
+  private raiseToObserved(): void {
+    for (const planned of this.runners.values()) {
+      const {running, queued} = planned.runner;
+      if (queued === 0) continue;
+      const observed = (running + queued) / this.slotsOf(planned);
+      planned.load = Math.max(planned.load, observed);
+    }
+  }
 }
 
 function plannedRunner(runner: PlacementRunner): PlannedRunner {
