Let copies in use make room for a runner far over its slots

In the reports desk's tenfold burst a 36 GB model was asked for at more than five times its runner's slots, and no copy anywhere was idle for 30 s, so that none could make room. For a runner over twice its slots a copy in use may now be retired, if all other holders stay below 40 % with what it served.

--- a/packages/banyanfold-decisions/src/options.ts
+++ b/packages/banyanfold-decisions/src/options.ts
@@ -114,6 +114,8 @@
   assumedServiceTimeMs: z.number().positive().default(4_000),
   /** Above this share of its slots in use a runner counts as hot. */
   highUtilization: shareSchema.default(0.6),
+  /** Above this a runner is so far over that copies in use make room. */
+  severeLoad: z.number().min(1).default(2),
   /** Below this share a runner can help others. */
   lowUtilization: shareSchema.default(0.4),
   /** A surplus copy may be retired after this long without a request. */
--- a/packages/banyanfold-decisions/src/placement/growHot.ts
+++ b/packages/banyanfold-decisions/src/placement/growHot.ts
@@ -1,5 +1,5 @@
 import type {PlacementOptions} from '../options.js';
-import type {PlacementArtifact} from '../types.js';
+import type {PlacementArtifact, PlacementCopy} from '../types.js';
 import {rankTargets} from './chooseTarget.js';
 import {adaptersOn, findRoom, retireAll, type Room} from './freeMemory.js';
 import type {PlacementPlan, PlannedRunner} from './placementPlan.js';
@@ -83,7 +83,7 @@
       target,
       artifact.bytes,
       artifact.modelArtifact,
-      copy => copy.idleMs >= options.retireIdleMs,
+      copy => isSpare(plan, source, target, copy, options),
     );
     if (!room) continue;
     const movedPerSecond = movedRate(plan, source, target, candidate);
@@ -98,6 +98,28 @@
   return false;
 }
 
+/**
+ * A copy that nobody used for long may go. In a burst none is idle; for a
+ * runner far over its slots one in use may go, if the other holders are little
+ * used. With a weaker condition they would be the next to refuse callers.
+ */
+function isSpare(
+  plan: PlacementPlan,
+  source: PlannedRunner,
+  target: PlannedRunner,
+  copy: PlacementCopy,
+  options: PlacementOptions,
+): boolean {
+  if (copy.idleMs >= options.retireIdleMs) return true;
+  if (source.load < options.severeLoad) return false;
+  const others = plan.servers(copy.artifact).filter(o => o !== target);
+  const slotsEach = plan.slotsShareOf(copy.artifact) / others.length;
+  return others.every(
+    other =>
+      other.load + slotsEach / plan.slotsOf(other) < options.lowUtilization,
+  );
+}
+
 /** Requests a second that would move from the source to the target. */
 function movedRate(
   plan: PlacementPlan,
