Let the sole copy of a version go that is published no more

Cause: the planner proposes to retire copies of versions that operators took back, but such a copy is often the only one, relies on none, and the log's fold called each record void. Its memory stayed taken for ever: with room for two versions of all models, the third was never loaded ("unplaced claims@3:no-memory", then a retire proposal refused each 100 ms with "relies-on-none"), and its models answered nobody.

Ruled out: leaving such retirements out of the log. Another agent could then rely on a copy that is gone, should the version be published again. Judging by the configuration read last: an operator may have published it again since, so the agent reads the log to its end first, and refuses when it can't.

Change: the record says that the artifact is published no more; the fold lets it go.

--- a/packages/banyanfold-agent/src/__tests__/ledgerWorld.ts
+++ b/packages/banyanfold-agent/src/__tests__/ledgerWorld.ts
@@ -179,6 +179,7 @@
       ledger,
       orders,
       retirements: {retireCopy: () => okAsync({kind: 'accepted'})},
+      isUnpublished: async () => false,
       inheritedRetireHoldMs: 0,
       hasFence: () => fence.current() !== undefined,
       isLeaving: () => false,
--- a/packages/banyanfold-agent/src/control/proposalHandler.ts
+++ b/packages/banyanfold-agent/src/control/proposalHandler.ts
@@ -18,6 +18,8 @@
   orders: OrderSender;
   retirements: Pick<Retirements, 'retireCopy'>;
   inheritedRetireHoldMs: number;
+  /** Whether the configuration, read to its end now, has it no more. */
+  isUnpublished(artifact: string): Promise<boolean>;
   hasFence(): boolean;
   isLeaving(): boolean;
   nextOrderId(artifact: string): string;
@@ -111,10 +113,12 @@
     if (allocation.retiring) return accepted('retiring');
     if (this.hasAdapters(proposal.artifact)) return refused('adapters-held');
     if (this.isHeldBack(allocation)) return refused('inherited-too-new');
+    const {artifact, reliesOnCopyIds} = proposal;
     const verdict = await retirements.retireCopy({
       copyId: allocation.copyId,
-      artifact: proposal.artifact,
-      reliesOnCopyIds: proposal.reliesOnCopyIds,
+      artifact,
+      reliesOnCopyIds,
+      isUnpublished: await this.isUnpublished(proposal),
     });
     if (verdict.isErr()) return refused(verdict.error.code);
     if (verdict.value.kind === 'void') return refused(verdict.value.why);
@@ -147,6 +151,16 @@
     return isInherited && clock.nowMs() - knownSinceMs < inheritedRetireHoldMs;
   }
 
+  /**
+   * The sole copy of a version that operators took back would keep its memory
+   * for ever, and the third version would find no room. The log is asked, and
+   * not what was read before: an operator may have published it again.
+   */
+  private async isUnpublished(proposal: Proposal): Promise<boolean> {
+    if (proposal.reliesOnCopyIds.length > 0) return false;
+    return this.options.isUnpublished(proposal.artifact);
+  }
+
   /** Requests that run on the copy, or were admitted to it, end first. */
   private async unloadWhenUnused(allocation: Allocation): Promise<void> {
     const {clock, ledger, orders, nextOrderId} = this.options;
--- a/packages/banyanfold-agent/src/parts/createControlParts.ts
+++ b/packages/banyanfold-agent/src/parts/createControlParts.ts
@@ -6,6 +6,7 @@
   Leaving,
   MemoryParts,
 } from '../agentContext.js';
+import {isUnpublished} from '../control/configView.js';
 import {EngineWatch} from '../control/engineWatch.js';
 import {LoadReporter} from '../control/loadReporter.js';
 import {PrefixTracker} from '../control/prefixTracker.js';
@@ -40,6 +41,10 @@
     ...basis,
     retirements,
     inheritedRetireHoldMs: settings.memory.inheritedRetireHoldMs,
+    isUnpublished: async artifact => {
+      const read = await config.readNow();
+      return read.isOk() && isUnpublished(config.state, artifact);
+    },
     hasFence: () => fence.current() !== undefined,
     isLeaving,
     setRunnerRole: (name, setAtMs) => role.set(name, setAtMs),
--- a/packages/banyanfold-platform/src/retirementFold.ts
+++ b/packages/banyanfold-platform/src/retirementFold.ts
@@ -8,6 +8,8 @@
   artifact: z.string(),
   vmId: z.string(),
   reliesOnCopyIds: z.array(z.string()),
+  /** The artifact is published no more: nothing has to remain of it. */
+  isUnpublished: z.boolean().default(false),
   nonce: z.string(),
   /** When the relied-on copies were seen as held, by the log's clock. */
   viewedAtMs: z.number(),
@@ -44,6 +46,8 @@
  * an artifact were retired, and take the last record accepted. It relied on a
  * copy other than its own that was not retired before it. That copy, like all,
  * is retired, so its record comes later, and the one taken was not the last.
+ * Copies of an artifact that is published no more rely on none; should it be
+ * published again, it is an orphan and is loaded like a new one.
  *
  * A retirement is remembered for `memoryMs`, so that every reader whose log
  * reaches that far back decides alike. A process that was paused for longer
@@ -87,7 +91,7 @@
   }
 
   private judge(record: RetireRecord, appendedAtMs: number): RetireVerdict {
-    const {copyId, nonce, reliesOnCopyIds, viewedAtMs} = record;
+    const {copyId, nonce, reliesOnCopyIds, isUnpublished, viewedAtMs} = record;
     const known = this.retired.get(copyId);
     if (known?.nonce === nonce) return {kind: 'accepted'};
     if (known) return {kind: 'void', why: 'already-retired'};
@@ -97,7 +101,9 @@
     const isCovered = reliesOnCopyIds.some(
       other => other !== copyId && !this.retired.has(other),
     );
-    if (!isCovered) return {kind: 'void', why: 'relies-on-none'};
+    if (!isCovered && !isUnpublished) {
+      return {kind: 'void', why: 'relies-on-none'};
+    }
     this.retired.set(copyId, {nonce, retiredAtMs: appendedAtMs});
     return {kind: 'accepted'};
   }
--- a/packages/banyanfold-platform/src/retirements.ts
+++ b/packages/banyanfold-platform/src/retirements.ts
@@ -29,6 +29,8 @@
   artifact: string;
   /** Copies of the same artifact on other backend servers, seen as held. */
   reliesOnCopyIds: readonly string[];
+  /** Whether the configuration, read just now, has the artifact no more. */
+  isUnpublished?: boolean;
   /** When they were seen, by the log's clock; now when left out. */
   viewedAtMs?: number;
 }
@@ -112,6 +114,7 @@
       artifact: request.artifact,
       vmId: this.options.vmId,
       reliesOnCopyIds: [...request.reliesOnCopyIds],
+      isUnpublished: request.isUnpublished ?? false,
       nonce,
       viewedAtMs,
     });
--- a/packages/banyanfold-standins/src/engine/RequestRunner.ts
+++ b/packages/banyanfold-standins/src/engine/RequestRunner.ts
@@ -10,7 +10,7 @@
 import {StreamExpiry} from './StreamExpiry.js';
 import type {EngineOptions} from './options.js';
 import {packPrompt, unpackPrompt, type KvExport} from './kvTransfer.js';
-import {countTokens} from './text.js';
+import {countTokens, textSeed} from './text.js';
 
 export interface RequestRunnerOptions {
   clock: Clock;
@@ -152,9 +152,11 @@
   }
 
   private record(kind: string, {stream, isStarted}: Sequence): void {
-    const {requestId, artifact, priority} = stream.request;
+    const {requestId, artifact, priority, prompt} = stream.request;
     const {completionTokens: tokens, cachedTokens} = stream.usage;
-    const fields = {requestId, artifact, priority, tokens, cachedTokens};
+    const promptSeed = textSeed(artifact, prompt);
+    const ids = {requestId, artifact, promptSeed};
+    const fields = {...ids, priority, tokens, cachedTokens};
     this.options.truth.add(kind, {...fields, isStarted});
   }
 }
--- a/packages/banyanfold-testing/src/Stack.ts
+++ b/packages/banyanfold-testing/src/Stack.ts
@@ -2,7 +2,12 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {createEntryClient, type EntryStatus} from '@banyanfold/protocol';
+import {
+  createAgentClient,
+  createEntryClient,
+  type AgentReport,
+  type EntryStatus,
+} from '@banyanfold/protocol';
 import {request} from 'undici';
 import {ManagedProcess} from './ManagedProcess.js';
 import {
@@ -19,6 +24,8 @@
 const CLI = resolvePackage('banyanfold-cli/bin/run.js');
 const STANDINS = resolvePackage('banyanfold-standins/lib/main.js');
 const HOST = '127.0.0.1';
+const BALANCER_CHECK_MS = 25;
+const HEALTH_TIMEOUT_MS = 1_000;
 const DEFAULT_DOMAINS = ['domain-a', 'domain-b'];
 
 type Role = 'entry' | 'agent';
@@ -37,6 +44,8 @@
   readonly ports: StandinPorts = {};
   private readonly folder = mkdtempSync(join(tmpdir(), 'banyanfold-'));
   private readonly processes = new Map<string, ManagedProcess>();
+  private readonly readyEntries = new Set<string>();
+  private balancer: NodeJS.Timeout | undefined;
 
   private constructor(private readonly options: StackOptions) {}
 
@@ -77,9 +86,29 @@
       await waitUntil(`${node.vmId} is ready`, () =>
         isOk(`${this.entryUrl(index)}/readyz`),
       );
+      this.readyEntries.add(node.vmId);
     }
   }
 
+  /** The entries that a balancer would send callers to. */
+  readyEntryUrls(): string[] {
+    return this.entries
+      .filter(({vmId}) => this.readyEntries.has(vmId))
+      .map(({port}) => httpUrl(port));
+  }
+
+  /** Asks each entry, as a balancer does, whether it is ready; until `end`. */
+  startBalancer(): void {
+    this.balancer ??= setInterval(() => {
+      for (const node of this.entries) void this.checkReady(node);
+    }, BALANCER_CHECK_MS);
+  }
+
+  /** Ends a process without notice, as when its VM is lost. */
+  async kill(name: string): Promise<void> {
+    await this.process(name).end('SIGKILL');
+  }
+
   /** Waits until a process that was started again serves. */
   async restart(name: string): Promise<void> {
     const process = this.process(name);
@@ -91,6 +120,15 @@
     );
   }
 
+  /** What an agent reports to entries. */
+  async agentReport(index: number): Promise<AgentReport> {
+    return createAgentClient({
+      host: HOST,
+      port: this.agents[index]?.port ?? 0,
+      internalKey: STACK_KEYS.internal,
+    }).report.query();
+  }
+
   async status(index = 0): Promise<EntryStatus> {
     return createEntryClient({
       host: HOST,
@@ -129,21 +167,33 @@
   }
 
   /** Replaces the platform's VM list. */
-  async setVmList(leaving: readonly string[] = []): Promise<void> {
+  async setVmList(
+    leaving: readonly string[] = [],
+    gone: readonly string[] = [],
+  ): Promise<void> {
     const vms = [
       ...this.entries.map(node => listedVm(node, 'entry', leaving)),
       ...this.agents.map(node => listedVm(node, 'agent', leaving)),
-    ];
+    ].filter(({vmId}) => !gone.includes(vmId));
     const url = `${this.standinUrl('vm-list')}/control/vms`;
     await sendJson('PUT', url, {vms});
   }
 
   /** Ends every process of the stack and removes its settings. */
   async end(): Promise<void> {
+    clearInterval(this.balancer);
     await Promise.all([...this.processes.values()].map(p => p.end()));
     rmSync(this.folder, {recursive: true, force: true});
   }
 
+  private async checkReady(node: StackNode): Promise<void> {
+    if (await isOk(`${httpUrl(node.port)}/readyz`)) {
+      this.readyEntries.add(node.vmId);
+    } else {
+      this.readyEntries.delete(node.vmId);
+    }
+  }
+
   private standinUrl(name: string): string {
     const port = this.ports[name];
     if (port === undefined) throw new Error(`no stand-in is named ${name}`);
@@ -303,7 +353,9 @@
 
 async function isOk(url: string): Promise<boolean> {
   try {
-    const {statusCode, body} = await request(url);
+    const {statusCode, body} = await request(url, {
+      headersTimeout: HEALTH_TIMEOUT_MS,
+    });
     await body.dump();
     return statusCode === 200;
   } catch {
