--- a/bench/src/decisions/compare.ts
+++ b/bench/src/decisions/compare.ts
@@ -1,3 +1,4 @@
+import {annotateRows} from './annotateRows.js';
 import type {DeploymentSpec} from './deployments.js';
 import type {RunResult} from './metrics.js';
 import {pooledBound} from './pooledBound.js';
@@ -44,7 +45,9 @@
   for (const deployment of options.deployments) {
     for (const scenario of options.scenarios) {
       options.onProgress(`${deployment.name} ${scenario.name}`);
-      rows.push(...compareScenario(deployment, scenario, options));
+      const scenarioRows = compareScenario(deployment, scenario, options);
+      annotateRows(scenarioRows);
+      rows.push(...scenarioRows);
     }
   }
   return rows;
--- a/bench/src/decisions/fakes/fakeEntry.ts
+++ b/bench/src/decisions/fakes/fakeEntry.ts
@@ -1,17 +1,15 @@
 import {
-  decideEjections,
   decideRetry,
   type Random,
   type RoutingView,
-  type RunnerOutcomes,
-  type RunnerView,
 } from '@banyanfold/decisions';
-import {KV_MEMORY_BYTES, TARGETS} from '../deployments.js';
+import {TARGETS} from '../deployments.js';
 import type {EventQueue} from '../eventQueue.js';
 import type {TraceRequest} from '../trace.js';
 import type {RoutingPolicy} from '../types.js';
 import type {Catalog, CatalogEntry} from './catalog.js';
-import type {AgentDigest, AgentSnapshot, FakeAgent} from './fakeAgent.js';
+import type {FakeAgent} from './fakeAgent.js';
+import {REGION, RunnerTracker, type TrackedRunner} from './runnerTracker.js';
 
 /** What becomes of one ask of a caller. */
 export interface AskListener {
@@ -40,21 +38,10 @@
   retryAfterMs: number;
 }
 
-interface Known {
-  view: RunnerView;
-  latest: AgentSnapshot | undefined;
-  takenAtMs: number;
-  openSentMs: Map<string, number>;
-  outcomes: {successes: number; failures: number; firstTokensMs: number[]};
-}
-
 const CONNECT_TIMEOUT_MS = 100;
-const LOST_AFTER_MS = 3_000;
-const OUTCOME_WINDOW_MS = 5_000;
 const RETRY_TOKENS_PER_REQUEST = 0.2;
 const SERVICE_TIME_SMOOTHING = 0.1;
 const MAX_RETRY_TOKENS = 50;
-const REGION = 'region';
 
 /** An entry: its lagging view of the runners, routing and retries. */
 export class FakeEntry {
@@ -63,7 +50,7 @@
   readonly noCopy = new Map<string, number>();
   /** Smoothed time of a whole answer, by artifact. */
   readonly serviceTimeMs = new Map<string, number>();
-  private readonly known = new Map<string, Known>();
+  readonly tracker: RunnerTracker;
   private readonly routingView: RoutingView;
   private retryTokens = MAX_RETRY_TOKENS;
   private attemptCount = 0;
@@ -72,38 +59,9 @@
     private readonly context: EntryContext,
     failureDomain: string,
   ) {
-    for (const agent of context.agents.values()) {
-      this.known.set(agent.vmId, emptyKnown(agent));
-    }
-    const runners = [...this.known.values()].map(({view}) => view);
+    this.tracker = new RunnerTracker(context.events, context.agents.values());
+    const runners = this.tracker.views();
     this.routingView = {runners, failureDomain, region: REGION};
-    context.events.every(OUTCOME_WINDOW_MS, () => this.ejectOutliers());
-  }
-
-  get runners(): readonly RunnerView[] {
-    return this.routingView.runners;
-  }
-
-  latestReport(vmId: string): AgentSnapshot | undefined {
-    return this.known.get(vmId)?.latest;
-  }
-
-  /** Marks runners lost whose reports have stopped. */
-  refreshReachable(): void {
-    for (const {view} of this.known.values()) {
-      const ageMs = this.context.events.nowMs - view.reportReceivedMs;
-      if (ageMs > LOST_AFTER_MS) view.reachable = false;
-    }
-  }
-
-  receiveReport(snapshot: AgentSnapshot): void {
-    const known = this.known.get(snapshot.vmId)!;
-    if (snapshot.takenAtMs < (known.latest?.takenAtMs ?? -1)) return;
-    known.latest = snapshot;
-    known.view.reachable = true;
-    known.view.artifacts = snapshot.held;
-    known.view.cachedPrefixes = snapshot.cachedPrefixes;
-    this.receiveDigest(snapshot);
   }
 
   ask(request: TraceRequest, listener: AskListener): void {
@@ -154,27 +112,26 @@
       ask.listener.onRefused(decision.code, retryAfterMs);
       return;
     }
-    this.send(ask, entry, this.known.get(decision.vmId)!);
+    this.send(ask, entry, this.tracker.get(decision.vmId));
   }
 
-  private send(ask: Ask, entry: CatalogEntry, known: Known): void {
+  private send(ask: Ask, entry: CatalogEntry, runner: TrackedRunner): void {
     const {events, agents, oneWayMs} = this.context;
+    const {tracker} = this;
     const attemptId = `${ask.request.id}/${this.attemptCount++}`;
     const sentMs = events.nowMs;
-    const vmId = known.view.vmId;
+    const vmId = runner.view.vmId;
     ask.attemptsMade += 1;
     ask.triedVmIds = [...ask.triedVmIds, vmId];
-    known.openSentMs.set(attemptId, sentMs);
-    known.view.ownUnreported += 1;
-    expectPrefix(known.view, ask.request.prefixHash);
+    tracker.open(runner, attemptId, ask.request.prefixHash);
     const agent = agents.get(vmId)!;
-    const close = (): void => this.close(known, attemptId);
+    const close = (): void => tracker.close(runner, attemptId);
     events.after(oneWayMs, () => {
       if (!agent.isUp) {
         events.after(CONNECT_TIMEOUT_MS, () => {
           close();
-          known.view.reachable = false;
-          known.outcomes.failures += 1;
+          runner.view.reachable = false;
+          runner.outcomes.failures += 1;
           this.retryOrRefuse(ask, false);
         });
         return;
@@ -194,9 +151,9 @@
           firstByteSent = true;
           const digest = agent.digest();
           events.after(oneWayMs, () => {
-            this.receiveDigest(digest);
-            known.outcomes.successes += 1;
-            known.outcomes.firstTokensMs.push(events.nowMs - sentMs);
+            tracker.receiveDigest(digest);
+            runner.outcomes.successes += 1;
+            runner.outcomes.firstTokensMs.push(events.nowMs - sentMs);
             ask.listener.onFirstToken(entry.artifact);
           });
         },
@@ -209,14 +166,14 @@
           const digest = agent.digest();
           events.after(oneWayMs, () => {
             close();
-            this.receiveDigest(digest);
+            tracker.receiveDigest(digest);
             ask.retryAfterMs = retryAfterMs;
             this.retryOrRefuse(ask, false);
           });
         },
         onBroken: () => {
           close();
-          known.outcomes.failures += 1;
+          runner.outcomes.failures += 1;
           ask.allNeverStarted = false;
           events.after(oneWayMs, () => this.retryOrRefuse(ask, firstByteSent));
         },
@@ -255,94 +212,10 @@
   }
 
   private isHeld(artifact: string): boolean {
-    return this.runners.some(
+    return this.routingView.runners.some(
       ({reachable, artifacts}) => reachable && artifacts.has(artifact),
     );
   }
-
-  private close(known: Known, attemptId: string): void {
-    const sentMs = known.openSentMs.get(attemptId);
-    if (sentMs === undefined) return;
-    known.openSentMs.delete(attemptId);
-    if (sentMs > known.takenAtMs) known.view.ownUnreported -= 1;
-  }
-
-  private receiveDigest(digest: AgentDigest): void {
-    const known = this.known.get(digest.vmId)!;
-    if (digest.takenAtMs < known.takenAtMs) return;
-    known.takenAtMs = digest.takenAtMs;
-    const {view} = known;
-    view.running = digest.running;
-    view.queued = digest.queued;
-    view.queueDelayMs = digest.queueDelayMs;
-    view.kvUsedBytes = digest.kvUsedBytes;
-    view.runnerRole = digest.role;
-    view.reportReceivedMs = this.context.events.nowMs;
-    let unreported = 0;
-    for (const sentMs of known.openSentMs.values()) {
-      if (sentMs > digest.takenAtMs) unreported += 1;
-    }
-    view.ownUnreported = unreported;
-  }
-
-  private ejectOutliers(): void {
-    const nowMs = this.context.events.nowMs;
-    const outcomes: RunnerOutcomes[] = [];
-    for (const {view, outcomes: seen} of this.known.values()) {
-      outcomes.push({
-        vmId: view.vmId,
-        successes: seen.successes,
-        failures: seen.failures,
-        firstTokenMs: median(seen.firstTokensMs),
-        ejectedUntilMs: view.ejectedUntilMs,
-        peerGroup: view.runnerRole,
-      });
-      seen.successes = 0;
-      seen.failures = 0;
-      seen.firstTokensMs = [];
-    }
-    for (const {vmId, untilMs} of decideEjections(outcomes, nowMs).ejected) {
-      this.known.get(vmId)!.view.ejectedUntilMs = untilMs;
-    }
-  }
-}
-
-function emptyKnown(agent: FakeAgent): Known {
-  return {
-    view: {
-      vmId: agent.vmId,
-      failureDomain: agent.failureDomain,
-      region: REGION,
-      runnerRole: agent.engine.role,
-      reachable: true,
-      leaving: false,
-      ejectedUntilMs: 0,
-      reportReceivedMs: 0,
-      running: 0,
-      queued: 0,
-      queueDelayMs: 0,
-      kvUsedBytes: 0,
-      kvCapacityBytes: KV_MEMORY_BYTES,
-      ownUnreported: 0,
-      artifacts: agent.ledger.held,
-      cachedPrefixes: new Set<string>(),
-    },
-    latest: undefined,
-    takenAtMs: -1,
-    openSentMs: new Map(),
-    outcomes: {successes: 0, failures: 0, firstTokensMs: []},
-  };
-}
-
-/** What was just sent there will be cached there; the report comes later. */
-function expectPrefix(view: RunnerView, prefixHash: string): void {
-  if (view.cachedPrefixes.has(prefixHash)) return;
-  view.cachedPrefixes = new Set([...view.cachedPrefixes, prefixHash]);
-}
-
-function median(values: number[]): number {
-  const sorted = [...values].sort((a, b) => a - b);
-  return sorted[Math.floor(sorted.length / 2)] ?? 0;
 }
 
 function count(counts: Map<string, number>, key: string): void {
--- a/bench/src/decisions/fakes/fakePlanner.ts
+++ b/bench/src/decisions/fakes/fakePlanner.ts
@@ -46,15 +46,17 @@
     this.readDemand();
     const planner = entries[0]!;
     catalog.dropReplaced(artifact =>
-      planner.runners.some(
-        ({reachable, artifacts}) => reachable && artifacts.has(artifact),
-      ),
+      planner.tracker
+        .views()
+        .some(({reachable, artifacts}) => reachable && artifacts.has(artifact)),
     );
     this.forgetSettled(planner);
     const view = {
-      runners: planner.runners.map(({vmId, reachable}) =>
-        this.placementRunner(planner, vmId, reachable),
-      ),
+      runners: planner.tracker
+        .views()
+        .map(({vmId, reachable}) =>
+          this.placementRunner(planner, vmId, reachable),
+        ),
       artifacts: this.placementArtifacts(),
       loadsInFlight: this.outstanding.length,
       lastLoadMs: this.lastLoadMs,
@@ -101,7 +103,7 @@
   private forgetSettled(planner: FakeEntry): void {
     const nowMs = this.context.events.nowMs;
     this.outstanding = this.outstanding.filter(({move, sentMs}) => {
-      const report = planner.latestReport(move.vmId);
+      const report = planner.tracker.get(move.vmId).latest;
       const copy = report?.copies.find(c => c.artifact === move.artifact);
       if (copy) return copy.state === 'reserved';
       return nowMs - sentMs < GIVE_UP_MS && (report?.takenAtMs ?? 0) <= sentMs;
@@ -113,7 +115,7 @@
     vmId: string,
     reachable: boolean,
   ): PlacementRunner {
-    const report = planner.latestReport(vmId);
+    const report = planner.tracker.get(vmId).latest;
     const agent = this.context.agents.get(vmId)!;
     const copies: PlacementCopy[] = [...(report?.copies ?? [])];
     let freeBytes = report?.memoryFreeBytes ?? 0;
--- a/bench/src/decisions/output/renderTable.ts
+++ b/bench/src/decisions/output/renderTable.ts
@@ -11,6 +11,7 @@
   'moves',
   'ttft p95 ms',
   'refused %',
+  'note',
 ];
 
 /** A table for people; mean, with the lowest and highest seed. */
@@ -40,6 +41,7 @@
     spread(row.moves, 0),
     spread(row.ttftP95Ms, 0),
     percent(row.refusedShare, 1),
+    row.note,
   ];
 }
 
--- a/bench/src/decisions/simulateRun.ts
+++ b/bench/src/decisions/simulateRun.ts
@@ -141,10 +141,12 @@
       const snapshot = agent.snapshot();
       for (const entry of this.entries) {
         if (this.random() < reportLossShare) continue;
-        this.events.after(reportLagMs, () => entry.receiveReport(snapshot));
+        this.events.after(reportLagMs, () =>
+          entry.tracker.receiveReport(snapshot),
+        );
       }
     }
-    for (const entry of this.entries) entry.refreshReachable();
+    for (const entry of this.entries) entry.tracker.refreshReachable();
   }
 
   private scheduleFaults(): void {
