Record outcomes of keys after an outage of the log, however long

The client of the log gives a record up after five tries, so a claim lodged in an outage of minutes stayed "outcome unknown" at every other entry. The entry now brings it there when the log is back, until the key is past its horizon. Seen failing first, by ending after the first round of tries.

Also: the signal that jobs which may not be repeated shared gathered a listener for each of them, and Node warns of a leak from eleven on; each has its own now.

--- a/packages/banyanfold-entry/src/__tests__/keys.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/keys.test.ts
@@ -154,6 +154,14 @@
     });
     expect(short(await lodgeWith(key))).toEqual([200, RECEIPT]);
     expect(short(await lodgeWith(key))).toEqual([200, RECEIPT]);
+    // After some tries the client of the log gives up; the entry must not, or
+    // all others would call the outcome unknown for ever.
+    const gaveUp = /event=claim-note-failed kind=finished .*attempt=5/;
+    await eventually(() => gaveUp.test(system.lines.join('\n'))).toBe(true);
+    system.setLogOutage('none');
+    await eventually(async () =>
+      short(await lodgeWith(key, {entry: 1})),
+    ).toEqual([200, RECEIPT]);
     expect(system.takeCounts().ran).toBe(1);
   });
 
--- a/packages/banyanfold-entry/src/http/createListener.ts
+++ b/packages/banyanfold-entry/src/http/createListener.ts
@@ -12,6 +12,7 @@
   const options = {
     headersTimeout: limits.headerMs,
     requestTimeout: limits.requestMs,
+    keepAliveTimeout: limits.idleConnectionMs,
   };
   if (!tls) return http.createServer(options, listener);
   const cert = readFileSync(tls.certPath);
--- a/packages/banyanfold-entry/src/plugins/idempotency.ts
+++ b/packages/banyanfold-entry/src/plugins/idempotency.ts
@@ -1,6 +1,5 @@
 import type {BanyanfoldError} from '@banyanfold/core';
 import {KeyClaims, readTimedKey, type ClaimOutcome} from '@banyanfold/platform';
-import type {ResultAsync} from 'neverthrow';
 import {v4 as uuidV4} from 'uuid';
 import {
   entryPlugins,
@@ -10,6 +9,7 @@
 } from '../context.js';
 import {ApiError, type ApiErrorCode} from '../http/apiErrors.js';
 import type {RequestJob, RequestResult} from '../requests/types.js';
+import {KeyNotes} from './keyNotes.js';
 import {outcomeUnknown, recordedAnswer, toFinishedRun} from './keyOutcome.js';
 import {OwnRuns} from './ownRuns.js';
 
@@ -31,12 +31,12 @@
 class KeyGuard {
   private readonly claims: KeyClaims;
   private readonly ownRuns = new OwnRuns();
-  /** Appends on their way; they are waited for when the process leaves. */
-  private readonly appends = new Set<Promise<unknown>>();
+  private readonly notes: KeyNotes;
   private caughtUp = false;
 
   constructor(private readonly context: EntryContext) {
     const {settings, log, clock, logger, random} = context;
+    this.notes = new KeyNotes(context);
     this.claims = new KeyClaims({
       log,
       clock,
@@ -58,7 +58,7 @@
   }
 
   async stop(): Promise<void> {
-    await Promise.all(this.appends);
+    await this.notes.stop();
     this.claims.stop();
   }
 
@@ -105,24 +105,15 @@
   ): void {
     if (neverRan(job, result)) {
       this.ownRuns.set(key, {kind: 'releasing'});
-      const release = this.claims.release(key, claimOffset);
-      this.track(release.andTee(() => this.ownRuns.forget(key)));
+      void this.notes
+        .add(() => this.claims.release(key, claimOffset))
+        .then(isReleased => isReleased && this.ownRuns.forget(key));
       return;
     }
     const {keyBodyBytes} = this.context.settings;
     const run = toFinishedRun(job, result, keyBodyBytes);
     this.ownRuns.set(key, {kind: 'finished', run});
-    this.track(this.claims.finish(key, run));
-  }
-
-  private track(append: ResultAsync<unknown, BanyanfoldError>): void {
-    const settled: Promise<void> = append
-      .match(
-        () => undefined,
-        () => undefined,
-      )
-      .finally(() => this.appends.delete(settled));
-    this.appends.add(settled);
+    void this.notes.add(() => this.claims.finish(key, run));
   }
 
   private answerTaken(
--- a/packages/banyanfold-entry/src/requests/acceptRequest.ts
+++ b/packages/banyanfold-entry/src/requests/acceptRequest.ts
@@ -10,7 +10,6 @@
 import type {RequestFacts, RequestJob} from './types.js';
 
 const RETRY_WHEN_READY_MS = 1000;
-const NEVER_ABORTED = new AbortController().signal;
 
 const RESOLVE_ERRORS: Record<string, ApiErrorCode> = {
   forbidden: 'not_allowed',
@@ -85,7 +84,7 @@
     firstTokenDeadlineMs: startedMs + targets.firstTokenMs,
     wholeDeadlineMs: startedMs + targets.wholeAnswerMs,
     out,
-    signal: repeatable ? out.signal : NEVER_ABORTED,
+    signal: repeatable ? out.signal : new AbortController().signal,
     attempts: 0,
   };
 }
--- a/packages/banyanfold-entry/src/settings.ts
+++ b/packages/banyanfold-entry/src/settings.ts
@@ -17,6 +17,8 @@
   headerMs: z.number().positive().default(10_000),
   /** How long a caller may take to send its whole request. */
   requestMs: z.number().positive().default(60_000),
+  /** Longer than a balancer keeps its own connections, or calls are lost. */
+  idleConnectionMs: z.number().positive().default(75_000),
   /** How long a caller may take nothing of its answer. */
   callerStallMs: z.number().positive().default(30_000),
   maxOpenRequests: z.number().int().positive().default(2_000),
