--- a/packages/banyanfold-testing/src/Stack.ts
+++ b/packages/banyanfold-testing/src/Stack.ts
@@ -5,8 +5,10 @@
 import {
   createAgentClient,
   createEntryClient,
+  type AgentClient,
   type AgentReport,
   type EntryStatus,
+  type ProposalResult,
 } from '@banyanfold/protocol';
 import {request} from 'undici';
 import {ManagedProcess} from './ManagedProcess.js';
@@ -30,6 +32,14 @@
 
 type Role = 'entry' | 'agent';
 
+/** A move for `Stack.propose`. */
+export interface ProposedMove {
+  kind: 'load' | 'retire';
+  artifact: string;
+  bytes?: number;
+  reliesOnCopyIds?: string[];
+}
+
 /**
  * The whole path as processes on loopback. Entries and agents are the
  * command line's own daemons; only the platform and the engines are stand-ins.
@@ -45,6 +55,7 @@
   private readonly folder = mkdtempSync(join(tmpdir(), 'banyanfold-'));
   private readonly processes = new Map<string, ManagedProcess>();
   private readonly readyEntries = new Set<string>();
+  private proposals = 0;
   private balancer: NodeJS.Timeout | undefined;
 
   private constructor(private readonly options: StackOptions) {}
@@ -122,11 +133,18 @@
 
   /** What an agent reports to entries. */
   async agentReport(index: number): Promise<AgentReport> {
-    return createAgentClient({
-      host: HOST,
-      port: this.agents[index]?.port ?? 0,
-      internalKey: STACK_KEYS.internal,
-    }).report.query();
+    return this.agentClient(index).report.query();
+  }
+
+  /**
+   * Proposes a move to an agent as a planner would whose epoch is above all.
+   * The entry that plans is refused there from then on, and holds still.
+   */
+  async propose(index: number, move: ProposedMove): Promise<ProposalResult> {
+    const proposalId = `test-${this.proposals++}`;
+    const plannerEpoch = Number.MAX_SAFE_INTEGER;
+    const proposal = {proposalId, plannerEpoch, ...move};
+    return this.agentClient(index).propose.mutate(proposal);
   }
 
   async status(index = 0): Promise<EntryStatus> {
@@ -155,6 +173,13 @@
     return (answer as {lastOffset: number}).lastOffset;
   }
 
+  /** The oldest record that the log still keeps of a stream. */
+  async firstOffset(stream: string): Promise<number> {
+    const url = `${this.standinUrl('log')}/streams/${stream}/records?limit=1`;
+    const page = (await sendJson('GET', url)) as {firstOffset: number};
+    return page.firstOffset;
+  }
+
   /** Sets faults of a stand-in: `log`, `vm-list`, `engine-1`, `lodging`, … */
   async setFaults(standin: string, faults: object): Promise<void> {
     await sendJson('PUT', `${this.standinUrl(standin)}/control/faults`, faults);
@@ -186,6 +211,14 @@
     rmSync(this.folder, {recursive: true, force: true});
   }
 
+  private agentClient(index: number): AgentClient {
+    return createAgentClient({
+      host: HOST,
+      port: this.agents[index]?.port ?? 0,
+      internalKey: STACK_KEYS.internal,
+    });
+  }
+
   private async checkReady(node: StackNode): Promise<void> {
     if (await isOk(`${httpUrl(node.port)}/readyz`)) {
       this.readyEntries.add(node.vmId);
