--- a/packages/banyanfold-decisions/src/placement/growHot.ts
+++ b/packages/banyanfold-decisions/src/placement/growHot.ts
@@ -128,7 +128,7 @@
   {artifact, demandPerSecond}: Candidate,
 ): number {
   const copies = plan.holders(artifact.artifact).length;
-  const newSharePerSecond = demandPerSecond / (copies + 1);
+  const newSharePerSecond = (demandPerSecond * source.surge) / (copies + 1);
   const slotsForOne = plan.slotsFor(artifact, 1);
   const spareSlots = ((source.load - target.load) / 2) * plan.slotsOf(target);
   return Math.min(newSharePerSecond, spareSlots / slotsForOne);
--- a/packages/banyanfold-decisions/src/placement/placementPlan.ts
+++ b/packages/banyanfold-decisions/src/placement/placementPlan.ts
@@ -13,11 +13,15 @@
   freeBytes: number;
   /** By artifact; copies planned for retirement are `releasing`. */
   copies: Map<string, PlacementCopy>;
+  /** How many times the smoothed demand its queue stands for. */
+  surge: number;
   /** Expected share of its slots that is in use; may pass 1. */
   load: number;
 }
 
 const MS_PER_SECOND = 1000;
+/** One long queue may be chance; it counts for no more than this. */
+const MAX_SURGE = 1.5;
 
 /** States in which a copy serves, or will without another order. */
 const COUNTED_STATES = new Set<PlacementCopy['state']>(['held', 'reserved']);
@@ -153,6 +157,7 @@
     this.holderIndex.clear();
     for (const planned of this.runners.values()) {
       planned.load = 0;
+      planned.surge = 1;
       for (const {artifact, state} of planned.copies.values()) {
         if (!COUNTED_STATES.has(state)) continue;
         const holders = this.holderIndex.get(artifact);
@@ -180,7 +185,9 @@
       const {running, queued} = planned.runner;
       if (queued === 0) continue;
       const observed = (running + queued) / this.slotsOf(planned);
-      planned.load = Math.max(planned.load, observed);
+      if (observed <= planned.load) continue;
+      planned.surge = Math.min(observed / planned.load, MAX_SURGE);
+      planned.load = observed;
     }
   }
 }
@@ -191,5 +198,6 @@
     freeBytes: runner.memoryFreeBytes,
     copies: new Map(runner.copies.map(copy => [copy.artifact, copy])),
     load: 0,
+    surge: 1,
   };
 }
