Count the labelled artifacts that no runner holds

A policy that leaves models without a copy makes fewer moves, and the table did not show it. Each run now samples, every 5 s, how many labelled artifacts are held nowhere.

--- a/bench/src/decisions/__tests__/decisionsBench.test.ts
+++ b/bench/src/decisions/__tests__/decisionsBench.test.ts
@@ -142,6 +142,7 @@
       moves: spread(moves),
       ttftP95Ms: spread(100),
       refusedShare: spread(0),
+      withoutCopy: spread(0),
       note: '',
     });
     const rows = [
--- a/bench/src/decisions/compare.ts
+++ b/bench/src/decisions/compare.ts
@@ -28,6 +28,7 @@
   moves: Spread;
   ttftP95Ms: Spread;
   refusedShare: Spread;
+  withoutCopy: Spread;
   note: string;
 }
 
@@ -83,6 +84,7 @@
       moves: spread('moves'),
       ttftP95Ms: spread('ttftP95Ms'),
       refusedShare: spread('refusedShare'),
+      withoutCopy: spread('withoutCopy'),
       note: scenario.note,
     };
   });
--- a/bench/src/decisions/metrics.ts
+++ b/bench/src/decisions/metrics.ts
@@ -11,6 +11,8 @@
   moves: number;
   ttftP95Ms: number;
   refusedShare: number;
+  /** Labelled artifacts that no runner held, in the mean over the run. */
+  withoutCopy: number;
 }
 
 interface KindCounts {
@@ -22,6 +24,8 @@
 export class RunMetrics {
   moves = 0;
   private refused = 0;
+  private withoutCopy = 0;
+  private samples = 0;
   private readonly kinds: Record<WorkKind, KindCounts> = {
     desk: {asked: 0, attained: 0},
     drafting: {asked: 0, attained: 0},
@@ -40,6 +44,11 @@
     this.refused += 1;
   }
 
+  sampleWithoutCopy(artifacts: number): void {
+    this.withoutCopy += artifacts;
+    this.samples += 1;
+  }
+
   firstToken(tookMs: number): void {
     this.firstTokens.recordValue(Math.max(1, Math.round(tookMs)));
   }
@@ -55,6 +64,7 @@
       moves: this.moves,
       ttftP95Ms: this.firstTokens.getValueAtPercentile(PERCENT_95),
       refusedShare: this.refused / asked,
+      withoutCopy: this.withoutCopy / Math.max(1, this.samples),
     };
   }
 }
--- a/bench/src/decisions/output/renderTable.ts
+++ b/bench/src/decisions/output/renderTable.ts
@@ -11,6 +11,7 @@
   'moves',
   'ttft p95 ms',
   'refused %',
+  'without copy',
   'note',
 ];
 
@@ -41,6 +42,7 @@
     spread(row.moves, 0),
     spread(row.ttftP95Ms, 0),
     percent(row.refusedShare, 1),
+    spread(row.withoutCopy, 1),
     row.note,
   ];
 }
--- a/bench/src/decisions/simulateRun.ts
+++ b/bench/src/decisions/simulateRun.ts
@@ -21,6 +21,7 @@
 import type {Policy} from './types.js';
 
 const REPORT_PERIOD_MS = 500;
+const SAMPLE_PERIOD_MS = 5_000;
 /** Without a first token this long past the target callers ask again. */
 const PATIENCE_MS = 5_000;
 const MAX_ASKS = 3;
@@ -74,6 +75,7 @@
   play(trace: readonly TraceRequest[]): RunResult {
     this.events.every(REPORT_PERIOD_MS, () => this.sendReports());
     this.scheduleFaults();
+    this.events.every(SAMPLE_PERIOD_MS, () => this.sampleCopies());
     for (const request of trace) {
       this.events.at(request.atMs, () => this.ask(request, 1));
     }
@@ -149,6 +151,17 @@
     for (const entry of this.entries) entry.tracker.refreshReachable();
   }
 
+  private sampleCopies(): void {
+    if (this.events.nowMs > DURATION_MS) return;
+    const up = [...this.agents.values()].filter(({isUp}) => isUp);
+    const missing = this.catalog
+      .all()
+      .filter(
+        ({artifact}) => !up.some(({ledger}) => ledger.held.has(artifact)),
+      );
+    this.metrics.sampleWithoutCopy(missing.length);
+  }
+
   private scheduleFaults(): void {
     const {lose, rollout, replacedAfterMs} = this.scenario.faults;
     const lost = this.lostAgents(lose);
