Say unknown, not not-run, of a key while the log is out

Cause: an entry that can not claim a key answered not-run for its own call, though an earlier call with the same key may have run through another entry. The caller then tells a member that nothing was lodged. Ruled out: telling by the age of the last read, since another entry may claim right after it.

The answer is now unknown, at once, with Retry-After and the advice to send the same key again. The new test, one entry cut off from the log while another one lodges, failed before (not-run) and passes now. The expectation for a log that is out everywhere is changed from not-run to unknown for the same reason; it is the stricter one.

--- a/packages/banyanfold-entry/src/__tests__/keys.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/keys.test.ts
@@ -184,7 +184,7 @@
     async outage => {
       system.setLogOutage(outage);
       const answer = await lodgeWith(uuidV7());
-      expect(short(answer)).toEqual([503, 'not-run', 'log_unavailable']);
+      expect(short(answer)).toEqual([503, 'unknown', 'log_unavailable']);
       expect(Number(answer.retryAfter)).toBeGreaterThan(0);
       expect(system.takeCounts().ran).toBe(0);
     },
@@ -236,6 +236,20 @@
     expect(answer.status).toBe(200);
   });
 
+  // One entry is cut off from the log. The claim is lodged through another one,
+  // and its answer is lost; the caller comes again, to the entry that is cut
+  // off. "Not run" would make the desk tell the member that nothing was lodged.
+  it('never says not-run of a key that ran through another entry', async () => {
+    const log = system.gatedLog();
+    ports = [...ports.slice(0, 2), await system.startReadyEntry({}, log)];
+    const key = uuidV7();
+    log.isCut = true;
+    expect(short(await lodgeWith(key))).toEqual([200, RECEIPT]);
+    const answer = await lodgeWith(key, {entry: 2});
+    expect(short(answer)).toEqual([503, 'unknown', 'log_unavailable']);
+    expect(system.takeCounts().ran).toBe(1);
+  });
+
   // An entry starts in the outage and has never read the claims. An earlier
   // run of the key can't be ruled out there, so "not run" could be untrue.
   it('says unknown where the claims were never read', async () => {
--- a/packages/banyanfold-entry/src/__tests__/kit/testSystem.ts
+++ b/packages/banyanfold-entry/src/__tests__/kit/testSystem.ts
@@ -89,13 +89,16 @@
   }
 
   /** Starts an entry; it is listed from then on. */
-  async startEntry(change: Partial<EntrySettingsInput> = {}): Promise<number> {
+  async startEntry(
+    change: Partial<EntrySettingsInput> = {},
+    log: LogService = this.logService,
+  ): Promise<number> {
     const vmId = change.vmId ?? `entry-${this.entries.length + 1}`;
     const logger = new MemoryLogger();
     const metrics = new Metrics();
     const entry = createEntry(
       {...testSettings(vmId), ...change},
-      {logger, metrics, log: this.logService, vmList: this.vmList()},
+      {logger, metrics, log, vmList: this.vmList()},
     );
     const {port} = await entry.start();
     this.entries.push({entry, port, logger, metrics});
@@ -114,12 +117,31 @@
   /** Starts an entry and waits for it to say that it is ready. */
   async startReadyEntry(
     change: Partial<EntrySettingsInput> = {},
+    log: LogService = this.logService,
   ): Promise<number> {
-    const port = await this.startEntry(change);
+    const port = await this.startEntry(change, log);
     await vi.waitUntil(() => isReady(port), {timeout: 20_000, interval: 10});
     return port;
   }
 
+  /** The log as one process sees it, which can be cut off alone. */
+  gatedLog(): LogService & {isCut: boolean} {
+    const {logService} = this;
+    const cut = () => {
+      const place = {step: 'reach-log', peer: 'log'};
+      return errAsync(new BanyanfoldError('log-unavailable', 'cut', place));
+    };
+    return {
+      isCut: false,
+      append(...args) {
+        return this.isCut ? cut() : logService.append(...args);
+      },
+      read(...args) {
+        return this.isCut ? cut() : logService.read(...args);
+      },
+    };
+  }
+
   setLogOutage(outage: 'none' | 'refuse' | 'cut'): void {
     this.log.state.faults.set({outage});
   }
--- a/packages/banyanfold-entry/src/plugins/idempotency.ts
+++ b/packages/banyanfold-entry/src/plugins/idempotency.ts
@@ -32,7 +32,6 @@
   private readonly claims: KeyClaims;
   private readonly ownRuns = new OwnRuns();
   private readonly notes: KeyNotes;
-  private caughtUp = false;
 
   constructor(private readonly context: EntryContext) {
     const {settings, log, clock, logger, random} = context;
@@ -52,9 +51,6 @@
 
   start(): void {
     this.claims.start();
-    void this.claims.caughtUp().then(() => {
-      this.caughtUp = true;
-    });
   }
 
   async stop(): Promise<void> {
@@ -146,16 +142,15 @@
     });
     const known = CLAIM_ERRORS[error.code];
     if (known) return new ApiError(known.code, known.message, known);
-    // Before the claims were read once, an earlier run of the key can't be
-    // ruled out, and "not run" would be said of what ran.
+    // This call ran nothing. An earlier one with the same key may have run
+    // through another entry since the claims were last read here, and "not
+    // run" would make a desk tell its member that nothing was lodged.
     return new ApiError(
       'log_unavailable',
-      'keys cannot be claimed now, and this call ran nothing; send it again ' +
-        'with the same key',
-      {
-        outcome: this.caughtUp ? 'not-run' : 'unknown',
-        retryAfterMs: LOG_RETRY_MS,
-      },
+      'keys cannot be claimed now; this call ran nothing, but whether an ' +
+        'earlier one with the same key ran is not known; send it again with ' +
+        'the same key',
+      {outcome: 'unknown', retryAfterMs: LOG_RETRY_MS},
     );
   }
 }
