--- a/packages/banyanfold-decisions/src/options.ts
+++ b/packages/banyanfold-decisions/src/options.ts
@@ -13,7 +13,7 @@
    * Added for each request open there: each slows the others' tokens down,
    * long before any of them queues.
    */
-  runningCostMs: durationMsSchema.default(20),
+  runningCostMs: durationMsSchema.default(30),
   /** Added for a runner of another role than the selector prefers. */
   otherRoleCostMs: durationMsSchema.default(20),
   /** Added for a runner in another region. */
