--- a/packages/banyanfold-testing/src/__tests__/memory.test.ts
+++ b/packages/banyanfold-testing/src/__tests__/memory.test.ts
@@ -121,3 +121,91 @@
     expect(load.results.some(({end}) => end === 'whole')).toBe(true);
   });
 });
+
+const LATE_MS = 2_500;
+const COPY_BYTES = 3_000;
+const ROOM_FOR_TWO_BYTES = 7_000;
+
+/** No planner: the test proposes, and an agent is as eager as it may be. */
+async function startAlone(engine: object, agentEngine = {}): Promise<void> {
+  client = new CallerClient();
+  stack = await Stack.start({
+    agents: 1,
+    entry: {planner: {enabled: false}},
+    engine: {
+      memoryCapacityBytes: ROOM_FOR_TWO_BYTES,
+      ...engine,
+      faults: {unprotectedMemory: true},
+    },
+    agent: {engine: {requestTimeoutMs: 200, ...agentEngine}},
+    published: testConfig({models: modelsOf(NAMES, '1')}),
+  });
+}
+
+async function proposeLoad(name: string): Promise<boolean> {
+  const artifact = `${name}@1`;
+  const move = {kind: 'load', artifact, bytes: COPY_BYTES} as const;
+  const result = await stack.propose(0, move);
+  return result.accepted;
+}
+
+async function heldCount(): Promise<number> {
+  const {copies} = await stack.agentReport(0);
+  return copies.filter(({state}) => state === 'held').length;
+}
+
+/** Proposes all of them again and again until the engine is full. */
+async function fill(names: readonly string[]): Promise<void> {
+  await waitUntil('two copies are held', async () => {
+    for (const name of names) await proposeLoad(name);
+    return (await heldCount()) === 2;
+  });
+}
+
+async function expectNoOverCommit(): Promise<void> {
+  const truth = await stack.truth('engine-1');
+  expect(ofKind(truth, 'over-commit')).toEqual([]);
+}
+
+describe('the memory of one engine', () => {
+  // The caller sees nothing of it. An agent orders a load and is killed while
+  // the order is still on its way; its successor is asked at once for as much
+  // as fits. Fencing ends the order, or the successor gives nothing away until
+  // it has come: then it is seen, and there is room for one more only.
+  it.each([true, false])(
+    'counts the late order of a killed agent (fencing checked: %s)',
+    async checksFencing => {
+      await startAlone({checksFencing}, {orderLateBoundMs: LATE_MS + 500});
+      await waitUntil('the first load is accepted', async () => {
+        const late = {lateNextOrders: 1, orderLateMs: LATE_MS};
+        await stack.setFaults('engine-1', late);
+        return proposeLoad('claims');
+      });
+      await waitUntil('its order is on its way', async () => {
+        const late = ofKind(await stack.truth('engine-1'), 'order-late');
+        return late.some(({orderKind}) => orderKind === 'load');
+      });
+      await stack.kill('agent-1');
+      await stack.restart('agent-1');
+      await fill(['letters', 'routes']);
+      await waitUntil('the late order has come', async () => {
+        const truth = await stack.truth('engine-1');
+        return truth.some(
+          ({kind, artifact}) =>
+            /^order-(applied|refused)$/.test(String(kind)) &&
+            artifact === 'claims@1',
+        );
+      });
+      await expectNoOverCommit();
+    },
+  );
+
+  // The caller sees nothing of it. The engine's report is older than the orders
+  // that it took and lists none of them; it must not pass for proof that their
+  // memory is free, while more and more loads are proposed.
+  it('is not free because an old report says so', async () => {
+    await startAlone({reportLagMs: 1_200});
+    await fill(NAMES);
+    await expectNoOverCommit();
+  });
+});
