Let the log judge how old the view behind a retirement is

Cause: the age of a view was counted from the agent, at the proposal. A planner that was paused between its view and its proposal for longer than an inherited copy is held back (two minutes) could get a copy retired that relied on one which was retired meanwhile under another id: no copy left. Ruled out: a longer hold, since a pause has no bound.

The planner now sends the log clock of its view along, the agent refuses a retirement without it, and the fold makes an old one void.

--- a/packages/banyanfold-agent/src/__tests__/ledgerWorld.ts
+++ b/packages/banyanfold-agent/src/__tests__/ledgerWorld.ts
@@ -119,6 +119,7 @@
       bytes,
       runnerRole: '',
       reliesOnCopyIds: ['elsewhere'],
+      viewedAtMs: 0,
     });
   }
 
--- a/packages/banyanfold-agent/src/__tests__/lifecycle.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/lifecycle.test.ts
@@ -57,6 +57,15 @@
 // The predecessor on this VM is paused, not dead: it will wake up and order as
 // if it were alone. It still holds the port, so the successor must not start,
 // nor take a fencing number for orders of its own.
+const HOUR_MS = 3_600_000;
+/** The stand-in log's clock is the machine's. */
+const SEEN_NOW = {viewedAtMs: Date.now()};
+const RETIRE_ELSEWHERE = {
+  kind: 'retire',
+  artifact: 'claims@1',
+  reliesOnCopyIds: ['agent-2/claims@1#7.1'],
+};
+
 describe('start', () => {
   it('fails while another process holds the port', async () => {
     const target = await start();
@@ -149,8 +158,10 @@
     ['no-memory', {artifact: 'a@1', bytes: 79 * GIB}],
     ['no-model', {artifact: 'a@1+x@1', bytes: 1}],
     ['bad-proposal', {artifact: 'a@1', bytes: 0}],
-    ['not-held', {kind: 'retire', artifact: 'a@1'}],
-    ['relies-on-none', {kind: 'retire', artifact: 'claims@1'}],
+    ['not-held', {kind: 'retire', artifact: 'a@1', ...SEEN_NOW}],
+    ['relies-on-none', {kind: 'retire', artifact: 'claims@1', ...SEEN_NOW}],
+    ['no-view-time', {kind: 'retire', artifact: 'claims@1'}],
+    ['old-view', {...RETIRE_ELSEWHERE, viewedAtMs: Date.now() - HOUR_MS}],
   ])('refuses with %s', async (reason, fields) => {
     const memory = {inheritedRetireHoldMs: 0};
     const target = await certain(await start({settings: {memory}}));
@@ -174,7 +185,7 @@
     const target = await certain(await start({settings: {memory}}));
     const body = chatBody({max_tokens: 60});
     const {response} = await sendAttempt(target, {body});
-    const retire = {kind: 'retire', artifact: 'claims@1'};
+    const retire = {kind: 'retire', artifact: 'claims@1', ...SEEN_NOW};
     const reliesOnCopyIds = ['agent-2/claims@1#7.1'];
     await until(
       async () =>
--- a/packages/banyanfold-agent/src/control/proposalHandler.ts
+++ b/packages/banyanfold-agent/src/control/proposalHandler.ts
@@ -113,11 +113,15 @@
     if (allocation.retiring) return accepted('retiring');
     if (this.hasAdapters(proposal.artifact)) return refused('adapters-held');
     if (this.isHeldBack(allocation)) return refused('inherited-too-new');
-    const {artifact, reliesOnCopyIds} = proposal;
+    const {artifact, reliesOnCopyIds, viewedAtMs} = proposal;
+    // A planner that was paused between its view and this proposal may rely on
+    // copies that were retired and forgotten since; the log judges the age.
+    if (viewedAtMs === undefined) return refused('no-view-time');
     const verdict = await retirements.retireCopy({
       copyId: allocation.copyId,
       artifact,
       reliesOnCopyIds,
+      viewedAtMs,
       isUnpublished: await this.isUnpublished(proposal),
     });
     if (verdict.isErr()) return refused(verdict.error.code);
--- a/packages/banyanfold-entry/src/config/configWatch.ts
+++ b/packages/banyanfold-entry/src/config/configWatch.ts
@@ -49,6 +49,11 @@
     return this.compiled;
   }
 
+  /** The log's clock now, or undefined before the log was ever read. */
+  get logNowMs(): number | undefined {
+    return this.follower.logNowMs;
+  }
+
   get version(): number {
     return this.follower.version;
   }
--- a/packages/banyanfold-entry/src/plugins/planner.ts
+++ b/packages/banyanfold-entry/src/plugins/planner.ts
@@ -41,7 +41,8 @@
     await this.askPeersForMisses();
     const isReady = context.configWatch.ready && isViewSettled(context);
     if (!isReady) return true;
-    await this.send(this.decide());
+    const viewedAtMs = context.configWatch.logNowMs;
+    await this.send(this.decide(), viewedAtMs);
     return true;
   }
 
@@ -98,16 +99,22 @@
     });
   }
 
-  private async send({moves}: PlacementDecision): Promise<void> {
+  private async send(
+    {moves}: PlacementDecision,
+    viewedAtMs: number | undefined,
+  ): Promise<void> {
     const nowMs = this.context.clock.nowMs();
     if (moves.some(({kind}) => kind === 'load')) this.lastLoadMs = nowMs;
     if (moves.some(({kind}) => kind === 'set-role')) {
       this.lastRoleChangeMs = nowMs;
     }
-    await Promise.all(moves.map(move => this.propose(move)));
+    await Promise.all(moves.map(move => this.propose(move, viewedAtMs)));
   }
 
-  private async propose(move: Move): Promise<void> {
+  private async propose(
+    move: Move,
+    viewedAtMs: number | undefined,
+  ): Promise<void> {
     const {context} = this;
     const agent = context.view.agent(move.vmId);
     if (!agent) return;
@@ -117,7 +124,12 @@
     const {reason, vmId: _vmId, ...what} = move;
     const result = await context.clients
       .of(agent)
-      .propose.mutate({proposalId, plannerEpoch: this.epoch.current, ...what})
+      .propose.mutate({
+        proposalId,
+        plannerEpoch: this.epoch.current,
+        viewedAtMs,
+        ...what,
+      })
       .catch((error: unknown) => ({
         accepted: false,
         reason: error instanceof Error ? error.message : String(error),
--- a/packages/banyanfold-protocol/src/agentContract.ts
+++ b/packages/banyanfold-protocol/src/agentContract.ts
@@ -66,6 +66,8 @@
   runnerRole: z.string().default(''),
   /** For retire: the copies elsewhere that it relies on. */
   reliesOnCopyIds: z.array(z.string()).default([]),
+  /** For retire: when the planner saw those copies, by the log's clock. */
+  viewedAtMs: z.number().optional(),
 });
 
 export const proposalResultSchema = z.object({
--- a/packages/banyanfold-testing/src/Stack.ts
+++ b/packages/banyanfold-testing/src/Stack.ts
@@ -143,7 +143,8 @@
   async propose(index: number, move: ProposedMove): Promise<ProposalResult> {
     const proposalId = `test-${this.proposals++}`;
     const plannerEpoch = Number.MAX_SAFE_INTEGER;
-    const proposal = {proposalId, plannerEpoch, ...move};
+    const viewedAtMs = Date.now();
+    const proposal = {proposalId, plannerEpoch, viewedAtMs, ...move};
     return this.agentClient(index).propose.mutate(proposal);
   }
 
