Let a caller name only the desks that its settings give it

Cause: the desk was taken from a header of any caller, and the desk decides the selector and the priority: each key reached the models and the priority of the counter.

--- /dev/null
+++ b/packages/banyanfold-entry/src/__tests__/askerOf.test.ts
@@ -0,0 +1,37 @@
+import type {IncomingMessage} from 'node:http';
+import {describe, expect, it} from 'vitest';
+import {HEADERS} from '@banyanfold/protocol';
+import {askerOf} from '../requests/acceptRequest.js';
+
+const CALLER = {
+  name: 'phone',
+  key: 'k',
+  desk: 'phone',
+  otherDesks: ['drafting'],
+  maxConcurrent: 1,
+};
+
+function ask(desk: string | undefined) {
+  const headers = {authorization: 'Bearer k', [HEADERS.desk]: desk};
+  return () => askerOf({headers} as unknown as IncomingMessage, CALLER);
+}
+
+describe('askerOf', () => {
+  it.each([
+    ['its own desk when it names none', undefined, 'phone'],
+    ['its own desk', 'phone', 'phone'],
+    ['a desk that its settings list', 'drafting', 'drafting'],
+  ])('gives %s', (_, named, desk) => {
+    expect(ask(named)()).toEqual({
+      caller: 'phone',
+      desk,
+      headers: named ? {[HEADERS.desk]: named} : {},
+    });
+  });
+
+  // A caller of the phone desk names the counter in a header. Answering would
+  // give it the counter's models at the counter's priority.
+  it('refuses a desk that is not the caller’s', () => {
+    expect(ask('counter')).toThrow('may not ask for the desk "counter"');
+  });
+});
--- a/packages/banyanfold-entry/src/requests/acceptRequest.ts
+++ b/packages/banyanfold-entry/src/requests/acceptRequest.ts
@@ -44,7 +44,15 @@
   });
 }
 
-/** The caller and desk of a call, and its headers without the key. */
+/**
+ * The caller and desk of a call, and its headers without the key.
+ *
+ * A desk decides selectors and priority, so a caller may only name one that
+ * its settings give it; otherwise any key would reach the counter's models at
+ * the counter's priority.
+ *
+ * @throws ApiError `not_allowed` for another desk.
+ */
 export function askerOf(req: IncomingMessage, caller: CallerSettings): Asker {
   const headers: Record<string, string> = {};
   for (const [name, value] of Object.entries(req.headers)) {
@@ -53,6 +61,13 @@
     }
   }
   const desk = headers[HEADERS.desk] ?? caller.desk;
+  if (desk !== caller.desk && !caller.otherDesks.includes(desk)) {
+    throw new ApiError(
+      'not_allowed',
+      `the key may not ask for the desk "${desk}"; its settings list those ` +
+        'it may name',
+    );
+  }
   return {caller: caller.name, desk, headers};
 }
 
--- a/packages/banyanfold-entry/src/settings.ts
+++ b/packages/banyanfold-entry/src/settings.ts
@@ -6,6 +6,8 @@
   key: z.string().min(1),
   /** The desk of requests that name none. */
   desk: z.string().default(''),
+  /** Desks that its requests may name instead, by header. */
+  otherDesks: z.array(z.string()).default([]),
   maxConcurrent: z.number().int().positive().default(256),
 });
 
