--- a/packages/banyanfold-entry/src/__tests__/planner.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/planner.test.ts
@@ -36,8 +36,9 @@
     const moves = system.lines.filter(line => line.includes('event=move'));
     expect(moves.length).toBe(proposals().length);
     for (const move of moves) expect(move).toMatch(/ reason=\S+ epoch=\d+ /);
-    for (const {viewedAtMs} of proposals())
+    for (const {viewedAtMs} of proposals()) {
       expect(viewedAtMs).toBeTypeOf('number');
+    }
   });
 
   // The first entry plans alone. The second is the one that the hash names once
