Keep adapters off a model in judgement, and mend a lost verdict

Found by reading. While the log judged a model's retirement, a load of one of its adapters was taken; the model then went and left the adapter in memory, serving nobody. Such loads are refused now, as are further retirements of it.

When the verdict's answer was lost and the record was in the log all the same, each new proposal was void ("already-retired") and the copy's memory stayed taken for the half hour that the log's fold remembers. The agent now watches the fold for five minutes and lets the copy go when it shows as retired. Ruled out: taking "already-retired" for leave to unload, since at the end of the fold's memory another copy may be relying on this one again.

--- a/packages/banyanfold-agent/src/__tests__/ledgerWorld.ts
+++ b/packages/banyanfold-agent/src/__tests__/ledgerWorld.ts
@@ -179,7 +179,10 @@
       metrics,
       ledger,
       orders,
-      retirements: {retireCopy: () => okAsync({kind: 'accepted'})},
+      retirements: {
+        retireCopy: () => okAsync({kind: 'accepted'}),
+        isRetired: () => false,
+      },
       isUnpublished: async () => false,
       inheritedRetireHoldMs: 0,
       hasFence: () => fence.current() !== undefined,
--- a/packages/banyanfold-agent/src/__tests__/lifecycle.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/lifecycle.test.ts
@@ -54,9 +54,6 @@
   return target;
 }
 
-// The predecessor on this VM is paused, not dead: it will wake up and order as
-// if it were alone. It still holds the port, so the successor must not start,
-// nor take a fencing number for orders of its own.
 const HOUR_MS = 3_600_000;
 /** The stand-in log's clock is the machine's. */
 const SEEN_NOW = {viewedAtMs: Date.now()};
@@ -66,6 +63,9 @@
   reliesOnCopyIds: ['agent-2/claims@1#7.1'],
 };
 
+// The predecessor on this VM is paused, not dead: it will wake up and order as
+// if it were alone. It still holds the port, so the successor must not start,
+// nor take a fencing number for orders of its own.
 describe('start', () => {
   it('fails while another process holds the port', async () => {
     const target = await start();
--- /dev/null
+++ b/packages/banyanfold-agent/src/__tests__/proposalHandler.test.ts
@@ -0,0 +1,113 @@
+import {
+  BanyanfoldError,
+  MemoryLogger,
+  Metrics,
+  VirtualClock,
+} from '@banyanfold/core';
+import type {RetireVerdict} from '@banyanfold/platform';
+import type {Proposal} from '@banyanfold/protocol';
+import {ResultAsync, err, ok, type Result} from 'neverthrow';
+import {describe, expect, it} from 'vitest';
+import {ProposalHandler} from '../control/proposalHandler.js';
+import type {OrderSender} from '../engine/orderSender.js';
+import {MemoryLedger} from '../memory/memoryLedger.js';
+
+type Verdict = Result<RetireVerdict, BanyanfoldError>;
+
+/** A handler whose log answers when the test says so. */
+function createHandler() {
+  const clock = new VirtualClock();
+  const ledger = new MemoryLedger({
+    clock,
+    checksFencing: true,
+    orderLateBoundMs: 0,
+    kvPool: 'shared',
+    kvFloorShare: 0,
+    inheritedBoundMs: 0,
+    nameCopy: artifact => `found/${artifact}`,
+  });
+  ledger.barrierPassed(1, []);
+  ledger.observe(
+    {
+      takenAtMs: 2,
+      kvUsedBytes: 0,
+      kvCapacityBytes: 10,
+      memoryCapacityBytes: 100,
+      models: [{artifact: 'a@1', bytes: 50, state: 'loaded'}],
+    },
+    {askedAtMs: 0, engineNowMs: 2},
+  );
+  const unloads: string[] = [];
+  const retired = new Set<string>();
+  let answer: (verdict: Verdict) => void = () => {};
+  const verdict = new Promise<Verdict>(resolve => {
+    answer = resolve;
+  });
+  const handler = new ProposalHandler({
+    clock,
+    logger: new MemoryLogger(),
+    metrics: new Metrics(),
+    ledger,
+    orders: {
+      load: async () => {},
+      unload: async (artifact: string) => {
+        unloads.push(artifact);
+      },
+    } as unknown as OrderSender,
+    retirements: {
+      retireCopy: () => new ResultAsync(verdict),
+      isRetired: copyId => retired.has(copyId),
+    },
+    isUnpublished: async () => false,
+    inheritedRetireHoldMs: 0,
+    hasFence: () => true,
+    isLeaving: () => false,
+    nextOrderId: artifact => `order/${artifact}`,
+    setRunnerRole: () => {},
+  });
+  let count = 0;
+  const propose = (fields: Partial<Proposal>) =>
+    handler.propose({
+      proposalId: `p${++count}`,
+      plannerEpoch: 1,
+      kind: 'retire',
+      artifact: 'a@1',
+      bytes: 0,
+      runnerRole: '',
+      reliesOnCopyIds: ['elsewhere'],
+      viewedAtMs: 0,
+      ...fields,
+    });
+  return {clock, propose, answer, retired, unloads};
+}
+
+describe('propose retire', () => {
+  // The log judges the model's retirement while a load of its adapter comes.
+  // Were it taken, the adapter would hold memory and could serve nobody.
+  it('loads no adapter of a model that the log judges', async () => {
+    const {propose, answer, unloads, clock} = createHandler();
+    const first = propose({});
+    const load = {kind: 'load', artifact: 'a@1+x@1', bytes: 1} as const;
+    expect((await propose(load)).reason).toBe('no-model');
+    expect((await propose({})).reason).toBe('in-judgement');
+    answer(ok({kind: 'accepted'}));
+    expect((await first).accepted).toBe(true);
+    await clock.advance(100);
+    expect(unloads).toEqual(['a@1']);
+  });
+
+  // The record is in the log, its answer is lost: others count the copy as
+  // retired, and each new proposal for it is void. Its memory must come free.
+  it('unloads a copy whose verdict was lost once the log shows it', async () => {
+    const {propose, answer, retired, unloads, clock} = createHandler();
+    const place = {step: 'retire-copy', peer: 'log'};
+    answer(err(new BanyanfoldError('append-unknown', 'lost', place)));
+    const result = await propose({});
+    expect(result).toEqual({accepted: false, reason: 'append-unknown'});
+    await clock.advance(5_000);
+    expect(unloads).toEqual([]);
+    retired.add('found/a@1');
+    await clock.advance(1_000);
+    expect(unloads).toEqual(['a@1']);
+  });
+});
--- a/packages/banyanfold-agent/src/control/proposalHandler.ts
+++ b/packages/banyanfold-agent/src/control/proposalHandler.ts
@@ -8,6 +8,8 @@
 
 const MAX_REMEMBERED = 1_024;
 const DRAIN_POLL_MS = 20;
+const LOST_VERDICT_MS = 300_000;
+const LOST_VERDICT_POLL_MS = 500;
 
 /** What a proposal handler works with. */
 export interface ProposalHandlerOptions {
@@ -16,7 +18,7 @@
   metrics: Metrics;
   ledger: MemoryLedger;
   orders: OrderSender;
-  retirements: Pick<Retirements, 'retireCopy'>;
+  retirements: Pick<Retirements, 'retireCopy' | 'isRetired'>;
   inheritedRetireHoldMs: number;
   /** Whether the configuration, read to its end now, has it no more. */
   isUnpublished(artifact: string): Promise<boolean>;
@@ -35,6 +37,8 @@
 export class ProposalHandler {
   private highestEpoch = 0;
   private stopped = false;
+  /** Artifacts whose retirement the log judges now. */
+  private readonly judged = new Set<string>();
   /** Results by proposal id, so that a repeated proposal has one effect. */
   private readonly results = new Map<string, Promise<ProposalResult>>();
   private readonly handlers: Record<
@@ -95,9 +99,8 @@
     const {ledger, orders, nextOrderId} = this.options;
     if (!artifact || bytes <= 0) return refused('bad-proposal');
     const model = modelOf(artifact);
-    if (model !== artifact && !ledger.canServe(model)) {
-      return refused('no-model');
-    }
+    const hasModel = ledger.canServe(model) && !this.judged.has(model);
+    if (model !== artifact && !hasModel) return refused('no-model');
     const orderId = nextOrderId(artifact);
     const reserved = ledger.reserveLoad({artifact, bytes, orderId});
     if (reserved.isErr()) return refused(reserved.error);
@@ -107,12 +110,25 @@
   }
 
   private async retire(proposal: Proposal): Promise<ProposalResult> {
-    const {ledger, retirements} = this.options;
+    const {ledger} = this.options;
     const allocation = ledger.get(proposal.artifact);
     if (!allocation || allocation.state !== 'held') return refused('not-held');
     if (allocation.retiring) return accepted('retiring');
     if (this.hasAdapters(proposal.artifact)) return refused('adapters-held');
     if (this.isHeldBack(allocation)) return refused('inherited-too-new');
+    if (this.judged.has(proposal.artifact)) return refused('in-judgement');
+    // An adapter loaded while the log judges would outlive its model.
+    this.judged.add(proposal.artifact);
+    const result = await this.askLog(proposal, allocation);
+    this.judged.delete(proposal.artifact);
+    return result;
+  }
+
+  private async askLog(
+    proposal: Proposal,
+    allocation: Allocation,
+  ): Promise<ProposalResult> {
+    const {retirements} = this.options;
     const {artifact, reliesOnCopyIds, viewedAtMs} = proposal;
     // A planner that was paused between its view and this proposal may rely on
     // copies that were retired and forgotten since; the log judges the age.
@@ -124,11 +140,37 @@
       viewedAtMs,
       isUnpublished: await this.isUnpublished(proposal),
     });
-    if (verdict.isErr()) return refused(verdict.error.code);
+    if (verdict.isErr()) {
+      void this.awaitLostVerdict(allocation);
+      return refused(verdict.error.code);
+    }
     if (verdict.value.kind === 'void') return refused(verdict.value.why);
+    this.beginRetiring(allocation);
+    return accepted('retiring');
+  }
+
+  private beginRetiring(allocation: Allocation): void {
+    if (allocation.retiring) return;
     allocation.retiring = true;
     void this.unloadWhenUnused(allocation);
-    return accepted('retiring');
+  }
+
+  /**
+   * The record may be in the log although its answer was lost. Then the copy
+   * counts as retired for others, and each new proposal for it is void: its
+   * memory would stay taken. So the log is watched for a while, much shorter
+   * than it remembers a retirement.
+   */
+  private async awaitLostVerdict(allocation: Allocation): Promise<void> {
+    const {clock, retirements} = this.options;
+    const endMs = clock.nowMs() + LOST_VERDICT_MS;
+    while (!this.stopped && clock.nowMs() < endMs) {
+      if (retirements.isRetired(allocation.copyId)) {
+        this.beginRetiring(allocation);
+        return;
+      }
+      await sleep(clock, LOST_VERDICT_POLL_MS);
+    }
   }
 
   private async setRole({runnerRole}: Proposal): Promise<ProposalResult> {
