--- a/bench/src/decisions/fakes/copyLedger.ts
+++ b/bench/src/decisions/fakes/copyLedger.ts
@@ -95,11 +95,18 @@
   private proposeLoad(move: Move): boolean {
     if (this.copies.has(move.artifact)) return false;
     if (move.bytes > this.freeBytes) return false;
+    if (!this.holdsModelOf(move.artifact)) return false;
     const copy = this.reserve(move.artifact, move.bytes);
     this.sendOrder(() => this.startLoad(copy));
     return true;
   }
 
+  /** As in the agent, an adapter is loaded only beside a model that serves. */
+  private holdsModelOf(artifact: string): boolean {
+    const [model] = artifact.split('+');
+    return model === artifact || this.held.has(model!);
+  }
+
   private startLoad(copy: Copy): void {
     const {generation} = this;
     const started = this.context.store.load(copy.bytes, () => {
--- a/bench/src/decisions/policies/reactivePlacement.ts
+++ b/bench/src/decisions/policies/reactivePlacement.ts
@@ -37,6 +37,12 @@
   return runner.copies.some(copy => copy.artifact === artifact);
 }
 
+function serves(runner: PlacementRunner, artifact: string): boolean {
+  return runner.copies.some(
+    copy => copy.artifact === artifact && copy.state === 'held',
+  );
+}
+
 function findMissing(view: PlacementView): PlacementArtifact | undefined {
   return view.artifacts
     .filter(({artifact}) => !usable(view).some(r => holds(r, artifact)))
@@ -66,7 +72,7 @@
     .filter(
       runner =>
         wanted.artifact === wanted.modelArtifact ||
-        holds(runner, wanted.modelArtifact),
+        serves(runner, wanted.modelArtifact),
     )
     .sort((a, b) => b.memoryFreeBytes - a.memoryFreeBytes);
 }
