Predict a small run with the copies that its planner loads

The run of 2 entries and 8 agents had 43% more bytes at an entry than predicted. Its 8 engines hold 32 of the 60 published models at the start; the planner has the other 28 loaded, so a report carries 7.5 copies and not 4, which brings the prediction from 22.9 to 29.6 KB/s where 32.8 were measured. Ruled out: a larger report than the slope says (one was read from a real agent with 4 copies: 958 bytes of body, as predicted). From 15 agents on nothing changes.

--- a/bench/src/capacity/processes/predict.ts
+++ b/bench/src/capacity/processes/predict.ts
@@ -60,7 +60,7 @@
       valueAt(line('entry cpu, lean reports'), reports) +
       listReads * valueAt(line('VM list read cpu'), vms),
     bytesPerSecond:
-      reports * leanReportBytes(slopes) +
+      reports * leanReportBytes(run, slopes) +
       listReads * Math.max(0, valueAt(line('VM list bytes'), vms)) +
       logPollBytes(slopes),
     rssBytes: valueAt(line('entry rss, lean reports'), agents),
@@ -72,7 +72,7 @@
   const asked = entries * REPORTS_PER_SECOND;
   return {
     cpuUsPerSecond: valueAt(slopeNamed(slopes, 'agent cpu'), asked),
-    bytesPerSecond: asked * leanReportBytes(slopes) + logPollBytes(slopes),
+    bytesPerSecond: asked * leanReportBytes(run, slopes) + logPollBytes(slopes),
     rssBytes: valueAt(slopeNamed(slopes, 'agent rss'), entries),
   };
 }
@@ -95,9 +95,13 @@
   };
 }
 
-/** Nothing was served or cached yet in such a run. */
-function leanReportBytes(slopes: Slopes): number {
-  const copies = ASSUMED.copiesPerRunner;
+/**
+ * Nothing was served or cached yet in such a run. Where the engines don't hold
+ * all models at the start, the planner has had the others loaded.
+ */
+function leanReportBytes(run: ProcessRun, slopes: Slopes): number {
+  const placed = run.models / run.size.agents;
+  const copies = Math.max(ASSUMED.copiesPerRunner, placed);
   return reportBytes(slopes, {copies, prefixes: 0, served: 0});
 }
 
