--- a/bench/src/capacity/index.ts
+++ b/bench/src/capacity/index.ts
@@ -14,8 +14,13 @@
   printSlopes,
 } from './print.js';
 import {compareRun} from './processes/predict.js';
-import {runProcesses} from './processes/runProcesses.js';
-import {readPathFigures, readSlopes, writeSection} from './results.js';
+import {runProcesses, type ProcessRun} from './processes/runProcesses.js';
+import {
+  readPathFigures,
+  readRuns,
+  readSlopes,
+  writeSection,
+} from './results.js';
 import {agentSlopes} from './slopes/agentSlopes.js';
 import {claimSlopes} from './slopes/claimSlopes.js';
 import {configSlopes} from './slopes/configSlopes.js';
@@ -45,6 +50,7 @@
 const MODES: Record<string, () => Promise<void>> = {
   '': measureAndMultiply,
   '--processes': measureProcesses,
+  '--compare': async () => compareRuns(readRuns()),
   '--multiply': async () => multiply(readSlopes()),
 };
 
@@ -52,7 +58,8 @@
  * Measures slopes and multiplies them by the letter's size.
  *
  * @param args `--processes` for runs of real processes against the slopes of
- *   the last run; `--multiply` for the tables of the last run's slopes.
+ *   the last run; `--multiply` for the tables of the last run's slopes;
+ *   `--compare` for the last run's processes against its slopes.
  */
 export async function run(args: string[]): Promise<void> {
   const mode = MODES[args[0] ?? ''];
@@ -93,13 +100,21 @@
 }
 
 async function measureProcesses(): Promise<void> {
-  const slopes = readSlopes();
-  const runs = [];
+  const runs: ProcessRun[] = [];
   for (const size of RUN_SIZES) {
-    const measured = await runProcesses(size);
-    const compared = compareRun(measured, slopes);
-    printRun(measured, compared);
-    runs.push({...measured, compared});
+    console.log(`${size.entries} entries and ${size.agents} agents`);
+    runs.push(await runProcesses(size));
   }
   writeSection('processes', `${COMMAND} --processes`, {runs});
+  compareRuns(runs);
+}
+
+function compareRuns(runs: readonly ProcessRun[]): void {
+  const slopes = readSlopes();
+  const compared = runs.map(measured => {
+    const rows = compareRun(measured, slopes);
+    printRun(measured, rows);
+    return rows;
+  });
+  writeSection('compared', `${COMMAND} --compare`, {compared});
 }
--- a/bench/src/capacity/results.ts
+++ b/bench/src/capacity/results.ts
@@ -3,9 +3,11 @@
 import {loadavg} from 'node:os';
 import type {PathFigures} from './model/dataCosts.js';
 import type {Slopes} from './model/slope.js';
+import type {ProcessRun} from './processes/runProcesses.js';
 
 const RESULTS = new URL('../../results/', import.meta.url);
 const CAPACITY = new URL('capacity.json', RESULTS);
+const RUN_PROCESSES = 'npm run bench -- capacity --processes';
 const PATH = new URL('path.json', RESULTS);
 
 /** On what a section was measured. */
@@ -52,6 +54,13 @@
   return slopes as Slopes;
 }
 
+/** @throws when no run of processes was made yet. */
+export function readRuns(): ProcessRun[] {
+  const runs = readResults()['processes']?.['runs'];
+  if (!runs) throw new Error(`run "${RUN_PROCESSES}" first`);
+  return runs as ProcessRun[];
+}
+
 /** What the path bench wrote, if it was run. */
 export function readPathFigures(): PathFigures | undefined {
   if (!existsSync(PATH)) return undefined;
