Name the wrong header of an attempt, and echo its id

Cause: an attempt with a header that the agent can not read, as another release may send, was refused without its id. The entry took that for a crossed answer and told its caller unknown. The agent now names the header and echoes the id.

--- a/packages/banyanfold-agent/src/attempts/attemptHeaders.ts
+++ b/packages/banyanfold-agent/src/attempts/attemptHeaders.ts
@@ -1,5 +1,6 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {HEADERS} from '@banyanfold/protocol';
+import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 
 const SERVICES_PREFIX = 'services/';
@@ -40,16 +41,29 @@
 /** What an entry says about an attempt. */
 export type AttemptHeaders = z.infer<typeof attemptHeadersSchema>;
 
-/** Reads an attempt's headers; undefined when one is missing or wrong. */
+/** A header that is missing or wrong, of an attempt that is refused for it. */
+export interface HeaderFault {
+  /** The attempt's id as it was sent, for the echo; empty when there is none. */
+  attemptId: string;
+  message: string;
+}
+
+/** Reads an attempt's headers, or says which one is missing or wrong. */
 export function readAttemptHeaders(
   headers: IncomingHttpHeaders,
-): AttemptHeaders | undefined {
+): Result<AttemptHeaders, HeaderFault> {
   const fields = Object.entries(HEADER_OF_FIELD).map(([field, name]) => [
     field,
     headers[name],
   ]);
   const checked = attemptHeadersSchema.safeParse(Object.fromEntries(fields));
-  return checked.success ? checked.data : undefined;
+  if (checked.success) return ok(checked.data);
+  const [issue] = checked.error.issues;
+  const field = issue?.path[0] as keyof AttemptHeaders;
+  return err({
+    attemptId: String(headers[HEADERS.attemptId] ?? ''),
+    message: `header ${HEADER_OF_FIELD[field]}: ${issue?.message}`,
+  });
 }
 
 /**
--- a/packages/banyanfold-agent/src/attempts/attemptServer.ts
+++ b/packages/banyanfold-agent/src/attempts/attemptServer.ts
@@ -39,11 +39,13 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    const headers = readAttemptHeaders(req.headers);
-    if (!headers) {
-      this.refuse(res, '', notRun('bad-request', 'a header is missing'));
+    const read = readAttemptHeaders(req.headers);
+    if (read.isErr()) {
+      const {attemptId, message} = read.error;
+      this.refuse(res, attemptId, notRun('bad-request', message));
       return;
     }
+    const headers = read.value;
     const attempt: Attempt = {path, headers, req, res};
     const refusal = this.check(attempt);
     if (refusal) {
