--- a/bench/src/decisions/__tests__/decisionsBench.test.ts
+++ b/bench/src/decisions/__tests__/decisionsBench.test.ts
@@ -150,7 +150,8 @@
       row('previous', 0.95, 0),
       row('round-robin', 0.91, 9),
       row('static', 0.9, 0),
-      row('sticky-least-loaded', 0.8, 0),
+      row('least-connections', 0.8, 0),
+      row('sticky-least-loaded', 0.8, 3),
     ];
     annotateRows(rows);
     expect(renderTable(rows)).toMatchSnapshot();
--- a/bench/src/decisions/annotateRows.ts
+++ b/bench/src/decisions/annotateRows.ts
@@ -6,8 +6,9 @@
 const PERCENT = 100;
 
 /**
- * Says in our own row where a baseline attains more, and where one attains no
- * less with fewer moves. The rows are those of one scenario.
+ * Says in our own row where a baseline attains more, where one attains the same
+ * with fewer moves, and where one that moves at all does so less. The rows are
+ * those of one scenario.
  */
 export function annotateRows(rows: readonly ResultRow[]): void {
   const own = rows.find(({policy}) => policy === OURS);
@@ -25,8 +26,10 @@
     const points = (behind * PERCENT).toFixed(2);
     return `${other.policy} attains ${points} points more`;
   }
-  if (behind === 0 && other.moves.mean < own.moves.mean) {
-    return `${other.policy} attains the same with fewer moves`;
-  }
-  return undefined;
+  const fewerMoves = own.moves.mean - other.moves.mean;
+  if (fewerMoves <= 0) return undefined;
+  if (behind === 0) return `${other.policy} attains the same with fewer moves`;
+  if (other.moves.mean === 0) return undefined;
+  const points = (-behind * PERCENT).toFixed(2);
+  return `${other.policy} makes ${fewerMoves.toFixed(1)} fewer moves, attains ${points} points less`;
 }
