See a stream break off when its agent stays away

Cause: with the entry's broken end of a stream changed into a clean one in the built code, the test of killed agents still passed, because the agent was back before the entry's tries were used up and each stream was resumed. The new case leaves the agents away. The tests now begin once the model answers.

--- a/packages/banyanfold-testing/src/__tests__/wholeAnswer.test.ts
+++ b/packages/banyanfold-testing/src/__tests__/wholeAnswer.test.ts
@@ -28,6 +28,7 @@
     agent: {engine: {streamIdleTimeoutMs: 2_000}},
     published: testConfig({models: [{name: MODEL, version: '1'}]}),
   });
+  await waitUntil('it answers', async () => (await ask(true)).end === 'whole');
 });
 
 afterAll(async () => {
@@ -175,6 +176,22 @@
     expect(results.length).toBe(2 * CALLS_AT_ONCE);
   });
 
+  // The caller sees its stream break off, never end. Its agent is killed and no
+  // other process takes its place, so that the entry's tries to come back for
+  // the rest are used up.
+  it('is an error when its agent stays away', async () => {
+    const {answers} = await streamsUnderWay();
+    await Promise.all(stack.agents.map(({vmId}) => stack.kill(vmId)));
+    const results = await answers;
+    await Promise.all(stack.agents.map(({vmId}) => stack.restart(vmId)));
+    expect(wrongAnswers(results, ARTIFACTS)).toEqual([]);
+    console.log('agents away', countEnds(results));
+    await waitUntil(
+      'it answers',
+      async () => (await ask(true)).end === 'whole',
+    );
+  });
+
   // The caller sees its stream break off, never end. Its entry is killed, and
   // with it all that was known of the answer; the connection breaks without the
   // end of the body.
