Read a whole stream to its end instead of destroying it

Cause: after [DONE] the agent destroyed the body of the engine, which makes an abort error with a stack trace for each request (370 of 7,900 busy ms in a profile of an agent). Ruled out as the larger part: verifying events, 180 ms. The body is now read to its end, which follows at once; only what is broken is destroyed.

--- a/packages/banyanfold-agent/src/attempts/streamPump.ts
+++ b/packages/banyanfold-agent/src/attempts/streamPump.ts
@@ -108,19 +108,21 @@
       maxBufferSize: MAX_EVENT_CHARS,
     });
     const decoder = new TextDecoder();
+    const {body} = response;
+    let end: ReadEnd | undefined;
     try {
-      for await (const chunk of response.body) {
-        parser.feed(decoder.decode(chunk as Buffer, {stream: true}));
-        const end = overlong ? 'failed' : this.takeAll(events.splice(0));
-        if (end) return end;
+      const chunks = body.iterator({destroyOnReturn: false});
+      for await (const chunk of chunks as AsyncIterable<Buffer>) {
+        parser.feed(decoder.decode(chunk, {stream: true}));
+        end = overlong ? 'failed' : this.takeAll(events.splice(0));
+        if (end) break;
         if (this.options.sink.isFull()) await this.writableOrAborted();
       }
     } catch {
       // Cut: what came is kept, the rest is asked for again.
-    } finally {
-      response.body.destroy();
     }
-    return 'broken';
+    leaveBody(body, end === 'complete');
+    return end ?? 'broken';
   }
 
   /** A reader that never drains must not hold the slot past its abort. */
@@ -189,3 +191,14 @@
     });
   }
 }
+
+/**
+ * A whole stream is read to the end of its HTTP body, which follows at once;
+ * destroying it would make an error with its stack trace for each request.
+ */
+function leaveBody(body: EngineResponse['body'], isComplete: boolean): void {
+  // Unheard, a late error of the connection would end the process.
+  body.on('error', () => {});
+  if (isComplete) body.resume();
+  else body.destroy();
+}
