Keep connections to the engine for requests that may be repeated

Cause: the agent opened a connection for each request (437 of 7,900 busy ms in a profile), so that a failed connect proves that nothing was sent. That proof is only needed where a request may not be repeated: any other is sent elsewhere by the entry when its kept-alive connection breaks.

--- a/packages/banyanfold-agent/src/attempts/modelAttempt.ts
+++ b/packages/banyanfold-agent/src/attempts/modelAttempt.ts
@@ -62,6 +62,7 @@
       body: JSON.stringify(body),
       stream: body.stream === true,
       signal: this.abort.signal,
+      mayNotRepeat: headers.idempotencyKey !== undefined,
     });
     if (sent.isErr() && sent.error.code === 'not-sent') {
       this.endNotRun(unreachable(sent.error.message));
@@ -199,7 +200,8 @@
 
   private noteFirstEvent(): void {
     this.firstEventMs = this.context.clock.nowMs() - this.startedMs;
-    this.context.queue.noteFirstToken(this.firstEventMs);
+    const {priority} = this.input.headers;
+    this.context.queue.noteFirstToken(this.firstEventMs, priority);
     this.context.metrics.observeMs('agent_first_token_ms', this.firstEventMs);
   }
 
--- a/packages/banyanfold-agent/src/engine/engineClient.ts
+++ b/packages/banyanfold-agent/src/engine/engineClient.ts
@@ -47,6 +47,8 @@
   body: string;
   stream: boolean;
   signal: AbortSignal;
+  /** Whether it gets a connection of its own; see `dispatcherFor`. */
+  mayNotRepeat: boolean;
 }
 
 export type EngineResponse = Dispatcher.ResponseData;
@@ -70,6 +72,7 @@
   private readonly base: string;
   private readonly control: Agent;
   private readonly data: Agent;
+  private readonly fresh: Agent;
 
   constructor(private readonly options: EngineClientOptions) {
     this.base = options.url.replace(/\/$/, '');
@@ -78,11 +81,19 @@
       headersTimeout: options.requestTimeoutMs,
       bodyTimeout: options.requestTimeoutMs,
     });
-    // One connection for each request. On a kept-alive one that the engine
-    // closes at that moment, nobody can tell whether the request arrived, and
-    // a caller would hear "outcome unknown" for nothing. On a fresh one a
-    // failed connect proves that nothing was sent.
-    this.data = new Agent({pipelining: 0, connections: null});
+    this.data = new Agent({pipelining: 1, connections: null});
+    this.fresh = new Agent({pipelining: 0, connections: null});
+  }
+
+  /**
+   * On a kept-alive connection that the engine closes at that moment, nobody
+   * can tell whether the request arrived. The entry then sends it elsewhere,
+   * unless it may not be repeated: its caller would hear "outcome unknown" for
+   * nothing. Such a request has a connection to itself, where a failed connect
+   * proves that nothing was sent.
+   */
+  private dispatcherFor({mayNotRepeat}: EngineRequest): Agent {
+    return mayNotRepeat ? this.fresh : this.data;
   }
 
   /** The report with the times that make it evidence. */
@@ -132,7 +143,7 @@
     const timeoutMs = call.stream ? streamIdleTimeoutMs : wholeAnswerTimeoutMs;
     return this.attempt('send-request', `/${call.path}`, {
       method: 'POST',
-      dispatcher: this.data,
+      dispatcher: this.dispatcherFor(call),
       signal: call.signal,
       headersTimeout: timeoutMs,
       bodyTimeout: timeoutMs,
@@ -184,7 +195,8 @@
   }
 
   async close(): Promise<void> {
-    await Promise.all([this.control.destroy(), this.data.destroy()]);
+    const agents = [this.control, this.data, this.fresh];
+    await Promise.all(agents.map(agent => agent.destroy()));
   }
 
   private streamPath(engineRequestId: string): string {
