Restart the next agent only when each entry would route to the last one

No request in progress was cut. The test stopped the second agent when one entry had heard of the first one's successor; the other entry then knew of no copy. A second wait, by the artifacts in the status, failed too (5 refusals), for these are those of the agent before until the new one has reported.

Change: the test asks each entry to explain the route, as an operator can. What it demands is the same: each answer whole.

--- a/packages/banyanfold-testing/src/Stack.ts
+++ b/packages/banyanfold-testing/src/Stack.ts
@@ -7,7 +7,9 @@
   createEntryClient,
   type AgentClient,
   type AgentReport,
+  type EntryClient,
   type EntryStatus,
+  type ExplainResult,
   type ProposalResult,
 } from '@banyanfold/protocol';
 import {request} from 'undici';
@@ -148,12 +150,17 @@
     return this.agentClient(index).propose.mutate(proposal);
   }
 
+  /** How an entry would route a request for a model, and why. */
+  async explain(index: number, requestedName: string): Promise<ExplainResult> {
+    return this.entryClient(index).explain.query({
+      caller: 'counter',
+      desk: 'counter',
+      requestedName,
+    });
+  }
+
   async status(index = 0): Promise<EntryStatus> {
-    return createEntryClient({
-      host: HOST,
-      port: this.entries[index]?.port ?? 0,
-      internalKey: STACK_KEYS.operator,
-    }).status.query();
+    return this.entryClient(index).status.query();
   }
 
   /** Appends a publish record as an operator would. */
@@ -212,6 +219,14 @@
     rmSync(this.folder, {recursive: true, force: true});
   }
 
+  private entryClient(index: number): EntryClient {
+    return createEntryClient({
+      host: HOST,
+      port: this.entries[index]?.port ?? 0,
+      internalKey: STACK_KEYS.operator,
+    });
+  }
+
   private agentClient(index: number): AgentClient {
     return createAgentClient({
       host: HOST,
--- a/packages/banyanfold-testing/src/__tests__/shutdown.test.ts
+++ b/packages/banyanfold-testing/src/__tests__/shutdown.test.ts
@@ -52,13 +52,17 @@
   await stack.restart(vmId);
 }
 
+/** Whether each entry would route to the new process beside this server. */
 async function agentServes(index: number): Promise<boolean> {
-  const status = await stack.status();
   const {vmId} = stack.agents[index]!;
-  const agent = status.agents.find(known => known.vmId === vmId);
-  const {copies} = await stack.agentReport(index);
-  const isHeld = copies.some(({state}) => state === 'held');
-  return agent?.reachable === true && isHeld;
+  const explained = await Promise.all(
+    stack.entries.map((_, entry) => stack.explain(entry, MODEL)),
+  );
+  return explained.every(({candidates}) =>
+    candidates.some(
+      candidate => candidate.vmId === vmId && candidate.score >= 0,
+    ),
+  );
 }
 
 describe('a graceful shutdown', () => {
