Keep an agent's first-token times apart by class

A runner that had served drafts held desk requests to the drafts' time: it refused them as too late while it idled, and told entries of a wait (queueDelayMs) that was not there.

Change: the queue keeps a smoothed time for each priority. It goes into the admission request, stays with the request while that waits, and sets the moment at which it is given up. Ruled out: judging a waiting request by the figure of the moment; what was measured fixes it on entering, and the refusal's timer is exact then.

Seen failing first: with drafts of 5,000 ms noted, the idle queue announced 4,974 ms in place of 50; of two waiting requests with one deadline, a desk request was given up at 1,899 in place of 1,951 (draft: 1,899, now 1,851). After: both pass, and so do the agent's 125 tests.

The existing test of a stall names the class of its samples now, that of the requests that it sends; what it demands is unchanged.

--- a/packages/banyanfold-agent/src/__tests__/admissionQueue.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/admissionQueue.test.ts
@@ -92,13 +92,41 @@
   // every budget. All would be refused, and no sample would ever correct it.
   it('admits again some time after a stall', async () => {
     const {clock, queue, submit, events} = createQueue({maxRunning: 4});
-    for (let sample = 0; sample < 50; sample++) queue.noteFirstToken(5_000);
+    for (let sample = 0; sample < 50; sample++) queue.noteFirstToken(5_000, 5);
     submit('during', {budgetMs: 310});
     await clock.advance(20_000);
     submit('after', {budgetMs: 310});
     expect(events).toEqual(['0 during too-late not-run', '20000 after start']);
   });
 
+  // An idle runner has served drafts, whose first token takes seconds. Held to
+  // the drafts' figure, a short answer that the runner could give at once would
+  // be refused, and entries would be told of a wait that is not there.
+  it('keeps first-token times of classes apart', () => {
+    const {queue, submit, events} = createQueue({maxRunning: 4});
+    for (let sample = 0; sample < 50; sample++) queue.noteFirstToken(5_000, 7);
+    expect(queue.queueDelayMs()).toBe(50);
+    submit('draft', {priority: 7, budgetMs: 310});
+    submit('desk', {priority: 0, budgetMs: 310});
+    expect(events).toEqual(['0 draft too-late not-run', '0 desk start']);
+  });
+
+  // Both wait for the same slot with the same deadline. The draft takes longer
+  // from its dispatch, so it is hopeless sooner than the desk request is.
+  it('gives up each waiting request by the time of its class', async () => {
+    const {clock, queue, submit, events} = createQueue({});
+    queue.noteFirstToken(1_050, 7);
+    submit('running', {priority: 0});
+    submit('desk', {priority: 0, budgetMs: 2_000});
+    submit('draft', {priority: 7, budgetMs: 2_000});
+    await clock.advance(2_000);
+    expect(events).toEqual([
+      '0 running start',
+      '1851 draft too-late not-run',
+      '1951 desk too-late not-run',
+    ]);
+  });
+
   it('logs each decision with its reason', () => {
     const {queue, submit, logger} = createQueue({});
     submit('a');
--- a/packages/banyanfold-agent/src/attempts/admissionQueue.ts
+++ b/packages/banyanfold-agent/src/attempts/admissionQueue.ts
@@ -11,6 +11,8 @@
 
 const INITIAL_SERVICE_MS = 500;
 const INITIAL_FIRST_TOKEN_MS = 50;
+/** The class whose wait entries are told: it goes before all others. */
+const BEST_PRIORITY = 0;
 /** Even a full queue is looked at this often. */
 const MAX_PUMP_DELAY_MS = 1_000;
 /** Timers fire a little early; a request is late only after its moment. */
@@ -45,7 +47,10 @@
   maxQueued: number;
 }
 
-type Waiting = QueuedRequest & {ticket: AdmissionTicket};
+type Waiting = QueuedRequest & {
+  firstTokenMs: number;
+  ticket: AdmissionTicket;
+};
 
 /**
  * Gives out the engine's slots. The decisions are those of
@@ -57,14 +62,18 @@
   private readonly waiting = new Map<string, Waiting>();
   private readonly running = new Set<string>();
   private readonly serviceTime: SmoothedTime;
-  private readonly firstToken: SmoothedTime;
+  /**
+   * By class. A draft takes many times a short answer's time; with one figure
+   * for both, a runner that has served drafts refuses short answers while it
+   * idles.
+   */
+  private readonly firstToken = new Map<number, SmoothedTime>();
   private dispatchCount = 0;
   private timer: Timer | undefined;
 
   constructor(private readonly options: AdmissionQueueOptions) {
     const {clock} = options;
     this.serviceTime = new SmoothedTime(clock, INITIAL_SERVICE_MS);
-    this.firstToken = new SmoothedTime(clock, INITIAL_FIRST_TOKEN_MS);
   }
 
   runningCount(): number {
@@ -75,10 +84,10 @@
     return this.waiting.size;
   }
 
-  /** Estimated wait to a first token for a request that came now. */
+  /** Estimated wait to a first token for a class 0 request that came now. */
   queueDelayMs(): number {
     const request = {
-      priority: 0,
+      priority: BEST_PRIORITY,
       firstTokenBudgetMs: Number.POSITIVE_INFINITY,
       kvBytes: 0,
     };
@@ -89,7 +98,10 @@
   /** Runs, queues or refuses a request, and logs which. */
   submit(ticket: AdmissionTicket): void {
     const nowMs = this.nowMs();
-    const decision = decideAdmission(this.view(), ticket, nowMs);
+    const {attemptId, priority, firstTokenBudgetMs, kvBytes} = ticket;
+    const firstTokenMs = this.firstTokenMsOf(priority);
+    const request = {priority, firstTokenBudgetMs, kvBytes, firstTokenMs};
+    const decision = decideAdmission(this.view(), request, nowMs);
     const {logger, metrics} = this.options;
     metrics.count('agent_admissions_total', {decision: decision.kind});
     logger.info('admission', {
@@ -105,7 +117,6 @@
       ticket.refuse({code, retryAfterMs, message: reason, outcome: 'not-run'});
       return;
     }
-    const {attemptId, priority, firstTokenBudgetMs, kvBytes} = ticket;
     const deadlineMs = nowMs + firstTokenBudgetMs;
     const queued = {
       attemptId,
@@ -113,6 +124,7 @@
       enqueuedMs: nowMs,
       deadlineMs,
       kvBytes,
+      firstTokenMs,
     };
     this.waiting.set(attemptId, {...queued, ticket});
     this.pump();
@@ -124,8 +136,14 @@
     this.pump();
   }
 
-  noteFirstToken(sampleMs: number): void {
-    this.firstToken.add(sampleMs);
+  /** Learns how long a request of this class took to its first token. */
+  noteFirstToken(sampleMs: number, priority: number): void {
+    let smoothed = this.firstToken.get(priority);
+    if (!smoothed) {
+      smoothed = new SmoothedTime(this.options.clock, INITIAL_FIRST_TOKEN_MS);
+      this.firstToken.set(priority, smoothed);
+    }
+    smoothed.add(sampleMs);
   }
 
   /** A request has left its slot. */
@@ -154,7 +172,7 @@
       this.nowMs(),
       {
         ...DEFAULT_QUEUE_OPTIONS,
-        firstTokenMs: this.firstToken.currentMs(),
+        firstTokenMs: this.firstTokenMsOf(BEST_PRIORITY),
         dispatchIntervalMs:
           this.serviceTime.currentMs() / this.options.maxRunning,
         kvFreeBytes,
@@ -212,11 +230,10 @@
     this.timer = undefined;
     if (this.waiting.size === 0) return;
     let dueMs = Number.POSITIVE_INFINITY;
-    for (const {deadlineMs} of this.waiting.values()) {
-      dueMs = Math.min(dueMs, deadlineMs);
+    for (const {deadlineMs, firstTokenMs} of this.waiting.values()) {
+      dueMs = Math.min(dueMs, deadlineMs - firstTokenMs);
     }
-    const leadMs = this.firstToken.currentMs();
-    const delayMs = dueMs - leadMs - this.nowMs() + PUMP_SLACK_MS;
+    const delayMs = dueMs - this.nowMs() + PUMP_SLACK_MS;
     const boundedMs = Math.min(
       Math.max(delayMs, PUMP_SLACK_MS),
       MAX_PUMP_DELAY_MS,
@@ -232,10 +249,15 @@
       maxQueued: this.options.maxQueued,
       kvFreeBytes: this.options.memory.kvFreeBytes(),
       serviceTimeMs: this.serviceTime.currentMs(),
-      firstTokenMs: this.firstToken.currentMs(),
+      firstTokenMs: this.firstTokenMsOf(BEST_PRIORITY),
     };
   }
 
+  private firstTokenMsOf(priority: number): number {
+    const smoothed = this.firstToken.get(priority);
+    return smoothed?.currentMs() ?? INITIAL_FIRST_TOKEN_MS;
+  }
+
   private nowMs(): number {
     return this.options.clock.nowMs();
   }
