Compare runners for ejection within their role

Cause: decideEjections compares a runner with those of its peer group, and the entry named no group, so all runners were one. A draft's first token takes many times a short answer's, so a healthy drafting runner looked slow beside desk runners and was left out, and its load went to its peers.

Change: the ejection plug-in passes the runner's role, as its agent reports it, as the peer group. Ruled out: filling it in AgentState, which keeps outcomes and needs no notion of peers.

Seen failing first: with five desk runners at 100 ms, one at 900 ms and three drafting ones at 2,000 ms, the three drafting ones were ejected and the slow desk runner stayed. After: that one alone is ejected.

--- a/packages/banyanfold-entry/src/__tests__/ejection.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/ejection.test.ts
@@ -1,4 +1,9 @@
+import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
+import type {Vm} from '@banyanfold/platform';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import type {EntryContext} from '../context.js';
+import {ejectionPlugin} from '../plugins/ejection.js';
+import {ClusterView} from '../view/clusterView.js';
 import {answerWhole, dieSilently} from './kit/behaviours.js';
 import {eventually} from './kit/eventually.js';
 import {TestSystem, post} from './kit/testSystem.js';
@@ -38,4 +43,47 @@
       1,
     );
   });
+
+  // Drafts take long to a first token on a healthy runner. Beside the many that
+  // answer the counter, a drafting runner looks slow, is left out, and its
+  // drafts are refused or crowd its peers, though nothing is wrong with it.
+  it('compares a runner with those of its role', async () => {
+    const {clock, logger, plugin, runner} = createEjection();
+    for (let i = 1; i <= 5; i++) runner(`desk-${i}`, 'desk', 100);
+    for (let i = 1; i <= 3; i++) runner(`draft-${i}`, 'drafting', 2_000);
+    runner('desk-6', 'desk', 900);
+    await plugin.start?.();
+    await clock.advance(1);
+    await plugin.stop?.();
+    expect(logger.lines).toEqual([
+      expect.stringContaining('agent=desk-6 reason="slow: 900ms, peers 100ms"'),
+    ]);
+  });
 });
+
+/** The plug-in before runners whose outcomes a test sets. */
+function createEjection() {
+  const clock = new VirtualClock();
+  const logger = new MemoryLogger();
+  const place = {vmId: 'entry-1', failureDomain: 'a', region: 'r'};
+  const view = new ClusterView(place);
+  const vms: Vm[] = [];
+  const plugin = ejectionPlugin({
+    clock,
+    logger,
+    metrics: new Metrics(),
+    random: () => 0.5,
+    settings: {ejectionIntervalMs: 2_000, outcomeHalfLifeMs: 15_000},
+    view,
+  } as EntryContext);
+  const runner = (vmId: string, role: string, firstTokenMs: number) => {
+    const at = {host: '127.0.0.1', port: 1, failureDomain: 'a', region: 'r'};
+    vms.push({vmId, role: 'agent', state: 'live', ...at});
+    view.applyVmList({asOfMs: vms.length, vms});
+    const agent = view.agent(vmId)!;
+    agent.runner.runnerRole = role;
+    agent.recordFirstToken(firstTokenMs);
+    for (let i = 0; i < 10; i++) agent.recordSuccess();
+  };
+  return {clock, logger, plugin, runner};
+}
--- a/packages/banyanfold-entry/src/plugins/ejection.ts
+++ b/packages/banyanfold-entry/src/plugins/ejection.ts
@@ -28,7 +28,12 @@
 
 function judgeRunners(context: EntryContext): void {
   const {clock, logger, metrics, settings, view} = context;
-  const outcomes = view.agents().map(agent => agent.readOutcomes());
+  // Without its role as the group, a runner of drafts looks slow beside those
+  // that answer the counter, and is left out though it is healthy.
+  const outcomes = view.agents().map(agent => ({
+    ...agent.readOutcomes(),
+    peerGroup: agent.runner.runnerRole,
+  }));
   const {ejected} = decideEjections(outcomes, clock.nowMs());
   for (const {vmId, untilMs, reason} of ejected) {
     view.agent(vmId)?.eject(untilMs);
