Tell the planner how long answers of each artifact take

Cause: decidePlacement reads a runner's load from demand times serviceTimeMs; the entry left the time out, so every artifact counted with the assumed 4 s. A draft holds a slot ten times as long as a short answer, so one figure for both makes copies of desk models in vain.

Failures, and requests that were tried more than once, are left out. Ruled out: a field in the agents' reports.

Seen failing first: after a chat answered with 200 the planner's view went on without a time (undefined for 30 s). With the check for failures taken out, a failed request's 13.7 ms were taken for a service time, and the second test failed. After: the entry's 140 tests pass.

What it can't do: an entry knows only artifacts whose answers it has brought itself; one that begins to plan assumes 4 s for the others, as before.

--- a/packages/banyanfold-entry/src/plugins/placementView.ts
+++ b/packages/banyanfold-entry/src/plugins/placementView.ts
@@ -8,6 +8,13 @@
 import type {EntryContext} from '../context.js';
 import type {AgentState} from '../view/agentState.js';
 import type {DemandMeter} from './demandMeter.js';
+import type {ServiceTimes} from './serviceTimes.js';
+
+/** What the planner has measured of each artifact. */
+export interface ArtifactMeasures {
+  demand: DemandMeter;
+  serviceTimes: ServiceTimes;
+}
 
 /** A move that an agent accepted, until its reports show it. */
 export interface PendingMove {
@@ -46,11 +53,11 @@
 /** Collects what the placement decision looks at. */
 export function placementView(
   context: EntryContext,
-  meter: DemandMeter,
+  {demand, serviceTimes}: ArtifactMeasures,
   pending: readonly PendingMove[],
   lastLoadMs: number,
 ): PlacementView {
-  const misses = meter.takeMisses();
+  const misses = demand.takeMisses();
   const labelled = context.configWatch.current?.artifacts() ?? [];
   const runners = context.view.agents().flatMap(agent => {
     const moves = pending.filter(({move}) => move.vmId === agent.vmId);
@@ -61,7 +68,8 @@
     runners,
     artifacts: labelled.map(artifact => ({
       ...artifact,
-      demandPerSecond: meter.demandPerSecond(artifact.artifact),
+      demandPerSecond: demand.demandPerSecond(artifact.artifact),
+      serviceTimeMs: serviceTimes.currentMs(artifact.artifact),
       waiting: misses.get(artifact.artifact) ?? 0,
     })),
     loadsInFlight: runners.flatMap(({copies}) => copies.filter(isLoading))
--- a/packages/banyanfold-entry/src/plugins/planner.ts
+++ b/packages/banyanfold-entry/src/plugins/planner.ts
@@ -6,7 +6,13 @@
 } from '@banyanfold/decisions';
 import {createEntryClient} from '@banyanfold/protocol';
 import {v4 as uuidV4} from 'uuid';
-import {entryPlugins, type EntryContext, type EntryPlugin} from '../context.js';
+import {
+  entryPlugins,
+  type EntryContext,
+  type EntryPlugin,
+  type NextStep,
+} from '../context.js';
+import type {RequestJob, RequestResult} from '../requests/types.js';
 import {Poller} from '../view/poller.js';
 import {DemandMeter} from './demandMeter.js';
 import {
@@ -16,11 +22,15 @@
   type PendingMove,
 } from './placementView.js';
 import {PlannerEpoch} from './plannerEpoch.js';
+import {ServiceTimes} from './serviceTimes.js';
+
+const FIRST_ERROR_STATUS = 400;
 
 /** Plans placement while this entry is the one that the VM list names. */
 class Planner {
   readonly epoch: PlannerEpoch;
   private readonly meter: DemandMeter;
+  private readonly serviceTimes = new ServiceTimes();
   private pending: PendingMove[] = [];
   private lastLoadMs = -Infinity;
   private lastRoleChangeMs = -Infinity;
@@ -46,6 +56,21 @@
     return true;
   }
 
+  /**
+   * Runs a request and learns how long its answer took. A request that was
+   * tried more than once is left out: its time is not that of one answer.
+   */
+  async measure(job: RequestJob, next: NextStep): Promise<RequestResult> {
+    const {clock} = this.context;
+    const startedMs = clock.nowMs();
+    const result = await next();
+    if (job.attempts === 1 && isAnswered(result)) {
+      const tookMs = clock.nowMs() - startedMs;
+      this.serviceTimes.note(job.target.artifact, tookMs);
+    }
+    return result;
+  }
+
   private noteDemand(): void {
     const {view, misses, settings, clock} = this.context;
     for (const {report} of view.agents()) {
@@ -75,7 +100,7 @@
     this.dropReported();
     const view = placementView(
       context,
-      this.meter,
+      {demand: this.meter, serviceTimes: this.serviceTimes},
       this.pending,
       this.lastLoadMs,
     );
@@ -164,6 +189,11 @@
   }
 }
 
+function isAnswered(result: RequestResult): boolean {
+  if (result.kind === 'streamed') return true;
+  return result.kind === 'answer' && result.answer.status < FIRST_ERROR_STATUS;
+}
+
 /** Creates the plug-in that plans placement. */
 export function plannerPlugin(context: EntryContext): EntryPlugin {
   const {clock, random, settings} = context;
@@ -183,6 +213,7 @@
     async stop() {
       poller.stop();
     },
+    aroundRequest: (job, next) => planner.measure(job, next),
     plannerEpoch: () => planner.epoch.current,
   };
 }
