Ask peers for their misses alone

Change: the entry contract has a query of its own, `misses`, and the planner asks that. An entry of an earlier release doesn't know it; askMisses then asks for the status, so that entries can be replaced one by one and the planner still hears of what only callers of an old one ask for. Other errors are passed on: a peer in trouble is not asked for more. `status` keeps its `missedCount`, which planners of the earlier release read.

Seen failing first: a peer was asked for its status 5 times in a few rounds; without the second question an entry of an earlier release gave only "No procedure found". After: the miss at the peer reaches the planner's view and status is not asked; 343 tests of agent, entry, decisions and protocol pass on a checkout of this commit's files.

Not run: the bytes on the wire.

--- a/packages/banyanfold-entry/src/__tests__/placementView.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/placementView.test.ts
@@ -1,4 +1,5 @@
 import type {PlacementView} from '@banyanfold/decisions';
+import {rendezvousOrder} from '@banyanfold/platform';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {ServiceTimes} from '../plugins/serviceTimes.js';
 import {dieSilently} from './kit/behaviours.js';
@@ -26,6 +27,13 @@
 });
 afterEach(() => system.stop());
 
+function waiting(artifact: string): number[] {
+  return views.map(
+    ({artifacts}) =>
+      artifacts.find(other => other.artifact === artifact)!.waiting,
+  );
+}
+
 function serviceTimeMs(artifact: string): number | undefined {
   const {artifacts} = views.at(-1)!;
   return artifacts.find(other => other.artifact === artifact)!.serviceTimeMs;
@@ -53,6 +61,25 @@
   });
 });
 
+describe('the planner plug-in', () => {
+  // Callers reach another entry than the one that plans, and ask for what no
+  // runner holds. The planner must hear of them; but the whole status, with a
+  // line for each runner, is too much to ask of each entry each second.
+  it('hears of misses at its peers, and asks for nothing else', async () => {
+    system.agents[0]!.artifacts = [];
+    const [first, second] = rendezvousOrder('planner', ['entry-1', 'entry-2']);
+    const peerPort = await system.startReadyEntry({vmId: second!});
+    const {handlers} = system.entries[0]!.entry;
+    const status = vi.spyOn(handlers, 'status');
+    const misses = vi.spyOn(handlers, 'misses');
+    await system.startReadyEntry({...PLANNING, vmId: first!});
+    await eventually(() => misses.mock.calls.length).toBeGreaterThan(1);
+    await post(peerPort, CHAT_PATH);
+    await eventually(() => waiting('claims@1')).toContain(1);
+    expect(status).not.toHaveBeenCalled();
+  });
+});
+
 describe('ServiceTimes', () => {
   it('starts at the first answer and smooths the next', () => {
     const times = new ServiceTimes();
--- a/packages/banyanfold-entry/src/control/entryHandlers.ts
+++ b/packages/banyanfold-entry/src/control/entryHandlers.ts
@@ -28,9 +28,10 @@
   options: EntryHandlersOptions,
 ): EntryHandlers {
   const {context, plugins, beginDrain} = options;
-  const {configWatch, lifecycle} = context;
+  const {configWatch, lifecycle, misses} = context;
   return {
     status: async () => statusOf(context, plugins),
+    misses: async () => misses.snapshot(),
     configSnapshot: async () => {
       const state = configWatch.snapshot();
       return state ?? {version: 0, foldedThrough: 0, body: null};
--- a/packages/banyanfold-entry/src/plugins/planner.ts
+++ b/packages/banyanfold-entry/src/plugins/planner.ts
@@ -4,7 +4,7 @@
   type Move,
   type PlacementDecision,
 } from '@banyanfold/decisions';
-import {createEntryClient} from '@banyanfold/protocol';
+import {askMisses, createEntryClient} from '@banyanfold/protocol';
 import {v4 as uuidV4} from 'uuid';
 import {
   entryPlugins,
@@ -87,8 +87,7 @@
       peers.map(async ({vmId, host, port}) => {
         const {internalKey, reportTimeoutMs: timeoutMs} = settings;
         const client = createEntryClient({host, port, internalKey, timeoutMs});
-        const {missedCount} = await client.status.query();
-        this.meter.noteMisses(vmId, missedCount);
+        this.meter.noteMisses(vmId, await askMisses(client));
       }),
     );
   }
--- /dev/null
+++ b/packages/banyanfold-protocol/src/__tests__/askMisses.test.ts
@@ -0,0 +1,49 @@
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {initTRPC} from '@trpc/server';
+import {afterEach, describe, expect, it} from 'vitest';
+import {
+  askMisses,
+  createControlHandler,
+  createEntryClient,
+  type EntryRouter,
+} from '../index.js';
+
+const MISSED = {'claims@1': 3};
+
+const t = initTRPC.create();
+const status = t.procedure.query(() => ({missedCount: MISSED}));
+const failing = t.procedure.query(() => {
+  throw new Error('out of order');
+});
+
+let server: http.Server;
+afterEach(() => {
+  server.closeAllConnections();
+  server.close();
+});
+
+/** Serves a router that has not all that an entry's has today. */
+async function serve(partial: unknown) {
+  const router = partial as EntryRouter;
+  server = http.createServer(createControlHandler({router, keys: ['key']}));
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  return createEntryClient({host: '127.0.0.1', port, internalKey: 'key'});
+}
+
+describe('askMisses', () => {
+  // Entries are replaced one by one. A peer of the earlier release answers the
+  // planner's new question with an error; its misses must be heard all the same.
+  it('asks an entry of an earlier release for its status', async () => {
+    const client = await serve(t.router({status}));
+    expect(await askMisses(client)).toEqual(MISSED);
+  });
+
+  it('does not ask an entry in trouble for more', async () => {
+    const client = await serve(t.router({status, misses: failing}));
+    await expect(askMisses(client)).rejects.toThrow('out of order');
+  });
+});
--- a/packages/banyanfold-protocol/src/clients.ts
+++ b/packages/banyanfold-protocol/src/clients.ts
@@ -1,4 +1,4 @@
-import {createTRPCClient, httpLink} from '@trpc/client';
+import {createTRPCClient, httpLink, TRPCClientError} from '@trpc/client';
 import {fetch, type Dispatcher} from 'undici';
 import type {AgentRouter} from './agentContract.js';
 import type {EntryRouter} from './entryContract.js';
@@ -46,3 +46,11 @@
 
 export type AgentClient = ReturnType<typeof createAgentClient>;
 export type EntryClient = ReturnType<typeof createEntryClient>;
+
+/** Whether a peer of an earlier release refused a question it doesn't know. */
+export function isUnknownProcedure(error: unknown): boolean {
+  if (!(error instanceof TRPCClientError)) return false;
+  const data: unknown = error.data;
+  const code = (data as {code?: unknown} | undefined)?.code;
+  return code === 'NOT_FOUND';
+}
--- a/packages/banyanfold-protocol/src/entryContract.ts
+++ b/packages/banyanfold-protocol/src/entryContract.ts
@@ -1,6 +1,9 @@
 import {initTRPC} from '@trpc/server';
 import {z} from 'zod';
 
+/** Requests refused for lack of a copy since the start, by artifact. */
+export const missedCountSchema = z.record(z.string(), z.number());
+
 export const entryStatusSchema = z.object({
   vmId: z.string(),
   failureDomain: z.string(),
@@ -9,8 +12,7 @@
   leaving: z.boolean(),
   openRequests: z.number(),
   plannerEpoch: z.number(),
-  /** Requests refused here for lack of a copy since the start, by artifact. */
-  missedCount: z.record(z.string(), z.number()).default({}),
+  missedCount: missedCountSchema.default({}),
   agents: z.array(
     z.object({
       vmId: z.string(),
@@ -47,6 +49,7 @@
   ),
 });
 
+export type MissedCount = z.infer<typeof missedCountSchema>;
 export type EntryStatus = z.infer<typeof entryStatusSchema>;
 export type ConfigSnapshot = z.infer<typeof configSnapshotSchema>;
 export type ExplainInput = z.infer<typeof explainInputSchema>;
@@ -55,6 +58,8 @@
 /** What an entry implements for the calls of peers and operators. */
 export interface EntryHandlers {
   status(): Promise<EntryStatus>;
+  /** The part of the status that the planner asks each peer for each round. */
+  misses(): Promise<MissedCount>;
   configSnapshot(): Promise<ConfigSnapshot>;
   drain(): Promise<{openRequests: number}>;
   explain(input: ExplainInput): Promise<ExplainResult>;
@@ -68,6 +73,9 @@
     status: t.procedure
       .output(entryStatusSchema)
       .query(() => handlers.status()),
+    misses: t.procedure
+      .output(missedCountSchema)
+      .query(() => handlers.misses()),
     configSnapshot: t.procedure
       .output(configSnapshotSchema)
       .query(() => handlers.configSnapshot()),
--- a/packages/banyanfold-protocol/src/index.ts
+++ b/packages/banyanfold-protocol/src/index.ts
@@ -1,4 +1,5 @@
 export * from './agentContract.js';
+export * from './askMisses.js';
 export * from './clients.js';
 export * from './controlServer.js';
 export * from './entryContract.js';
