--- a/packages/banyanfold-entry/src/__tests__/settings.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/settings.test.ts
@@ -3,6 +3,7 @@
 import {fileURLToPath} from 'node:url';
 import {describe, expect, it} from 'vitest';
 import {entrySettingsSchema} from '../index.js';
+import {DemandMeter} from '../plugins/demandMeter.js';
 import {TestSystem} from './kit/testSystem.js';
 
 const fixture = (name: string) =>
@@ -34,6 +35,18 @@
     expect(checked.error?.issues.map(({message}) => message)).toMatchSnapshot();
   });
 
+  // The decisions were measured with a tenth of each second's requests in the
+  // rate. With a slower meter a burst is seen when it is nearly over.
+  it('has demand follow as fast as it did where it was measured', () => {
+    const {planner} = entrySettingsSchema.parse(REQUIRED);
+    const meter = new DemandMeter(planner.demandHalfLifeMs);
+    meter.noteMisses('entry-2', {});
+    meter.close(0);
+    meter.noteMisses('entry-2', {'claims@1': 10});
+    meter.close(1_000);
+    expect(meter.demandPerSecond('claims@1')).toBeCloseTo(1, 3);
+  });
+
   it('serves callers by TLS when it is set', async () => {
     const system = new TestSystem();
     await system.start();
--- a/packages/banyanfold-entry/src/settings.ts
+++ b/packages/banyanfold-entry/src/settings.ts
@@ -57,7 +57,8 @@
   loadsAtOnce: z.number().int().positive().default(4),
   attainmentWeight: z.number().min(0).default(1),
   moveWeight: z.number().min(0).default(20),
-  demandHalfLifeMs: z.number().positive().default(30_000),
+  /** A new second counts for a tenth, as where the decisions were measured. */
+  demandHalfLifeMs: z.number().positive().default(6_579),
 });
 
 const fieldsSchema = z.strictObject({
