Tell the planner how many requests a runner runs at once

Cause: decidePlacement takes a runner's load as a share of its slots, and knew none of them: each runner counted with the assumed 16. That is the agents' default, but an operator's setting, so a runner set to fewer seemed to have room that it hasn't.

Change: an agent's report carries its maxRunning, as an optional field; agents of earlier releases leave it out, and the decision's assumption stands for them as before. The planner's view passes it on. Ruled out: a default of 16 in the schema, which would state for an old agent what it has not said.

Seen failing first: an agent set to 3 reported undefined, and the planner's view had undefined for a runner that reports 3.

--- a/packages/banyanfold-agent/src/control/loadReporter.ts
+++ b/packages/banyanfold-agent/src/control/loadReporter.ts
@@ -57,6 +57,7 @@
       configVersion: configVersion(),
       memoryCapacityBytes: ledger.budget.capacityBytes(),
       memoryFreeBytes: ledger.budget.freeBytes(),
+      maxRunning: settings.maxRunning,
       checksFencing: settings.engine.checksFencing,
       copies: ledger.all().map(allocation => this.toCopy(allocation)),
       services: settings.services.map(({name}) => name),
--- a/packages/banyanfold-entry/src/__tests__/kit/fakeAgent.ts
+++ b/packages/banyanfold-entry/src/__tests__/kit/fakeAgent.ts
@@ -42,6 +42,8 @@
   incarnation = 7;
   leaving = false;
   artifacts = ['claims@1'];
+  /** Agents of earlier releases don't tell it. */
+  maxRunning: number | undefined;
   readonly calls: AttemptCall[] = [];
   readonly resumes: AttemptCall[] = [];
   readonly sealed: string[] = [];
@@ -129,6 +131,7 @@
         idleMs: 0,
       })),
       services: ['lodging'],
+      maxRunning: this.maxRunning,
       servedCount: {},
       cachedPrefixes: [],
     };
--- a/packages/banyanfold-entry/src/__tests__/placementView.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/placementView.test.ts
@@ -23,7 +23,7 @@
 beforeEach(async () => {
   views.length = 0;
   system = new TestSystem();
-  await system.start();
+  await system.start(2);
 });
 afterEach(() => system.stop());
 
@@ -49,10 +49,26 @@
     expect(serviceTimeMs('hidden@1')).toBeUndefined();
   });
 
-  // The one runner fails. How long a failure took says nothing of an answer;
+  // Two runners with the same load, one with few slots and one of an earlier
+  // release, which doesn't say. Taken for alike, the small one would seem to
+  // have room, and get copies it can't serve.
+  it('tells how many requests a runner runs at once', async () => {
+    system.agents[0]!.maxRunning = 3;
+    await system.startReadyEntry(PLANNING);
+    await eventually(() => views.length).toBeGreaterThan(0);
+    const runners = views
+      .at(-1)!
+      .runners.map(runner => [runner.vmId, runner.maxRunning]);
+    expect(runners).toEqual([
+      ['agent-1', 3],
+      ['agent-2', undefined],
+    ]);
+  });
+
+  // Both runners fail. How long a failure took says nothing of an answer;
   // taken for one, demand would look small and no copy would be made.
   it('learns nothing from a request that failed', async () => {
-    system.agents[0]!.otherwise = dieSilently;
+    for (const agent of system.agents) agent.otherwise = dieSilently;
     const port = await system.startReadyEntry(PLANNING);
     expect((await post(port, CHAT_PATH)).status).not.toBe(200);
     const seen = views.length;
@@ -66,7 +82,7 @@
   // runner holds. The planner must hear of them; but the whole status, with a
   // line for each runner, is too much to ask of each entry each second.
   it('hears of misses at its peers, and asks for nothing else', async () => {
-    system.agents[0]!.artifacts = [];
+    for (const agent of system.agents) agent.artifacts = [];
     const [first, second] = rendezvousOrder('planner', ['entry-1', 'entry-2']);
     const peerPort = await system.startReadyEntry({vmId: second!});
     const {handlers} = system.entries[0]!.entry;
--- a/packages/banyanfold-entry/src/plugins/placementView.ts
+++ b/packages/banyanfold-entry/src/plugins/placementView.ts
@@ -111,6 +111,7 @@
     memoryFreeBytes,
     running,
     queued,
+    maxRunning: report.maxRunning,
     copies,
   };
 }
--- a/packages/banyanfold-protocol/src/agentContract.ts
+++ b/packages/banyanfold-protocol/src/agentContract.ts
@@ -43,6 +43,8 @@
   configVersion: z.number(),
   memoryCapacityBytes: z.number(),
   memoryFreeBytes: z.number(),
+  /** Requests the runner runs at once; earlier releases leave it out. */
+  maxRunning: z.number().optional(),
   checksFencing: z.boolean(),
   copies: z.array(copySchema),
   services: z.array(z.string()),
