Send only what changed in an agent's report

Cause: each entry asked each agent for its report twice a second, and got all copies, prefixes, services and served counts each time, 6.5 KB, though they change with moves and requests and not with polls.

Change: the entry names the report that it holds by incarnation and sequence (reportSince). The agent compares each report with the one before and answers with the digest, the idle times of the copies, the served counts that changed and the prefixes that came and went; with the whole report if a copy changed, if the cursor is another process's, or if it is older than what is remembered. The entry puts the answer on what it holds, so the planner's demand sees whole counts as before. `report` stays as it was; agents that don't know the question are asked for it. Idle times are now whole milliseconds.

Ruled out: a revision that each change must raise, since one that forgets leaves a stale list that looks fresh; state for each entry at the agent, since a lost answer makes it wrong; an input for `report` itself, whose answer would no longer be a report for those who ask without.

Seen failing: on a scratch copy each safeguard was taken out by itself, and tests failed for each: the agent's check of the incarnation (property test) and of the last change of copies (3 tests), the prefixes that went and those forgotten, the counts since the cursor, the entry's checks of incarnation, order and of the report that changes build on, and the poller's cursor. The last of the entry's checks first passed without it, because the lists differed in length; the test now swaps one copy for another, and the property test lets answers arrive at the wrong entry as well. The check for a cursor that was never given out had no test either, and has one now.

Processor time was not measured.

The number of exchanges is as before.

--- a/bench/src/capacity/fixtures.ts
+++ b/bench/src/capacity/fixtures.ts
@@ -180,7 +180,7 @@
   return artifactName((runner * ASSUMED.copiesPerRunner + nth) % TARGET.models);
 }
 
-function prefixHash(runner: number, nth: number): string {
+export function prefixHash(runner: number, nth: number): string {
   const hash = createHash('sha256').update(`${runner}/${nth}`);
   return hash.digest('hex').slice(0, PREFIX_HASH_LENGTH);
 }
--- a/bench/src/capacity/index.ts
+++ b/bench/src/capacity/index.ts
@@ -10,11 +10,13 @@
   printLoads,
   printMechanisms,
   printNeeds,
+  printReportExchanges,
   printRun,
   printSlopes,
 } from './print.js';
 import {compareRun} from './processes/predict.js';
 import {runProcesses, type ProcessRun} from './processes/runProcesses.js';
+import {reportExchanges} from './reportExchanges.js';
 import {
   readPathFigures,
   readRuns,
@@ -51,6 +53,7 @@
   '': measureAndMultiply,
   '--processes': measureProcesses,
   '--compare': async () => compareRuns(readRuns()),
+  '--reports': measureReports,
   '--multiply': async () => multiply(readSlopes()),
 };
 
@@ -59,7 +62,8 @@
  *
  * @param args `--processes` for runs of real processes against the slopes of
  *   the last run; `--multiply` for the tables of the last run's slopes;
- *   `--compare` for the last run's processes against its slopes.
+ *   `--compare` for the last run's processes against its slopes; `--reports`
+ *   for the bytes of whole reports and of those that carry what changed.
  */
 export async function run(args: string[]): Promise<void> {
   const mode = MODES[args[0] ?? ''];
@@ -99,6 +103,12 @@
   });
 }
 
+async function measureReports(): Promise<void> {
+  const exchanges = await reportExchanges();
+  printReportExchanges(exchanges);
+  writeSection('reports', `${COMMAND} --reports`, {exchanges});
+}
+
 async function measureProcesses(): Promise<void> {
   const runs: ProcessRun[] = [];
   for (const size of RUN_SIZES) {
--- a/bench/src/capacity/print.ts
+++ b/bench/src/capacity/print.ts
@@ -11,6 +11,7 @@
 import type {Slopes} from './model/slope.js';
 import type {Comparison} from './processes/predict.js';
 import type {ProcessRun} from './processes/runProcesses.js';
+import type {ReportExchange} from './reportExchanges.js';
 
 const US_PER_SECOND = 1e6;
 const UNITS: Record<Resource, string> = {
@@ -56,6 +57,21 @@
   printTable('Slopes', [...heads, 'measured'], rows);
 }
 
+export function printReportExchanges(
+  exchanges: readonly ReportExchange[],
+): void {
+  const heads = ['between two polls', 'whole, bytes', 'changes, bytes'];
+  printTable(
+    'Report exchanges',
+    heads,
+    exchanges.map(({change, wholeBytes, sinceBytes}) => [
+      change,
+      wholeBytes.toFixed(0),
+      sinceBytes.toFixed(0),
+    ]),
+  );
+}
+
 export function printNeeds(needs: readonly Need[], totals: Total[]): void {
   const heads = ['role', 'resource', 'item', 'need', 'budget', 'working'];
   printTable(
--- a/packages/banyanfold-agent/src/__tests__/agent.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/agent.test.ts
@@ -83,4 +83,29 @@
     ]);
     expect(incarnation).toBe(1);
   });
+
+  // An entry that holds the report from before a load must hear of the copy,
+  // and one that missed nothing needs no list.
+  it('leaves the copies out of its report until they change', async () => {
+    const target = await start();
+    await until(async () => {
+      const {copies} = await target.client.report.query();
+      return copies.length === 1;
+    });
+    const held = await target.client.report.query();
+    const same = await target.client.reportSince.query(held);
+    expect(same).not.toHaveProperty('copies');
+    await until(async () => {
+      const result = await target.client.propose.mutate({
+        proposalId: `p-${Math.random()}`,
+        plannerEpoch: 1,
+        kind: 'load',
+        artifact: 'letters@2',
+        bytes: 8 * GIB,
+      });
+      return result.accepted;
+    });
+    const changed = await target.client.reportSince.query(held);
+    expect('copies' in changed && changed.copies.length).toBe(2);
+  });
 });
--- a/packages/banyanfold-agent/src/agent.ts
+++ b/packages/banyanfold-agent/src/agent.ts
@@ -117,6 +117,7 @@
 ): AgentHandlers {
   return {
     report: async () => context.reporter.report(),
+    reportSince: async cursor => context.reporter.reportSince(cursor),
     seal: async (attemptId, incarnation) => ({
       state: context.seals.seal(attemptId, incarnation),
     }),
--- a/packages/banyanfold-agent/src/control/loadReporter.ts
+++ b/packages/banyanfold-agent/src/control/loadReporter.ts
@@ -1,5 +1,12 @@
 import type {Clock} from '@banyanfold/core';
-import type {AgentReport, Copy, LoadDigest} from '@banyanfold/protocol';
+import {
+  ReportHistory,
+  type AgentReport,
+  type Copy,
+  type LoadDigest,
+  type ReportChanges,
+  type ReportCursor,
+} from '@banyanfold/protocol';
 import type {AdmissionQueue} from '../attempts/admissionQueue.js';
 import type {Allocation} from '../memory/allocation.js';
 import type {MemoryLedger} from '../memory/memoryLedger.js';
@@ -22,6 +29,7 @@
 /** Makes the digests and reports that entries decide by. */
 export class LoadReporter {
   private sequence = 0;
+  private readonly history = new ReportHistory();
   private readonly servedCount = new Map<string, number>();
 
   constructor(private readonly options: LoadReporterOptions) {}
@@ -45,7 +53,19 @@
     };
   }
 
+  /** Whole, or what changed since the report that the caller holds. */
+  reportSince(cursor: ReportCursor | undefined): AgentReport | ReportChanges {
+    return this.history.answer(this.makeReport(), cursor);
+  }
+
+  /** Observed as well: its reader may name it as the one that it holds. */
   report(): AgentReport {
+    const report = this.makeReport();
+    this.history.observe(report);
+    return report;
+  }
+
+  private makeReport(): AgentReport {
     const {settings, ledger, prefixes, configVersion, runnerRole} =
       this.options;
     return {
@@ -69,7 +89,8 @@
   /** A copy that drains for its retirement must get no new requests. */
   private toCopy(allocation: Allocation): Copy {
     const {artifact, bytes, state, copyId, users, lastUsedMs} = allocation;
-    const idleMs = users > 0 ? 0 : this.options.clock.nowMs() - lastUsedMs;
+    const unusedMs = this.options.clock.nowMs() - lastUsedMs;
+    const idleMs = users > 0 ? 0 : Math.round(unusedMs);
     const shownState = allocation.retiring ? 'releasing' : state;
     return {artifact, bytes, state: shownState, copyId, idleMs};
   }
--- a/packages/banyanfold-entry/src/__tests__/kit/fakeAgent.ts
+++ b/packages/banyanfold-entry/src/__tests__/kit/fakeAgent.ts
@@ -4,8 +4,10 @@
   HEADERS,
   createAgentRouter,
   createControlHandler,
+  ReportHistory,
   type AgentReport,
   type Proposal,
+  type ReportCursor,
   type SealResult,
 } from '@banyanfold/protocol';
 import type {Vm} from '@banyanfold/platform';
@@ -48,12 +50,15 @@
   readonly resumes: AttemptCall[] = [];
   readonly sealed: string[] = [];
   readonly proposals: Proposal[] = [];
+  /** The reports that entries said to hold, one for each question. */
+  readonly cursors: Array<ReportCursor | undefined> = [];
   /** How often work was really done. */
   ran = 0;
   /** Reports wait for it. */
   reportGate: Promise<void> = Promise.resolve();
   port = 0;
   private sequence = 0;
+  private readonly history = new ReportHistory();
   private readonly server: http.Server;
 
   constructor(
@@ -65,6 +70,11 @@
         await this.reportGate;
         return this.report();
       },
+      reportSince: async cursor => {
+        this.cursors.push(cursor);
+        await this.reportGate;
+        return this.history.answer(this.report(), cursor);
+      },
       seal: async attemptId => {
         this.sealed.push(attemptId);
         return {state: this.sealState};
--- a/packages/banyanfold-entry/src/view/agentState.ts
+++ b/packages/banyanfold-entry/src/view/agentState.ts
@@ -1,4 +1,10 @@
-import type {AgentReport, LoadDigest} from '@banyanfold/protocol';
+import {
+  completeReport,
+  type AgentReport,
+  type LoadDigest,
+  type ReportChanges,
+  type ReportCursor,
+} from '@banyanfold/protocol';
 import type {RunnerOutcomes, RunnerView} from '@banyanfold/decisions';
 import type {Vm} from '@banyanfold/platform';
 
@@ -41,17 +47,28 @@
     this.runner.leaving = this.vmLeaving || this.digest?.leaving === true;
   }
 
-  applyReport(report: AgentReport, nowMs: number): void {
+  /** The report held, which the next answer may build on. */
+  reportCursor(): ReportCursor | undefined {
+    if (!this.report) return undefined;
+    const {incarnation, sequence} = this.report;
+    return {incarnation, sequence};
+  }
+
+  applyReport(answer: AgentReport | ReportChanges, nowMs: number): void {
     this.failedReports = 0;
     // Answers may have brought newer digests while this report travelled; its
     // copies are still the newest known. Dropping it for that would keep a
     // busy agent's copies unknown for ever.
-    this.applyDigest(report, nowMs);
-    if (report.incarnation !== this.incarnation) return;
-    if (this.report && isOlder(report, this.report)) return;
+    this.applyDigest(answer, nowMs);
+    if (answer.incarnation !== this.incarnation) return;
+    const held = this.report;
+    if (held && isOlder(answer, held)) return;
+    const report = completeReport(held, answer);
+    if (!report) return;
     this.report = report;
     this.runner.runnerRole = report.runnerRole;
     this.runner.artifacts = servableArtifacts(report);
+    if (report.cachedPrefixes === held?.cachedPrefixes) return;
     this.runner.cachedPrefixes = new Set(report.cachedPrefixes);
   }
 
--- a/packages/banyanfold-entry/src/view/reportPoller.ts
+++ b/packages/banyanfold-entry/src/view/reportPoller.ts
@@ -1,4 +1,5 @@
 import type {Clock, Logger} from '@banyanfold/core';
+import {askReport} from '@banyanfold/protocol';
 import type {EntrySettings} from '../settings.js';
 import type {AgentClients} from './agentClients.js';
 import type {AgentState} from './agentState.js';
@@ -32,7 +33,10 @@
     if (this.open.has(agent.vmId)) return;
     this.open.add(agent.vmId);
     try {
-      const report = await this.clients.of(agent).report.query();
+      const report = await askReport(
+        this.clients.of(agent),
+        agent.reportCursor(),
+      );
       // A reused address may answer for another VM; its copies aren't ours.
       if (report.vmId !== agent.vmId) throw new Error('report of another VM');
       agent.applyReport(report, this.options.clock.nowMs());
--- a/packages/banyanfold-protocol/src/agentContract.ts
+++ b/packages/banyanfold-protocol/src/agentContract.ts
@@ -50,10 +50,30 @@
   services: z.array(z.string()),
   /** Demand met here since the agent started, by artifact. */
   servedCount: z.record(z.string(), z.number()),
-  /** Prefix hashes believed cached, newest first, a bounded number. */
+  /** Prefix hashes believed cached, a bounded number. */
   cachedPrefixes: z.array(z.string()),
 });
 
+/** The report that an entry holds. */
+export const reportCursorSchema = z.object({
+  incarnation: z.number(),
+  sequence: z.number(),
+});
+
+/** A report without its lists, for an entry that holds them already. */
+export const reportChangesSchema = agentReportSchema
+  .omit({copies: true, services: true, servedCount: true, cachedPrefixes: true})
+  .extend({
+    /** Copies and services are those of the report with this sequence. */
+    sinceSequence: z.number(),
+    /** In the order of its copies. */
+    copyIdleMs: z.array(z.number()),
+    /** The whole counts of the artifacts whose count changed. */
+    servedSince: z.record(z.string(), z.number()),
+    prefixesAdded: z.array(z.string()),
+    prefixesGone: z.array(z.string()),
+  });
+
 export const sealResultSchema = z.object({
   state: z.enum(['never-started', 'started', 'finished', 'unknown']),
 });
@@ -81,6 +101,8 @@
 export type Copy = z.infer<typeof copySchema>;
 export type LoadDigest = z.infer<typeof loadDigestSchema>;
 export type AgentReport = z.infer<typeof agentReportSchema>;
+export type ReportCursor = z.infer<typeof reportCursorSchema>;
+export type ReportChanges = z.infer<typeof reportChangesSchema>;
 export type SealResult = z.infer<typeof sealResultSchema>;
 export type Proposal = z.infer<typeof proposalSchema>;
 export type ProposalResult = z.infer<typeof proposalResultSchema>;
@@ -88,6 +110,10 @@
 /** What an agent implements for the calls of entries and operators. */
 export interface AgentHandlers {
   report(): Promise<AgentReport>;
+  /** What changed since the report that the caller holds, if it holds one. */
+  reportSince?(
+    cursor: ReportCursor | undefined,
+  ): Promise<AgentReport | ReportChanges>;
   /**
    * Stops the attempt when it runs, and keeps it from starting when it hasn't.
    * `incarnation` is the one the attempt was addressed to; only that one can
@@ -107,6 +133,10 @@
     report: t.procedure
       .output(agentReportSchema)
       .query(() => handlers.report()),
+    reportSince: t.procedure
+      .input(reportCursorSchema.optional())
+      .output(z.union([reportChangesSchema, agentReportSchema]))
+      .query(({input}) => handlers.reportSince?.(input) ?? handlers.report()),
     seal: t.procedure
       .input(
         z.object({attemptId: z.string(), incarnation: z.number().optional()}),
--- a/packages/banyanfold-protocol/src/clients.ts
+++ b/packages/banyanfold-protocol/src/clients.ts
@@ -1,6 +1,11 @@
 import {createTRPCClient, httpLink, TRPCClientError} from '@trpc/client';
 import {fetch, type Dispatcher} from 'undici';
-import type {AgentRouter} from './agentContract.js';
+import type {
+  AgentReport,
+  AgentRouter,
+  ReportChanges,
+  ReportCursor,
+} from './agentContract.js';
 import type {EntryRouter} from './entryContract.js';
 import {PATHS} from './headers.js';
 
@@ -47,6 +52,25 @@
 export type AgentClient = ReturnType<typeof createAgentClient>;
 export type EntryClient = ReturnType<typeof createEntryClient>;
 
+/**
+ * Asks an agent what changed since the report held; the whole report comes if
+ * none is held. An agent of an earlier release doesn't know the question and
+ * is asked for the whole report, so that a release can go out in any order.
+ *
+ * @example const answer = await askReport(client, agent.reportCursor())
+ */
+export async function askReport(
+  client: AgentClient,
+  held: ReportCursor | undefined,
+): Promise<AgentReport | ReportChanges> {
+  try {
+    return await client.reportSince.query(held);
+  } catch (error) {
+    if (!isUnknownProcedure(error)) throw error;
+    return client.report.query();
+  }
+}
+
 /** Whether a peer of an earlier release refused a question it doesn't know. */
 export function isUnknownProcedure(error: unknown): boolean {
   if (!(error instanceof TRPCClientError)) return false;
--- a/packages/banyanfold-protocol/src/index.ts
+++ b/packages/banyanfold-protocol/src/index.ts
@@ -4,3 +4,4 @@
 export * from './controlServer.js';
 export * from './entryContract.js';
 export * from './headers.js';
+export * from './reportChanges.js';
