Count each miss in one window of demand

Cause: the demand meter kept misses in one list for two readers. Closing a window counted the list and left it; only a decision cleared it. An entry that stood by decided nothing, so it counted each miss again in every window, and had a demand without end for it when it took over. At the planner, misses of its peers came after the window was closed and were cleared by the decision before the next, so they never entered the rate.

Change: the meter keeps requests since the last window and misses since the last decision apart. Ruled out: clearing the one list on closing, which would take the waiting callers from the decision that follows.

Seen failing first: 8 misses in one window, three empty ones after it, half-life 1 s: 7.5 a second in place of 0.5; 8 misses taken before the window closed: 0 in place of 4.

--- a/packages/banyanfold-entry/src/__tests__/demandMeter.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/demandMeter.test.ts
@@ -43,6 +43,30 @@
     `);
   });
 
+  // An entry that doesn't plan takes no misses. Counted again in each window,
+  // one refusal would look like demand without end once it begins to plan.
+  it('counts a miss in one window, whether or not it is taken', () => {
+    const meter = new DemandMeter(1_000);
+    meter.close(0);
+    meter.noteMisses('entry-1', {});
+    meter.noteMisses('entry-1', {'claims@1': 8});
+    for (let second = 1; second <= 4; second++) meter.close(second * 1_000);
+    expect(meter.demandPerSecond('claims@1')).toBe(0.5);
+    expect(meter.takeMisses().get('claims@1')).toBe(8);
+  });
+
+  // The planner hears of its peers' misses after it has closed a window, and
+  // decides before it closes the next.
+  it('keeps misses for the rate when they are taken before', () => {
+    const meter = new DemandMeter(1_000);
+    meter.close(0);
+    meter.noteMisses('entry-2', {});
+    meter.noteMisses('entry-2', {'claims@1': 8});
+    expect(meter.takeMisses().get('claims@1')).toBe(8);
+    meter.close(1_000);
+    expect(meter.demandPerSecond('claims@1')).toBe(4);
+  });
+
   it('counts on from nothing when the source has restarted', () => {
     const meter = new DemandMeter(1_000);
     meter.noteMisses('entry-2', {'claims@1': 50});
--- a/packages/banyanfold-entry/src/plugins/demandMeter.ts
+++ b/packages/banyanfold-entry/src/plugins/demandMeter.ts
@@ -12,8 +12,10 @@
 export class DemandMeter {
   private readonly served = new Map<string, CounterSource>();
   private readonly missed = new Map<string, CounterSource>();
-  private readonly newServed = new Map<string, number>();
-  private readonly newMissed = new Map<string, number>();
+  /** Since the last window was closed. */
+  private readonly newRequests = new Map<string, number>();
+  /** Since the last decision took them, which need not be the same moment. */
+  private readonly untakenMisses = new Map<string, number>();
   private readonly ratePerSecond = new Map<string, number>();
   private lastMs: number | undefined;
 
@@ -22,12 +24,15 @@
   noteReport(report: AgentReport): void {
     const {vmId, incarnation, servedCount} = report;
     const source = {incarnation, counts: servedCount};
-    addIncreases(this.served, vmId, source, this.newServed);
+    const increases = takeIncreases(this.served, vmId, source);
+    addCounts(this.newRequests, increases);
   }
 
   noteMisses(vmId: string, counts: Record<string, number>): void {
     const source = {incarnation: 0, counts};
-    addIncreases(this.missed, vmId, source, this.newMissed);
+    const increases = takeIncreases(this.missed, vmId, source);
+    addCounts(this.newRequests, increases);
+    addCounts(this.untakenMisses, increases);
   }
 
   /** Ends a window; what came since the last one enters the rates. */
@@ -35,7 +40,7 @@
     const elapsedMs = nowMs - (this.lastMs ?? nowMs);
     this.lastMs = nowMs;
     if (elapsedMs > 0) this.smooth(elapsedMs);
-    this.newServed.clear();
+    this.newRequests.clear();
   }
 
   /** Smoothed requests a second, answered ones and missed ones. */
@@ -45,8 +50,8 @@
 
   /** Requests refused for lack of a copy since the last call. */
   takeMisses(): Map<string, number> {
-    const misses = new Map(this.newMissed);
-    this.newMissed.clear();
+    const misses = new Map(this.untakenMisses);
+    this.untakenMisses.clear();
     return misses;
   }
 
@@ -55,13 +60,10 @@
     const perSecond = MS_PER_SECOND / elapsedMs;
     const artifacts = new Set([
       ...this.ratePerSecond.keys(),
-      ...this.newServed.keys(),
-      ...this.newMissed.keys(),
+      ...this.newRequests.keys(),
     ]);
     for (const artifact of artifacts) {
-      const count =
-        (this.newServed.get(artifact) ?? 0) +
-        (this.newMissed.get(artifact) ?? 0);
+      const count = this.newRequests.get(artifact) ?? 0;
       const before = this.ratePerSecond.get(artifact) ?? 0;
       const rate = before * kept + count * perSecond * (1 - kept);
       this.ratePerSecond.set(artifact, rate);
@@ -70,23 +72,33 @@
 }
 
 /**
- * Adds what a source counted since it was last seen. A source seen for the
- * first time adds nothing: its whole past would look like a burst of now.
+ * What a source counted since it was last seen. A source seen for the first
+ * time counts nothing: its whole past would look like a burst of now.
  */
-function addIncreases(
+function takeIncreases(
   sources: Map<string, CounterSource>,
   vmId: string,
   source: CounterSource,
-  into: Map<string, number>,
-): void {
+): Map<string, number> {
+  const increases = new Map<string, number>();
   const known = sources.get(vmId);
   sources.set(vmId, source);
-  if (!known || known.incarnation > source.incarnation) return;
+  if (!known || known.incarnation > source.incarnation) return increases;
   const restarted = known.incarnation !== source.incarnation;
   for (const [artifact, count] of Object.entries(source.counts)) {
     const before = restarted ? 0 : (known.counts[artifact] ?? 0);
     // A peer entry that restarted shows a lower count and no incarnation.
     const increase = count >= before ? count - before : count;
-    if (increase > 0) into.set(artifact, (into.get(artifact) ?? 0) + increase);
+    if (increase > 0) increases.set(artifact, increase);
+  }
+  return increases;
+}
+
+function addCounts(
+  into: Map<string, number>,
+  counts: ReadonlyMap<string, number>,
+): void {
+  for (const [artifact, count] of counts) {
+    into.set(artifact, (into.get(artifact) ?? 0) + count);
   }
 }
