Forget old misses at entries that don't plan

Cause: misses since the last decision pile up at an entry that stands by, since it decides nothing. When it takes over, perhaps hours later, its first decision saw them all as callers that wait now, and loaded their models before others.

Change: a round without the planner's epoch drops them. The planner has heard of them in the meantime; what was refused in the last second before a takeover is asked for again. Ruled out: not noting them at all, since demand needs them.

Seen failing first: one refusal at the entry that stood by counted as a waiting caller twice, at the planner and again after the takeover.

--- a/packages/banyanfold-entry/src/__tests__/placementView.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/placementView.test.ts
@@ -94,6 +94,26 @@
     await eventually(() => waiting('claims@1')).toContain(1);
     expect(status).not.toHaveBeenCalled();
   });
+
+  // A caller is refused at an entry that stands by, and the planner hears of it.
+  // When the planner goes and the other takes over, perhaps hours later, nobody
+  // waits any more; the refusal must not send that model before the others.
+  it('forgets old misses before it takes over', async () => {
+    for (const agent of system.agents) agent.artifacts = [];
+    const [first, second] = rendezvousOrder('planner', ['entry-1', 'entry-2']);
+    await system.startReadyEntry({...PLANNING, vmId: first!});
+    const port = await system.startReadyEntry({...PLANNING, vmId: second!});
+    const {handlers} = system.entries[1]!.entry;
+    const misses = vi.spyOn(handlers, 'misses');
+    await eventually(() => misses.mock.calls.length).toBeGreaterThan(1);
+    await post(port, CHAT_PATH);
+    await eventually(() => waiting('claims@1')).toContain(1);
+    system.entryVms.shift();
+    await system.entries.shift()!.entry.stop();
+    const before = views.length;
+    await eventually(() => views.length).toBeGreaterThan(before);
+    expect(waiting('claims@1').filter(count => count > 0)).toEqual([1]);
+  });
 });
 
 describe('ServiceTimes', () => {
--- a/packages/banyanfold-entry/src/plugins/planner.ts
+++ b/packages/banyanfold-entry/src/plugins/planner.ts
@@ -47,7 +47,12 @@
     context.metrics.count('planner_rounds_total');
     this.noteDemand();
     this.epoch.refresh();
-    if (this.epoch.current === 0) return true;
+    if (this.epoch.current === 0) {
+      // The planner has heard of them. Kept until this entry takes over, they
+      // would count as callers that wait then.
+      this.meter.takeMisses();
+      return true;
+    }
     await this.askPeersForMisses();
     const isReady = context.configWatch.ready && isViewSettled(context);
     if (!isReady) return true;
