Release a copy by its absence when no answer to its unload ever comes

Cause: a copy that is being unloaded was released only by a report from after the engine said that it took the order. Ruled out: any later report without the copy, which an existing test refuses and the design asks not to take.

An exchange that begins after the order was sent gives a moment of the engine clock; a report taken after that and without the copy is evidence now. The order is not sent again once its copy is released, or it would take a copy that was loaded anew.

--- a/packages/banyanfold-agent/src/__tests__/memoryLedger.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/memoryLedger.test.ts
@@ -190,6 +190,23 @@
     expect(ledger.canServe('a@1+x@1')).toBe(true);
   });
 
+  // The engine does the unload, and each answer to the order is lost. A report
+  // from after the sending lacks the copy: it is gone, whatever became of the
+  // answers. Before, its bytes stayed counted for ever, and the next version of
+  // the model found no room.
+  it('releases a copy that is gone although no answer ever came', async () => {
+    const {clock, observe, open, ledger} = createLedger({});
+    open();
+    observe(20, [loaded('a@1')]);
+    ledger.startRelease('a@1', 'unload-1');
+    expect(observe(21)).toEqual([]);
+    await clock.advance(1);
+    // Asked after the sending, but taken before it.
+    expect(observe(22, [], {engineNowMs: 50})).toEqual([]);
+    expect(observe(50, [], {engineNowMs: 60})).toEqual([]);
+    expect(observe(51, [], {engineNowMs: 60})).toEqual(['released a@1']);
+  });
+
   it('asks for an unload again that the engine took and did not do', () => {
     const {observe, open, ledger} = createLedger({});
     open();
--- a/packages/banyanfold-agent/src/engine/orderSender.ts
+++ b/packages/banyanfold-agent/src/engine/orderSender.ts
@@ -62,9 +62,9 @@
   async load(artifact: string, bytes: number, orderId: string): Promise<void> {
     const {ledger} = this.options;
     const order = this.newOrder({orderId, kind: 'load', artifact, bytes});
-    const sent = await this.transmit(order, MAX_LOAD_TRANSMISSIONS, () =>
-      ledger.loadSent(orderId),
-    );
+    const sent = await this.transmit(order, MAX_LOAD_TRANSMISSIONS, {
+      beforeSend: () => ledger.loadSent(orderId),
+    });
     if (sent.answer?.kind === 'accepted') {
       ledger.loadReceived(orderId, sent.answer.receivedAtMs);
       return;
@@ -89,13 +89,18 @@
       const orderId = nextOrderId();
       ledger.startRelease(artifact, orderId);
       const order = this.newOrder({orderId, kind: 'unload', artifact});
-      const sent = await this.transmit(order, Number.POSITIVE_INFINITY);
+      // A copy that a report showed as gone may be loaded anew; sent again, the
+      // order would take that one, which nobody retired.
+      const isWanted = () => ledger.get(artifact)?.unloadOrderId === orderId;
+      const sent = await this.transmit(order, Number.POSITIVE_INFINITY, {
+        isWanted,
+      });
       if (sent.answer?.kind === 'accepted') {
         ledger.unloadReceived(orderId, sent.answer.receivedAtMs);
         return;
       }
       await sleep(clock, RESEND_CAP_MS);
-      if (ledger.get(artifact)?.unloadOrderId !== orderId) return;
+      if (!isWanted()) return;
     }
   }
 
@@ -123,13 +128,13 @@
   private async transmit(
     order: EngineOrder,
     maxTransmissions: number,
-    beforeSend: () => void = () => {},
+    {beforeSend = () => {}, isWanted = () => true}: TransmitHooks = {},
   ): Promise<Sent> {
     const {clock, engine, random} = this.options;
     const baseMs = this.options.resendDelayMs ?? DEFAULT_RESEND_DELAY_MS;
     const backoff = new Backoff({baseMs, capMs: RESEND_CAP_MS, random});
     const sent: Sent = {left: false, answer: undefined};
-    for (let count = 1; !this.stopped; count++) {
+    for (let count = 1; !this.stopped && isWanted(); count++) {
       beforeSend();
       sent.answer = await engine.order(order);
       if (sent.answer.kind !== 'not-sent') sent.left = true;
@@ -170,6 +175,13 @@
   }
 }
 
+interface TransmitHooks {
+  /** Called before each transmission. */
+  beforeSend?(): void;
+  /** Asked before each transmission; no ends them. */
+  isWanted?(): boolean;
+}
+
 type Verdict = 'done' | 'again' | 'give-up';
 
 interface Sent {
--- a/packages/banyanfold-agent/src/memory/allocation.ts
+++ b/packages/banyanfold-agent/src/memory/allocation.ts
@@ -21,6 +21,10 @@
   /** Engine clock: when the engine took the unload order. */
   unloadReceivedMs?: number;
   unloadOrderId?: string;
+  /** Own clock: when the unload order was first sent. */
+  unloadSentMs?: number;
+  /** Engine clock: the unload order had been sent by then. */
+  unloadSentByMs?: number;
   /** Requests that use it now. */
   users: number;
   lastUsedMs: number;
@@ -85,4 +89,5 @@
   if (allocation.unloadReceivedMs !== undefined) {
     allocation.unloadReceivedMs = engineNowMs;
   }
+  allocation.unloadSentByMs = undefined;
 }
--- a/packages/banyanfold-agent/src/memory/judgeReport.ts
+++ b/packages/banyanfold-agent/src/memory/judgeReport.ts
@@ -105,8 +105,11 @@
     isAfter(takenAtMs, allocation.provenAfterMs)
       ? eventOf('vanished', allocation)
       : undefined,
+  // Without an answer, a report from after the sending is evidence as well: it
+  // lacks a copy that earlier ones listed.
   releasing: (allocation, takenAtMs) =>
-    isAfter(takenAtMs, allocation.unloadReceivedMs)
+    isAfter(takenAtMs, allocation.unloadReceivedMs) ||
+    isAfter(takenAtMs, allocation.unloadSentByMs)
       ? eventOf('released', allocation)
       : undefined,
 };
--- a/packages/banyanfold-agent/src/memory/memoryLedger.ts
+++ b/packages/banyanfold-agent/src/memory/memoryLedger.ts
@@ -184,6 +184,8 @@
     allocation.state = 'releasing';
     allocation.unloadOrderId = orderId;
     allocation.unloadReceivedMs = undefined;
+    allocation.unloadSentMs = this.nowMs();
+    allocation.unloadSentByMs = undefined;
   }
 
   unloadReceived(orderId: string, receivedAtMs: number): void {
@@ -196,6 +198,7 @@
     const events = this.noticeEngineRestart(timing);
     this.quarantine.noteTiming(timing);
     this.endLateBounds(timing);
+    this.noteSentUnloads(timing);
     if (report.takenAtMs <= (this.latest?.takenAtMs ?? -1)) return events;
     this.latest = report;
     this.quarantine.noteReport(report.takenAtMs);
@@ -243,6 +246,20 @@
     }
   }
 
+  /**
+   * Every answer to an unload order can be lost, and its bytes would stay
+   * counted for ever. An exchange that began after the order was sent gives a
+   * moment of the engine's clock; a report taken after it, without the copy,
+   * confirms the unload like an answer.
+   */
+  private noteSentUnloads({askedAtMs, engineNowMs}: ReportTiming): void {
+    for (const allocation of this.all()) {
+      const {state, unloadSentMs = Number.POSITIVE_INFINITY} = allocation;
+      if (state !== 'releasing' || askedAtMs <= unloadSentMs) continue;
+      allocation.unloadSentByMs ??= engineNowMs;
+    }
+  }
+
   /**
    * A new engine process has a new clock and may have forgotten fencing numbers
    * and order ids, so a late copy of an old order would load again. The start's
