Let the sole copy go of an artifact that no selector reaches

Cause: the agent asked whether an artifact is listed, the planner whether a selector reaches it. One that is listed and not reached was never loaded, never kept on purpose, and its last copy could not be retired. The agent now asks the same as the planner.

--- a/packages/banyanfold-agent/src/control/configView.ts
+++ b/packages/banyanfold-agent/src/control/configView.ts
@@ -1,8 +1,4 @@
-import {
-  adapterArtifact,
-  modelArtifact,
-  type ConfigState,
-} from '@banyanfold/config';
+import {compileConfig, type ConfigState} from '@banyanfold/config';
 import {modelOf} from '../memory/allocationTable.js';
 
 /** What the configuration in force says of a model's KV cache. */
@@ -17,16 +13,12 @@
   return model?.kvBytesPerToken;
 }
 
-/** Whether a known configuration has neither a model nor an adapter of it. */
+/** Whether a known configuration has no selector that reaches the artifact. */
 export function isUnpublished(
   state: ConfigState | undefined,
   artifact: string,
 ): boolean {
   if (!state) return false;
-  const {models, adapters} = state.body;
-  const published = [
-    ...models.map(modelArtifact),
-    ...adapters.map(adapterArtifact),
-  ];
-  return !published.includes(artifact);
+  const labelled = compileConfig(state.body).artifacts();
+  return !labelled.some(known => known.artifact === artifact);
 }
