Mend the types of the ejection plug-in's test

Cause: the test's small context was cast straight to EntryContext, which the check of the tests' types (npm run types) refuses; only the build's had been run. It asserts what it did; the test passes. In the same check protocol/src/__tests__/reportChanges.test.ts (line 123) fails for another cause and isn't touched here.

--- a/packages/banyanfold-entry/src/__tests__/ejection.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/ejection.test.ts
@@ -75,7 +75,7 @@
     random: () => 0.5,
     settings: {ejectionIntervalMs: 2_000, outcomeHalfLifeMs: 15_000},
     view,
-  } as EntryContext);
+  } as unknown as EntryContext);
   const runner = (vmId: string, role: string, firstTokenMs: number) => {
     const at = {host: '127.0.0.1', port: 1, failureDomain: 'a', region: 'r'};
     vms.push({vmId, role: 'agent', state: 'live', ...at});
