--- a/packages/banyanfold-entry/src/__tests__/kit/testSystem.ts
+++ b/packages/banyanfold-entry/src/__tests__/kit/testSystem.ts
@@ -7,7 +7,7 @@
   type VmListService,
 } from '@banyanfold/platform';
 import {LogStandin} from '@banyanfold/standins';
-import {okAsync, errAsync} from 'neverthrow';
+import {err, errAsync, ok, okAsync} from 'neverthrow';
 import {BanyanfoldError} from '@banyanfold/core';
 import OpenAI from 'openai';
 import {vi} from 'vitest';
@@ -124,20 +124,23 @@
     return port;
   }
 
-  /** The log as one process sees it, which can be cut off alone. */
+  /**
+   * The log as one process sees it, which can be cut off alone. A poll that is
+   * open when it is cut off brings nothing any more.
+   */
   gatedLog(): LogService & {isCut: boolean} {
     const {logService} = this;
-    const cut = () => {
-      const place = {step: 'reach-log', peer: 'log'};
-      return errAsync(new BanyanfoldError('log-unavailable', 'cut', place));
-    };
+    const place = {step: 'reach-log', peer: 'log'};
+    const cut = () => new BanyanfoldError('log-unavailable', 'cut', place);
     return {
       isCut: false,
       append(...args) {
-        return this.isCut ? cut() : logService.append(...args);
+        return this.isCut ? errAsync(cut()) : logService.append(...args);
       },
       read(...args) {
-        return this.isCut ? cut() : logService.read(...args);
+        if (this.isCut) return errAsync(cut());
+        const page = logService.read(...args);
+        return page.andThen(value => (this.isCut ? err(cut()) : ok(value)));
       },
     };
   }
