Take the reports of an agent that restarted while the log was out

Cause: such an agent serves under a provisional, negative incarnation, and the entry took a lower number for an older process: it dropped the reports, went on addressing the predecessor, and was refused. The models there were out of reach until the log was back. Ruled out: taking any other incarnation, since a late report of the predecessor would bring its copies back. Incarnations that were left are now remembered, and only numbers from the log are compared.

Routing also takes the number of slots from the report; it assumed 16.

--- a/packages/banyanfold-entry/src/__tests__/agentState.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/agentState.test.ts
@@ -49,6 +49,30 @@
 }
 
 describe('AgentState', () => {
+  // An agent restarts while the log is out and serves under a provisional,
+  // negative incarnation. Taken for older than its predecessor's, its reports
+  // were dropped, and every request went to the predecessor's incarnation and
+  // was refused: its models were out of reach until the log was back.
+  it('takes the reports of a successor without a number yet', () => {
+    const agent = new AgentState(VM);
+    agent.applyReport(report(5, 'old@1', 7), 10);
+    agent.applyReport(report(1, 'new@1', -42), 20);
+    expect(agent.incarnation).toBe(-42);
+    expect([...agent.runner.artifacts]).toEqual(['new@1']);
+    agent.applyReport(report(6, 'old@1', 7), 30);
+    expect(agent.incarnation).toBe(-42);
+    agent.applyReport(report(2, 'new@1', 9), 40);
+    expect(agent.incarnation).toBe(9);
+    agent.applyReport(report(3, 'new@1', -42), 50);
+    expect(agent.incarnation).toBe(9);
+  });
+
+  it('routes by the number of slots that the runner reports', () => {
+    const agent = new AgentState(VM);
+    agent.applyReport({...report(1, 'a@1'), maxRunning: 3}, 10);
+    expect(agent.runner.maxRunning).toBe(3);
+  });
+
   it('ignores a digest that an answer brought late', () => {
     const agent = new AgentState(VM);
     agent.applyDigest(digest(2, 9), 10);
--- a/packages/banyanfold-entry/src/view/agentState.ts
+++ b/packages/banyanfold-entry/src/view/agentState.ts
@@ -11,6 +11,9 @@
 /** How much one new first-token time counts against the earlier ones. */
 const FIRST_TOKEN_WEIGHT = 0.2;
 
+/** An agent doesn't restart more often than reports can be late. */
+const MAX_PAST_INCARNATIONS = 16;
+
 type MutableRunnerView = {
   -readonly [K in keyof RunnerView]: RunnerView[K];
 };
@@ -23,6 +26,7 @@
   digest: LoadDigest | undefined;
   failedReports = 0;
   private vmLeaving = false;
+  private readonly pastIncarnations = new Set<number>();
   private readonly unreported = new Set<string>();
   private outcomes = {successes: 0, failures: 0, firstTokenMs: 0};
 
@@ -62,11 +66,12 @@
     this.applyDigest(answer, nowMs);
     if (answer.incarnation !== this.incarnation) return;
     const held = this.report;
-    if (held && isOlder(answer, held)) return;
+    if (held && this.isOlder(answer, held)) return;
     const report = completeReport(held, answer);
     if (!report) return;
     this.report = report;
     this.runner.runnerRole = report.runnerRole;
+    this.runner.maxRunning = report.maxRunning;
     this.runner.artifacts = servableArtifacts(report);
     if (report.cachedPrefixes === held?.cachedPrefixes) return;
     this.runner.cachedPrefixes = new Set(report.cachedPrefixes);
@@ -77,7 +82,7 @@
    * each other, and an old digest would bring back an old queue.
    */
   applyDigest(digest: LoadDigest, nowMs: number): boolean {
-    if (this.digest && isOlder(digest, this.digest)) return false;
+    if (this.digest && this.isOlder(digest, this.digest)) return false;
     if (digest.incarnation !== this.incarnation) this.forgetIncarnation();
     this.digest = digest;
     this.runner.reachable = true;
@@ -140,20 +145,38 @@
   }
 
   /** A new process beside the same server: its copies are not known yet. */
+  /**
+   * A late report of a process that is gone must not bring its copies back. Its
+   * number alone doesn't tell: a process that started while the log was out
+   * has a provisional, negative one, and is newer than one with a number. So
+   * incarnations that were left are remembered, and only two with numbers from
+   * the log are compared.
+   */
+  private isOlder(digest: LoadDigest, known: LoadDigest): boolean {
+    if (digest.incarnation === known.incarnation) {
+      return digest.sequence <= known.sequence;
+    }
+    if (this.pastIncarnations.has(digest.incarnation)) return true;
+    if (digest.incarnation < 0 || known.incarnation < 0) return false;
+    return digest.incarnation < known.incarnation;
+  }
+
+  private rememberIncarnation(): void {
+    if (this.incarnation === 0) return;
+    this.pastIncarnations.add(this.incarnation);
+    if (this.pastIncarnations.size <= MAX_PAST_INCARNATIONS) return;
+    const [oldest = 0] = this.pastIncarnations;
+    this.pastIncarnations.delete(oldest);
+  }
+
   private forgetIncarnation(): void {
+    this.rememberIncarnation();
     this.report = undefined;
     this.runner.artifacts = new Set();
     this.runner.cachedPrefixes = new Set();
   }
 }
 
-function isOlder(digest: LoadDigest, known: LoadDigest): boolean {
-  if (digest.incarnation !== known.incarnation) {
-    return digest.incarnation < known.incarnation;
-  }
-  return digest.sequence <= known.sequence;
-}
-
 /** Copies that can serve now, and the plain services beside the engine. */
 function servableArtifacts(report: AgentReport): Set<string> {
   const held = report.copies.filter(copy => copy.state === 'held');
