Wait until the entries know of the copies before a shutdown test begins

Cause: the test waited for the agents to hold the model, not for the entries to have heard of it. Under load its one request came before the next poll and was refused no_copy, and the test waited for it to run until it gave up (2 of 2 runs of the whole folder with four workers; 3 of 3 alone passed). Seen by printing the answer. Ruled out: the pauses between polls, which were taken back for this.

--- a/packages/banyanfold-testing/src/__tests__/shutdown.test.ts
+++ b/packages/banyanfold-testing/src/__tests__/shutdown.test.ts
@@ -43,6 +43,12 @@
     await stack.propose(missing, move);
     return false;
   });
+  // The entries hear of it with their next poll; until then they refuse.
+  await waitUntil('both entries know', async () => {
+    const statuses = [await stack.status(0), await stack.status(1)];
+    const agents = statuses.flatMap(status => status.agents);
+    return agents.every(({artifacts}) => artifacts.includes(`${MODEL}@1`));
+  });
 }
 
 /** Stops a process as its VM's shutdown does, and starts the next one. */
