Keep the copies of an agent that gets its number from the log

Cause: a restarted agent is known by its provisional incarnation first, and an answer brings its number before the next report. Ruled out: forgetting nothing at any change, which an existing test refuses.

The new unit case was not run without the change.

--- a/packages/banyanfold-entry/src/__tests__/agentState.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/agentState.test.ts
@@ -67,6 +67,16 @@
     expect(agent.incarnation).toBe(9);
   });
 
+  // An agent gets its number from the log, and an answer brings word of it
+  // before the next poll does. Its copies are as they were.
+  it('keeps the copies of a process that gets its number', () => {
+    const agent = new AgentState(VM);
+    agent.applyReport(report(1, 'a@1', -42), 10);
+    agent.applyDigest(digest(2, 0, 9), 20);
+    expect(agent.incarnation).toBe(9);
+    expect([...agent.runner.artifacts]).toEqual(['a@1']);
+  });
+
   it('routes by the number of slots that the runner reports', () => {
     const agent = new AgentState(VM);
     agent.applyReport({...report(1, 'a@1'), maxRunning: 3}, 10);
--- a/packages/banyanfold-entry/src/view/agentState.ts
+++ b/packages/banyanfold-entry/src/view/agentState.ts
@@ -83,7 +83,9 @@
    */
   applyDigest(digest: LoadDigest, nowMs: number): boolean {
     if (this.digest && this.isOlder(digest, this.digest)) return false;
-    if (digest.incarnation !== this.incarnation) this.forgetIncarnation();
+    if (digest.incarnation !== this.incarnation) {
+      this.forgetIncarnation(digest.incarnation);
+    }
     this.digest = digest;
     this.runner.reachable = true;
     this.runner.leaving = this.vmLeaving || digest.leaving;
@@ -169,8 +171,11 @@
     this.pastIncarnations.delete(oldest);
   }
 
-  private forgetIncarnation(): void {
+  private forgetIncarnation(next: number): void {
     this.rememberIncarnation();
+    // A process that got its number from the log holds what it held; without
+    // its copies it would be no candidate until the next poll.
+    if (this.incarnation < 0 && next > 0) return;
     this.report = undefined;
     this.runner.artifacts = new Set();
     this.runner.cachedPrefixes = new Set();
