--- a/bench/src/capacity/fixtures.ts
+++ b/bench/src/capacity/fixtures.ts
@@ -6,7 +6,7 @@
   RoutingView,
   RunnerView,
 } from '@banyanfold/decisions';
-import type {Vm, VmList} from '@banyanfold/platform';
+import type {Vm, VmList} from '@banyanfold/log';
 import type {AgentReport} from '@banyanfold/protocol';
 import {ASSUMED, TARGET} from './model/target.js';
 
--- a/bench/src/capacity/slopes/claimSlopes.ts
+++ b/bench/src/capacity/slopes/claimSlopes.ts
@@ -1,5 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import {ClaimsFold, DEFAULT_CLAIM_WINDOW} from '@banyanfold/platform';
+import {ClaimsFold, DEFAULT_CLAIM_WINDOW} from '@banyanfold/log';
 
 import {cpuUsSince, median, retainedBytes} from '../measure.js';
 import {toSlope, type Slope} from '../model/slope.js';
--- a/bench/src/capacity/slopes/wireSlopes.ts
+++ b/bench/src/capacity/slopes/wireSlopes.ts
@@ -4,7 +4,7 @@
   createLogService,
   createVmListService,
   type LogPage,
-} from '@banyanfold/platform';
+} from '@banyanfold/log';
 import {
   createAgentClient,
   createAgentRouter,
--- a/packages/banyanfold-agent/src/__tests__/ledgerWorld.ts
+++ b/packages/banyanfold-agent/src/__tests__/ledgerWorld.ts
@@ -4,7 +4,7 @@
   Metrics,
   VirtualClock,
 } from '@banyanfold/core';
-import type {LogService} from '@banyanfold/platform';
+import type {LogService} from '@banyanfold/log';
 import {errAsync, okAsync} from 'neverthrow';
 import {EngineWatch} from '../control/engineWatch.js';
 import {ProposalHandler} from '../control/proposalHandler.js';
--- a/packages/banyanfold-agent/src/__tests__/proposalHandler.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/proposalHandler.test.ts
@@ -4,7 +4,7 @@
   Metrics,
   VirtualClock,
 } from '@banyanfold/core';
-import type {RetireVerdict} from '@banyanfold/platform';
+import type {RetireVerdict} from '@banyanfold/log';
 import type {Proposal} from '@banyanfold/protocol';
 import {ResultAsync, err, ok, type Result} from 'neverthrow';
 import {describe, expect, it} from 'vitest';
--- a/packages/banyanfold-agent/src/agent.ts
+++ b/packages/banyanfold-agent/src/agent.ts
@@ -7,7 +7,7 @@
   type Clock,
   type Logger,
 } from '@banyanfold/core';
-import {createLogService, type LogService} from '@banyanfold/platform';
+import {createLogService, type LogService} from '@banyanfold/log';
 import {
   createAgentRouter,
   createControlHandler,
--- a/packages/banyanfold-agent/src/agentContext.ts
+++ b/packages/banyanfold-agent/src/agentContext.ts
@@ -7,7 +7,7 @@
   ConfigFollower,
   LogService,
   Retirements,
-} from '@banyanfold/platform';
+} from '@banyanfold/log';
 import type {AttemptContext} from './attempts/attemptContext.js';
 import type {AttemptSealer} from './attempts/attemptSealer.js';
 import type {AttemptServer} from './attempts/attemptServer.js';
--- a/packages/banyanfold-agent/src/attempts/engineCanceller.ts
+++ b/packages/banyanfold-agent/src/attempts/engineCanceller.ts
@@ -1,5 +1,5 @@
 import {sleep, type Clock, type Logger} from '@banyanfold/core';
-import {Backoff} from '@banyanfold/platform';
+import {Backoff} from '@banyanfold/log';
 import type {EngineClient} from '../engine/engineClient.js';
 import type {CancelState} from '../engine/engineSchemas.js';
 
--- a/packages/banyanfold-agent/src/control/engineWatch.ts
+++ b/packages/banyanfold-agent/src/control/engineWatch.ts
@@ -1,5 +1,5 @@
 import type {Clock, Logger, Metrics, Timer} from '@banyanfold/core';
-import {Backoff} from '@banyanfold/platform';
+import {Backoff} from '@banyanfold/log';
 import type {EngineClient} from '../engine/engineClient.js';
 import type {EngineReport} from '../engine/engineSchemas.js';
 import type {FenceKeeper} from '../engine/fenceKeeper.js';
--- a/packages/banyanfold-agent/src/control/proposalHandler.ts
+++ b/packages/banyanfold-agent/src/control/proposalHandler.ts
@@ -1,5 +1,5 @@
 import {sleep, type Clock, type Logger, type Metrics} from '@banyanfold/core';
-import type {Retirements} from '@banyanfold/platform';
+import type {Retirements} from '@banyanfold/log';
 import type {Proposal, ProposalResult} from '@banyanfold/protocol';
 import type {OrderSender} from '../engine/orderSender.js';
 import type {Allocation} from '../memory/allocation.js';
--- a/packages/banyanfold-agent/src/engine/fenceKeeper.ts
+++ b/packages/banyanfold-agent/src/engine/fenceKeeper.ts
@@ -1,5 +1,5 @@
 import {sleep, type Clock, type Logger} from '@banyanfold/core';
-import {acquireFence, Backoff, type LogService} from '@banyanfold/platform';
+import {acquireFence, Backoff, type LogService} from '@banyanfold/log';
 import {v4 as uuidV4} from 'uuid';
 
 const RETRY_CAP_MS = 5_000;
--- a/packages/banyanfold-agent/src/engine/orderSender.ts
+++ b/packages/banyanfold-agent/src/engine/orderSender.ts
@@ -1,5 +1,5 @@
 import {sleep, type Clock, type Logger, type Metrics} from '@banyanfold/core';
-import {Backoff} from '@banyanfold/platform';
+import {Backoff} from '@banyanfold/log';
 import type {MemoryLedger} from '../memory/memoryLedger.js';
 import type {EngineOrder, OrderAnswer} from './engineSchemas.js';
 
--- a/packages/banyanfold-agent/src/parts/createControlParts.ts
+++ b/packages/banyanfold-agent/src/parts/createControlParts.ts
@@ -1,4 +1,4 @@
-import {ConfigFollower, Retirements} from '@banyanfold/platform';
+import {ConfigFollower, Retirements} from '@banyanfold/log';
 import type {
   AdmissionParts,
   AgentBasis,
--- a/packages/banyanfold-cli/src/commands/drain.ts
+++ b/packages/banyanfold-cli/src/commands/drain.ts
@@ -1,5 +1,5 @@
 import {Args, Flags} from '@oclif/core';
-import {createVmListService, type Vm} from '@banyanfold/platform';
+import {createVmListService, type Vm} from '@banyanfold/log';
 import {createAgentClient, createEntryClient} from '@banyanfold/protocol';
 import {EXIT_CODES} from '../exitCodes.js';
 import {OperatorCommand} from '../operatorCommand.js';
--- a/packages/banyanfold-cli/src/configLog.ts
+++ b/packages/banyanfold-cli/src/configLog.ts
@@ -1,5 +1,5 @@
 import {createLogger, systemClock} from '@banyanfold/core';
-import {ConfigFollower, createLogService} from '@banyanfold/platform';
+import {ConfigFollower, createLogService} from '@banyanfold/log';
 import type {OperatorSettings} from './settings.js';
 
 const OPERATOR_VM_ID = 'operator';
--- a/packages/banyanfold-cli/src/operatorCommand.ts
+++ b/packages/banyanfold-cli/src/operatorCommand.ts
@@ -1,5 +1,5 @@
 import {Flags} from '@oclif/core';
-import {createVmListService, type Vm} from '@banyanfold/platform';
+import {createVmListService, type Vm} from '@banyanfold/log';
 import {createEntryClient, type EntryClient} from '@banyanfold/protocol';
 import {EXIT_CODES} from './exitCodes.js';
 import {BanyanfoldCommand} from './banyanfoldCommand.js';
--- a/packages/banyanfold-decisions/src/index.ts
+++ b/packages/banyanfold-decisions/src/index.ts
@@ -6,3 +6,5 @@
 export * from './options.js';
 export * from './pickNext.js';
 export * from './types.js';
+export * from './chooseRunner.js';
+export * from './planCopies.js';
--- /dev/null
+++ b/packages/banyanfold-decisions/src/planCopies.ts
@@ -0,0 +1,296 @@
+/** A runner as the plan of copies sees it. */
+export interface CopyRunner {
+  runnerId: string;
+  weightsMb: number;
+  /** Kept free for adapters. */
+  reservedMb: number;
+  /** Held or on their way. */
+  models: readonly string[];
+  /** It carries out an order; it takes no other one until it is done. */
+  isBusy: boolean;
+  inMemory: readonly string[];
+  onDisk: readonly string[];
+}
+
+export interface CopyModel {
+  name: string;
+  weightsMb: number;
+  /** Smoothed work a second that is asked for, over all entries. */
+  workPerSecond: number;
+  /** Requests that wait for a copy now. */
+  waiting: number;
+  /** Since the last request for it. */
+  idleMs: number;
+}
+
+export interface CopyPlanInput {
+  runners: readonly CopyRunner[];
+  models: readonly CopyModel[];
+  /** Loads that the weight store allows now. */
+  storeLoadsLeft: number;
+}
+
+export interface CopyOrder {
+  kind: 'load' | 'unload';
+  runnerId: string;
+  model: string;
+  /** A load from the weight store counts against its rate. */
+  isFromStore: boolean;
+  reason: string;
+}
+
+export interface PlanCopiesOptions {
+  /**
+   * A runner with less work a second than this isn't worth relieving: it
+   * answers well within the targets of today's engines.
+   */
+  relieveAboveWork: number;
+  /** The hottest runner's work must fall by this share for a copy more. */
+  minGainShare: number;
+  /** A sole copy without a request for this long may make way. */
+  soleIdleMs: number;
+  /** A copy that isn't the last may make way after this. */
+  surplusIdleMs: number;
+}
+
+export const DEFAULT_PLAN_COPIES_OPTIONS: PlanCopiesOptions = {
+  relieveAboveWork: 6,
+  minGainShare: 0.2,
+  soleIdleMs: 4_000,
+  surplusIdleMs: 2_500,
+};
+
+interface Planned {
+  runner: CopyRunner;
+  models: Set<string>;
+  freeMb: number;
+  isTaken: boolean;
+}
+
+/**
+ * Plans orders on copies of models: first a copy for each model that callers
+ * wait for, then copies that relieve the hottest runner, then copies of models
+ * that nobody holds where there is room. A runner gets one order at a time.
+ *
+ * Answers demand that moves to other models within seconds, and more models
+ * than memory: rare ones make way for those that are asked for.
+ *
+ * @example planCopies({runners, models, storeLoadsLeft: 1})[0]?.kind
+ */
+export function planCopies(
+  input: CopyPlanInput,
+  options: PlanCopiesOptions = DEFAULT_PLAN_COPIES_OPTIONS,
+): CopyOrder[] {
+  const plan = new CopyPlan(input, options);
+  plan.placeOrphans(model => model.waiting > 0);
+  plan.placeOrphans(model => model.waiting === 0 && model.workPerSecond > 0.05);
+  plan.relieveHottest();
+  plan.fillRoom();
+  return plan.orders;
+}
+
+class CopyPlan {
+  readonly orders: CopyOrder[] = [];
+  private readonly planned: Planned[];
+  private readonly models: Map<string, CopyModel>;
+  private loadsLeft: number;
+
+  constructor(
+    input: CopyPlanInput,
+    private readonly options: PlanCopiesOptions,
+  ) {
+    this.models = new Map(input.models.map(model => [model.name, model]));
+    this.loadsLeft = input.storeLoadsLeft;
+    this.planned = input.runners.map(runner => ({
+      runner,
+      models: new Set(runner.models),
+      freeMb: this.freeOf(runner),
+      isTaken: runner.isBusy,
+    }));
+  }
+
+  placeOrphans(wanted: (model: CopyModel) => boolean): void {
+    const orphans = [...this.models.values()]
+      .filter(model => this.copies(model.name) === 0 && wanted(model))
+      .sort(byWant);
+    for (const model of orphans) this.place(model, 'orphan');
+  }
+
+  relieveHottest(): void {
+    const byLoad = [...this.planned].sort(
+      (a, b) => this.loadOf(b) - this.loadOf(a),
+    );
+    for (const hottest of byLoad) {
+      if (this.loadOf(hottest) < this.options.relieveAboveWork) return;
+      const heaviest = [...hottest.models]
+        .map(name => this.models.get(name))
+        .filter(model => model !== undefined)
+        .sort((a, b) => this.shareOf(b) - this.shareOf(a));
+      for (const model of heaviest) {
+        if (this.relieve(hottest, model)) return;
+      }
+    }
+  }
+
+  /** Where room is left, models that nobody holds come back in quiet times. */
+  fillRoom(): void {
+    if (this.orders.length > 0) return;
+    const orphan = [...this.models.values()]
+      .filter(model => this.copies(model.name) === 0)
+      .sort(byWant)[0];
+    if (!orphan) return;
+    const target = this.planned
+      .filter(to => !to.isTaken && to.freeMb >= orphan.weightsMb)
+      .sort((a, b) => this.costOf(a, orphan) - this.costOf(b, orphan))[0];
+    if (target) this.load(target, orphan, 'room');
+  }
+
+  private relieve(hottest: Planned, model: CopyModel): boolean {
+    const hotLoad = this.loadOf(hottest);
+    const copies = this.copies(model.name);
+    const newShare = model.workPerSecond / (copies + 1);
+    const relief = this.shareOf(model) - newShare;
+    if (relief < hotLoad * this.options.minGainShare) return false;
+    const targets = this.planned
+      .filter(to => !to.isTaken && !to.models.has(model.name))
+      .filter(to => this.loadOf(to) + newShare < hotLoad)
+      .sort((a, b) => this.costOf(a, model) - this.costOf(b, model));
+    return targets.some(to => this.make(to, model, 'relieve'));
+  }
+
+  private place(model: CopyModel, reason: string): boolean {
+    const targets = this.planned
+      .filter(to => !to.isTaken)
+      .sort((a, b) => this.costOf(a, model) - this.costOf(b, model));
+    return targets.some(to => this.make(to, model, reason));
+  }
+
+  /** Loads where there is room, else begins to make room. */
+  private make(to: Planned, model: CopyModel, reason: string): boolean {
+    if (to.freeMb >= model.weightsMb) return this.load(to, model, reason);
+    if (!this.canFetch(to, model)) return false;
+    const victims = this.victimsOn(to, model);
+    if (!victims) return false;
+    const [first] = victims;
+    to.isTaken = true;
+    to.models.delete(first!.name);
+    this.orders.push({
+      kind: 'unload',
+      runnerId: to.runner.runnerId,
+      model: first!.name,
+      isFromStore: false,
+      reason: `room for ${model.name}`,
+    });
+    return true;
+  }
+
+  private load(to: Planned, model: CopyModel, reason: string): boolean {
+    if (!this.canFetch(to, model)) return false;
+    const isFromStore = !this.isNear(to, model);
+    if (isFromStore) this.loadsLeft -= 1;
+    to.isTaken = true;
+    to.freeMb -= model.weightsMb;
+    to.models.add(model.name);
+    this.orders.push({
+      kind: 'load',
+      runnerId: to.runner.runnerId,
+      model: model.name,
+      isFromStore,
+      reason,
+    });
+    return true;
+  }
+
+  /** What may make way, least missed first; undefined if it isn't enough. */
+  private victimsOn(to: Planned, model: CopyModel): CopyModel[] | undefined {
+    const candidates = [...to.models]
+      .map(name => this.models.get(name))
+      .filter(victim => victim !== undefined)
+      .filter(victim => this.mayGo(victim, model))
+      .sort((a, b) => this.lossOf(a) - this.lossOf(b));
+    const victims: CopyModel[] = [];
+    let freeMb = to.freeMb;
+    for (const victim of candidates) {
+      if (freeMb >= model.weightsMb) break;
+      victims.push(victim);
+      freeMb += victim.weightsMb;
+    }
+    return freeMb >= model.weightsMb && victims.length > 0
+      ? victims
+      : undefined;
+  }
+
+  private mayGo(victim: CopyModel, model: CopyModel): boolean {
+    if (victim.waiting > 0) return false;
+    const isSole = this.copies(victim.name) <= 1;
+    if (isSole) {
+      return (
+        victim.idleMs >= this.options.soleIdleMs &&
+        victim.idleMs > model.idleMs &&
+        (model.waiting > 0 || model.workPerSecond > victim.workPerSecond)
+      );
+    }
+    if (victim.idleMs >= this.options.surplusIdleMs) return true;
+    // A copy that relieves little makes way for a model without any.
+    const copies = this.copies(victim.name);
+    const shareAfter = victim.workPerSecond / (copies - 1);
+    return shareAfter < this.options.relieveAboveWork / 2;
+  }
+
+  /** Work a second that would move elsewhere, with sole copies dearest. */
+  private lossOf(victim: CopyModel): number {
+    const copies = this.copies(victim.name);
+    const soleLoss = copies <= 1 ? 1_000_000 : 0;
+    return soleLoss + this.shareOf(victim) - victim.idleMs / 1_000_000;
+  }
+
+  private costOf(to: Planned, model: CopyModel): number {
+    let cost = this.loadOf(to);
+    if (to.freeMb < model.weightsMb) cost += 3;
+    if (!to.runner.inMemory.includes(model.name)) cost += 2;
+    if (!this.isNear(to, model)) cost += 6;
+    return cost;
+  }
+
+  private isNear(to: Planned, model: CopyModel): boolean {
+    const {inMemory, onDisk} = to.runner;
+    return inMemory.includes(model.name) || onDisk.includes(model.name);
+  }
+
+  private canFetch(to: Planned, model: CopyModel): boolean {
+    return this.isNear(to, model) || this.loadsLeft >= 1;
+  }
+
+  private copies(name: string): number {
+    return this.planned.filter(({models}) => models.has(name)).length;
+  }
+
+  private shareOf(model: CopyModel): number {
+    return model.workPerSecond / Math.max(1, this.copies(model.name));
+  }
+
+  private loadOf({models}: Planned): number {
+    let load = 0;
+    for (const name of models) {
+      const model = this.models.get(name);
+      if (model) load += this.shareOf(model);
+    }
+    return load;
+  }
+
+  private freeOf(runner: CopyRunner): number {
+    let freeMb = runner.weightsMb - runner.reservedMb;
+    for (const name of runner.models) {
+      freeMb -= this.models.get(name)?.weightsMb ?? 0;
+    }
+    return freeMb;
+  }
+}
+
+function byWant(a: CopyModel, b: CopyModel): number {
+  if (a.waiting !== b.waiting) return b.waiting - a.waiting;
+  if (a.workPerSecond !== b.workPerSecond) {
+    return b.workPerSecond - a.workPerSecond;
+  }
+  return a.name < b.name ? -1 : 1;
+}
--- a/packages/banyanfold-entry/src/__tests__/agentState.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/agentState.test.ts
@@ -1,5 +1,5 @@
 import type {AgentReport} from '@banyanfold/protocol';
-import type {Vm} from '@banyanfold/platform';
+import type {Vm} from '@banyanfold/log';
 import {describe, expect, it} from 'vitest';
 import {AgentState} from '../view/agentState.js';
 
--- a/packages/banyanfold-entry/src/__tests__/ejection.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/ejection.test.ts
@@ -1,5 +1,5 @@
 import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
-import type {Vm} from '@banyanfold/platform';
+import type {Vm} from '@banyanfold/log';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import type {EntryContext} from '../context.js';
 import {ejectionPlugin} from '../plugins/ejection.js';
--- a/packages/banyanfold-entry/src/__tests__/kit/fakeAgent.ts
+++ b/packages/banyanfold-entry/src/__tests__/kit/fakeAgent.ts
@@ -10,7 +10,7 @@
   type ReportCursor,
   type SealResult,
 } from '@banyanfold/protocol';
-import type {Vm} from '@banyanfold/platform';
+import type {Vm} from '@banyanfold/log';
 import {answerWhole} from './behaviours.js';
 
 export const INTERNAL_KEY = 'internal';
--- a/packages/banyanfold-entry/src/__tests__/kit/testSystem.ts
+++ b/packages/banyanfold-entry/src/__tests__/kit/testSystem.ts
@@ -5,7 +5,7 @@
   type LogService,
   type Vm,
   type VmListService,
-} from '@banyanfold/platform';
+} from '@banyanfold/log';
 import {LogStandin} from '@banyanfold/standins';
 import {err, errAsync, ok, okAsync} from 'neverthrow';
 import {BanyanfoldError} from '@banyanfold/core';
--- a/packages/banyanfold-entry/src/__tests__/placementView.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/placementView.test.ts
@@ -1,5 +1,5 @@
 import type {PlacementView} from '@banyanfold/decisions';
-import {rendezvousOrder} from '@banyanfold/platform';
+import {rendezvousOrder} from '@banyanfold/log';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {ServiceTimes} from '../plugins/serviceTimes.js';
 import {dieSilently} from './kit/behaviours.js';
--- a/packages/banyanfold-entry/src/__tests__/planner.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/planner.test.ts
@@ -1,5 +1,5 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
-import {rendezvousOrder} from '@banyanfold/platform';
+import {rendezvousOrder} from '@banyanfold/log';
 import {eventually} from './kit/eventually.js';
 import {TestSystem, isReady, post} from './kit/testSystem.js';
 
--- a/packages/banyanfold-entry/src/config/configWatch.ts
+++ b/packages/banyanfold-entry/src/config/configWatch.ts
@@ -1,6 +1,6 @@
 import {compileConfig, type CompiledConfig} from '@banyanfold/config';
 import type {Clock, Logger, Timer} from '@banyanfold/core';
-import {ConfigFollower, type LogService} from '@banyanfold/platform';
+import {ConfigFollower, type LogService} from '@banyanfold/log';
 import {createEntryClient, type ConfigSnapshot} from '@banyanfold/protocol';
 import type {EntrySettings} from '../settings.js';
 import type {ClusterView} from '../view/clusterView.js';
--- a/packages/banyanfold-entry/src/context.ts
+++ b/packages/banyanfold-entry/src/context.ts
@@ -3,7 +3,7 @@
   type Plugin,
   type PluginContext,
 } from '@banyanfold/core';
-import type {LogService, RetryBudget} from '@banyanfold/platform';
+import type {LogService, RetryBudget} from '@banyanfold/log';
 import type {AttemptTransport} from './attempts/attemptTransport.js';
 import type {ConfigWatch} from './config/configWatch.js';
 import type {CallerDirectory} from './http/callers.js';
--- a/packages/banyanfold-entry/src/createEntry.ts
+++ b/packages/banyanfold-entry/src/createEntry.ts
@@ -13,7 +13,7 @@
   createVmListService,
   type LogService,
   type VmListService,
-} from '@banyanfold/platform';
+} from '@banyanfold/log';
 import {
   createControlHandler,
   createEntryRouter,
--- a/packages/banyanfold-entry/src/plugins/idempotency.ts
+++ b/packages/banyanfold-entry/src/plugins/idempotency.ts
@@ -1,5 +1,5 @@
 import type {BanyanfoldError} from '@banyanfold/core';
-import {KeyClaims, readTimedKey, type ClaimOutcome} from '@banyanfold/platform';
+import {KeyClaims, readTimedKey, type ClaimOutcome} from '@banyanfold/log';
 import {v4 as uuidV4} from 'uuid';
 import {
   entryPlugins,
--- a/packages/banyanfold-entry/src/plugins/keyOutcome.ts
+++ b/packages/banyanfold-entry/src/plugins/keyOutcome.ts
@@ -1,5 +1,5 @@
 import {createHash} from 'node:crypto';
-import type {FinishedRun} from '@banyanfold/platform';
+import type {FinishedRun} from '@banyanfold/log';
 import {z} from 'zod';
 import {ApiError} from '../http/apiErrors.js';
 import type {
--- a/packages/banyanfold-entry/src/plugins/ownRuns.ts
+++ b/packages/banyanfold-entry/src/plugins/ownRuns.ts
@@ -1,4 +1,4 @@
-import type {FinishedRun} from '@banyanfold/platform';
+import type {FinishedRun} from '@banyanfold/log';
 
 const MAX_FINISHED = 1000;
 
--- a/packages/banyanfold-entry/src/plugins/plannerEpoch.ts
+++ b/packages/banyanfold-entry/src/plugins/plannerEpoch.ts
@@ -1,4 +1,4 @@
-import {claimPlanner, rendezvousOrder} from '@banyanfold/platform';
+import {claimPlanner, rendezvousOrder} from '@banyanfold/log';
 import {v4 as uuidV4} from 'uuid';
 import type {EntryContext} from '../context.js';
 
--- a/packages/banyanfold-entry/src/settings.ts
+++ b/packages/banyanfold-entry/src/settings.ts
@@ -1,4 +1,4 @@
-import {DEFAULT_CLAIM_WINDOW} from '@banyanfold/platform';
+import {DEFAULT_CLAIM_WINDOW} from '@banyanfold/log';
 import {z} from 'zod';
 
 const callerSchema = z.strictObject({
--- a/packages/banyanfold-entry/src/view/agentState.ts
+++ b/packages/banyanfold-entry/src/view/agentState.ts
@@ -6,7 +6,7 @@
   type ReportCursor,
 } from '@banyanfold/protocol';
 import type {RunnerOutcomes, RunnerView} from '@banyanfold/decisions';
-import type {Vm} from '@banyanfold/platform';
+import type {Vm} from '@banyanfold/log';
 
 /** How much one new first-token time counts against the earlier ones. */
 const FIRST_TOKEN_WEIGHT = 0.2;
--- a/packages/banyanfold-entry/src/view/clusterView.ts
+++ b/packages/banyanfold-entry/src/view/clusterView.ts
@@ -1,5 +1,5 @@
 import type {RoutingView, RunnerView} from '@banyanfold/decisions';
-import type {Vm, VmList} from '@banyanfold/platform';
+import type {Vm, VmList} from '@banyanfold/log';
 import {AgentState} from './agentState.js';
 
 /** Where this entry stands. */
--- a/packages/banyanfold-entry/src/view/viewPollers.ts
+++ b/packages/banyanfold-entry/src/view/viewPollers.ts
@@ -1,4 +1,4 @@
-import type {VmListService} from '@banyanfold/platform';
+import type {VmListService} from '@banyanfold/log';
 import type {EntryContext} from '../context.js';
 import {AgentClients} from './agentClients.js';
 import {Poller} from './poller.js';
--- /dev/null
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -0,0 +1,36 @@
+import type {Clock, Logger, Metrics} from '@banyanfold/core';
+import type {RetryBudget} from '@banyanfold/log';
+import type {DemandMeter} from './placement/demandMeter.js';
+import type {GatewayOptions} from './options.js';
+import type {HeldCopies} from './runners/heldCopies.js';
+import type {RunnerConnections} from './runners/runnerConnections.js';
+import type {RunnerStates} from './runners/runnerStates.js';
+import type {RequestCodec} from './types.js';
+import type {FleetView} from './view/fleetView.js';
+
+/** Makes sure that an adapter is at a runner; false when it can't be. */
+export type EnsureAdapter = (wanted: {
+  runnerId: string;
+  model: string;
+  adapter: string;
+}) => Promise<boolean>;
+
+/** What handling a request needs. */
+export interface GatewayContext {
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  options: GatewayOptions;
+  failureDomain: string;
+  view: FleetView;
+  codec: RequestCodec;
+  connections: RunnerConnections;
+  states: RunnerStates;
+  held: HeldCopies;
+  demand: DemandMeter;
+  retryBudgetOf(service: string): RetryBudget;
+  ensureAdapter: EnsureAdapter;
+  random(): number;
+  /** True once this process is leaving. */
+  isLeaving(): boolean;
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -0,0 +1,248 @@
+import http, {type Server} from 'node:http';
+import type {Clock, Logger, Metrics, Timer} from '@banyanfold/core';
+import {RetryBudget} from '@banyanfold/log';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import type {GatewayContext} from './context.js';
+import {GatewayServer} from './gatewayServer.js';
+import {DEFAULT_OPTIONS, type GatewayOptions} from './options.js';
+import {HolderLink} from './peers/holderLink.js';
+import {createPeerRouter} from './peers/peerContract.js';
+import {DemandMeter} from './placement/demandMeter.js';
+import {Holder} from './placement/holder.js';
+import {LoadRate} from './placement/loadRate.js';
+import {createReadinessServer} from './readinessServer.js';
+import {HeldCopies} from './runners/heldCopies.js';
+import {RunnerConnections} from './runners/runnerConnections.js';
+import {RunnerStates} from './runners/runnerStates.js';
+import type {
+  FleetSource,
+  LeaseSource,
+  RequestCodec,
+  RunnerControl,
+} from './types.js';
+import {FleetView} from './view/fleetView.js';
+
+/** Host and port of a listener. */
+export interface ListenAddress {
+  host: string;
+  port: number;
+}
+
+/** Bounds that the deployment sets on the system. */
+export interface DeploymentBounds {
+  graceMs: number;
+  retryRatio: number;
+  retrySlack: number;
+  retryWindowMs: number;
+  loadWindowMs: number;
+}
+
+export interface GatewaySettings {
+  failureDomain: string;
+  callers: ListenAddress;
+  readiness: ListenAddress;
+  peers: ListenAddress;
+  bounds: DeploymentBounds;
+}
+
+export interface GatewayParts {
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  settings: GatewaySettings;
+  options?: Partial<GatewayOptions>;
+  codec: RequestCodec;
+  fleet: FleetSource;
+  lease: LeaseSource;
+  control: RunnerControl;
+  random?: () => number;
+}
+
+/** What the holder told counts this long; three exchanges may be lost. */
+const TOLD_FRESH_MS = 1_500;
+/** Entries assumed before the holder has told how many there are. */
+const ASSUMED_ENTRIES = 8;
+const JUDGE_INTERVAL_MS = 500;
+const DRAIN_POLL_MS = 50;
+/** Of the slack, what comes back over a window; the rest is there at once. */
+const REFILLED_SLACK = 0.4;
+const MS_PER_SECOND = 1000;
+const METRICS_PATH = '/metrics';
+
+/** The process on an entry VM. */
+export class Gateway {
+  readonly view: FleetView;
+  private readonly context: GatewayContext;
+  private readonly callers: GatewayServer;
+  private readonly readiness: Server;
+  private readonly peers: Server;
+  private readonly holder: Holder;
+  private readonly link: HolderLink;
+  private readonly budgets = new Map<string, RetryBudget>();
+  private readonly timers = new Set<Timer>();
+  private entries = ASSUMED_ENTRIES;
+  private isLeaving = false;
+
+  constructor(private readonly parts: GatewayParts) {
+    const {clock, logger, metrics, settings, codec, lease, control} = parts;
+    const options = {...DEFAULT_OPTIONS, ...parts.options};
+    const address = `${settings.peers.host}:${settings.peers.port}`;
+    this.view = new FleetView(clock, logger);
+    const states = new RunnerStates(clock, logger, options);
+    const held = new HeldCopies(this.view, () => clock.nowMs(), TOLD_FRESH_MS);
+    const demand = new DemandMeter();
+    this.holder = new Holder({
+      clock,
+      logger,
+      metrics,
+      lease,
+      control,
+      view: this.view,
+      options,
+      holder: address,
+      loadRate: new LoadRate(settings.bounds.loadWindowMs),
+    });
+    this.link = new HolderLink({
+      clock,
+      logger,
+      options,
+      lease,
+      own: this.holder,
+      address,
+      demand,
+      states,
+      held,
+      onEntries: count => {
+        this.entries = count;
+      },
+    });
+    this.context = {
+      clock,
+      logger,
+      metrics,
+      options,
+      failureDomain: settings.failureDomain,
+      view: this.view,
+      codec,
+      connections: new RunnerConnections(clock, options),
+      states,
+      held,
+      demand,
+      retryBudgetOf: service => this.budgetOf(service),
+      ensureAdapter: this.link.ensureAdapter,
+      random: parts.random ?? Math.random,
+      isLeaving: () => this.isLeaving,
+    };
+    this.callers = new GatewayServer(this.context);
+    this.readiness = createReadinessServer(
+      () => this.view.isReady && !this.isLeaving,
+      () => metrics.render(),
+      METRICS_PATH,
+    );
+    const serve = createHTTPHandler({
+      router: createPeerRouter(this.holder),
+      basePath: '/trpc/',
+    });
+    this.peers = http.createServer((req, res) => serve(req, res));
+  }
+
+  async start(): Promise<void> {
+    const {settings, fleet, lease, logger} = this.parts;
+    const {callers, readiness, peers} = settings;
+    await this.callers.listen(callers.port, callers.host);
+    await listen(this.readiness, readiness);
+    await listen(this.peers, peers);
+    fleet.start(this.view);
+    lease.start();
+    this.holder.start();
+    this.link.start();
+    this.every(JUDGE_INTERVAL_MS, () => this.tidy());
+    logger.info('started', {
+      callers: `${callers.host}:${callers.port}`,
+      peers: `${peers.host}:${peers.port}`,
+    });
+  }
+
+  /**
+   * Leaves without cutting a request off. The balancer sends callers here
+   * until it has noticed that this process isn't ready; those are still
+   * served, each on a connection that closes with its answer, and idle
+   * connections close only then.
+   */
+  async drain(): Promise<void> {
+    const {clock, lease, logger, settings} = this.parts;
+    const {noticeMs, graceMarginMs} = this.context.options;
+    const startedMs = clock.nowMs();
+    this.isLeaving = true;
+    logger.info('draining', {open: this.callers.openRequests});
+    await lease.release();
+    const endMs = startedMs + settings.bounds.graceMs - graceMarginMs;
+    while (clock.nowMs() < endMs) {
+      const isNoticed = clock.nowMs() - startedMs >= noticeMs;
+      if (isNoticed) this.callers.closeIdleConnections();
+      if (isNoticed && this.callers.openRequests === 0) break;
+      await new Promise<void>(resolve => {
+        clock.setTimer(DRAIN_POLL_MS, resolve);
+      });
+    }
+    logger.info('drained', {
+      open: this.callers.openRequests,
+      tookMs: Math.round(clock.nowMs() - startedMs),
+    });
+  }
+
+  stop(): void {
+    this.parts.fleet.stop();
+    this.holder.stop();
+    this.link.stop();
+    for (const timer of this.timers) timer.cancel();
+    this.callers.stopAccepting();
+    this.readiness.close();
+    this.peers.close();
+  }
+
+  private budgetOf(service: string): RetryBudget {
+    let budget = this.budgets.get(service);
+    if (!budget) {
+      const {bounds} = this.parts.settings;
+      const share = this.context.options.retryBudgetShare;
+      const slack = (bounds.retrySlack * share) / this.entries;
+      const windowSeconds = bounds.retryWindowMs / MS_PER_SECOND;
+      budget = new RetryBudget({
+        clock: this.parts.clock,
+        tokensPerAttempt: bounds.retryRatio * share,
+        tokensPerSecond: (slack * REFILLED_SLACK) / windowSeconds,
+        capacity: Math.max(2, slack * (1 - REFILLED_SLACK)),
+      });
+      this.budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  private tidy(): void {
+    this.context.states.judge();
+    this.context.states.keepOnly(id => this.view.runner(id) !== undefined);
+    this.context.connections.closeIdle();
+  }
+
+  private every(intervalMs: number, work: () => void): void {
+    const tick = () => {
+      this.timers.delete(timer);
+      work();
+      timer = this.parts.clock.setTimer(intervalMs, tick);
+      this.timers.add(timer);
+    };
+    let timer = this.parts.clock.setTimer(intervalMs, tick);
+    this.timers.add(timer);
+  }
+}
+
+function listen(server: Server, {host, port}: ListenAddress): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -0,0 +1,149 @@
+import http, {
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {GatewayContext} from './context.js';
+import {FINAL_STATUS, sendFinalAnswer} from './requests/finalAnswer.js';
+import {readBody} from './requests/readBody.js';
+import {RequestRun} from './requests/requestRun.js';
+import type {CallerLimits} from './types.js';
+
+/** Before a configuration is known; callers are refused then anyway. */
+const LIMITS_BEFORE_CONFIG: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 1_048_576,
+  headerTimeoutMs: 5_000,
+  idleTimeoutMs: 15_000,
+};
+/** Heads are bounded by the configuration, which may allow more later. */
+const PARSER_HEADER_BYTES = 131_072;
+/** Callers reuse a connection up to its announced timeout; keep it longer. */
+const IDLE_SLACK_MS = 1_500;
+/** A caller that is refused for want of a configuration may come back. */
+const NOT_READY_RETRY_MS = 500;
+
+/** Takes callers' requests and carries each to its answer. */
+export class GatewayServer {
+  readonly server: Server;
+  openRequests = 0;
+
+  constructor(private readonly context: GatewayContext) {
+    this.server = http.createServer(
+      {maxHeaderSize: PARSER_HEADER_BYTES, requestTimeout: 0},
+      (request, response) => void this.handle(request, response),
+    );
+    this.server.on('connection', socket => {
+      socket.setNoDelay(true);
+    });
+    this.applyLimits();
+    context.view.onChange(() => this.applyLimits());
+  }
+
+  listen(port: number, host: string): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Closes connections on which no request is open or has begun. */
+  closeIdleConnections(): void {
+    this.server.closeIdleConnections();
+  }
+
+  stopAccepting(): void {
+    this.server.close();
+  }
+
+  private get limits(): CallerLimits {
+    return this.context.view.current?.limits ?? LIMITS_BEFORE_CONFIG;
+  }
+
+  private applyLimits(): void {
+    const {headerTimeoutMs, idleTimeoutMs} = this.limits;
+    this.server.headersTimeout = headerTimeoutMs;
+    this.server.keepAliveTimeout = idleTimeoutMs + IDLE_SLACK_MS;
+  }
+
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {context} = this;
+    const startedMs = context.clock.nowMs();
+    this.openRequests += 1;
+    response.once('close', () => {
+      this.openRequests -= 1;
+    });
+    const problem = this.headProblem(request);
+    if (problem !== undefined) {
+      this.turnAway(request, response, problem, true);
+      return;
+    }
+    const body = await readBody(request, this.limits.maxBodyBytes);
+    if (body === 'broken-off') return;
+    if (body === 'too-large') {
+      this.turnAway(request, response, FINAL_STATUS.tooLarge, true);
+      return;
+    }
+    if (!context.view.isReady) {
+      this.turnAway(request, response, FINAL_STATUS.notRun, false);
+      return;
+    }
+    const host = request.headers.host ?? '';
+    const route = context.view.route(host, request.url ?? '/');
+    if (!route) {
+      this.turnAway(request, response, FINAL_STATUS.noRoute, false);
+      return;
+    }
+    const decoded = context.codec.decodeRequest(request.rawHeaders);
+    const run = new RequestRun({
+      context,
+      request,
+      response,
+      decoded,
+      route,
+      body,
+      startedMs,
+    });
+    await run.run();
+  }
+
+  private headProblem(request: IncomingMessage): number | undefined {
+    let bytes = 0;
+    for (const text of request.rawHeaders) bytes += text.length + 2;
+    if (bytes > this.limits.maxHeaderBytes) return FINAL_STATUS.headTooLarge;
+    const length = Number(request.headers['content-length'] ?? 0);
+    if (length > this.limits.maxBodyBytes) return FINAL_STATUS.tooLarge;
+    return undefined;
+  }
+
+  private turnAway(
+    request: IncomingMessage,
+    response: ServerResponse,
+    status: number,
+    closeConnection: boolean,
+  ): void {
+    this.context.metrics.count('turned_away', {status: String(status)});
+    this.context.logger.info('turned-away', {
+      status,
+      host: request.headers.host,
+      target: request.url,
+      config: this.context.view.current?.version,
+    });
+    sendFinalAnswer(
+      response,
+      {
+        status,
+        reason: http.STATUS_CODES[status] ?? 'refused',
+        retryAfterMs:
+          status === FINAL_STATUS.notRun ? NOT_READY_RETRY_MS : undefined,
+      },
+      closeConnection || this.context.isLeaving(),
+    );
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -0,0 +1,143 @@
+import type {Clock, Logger, Timer} from '@banyanfold/core';
+import type {EnsureAdapter} from '../context.js';
+import type {DemandMeter} from '../placement/demandMeter.js';
+import type {HeldCopies, ToldCopies} from '../runners/heldCopies.js';
+import type {RunnerStates} from '../runners/runnerStates.js';
+import type {GatewayOptions} from '../options.js';
+import type {LeaseSource} from '../types.js';
+import {createPeerClient, type PeerClient} from './peerClient.js';
+import type {ExchangeOutput, HolderHandlers} from './peerContract.js';
+
+export interface HolderLinkOptions {
+  clock: Clock;
+  logger: Logger;
+  options: GatewayOptions;
+  lease: LeaseSource;
+  /** This process's own holder, for when it has the lease. */
+  own: HolderHandlers;
+  /** Address of this process's internal listener. */
+  address: string;
+  demand: DemandMeter;
+  states: RunnerStates;
+  held: HeldCopies;
+  onEntries(count: number): void;
+}
+
+/** How an entry speaks to the holder of orders, itself or another. */
+export class HolderLink {
+  private timer: Timer | undefined;
+  private client: {address: string; peer: PeerClient} | undefined;
+  private wasHeard = true;
+
+  constructor(private readonly deps: HolderLinkOptions) {}
+
+  start(): void {
+    const tick = async () => {
+      await this.exchange();
+      this.timer = this.deps.clock.setTimer(
+        this.deps.options.exchangeIntervalMs,
+        () => void tick(),
+      );
+    };
+    void tick();
+  }
+
+  stop(): void {
+    this.timer?.cancel();
+    this.client?.peer.close();
+  }
+
+  readonly ensureAdapter: EnsureAdapter = async wanted => {
+    const {own, lease, held, logger, options, clock} = this.deps;
+    try {
+      const answer = lease.current().isHolder
+        ? await own.ensureAdapter(wanted)
+        : await this.peer()?.client.ensureAdapter.mutate(wanted);
+      if (!answer?.isThere) {
+        logger.info('adapter-not-there', {
+          ...wanted,
+          reason: answer?.reason ?? 'no-holder',
+        });
+        if (answer?.reason === 'not-holder') lease.refreshHolder();
+        return false;
+      }
+    } catch (thrown) {
+      this.lost(thrown);
+      return false;
+    }
+    held.noteAdapter(wanted.runnerId, wanted.model, wanted.adapter);
+    await new Promise<void>(resolve => {
+      clock.setTimer(options.adapterSettleMs, resolve);
+    });
+    return true;
+  };
+
+  private async exchange(): Promise<void> {
+    const {own, lease, demand, states, address} = this.deps;
+    const input = {
+      entry: address,
+      openWork: states.ownOpenWork(),
+      demand: demand.take(),
+    };
+    if (lease.current().isHolder) {
+      const output = own.exchange(input);
+      if (output) this.adopt(output);
+      return;
+    }
+    const peer = this.peer();
+    if (!peer) {
+      lease.refreshHolder();
+      return;
+    }
+    try {
+      const output = await peer.client.exchange.mutate(input);
+      if (output) this.adopt(output);
+      else lease.refreshHolder();
+    } catch (thrown) {
+      this.lost(thrown);
+    }
+  }
+
+  private adopt(output: ExchangeOutput): void {
+    const {held, states, onEntries, logger} = this.deps;
+    if (!this.wasHeard) logger.info('holder-heard');
+    this.wasHeard = true;
+    const copies = new Map<string, ToldCopies>();
+    const peersWork: Record<string, number> = {};
+    for (const runner of output.runners) {
+      copies.set(runner.runnerId, {
+        models: new Set(runner.models),
+        adapters: new Set(runner.adapters),
+      });
+      peersWork[runner.runnerId] = runner.peersWork;
+    }
+    held.tell(copies);
+    states.notePeersWork(peersWork);
+    onEntries(output.entries);
+  }
+
+  private lost(thrown: unknown): void {
+    const error = thrown instanceof Error ? thrown.message : String(thrown);
+    if (this.wasHeard) {
+      this.deps.logger.warn('holder-lost', {
+        holder: this.client?.address,
+        error,
+      });
+    }
+    this.wasHeard = false;
+    this.deps.lease.refreshHolder();
+  }
+
+  private peer(): PeerClient | undefined {
+    const {holderAddress} = this.deps.lease.current();
+    if (holderAddress === undefined) return undefined;
+    if (holderAddress === this.deps.address) return undefined;
+    if (this.client?.address !== holderAddress) {
+      this.client?.peer.close();
+      const {peerTimeoutMs} = this.deps.options;
+      const peer = createPeerClient(holderAddress, peerTimeoutMs);
+      this.client = {address: holderAddress, peer};
+    }
+    return this.client.peer;
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -0,0 +1,31 @@
+import {createTRPCClient, httpLink} from '@trpc/client';
+import {fetch, Pool} from 'undici';
+import type {PeerRouter} from './peerContract.js';
+
+const CONNECTIONS = 4;
+
+/** A client of another entry's internal listener. */
+export function createPeerClient(address: string, timeoutMs: number) {
+  const origin = `http://${address}`;
+  const dispatcher = new Pool(origin, {
+    connections: CONNECTIONS,
+    connect: {timeout: timeoutMs},
+  });
+  const send = (url: unknown, init: unknown) =>
+    fetch(String(url), {
+      ...(init as object),
+      dispatcher,
+      signal: AbortSignal.timeout(timeoutMs),
+    } as Parameters<typeof fetch>[1]);
+  const client = createTRPCClient<PeerRouter>({
+    links: [
+      httpLink({
+        url: `${origin}/trpc`,
+        fetch: send as unknown as typeof globalThis.fetch,
+      }),
+    ],
+  });
+  return {client, close: () => void dispatcher.destroy()};
+}
+
+export type PeerClient = ReturnType<typeof createPeerClient>;
--- /dev/null
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -0,0 +1,72 @@
+import {initTRPC} from '@trpc/server';
+import {z} from 'zod';
+
+/** What an entry tells the holder of orders, some times a second. */
+export const exchangeInputSchema = z.object({
+  entry: z.string(),
+  openWork: z.record(z.string(), z.number()),
+  demand: z.array(
+    z.object({
+      model: z.string(),
+      arrivals: z.number(),
+      promptTokens: z.number(),
+      outputTokens: z.number(),
+      waiting: z.number(),
+      adapters: z.record(z.string(), z.number()),
+    }),
+  ),
+});
+
+/** What the holder tells back. */
+export const exchangeOutputSchema = z.object({
+  /** Entries heard of within the last seconds, this one included. */
+  entries: z.number(),
+  runners: z.array(
+    z.object({
+      runnerId: z.string(),
+      models: z.array(z.string()),
+      /** As model and name, joined by a slash. */
+      adapters: z.array(z.string()),
+      /** Work of the other entries there. */
+      peersWork: z.number(),
+    }),
+  ),
+});
+
+export const ensureInputSchema = z.object({
+  runnerId: z.string(),
+  model: z.string(),
+  adapter: z.string(),
+});
+
+export const ensureOutputSchema = z.object({
+  isThere: z.boolean(),
+  reason: z.string(),
+});
+
+export type ExchangeInput = z.infer<typeof exchangeInputSchema>;
+export type ExchangeOutput = z.infer<typeof exchangeOutputSchema>;
+export type EnsureInput = z.infer<typeof ensureInputSchema>;
+export type EnsureOutput = z.infer<typeof ensureOutputSchema>;
+
+/** What the holder of orders answers to the entries. */
+export interface HolderHandlers {
+  /** Undefined when this process doesn't hold the lease. */
+  exchange(input: ExchangeInput): ExchangeOutput | undefined;
+  ensureAdapter(input: EnsureInput): Promise<EnsureOutput>;
+}
+
+const trpc = initTRPC.create();
+
+export function createPeerRouter(handlers: HolderHandlers) {
+  return trpc.router({
+    exchange: trpc.procedure
+      .input(exchangeInputSchema)
+      .mutation(({input}) => handlers.exchange(input) ?? null),
+    ensureAdapter: trpc.procedure
+      .input(ensureInputSchema)
+      .mutation(({input}) => handlers.ensureAdapter(input)),
+  });
+}
+
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
--- /dev/null
+++ b/packages/banyanfold-gateway/src/placement/demandMeter.ts
@@ -0,0 +1,69 @@
+/** What was asked of one model since the last exchange. */
+export interface ModelDemand {
+  model: string;
+  arrivals: number;
+  /** Tokens that the arrivals have to read and to generate, at most. */
+  promptTokens: number;
+  outputTokens: number;
+  /** Requests that wait now for a copy. */
+  waiting: number;
+  /** Adapters that were asked for, with how often. */
+  adapters: Record<string, number>;
+}
+
+/** Counts demand by model between two exchanges with the holder. */
+export class DemandMeter {
+  private byModel = new Map<string, ModelDemand>();
+  private readonly waiting = new Map<string, number>();
+
+  noteArrival(
+    model: string,
+    adapter: string | undefined,
+    promptTokens: number,
+    outputTokens: number,
+  ): void {
+    const demand = this.of(model);
+    demand.arrivals += 1;
+    demand.promptTokens += promptTokens;
+    demand.outputTokens += outputTokens;
+    if (adapter === undefined) return;
+    demand.adapters[adapter] = (demand.adapters[adapter] ?? 0) + 1;
+  }
+
+  /** A request waits for a copy; call what is returned when it no longer does. */
+  noteWaiting(model: string): () => void {
+    this.waiting.set(model, (this.waiting.get(model) ?? 0) + 1);
+    let isOver = false;
+    return () => {
+      if (isOver) return;
+      isOver = true;
+      const left = (this.waiting.get(model) ?? 1) - 1;
+      if (left > 0) this.waiting.set(model, left);
+      else this.waiting.delete(model);
+    };
+  }
+
+  /** Takes what was counted, and begins anew. */
+  take(): ModelDemand[] {
+    for (const [model, count] of this.waiting) this.of(model).waiting = count;
+    const taken = [...this.byModel.values()];
+    this.byModel = new Map();
+    return taken;
+  }
+
+  private of(model: string): ModelDemand {
+    let demand = this.byModel.get(model);
+    if (!demand) {
+      demand = {
+        model,
+        arrivals: 0,
+        promptTokens: 0,
+        outputTokens: 0,
+        waiting: 0,
+        adapters: {},
+      };
+      this.byModel.set(model, demand);
+    }
+    return demand;
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/placement/demandView.ts
@@ -0,0 +1,102 @@
+import type {ModelDemand} from './demandMeter.js';
+
+/** Demand moves to other models within seconds; so must its average. */
+const SMOOTHING_MS = 1_500;
+const MS_PER_SECOND = 1000;
+/** Work of one arrival: its place in a batch, whatever its length. */
+const ARRIVAL_WORK = 0.5;
+const PROMPT_TOKENS_PER_WORK = 8_000;
+const OUTPUT_TOKENS_PER_WORK = 300;
+/** An entry that was not heard of for this long no longer counts. */
+const ENTRY_LOST_MS = 2_000;
+
+interface SmoothedDemand {
+  workPerSecond: number;
+  updatedMs: number;
+  lastAskedMs: number;
+}
+
+interface EntryState {
+  heardMs: number;
+  openWork: Readonly<Record<string, number>>;
+  waiting: Map<string, number>;
+}
+
+/** Demand over all entries, as the holder of orders has heard it. */
+export class DemandView {
+  private readonly models = new Map<string, SmoothedDemand>();
+  private readonly entries = new Map<string, EntryState>();
+
+  note(
+    entry: string,
+    openWork: Readonly<Record<string, number>>,
+    demand: readonly ModelDemand[],
+    nowMs: number,
+  ): void {
+    const waiting = new Map<string, number>();
+    for (const asked of demand) {
+      if (asked.waiting > 0) waiting.set(asked.model, asked.waiting);
+      this.add(asked, nowMs);
+    }
+    this.entries.set(entry, {heardMs: nowMs, openWork, waiting});
+  }
+
+  workPerSecond(model: string, nowMs: number): number {
+    const smoothed = this.models.get(model);
+    if (!smoothed) return 0;
+    return smoothed.workPerSecond * decay(nowMs - smoothed.updatedMs);
+  }
+
+  idleMs(model: string, nowMs: number): number {
+    const smoothed = this.models.get(model);
+    return smoothed ? nowMs - smoothed.lastAskedMs : Number.MAX_SAFE_INTEGER;
+  }
+
+  waiting(model: string, nowMs: number): number {
+    let total = 0;
+    for (const {heardMs, waiting} of this.entries.values()) {
+      if (nowMs - heardMs < ENTRY_LOST_MS) total += waiting.get(model) ?? 0;
+    }
+    return total;
+  }
+
+  /** Entries heard of lately. */
+  countEntries(nowMs: number): number {
+    let count = 0;
+    for (const {heardMs} of this.entries.values()) {
+      if (nowMs - heardMs < ENTRY_LOST_MS) count += 1;
+    }
+    return Math.max(1, count);
+  }
+
+  /** Open work of the other entries at a runner. */
+  peersWork(runnerId: string, entry: string, nowMs: number): number {
+    let work = 0;
+    for (const [name, {heardMs, openWork}] of this.entries) {
+      if (name === entry || nowMs - heardMs >= ENTRY_LOST_MS) continue;
+      work += openWork[runnerId] ?? 0;
+    }
+    return work;
+  }
+
+  private add(asked: ModelDemand, nowMs: number): void {
+    const work =
+      asked.arrivals * ARRIVAL_WORK +
+      asked.promptTokens / PROMPT_TOKENS_PER_WORK +
+      asked.outputTokens / OUTPUT_TOKENS_PER_WORK;
+    const before = this.workPerSecond(asked.model, nowMs);
+    const lastAskedMs =
+      asked.arrivals > 0 || asked.waiting > 0
+        ? nowMs
+        : (this.models.get(asked.model)?.lastAskedMs ?? nowMs);
+    this.models.set(asked.model, {
+      workPerSecond: before + (work * MS_PER_SECOND) / SMOOTHING_MS,
+      updatedMs: nowMs,
+      lastAskedMs,
+    });
+  }
+}
+
+function decay(elapsedMs: number): number {
+  return Math.exp(-elapsedMs / SMOOTHING_MS);
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/placement/loadRate.ts
@@ -0,0 +1,23 @@
+const MS_PER_SECOND = 1000;
+
+/**
+ * Loads from the weight store within a sliding window. The store refuses none
+ * but slows all of them down when more begin than it allows.
+ */
+export class LoadRate {
+  private begunMs: number[] = [];
+
+  constructor(private readonly windowMs: number) {}
+
+  note(nowMs: number): void {
+    this.begunMs.push(nowMs);
+  }
+
+  left(loadsPerSecond: number, nowMs: number): number {
+    this.begunMs = this.begunMs.filter(atMs => nowMs - atMs < this.windowMs);
+    const allowed = Math.floor(
+      (loadsPerSecond * this.windowMs) / MS_PER_SECOND,
+    );
+    return Math.max(0, Math.max(1, allowed) - this.begunMs.length);
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/placement/runnerDesk.ts
@@ -0,0 +1,293 @@
+import type {Clock, Logger, Metrics} from '@banyanfold/core';
+import {adapterKey} from '../runners/heldCopies.js';
+import type {
+  LeaseSource,
+  OrderKind,
+  RunnerControl,
+  RunnerRegistration,
+  RunnerReport,
+} from '../types.js';
+
+export interface RunnerDeskOptions {
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  lease: LeaseSource;
+  control: RunnerControl;
+  holder: string;
+  adapterSettleMs: number;
+}
+
+export interface DeskOrder {
+  kind: OrderKind;
+  model: string;
+  adapter?: string;
+  reason: string;
+}
+
+/** What came of an order, as far as it is known. */
+export type DeskOutcome = 'done' | 'refused' | 'unknown';
+
+/** An adapter that is at a runner, or is being fetched. */
+interface HeldAdapter {
+  model: string;
+  adapter: string;
+  usedMs: number;
+  readyMs: number;
+}
+
+/** A load takes a few seconds; then the runner's report decides. */
+const BUSY_CAP_MS = 12_000;
+
+/**
+ * All that the holder knows of one runner, and the one place from which it
+ * gives that runner orders, one after the other.
+ *
+ * An order without an answer may be carried out seconds later, after newer
+ * ones: a load that arrives when its place was given away overfills the runner,
+ * which crashes. Each order names the number of orders that the runner has
+ * accepted so far, so that of an old and a new order only one takes effect.
+ */
+export class RunnerDesk {
+  readonly models = new Set<string>();
+  readonly adapters = new Map<string, HeldAdapter>();
+  inMemory: readonly string[] = [];
+  onDisk: readonly string[] = [];
+  running = 0;
+  queued = 0;
+  /** The model that is being loaded. */
+  loading: string | undefined;
+  private busyUntilMs = 0;
+  private orderNumber: number | undefined;
+  private queue: Promise<unknown> = Promise.resolve();
+  private readonly fetches = new Map<string, Promise<boolean>>();
+
+  constructor(
+    readonly registration: RunnerRegistration,
+    private readonly options: RunnerDeskOptions,
+  ) {
+    this.adoptModels(registration);
+  }
+
+  get isBusy(): boolean {
+    return this.options.clock.nowMs() < this.busyUntilMs;
+  }
+
+  /** It can be given orders: the number of its orders is known. */
+  get isKnown(): boolean {
+    return this.orderNumber !== undefined;
+  }
+
+  noteUse(model: string, adapter: string): void {
+    const held = this.adapters.get(adapterKey(model, adapter));
+    if (held) held.usedMs = this.options.clock.nowMs();
+  }
+
+  /** A heartbeat tells of models when a load or unload is over. */
+  noteRegistration({models}: RunnerRegistration): void {
+    for (const {name} of models ?? []) {
+      if (name === this.loading) this.endLoad(name);
+    }
+  }
+
+  /**
+   * A report lags: one that was made before the last order would bring back
+   * what that order changed. Only one with as many orders counts; one with
+   * more tells of an order that was taken for lost.
+   */
+  noteReport(report: RunnerReport): void {
+    const {options} = this;
+    this.running = report.running;
+    this.queued = report.queued;
+    this.inMemory = report.inMemory;
+    this.onDisk = report.onDisk;
+    if (
+      this.orderNumber !== undefined &&
+      report.orderNumber < this.orderNumber
+    ) {
+      return;
+    }
+    this.orderNumber = report.orderNumber;
+    if (!report.busy) {
+      this.busyUntilMs = 0;
+      this.loading = undefined;
+    }
+    this.models.clear();
+    const nowMs = options.clock.nowMs();
+    const seen = new Set<string>();
+    for (const {name, adapters} of report.models) {
+      this.models.add(name);
+      for (const adapter of adapters) seen.add(adapterKey(name, adapter));
+      for (const adapter of adapters) this.adopt(name, adapter, nowMs);
+    }
+    for (const {model, adapter} of report.pendingAdapters) {
+      seen.add(adapterKey(model, adapter));
+      this.adopt(model, adapter, nowMs);
+    }
+    for (const key of this.adapters.keys()) {
+      if (!seen.has(key) && !this.fetches.has(key)) this.adapters.delete(key);
+    }
+    if (this.loading !== undefined) this.models.add(this.loading);
+  }
+
+  /** Brings an adapter here, making a place for it if need be. */
+  ensureAdapter(
+    model: string,
+    adapter: string,
+    adapterSlots: number,
+  ): Promise<boolean> {
+    const key = adapterKey(model, adapter);
+    const running = this.fetches.get(key);
+    if (running) return running;
+    const fetch = this.enqueue(() =>
+      this.fetchAdapter(model, adapter, adapterSlots),
+    ).finally(() => this.fetches.delete(key));
+    this.fetches.set(key, fetch);
+    return fetch;
+  }
+
+  /** Gives an order on a model. */
+  orderModel(order: DeskOrder): Promise<DeskOutcome> {
+    return this.enqueue(async () => {
+      const outcome = await this.give(order);
+      if (outcome === 'refused') return outcome;
+      this.busyUntilMs = this.options.clock.nowMs() + BUSY_CAP_MS;
+      if (order.kind === 'load') {
+        this.loading = order.model;
+        this.models.add(order.model);
+      } else {
+        this.models.delete(order.model);
+        for (const [key, held] of this.adapters) {
+          if (held.model === order.model) this.adapters.delete(key);
+        }
+      }
+      return outcome;
+    });
+  }
+
+  /** Models that serve now: the one being loaded doesn't yet. */
+  servingModels(): string[] {
+    return [...this.models].filter(name => name !== this.loading);
+  }
+
+  private async fetchAdapter(
+    model: string,
+    adapter: string,
+    adapterSlots: number,
+  ): Promise<boolean> {
+    const {clock, adapterSettleMs} = this.options;
+    const key = adapterKey(model, adapter);
+    if (!this.models.has(model) || this.loading === model) return false;
+    const held = this.adapters.get(key);
+    if (held) {
+      held.usedMs = clock.nowMs();
+      return true;
+    }
+    if (!(await this.makePlace(adapterSlots))) return false;
+    const outcome = await this.give({
+      kind: 'load',
+      model,
+      adapter,
+      reason: 'asked-for',
+    });
+    if (outcome === 'refused') return false;
+    const nowMs = clock.nowMs();
+    this.adapters.set(key, {
+      model,
+      adapter,
+      usedMs: nowMs,
+      readyMs: nowMs + adapterSettleMs,
+    });
+    return outcome === 'done';
+  }
+
+  /** Unloads adapters, longest unused first, until one place is free. */
+  private async makePlace(adapterSlots: number): Promise<boolean> {
+    const byUse = [...this.adapters.entries()].sort(
+      ([, a], [, b]) => a.usedMs - b.usedMs,
+    );
+    for (const [key, {model, adapter}] of byUse) {
+      if (this.adapters.size < adapterSlots) return true;
+      const outcome = await this.give({
+        kind: 'unload',
+        model,
+        adapter,
+        reason: 'longest-unused',
+      });
+      // What may still go is counted as here, so that no place is given twice.
+      if (outcome === 'done') this.adapters.delete(key);
+      if (outcome === 'unknown') return false;
+    }
+    return this.adapters.size < adapterSlots;
+  }
+
+  private async give(order: DeskOrder): Promise<DeskOutcome> {
+    const {lease, control, holder, logger, metrics, clock} = this.options;
+    const {runnerId, address} = this.registration;
+    if (this.orderNumber === undefined) return 'refused';
+    const state = lease.current();
+    if (!state.isHolder) return 'refused';
+    const expectedOrderNumber = this.orderNumber;
+    const sentMs = clock.nowMs();
+    const answer = await control.order(runnerId, address, {
+      kind: order.kind,
+      model: order.model,
+      adapter: order.adapter,
+      expectedOrderNumber,
+      holder,
+      fencingToken: state.fencingToken,
+    });
+    const outcome = answer.isOk() ? answer.value : 'unknown';
+    logger.info('order', {
+      runner: runnerId,
+      kind: order.kind,
+      model: order.model,
+      adapter: order.adapter,
+      reason: order.reason,
+      token: state.fencingToken,
+      orderNumber: expectedOrderNumber,
+      outcome,
+      error: answer.isErr() ? answer.error.message : undefined,
+      tookMs: Math.round(clock.nowMs() - sentMs),
+    });
+    metrics.count('orders', {kind: order.kind, outcome});
+    if (outcome === 'accepted') {
+      this.orderNumber = Math.max(this.orderNumber, expectedOrderNumber + 1);
+      return 'done';
+    }
+    if (outcome === 'holds') {
+      // An adapter that goes at once is answered like this, and counts.
+      if (order.kind === 'unload' && order.adapter !== undefined) {
+        this.orderNumber = Math.max(this.orderNumber, expectedOrderNumber + 1);
+      }
+      return 'done';
+    }
+    return outcome === 'unknown' ? 'unknown' : 'refused';
+  }
+
+  private adopt(model: string, adapter: string, nowMs: number): void {
+    const key = adapterKey(model, adapter);
+    if (this.adapters.has(key)) return;
+    this.adapters.set(key, {model, adapter, usedMs: nowMs, readyMs: nowMs});
+  }
+
+  private adoptModels({models}: RunnerRegistration): void {
+    const nowMs = this.options.clock.nowMs();
+    for (const {name, adapters} of models ?? []) {
+      this.models.add(name);
+      for (const adapter of adapters) this.adopt(name, adapter, nowMs);
+    }
+  }
+
+  private endLoad(model: string): void {
+    this.loading = undefined;
+    this.busyUntilMs = 0;
+    this.models.add(model);
+  }
+
+  private enqueue<T>(work: () => Promise<T>): Promise<T> {
+    const next = this.queue.then(work, work);
+    this.queue = next.catch(() => undefined);
+    return next;
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/requests/answerRelay.ts
@@ -0,0 +1,254 @@
+import type {ServerResponse} from 'node:http';
+import type {GatewayContext} from '../context.js';
+import type {RunnerConnection} from '../runners/runnerConnections.js';
+import type {
+  AnswerFacts,
+  AnswerHeaders,
+  DecodedRequest,
+  RoutePolicy,
+} from '../types.js';
+import {
+  Attempt,
+  type AnswerHead,
+  type AttemptMessage,
+  type AttemptObserver,
+} from './attempt.js';
+import {EventSplitter} from './eventSplitter.js';
+import {framingOf, type Framing} from './wholeness.js';
+
+const HAS_NO_BODY_STATUS = new Set([204, 304]);
+
+/** How one sending of a request ended. */
+export type AttemptResult =
+  | {
+      kind: 'delivered';
+      status: number;
+      isSuccess: boolean;
+      firstByteMs: number;
+      canReuse: boolean;
+    }
+  /** The runner's own failure, whole; not yet given to the caller. */
+  | {kind: 'failed'; status: number; headers: AnswerHeaders; body: Buffer}
+  /** The runner vouches that it did not run it. */
+  | {kind: 'rejected'; status: number; canReuse: boolean}
+  /** No connection was established. */
+  | {kind: 'unreached'; error: string}
+  /** It may have run, and no whole answer came. */
+  | {kind: 'broken'; error: string};
+
+export interface AnswerRelayOptions {
+  context: GatewayContext;
+  route: RoutePolicy;
+  response: ServerResponse;
+  decoded: DecodedRequest;
+  startedMs: number;
+}
+
+/** One answer on its way from a runner. */
+interface Incoming {
+  head: AnswerHead;
+  facts: AnswerFacts;
+  framing: Framing;
+  /** Goes on event by event; else it is gathered first. */
+  isStreamed: boolean;
+  chunks: Buffer[];
+  gatheredBytes: number;
+  firstByteMs: number;
+}
+
+/**
+ * Passes answers on: a stream event by event, anything else once it is whole,
+ * so that a caller never takes a part for the whole answer.
+ */
+export class AnswerRelay {
+  hasBegun = false;
+  firstByteMs: number | undefined;
+  lastEventId: string | undefined;
+  private current: {attempt: Attempt; abandon: () => void} | undefined;
+
+  constructor(private readonly options: AnswerRelayOptions) {}
+
+  /** Sends the request and settles when its answer ended, either way. */
+  relay(
+    connection: RunnerConnection,
+    message: AttemptMessage,
+  ): Promise<AttemptResult> {
+    return new Promise(resolve => {
+      const settle = (result: AttemptResult) => {
+        this.current = undefined;
+        if (result.kind === 'broken') connection.destroy();
+        resolve(result);
+      };
+      const observer = this.observe(connection, settle);
+      const attempt = new Attempt(connection, observer);
+      const abandon = () => settle({kind: 'broken', error: 'given up'});
+      this.current = {attempt, abandon};
+      attempt.send(message);
+    });
+  }
+
+  /** Stops the runner's work. Returns whether a request had reached it. */
+  cancel(): boolean {
+    const {current} = this;
+    if (!current) return false;
+    current.attempt.cancel();
+    current.abandon();
+    return current.attempt.mayHaveRun;
+  }
+
+  /** Gives the caller a runner's own failure, as it was. */
+  deliverFailure(result: {
+    status: number;
+    headers: AnswerHeaders;
+    body: Buffer;
+  }): void {
+    this.sendWhole(result.status, result.headers, result.body);
+  }
+
+  private observe(
+    connection: RunnerConnection,
+    settle: (result: AttemptResult) => void,
+  ): AttemptObserver {
+    const splitter = new EventSplitter();
+    const sentMs = this.options.context.clock.nowMs();
+    let incoming: Incoming | undefined;
+    const fail = (error: string) => {
+      this.current?.attempt.cancel();
+      settle({kind: 'broken', error});
+    };
+    return {
+      onHead: head => {
+        incoming = this.judgeHead(head, sentMs);
+        const {requestId} = this.options.decoded.request;
+        const {facts} = incoming;
+        if (facts.requestId !== undefined && facts.requestId !== requestId) {
+          fail('answer of another request');
+        } else if (facts.encoded) {
+          fail('answer is recoded');
+        }
+      },
+      onData: chunk => {
+        if (!incoming) return true;
+        if (incoming.isStreamed) return this.passEvents(splitter, chunk);
+        incoming.gatheredBytes += chunk.length;
+        incoming.chunks.push(chunk);
+        const {maxGatheredBytes} = this.options.context.options;
+        if (incoming.gatheredBytes > maxGatheredBytes) fail('answer too large');
+        return true;
+      },
+      onEnd: () => {
+        if (!incoming) return fail('no answer');
+        if (incoming.framing === 'until-close' && !connection.endedCleanly) {
+          return fail('reset before the end');
+        }
+        settle(this.conclude(incoming, splitter));
+      },
+      onError: error => {
+        if (connection.established) {
+          settle({kind: 'broken', error: error.message});
+        } else {
+          settle({kind: 'unreached', error: error.message});
+        }
+      },
+    };
+  }
+
+  private judgeHead(head: AnswerHead, sentMs: number): Incoming {
+    const {context, route, startedMs} = this.options;
+    const facts = context.codec.decodeAnswer(head.status, head.headers);
+    const isSuccess = head.status < 300 && facts.signed;
+    const nowMs = context.clock.nowMs();
+    const isStreamed = route.kind === 'streaming' && isSuccess;
+    if (isStreamed) {
+      this.firstByteMs ??= Math.round(nowMs - startedMs);
+      this.begin(head);
+    }
+    return {
+      head,
+      facts,
+      framing: framingOf(head.headers),
+      isStreamed,
+      chunks: [],
+      gatheredBytes: 0,
+      firstByteMs: nowMs - sentMs,
+    };
+  }
+
+  /** The first answer's head stays when another runner goes on. */
+  private begin({status, headers}: AnswerHead): void {
+    if (this.hasBegun) return;
+    this.hasBegun = true;
+    const {response, context} = this.options;
+    const passed = context.codec.passedAnswerHeaders(headers);
+    delete passed['content-length'];
+    if (context.isLeaving()) passed['connection'] = 'close';
+    response.writeHead(status, passed);
+    response.flushHeaders();
+  }
+
+  private passEvents(splitter: EventSplitter, chunk: Buffer): boolean {
+    const events = splitter.push(chunk);
+    if (!events) return true;
+    if (events.lastEventId !== undefined) this.lastEventId = events.lastEventId;
+    const {response} = this.options;
+    if (response.write(events.bytes)) return true;
+    const {current} = this;
+    response.once('drain', () => current?.attempt.resume());
+    return false;
+  }
+
+  private conclude(incoming: Incoming, splitter: EventSplitter): AttemptResult {
+    const {head, facts, chunks, isStreamed, firstByteMs} = incoming;
+    const {status, headers} = head;
+    const canReuse = this.canReuse(incoming);
+    if (isStreamed) {
+      if (splitter.pending.length > 0) {
+        return {kind: 'broken', error: 'ended inside an event'};
+      }
+      this.options.response.end();
+      return {
+        kind: 'delivered',
+        status,
+        isSuccess: true,
+        firstByteMs,
+        canReuse,
+      };
+    }
+    const body = Buffer.concat(chunks);
+    if (status < 300) {
+      if (!facts.signed) return {kind: 'broken', error: 'answer is unsigned'};
+      this.firstByteMs = Math.round(firstByteMs);
+      this.sendWhole(status, headers, body);
+      return {
+        kind: 'delivered',
+        status,
+        isSuccess: true,
+        firstByteMs,
+        canReuse,
+      };
+    }
+    if (facts.notExecuted) return {kind: 'rejected', status, canReuse};
+    if (facts.signed) return {kind: 'failed', status, headers, body};
+    return {kind: 'broken', error: `unsigned answer ${status}`};
+  }
+
+  private canReuse({head, framing}: Incoming): boolean {
+    const word = String(head.headers['connection'] ?? '').toLowerCase();
+    return framing !== 'until-close' && !word.includes('close');
+  }
+
+  private sendWhole(
+    status: number,
+    headers: AnswerHeaders,
+    body: Buffer,
+  ): void {
+    const {response, context} = this.options;
+    const passed = context.codec.passedAnswerHeaders(headers);
+    if (!HAS_NO_BODY_STATUS.has(status)) {
+      passed['content-length'] = String(body.length);
+    }
+    if (context.isLeaving()) passed['connection'] = 'close';
+    response.writeHead(status, passed);
+    response.end(body);
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/requests/readBody.ts
@@ -0,0 +1,27 @@
+import type {IncomingMessage} from 'node:http';
+
+/** Why a body couldn't be read. */
+export type BodyProblem = 'too-large' | 'broken-off';
+
+/** Reads a whole body, so that it can be sent to a second runner. */
+export function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | BodyProblem> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > maxBytes) {
+        request.pause();
+        resolve('too-large');
+        return;
+      }
+      chunks.push(chunk);
+    });
+    request.once('end', () => resolve(Buffer.concat(chunks)));
+    request.once('error', () => resolve('broken-off'));
+    request.once('close', () => resolve('broken-off'));
+  });
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -0,0 +1,404 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  chooseRunner,
+  decideRetry,
+  type RetryDecision,
+} from '@banyanfold/decisions';
+import type {Timer} from '@banyanfold/core';
+import type {GatewayContext} from '../context.js';
+import type {
+  DecodedRequest,
+  RoutePolicy,
+  RunnerRegistration,
+} from '../types.js';
+import type {RunnerConnection} from '../runners/runnerConnections.js';
+import {AnswerRelay, type AttemptResult} from './answerRelay.js';
+import {FINAL_STATUS, sendFinalAnswer} from './finalAnswer.js';
+import {pickService} from './pickService.js';
+import {workOf} from './workOf.js';
+
+/** Tries of one request that runners turned away without running it. */
+const MAX_REJECTIONS = 6;
+/** A runner that is full or fetches an adapter is asked again after this. */
+const REJECTION_PAUSE_MS = 25;
+/** Without a copy or a place, look again after this if nothing changes. */
+const PARK_POLL_MS = 100;
+/** A stop of this many ms is no place to begin a wait. */
+const MIN_RETRY_AFTER_MS = 300;
+/** What a refused caller's next try needs after it has come back. */
+const RETRY_AFTER_SHARE = 1 / 3;
+
+export interface RequestRunOptions {
+  context: GatewayContext;
+  request: IncomingMessage;
+  response: ServerResponse;
+  decoded: DecodedRequest;
+  route: RoutePolicy;
+  body: Buffer;
+  /** When the first byte of the request was seen. */
+  startedMs: number;
+}
+
+interface Target {
+  runner: RunnerRegistration;
+  needsAdapter: boolean;
+  reason: string;
+}
+
+/** Carries one request of a caller to its one final answer. */
+export class RequestRun {
+  private readonly deadlineMs: number;
+  private readonly service: string;
+  private readonly work: number;
+  private readonly relay: AnswerRelay;
+  private readonly rejectedBy = new Set<string>();
+  private timer: Timer | undefined;
+  private wake: (() => void) | undefined;
+  private isOver = false;
+  private attemptsMade = 0;
+  private rejections = 0;
+  private mayHaveRun = false;
+
+  constructor(private readonly options: RequestRunOptions) {
+    const {context, route, decoded, startedMs, response} = options;
+    const waitMs = Math.min(
+      route.timeoutMs,
+      decoded.request.deadlineMs ?? route.timeoutMs,
+    );
+    this.deadlineMs = startedMs + waitMs - context.options.deadlineMarginMs;
+    this.service = pickService(route.services, context.random);
+    this.work = workOf(decoded.request);
+    this.relay = new AnswerRelay({
+      context,
+      route,
+      response,
+      decoded,
+      startedMs,
+    });
+    response.once('close', () => this.onCallerClosed());
+  }
+
+  async run(): Promise<void> {
+    const {context, decoded, startedMs} = this.options;
+    const {model, adapter, promptTokens, maxOutputTokens} = decoded.request;
+    if (model !== undefined) {
+      context.demand.noteArrival(model, adapter, promptTokens, maxOutputTokens);
+    }
+    context.retryBudgetOf(this.service).noteAttempt();
+    const leftMs = this.deadlineMs - context.clock.nowMs();
+    this.timer = context.clock.setTimer(leftMs, () => this.onDeadline());
+    while (!this.isOver) await this.step();
+    this.timer.cancel();
+    context.metrics.observeMs('request_ms', context.clock.nowMs() - startedMs, {
+      kind: this.options.route.kind,
+    });
+  }
+
+  private async step(): Promise<void> {
+    const target = this.chooseTarget();
+    if (!target) return this.park();
+    if (target.needsAdapter && !(await this.fetchAdapter(target))) return;
+    if (this.isOver || !this.isStillUsable(target.runner)) return;
+    const result = await this.attempt(target);
+    if (!this.isOver) this.settle(target, result);
+  }
+
+  private chooseTarget(): Target | undefined {
+    const {context, decoded} = this.options;
+    const {model, adapter, promptParts} = decoded.request;
+    const usable = context.view
+      .runnersOf(this.service)
+      .filter(runner => !runner.leaving && this.holds(runner, model));
+    const fresh = usable.filter(r => !this.rejectedBy.has(r.runnerId));
+    const choices = (fresh.length > 0 ? fresh : usable).map(runner => ({
+      runnerId: runner.runnerId,
+      failureDomain: runner.failureDomain,
+      openWork: context.states.openWork(runner.runnerId),
+      hasAdapter: this.hasAdapter(runner.runnerId),
+      isSuspect: context.states.isSuspect(runner.runnerId),
+    }));
+    const key =
+      model === undefined
+        ? ''
+        : `${model}/${adapter ?? ''}/${promptParts[0]?.partId ?? ''}`;
+    const chosen = chooseRunner(choices, key, context.failureDomain);
+    const runner = chosen && context.view.runner(chosen.runnerId);
+    if (!chosen || !runner) return undefined;
+    return {
+      runner,
+      needsAdapter: !this.hasAdapter(runner.runnerId),
+      reason: chosen.reason,
+    };
+  }
+
+  private holds(runner: RunnerRegistration, model?: string): boolean {
+    if (model === undefined) return true;
+    return this.options.context.held.holdsModel(runner.runnerId, model);
+  }
+
+  private hasAdapter(runnerId: string): boolean {
+    const {model, adapter} = this.options.decoded.request;
+    if (model === undefined || adapter === undefined) return true;
+    return this.options.context.held.holdsAdapter(runnerId, model, adapter);
+  }
+
+  /** The view may have changed while an adapter was on its way. */
+  private isStillUsable({runnerId}: RunnerRegistration): boolean {
+    const runner = this.options.context.view.runner(runnerId);
+    return runner !== undefined && !runner.leaving;
+  }
+
+  /** Waits for a copy of the model, or for a runner at all. */
+  private async park(): Promise<void> {
+    const {context, decoded} = this.options;
+    const {model} = decoded.request;
+    const done =
+      model === undefined ? () => {} : context.demand.noteWaiting(model);
+    const unsubscribe = context.view.onChange(() => this.wake?.());
+    await this.pause(PARK_POLL_MS);
+    unsubscribe();
+    done();
+  }
+
+  private pause(delayMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = this.options.context.clock.setTimer(delayMs, resolve);
+      this.wake = () => {
+        timer.cancel();
+        this.wake = undefined;
+        resolve();
+      };
+    });
+  }
+
+  private async fetchAdapter({runner}: Target): Promise<boolean> {
+    const {context, decoded} = this.options;
+    const {model, adapter} = decoded.request;
+    const {runnerId} = runner;
+    const isThere = await context.ensureAdapter({
+      runnerId,
+      model: model!,
+      adapter: adapter!,
+    });
+    if (!isThere && !this.isOver) await this.pause(REJECTION_PAUSE_MS);
+    return isThere;
+  }
+
+  private async attempt({runner, reason}: Target): Promise<AttemptResult> {
+    const {context, decoded, route, request, body} = this.options;
+    const nowMs = context.clock.nowMs();
+    const connection = context.connections.acquire(runner.address);
+    this.logRoute(runner, reason, connection);
+    context.states.noteStart(runner.runnerId, this.service, this.work);
+    const headers = context.codec.encodeAttempt(decoded, {
+      runnerId: runner.runnerId,
+      remainingMs: this.deadlineMs - nowMs,
+      priority:
+        decoded.request.model === undefined ? undefined : route.priority,
+      lastEventId: this.relay.lastEventId,
+    });
+    const result = await this.relay.relay(connection, {
+      method: request.method ?? 'GET',
+      target: request.url ?? '/',
+      headers,
+      body,
+    });
+    context.states.noteEnd(runner.runnerId, this.work);
+    if (result.kind === 'delivered' || result.kind === 'rejected') {
+      if (result.canReuse) {
+        context.connections.release(runner.address, connection);
+      } else {
+        connection.destroy();
+      }
+    }
+    return result;
+  }
+
+  private logRoute(
+    runner: RunnerRegistration,
+    reason: string,
+    connection: RunnerConnection,
+  ): void {
+    const {context, decoded, route, startedMs} = this.options;
+    const nowMs = context.clock.nowMs();
+    context.logger.info('route', {
+      request: decoded.request.requestId,
+      route: route.name,
+      runner: runner.runnerId,
+      attempt: this.attemptsMade + 1,
+      rejections: this.rejections,
+      reason,
+      openWork: context.states.openWork(runner.runnerId).toFixed(1),
+      heartbeat: runner.heartbeatNumber,
+      config: context.view.current?.version,
+      leftMs: Math.round(this.deadlineMs - nowMs),
+      waitedMs: Math.round(nowMs - startedMs),
+      reused: connection.used,
+    });
+  }
+
+  private settle(target: Target, result: AttemptResult): void {
+    const {context} = this.options;
+    const {runnerId} = target.runner;
+    switch (result.kind) {
+      case 'delivered':
+        context.states.noteOutcome(
+          runnerId,
+          result.isSuccess,
+          result.firstByteMs,
+        );
+        this.finish('answered', result.status);
+        return;
+      case 'unreached':
+        context.states.noteUnreachable(runnerId, this.service);
+        this.again(target, result);
+        return;
+      case 'rejected':
+        this.noteRejection(target, result.status);
+        this.again(target, result);
+        return;
+      case 'failed':
+      case 'broken':
+        this.attemptsMade += 1;
+        this.mayHaveRun = true;
+        context.states.noteOutcome(runnerId, false);
+        this.again(target, result);
+        return;
+      default:
+        result satisfies never;
+    }
+  }
+
+  private noteRejection({runner, needsAdapter}: Target, status: number): void {
+    const {context, decoded} = this.options;
+    const {model, adapter} = decoded.request;
+    const isAbsent = status === 421;
+    if (isAbsent && model !== undefined) {
+      context.held.noteAbsent(
+        runner.runnerId,
+        model,
+        needsAdapter || adapter !== undefined ? adapter : undefined,
+      );
+    }
+  }
+
+  /** Tries once more where that is allowed and helps, or ends the request. */
+  private again({runner}: Target, result: AttemptResult): void {
+    const {context, route, decoded} = this.options;
+    const wasTurnedAway =
+      result.kind === 'rejected' || result.kind === 'unreached';
+    if (wasTurnedAway) this.rejections += 1;
+    this.rejectedBy.add(runner.runnerId);
+    const budget = context.retryBudgetOf(this.service);
+    const decision: RetryDecision = decideRetry(
+      {
+        attemptsMade: this.attemptsMade,
+        budgetTokens: result.kind === 'unreached' ? 1 : budget.available,
+        firstByteSent: this.relay.hasBegun && !route.resumable,
+        allNeverStarted: !this.mayHaveRun,
+        repeatable: route.kind === 'idempotent' || route.resumable,
+        remainingBudgetMs: this.deadlineMs - context.clock.nowMs(),
+      },
+      context.clock.nowMs(),
+      {
+        maxAttempts: route.maxAttempts,
+        baseDelayMs: wasTurnedAway ? REJECTION_PAUSE_MS : 0,
+        maxDelayMs: REJECTION_PAUSE_MS,
+        minRemainingMs: context.options.minAttemptMs,
+      },
+      context.random,
+    );
+    const isExhausted = this.rejections > MAX_REJECTIONS;
+    context.logger.info('retry', {
+      request: decoded.request.requestId,
+      runner: runner.runnerId,
+      after: result.kind,
+      status: 'status' in result ? result.status : undefined,
+      error: 'error' in result ? result.error : undefined,
+      decision: isExhausted ? 'stop' : decision.kind,
+      reason: isExhausted ? 'turned-away-too-often' : decision.reason,
+      mayHaveRun: this.mayHaveRun,
+    });
+    if (decision.kind === 'stop' || isExhausted) {
+      this.fail(result);
+      return;
+    }
+    if (result.kind !== 'unreached') budget.tryTake();
+    context.metrics.count('retries', {after: result.kind});
+  }
+
+  private fail(result: AttemptResult): void {
+    const {response} = this.options;
+    if (result.kind === 'failed' && !this.relay.hasBegun) {
+      this.relay.deliverFailure(result);
+      this.finish('runner-failure', result.status);
+      return;
+    }
+    if (this.relay.hasBegun) {
+      response.destroy();
+      this.finish('cut', 0);
+      return;
+    }
+    if (this.mayHaveRun) this.answer(FINAL_STATUS.unknown, 'runner-failed');
+    else this.refuse('no-place');
+  }
+
+  private refuse(reason: string): void {
+    const leftMs = this.deadlineMs - this.options.context.clock.nowMs();
+    const retryAfterMs = Math.max(
+      MIN_RETRY_AFTER_MS,
+      Math.min(leftMs * RETRY_AFTER_SHARE, MIN_RETRY_AFTER_MS * 2),
+    );
+    this.answer(FINAL_STATUS.notRun, reason, retryAfterMs);
+  }
+
+  private answer(status: number, reason: string, retryAfterMs?: number): void {
+    const {response, context} = this.options;
+    this.finish(reason, status);
+    sendFinalAnswer(
+      response,
+      {status, reason, retryAfterMs},
+      context.isLeaving(),
+    );
+  }
+
+  private onDeadline(): void {
+    if (this.isOver) return;
+    const wasSent = this.relay.cancel();
+    if (this.relay.hasBegun) {
+      this.options.response.destroy();
+      this.finish('cut-at-deadline', 0);
+      return;
+    }
+    if (wasSent || this.mayHaveRun) {
+      this.answer(FINAL_STATUS.timeout, 'timeout');
+    } else {
+      this.answer(FINAL_STATUS.notRun, 'no-copy-in-time', MIN_RETRY_AFTER_MS);
+    }
+  }
+
+  private onCallerClosed(): void {
+    if (this.isOver || this.options.response.writableFinished) return;
+    this.relay.cancel();
+    this.finish('caller-left', 0);
+  }
+
+  private finish(outcome: string, status: number): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    this.wake?.();
+    const {context, decoded, route, startedMs} = this.options;
+    context.metrics.count('requests', {kind: route.kind, outcome});
+    context.logger.info('request-end', {
+      request: decoded.request.requestId,
+      route: route.name,
+      outcome,
+      status,
+      attempts: this.attemptsMade,
+      rejections: this.rejections,
+      mayHaveRun: this.mayHaveRun,
+      firstByteMs: this.relay.firstByteMs,
+      totalMs: Math.round(context.clock.nowMs() - startedMs),
+    });
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/runners/heldCopies.ts
@@ -0,0 +1,75 @@
+import type {FleetView} from '../view/fleetView.js';
+
+/** What one runner holds, as the holder of orders last told. */
+export interface ToldCopies {
+  models: ReadonlySet<string>;
+  adapters: Set<string>;
+}
+
+/** @example adapterKey('m1', 'a3') // 'm1/a3' */
+export function adapterKey(model: string, adapter: string): string {
+  return `${model}/${adapter}`;
+}
+
+/**
+ * What runners hold. The holder of orders knows first, because it gives them;
+ * registrations tell the same a heartbeat later and serve while none is heard.
+ */
+export class HeldCopies {
+  private readonly told = new Map<string, ToldCopies>();
+  private toldAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly view: FleetView,
+    private readonly nowMs: () => number,
+    /** What the holder told counts this long without its saying it again. */
+    private readonly freshMs: number,
+  ) {}
+
+  holdsModel(runnerId: string, model: string): boolean {
+    const told = this.toldOf(runnerId);
+    if (told) return told.models.has(model);
+    return this.registered(runnerId, model) !== undefined;
+  }
+
+  holdsAdapter(runnerId: string, model: string, adapter: string): boolean {
+    const told = this.toldOf(runnerId);
+    if (told) return told.adapters.has(adapterKey(model, adapter));
+    return (
+      this.registered(runnerId, model)?.adapters.includes(adapter) ?? false
+    );
+  }
+
+  /** Replaces all that was told. */
+  tell(copies: ReadonlyMap<string, ToldCopies>): void {
+    this.toldAtMs = this.nowMs();
+    this.told.clear();
+    for (const [runnerId, held] of copies) this.told.set(runnerId, held);
+  }
+
+  noteAdapter(runnerId: string, model: string, adapter: string): void {
+    this.told.get(runnerId)?.adapters.add(adapterKey(model, adapter));
+  }
+
+  /** A runner said that something isn't there after all. */
+  noteAbsent(runnerId: string, model: string, adapter?: string): void {
+    const told = this.told.get(runnerId);
+    if (!told) return;
+    if (adapter !== undefined) {
+      told.adapters.delete(adapterKey(model, adapter));
+      return;
+    }
+    const models = new Set(told.models);
+    models.delete(model);
+    this.told.set(runnerId, {...told, models});
+  }
+
+  private toldOf(runnerId: string): ToldCopies | undefined {
+    if (this.nowMs() - this.toldAtMs > this.freshMs) return undefined;
+    return this.told.get(runnerId);
+  }
+
+  private registered(runnerId: string, model: string) {
+    return this.view.runner(runnerId)?.models?.find(({name}) => name === model);
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/runners/runnerConnections.ts
@@ -0,0 +1,134 @@
+import type {Clock} from '@banyanfold/core';
+import type {Socket} from 'node:net';
+import {buildConnector, Client, type Dispatcher} from 'undici';
+import type {GatewayOptions} from '../options.js';
+
+const NEVER_MS = 0;
+/** A runner's word of its idle timeout is kept to with this much to spare. */
+const IDLE_MARGIN_MS = 300;
+
+/** One connection to a runner; it carries one request at a time. */
+export class RunnerConnection {
+  readonly client: Client;
+  /** True once the connection has ever been established. */
+  established = false;
+  /** True when it was used for a request before this one. */
+  used = false;
+  closed = false;
+  idleSinceMs = 0;
+  private socket: Socket | undefined;
+
+  constructor(address: string, options: GatewayOptions) {
+    const connect = buildConnector({timeout: options.connectTimeoutMs});
+    this.client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: NEVER_MS,
+      bodyTimeout: NEVER_MS,
+      keepAliveTimeout: options.runnerIdleMs,
+      keepAliveMaxTimeout: options.runnerIdleMs,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      connect: (target, done) => {
+        connect(target, (error, socket) => {
+          if (error || !socket) {
+            done(error ?? new Error('no socket'), null);
+            return;
+          }
+          this.established = true;
+          this.socket = socket;
+          done(null, socket);
+        });
+      },
+    });
+    this.client.on('disconnect', () => {
+      this.closed = true;
+    });
+  }
+
+  /**
+   * An answer without a length ends with its connection. The client takes a
+   * reset for such an end too; the caller would get the first part of an
+   * answer as a whole one. Only an end without an error is whole.
+   */
+  get endedCleanly(): boolean {
+    return this.socket !== undefined && this.socket.errored === null;
+  }
+
+  dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): void {
+    this.client.dispatch(options, handler);
+  }
+
+  destroy(): void {
+    if (this.closed) return;
+    this.closed = true;
+    void this.client.destroy().catch(() => {
+      // Destroying fails only for a client that is destroyed already.
+    });
+  }
+}
+
+/** Kept connections to each runner address. */
+export class RunnerConnections {
+  private readonly idle = new Map<string, RunnerConnection[]>();
+  opened = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly options: GatewayOptions,
+  ) {}
+
+  /** The connection that rested longest, or a new one. */
+  acquire(address: string): RunnerConnection {
+    const nowMs = this.clock.nowMs();
+    const resting = this.idle.get(address);
+    while (resting && resting.length > 0) {
+      const oldest = resting[0]!;
+      if (!oldest.closed && this.restedMs(oldest, nowMs) < this.minRestMs) {
+        break;
+      }
+      resting.shift();
+      if (oldest.closed) continue;
+      if (this.restedMs(oldest, nowMs) < this.options.runnerIdleMs) {
+        return oldest;
+      }
+      oldest.destroy();
+    }
+    this.opened += 1;
+    return new RunnerConnection(address, this.options);
+  }
+
+  /** Gives a connection back after a whole answer. */
+  release(address: string, connection: RunnerConnection): void {
+    if (connection.closed) return;
+    connection.used = true;
+    connection.idleSinceMs = this.clock.nowMs();
+    const resting = this.idle.get(address);
+    if (resting) resting.push(connection);
+    else this.idle.set(address, [connection]);
+  }
+
+  /** Closes what rests longer than connections are kept. */
+  closeIdle(): void {
+    const nowMs = this.clock.nowMs();
+    for (const [address, resting] of this.idle) {
+      const kept = resting.filter(connection => {
+        const isOld =
+          this.restedMs(connection, nowMs) >= this.options.runnerIdleMs;
+        if (isOld) connection.destroy();
+        return !connection.closed;
+      });
+      if (kept.length === 0) this.idle.delete(address);
+      else this.idle.set(address, kept);
+    }
+  }
+
+  private get minRestMs(): number {
+    return this.options.reuseRestMs;
+  }
+
+  private restedMs(connection: RunnerConnection, nowMs: number): number {
+    return nowMs - connection.idleSinceMs;
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -0,0 +1,180 @@
+import type {Clock, Logger} from '@banyanfold/core';
+import {decideEjections, type RunnerOutcomes} from '@banyanfold/decisions';
+import type {GatewayOptions} from '../options.js';
+import type {ServerLoad} from '../types.js';
+
+/** Outcomes older than this say nothing of a runner's state now. */
+const OUTCOME_WINDOW_MS = 4_000;
+/** A fault of a runner lasts some seconds; then it is tried again. */
+const EJECTION_MS = 2_500;
+const EJECTION_OPTIONS = {
+  minOutcomes: 5,
+  minPeers: 3,
+  failureMargin: 0.25,
+  slowFactor: 6,
+  slowMarginMs: 400,
+  maxEjectedShare: 0.4,
+  ejectionMs: EJECTION_MS,
+};
+
+interface Outcome {
+  atMs: number;
+  isSuccess: boolean;
+  firstTokenMs: number;
+}
+
+interface RunnerState {
+  service: string;
+  openWork: number;
+  openRequests: number;
+  peersWork: number;
+  unreachableUntilMs: number;
+  pauseMs: number;
+  ejectedUntilMs: number;
+  outcomes: Outcome[];
+  load?: ServerLoad;
+}
+
+/** What this process has seen of each runner's load and health. */
+export class RunnerStates {
+  private readonly states = new Map<string, RunnerState>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly options: GatewayOptions,
+  ) {}
+
+  /** Work open there: this process's own and, as last heard, its peers'. */
+  openWork(runnerId: string): number {
+    const state = this.states.get(runnerId);
+    return state ? state.openWork + state.peersWork : 0;
+  }
+
+  ownOpenWork(): Record<string, number> {
+    const open: Record<string, number> = {};
+    for (const [runnerId, {openWork}] of this.states) {
+      if (openWork > 0) open[runnerId] = openWork;
+    }
+    return open;
+  }
+
+  isSuspect(runnerId: string): boolean {
+    const state = this.states.get(runnerId);
+    if (!state) return false;
+    const nowMs = this.clock.nowMs();
+    return state.unreachableUntilMs > nowMs || state.ejectedUntilMs > nowMs;
+  }
+
+  noteStart(runnerId: string, service: string, work: number): void {
+    const state = this.of(runnerId, service);
+    state.openWork += work;
+    state.openRequests += 1;
+  }
+
+  noteEnd(runnerId: string, work: number): void {
+    const state = this.states.get(runnerId);
+    if (!state) return;
+    state.openWork = Math.max(0, state.openWork - work);
+    state.openRequests -= 1;
+  }
+
+  notePeersWork(work: Readonly<Record<string, number>>): void {
+    for (const [runnerId, state] of this.states) {
+      state.peersWork = work[runnerId] ?? 0;
+    }
+    for (const [runnerId, peersWork] of Object.entries(work)) {
+      this.of(runnerId, '').peersWork = peersWork;
+    }
+  }
+
+  noteLoad(runnerId: string, load: ServerLoad): void {
+    const state = this.states.get(runnerId);
+    if (state) state.load = load;
+  }
+
+  /** A connection couldn't be established; the pause doubles each time. */
+  noteUnreachable(runnerId: string, service: string): void {
+    const state = this.of(runnerId, service);
+    const {unreachablePauseMs, unreachablePauseCapMs} = this.options;
+    state.pauseMs = Math.min(
+      Math.max(state.pauseMs * 2, unreachablePauseMs),
+      unreachablePauseCapMs,
+    );
+    state.unreachableUntilMs = this.clock.nowMs() + state.pauseMs;
+    this.logger.warn('runner-unreachable', {
+      runner: runnerId,
+      pauseMs: state.pauseMs,
+    });
+  }
+
+  noteOutcome(runnerId: string, isSuccess: boolean, firstTokenMs = 0): void {
+    const state = this.states.get(runnerId);
+    if (!state) return;
+    const atMs = this.clock.nowMs();
+    state.outcomes.push({atMs, isSuccess, firstTokenMs});
+    if (!isSuccess) return;
+    state.pauseMs = 0;
+    state.unreachableUntilMs = 0;
+  }
+
+  /** Compares runners of a service and sets aside those that stand out. */
+  judge(): void {
+    const nowMs = this.clock.nowMs();
+    const outcomes: RunnerOutcomes[] = [];
+    for (const [vmId, state] of this.states) {
+      const oldestMs = nowMs - OUTCOME_WINDOW_MS;
+      state.outcomes = state.outcomes.filter(({atMs}) => atMs >= oldestMs);
+      const successes = state.outcomes.filter(({isSuccess}) => isSuccess);
+      outcomes.push({
+        vmId,
+        successes: successes.length,
+        failures: state.outcomes.length - successes.length,
+        firstTokenMs: medianOf(successes.map(({firstTokenMs}) => firstTokenMs)),
+        ejectedUntilMs: state.ejectedUntilMs,
+        peerGroup: state.service,
+      });
+    }
+    const {ejected} = decideEjections(outcomes, nowMs, EJECTION_OPTIONS);
+    for (const {vmId, untilMs, reason} of ejected) {
+      const state = this.states.get(vmId)!;
+      state.ejectedUntilMs = untilMs;
+      state.outcomes = [];
+      this.logger.warn('runner-ejected', {runner: vmId, reason});
+    }
+  }
+
+  /** Forgets runners that are gone and carry nothing. */
+  keepOnly(isKnown: (runnerId: string) => boolean): void {
+    for (const [runnerId, {openRequests}] of this.states) {
+      if (openRequests === 0 && !isKnown(runnerId)) {
+        this.states.delete(runnerId);
+      }
+    }
+  }
+
+  private of(runnerId: string, service: string): RunnerState {
+    let state = this.states.get(runnerId);
+    if (!state) {
+      state = {
+        service,
+        openWork: 0,
+        openRequests: 0,
+        peersWork: 0,
+        unreachableUntilMs: 0,
+        pauseMs: 0,
+        ejectedUntilMs: 0,
+        outcomes: [],
+      };
+      this.states.set(runnerId, state);
+    }
+    if (service !== '') state.service = service;
+    return state;
+  }
+}
+
+function medianOf(values: number[]): number {
+  if (values.length === 0) return 0;
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor(sorted.length / 2)]!;
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -0,0 +1,252 @@
+import type {BanyanfoldError} from '@banyanfold/core';
+import type {Result} from 'neverthrow';
+
+/**
+ * What the gateway knows and the ports through which it knows it. An adapter
+ * fills the ports; nothing here depends on how a deployment spells its wire.
+ */
+
+/** What may be repeated, by kind of route. */
+export type RouteKind = 'idempotent' | 'non-idempotent' | 'streaming';
+
+export interface ServiceShare {
+  service: string;
+  weight: number;
+}
+
+export interface RoutePolicy {
+  name: string;
+  host: string;
+  /** Begins and ends with a slash. */
+  pathPrefix: string;
+  kind: RouteKind;
+  /** The longest that a caller is kept waiting. */
+  timeoutMs: number;
+  /** First token or whole answer within this earns the full value. */
+  targetMs: number;
+  /** 0 is the most urgent. */
+  priority: number;
+  services: readonly ServiceShare[];
+  /** Runners that one request may be sent to. */
+  maxAttempts: number;
+  /** A stream may go on at another runner. */
+  resumable: boolean;
+  /** The longest pause between events; undefined where nothing streams. */
+  pauseTargetMs?: number;
+}
+
+export interface ModelSpec {
+  name: string;
+  weightsMb: number;
+  adapterMb: number;
+  /** Time of a load from the weight store, from disk and from memory. */
+  storeLoadMs: number;
+  diskLoadMs: number;
+  memoryLoadMs: number;
+}
+
+/** What the runners of a service can hold and run. */
+export interface EngineSpec {
+  slots: number;
+  kvCapacityTokens: number;
+  weightsMb: number;
+  adapterSlots: number;
+  /** Loads a second that the weight store allows over all runners. */
+  loadsPerSecond: number;
+  models: ReadonlyMap<string, ModelSpec>;
+}
+
+export interface ServiceSpec {
+  name: string;
+  /** Undefined for a plain service. */
+  engine?: EngineSpec;
+}
+
+/** Bounds on what callers send. */
+export interface CallerLimits {
+  maxHeaderBytes: number;
+  maxBodyBytes: number;
+  headerTimeoutMs: number;
+  idleTimeoutMs: number;
+}
+
+export interface FleetConfig {
+  version: number;
+  routes: readonly RoutePolicy[];
+  services: ReadonlyMap<string, ServiceSpec>;
+  limits: CallerLimits;
+}
+
+export interface HeldModel {
+  name: string;
+  version: number;
+  adapters: readonly string[];
+}
+
+/** What a runner says of itself in its registration. */
+export interface RunnerRegistration {
+  /** One start of a runner; never used again. */
+  runnerId: string;
+  service: string;
+  address: string;
+  failureDomain: string;
+  slots: number;
+  leaving: boolean;
+  /** Time until it is gone, where it was told at short notice. */
+  remainingMs?: number;
+  /** Undefined at a plain service. */
+  models?: readonly HeldModel[];
+  /** Rises with each heartbeat; an older one says nothing new. */
+  heartbeatNumber: number;
+}
+
+/** What a runner reports about its load, some hundred ms late. */
+export interface RunnerReport {
+  models: readonly HeldModel[];
+  /** Adapters that are being fetched, as model and name. */
+  pendingAdapters: ReadonlyArray<{model: string; adapter: string}>;
+  busy: boolean;
+  /** Orders accepted since its start. */
+  orderNumber: number;
+  running: number;
+  queued: number;
+  kvUsedTokens: number;
+  kvTotalTokens: number;
+  inMemory: readonly string[];
+  onDisk: readonly string[];
+}
+
+export type OrderKind = 'load' | 'unload';
+
+export interface RunnerOrder {
+  kind: OrderKind;
+  model: string;
+  /** Undefined for an order on the model itself. */
+  adapter?: string;
+  /** Refused when the runner has accepted another number of orders. */
+  expectedOrderNumber?: number;
+  holder: string;
+  fencingToken: number;
+}
+
+export type OrderOutcome =
+  'accepted' | 'holds' | 'conflict' | 'fenced' | 'invalid' | 'other-runner';
+
+export interface PromptPart {
+  partId: string;
+  tokens: number;
+}
+
+/** A caller's request as far as routing reads it. */
+export interface InferenceRequest {
+  requestId?: string;
+  model?: string;
+  adapter?: string;
+  promptTokens: number;
+  maxOutputTokens: number;
+  promptParts: readonly PromptPart[];
+  /** How long the caller waits; undefined when it doesn't say. */
+  deadlineMs?: number;
+  /** The last event that the caller has of a stream it resumes. */
+  lastEventId?: string;
+}
+
+export interface DecodedRequest {
+  request: InferenceRequest;
+  /** Name and value by turns: what goes on to the runner unchanged. */
+  passedHeaders: string[];
+}
+
+/** What the gateway adds to one attempt. */
+export interface AttemptFields {
+  runnerId: string;
+  remainingMs: number;
+  priority?: number;
+  lastEventId?: string;
+}
+
+export interface ServerLoad {
+  running: number;
+  waiting: number;
+  slots: number;
+}
+
+/** What an answer's head says. */
+export interface AnswerFacts {
+  requestId?: string;
+  /** The runner vouches that the answer is its own. */
+  signed: boolean;
+  /** The runner vouches that it did not run the request. */
+  notExecuted: boolean;
+  /** The body was recoded on the way, so it isn't the runner's. */
+  encoded: boolean;
+  load?: ServerLoad;
+}
+
+export type AnswerHeaders = Record<string, string | string[] | undefined>;
+
+/** Translates between the wire's headers and the gateway's fields. */
+export interface RequestCodec {
+  decodeRequest(rawHeaders: readonly string[]): DecodedRequest;
+  encodeAttempt(decoded: DecodedRequest, fields: AttemptFields): string[];
+  decodeAnswer(status: number, headers: AnswerHeaders): AnswerFacts;
+  /** What of an answer's head goes on to the caller. */
+  passedAnswerHeaders(headers: AnswerHeaders): AnswerHeaders;
+}
+
+/** Calls to a runner that are no requests of callers. */
+export interface RunnerControl {
+  /** An error says that the order may still be carried out. */
+  order(
+    runnerId: string,
+    address: string,
+    order: RunnerOrder,
+  ): Promise<Result<OrderOutcome, BanyanfoldError>>;
+  report(address: string): Promise<Result<RunnerReport, BanyanfoldError>>;
+}
+
+/** Where a configuration or a registration comes from. */
+export interface FleetSource {
+  start(handlers: FleetHandlers): void;
+  stop(): void;
+}
+
+export interface FleetHandlers {
+  onConfig(config: FleetConfig): void;
+  onRegistration(registration: RunnerRegistration): void;
+  onRemoval(runnerId: string): void;
+  /** The source has been read to its end once. */
+  onCaughtUp(): void;
+}
+
+/** The state of the lease on giving orders, as this process knows it. */
+export interface LeaseState {
+  isHolder: boolean;
+  /** Rises with each change of holder. */
+  fencingToken: number;
+  /** Address of the holder's internal listener, where one is known. */
+  holderAddress?: string;
+}
+
+export interface LeaseAnswer {
+  /** Rises with each change of the group. */
+  generation: number;
+  owns: boolean;
+}
+
+/** The group among whose members the store deals the one lease. */
+export interface LeaseStore {
+  join(generation: number): Promise<Result<LeaseAnswer, BanyanfoldError>>;
+  leave(): Promise<Result<void, BanyanfoldError>>;
+  /** Address of the member that has it; undefined while none has. */
+  owner(): Promise<Result<string | undefined, BanyanfoldError>>;
+}
+
+export interface LeaseSource {
+  start(): void;
+  /** Checked right before each order: false once the lease may have lapsed. */
+  current(): LeaseState;
+  /** Asks again who holds it, for one that met no answer there. */
+  refreshHolder(): void;
+  release(): Promise<void>;
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -0,0 +1,142 @@
+import type {Clock, Logger} from '@banyanfold/core';
+import type {
+  FleetConfig,
+  FleetHandlers,
+  RoutePolicy,
+  RunnerRegistration,
+} from '../types.js';
+import {RouteTable} from './routeTable.js';
+
+/** How long the last heartbeat number of a removed runner is kept. */
+const REMOVED_MEMORY_MS = 600_000;
+
+interface RemovedRunner {
+  heartbeatNumber: number;
+  atMs: number;
+}
+
+/** What this process believes of the configuration and the runners. */
+export class FleetView implements FleetHandlers {
+  private config: FleetConfig | undefined;
+  private routeTable = new RouteTable([]);
+  private readonly runners = new Map<string, RunnerRegistration>();
+  private readonly removed = new Map<string, RemovedRunner>();
+  private readonly listeners = new Set<() => void>();
+  private caughtUp = false;
+  /** When the configuration and the runners were last heard of. */
+  configAtMs = 0;
+  runnersAtMs = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  get current(): FleetConfig | undefined {
+    return this.config;
+  }
+
+  get isReady(): boolean {
+    return this.config !== undefined && this.caughtUp;
+  }
+
+  route(host: string, path: string): RoutePolicy | undefined {
+    return this.routeTable.find(host, path);
+  }
+
+  runner(runnerId: string): RunnerRegistration | undefined {
+    return this.runners.get(runnerId);
+  }
+
+  allRunners(): IterableIterator<RunnerRegistration> {
+    return this.runners.values();
+  }
+
+  runnersOf(service: string): RunnerRegistration[] {
+    return [...this.runners.values()].filter(
+      runner => runner.service === service,
+    );
+  }
+
+  /** Called after each change of the view. */
+  onChange(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /**
+   * A replayed record would bring back a version that was replaced, and
+   * callers would be routed by it; only a higher version is taken.
+   */
+  onConfig(config: FleetConfig): void {
+    this.configAtMs = this.clock.nowMs();
+    if (this.config && config.version <= this.config.version) return;
+    this.config = config;
+    this.routeTable = new RouteTable(config.routes);
+    this.logger.info('config', {
+      version: config.version,
+      routes: config.routes.length,
+    });
+    this.changed();
+  }
+
+  /**
+   * A late or replayed heartbeat would revive a runner that left, and requests
+   * would go to whoever has its address now; only a higher number counts.
+   */
+  onRegistration(registration: RunnerRegistration): void {
+    const {runnerId, heartbeatNumber} = registration;
+    this.runnersAtMs = this.clock.nowMs();
+    const known = this.runners.get(runnerId);
+    const lastNumber =
+      known?.heartbeatNumber ?? this.removed.get(runnerId)?.heartbeatNumber;
+    if (lastNumber !== undefined && heartbeatNumber <= lastNumber) return;
+    // What is leaving never comes back within the same start of a runner.
+    const leaving = registration.leaving || (known?.leaving ?? false);
+    this.runners.set(runnerId, {...registration, leaving});
+    this.removed.delete(runnerId);
+    if (!known || known.leaving !== leaving) {
+      this.logger.info('runner', {
+        runner: runnerId,
+        service: registration.service,
+        address: registration.address,
+        leaving,
+        remainingMs: registration.remainingMs,
+        heartbeat: heartbeatNumber,
+      });
+    }
+    this.changed();
+  }
+
+  onRemoval(runnerId: string): void {
+    const nowMs = this.clock.nowMs();
+    this.runnersAtMs = nowMs;
+    const known = this.runners.get(runnerId);
+    if (!known) return;
+    this.runners.delete(runnerId);
+    this.forgetOldRemovals(nowMs);
+    this.removed.set(runnerId, {
+      heartbeatNumber: known.heartbeatNumber,
+      atMs: nowMs,
+    });
+    this.logger.info('runner-removed', {runner: runnerId});
+    this.changed();
+  }
+
+  onCaughtUp(): void {
+    if (this.caughtUp) return;
+    this.caughtUp = true;
+    this.logger.info('runners-known', {runners: this.runners.size});
+    this.changed();
+  }
+
+  private changed(): void {
+    for (const listener of this.listeners) listener();
+  }
+
+  private forgetOldRemovals(nowMs: number): void {
+    for (const [runnerId, {atMs}] of this.removed) {
+      if (nowMs - atMs > REMOVED_MEMORY_MS) this.removed.delete(runnerId);
+    }
+  }
+}
--- a/packages/banyanfold-platform/src/retryBudget.ts
+++ b/packages/banyanfold-log/src/retryBudget.ts
@@ -46,6 +46,12 @@
     this.add(this.options.tokensPerAttempt);
   }
 
+  /** Whole retries that are left. */
+  get available(): number {
+    this.refill();
+    return Math.floor(this.tokens);
+  }
+
   /** Takes a retry out of the budget, or says that there is none. */
   tryTake(): boolean {
     this.refill();
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -12,6 +12,8 @@
     const role = folder.slice(PACKAGE_PREFIX.length);
     aliases[`@banyanfold/${role}`] = `${root}${folder}/src/index.ts`;
   }
+  const platform = new URL('./platform/src/index.ts', import.meta.url);
+  aliases['@banyanfold/platform'] = fileURLToPath(platform);
   return aliases;
 }
 
@@ -20,6 +22,7 @@
   test: {
     include: [
       'packages/*/src/**/__tests__/**/*.test.ts',
+      'platform/src/**/__tests__/**/*.test.ts',
       'bench/src/**/__tests__/**/*.test.ts',
     ],
     pool: 'forks',
