--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,15 @@
 
 /** Rules follow the Google TypeScript Style Guide; layout is prettier's. */
 export default tseslint.config(
-  {ignores: ['**/lib/**', '**/node_modules/**', 'coverage/**', 'target/**', 'journal/**']},
+  {
+    ignores: [
+      '**/lib/**',
+      '**/node_modules/**',
+      'coverage/**',
+      'target/**',
+      'journal/**',
+    ],
+  },
   ...tseslint.configs.recommended,
   {
     files: ['**/*.ts', '**/*.mjs', '**/*.js'],
--- a/packages/banyanfold-agent/src/agentContext.ts
+++ b/packages/banyanfold-agent/src/agentContext.ts
@@ -3,11 +3,7 @@
   type Plugin,
   type PluginContext,
 } from '@banyanfold/core';
-import type {
-  ConfigFollower,
-  LogService,
-  Retirements,
-} from '@banyanfold/log';
+import type {ConfigFollower, LogService, Retirements} from '@banyanfold/log';
 import type {AttemptContext} from './attempts/attemptContext.js';
 import type {AttemptSealer} from './attempts/attemptSealer.js';
 import type {AttemptServer} from './attempts/attemptServer.js';
