--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -101,6 +101,7 @@
       options,
       holder: address,
       loadRate: new LoadRate(settings.bounds.loadWindowMs),
+      isLeaving: () => this.isLeaving,
     });
     this.link = new HolderLink({
       clock,
@@ -179,6 +180,8 @@
     const endMs = startedMs + settings.bounds.graceMs - graceMarginMs;
     while (clock.nowMs() < endMs) {
       const isNoticed = clock.nowMs() - startedMs >= noticeMs;
+      // A caller that comes back after a refusal needs time at another entry.
+      if (isNoticed) this.callers.refuseUnsent();
       if (isNoticed) this.callers.closeIdleConnections();
       if (isNoticed && this.callers.openRequests === 0) break;
       await new Promise<void>(resolve => {
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -26,6 +26,7 @@
 /** Takes callers' requests and carries each to its answer. */
 export class GatewayServer {
   readonly server: Server;
+  private readonly runs = new Set<RequestRun>();
   openRequests = 0;
 
   constructor(private readonly context: GatewayContext) {
@@ -55,6 +56,11 @@
     this.server.closeIdleConnections();
   }
 
+  /** Refuses what waits here, so that it can go to another entry. */
+  refuseUnsent(): void {
+    for (const run of this.runs) run.refuseUnsent();
+  }
+
   stopAccepting(): void {
     this.server.close();
   }
@@ -110,7 +116,9 @@
       body,
       startedMs,
     });
+    this.runs.add(run);
     await run.run();
+    this.runs.delete(run);
   }
 
   private headProblem(request: IncomingMessage): number | undefined {
--- a/packages/banyanfold-gateway/src/index.ts
+++ b/packages/banyanfold-gateway/src/index.ts
@@ -2,3 +2,4 @@
 export * from './options.js';
 export * from './placement/leaseKeeper.js';
 export * from './types.js';
+export * from './peers/peerClient.js';
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -108,6 +108,7 @@
       copies.set(runner.runnerId, {
         models: new Set(runner.models),
         adapters: new Set(runner.adapters),
+        isBusy: runner.isBusy,
       });
       peersWork[runner.runnerId] = runner.peersWork;
     }
--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -1,6 +1,6 @@
 import {createTRPCClient, httpLink} from '@trpc/client';
 import {fetch, Pool} from 'undici';
-import type {PeerRouter} from './peerContract.js';
+import type {LastOrder, PeerRouter} from './peerContract.js';
 
 const CONNECTIONS = 4;
 
@@ -29,3 +29,19 @@
 }
 
 export type PeerClient = ReturnType<typeof createPeerClient>;
+
+/** Asks a former holder for its last order; undefined without an answer. */
+export async function askLastOrder(
+  address: string,
+  timeoutMs: number,
+): Promise<LastOrder | undefined> {
+  const peer = createPeerClient(address, timeoutMs);
+  try {
+    return await peer.client.lastOrder.query();
+  } catch {
+    // No answer is the finding: the former holder is out of reach.
+    return undefined;
+  } finally {
+    peer.close();
+  }
+}
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -27,6 +27,8 @@
       models: z.array(z.string()),
       /** As model and name, joined by a slash. */
       adapters: z.array(z.string()),
+      /** A model comes or goes; no adapter can be fetched meanwhile. */
+      isBusy: z.boolean(),
       /** Work of the other entries there. */
       peersWork: z.number(),
     }),
@@ -44,6 +46,15 @@
   reason: z.string(),
 });
 
+/** What a former holder answers to the one after it. */
+export const lastOrderOutputSchema = z.object({
+  /** Since the last order; undefined when none was given. */
+  agoMs: z.number().optional(),
+  /** It is leaving, so that it gives no order any more. */
+  isLeaving: z.boolean(),
+});
+
+export type LastOrder = z.infer<typeof lastOrderOutputSchema>;
 export type ExchangeInput = z.infer<typeof exchangeInputSchema>;
 export type ExchangeOutput = z.infer<typeof exchangeOutputSchema>;
 export type EnsureInput = z.infer<typeof ensureInputSchema>;
@@ -54,6 +65,7 @@
   /** Undefined when this process doesn't hold the lease. */
   exchange(input: ExchangeInput): ExchangeOutput | undefined;
   ensureAdapter(input: EnsureInput): Promise<EnsureOutput>;
+  lastOrder(): LastOrder;
 }
 
 const trpc = initTRPC.create();
@@ -66,6 +78,7 @@
     ensureAdapter: trpc.procedure
       .input(ensureInputSchema)
       .mutation(({input}) => handlers.ensureAdapter(input)),
+    lastOrder: trpc.procedure.query(() => handlers.lastOrder()),
   });
 }
 
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -18,6 +18,7 @@
   RunnerControl,
   RunnerRegistration,
 } from '../types.js';
+import type {LastOrder} from '../peers/peerContract.js';
 import type {FleetView} from '../view/fleetView.js';
 import {DemandView} from './demandView.js';
 import {LoadRate} from './loadRate.js';
@@ -34,6 +35,7 @@
   /** Address of this process, by which runners know who orders. */
   holder: string;
   loadRate: LoadRate;
+  isLeaving: () => boolean;
 }
 
 /** Gives all orders to runners while this process holds the lease. */
@@ -74,7 +76,8 @@
         .map(desk => ({
           runnerId: desk.registration.runnerId,
           models: desk.servingModels(),
-          adapters: [...desk.adapters.keys()],
+          adapters: desk.servingAdapters(),
+          isBusy: desk.isBusy,
           peersWork: this.demand.peersWork(
             desk.registration.runnerId,
             input.entry,
@@ -95,6 +98,7 @@
     if (!engine || view.runner(input.runnerId)?.leaving) {
       return {isThere: false, reason: 'runner-leaving'};
     }
+    if (desk.isBusy) return {isThere: false, reason: 'runner-busy'};
     const isThere = await desk.ensureAdapter(
       input.model,
       input.adapter,
@@ -103,6 +107,19 @@
     return {isThere, reason: isThere ? 'there' : 'not-fetched'};
   }
 
+  lastOrder(): LastOrder {
+    const {clock, isLeaving} = this.deps;
+    let latestMs: number | undefined;
+    for (const {lastOrderMs} of this.desks.values()) {
+      if (lastOrderMs === undefined) continue;
+      latestMs = Math.max(latestMs ?? lastOrderMs, lastOrderMs);
+    }
+    return {
+      agoMs: latestMs === undefined ? undefined : clock.nowMs() - latestMs,
+      isLeaving: isLeaving(),
+    };
+  }
+
   private every(intervalMs: number, work: () => void): void {
     const {clock} = this.deps;
     const tick = () => {
--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -1,20 +1,29 @@
 import type {Clock, Logger, Timer} from '@banyanfold/core';
+import type {LastOrder} from '../peers/peerContract.js';
 import type {LeaseSource, LeaseState, LeaseStore} from '../types.js';
 
 export interface LeaseKeeperOptions {
   clock: Clock;
   logger: Logger;
   store: LeaseStore;
-  /** Monotonic and counting suspensions, in ms. */
-  bootMs: () => number;
   /** The store gives the lease to another after this long in silence. */
   ttlMs: number;
   /** Orders of two holders must be this far apart. */
   leaseMs: number;
+  /** Asks the holder before this one; undefined when it doesn't answer. */
+  askFormer: (address: string) => Promise<LastOrder | undefined>;
+  /** This process's own address. */
+  address: string;
   /** Called when this process becomes the holder, and when it no longer is. */
   onChange?: (isHolder: boolean) => void;
 }
 
+/** A moment on both clocks. */
+interface Moment {
+  steadyMs: number;
+  wallMs: number;
+}
+
 /** Renewals a lease lasts for, so that one lost answer doesn't end it. */
 const RENEWALS_PER_TTL = 4;
 /** Not used of the lease at its end: for an order on its way, and clocks. */
@@ -28,16 +37,19 @@
  *
  * A holder that was frozen or cut off doesn't know that another one orders by
  * now; its late orders would undo the other's. The lease counts from when its
- * renewal was sent, on a clock that goes on during a suspension, and is checked
- * right before each order, so it ends here before the store gives it away.
+ * renewal was sent and is checked right before each order, so it ends here before
+ * the store gives it away. The steady clock stands still while a machine is
+ * suspended and the time of day may jump; the longer of both spans counts, so a
+ * jump ends the lease early at worst.
  */
 export class LeaseKeeper implements LeaseSource {
   private timer: Timer | undefined;
   private isStopped = false;
   private generation = 0;
   private ownsIt = false;
-  private validUntilMs = 0;
-  private orderFromMs = 0;
+  private renewedAt: Moment | undefined;
+  /** On the steady clock, on which a wait is never too short. */
+  private orderFromMs = Number.POSITIVE_INFINITY;
   private holderAddress: string | undefined;
   private ownerAskedMs = Number.NEGATIVE_INFINITY;
   private wasHolder = false;
@@ -49,9 +61,10 @@
   }
 
   current(): LeaseState {
-    const nowMs = this.options.bootMs();
     const isHolder =
-      this.ownsIt && nowMs < this.validUntilMs && nowMs >= this.orderFromMs;
+      this.ownsIt &&
+      !this.hasLapsed() &&
+      this.options.clock.nowMs() >= this.orderFromMs;
     if (isHolder !== this.wasHolder) this.noteChange(isHolder);
     return {
       isHolder,
@@ -61,7 +74,7 @@
   }
 
   refreshHolder(): void {
-    const nowMs = this.options.bootMs();
+    const nowMs = this.options.clock.nowMs();
     if (nowMs - this.ownerAskedMs < OWNER_QUERY_PAUSE_MS) return;
     this.ownerAskedMs = nowMs;
     void this.askOwner();
@@ -83,32 +96,64 @@
   }
 
   private async renew(): Promise<void> {
-    const {store, bootMs, ttlMs, leaseMs, logger, clock} = this.options;
-    const sentMs = bootMs();
+    const {store, ttlMs, logger, clock} = this.options;
+    const sentAt = this.now();
     const joined = await store.join(this.generation);
     if (this.isStopped) return;
     if (joined.isOk()) {
       const {generation, owns} = joined.value;
-      if (owns && !this.ownsIt) {
-        this.orderFromMs = bootMs() + leaseMs;
-        logger.info('lease-gained', {generation, orderInMs: leaseMs});
-      }
+      const isGained = owns && !this.ownsIt;
       if (!owns && this.ownsIt) logger.info('lease-lost', {generation});
       this.generation = generation;
       this.ownsIt = owns;
-      this.validUntilMs = sentMs + ttlMs - LEASE_MARGIN_MS;
+      this.renewedAt = sentAt;
+      if (isGained) void this.waitForFormer();
     } else {
       logger.warn('lease-renewal-failed', {error: joined.error.message});
-      this.dropLapsed();
+      // After a lapse another one may have ordered; the wait begins anew.
+      if (this.hasLapsed()) this.ownsIt = false;
     }
     this.current();
     const delayMs = ttlMs / RENEWALS_PER_TTL;
     this.timer = clock.setTimer(delayMs, () => void this.renew());
   }
 
-  /** After a lapse another may have ordered; the pause begins anew. */
-  private dropLapsed(): void {
-    if (this.options.bootMs() >= this.validUntilMs) this.ownsIt = false;
+  /**
+   * Orders of two holders that both work must be `leaseMs` apart. The one
+   * before says when it ordered last; one that is leaving or doesn't answer is
+   * dead, frozen or cut off, and the runners refuse its lower token.
+   */
+  private async waitForFormer(): Promise<void> {
+    const {leaseMs, logger, clock, askFormer, address} = this.options;
+    const generation = this.generation;
+    this.orderFromMs = clock.nowMs() + leaseMs;
+    const former = this.holderAddress;
+    let waitMs = leaseMs;
+    if (former !== undefined && former !== address) {
+      const last = await askFormer(former);
+      const isDone = last === undefined || last.isLeaving;
+      waitMs = isDone ? 0 : Math.max(0, leaseMs - (last.agoMs ?? leaseMs));
+      if (this.generation !== generation) waitMs = leaseMs;
+      this.orderFromMs = clock.nowMs() + waitMs;
+    }
+    this.holderAddress = address;
+    logger.info('lease-gained', {generation, former, orderInMs: waitMs});
+    clock.setTimer(waitMs, () => this.current());
+  }
+
+  private now(): Moment {
+    const {clock} = this.options;
+    return {steadyMs: clock.nowMs(), wallMs: clock.wallMs()};
+  }
+
+  private hasLapsed(): boolean {
+    if (!this.renewedAt) return true;
+    const now = this.now();
+    const elapsedMs = Math.max(
+      now.steadyMs - this.renewedAt.steadyMs,
+      now.wallMs - this.renewedAt.wallMs,
+    );
+    return elapsedMs >= this.options.ttlMs - LEASE_MARGIN_MS;
   }
 
   private async askOwner(): Promise<void> {
--- a/packages/banyanfold-gateway/src/placement/runnerDesk.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerDesk.ts
@@ -25,8 +25,11 @@
   reason: string;
 }
 
-/** What came of an order, as far as it is known. */
-export type DeskOutcome = 'done' | 'refused' | 'unknown';
+/**
+ * What came of an order, as far as it is known: taken on and not over yet, over
+ * at once, turned away, or without an answer.
+ */
+export type DeskOutcome = 'begun' | 'done' | 'refused' | 'unknown';
 
 /** An adapter that is at a runner, or is being fetched. */
 interface HeldAdapter {
@@ -57,9 +60,12 @@
   queued = 0;
   /** The model that is being loaded. */
   loading: string | undefined;
+  lastOrderMs: number | undefined;
   private busyUntilMs = 0;
   private orderNumber: number | undefined;
   private queue: Promise<unknown> = Promise.resolve();
+  /** Adapters that were ordered away and still serve. */
+  private readonly leaving = new Set<string>();
   private readonly fetches = new Map<string, Promise<boolean>>();
 
   constructor(
@@ -125,7 +131,9 @@
       this.adopt(model, adapter, nowMs);
     }
     for (const key of this.adapters.keys()) {
-      if (!seen.has(key) && !this.fetches.has(key)) this.adapters.delete(key);
+      if (seen.has(key) || this.fetches.has(key)) continue;
+      this.adapters.delete(key);
+      this.leaving.delete(key);
     }
     if (this.loading !== undefined) this.models.add(this.loading);
   }
@@ -165,6 +173,11 @@
     });
   }
 
+  /** Adapters that serve now and stay. */
+  servingAdapters(): string[] {
+    return [...this.adapters.keys()].filter(key => !this.leaving.has(key));
+  }
+
   /** Models that serve now: the one being loaded doesn't yet. */
   servingModels(): string[] {
     return [...this.models].filter(name => name !== this.loading);
@@ -179,10 +192,12 @@
     const key = adapterKey(model, adapter);
     if (!this.models.has(model) || this.loading === model) return false;
     const held = this.adapters.get(key);
-    if (held) {
+    if (held && !this.leaving.has(key)) {
       held.usedMs = clock.nowMs();
       return true;
     }
+    // While a model comes or goes, a runner turns all other orders away.
+    if (this.isBusy) return false;
     if (!(await this.makePlace(adapterSlots))) return false;
     const outcome = await this.give({
       kind: 'load',
@@ -198,7 +213,7 @@
       usedMs: nowMs,
       readyMs: nowMs + adapterSettleMs,
     });
-    return outcome === 'done';
+    return outcome !== 'unknown';
   }
 
   /** Unloads adapters, longest unused first, until one place is free. */
@@ -208,14 +223,17 @@
     );
     for (const [key, {model, adapter}] of byUse) {
       if (this.adapters.size < adapterSlots) return true;
+      if (this.leaving.has(key)) continue;
       const outcome = await this.give({
         kind: 'unload',
         model,
         adapter,
         reason: 'longest-unused',
       });
-      // What may still go is counted as here, so that no place is given twice.
+      // One in use goes when its runs are over. Its place counts as taken until
+      // a report shows it gone; a load into it would overfill the runner.
       if (outcome === 'done') this.adapters.delete(key);
+      if (outcome === 'begun') this.leaving.add(key);
       if (outcome === 'unknown') return false;
     }
     return this.adapters.size < adapterSlots;
@@ -229,6 +247,7 @@
     if (!state.isHolder) return 'refused';
     const expectedOrderNumber = this.orderNumber;
     const sentMs = clock.nowMs();
+    this.lastOrderMs = sentMs;
     const answer = await control.order(runnerId, address, {
       kind: order.kind,
       model: order.model,
@@ -253,7 +272,7 @@
     metrics.count('orders', {kind: order.kind, outcome});
     if (outcome === 'accepted') {
       this.orderNumber = Math.max(this.orderNumber, expectedOrderNumber + 1);
-      return 'done';
+      return 'begun';
     }
     if (outcome === 'holds') {
       // An adapter that goes at once is answered like this, and counts.
--- a/packages/banyanfold-gateway/src/requests/answerRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/answerRelay.ts
@@ -68,6 +68,11 @@
 
   constructor(private readonly options: AnswerRelayOptions) {}
 
+  /** A runner has the request, or part of an answer went to the caller. */
+  get isSent(): boolean {
+    return this.hasBegun || (this.current?.attempt.mayHaveRun ?? false);
+  }
+
   /** Sends the request and settles when its answer ended, either way. */
   relay(
     connection: RunnerConnection,
@@ -138,10 +143,16 @@
       },
       onEnd: () => {
         if (!incoming) return fail('no answer');
-        if (incoming.framing === 'until-close' && !connection.endedCleanly) {
-          return fail('reset before the end');
+        if (incoming.framing !== 'until-close') {
+          settle(this.conclude(incoming, splitter));
+          return;
         }
-        settle(this.conclude(incoming, splitter));
+        const ended = incoming;
+        void connection.endedInOrder().then(isWhole => {
+          if (!this.current) return;
+          if (isWhole) settle(this.conclude(ended, splitter));
+          else fail('reset before the end');
+        });
       },
       onError: error => {
         if (connection.established) {
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -109,8 +109,12 @@
     const usable = context.view
       .runnersOf(this.service)
       .filter(runner => !runner.leaving && this.holds(runner, model));
-    const fresh = usable.filter(r => !this.rejectedBy.has(r.runnerId));
-    const choices = (fresh.length > 0 ? fresh : usable).map(runner => ({
+    const serving = usable.filter(
+      ({runnerId}) =>
+        this.hasAdapter(runnerId) || context.held.canFetch(runnerId),
+    );
+    const fresh = serving.filter(r => !this.rejectedBy.has(r.runnerId));
+    const choices = (fresh.length > 0 ? fresh : serving).map(runner => ({
       runnerId: runner.runnerId,
       failureDomain: runner.failureDomain,
       openWork: context.states.openWork(runner.runnerId),
@@ -362,6 +366,12 @@
     );
   }
 
+  /** The process ends soon; what has not been sent can still go elsewhere. */
+  refuseUnsent(): void {
+    if (this.isOver || this.relay.isSent || this.mayHaveRun) return;
+    this.refuse('leaving');
+  }
+
   private onDeadline(): void {
     if (this.isOver) return;
     const wasSent = this.relay.cancel();
--- a/packages/banyanfold-gateway/src/runners/heldCopies.ts
+++ b/packages/banyanfold-gateway/src/runners/heldCopies.ts
@@ -4,6 +4,8 @@
 export interface ToldCopies {
   models: ReadonlySet<string>;
   adapters: Set<string>;
+  /** No adapter can be fetched now. */
+  isBusy: boolean;
 }
 
 /** @example adapterKey('m1', 'a3') // 'm1/a3' */
@@ -40,6 +42,11 @@
     );
   }
 
+  /** Whether an adapter can be fetched to a runner now. */
+  canFetch(runnerId: string): boolean {
+    return !(this.toldOf(runnerId)?.isBusy ?? false);
+  }
+
   /** Replaces all that was told. */
   tell(copies: ReadonlyMap<string, ToldCopies>): void {
     this.toldAtMs = this.nowMs();
--- a/packages/banyanfold-gateway/src/runners/runnerConnections.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerConnections.ts
@@ -17,6 +17,7 @@
   closed = false;
   idleSinceMs = 0;
   private socket: Socket | undefined;
+  private lastWrite: Promise<boolean> | undefined;
 
   constructor(address: string, options: GatewayOptions) {
     const connect = buildConnector({timeout: options.connectTimeoutMs});
@@ -35,6 +36,7 @@
           }
           this.established = true;
           this.socket = socket;
+          socket.prependOnceListener('end', () => this.probeEnd(socket));
           done(null, socket);
         });
       },
@@ -45,12 +47,18 @@
   }
 
   /**
-   * An answer without a length ends with its connection. The client takes a
-   * reset for such an end too; the caller would get the first part of an
-   * answer as a whole one. Only an end without an error is whole.
+   * Whether the runner closed the connection in order, asked at its end.
+   *
+   * An answer without a length is whole only then. When the last bytes and a
+   * reset arrive together, the runtime reports an ordinary end, and the caller
+   * would get the first part as a whole answer. A connection that was reset
+   * refuses a write at once, while one that the other side closed in order
+   * still takes it, so a blank line, which servers skip, tells them apart.
    */
-  get endedCleanly(): boolean {
-    return this.socket !== undefined && this.socket.errored === null;
+  async endedInOrder(): Promise<boolean> {
+    const {socket} = this;
+    if (!socket || socket.errored !== null) return false;
+    return (await this.lastWrite) ?? false;
   }
 
   dispatch(
@@ -60,6 +68,12 @@
     this.client.dispatch(options, handler);
   }
 
+  private probeEnd(socket: Socket): void {
+    this.lastWrite = new Promise(resolve => {
+      socket.write('\r\n', error => resolve(!error));
+    });
+  }
+
   destroy(): void {
     if (this.closed) return;
     this.closed = true;
