Count a report once orders are settled, and use room for what it was made for

Room made for one model was given back to the one that had made way.

Ruled out: mixed ages inside a report (all fields were seen 200 to 260 ms old together).

--- a/packages/banyanfold-decisions/src/planCopies.ts
+++ b/packages/banyanfold-decisions/src/planCopies.ts
@@ -10,6 +10,8 @@
   isBusy: boolean;
   inMemory: readonly string[];
   onDisk: readonly string[];
+  /** A model for which room was made here. */
+  intendedModel?: string;
 }
 
 export interface CopyModel {
@@ -36,6 +38,8 @@
   model: string;
   /** A load from the weight store counts against its rate. */
   isFromStore: boolean;
+  /** Of an unload: the model that is to come. */
+  roomFor?: string;
   reason: string;
 }
 
@@ -82,6 +86,7 @@
   options: PlanCopiesOptions = DEFAULT_PLAN_COPIES_OPTIONS,
 ): CopyOrder[] {
   const plan = new CopyPlan(input, options);
+  plan.useRoomMade();
   plan.placeOrphans(model => model.waiting > 0);
   plan.placeOrphans(model => model.waiting === 0 && model.workPerSecond > 0.05);
   plan.relieveHottest();
@@ -109,6 +114,19 @@
     }));
   }
 
+  /**
+   * Room that was made for a model is used for it. Without this the next
+   * decision may give it to what just made way, and both come and go by turns.
+   */
+  useRoomMade(): void {
+    for (const to of this.planned) {
+      const model = this.models.get(to.runner.intendedModel ?? '');
+      if (!model || to.models.has(model.name)) continue;
+      if (to.isTaken) to.models.add(model.name);
+      else this.make(to, model, 'room-made');
+    }
+  }
+
   placeOrphans(wanted: (model: CopyModel) => boolean): void {
     const orphans = [...this.models.values()]
       .filter(model => this.copies(model.name) === 0 && wanted(model))
@@ -179,6 +197,7 @@
       runnerId: to.runner.runnerId,
       model: first!.name,
       isFromStore: false,
+      roomFor: model.name,
       reason: `room for ${model.name}`,
     });
     return true;
--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -25,6 +25,8 @@
   exchangeIntervalMs: durationMs.default(250),
   /** Interval of the holder's reports from each runner. */
   reportIntervalMs: durationMs.default(500),
+  /** The same from when an order is expected to be over; loads take 0.5 s up. */
+  busyReportIntervalMs: durationMs.default(120),
   /** Interval of the holder's decisions on copies of models. */
   planIntervalMs: durationMs.default(150),
   /** An adapter of 66 MB takes up to 14 ms to fetch. */
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -24,6 +24,9 @@
 import {LoadRate} from './loadRate.js';
 import {RunnerDesk} from './runnerDesk.js';
 
+/** An unload waits for the runs under way, then is over at once. */
+const UNLOAD_MS = 100;
+
 export interface HolderOptions {
   clock: Clock;
   logger: Logger;
@@ -50,7 +53,10 @@
   start(): void {
     const {options} = this.deps;
     this.every(options.planIntervalMs, () => this.plan());
-    this.every(options.reportIntervalMs, () => this.askReports());
+    this.every(options.reportIntervalMs, () => this.askReports(() => true));
+    this.every(options.busyReportIntervalMs, () =>
+      this.askReports(desk => desk.awaitsReport),
+    );
     this.deps.view.onChange(() => this.syncDesks());
   }
 
@@ -141,11 +147,7 @@
     }
     for (const registration of view.allRunners()) {
       if (!this.engineOf(registration)) continue;
-      const desk = this.desks.get(registration.runnerId);
-      if (desk) {
-        desk.noteRegistration(registration);
-        continue;
-      }
+      if (this.desks.has(registration.runnerId)) continue;
       const created = new RunnerDesk(registration, {
         clock,
         logger,
@@ -163,20 +165,23 @@
     return this.deps.view.current?.services.get(service)?.engine;
   }
 
-  private askReports(): void {
+  private askReports(isWanted: (desk: RunnerDesk) => boolean): void {
     if (!this.deps.lease.current().isHolder) return;
-    for (const desk of this.desks.values()) void this.askReport(desk);
+    for (const desk of this.desks.values()) {
+      if (isWanted(desk)) void this.askReport(desk);
+    }
   }
 
   private async askReport(desk: RunnerDesk): Promise<void> {
-    const {control, logger} = this.deps;
+    const {control, logger, clock} = this.deps;
     const {runnerId, address} = desk.registration;
     if (this.reportsOpen.has(runnerId)) return;
     this.reportsOpen.add(runnerId);
+    const askedMs = clock.nowMs();
     const answer = await control.report(address);
     this.reportsOpen.delete(runnerId);
     if (answer.isOk()) {
-      desk.noteReport(answer.value);
+      desk.noteReport(answer.value, askedMs);
       return;
     }
     logger.warn('report-failed', {
@@ -214,21 +219,34 @@
       })),
       storeLoadsLeft: loadRate.left(engine.loadsPerSecond, nowMs),
     });
-    for (const order of orders) this.give(order, nowMs);
+    for (const order of orders) void this.give(order, engine);
   }
 
-  private give(order: CopyOrder, nowMs: number): void {
+  private async give(order: CopyOrder, engine: EngineSpec): Promise<void> {
     const desk = this.desks.get(order.runnerId);
     if (!desk) return;
-    if (order.isFromStore) this.deps.loadRate.note(nowMs);
-    void desk.orderModel({
-      kind: order.kind,
-      model: order.model,
-      reason: order.reason,
-    });
+    if (order.isFromStore) this.deps.loadRate.note(this.deps.clock.nowMs());
+    const {kind, model, reason, roomFor} = order;
+    const expectedMs =
+      kind === 'load' ? loadMsOf(order, desk, engine) : UNLOAD_MS;
+    const outcome = await desk.orderModel({kind, model, reason}, expectedMs);
+    if (outcome === 'refused') return;
+    desk.intendedModel = roomFor;
   }
 }
 
+/** How long a load takes from where the weights are. */
+function loadMsOf(
+  {model}: CopyOrder,
+  desk: RunnerDesk,
+  engine: EngineSpec,
+): number {
+  const spec = engine.models.get(model);
+  if (!spec) return 0;
+  if (desk.inMemory.includes(model)) return spec.memoryLoadMs;
+  return desk.onDisk.includes(model) ? spec.diskLoadMs : spec.storeLoadMs;
+}
+
 function copyRunnerOf(desk: RunnerDesk, engine: EngineSpec): CopyRunner {
   const adapterMb = Math.max(
     0,
@@ -242,5 +260,6 @@
     isBusy: desk.isBusy || !desk.isKnown,
     inMemory: desk.inMemory,
     onDisk: desk.onDisk,
+    intendedModel: desk.intendedModel,
   };
 }
--- a/packages/banyanfold-gateway/src/placement/runnerDesk.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerDesk.ts
@@ -39,6 +39,11 @@
   readyMs: number;
 }
 
+/** Reports are some hundred ms old; 200 to 260 ms were seen. */
+const REPORT_LAG_BOUND_MS = 1_000;
+/** A runner that turned an order away is left alone until its next report. */
+const CONFLICT_PAUSE_MS = 150;
+
 /** A load takes a few seconds; then the runner's report decides. */
 const BUSY_CAP_MS = 12_000;
 
@@ -61,7 +66,10 @@
   /** The model that is being loaded. */
   loading: string | undefined;
   lastOrderMs: number | undefined;
+  /** Room is being made for it. */
+  intendedModel: string | undefined;
   private busyUntilMs = 0;
+  private expectedEndMs = 0;
   private orderNumber: number | undefined;
   private queue: Promise<unknown> = Promise.resolve();
   /** Adapters that were ordered away and still serve. */
@@ -79,6 +87,11 @@
     return this.options.clock.nowMs() < this.busyUntilMs;
   }
 
+  /** The order under way is expected to be over, so that a report will tell. */
+  get awaitsReport(): boolean {
+    return this.isBusy && this.options.clock.nowMs() >= this.expectedEndMs;
+  }
+
   /** It can be given orders: the number of its orders is known. */
   get isKnown(): boolean {
     return this.orderNumber !== undefined;
@@ -89,30 +102,25 @@
     if (held) held.usedMs = this.options.clock.nowMs();
   }
 
-  /** A heartbeat tells of models when a load or unload is over. */
-  noteRegistration({models}: RunnerRegistration): void {
-    for (const {name} of models ?? []) {
-      if (name === this.loading) this.endLoad(name);
-    }
-  }
-
   /**
    * A report lags: one that was made before the last order would bring back
-   * what that order changed. Only one with as many orders counts; one with
-   * more tells of an order that was taken for lost.
+   * what that order changed. One with as many orders counts; one with more
+   * tells of an order that was taken for lost. One that was asked for long
+   * after the last order counts in any case, or a number that was counted too
+   * high would have all reports left out and all orders refused for good.
    */
-  noteReport(report: RunnerReport): void {
+  noteReport(report: RunnerReport, askedMs: number): void {
     const {options} = this;
     this.running = report.running;
     this.queued = report.queued;
     this.inMemory = report.inMemory;
     this.onDisk = report.onDisk;
-    if (
-      this.orderNumber !== undefined &&
-      report.orderNumber < this.orderNumber
-    ) {
-      return;
-    }
+    const isSettled =
+      this.lastOrderMs === undefined ||
+      askedMs - this.lastOrderMs >= REPORT_LAG_BOUND_MS;
+    const isOld =
+      this.orderNumber !== undefined && report.orderNumber < this.orderNumber;
+    if (isOld && !isSettled) return;
     this.orderNumber = report.orderNumber;
     if (!report.busy) {
       this.busyUntilMs = 0;
@@ -154,12 +162,18 @@
     return fetch;
   }
 
-  /** Gives an order on a model. */
-  orderModel(order: DeskOrder): Promise<DeskOutcome> {
+  /**
+   * Gives an order on a model.
+   *
+   * @param expectedMs how long it is expected to take.
+   */
+  orderModel(order: DeskOrder, expectedMs: number): Promise<DeskOutcome> {
     return this.enqueue(async () => {
       const outcome = await this.give(order);
       if (outcome === 'refused') return outcome;
-      this.busyUntilMs = this.options.clock.nowMs() + BUSY_CAP_MS;
+      const nowMs = this.options.clock.nowMs();
+      this.busyUntilMs = nowMs + BUSY_CAP_MS;
+      this.expectedEndMs = nowMs + expectedMs;
       if (order.kind === 'load') {
         this.loading = order.model;
         this.models.add(order.model);
@@ -281,6 +295,10 @@
       }
       return 'done';
     }
+    if (outcome === 'conflict') {
+      const pauseEndMs = clock.nowMs() + CONFLICT_PAUSE_MS;
+      this.busyUntilMs = Math.max(this.busyUntilMs, pauseEndMs);
+    }
     return outcome === 'unknown' ? 'unknown' : 'refused';
   }
 
@@ -298,12 +316,6 @@
     }
   }
 
-  private endLoad(model: string): void {
-    this.loading = undefined;
-    this.busyUntilMs = 0;
-    this.models.add(model);
-  }
-
   private enqueue<T>(work: () => Promise<T>): Promise<T> {
     const next = this.queue.then(work, work);
     this.queue = next.catch(() => undefined);
