--- a/packages/banyanfold-gateway/src/placement/runnerDesk.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerDesk.ts
@@ -122,7 +122,11 @@
       this.orderNumber !== undefined && report.orderNumber < this.orderNumber;
     if (isOld && !isSettled) return;
     this.orderNumber = report.orderNumber;
-    if (!report.busy) {
+    if (report.busy) {
+      // A load of the holder before this one takes memory that no report shows
+      // until it is over; another one after it would overfill the runner.
+      this.busyUntilMs = options.clock.nowMs() + BUSY_CAP_MS;
+    } else {
       this.busyUntilMs = 0;
       this.loading = undefined;
     }
