Let the last holder of orders go on while the store is out of reach

Where runners check tokens the last holder goes on until a runner, a later holder or the store tells it otherwise; one that has just woken up waits for the store. A later holder asks the former, which yields. Also: a copy that a runner said isn't there is remembered for 0.8 s; the same runner was asked up to seven times in 0.1 s before.

Ruled out: a longer lease (a dead holder would be noticed later).

--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -33,11 +33,12 @@
 /** Asks a former holder for its last order; undefined without an answer. */
 export async function askLastOrder(
   address: string,
+  generation: number,
   timeoutMs: number,
 ): Promise<LastOrder | undefined> {
   const peer = createPeerClient(address, timeoutMs);
   try {
-    return await peer.client.lastOrder.query();
+    return await peer.client.lastOrder.query({generation});
   } catch {
     // No answer is the finding: the former holder is out of reach.
     return undefined;
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -50,8 +50,8 @@
 export const lastOrderOutputSchema = z.object({
   /** Since the last order; undefined when none was given. */
   agoMs: z.number().optional(),
-  /** It is leaving, so that it gives no order any more. */
-  isLeaving: z.boolean(),
+  /** It is leaving or out of touch with the store, and orders no more. */
+  isOver: z.boolean(),
 });
 
 export type LastOrder = z.infer<typeof lastOrderOutputSchema>;
@@ -65,7 +65,7 @@
   /** Undefined when this process doesn't hold the lease. */
   exchange(input: ExchangeInput): ExchangeOutput | undefined;
   ensureAdapter(input: EnsureInput): Promise<EnsureOutput>;
-  lastOrder(): LastOrder;
+  lastOrder(generation: number): LastOrder;
 }
 
 const trpc = initTRPC.create();
@@ -78,7 +78,9 @@
     ensureAdapter: trpc.procedure
       .input(ensureInputSchema)
       .mutation(({input}) => handlers.ensureAdapter(input)),
-    lastOrder: trpc.procedure.query(() => handlers.lastOrder()),
+    lastOrder: trpc.procedure
+      .input(z.object({generation: z.number()}))
+      .query(({input}) => handlers.lastOrder(input.generation)),
   });
 }
 
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -113,8 +113,9 @@
     return {isThere, reason: isThere ? 'there' : 'not-fetched'};
   }
 
-  lastOrder(): LastOrder {
-    const {clock, isLeaving} = this.deps;
+  lastOrder(generation: number): LastOrder {
+    const {clock, isLeaving, lease} = this.deps;
+    const isOutOfTouch = lease.yieldTo(generation);
     let latestMs: number | undefined;
     for (const {lastOrderMs} of this.desks.values()) {
       if (lastOrderMs === undefined) continue;
@@ -122,7 +123,7 @@
     }
     return {
       agoMs: latestMs === undefined ? undefined : clock.nowMs() - latestMs,
-      isLeaving: isLeaving(),
+      isOver: isLeaving() || isOutOfTouch,
     };
   }
 
--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -11,9 +11,14 @@
   /** Orders of two holders must be this far apart. */
   leaseMs: number;
   /** Asks the holder before this one; undefined when it doesn't answer. */
-  askFormer: (address: string) => Promise<LastOrder | undefined>;
+  askFormer: (
+    address: string,
+    generation: number,
+  ) => Promise<LastOrder | undefined>;
   /** This process's own address. */
   address: string;
+  /** Runners refuse an order with a lower token than they have seen. */
+  areRunnersFenced: boolean;
   /** Called when this process becomes the holder, and when it no longer is. */
   onChange?: (isHolder: boolean) => void;
 }
@@ -28,6 +33,8 @@
 const RENEWALS_PER_TTL = 4;
 /** Not used of the lease at its end: for an order on its way, and clocks. */
 const LEASE_MARGIN_MS = 150;
+/** Renewals end after 1.5 s without an answer, and begin anew. */
+const FAILURE_FRESH_MS = 2_500;
 /** Who holds it is asked again no sooner than this. */
 const OWNER_QUERY_PAUSE_MS = 300;
 
@@ -48,6 +55,8 @@
   private generation = 0;
   private ownsIt = false;
   private renewedAt: Moment | undefined;
+  /** When the renewal was sent that failed last. */
+  private failedAt: Moment | undefined;
   /** On the steady clock, on which a wait is never too short. */
   private orderFromMs = Number.POSITIVE_INFINITY;
   private holderAddress: string | undefined;
@@ -63,7 +72,7 @@
   current(): LeaseState {
     const isHolder =
       this.ownsIt &&
-      !this.hasLapsed() &&
+      (!this.hasLapsed() || this.mayGoOn()) &&
       this.options.clock.nowMs() >= this.orderFromMs;
     if (isHolder !== this.wasHolder) this.noteChange(isHolder);
     return {
@@ -73,6 +82,26 @@
     };
   }
 
+  /**
+   * A later holder asks this one, or a runner has seen a higher token: whoever
+   * has it now, this process doesn't. Returns whether it was out of touch with
+   * the store, so that the other one need not wait for it.
+   */
+  yieldTo(generation: number): boolean {
+    const isOutOfTouch = this.hasLapsed();
+    if (generation > this.generation && this.ownsIt) {
+      this.ownsIt = false;
+      this.options.logger.info('lease-yielded', {generation, isOutOfTouch});
+      this.current();
+    }
+    return isOutOfTouch;
+  }
+
+  /** A runner has seen a higher token than this process's. */
+  noteFenced(): void {
+    this.yieldTo(this.generation + 1);
+  }
+
   refreshHolder(): void {
     const nowMs = this.options.clock.nowMs();
     if (nowMs - this.ownerAskedMs < OWNER_QUERY_PAUSE_MS) return;
@@ -110,8 +139,9 @@
       if (isGained) void this.waitForFormer();
     } else {
       logger.warn('lease-renewal-failed', {error: joined.error.message});
+      this.failedAt = sentAt;
       // After a lapse another one may have ordered; the wait begins anew.
-      if (this.hasLapsed()) this.ownsIt = false;
+      if (this.hasLapsed() && !this.mayGoOn()) this.ownsIt = false;
     }
     this.current();
     const delayMs = ttlMs / RENEWALS_PER_TTL;
@@ -130,8 +160,8 @@
     const former = this.holderAddress;
     let waitMs = leaseMs;
     if (former !== undefined && former !== address) {
-      const last = await askFormer(former);
-      const isDone = last === undefined || last.isLeaving;
+      const last = await askFormer(former, generation);
+      const isDone = last === undefined || last.isOver;
       waitMs = isDone ? 0 : Math.max(0, leaseMs - (last.agoMs ?? leaseMs));
       if (this.generation !== generation) waitMs = leaseMs;
       this.orderFromMs = clock.nowMs() + waitMs;
@@ -141,6 +171,19 @@
     clock.setTimer(waitMs, () => this.current());
   }
 
+  /**
+   * While the store is out nobody can take the lease over, and without orders
+   * callers of most models would be refused. Where runners check tokens, the
+   * last holder goes on: should another one have the lease after all, its
+   * first order to a runner shuts this one out there, and each order names how
+   * many came before it. A process that has just woken up has not seen its
+   * renewals fail and must hear from the store first.
+   */
+  private mayGoOn(): boolean {
+    if (!this.options.areRunnersFenced || !this.failedAt) return false;
+    return this.elapsedMs(this.failedAt) < FAILURE_FRESH_MS;
+  }
+
   private now(): Moment {
     const {clock} = this.options;
     return {steadyMs: clock.nowMs(), wallMs: clock.wallMs()};
@@ -148,12 +191,13 @@
 
   private hasLapsed(): boolean {
     if (!this.renewedAt) return true;
+    const lapseMs = this.options.ttlMs - LEASE_MARGIN_MS;
+    return this.elapsedMs(this.renewedAt) >= lapseMs;
+  }
+
+  private elapsedMs(since: Moment): number {
     const now = this.now();
-    const elapsedMs = Math.max(
-      now.steadyMs - this.renewedAt.steadyMs,
-      now.wallMs - this.renewedAt.wallMs,
-    );
-    return elapsedMs >= this.options.ttlMs - LEASE_MARGIN_MS;
+    return Math.max(now.steadyMs - since.steadyMs, now.wallMs - since.wallMs);
   }
 
   private async askOwner(): Promise<void> {
--- a/packages/banyanfold-gateway/src/placement/runnerDesk.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerDesk.ts
@@ -299,6 +299,7 @@
       }
       return 'done';
     }
+    if (outcome === 'fenced') lease.noteFenced();
     if (outcome === 'conflict') {
       const pauseEndMs = clock.nowMs() + CONFLICT_PAUSE_MS;
       this.busyUntilMs = Math.max(this.busyUntilMs, pauseEndMs);
--- a/packages/banyanfold-gateway/src/runners/heldCopies.ts
+++ b/packages/banyanfold-gateway/src/runners/heldCopies.ts
@@ -13,12 +13,20 @@
   return `${model}/${adapter}`;
 }
 
+/** Reports are asked for twice a second and told four times a second. */
+const ABSENT_MS = 800;
+
+function absentKey(runnerId: string, copy: string): string {
+  return `${runnerId} ${copy}`;
+}
+
 /**
  * What runners hold. The holder of orders knows first, because it gives them;
  * registrations tell the same a heartbeat later and serve while none is heard.
  */
 export class HeldCopies {
   private readonly told = new Map<string, ToldCopies>();
+  private readonly absentUntilMs = new Map<string, number>();
   private toldAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(
@@ -29,12 +37,14 @@
   ) {}
 
   holdsModel(runnerId: string, model: string): boolean {
+    if (this.isAbsent(runnerId, model)) return false;
     const told = this.toldOf(runnerId);
     if (told) return told.models.has(model);
     return this.registered(runnerId, model) !== undefined;
   }
 
   holdsAdapter(runnerId: string, model: string, adapter: string): boolean {
+    if (this.isAbsent(runnerId, adapterKey(model, adapter))) return false;
     const told = this.toldOf(runnerId);
     if (told) return told.adapters.has(adapterKey(model, adapter));
     return (
@@ -55,20 +65,29 @@
   }
 
   noteAdapter(runnerId: string, model: string, adapter: string): void {
-    this.told.get(runnerId)?.adapters.add(adapterKey(model, adapter));
+    const key = adapterKey(model, adapter);
+    this.told.get(runnerId)?.adapters.add(key);
+    this.absentUntilMs.delete(absentKey(runnerId, key));
   }
 
-  /** A runner said that something isn't there after all. */
+  /**
+   * A runner said that something isn't there after all. What is told or
+   * registered may go on naming it for a while, and a request would be sent to
+   * the same runner again and again.
+   */
   noteAbsent(runnerId: string, model: string, adapter?: string): void {
-    const told = this.told.get(runnerId);
-    if (!told) return;
-    if (adapter !== undefined) {
-      told.adapters.delete(adapterKey(model, adapter));
-      return;
-    }
-    const models = new Set(told.models);
-    models.delete(model);
-    this.told.set(runnerId, {...told, models});
+    const copy = adapter === undefined ? model : adapterKey(model, adapter);
+    const untilMs = this.nowMs() + ABSENT_MS;
+    this.absentUntilMs.set(absentKey(runnerId, copy), untilMs);
+  }
+
+  private isAbsent(runnerId: string, copy: string): boolean {
+    const key = absentKey(runnerId, copy);
+    const untilMs = this.absentUntilMs.get(key);
+    if (untilMs === undefined) return false;
+    if (this.nowMs() < untilMs) return true;
+    this.absentUntilMs.delete(key);
+    return false;
   }
 
   private toldOf(runnerId: string): ToldCopies | undefined {
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -248,5 +248,9 @@
   current(): LeaseState;
   /** Asks again who holds it, for one that met no answer there. */
   refreshHolder(): void;
+  /** A later holder is there. Returns whether this one had lost the store. */
+  yieldTo(generation: number): boolean;
+  /** A runner refused this process's token. */
+  noteFenced(): void;
   release(): Promise<void>;
 }
