Hand the lease over while the store is out; leave unreachable runners alone

A leaving holder hands the lease to a peer when the store can't take it; an unreachable runner is no candidate and the planner counts it out; an adapter is kept for 0.3 s.

--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -6,7 +6,8 @@
 import {GatewayServer} from './gatewayServer.js';
 import {DEFAULT_OPTIONS, type GatewayOptions} from './options.js';
 import {HolderLink} from './peers/holderLink.js';
-import {createPeerRouter} from './peers/peerContract.js';
+import {offerLease} from './peers/peerClient.js';
+import {createPeerRouter, type LeaseHandover} from './peers/peerContract.js';
 import {DemandMeter} from './placement/demandMeter.js';
 import {Holder} from './placement/holder.js';
 import {LoadRate} from './placement/loadRate.js';
@@ -147,6 +148,18 @@
     this.peers = http.createServer((req, res) => serve(req, res));
   }
 
+  /** Offers the lease to the peers, one after the other. */
+  async handOverLease(handover: LeaseHandover): Promise<boolean> {
+    const {peers} = this.parts.settings;
+    const own = `${peers.host}:${peers.port}`;
+    const {peerTimeoutMs} = this.context.options;
+    for (const address of this.holder.peers()) {
+      if (address === own) continue;
+      if (await offerLease(address, handover, peerTimeoutMs)) return true;
+    }
+    return false;
+  }
+
   async start(): Promise<void> {
     const {settings, fleet, lease, logger} = this.parts;
     const {callers, readiness, peers} = settings;
--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -1,6 +1,6 @@
 import {createTRPCClient, httpLink} from '@trpc/client';
 import {fetch, Pool} from 'undici';
-import type {LastOrder, PeerRouter} from './peerContract.js';
+import type {LastOrder, LeaseHandover, PeerRouter} from './peerContract.js';
 
 const CONNECTIONS = 4;
 
@@ -46,3 +46,21 @@
     peer.close();
   }
 }
+
+/** Offers the lease to a peer; false when it doesn't take it. */
+export async function offerLease(
+  address: string,
+  handover: LeaseHandover,
+  timeoutMs: number,
+): Promise<boolean> {
+  const peer = createPeerClient(address, timeoutMs);
+  try {
+    return await peer.client.takeOver.mutate(handover);
+  } catch {
+    // Without an answer it may have taken the lease; it must count as taken,
+    // or two would order with it.
+    return true;
+  } finally {
+    peer.close();
+  }
+}
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -54,6 +54,14 @@
   isOver: z.boolean(),
 });
 
+/** The lease on orders, as it goes from peer to peer. */
+export const leaseHandoverSchema = z.object({
+  generation: z.number(),
+  /** Rises with each handover within a generation. */
+  step: z.number(),
+});
+
+export type LeaseHandover = z.infer<typeof leaseHandoverSchema>;
 export type LastOrder = z.infer<typeof lastOrderOutputSchema>;
 export type ExchangeInput = z.infer<typeof exchangeInputSchema>;
 export type ExchangeOutput = z.infer<typeof exchangeOutputSchema>;
@@ -66,6 +74,7 @@
   exchange(input: ExchangeInput): ExchangeOutput | undefined;
   ensureAdapter(input: EnsureInput): Promise<EnsureOutput>;
   lastOrder(generation: number): LastOrder;
+  takeOver(handover: LeaseHandover): boolean;
 }
 
 const trpc = initTRPC.create();
@@ -78,6 +87,9 @@
     ensureAdapter: trpc.procedure
       .input(ensureInputSchema)
       .mutation(({input}) => handlers.ensureAdapter(input)),
+    takeOver: trpc.procedure
+      .input(leaseHandoverSchema)
+      .mutation(({input}) => handlers.takeOver(input)),
     lastOrder: trpc.procedure
       .input(z.object({generation: z.number()}))
       .query(({input}) => handlers.lastOrder(input.generation)),
--- a/packages/banyanfold-gateway/src/placement/demandView.ts
+++ b/packages/banyanfold-gateway/src/placement/demandView.ts
@@ -69,6 +69,14 @@
     return Math.max(1, count);
   }
 
+  /** Entries heard of lately, the last heard first. */
+  entriesHeard(nowMs: number): string[] {
+    return [...this.entries]
+      .filter(([, {heardMs}]) => nowMs - heardMs < ENTRY_LOST_MS)
+      .sort(([, a], [, b]) => b.heardMs - a.heardMs)
+      .map(([entry]) => entry);
+  }
+
   /** Open work of the other entries at a runner. */
   peersWork(runnerId: string, entry: string, nowMs: number): number {
     let work = 0;
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -18,7 +18,7 @@
   RunnerControl,
   RunnerRegistration,
 } from '../types.js';
-import type {LastOrder} from '../peers/peerContract.js';
+import type {LastOrder, LeaseHandover} from '../peers/peerContract.js';
 import type {FleetView} from '../view/fleetView.js';
 import {DemandView} from './demandView.js';
 import {LoadRate} from './loadRate.js';
@@ -81,7 +81,7 @@
         .filter(desk => desk.isKnown)
         .map(desk => ({
           runnerId: desk.registration.runnerId,
-          models: desk.servingModels(),
+          models: desk.isReachable ? desk.servingModels() : [],
           adapters: desk.servingAdapters(),
           isBusy: desk.isBusy,
           peersWork: this.demand.peersWork(
@@ -113,6 +113,15 @@
     return {isThere, reason: isThere ? 'there' : 'not-fetched'};
   }
 
+  takeOver(handover: LeaseHandover): boolean {
+    return !this.deps.isLeaving() && this.deps.lease.takeOver(handover);
+  }
+
+  /** Entries heard of lately, the last heard first. */
+  peers(): string[] {
+    return this.demand.entriesHeard(this.deps.clock.nowMs());
+  }
+
   lastOrder(generation: number): LastOrder {
     const {clock, isLeaving, lease} = this.deps;
     const isOutOfTouch = lease.yieldTo(generation);
@@ -185,6 +194,7 @@
       desk.noteReport(answer.value, askedMs);
       return;
     }
+    desk.noteReportFailed();
     logger.warn('report-failed', {
       runner: runnerId,
       error: answer.error.message,
@@ -207,6 +217,7 @@
       const {runnerId} = desk.registration;
       const known = view.runner(runnerId);
       if (known?.service !== service || known.leaving) continue;
+      if (!desk.isReachable) continue;
       runners.push(copyRunnerOf(desk, engine));
     }
     const orders = planCopies({
--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -1,5 +1,5 @@
 import type {Clock, Logger, Timer} from '@banyanfold/core';
-import type {LastOrder} from '../peers/peerContract.js';
+import type {LastOrder, LeaseHandover} from '../peers/peerContract.js';
 import type {LeaseSource, LeaseState, LeaseStore} from '../types.js';
 
 export interface LeaseKeeperOptions {
@@ -15,6 +15,8 @@
     address: string,
     generation: number,
   ) => Promise<LastOrder | undefined>;
+  /** Offers the lease to a peer; false when none took it. */
+  handOver: (handover: LeaseHandover) => Promise<boolean>;
   /** This process's own address. */
   address: string;
   /** Runners refuse an order with a lower token than they have seen. */
@@ -35,6 +37,8 @@
 const LEASE_MARGIN_MS = 150;
 /** Renewals end after 1.5 s without an answer, and begin anew. */
 const FAILURE_FRESH_MS = 2_500;
+/** Tokens of one generation; it goes from peer to peer far less often. */
+const HANDOVERS = 1_000;
 /** Who holds it is asked again no sooner than this. */
 const OWNER_QUERY_PAUSE_MS = 300;
 
@@ -53,6 +57,9 @@
   private timer: Timer | undefined;
   private isStopped = false;
   private generation = 0;
+  /** Times that it went from peer to peer within this generation. */
+  private handedOver = 0;
+  private keepsToEnd = false;
   private ownsIt = false;
   private renewedAt: Moment | undefined;
   /** When the renewal was sent that failed last. */
@@ -72,12 +79,12 @@
   current(): LeaseState {
     const isHolder =
       this.ownsIt &&
-      (!this.hasLapsed() || this.mayGoOn()) &&
+      (!this.hasLapsed() || this.mayGoOn() || this.keepsToEnd) &&
       this.options.clock.nowMs() >= this.orderFromMs;
     if (isHolder !== this.wasHolder) this.noteChange(isHolder);
     return {
       isHolder,
-      fencingToken: this.generation,
+      fencingToken: this.generation * HANDOVERS + this.handedOver,
       holderAddress: this.holderAddress,
     };
   }
@@ -109,19 +116,50 @@
     void this.askOwner();
   }
 
+  /**
+   * Gives the lease up. While the store is out it can't deal it to another, so
+   * it goes to a peer, and with no peer in reach this process keeps it until
+   * its end; else nobody would give orders until the store is back.
+   */
   async release(): Promise<void> {
     this.isStopped = true;
     this.timer?.cancel();
-    const held = this.ownsIt;
-    this.ownsIt = false;
-    this.current();
+    const isHeld = this.ownsIt;
     const left = await this.options.store.leave();
-    if (left.isErr()) {
-      this.options.logger.warn('lease-leave-failed', {
-        held,
-        error: left.error.message,
-      });
+    if (left.isOk()) {
+      this.ownsIt = false;
+      this.current();
+      return;
     }
+    const {logger, handOver} = this.options;
+    logger.warn('lease-leave-failed', {isHeld, error: left.error.message});
+    if (!isHeld) return;
+    const isTaken = await handOver({
+      generation: this.generation,
+      step: this.handedOver + 1,
+    });
+    logger.info('lease-handed-over', {isTaken});
+    if (isTaken) this.ownsIt = false;
+    this.keepsToEnd = !isTaken;
+    this.current();
+  }
+
+  /**
+   * Takes the lease from a holder that leaves while the store is out. Only the
+   * one holder gives it away, and to one process, so there is one still; the
+   * store's next word counts.
+   */
+  takeOver({generation, step}: LeaseHandover): boolean {
+    const isLate = generation < this.generation;
+    if (this.isStopped || isLate || !this.mayGoOn()) return false;
+    this.generation = generation;
+    this.handedOver = step;
+    this.ownsIt = true;
+    this.orderFromMs = this.options.clock.nowMs();
+    this.holderAddress = this.options.address;
+    this.options.logger.info('lease-taken-over', {generation, step});
+    this.current();
+    return true;
   }
 
   private async renew(): Promise<void> {
@@ -134,6 +172,7 @@
       const isGained = owns && !this.ownsIt;
       if (!owns && this.ownsIt) logger.info('lease-lost', {generation});
       this.generation = generation;
+      this.handedOver = 0;
       this.ownsIt = owns;
       this.renewedAt = sentAt;
       if (isGained) void this.waitForFormer();
@@ -216,7 +255,7 @@
   private noteChange(isHolder: boolean): void {
     this.wasHolder = isHolder;
     this.options.logger.info(isHolder ? 'orders-begin' : 'orders-end', {
-      token: this.generation,
+      generation: this.generation,
     });
     this.options.onChange?.(isHolder);
   }
--- a/packages/banyanfold-gateway/src/placement/runnerDesk.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerDesk.ts
@@ -41,6 +41,14 @@
 
 /** Reports are some hundred ms old; 200 to 260 ms were seen. */
 const REPORT_LAG_BOUND_MS = 1_000;
+/** One question may be lost on the way; after two its copies don't count. */
+const LOST_REPORTS = 2;
+/**
+ * An adapter that was asked for a moment ago is about to be used. When more are
+ * asked for at once than there are places, taking it away again would have both
+ * requests wait by turns.
+ */
+const KEEP_ADAPTER_MS = 300;
 /** A runner that turned an order away is left alone until its next report. */
 const CONFLICT_PAUSE_MS = 150;
 
@@ -70,6 +78,7 @@
   intendedModel: string | undefined;
   private busyUntilMs = 0;
   private expectedEndMs = 0;
+  private failedReports = 0;
   private orderNumber: number | undefined;
   private queue: Promise<unknown> = Promise.resolve();
   /** Adapters that were ordered away and still serve. */
@@ -97,6 +106,15 @@
     return this.orderNumber !== undefined;
   }
 
+  /** It answered the last question for its report. */
+  get isReachable(): boolean {
+    return this.failedReports < LOST_REPORTS;
+  }
+
+  noteReportFailed(): void {
+    this.failedReports += 1;
+  }
+
   noteUse(model: string, adapter: string): void {
     const held = this.adapters.get(adapterKey(model, adapter));
     if (held) held.usedMs = this.options.clock.nowMs();
@@ -111,6 +129,7 @@
    */
   noteReport(report: RunnerReport, askedMs: number): void {
     const {options} = this;
+    this.failedReports = 0;
     this.running = report.running;
     this.queued = report.queued;
     this.inMemory = report.inMemory;
@@ -236,12 +255,14 @@
 
   /** Unloads adapters, longest unused first, until one place is free. */
   private async makePlace(adapterSlots: number): Promise<boolean> {
+    const {clock} = this.options;
     const byUse = [...this.adapters.entries()].sort(
       ([, a], [, b]) => a.usedMs - b.usedMs,
     );
-    for (const [key, {model, adapter}] of byUse) {
+    for (const [key, {model, adapter, usedMs}] of byUse) {
       if (this.adapters.size < adapterSlots) return true;
       if (this.leaving.has(key)) continue;
+      if (clock.nowMs() - usedMs < KEEP_ADAPTER_MS) return false;
       const outcome = await this.give({
         kind: 'unload',
         model,
@@ -252,7 +273,7 @@
       // a report shows it gone; a load into it would overfill the runner.
       if (outcome === 'done') this.adapters.delete(key);
       if (outcome === 'begun') this.leaving.add(key);
-      if (outcome === 'unknown') return false;
+      if (outcome === 'unknown' || outcome === 'refused') return false;
     }
     return this.adapters.size < adapterSlots;
   }
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -111,7 +111,8 @@
       .filter(runner => !runner.leaving && this.holds(runner, model));
     const serving = usable.filter(
       ({runnerId}) =>
-        this.hasAdapter(runnerId) || context.held.canFetch(runnerId),
+        !context.states.isUnreachable(runnerId) &&
+        (this.hasAdapter(runnerId) || context.held.canFetch(runnerId)),
     );
     const fresh = serving.filter(r => !this.rejectedBy.has(r.runnerId));
     const choices = (fresh.length > 0 ? fresh : serving).map(runner => ({
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -59,11 +59,16 @@
     return open;
   }
 
+  /** It stood out by its failures; taken only where all others did too. */
   isSuspect(runnerId: string): boolean {
-    const state = this.states.get(runnerId);
-    if (!state) return false;
-    const nowMs = this.clock.nowMs();
-    return state.unreachableUntilMs > nowMs || state.ejectedUntilMs > nowMs;
+    const ejectedUntilMs = this.states.get(runnerId)?.ejectedUntilMs ?? 0;
+    return ejectedUntilMs > this.clock.nowMs();
+  }
+
+  /** No connection came about lately; a request would only come back. */
+  isUnreachable(runnerId: string): boolean {
+    const untilMs = this.states.get(runnerId)?.unreachableUntilMs ?? 0;
+    return untilMs > this.clock.nowMs();
   }
 
   noteStart(runnerId: string, service: string, work: number): void {
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -1,5 +1,6 @@
 import type {BanyanfoldError} from '@banyanfold/core';
 import type {Result} from 'neverthrow';
+import type {LeaseHandover} from './peers/peerContract.js';
 
 /**
  * What the gateway knows and the ports through which it knows it. An adapter
@@ -250,6 +251,8 @@
   refreshHolder(): void;
   /** A later holder is there. Returns whether this one had lost the store. */
   yieldTo(generation: number): boolean;
+  /** Takes the lease from a holder that leaves. */
+  takeOver(handover: LeaseHandover): boolean;
   /** A runner refused this process's token. */
   noteFenced(): void;
   release(): Promise<void>;
