--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -137,7 +137,7 @@
     };
     this.callers = new GatewayServer(this.context);
     this.readiness = createReadinessServer(
-      () => this.view.isReady && !this.isLeaving,
+      () => this.isReady,
       () => metrics.render(),
       METRICS_PATH,
     );
@@ -148,6 +148,15 @@
     this.peers = http.createServer((req, res) => serve(req, res));
   }
 
+  /** Whether the balancer may send callers here. */
+  get isReady(): boolean {
+    return this.view.isReady && !this.isLeaving;
+  }
+
+  get callersPort(): number {
+    return this.parts.settings.callers.port;
+  }
+
   /** Offers the lease to the peers, one after the other. */
   async handOverLease(handover: LeaseHandover): Promise<boolean> {
     const {peers} = this.parts.settings;
