Test the lease, the desk of a runner, the view, and decoding without a network

The lease model (three processes, freezes, cuts and outages of the store on a virtual clock) fails when the time of day is left out of the lapse (a thawed holder goes on) and when the holder goes on without checks at the runners (two at a time); both seen.

--- /dev/null
+++ b/packages/banyanfold-decisions/src/__tests__/planCopies.test.ts
@@ -0,0 +1,159 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+  planCopies,
+  type CopyModel,
+  type CopyOrder,
+  type CopyRunner,
+} from '../planCopies.js';
+
+const BUSY_WORK = 30;
+
+function runner(fields: Partial<CopyRunner> & {runnerId: string}): CopyRunner {
+  return {
+    weightsMb: 200,
+    reservedMb: 10,
+    models: [],
+    isBusy: false,
+    inMemory: [],
+    onDisk: [],
+    ...fields,
+  };
+}
+
+function model(name: string, fields: Partial<CopyModel> = {}): CopyModel {
+  return {
+    name,
+    weightsMb: 70,
+    workPerSecond: 0,
+    waiting: 0,
+    idleMs: 60_000,
+    ...fields,
+  };
+}
+
+function brief(orders: CopyOrder[]): string[] {
+  return orders.map(o => `${o.kind} ${o.model} at ${o.runnerId}: ${o.reason}`);
+}
+
+describe('planCopies', () => {
+  it('loads a model that callers wait for where it is near', () => {
+    const orders = planCopies({
+      runners: [
+        runner({runnerId: 'r1', models: ['a']}),
+        runner({runnerId: 'r2', models: ['a'], onDisk: ['b']}),
+      ],
+      models: [model('a', {workPerSecond: 1}), model('b', {waiting: 2})],
+      storeLoadsLeft: 0,
+    });
+    expect(brief(orders)).toEqual(['load b at r2: orphan']);
+    expect(orders[0]?.isFromStore).toBe(false);
+  });
+
+  it('makes room by what is idle, and uses it for what it was made for', () => {
+    const full = runner({runnerId: 'r1', models: ['a', 'idle']});
+    const models = [
+      model('a', {workPerSecond: 3, idleMs: 10}),
+      model('idle'),
+      model('b', {waiting: 1, idleMs: 0}),
+    ];
+    const first = planCopies({runners: [full], models, storeLoadsLeft: 1});
+    expect(brief(first)).toEqual(['unload idle at r1: room for b']);
+    const after = runner({
+      runnerId: 'r1',
+      models: ['a'],
+      onDisk: ['idle'],
+      intendedModel: 'b',
+    });
+    const then = planCopies({runners: [after], models, storeLoadsLeft: 1});
+    expect(brief(then)).toEqual(['load b at r1: room-made']);
+  });
+
+  it('relieves the hottest runner when demand moves to one model', () => {
+    // Load: all demand moved to a model with one copy. Callers queue there
+    // while three runners idle; a copy more halves what its runner carries.
+    const orders = planCopies({
+      runners: [
+        runner({runnerId: 'r1', models: ['hot']}),
+        runner({runnerId: 'r2', models: ['cold']}),
+        runner({runnerId: 'r3', models: ['cold']}),
+      ],
+      models: [
+        model('hot', {workPerSecond: BUSY_WORK, idleMs: 0}),
+        model('cold'),
+      ],
+      storeLoadsLeft: 1,
+    });
+    expect(brief(orders)).toEqual(['load hot at r2: relieve']);
+  });
+
+  it('leaves a runner alone that is busy, and loads nothing over the rate', () => {
+    const models = [model('a', {waiting: 3, idleMs: 0})];
+    const busy = [runner({runnerId: 'r1', isBusy: true})];
+    expect(planCopies({runners: busy, models, storeLoadsLeft: 4})).toEqual([]);
+    const free = [runner({runnerId: 'r1'})];
+    expect(planCopies({runners: free, models, storeLoadsLeft: 0})).toEqual([]);
+  });
+
+  it('does not relieve where answers come well in time', () => {
+    const orders = planCopies({
+      runners: [
+        runner({runnerId: 'r1', models: ['a']}),
+        runner({runnerId: 'r2', models: ['a', 'b']}),
+      ],
+      models: [
+        model('a', {workPerSecond: 4, idleMs: 0}),
+        model('b', {workPerSecond: 2, idleMs: 0}),
+      ],
+      storeLoadsLeft: 3,
+    });
+    expect(orders).toEqual([]);
+  });
+
+  it('never overfills a runner, nor gives it two orders, nor passes the rate', () => {
+    const names = ['a', 'b', 'c', 'd', 'e'];
+    fc.assert(
+      fc.property(
+        fc.array(
+          fc.record({
+            models: fc.uniqueArray(fc.constantFrom(...names), {maxLength: 2}),
+            isBusy: fc.boolean(),
+            onDisk: fc.uniqueArray(fc.constantFrom(...names)),
+          }),
+          {minLength: 1, maxLength: 4},
+        ),
+        fc.array(
+          fc.record({
+            workPerSecond: fc.double({min: 0, max: 60, noNaN: true}),
+            waiting: fc.nat({max: 3}),
+            idleMs: fc.nat({max: 20_000}),
+          }),
+          {minLength: names.length, maxLength: names.length},
+        ),
+        fc.nat({max: 3}),
+        (held, demands, storeLoadsLeft) => {
+          const runners = held.map((fields, i) =>
+            runner({runnerId: `r${i}`, ...fields}),
+          );
+          const models = demands.map((demand, i) => model(names[i]!, demand));
+          const orders = planCopies({runners, models, storeLoadsLeft});
+          const ids = orders.map(({runnerId}) => runnerId);
+          expect(new Set(ids).size).toBe(ids.length);
+          const fromStore = orders.filter(({isFromStore}) => isFromStore);
+          expect(fromStore.length).toBeLessThanOrEqual(storeLoadsLeft);
+          for (const order of orders) {
+            const target = runners.find(r => r.runnerId === order.runnerId)!;
+            expect(target.isBusy).toBe(false);
+            if (order.kind === 'unload') {
+              expect(target.models).toContain(order.model);
+              continue;
+            }
+            expect(target.models).not.toContain(order.model);
+            const usedMb = (target.models.length + 1) * 70;
+            expect(usedMb).toBeLessThanOrEqual(190);
+          }
+        },
+      ),
+    );
+  });
+});
--- /dev/null
+++ b/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
@@ -0,0 +1,105 @@
+import {MemoryLogger, VirtualClock} from '@banyanfold/core';
+import {describe, expect, it} from 'vitest';
+import type {FleetConfig, RunnerRegistration} from '../types.js';
+import {FleetView} from '../view/fleetView.js';
+import {RouteTable} from '../view/routeTable.js';
+
+function createView() {
+  return new FleetView(new VirtualClock(), new MemoryLogger());
+}
+
+function config(version: number): FleetConfig {
+  return {
+    version,
+    routes: [],
+    services: new Map(),
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  };
+}
+
+function registration(
+  heartbeatNumber: number,
+  fields: Partial<RunnerRegistration> = {},
+): RunnerRegistration {
+  return {
+    runnerId: 'r1',
+    service: 's',
+    address: '127.0.0.1:1',
+    failureDomain: 'hall-a',
+    slots: 8,
+    leaving: false,
+    heartbeatNumber,
+    ...fields,
+  };
+}
+
+describe('the view of the fleet', () => {
+  it('takes no version back', () => {
+    const view = createView();
+    view.onConfig(config(7));
+    view.onConfig(config(4));
+    expect(view.current?.version).toBe(7);
+  });
+
+  it('keeps a leaving runner leaving when an older heartbeat comes late', () => {
+    const view = createView();
+    view.onRegistration(registration(4));
+    view.onRegistration(registration(6, {leaving: true}));
+    view.onRegistration(registration(5));
+    view.onRegistration(registration(7));
+    expect(view.runner('r1')?.leaving).toBe(true);
+  });
+
+  it('revives a removed runner only by a newer heartbeat', () => {
+    const view = createView();
+    view.onRegistration(registration(4));
+    view.onRemoval('r1');
+    view.onRegistration(registration(4));
+    expect(view.runner('r1')).toBeUndefined();
+    view.onRegistration(registration(5));
+    expect(view.runner('r1')).toBeDefined();
+  });
+
+  it('is ready when it knows a configuration and the runners', () => {
+    const view = createView();
+    view.onConfig(config(1));
+    expect(view.isReady).toBe(false);
+    view.onCaughtUp();
+    expect(view.isReady).toBe(true);
+  });
+});
+
+describe('the routes', () => {
+  const route = (name: string, pathPrefix: string) => ({
+    name,
+    host: 'desk.example',
+    pathPrefix,
+    kind: 'idempotent' as const,
+    timeoutMs: 1,
+    targetMs: 1,
+    priority: 0,
+    services: [],
+    maxAttempts: 1,
+    resumable: false,
+  });
+  const table = new RouteTable([
+    route('all', '/'),
+    route('claims', '/claims/'),
+    route('drafts', '/claims/drafts/'),
+  ]);
+
+  it.each([
+    ['desk.example', '/claims/1?x=/claims/drafts/', 'claims'],
+    ['DESK.example:8080', '/claims/drafts/', 'drafts'],
+    ['desk.example', '/claims', 'all'],
+    ['desk.example', '/claimsX/1', 'all'],
+    ['other.example', '/claims/1', undefined],
+  ])('%s %s leads to %s', (host, target, name) => {
+    expect(table.find(host, target)?.name).toBe(name);
+  });
+});
--- /dev/null
+++ b/packages/banyanfold-gateway/src/__tests__/leaseKeeper.model.test.ts
@@ -0,0 +1,231 @@
+import {BanyanfoldError, MemoryLogger, VirtualClock} from '@banyanfold/core';
+import {err, ok} from 'neverthrow';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {LeaseKeeper} from '../placement/leaseKeeper.js';
+import type {LeaseStore} from '../types.js';
+
+const TTL_MS = 1_000;
+const LEASE_MS = 3_000;
+
+type StoreState = 'up' | 'down';
+
+/** The store's side: one partition, dealt to one member at a time. */
+class FakeLeaseStore {
+  state: StoreState = 'up';
+  generation = 0;
+  owner: string | undefined;
+  private readonly heardMs = new Map<string, number>();
+  readonly cutOff = new Set<string>();
+
+  constructor(private readonly clock: VirtualClock) {}
+
+  sideOf(member: string): LeaseStore {
+    const unreachable = () =>
+      err(new BanyanfoldError('no-answer', 'down', {step: 's', peer: 'store'}));
+    const isOut = () => this.state === 'down' || this.cutOff.has(member);
+    return {
+      join: async () => {
+        if (isOut()) return unreachable();
+        this.dropSilent();
+        if (!this.heardMs.has(member)) this.generation += 1;
+        this.heardMs.set(member, this.clock.nowMs());
+        this.owner ??= member;
+        const owns = this.owner === member;
+        return ok({generation: this.generation, owns});
+      },
+      leave: async () => {
+        if (isOut()) return unreachable();
+        this.drop(member);
+        return ok(undefined);
+      },
+      owner: async () => (isOut() ? unreachable() : ok(this.owner)),
+    };
+  }
+
+  private dropSilent(): void {
+    for (const [member, atMs] of this.heardMs) {
+      if (this.clock.nowMs() - atMs > TTL_MS) this.drop(member);
+    }
+  }
+
+  private drop(member: string): void {
+    if (!this.heardMs.delete(member)) return;
+    this.generation += 1;
+    if (this.owner === member) this.owner = undefined;
+  }
+}
+
+/** A process whose timers stand still while it is frozen. */
+class Process {
+  isFrozen = false;
+  frozenMs = 0;
+  readonly keeper: LeaseKeeper;
+  private held: Array<() => void> = [];
+
+  constructor(
+    readonly name: string,
+    world: World,
+    fenced: boolean,
+  ) {
+    const {clock, store} = world;
+    this.keeper = new LeaseKeeper({
+      clock: {
+        nowMs: () => clock.nowMs() - this.frozenMs,
+        wallMs: () => clock.wallMs(),
+        setTimer: (delayMs, callback) =>
+          clock.setTimer(delayMs, () => {
+            if (this.isFrozen) this.held.push(callback);
+            else callback();
+          }),
+      },
+      logger: new MemoryLogger(),
+      store: store.sideOf(name),
+      address: name,
+      ttlMs: TTL_MS,
+      leaseMs: LEASE_MS,
+      areRunnersFenced: fenced,
+      askFormer: async (address, generation) => {
+        const former = world.processes.find(p => p.name === address);
+        if (!former || former.isFrozen) return undefined;
+        const isOutOfTouch = former.keeper.yieldTo(generation);
+        return {agoMs: 0, isOver: isOutOfTouch};
+      },
+      handOver: async handover =>
+        world.processes.some(
+          p => p !== this && !p.isFrozen && p.keeper.takeOver(handover),
+        ),
+    });
+  }
+
+  thaw(): void {
+    this.isFrozen = false;
+    for (const callback of this.held.splice(0)) callback();
+  }
+}
+
+class World {
+  readonly clock = new VirtualClock();
+  readonly store = new FakeLeaseStore(this.clock);
+  readonly processes: Process[] = [];
+
+  constructor(fenced: boolean) {
+    for (const name of ['p1', 'p2', 'p3']) {
+      this.processes.push(new Process(name, this, fenced));
+    }
+    for (const {keeper} of this.processes) keeper.start();
+  }
+
+  holders(): Process[] {
+    return this.processes.filter(
+      p => !p.isFrozen && p.keeper.current().isHolder,
+    );
+  }
+
+  async run(forMs: number, onStep: () => void = () => {}): Promise<void> {
+    const STEP_MS = 50;
+    for (let t = 0; t < forMs; t += STEP_MS) {
+      for (const p of this.processes) if (p.isFrozen) p.frozenMs += STEP_MS;
+      await this.clock.advance(STEP_MS);
+      onStep();
+    }
+  }
+}
+
+describe('the lease on orders', () => {
+  it('goes to one process, and to another when that one is dead', async () => {
+    const world = new World(true);
+    await world.run(LEASE_MS + 500);
+    const [first] = world.holders();
+    expect(world.holders()).toHaveLength(1);
+    for (const {keeper} of world.processes) keeper.refreshHolder();
+    await world.run(100);
+    first!.isFrozen = true;
+    await world.run(TTL_MS * 3);
+    expect(world.holders().map(p => p.name)).not.toContain(first!.name);
+    expect(world.holders()).toHaveLength(1);
+  });
+
+  it('is not used by a holder that wakes up after another one took over', async () => {
+    // Callers would see models come and go: a holder is frozen, another takes
+    // over, and the first one wakes in the middle of its work. The steady clock
+    // stood still for it, so by that alone its lease would seem good.
+    const world = new World(true);
+    await world.run(LEASE_MS + 500);
+    const [first] = world.holders();
+    first!.isFrozen = true;
+    await world.run(4_000);
+    first!.thaw();
+    expect(first!.keeper.current().isHolder).toBe(false);
+  });
+
+  it('stays with the last holder while the store is out, where tokens are checked', async () => {
+    const fenced = new World(true);
+    await fenced.run(LEASE_MS + 500);
+    fenced.store.state = 'down';
+    await fenced.run(8_000);
+    expect(fenced.holders()).toHaveLength(1);
+    const open = new World(false);
+    await open.run(LEASE_MS + 500);
+    open.store.state = 'down';
+    await open.run(8_000);
+    expect(open.holders()).toHaveLength(0);
+  });
+
+  it('goes from a leaving holder to a peer while the store is out', async () => {
+    const world = new World(true);
+    await world.run(LEASE_MS + 500);
+    const [first] = world.holders();
+    world.store.state = 'down';
+    await world.run(1_000);
+    const before = first!.keeper.current().fencingToken;
+    const released = first!.keeper.release();
+    await world.run(200);
+    await released;
+    const [next] = world.holders();
+    expect(next?.name).not.toBe(first!.name);
+    expect(next!.keeper.current().fencingToken).toBeGreaterThan(before);
+  });
+
+  it('never gives two holders one token, nor an older one to a later holder', async () => {
+    const event = fc.record({
+      kind: fc.constantFrom('freeze', 'thaw', 'down', 'up', 'cut', 'heal'),
+      process: fc.nat({max: 2}),
+      afterMs: fc.integer({min: 50, max: 3_000}),
+    });
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(event, {maxLength: 10}),
+        fc.boolean(),
+        async (events, fenced) => {
+          const world = new World(fenced);
+          const holderOf = new Map<number, string>();
+          const check = () => {
+            for (const {name, keeper} of world.holders()) {
+              const {fencingToken} = keeper.current();
+              expect(holderOf.get(fencingToken) ?? name).toBe(name);
+              holderOf.set(fencingToken, name);
+            }
+            // Without checks at the runners two at a time would both be obeyed.
+            if (!fenced) expect(world.holders().length).toBeLessThanOrEqual(1);
+          };
+          const acts: Record<string, (p: Process) => void> = {
+            freeze: p => (p.isFrozen = true),
+            thaw: p => p.thaw(),
+            down: () => (world.store.state = 'down'),
+            up: () => (world.store.state = 'up'),
+            cut: p => void world.store.cutOff.add(p.name),
+            heal: p => void world.store.cutOff.delete(p.name),
+          };
+          for (const {kind, process, afterMs} of events) {
+            await world.run(afterMs, check);
+            acts[kind]!(world.processes[process]!);
+            check();
+          }
+          await world.run(2_000, check);
+        },
+      ),
+      {numRuns: 40, seed: 11},
+    );
+  }, 120_000);
+});
