--- a/packages/banyanfold-core/src/logger.ts
+++ b/packages/banyanfold-core/src/logger.ts
@@ -63,7 +63,7 @@
   }
   const writer = new LineWriter();
   ROARR.write = line => writer.add(line);
-  process.on('exit', () => writer.flush());
+  process.on('exit', () => writer.flushAtExit());
 }
 
 /**
--- a/packages/banyanfold-decisions/src/index.ts
+++ b/packages/banyanfold-decisions/src/index.ts
@@ -8,3 +8,4 @@
 export * from './types.js';
 export * from './chooseRunner.js';
 export * from './planCopies.js';
+export * from './decideSend.js';
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -188,7 +188,7 @@
     if (this.reportsOpen.has(runnerId)) return;
     this.reportsOpen.add(runnerId);
     const askedMs = clock.nowMs();
-    const answer = await control.report(address);
+    const answer = await control.report(runnerId, address);
     this.reportsOpen.delete(runnerId);
     if (answer.isOk()) {
       desk.noteReport(answer.value, askedMs);
--- a/packages/banyanfold-gateway/src/placement/runnerDesk.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerDesk.ts
@@ -76,6 +76,8 @@
   lastOrderMs: number | undefined;
   /** Room is being made for it. */
   intendedModel: string | undefined;
+  /** Orders on models that wait here or have no answer yet. */
+  private modelOrdersOpen = 0;
   private busyUntilMs = 0;
   private expectedEndMs = 0;
   private failedReports = 0;
@@ -93,7 +95,8 @@
   }
 
   get isBusy(): boolean {
-    return this.options.clock.nowMs() < this.busyUntilMs;
+    const isUnderWay = this.options.clock.nowMs() < this.busyUntilMs;
+    return isUnderWay || this.modelOrdersOpen > 0;
   }
 
   /** The order under way is expected to be over, so that a report will tell. */
@@ -191,8 +194,10 @@
    * @param expectedMs how long it is expected to take.
    */
   orderModel(order: DeskOrder, expectedMs: number): Promise<DeskOutcome> {
+    this.modelOrdersOpen += 1;
     return this.enqueue(async () => {
       const outcome = await this.give(order);
+      this.modelOrdersOpen -= 1;
       if (outcome === 'refused') return outcome;
       const nowMs = this.options.clock.nowMs();
       this.busyUntilMs = nowMs + BUSY_CAP_MS;
--- a/packages/banyanfold-gateway/src/requests/answerRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/answerRelay.ts
@@ -30,12 +30,23 @@
   /** The runner's own failure, whole; not yet given to the caller. */
   | {kind: 'failed'; status: number; headers: AnswerHeaders; body: Buffer}
   /** The runner vouches that it did not run it. */
-  | {kind: 'rejected'; status: number; canReuse: boolean}
+  | {
+      kind: 'rejected';
+      status: number;
+      canReuse: boolean;
+      fromOtherRunner: boolean;
+    }
   /** No connection was established. */
   | {kind: 'unreached'; error: string}
   /** It may have run, and no whole answer came. */
   | {kind: 'broken'; error: string};
 
+/** Who is asked, and who wants to know of the answer's begin. */
+export interface AttemptTracking {
+  runnerId: string;
+  onFirstByte(): void;
+}
+
 export interface AnswerRelayOptions {
   context: GatewayContext;
   route: RoutePolicy;
@@ -77,6 +88,7 @@
   relay(
     connection: RunnerConnection,
     message: AttemptMessage,
+    tracking: AttemptTracking,
   ): Promise<AttemptResult> {
     return new Promise(resolve => {
       const settle = (result: AttemptResult) => {
@@ -84,7 +96,7 @@
         if (result.kind === 'broken') connection.destroy();
         resolve(result);
       };
-      const observer = this.observe(connection, settle);
+      const observer = this.observe(connection, settle, tracking);
       const attempt = new Attempt(connection, observer);
       const abandon = () => settle({kind: 'broken', error: 'given up'});
       this.current = {attempt, abandon};
@@ -113,6 +125,7 @@
   private observe(
     connection: RunnerConnection,
     settle: (result: AttemptResult) => void,
+    tracking: AttemptTracking,
   ): AttemptObserver {
     const splitter = new EventSplitter();
     const sentMs = this.options.context.clock.nowMs();
@@ -123,7 +136,8 @@
     };
     return {
       onHead: head => {
-        incoming = this.judgeHead(head, sentMs);
+        incoming = this.judgeHead(head, sentMs, tracking.runnerId);
+        if (!incoming.facts.notExecuted) tracking.onFirstByte();
         const {requestId} = this.options.decoded.request;
         const {facts} = incoming;
         if (facts.requestId !== undefined && facts.requestId !== requestId) {
@@ -164,9 +178,17 @@
     };
   }
 
-  private judgeHead(head: AnswerHead, sentMs: number): Incoming {
+  private judgeHead(
+    head: AnswerHead,
+    sentMs: number,
+    runnerId: string,
+  ): Incoming {
     const {context, route, startedMs} = this.options;
-    const facts = context.codec.decodeAnswer(head.status, head.headers);
+    const facts = context.codec.decodeAnswer(
+      head.status,
+      head.headers,
+      runnerId,
+    );
     const isSuccess = head.status < 300 && facts.signed;
     const nowMs = context.clock.nowMs();
     const isStreamed = route.kind === 'streaming' && isSuccess;
@@ -238,7 +260,10 @@
         canReuse,
       };
     }
-    if (facts.notExecuted) return {kind: 'rejected', status, canReuse};
+    if (facts.notExecuted) {
+      const {fromOtherRunner} = facts;
+      return {kind: 'rejected', status, canReuse, fromOtherRunner};
+    }
     if (facts.signed) return {kind: 'failed', status, headers, body};
     return {kind: 'broken', error: `unsigned answer ${status}`};
   }
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -2,6 +2,7 @@
 import {
   chooseRunner,
   decideRetry,
+  decideSend,
   type RetryDecision,
 } from '@banyanfold/decisions';
 import type {Timer} from '@banyanfold/core';
@@ -99,6 +100,7 @@
     if (!target) return this.park();
     if (target.needsAdapter && !(await this.fetchAdapter(target))) return;
     if (this.isOver || !this.isStillUsable(target.runner)) return;
+    if (this.isTurnedAway(target)) return;
     const result = await this.attempt(target);
     if (!this.isOver) this.settle(target, result);
   }
@@ -153,6 +155,36 @@
     return runner !== undefined && !runner.leaving;
   }
 
+  /** Refuses what a full queue would hold until its caller gives up. */
+  private isTurnedAway({runner}: Target): boolean {
+    const {context, decoded, route, startedMs} = this.options;
+    if (decoded.request.model === undefined || this.relay.hasBegun)
+      return false;
+    const nowMs = context.clock.nowMs();
+    const view = {
+      pendingAhead: context.states.pendingAhead(
+        runner.runnerId,
+        route.priority,
+      ),
+      firstBytesPerSecond: context.states.firstBytesPerSecond(runner.runnerId),
+      leftMs: this.deadlineMs - nowMs,
+      targetLeftMs: startedMs + route.targetMs - nowMs,
+    };
+    const decision = decideSend(view);
+    if (decision.kind === 'send') return false;
+    context.logger.info('refuse', {
+      request: decoded.request.requestId,
+      runner: runner.runnerId,
+      pendingAhead: view.pendingAhead,
+      firstBytesPerSecond: view.firstBytesPerSecond.toFixed(1),
+      waitMs: Math.round(decision.waitMs),
+      leftMs: Math.round(view.leftMs),
+    });
+    if (this.mayHaveRun) this.answer(FINAL_STATUS.unknown, 'runner-failed');
+    else this.answer(FINAL_STATUS.notRun, 'queue', decision.retryAfterMs);
+    return true;
+  }
+
   /** Waits for a copy of the model, or for a runner at all. */
   private async park(): Promise<void> {
     const {context, decoded} = this.options;
@@ -202,12 +234,21 @@
         decoded.request.model === undefined ? undefined : route.priority,
       lastEventId: this.relay.lastEventId,
     });
-    const result = await this.relay.relay(connection, {
-      method: request.method ?? 'GET',
-      target: request.url ?? '/',
-      headers,
-      body,
-    });
+    const endPending = context.states.notePending(
+      runner.runnerId,
+      route.priority,
+    );
+    const result = await this.relay.relay(
+      connection,
+      {
+        method: request.method ?? 'GET',
+        target: request.url ?? '/',
+        headers,
+        body,
+      },
+      {runnerId: runner.runnerId, onFirstByte: () => endPending(true)},
+    );
+    endPending(false);
     context.states.noteEnd(runner.runnerId, this.work);
     if (result.kind === 'delivered' || result.kind === 'rejected') {
       if (result.canReuse) {
@@ -259,7 +300,11 @@
         this.again(target, result);
         return;
       case 'rejected':
-        this.noteRejection(target, result.status);
+        if (result.fromOtherRunner) {
+          context.states.noteUnreachable(runnerId, this.service);
+        } else {
+          this.noteRejection(target, result.status);
+        }
         this.again(target, result);
         return;
       case 'failed':
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -5,6 +5,9 @@
 
 /** Outcomes older than this say nothing of a runner's state now. */
 const OUTCOME_WINDOW_MS = 4_000;
+/** Long enough for some first bytes, short enough to follow a queue. */
+const RATE_WINDOW_MS = 1_500;
+const MS_PER_SECOND = 1000;
 /** A fault of a runner lasts some seconds; then it is tried again. */
 const EJECTION_MS = 2_500;
 const EJECTION_OPTIONS = {
@@ -33,6 +36,9 @@
   ejectedUntilMs: number;
   outcomes: Outcome[];
   load?: ServerLoad;
+  /** Requests without a first byte, by priority. */
+  pending: Map<number, number>;
+  firstBytesMs: number[];
 }
 
 /** What this process has seen of each runner's load and health. */
@@ -77,6 +83,40 @@
     state.openRequests += 1;
   }
 
+  /**
+   * A request waits there for its first byte. Call what is returned when the
+   * byte has come, or with false when none will.
+   */
+  notePending(runnerId: string, priority: number): (came: boolean) => void {
+    const state = this.of(runnerId, '');
+    const {pending} = state;
+    pending.set(priority, (pending.get(priority) ?? 0) + 1);
+    let isOver = false;
+    return came => {
+      if (isOver) return;
+      isOver = true;
+      pending.set(priority, (pending.get(priority) ?? 1) - 1);
+      if (came) state.firstBytesMs.push(this.clock.nowMs());
+    };
+  }
+
+  /** Requests without a first byte there that are no less urgent. */
+  pendingAhead(runnerId: string, priority: number): number {
+    let ahead = 0;
+    for (const [other, count] of this.states.get(runnerId)?.pending ?? []) {
+      if (other <= priority) ahead += count;
+    }
+    return ahead;
+  }
+
+  firstBytesPerSecond(runnerId: string): number {
+    const state = this.states.get(runnerId);
+    if (!state) return 0;
+    const oldestMs = this.clock.nowMs() - RATE_WINDOW_MS;
+    state.firstBytesMs = state.firstBytesMs.filter(atMs => atMs >= oldestMs);
+    return (state.firstBytesMs.length * MS_PER_SECOND) / RATE_WINDOW_MS;
+  }
+
   noteEnd(runnerId: string, work: number): void {
     const state = this.states.get(runnerId);
     if (!state) return;
@@ -170,6 +210,8 @@
         pauseMs: 0,
         ejectedUntilMs: 0,
         outcomes: [],
+        pending: new Map(),
+        firstBytesMs: [],
       };
       this.states.set(runnerId, state);
     }
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -179,6 +179,8 @@
   signed: boolean;
   /** The runner vouches that it did not run the request. */
   notExecuted: boolean;
+  /** Another runner has the address by now. */
+  fromOtherRunner: boolean;
   /** The body was recoded on the way, so it isn't the runner's. */
   encoded: boolean;
   load?: ServerLoad;
@@ -190,7 +192,11 @@
 export interface RequestCodec {
   decodeRequest(rawHeaders: readonly string[]): DecodedRequest;
   encodeAttempt(decoded: DecodedRequest, fields: AttemptFields): string[];
-  decodeAnswer(status: number, headers: AnswerHeaders): AnswerFacts;
+  decodeAnswer(
+    status: number,
+    headers: AnswerHeaders,
+    runnerId: string,
+  ): AnswerFacts;
   /** What of an answer's head goes on to the caller. */
   passedAnswerHeaders(headers: AnswerHeaders): AnswerHeaders;
 }
@@ -203,7 +209,10 @@
     address: string,
     order: RunnerOrder,
   ): Promise<Result<OrderOutcome, BanyanfoldError>>;
-  report(address: string): Promise<Result<RunnerReport, BanyanfoldError>>;
+  report(
+    runnerId: string,
+    address: string,
+  ): Promise<Result<RunnerReport, BanyanfoldError>>;
 }
 
 /** Where a configuration or a registration comes from. */
