--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -159,7 +159,7 @@
   private isTurnedAway({runner}: Target): boolean {
     const {context, decoded, route, startedMs} = this.options;
     if (decoded.request.model === undefined || this.relay.hasBegun)
-      return false;
+      {return false;}
     const nowMs = context.clock.nowMs();
     const view = {
       pendingAhead: context.states.pendingAhead(
