--- a/packages/banyanfold-decisions/src/decideSend.ts
+++ b/packages/banyanfold-decisions/src/decideSend.ts
@@ -4,6 +4,9 @@
   pendingAhead: number;
   /** First bytes a second that came from there lately, for this entry. */
   firstBytesPerSecond: number;
+  /** Own work open there, and how much of it ends a second. */
+  openWork: number;
+  doneWorkPerSecond: number;
   /** Until the caller gives up. */
   leftMs: number;
   /** Until the target passes; negative when it has. */
@@ -13,6 +16,10 @@
 export interface SendOptions {
   /** Fewer pending than this are no queue: they are read side by side. */
   minPending: number;
+  /** Less open work than this runs side by side, at any time's pace. */
+  minOpenWork: number;
+  /** Of the caller's time what is open there may take this share to end. */
+  maxOpenShare: number;
   /**
    * Of the caller's time a wait may take this share, where the target passes
    * anyway: with less left the rest of an answer no longer comes in time.
@@ -25,6 +32,8 @@
 
 export const DEFAULT_SEND_OPTIONS: SendOptions = {
   minPending: 4,
+  minOpenWork: 12,
+  maxOpenShare: 0.7,
   maxWaitShare: 0.4,
   minRetryAfterMs: 300,
   maxRetryAfterShare: 0.3,
@@ -44,20 +53,41 @@
  * served. With the queue kept short those that are sent are answered, and the
  * others learn at once when to come back.
  *
- * @example decideSend({pendingAhead: 9, firstBytesPerSecond: 3, leftMs: 6000,
- *   targetLeftMs: 800}).kind // 'refuse'
+ * @example decideSend({pendingAhead: 9, firstBytesPerSecond: 3, openWork: 16,
+ *   doneWorkPerSecond: 5, leftMs: 6000, targetLeftMs: 800}).kind // 'refuse'
  */
 export function decideSend(
   view: SendView,
   options: SendOptions = DEFAULT_SEND_OPTIONS,
 ): SendDecision {
-  const {pendingAhead, firstBytesPerSecond, leftMs, targetLeftMs} = view;
-  if (pendingAhead < options.minPending) return {kind: 'send', waitMs: 0};
-  const rate = Math.max(firstBytesPerSecond, 1);
-  const waitMs = (pendingAhead * MS_PER_SECOND) / rate;
+  const {leftMs, targetLeftMs} = view;
+  const waitMs = waitOf(view, options);
   const allowedMs = Math.max(targetLeftMs, leftMs * options.maxWaitShare);
-  if (waitMs <= allowedMs) return {kind: 'send', waitMs};
-  const drainedMs = Math.max(waitMs - allowedMs, options.minRetryAfterMs);
-  const heededMs = leftMs * options.maxRetryAfterShare;
-  return {kind: 'refuse', waitMs, retryAfterMs: Math.min(drainedMs, heededMs)};
+  const overMs = Math.max(
+    waitMs - allowedMs,
+    openMsOf(view, options) - leftMs * options.maxOpenShare,
+  );
+  if (overMs <= 0) return {kind: 'send', waitMs};
+  const retryAfterMs = Math.min(
+    Math.max(overMs, options.minRetryAfterMs),
+    leftMs * options.maxRetryAfterShare,
+  );
+  return {kind: 'refuse', waitMs, retryAfterMs};
+}
+
+/** Until the first byte, by how fast first bytes come from there. */
+function waitOf(view: SendView, options: SendOptions): number {
+  const {pendingAhead, firstBytesPerSecond} = view;
+  if (pendingAhead < options.minPending) return 0;
+  return (pendingAhead * MS_PER_SECOND) / Math.max(firstBytesPerSecond, 1);
+}
+
+/**
+ * Until what is open there has ended. In a full batch first bytes may come
+ * soon and the rest too slowly: answers would be cut off at their deadline.
+ */
+function openMsOf(view: SendView, options: SendOptions): number {
+  const {openWork, doneWorkPerSecond} = view;
+  if (openWork < options.minOpenWork) return 0;
+  return (openWork * MS_PER_SECOND) / Math.max(doneWorkPerSecond, 1);
 }
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -6,7 +6,11 @@
 import type {GatewayOptions} from '../options.js';
 import type {LeaseSource} from '../types.js';
 import {createPeerClient, type PeerClient} from './peerClient.js';
-import type {ExchangeOutput, HolderHandlers} from './peerContract.js';
+import type {
+  ExchangeOutput,
+  HolderHandlers,
+  NotHolder,
+} from './peerContract.js';
 
 export interface HolderLinkOptions {
   clock: Clock;
@@ -80,8 +84,7 @@
       demand: demand.take(),
     };
     if (lease.current().isHolder) {
-      const output = own.exchange(input);
-      if (output) this.adopt(output);
+      this.adopt(own.exchange(input));
       return;
     }
     const peer = this.peer();
@@ -90,16 +93,19 @@
       return;
     }
     try {
-      const output = await peer.client.exchange.mutate(input);
-      if (output) this.adopt(output);
-      else lease.refreshHolder();
+      this.adopt(await peer.client.exchange.mutate(input));
     } catch (thrown) {
       this.lost(thrown);
     }
   }
 
-  private adopt(output: ExchangeOutput): void {
-    const {held, states, onEntries, logger} = this.deps;
+  private adopt(output: ExchangeOutput | NotHolder): void {
+    const {held, states, onEntries, logger, lease} = this.deps;
+    if (output.kind === 'not-holder') {
+      lease.noteHolder(output.holderAddress);
+      lease.refreshHolder();
+      return;
+    }
     if (!this.wasHeard) logger.info('holder-heard');
     this.wasHeard = true;
     const copies = new Map<string, ToldCopies>();
--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -1,6 +1,11 @@
 import {createTRPCClient, httpLink} from '@trpc/client';
 import {fetch, Pool} from 'undici';
-import type {LastOrder, LeaseHandover, PeerRouter} from './peerContract.js';
+import type {
+  LastOrder,
+  LaterHolder,
+  LeaseHandover,
+  PeerRouter,
+} from './peerContract.js';
 
 const CONNECTIONS = 4;
 
@@ -33,12 +38,12 @@
 /** Asks a former holder for its last order; undefined without an answer. */
 export async function askLastOrder(
   address: string,
-  generation: number,
+  later: LaterHolder,
   timeoutMs: number,
 ): Promise<LastOrder | undefined> {
   const peer = createPeerClient(address, timeoutMs);
   try {
-    return await peer.client.lastOrder.query({generation});
+    return await peer.client.lastOrder.query(later);
   } catch {
     // No answer is the finding: the former holder is out of reach.
     return undefined;
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -19,6 +19,7 @@
 
 /** What the holder tells back. */
 export const exchangeOutputSchema = z.object({
+  kind: z.literal('told'),
   /** Entries heard of within the last seconds, this one included. */
   entries: z.number(),
   runners: z.array(
@@ -46,6 +47,14 @@
   reason: z.string(),
 });
 
+/** A holder that asks the one before it. */
+export const laterHolderSchema = z.object({
+  generation: z.number(),
+  address: z.string(),
+});
+
+export type LaterHolder = z.infer<typeof laterHolderSchema>;
+
 /** What a former holder answers to the one after it. */
 export const lastOrderOutputSchema = z.object({
   /** Since the last order; undefined when none was given. */
@@ -65,15 +74,21 @@
 export type LastOrder = z.infer<typeof lastOrderOutputSchema>;
 export type ExchangeInput = z.infer<typeof exchangeInputSchema>;
 export type ExchangeOutput = z.infer<typeof exchangeOutputSchema>;
+
+/** From a process that doesn't hold the lease: who does, as far as it knows. */
+export interface NotHolder {
+  kind: 'not-holder';
+  holderAddress?: string;
+}
+
 export type EnsureInput = z.infer<typeof ensureInputSchema>;
 export type EnsureOutput = z.infer<typeof ensureOutputSchema>;
 
 /** What the holder of orders answers to the entries. */
 export interface HolderHandlers {
-  /** Undefined when this process doesn't hold the lease. */
-  exchange(input: ExchangeInput): ExchangeOutput | undefined;
+  exchange(input: ExchangeInput): ExchangeOutput | NotHolder;
   ensureAdapter(input: EnsureInput): Promise<EnsureOutput>;
-  lastOrder(generation: number): LastOrder;
+  lastOrder(input: LaterHolder): LastOrder;
   takeOver(handover: LeaseHandover): boolean;
 }
 
@@ -83,7 +98,7 @@
   return trpc.router({
     exchange: trpc.procedure
       .input(exchangeInputSchema)
-      .mutation(({input}) => handlers.exchange(input) ?? null),
+      .mutation(({input}) => handlers.exchange(input)),
     ensureAdapter: trpc.procedure
       .input(ensureInputSchema)
       .mutation(({input}) => handlers.ensureAdapter(input)),
@@ -91,8 +106,8 @@
       .input(leaseHandoverSchema)
       .mutation(({input}) => handlers.takeOver(input)),
     lastOrder: trpc.procedure
-      .input(z.object({generation: z.number()}))
-      .query(({input}) => handlers.lastOrder(input.generation)),
+      .input(laterHolderSchema)
+      .query(({input}) => handlers.lastOrder(input)),
   });
 }
 
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -10,6 +10,7 @@
   EnsureOutput,
   ExchangeInput,
   ExchangeOutput,
+  NotHolder,
   HolderHandlers,
 } from '../peers/peerContract.js';
 import type {
@@ -18,7 +19,11 @@
   RunnerControl,
   RunnerRegistration,
 } from '../types.js';
-import type {LastOrder, LeaseHandover} from '../peers/peerContract.js';
+import type {
+  LastOrder,
+  LaterHolder,
+  LeaseHandover,
+} from '../peers/peerContract.js';
 import type {FleetView} from '../view/fleetView.js';
 import {DemandView} from './demandView.js';
 import {LoadRate} from './loadRate.js';
@@ -65,7 +70,7 @@
     this.timers.clear();
   }
 
-  exchange(input: ExchangeInput): ExchangeOutput | undefined {
+  exchange(input: ExchangeInput): ExchangeOutput | NotHolder {
     const {lease, clock} = this.deps;
     const nowMs = clock.nowMs();
     this.demand.note(input.entry, input.openWork, input.demand, nowMs);
@@ -74,8 +79,10 @@
         for (const desk of this.desks.values()) desk.noteUse(model, adapter);
       }
     }
-    if (!lease.current().isHolder) return undefined;
+    const {isHolder, holderAddress} = lease.current();
+    if (!isHolder) return {kind: 'not-holder', holderAddress};
     return {
+      kind: 'told',
       entries: this.demand.countEntries(nowMs),
       runners: [...this.desks.values()]
         .filter(desk => desk.isKnown)
@@ -122,9 +129,9 @@
     return this.demand.entriesHeard(this.deps.clock.nowMs());
   }
 
-  lastOrder(generation: number): LastOrder {
+  lastOrder(later: LaterHolder): LastOrder {
     const {clock, isLeaving, lease} = this.deps;
-    const isOutOfTouch = lease.yieldTo(generation);
+    const isOutOfTouch = lease.yieldTo(later.generation, later.address);
     let latestMs: number | undefined;
     for (const {lastOrderMs} of this.desks.values()) {
       if (lastOrderMs === undefined) continue;
--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -94,8 +94,9 @@
    * has it now, this process doesn't. Returns whether it was out of touch with
    * the store, so that the other one need not wait for it.
    */
-  yieldTo(generation: number): boolean {
+  yieldTo(generation: number, address?: string): boolean {
     const isOutOfTouch = this.hasLapsed();
+    if (generation > this.generation) this.noteHolder(address);
     if (generation > this.generation && this.ownsIt) {
       this.ownsIt = false;
       this.options.logger.info('lease-yielded', {generation, isOutOfTouch});
@@ -104,6 +105,17 @@
     return isOutOfTouch;
   }
 
+  /**
+   * A peer says who holds the lease. A process that is cut off from the store
+   * has no other way to learn it, and its callers would wait for adapters.
+   */
+  noteHolder(address: string | undefined): void {
+    if (address === undefined || address === this.holderAddress) return;
+    if (this.ownsIt && !this.hasLapsed()) return;
+    this.holderAddress = address;
+    this.options.logger.info('holder', {address, from: 'peer'});
+  }
+
   /** A runner has seen a higher token than this process's. */
   noteFenced(): void {
     this.yieldTo(this.generation + 1);
--- a/packages/banyanfold-gateway/src/placement/runnerDesk.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerDesk.ts
@@ -326,6 +326,8 @@
       return 'done';
     }
     if (outcome === 'fenced') lease.noteFenced();
+    // Another runner has the address; this one has ended.
+    if (outcome === 'other-runner') this.failedReports = LOST_REPORTS;
     if (outcome === 'conflict') {
       const pauseEndMs = clock.nowMs() + CONFLICT_PAUSE_MS;
       this.busyUntilMs = Math.max(this.busyUntilMs, pauseEndMs);
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -158,8 +158,9 @@
   /** Refuses what a full queue would hold until its caller gives up. */
   private isTurnedAway({runner}: Target): boolean {
     const {context, decoded, route, startedMs} = this.options;
-    if (decoded.request.model === undefined || this.relay.hasBegun)
-      {return false;}
+    if (decoded.request.model === undefined || this.relay.hasBegun) {
+      return false;
+    }
     const nowMs = context.clock.nowMs();
     const view = {
       pendingAhead: context.states.pendingAhead(
@@ -167,6 +168,8 @@
         route.priority,
       ),
       firstBytesPerSecond: context.states.firstBytesPerSecond(runner.runnerId),
+      openWork: context.states.ownOpenWorkAt(runner.runnerId),
+      doneWorkPerSecond: context.states.doneWorkPerSecond(runner.runnerId),
       leftMs: this.deadlineMs - nowMs,
       targetLeftMs: startedMs + route.targetMs - nowMs,
     };
@@ -177,6 +180,8 @@
       runner: runner.runnerId,
       pendingAhead: view.pendingAhead,
       firstBytesPerSecond: view.firstBytesPerSecond.toFixed(1),
+      openWork: view.openWork.toFixed(1),
+      doneWorkPerSecond: view.doneWorkPerSecond.toFixed(1),
       waitMs: Math.round(decision.waitMs),
       leftMs: Math.round(view.leftMs),
     });
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -259,7 +259,9 @@
   /** Asks again who holds it, for one that met no answer there. */
   refreshHolder(): void;
   /** A later holder is there. Returns whether this one had lost the store. */
-  yieldTo(generation: number): boolean;
+  yieldTo(generation: number, address?: string): boolean;
+  /** A peer says who holds it. */
+  noteHolder(address: string | undefined): void;
   /** Takes the lease from a holder that leaves. */
   takeOver(handover: LeaseHandover): boolean;
   /** A runner refused this process's token. */
