Take back early refusals by queue; tell the loads under way to the next holder

Failed try: refusing what can't make its target, by the pace of first bytes and of ended work that one entry sees. Cause assumed: queues of requests that all give up before their turn. Conclusion: an entry sees too few first bytes to know a queue's pace, and who is refused comes back only once. Left is the refusal of what can't get a first byte before its caller gives up.

The holder tells the entries what counts still. A unit test failed before (no such call). Ruled out: late orders (counted when they are given).

--- a/packages/banyanfold-decisions/src/decideSend.ts
+++ b/packages/banyanfold-decisions/src/decideSend.ts
@@ -4,9 +4,6 @@
   pendingAhead: number;
   /** First bytes a second that came from there lately, for this entry. */
   firstBytesPerSecond: number;
-  /** Own work open there, and how much of it ends a second. */
-  openWork: number;
-  doneWorkPerSecond: number;
   /** Until the caller gives up. */
   leftMs: number;
   /** Until the target passes; negative when it has. */
@@ -16,13 +13,11 @@
 export interface SendOptions {
   /** Fewer pending than this are no queue: they are read side by side. */
   minPending: number;
-  /** Less open work than this runs side by side, at any time's pace. */
-  minOpenWork: number;
-  /** Of the caller's time what is open there may take this share to end. */
-  maxOpenShare: number;
   /**
-   * Of the caller's time a wait may take this share, where the target passes
-   * anyway: with less left the rest of an answer no longer comes in time.
+   * Of the caller's time a wait may take this share. An answer after its
+   * target is still worth something, and a caller that is refused comes back
+   * only once: shares of 0.4 and less served fewer callers, because the pace of
+   * a queue is known to an entry by few first bytes only.
    */
   maxWaitShare: number;
   minRetryAfterMs: number;
@@ -31,10 +26,8 @@
 }
 
 export const DEFAULT_SEND_OPTIONS: SendOptions = {
-  minPending: 4,
-  minOpenWork: 12,
-  maxOpenShare: 0.7,
-  maxWaitShare: 0.4,
+  minPending: 8,
+  maxWaitShare: 0.9,
   minRetryAfterMs: 300,
   maxRetryAfterShare: 0.3,
 };
@@ -53,8 +46,8 @@
  * served. With the queue kept short those that are sent are answered, and the
  * others learn at once when to come back.
  *
- * @example decideSend({pendingAhead: 9, firstBytesPerSecond: 3, openWork: 16,
- *   doneWorkPerSecond: 5, leftMs: 6000, targetLeftMs: 800}).kind // 'refuse'
+ * @example decideSend({pendingAhead: 9, firstBytesPerSecond: 1,
+ *   leftMs: 6000, targetLeftMs: 800}).kind // 'refuse'
  */
 export function decideSend(
   view: SendView,
@@ -63,13 +56,9 @@
   const {leftMs, targetLeftMs} = view;
   const waitMs = waitOf(view, options);
   const allowedMs = Math.max(targetLeftMs, leftMs * options.maxWaitShare);
-  const overMs = Math.max(
-    waitMs - allowedMs,
-    openMsOf(view, options) - leftMs * options.maxOpenShare,
-  );
-  if (overMs <= 0) return {kind: 'send', waitMs};
+  if (waitMs <= allowedMs) return {kind: 'send', waitMs};
   const retryAfterMs = Math.min(
-    Math.max(overMs, options.minRetryAfterMs),
+    Math.max(waitMs - allowedMs, options.minRetryAfterMs),
     leftMs * options.maxRetryAfterShare,
   );
   return {kind: 'refuse', waitMs, retryAfterMs};
@@ -81,13 +70,3 @@
   if (pendingAhead < options.minPending) return 0;
   return (pendingAhead * MS_PER_SECOND) / Math.max(firstBytesPerSecond, 1);
 }
-
-/**
- * Until what is open there has ended. In a full batch first bytes may come
- * soon and the rest too slowly: answers would be cut off at their deadline.
- */
-function openMsOf(view: SendView, options: SendOptions): number {
-  const {openWork, doneWorkPerSecond} = view;
-  if (openWork < options.minOpenWork) return 0;
-  return (openWork * MS_PER_SECOND) / Math.max(doneWorkPerSecond, 1);
-}
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -92,6 +92,7 @@
     const states = new RunnerStates(clock, logger, options);
     const held = new HeldCopies(this.view, () => clock.nowMs(), TOLD_FRESH_MS);
     const demand = new DemandMeter();
+    const loadRate = new LoadRate(settings.bounds.loadWindowMs);
     this.holder = new Holder({
       clock,
       logger,
@@ -101,7 +102,7 @@
       view: this.view,
       options,
       holder: address,
-      loadRate: new LoadRate(settings.bounds.loadWindowMs),
+      loadRate,
       isLeaving: () => this.isLeaving,
     });
     this.link = new HolderLink({
@@ -114,6 +115,7 @@
       demand,
       states,
       held,
+      loadRate,
       onEntries: count => {
         this.entries = count;
       },
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -1,6 +1,7 @@
 import type {Clock, Logger, Timer} from '@banyanfold/core';
 import type {EnsureAdapter} from '../context.js';
 import type {DemandMeter} from '../placement/demandMeter.js';
+import type {LoadRate} from '../placement/loadRate.js';
 import type {HeldCopies, ToldCopies} from '../runners/heldCopies.js';
 import type {RunnerStates} from '../runners/runnerStates.js';
 import type {GatewayOptions} from '../options.js';
@@ -24,6 +25,7 @@
   demand: DemandMeter;
   states: RunnerStates;
   held: HeldCopies;
+  loadRate: LoadRate;
   onEntries(count: number): void;
 }
 
@@ -100,7 +102,7 @@
   }
 
   private adopt(output: ExchangeOutput | NotHolder): void {
-    const {held, states, onEntries, logger, lease} = this.deps;
+    const {held, states, onEntries, logger, lease, loadRate, clock} = this.deps;
     if (output.kind === 'not-holder') {
       lease.noteHolder(output.holderAddress);
       lease.refreshHolder();
@@ -119,6 +121,7 @@
       peersWork[runner.runnerId] = runner.peersWork;
     }
     held.tell(copies);
+    loadRate.learn(output.loadAgesMs, clock.nowMs());
     states.notePeersWork(peersWork);
     onEntries(output.entries);
   }
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -22,6 +22,8 @@
   kind: z.literal('told'),
   /** Entries heard of within the last seconds, this one included. */
   entries: z.number(),
+  /** Since each load from the weight store that still counts, in ms. */
+  loadAgesMs: z.array(z.number()),
   runners: z.array(
     z.object({
       runnerId: z.string(),
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -84,6 +84,7 @@
     return {
       kind: 'told',
       entries: this.demand.countEntries(nowMs),
+      loadAgesMs: this.deps.loadRate.agesMs(nowMs),
       runners: [...this.desks.values()]
         .filter(desk => desk.isKnown)
         .map(desk => ({
--- a/packages/banyanfold-gateway/src/placement/loadRate.ts
+++ b/packages/banyanfold-gateway/src/placement/loadRate.ts
@@ -13,6 +13,21 @@
     this.begunMs.push(nowMs);
   }
 
+  /** Since each load that still counts, for the next holder. */
+  agesMs(nowMs: number): number[] {
+    return this.begunMs
+      .map(atMs => nowMs - atMs)
+      .filter(ageMs => ageMs < this.windowMs);
+  }
+
+  /**
+   * What the holder has begun. A new holder that counted only its own would
+   * begin as many again within the same window.
+   */
+  learn(agesMs: readonly number[], nowMs: number): void {
+    this.begunMs = agesMs.map(ageMs => nowMs - ageMs);
+  }
+
   left(loadsPerSecond: number, nowMs: number): number {
     this.begunMs = this.begunMs.filter(atMs => nowMs - atMs < this.windowMs);
     const allowed = Math.floor(
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -168,8 +168,6 @@
         route.priority,
       ),
       firstBytesPerSecond: context.states.firstBytesPerSecond(runner.runnerId),
-      openWork: context.states.ownOpenWorkAt(runner.runnerId),
-      doneWorkPerSecond: context.states.doneWorkPerSecond(runner.runnerId),
       leftMs: this.deadlineMs - nowMs,
       targetLeftMs: startedMs + route.targetMs - nowMs,
     };
@@ -180,8 +178,6 @@
       runner: runner.runnerId,
       pendingAhead: view.pendingAhead,
       firstBytesPerSecond: view.firstBytesPerSecond.toFixed(1),
-      openWork: view.openWork.toFixed(1),
-      doneWorkPerSecond: view.doneWorkPerSecond.toFixed(1),
       waitMs: Math.round(decision.waitMs),
       leftMs: Math.round(view.leftMs),
     });
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -39,7 +39,6 @@
   /** Requests without a first byte, by priority. */
   pending: Map<number, number>;
   firstBytesMs: number[];
-  ended: Array<{atMs: number; work: number}>;
 }
 
 /** What this process has seen of each runner's load and health. */
@@ -110,20 +109,6 @@
     return ahead;
   }
 
-  ownOpenWorkAt(runnerId: string): number {
-    return this.states.get(runnerId)?.openWork ?? 0;
-  }
-
-  /** Own work that ended there a second, lately. */
-  doneWorkPerSecond(runnerId: string): number {
-    const state = this.states.get(runnerId);
-    if (!state) return 0;
-    const oldestMs = this.clock.nowMs() - RATE_WINDOW_MS;
-    state.ended = state.ended.filter(({atMs}) => atMs >= oldestMs);
-    const done = state.ended.reduce((sum, {work}) => sum + work, 0);
-    return (done * MS_PER_SECOND) / RATE_WINDOW_MS;
-  }
-
   firstBytesPerSecond(runnerId: string): number {
     const state = this.states.get(runnerId);
     if (!state) return 0;
@@ -135,7 +120,6 @@
   noteEnd(runnerId: string, work: number): void {
     const state = this.states.get(runnerId);
     if (!state) return;
-    state.ended.push({atMs: this.clock.nowMs(), work});
     state.openWork = Math.max(0, state.openWork - work);
     state.openRequests -= 1;
   }
@@ -228,7 +212,6 @@
         outcomes: [],
         pending: new Map(),
         firstBytesMs: [],
-        ended: [],
       };
       this.states.set(runnerId, state);
     }
