--- a/packages/banyanfold-decisions/src/chooseRunner.ts
+++ b/packages/banyanfold-decisions/src/chooseRunner.ts
@@ -39,7 +39,9 @@
  * Chooses a runner by prefix affinity with bounded load. All entries rank the
  * runners alike by a hash of the key, so that requests that share a prompt meet
  * where it is cached without anything being told; a runner over the bound is
- * passed over, and without a key the least loaded one is taken.
+ * passed over, and without a key the least loaded one is taken. Runners of the
+ * entry's own failure domain go first: a prompt is then cached once a domain,
+ * and its bytes stay within it.
  *
  * Answers the load of many short prompts that share long prefixes while one
  * group of them bursts.
@@ -65,7 +67,10 @@
     const ranked = [...candidates]
       .map(choice => ({choice, rank: rankOf(affinityKey, choice.runnerId)}))
       .sort((a, b) => (a.rank < b.rank ? 1 : -1));
-    const first = ranked.find(({choice}) => cost(choice) <= bound);
+    const within = ranked.filter(({choice}) => cost(choice) <= bound);
+    const first =
+      within.find(({choice}) => choice.failureDomain === failureDomain) ??
+      within[0];
     if (first) return {runnerId: first.choice.runnerId, reason: 'affinity'};
   }
   let best = candidates[0]!;
