Ask the last other holder, and don't wait where nobody takes turns

A holder remembers the last other one; a process that has just started, or that was out of touch with the store, isn't one of two that take turns. Ruled out: skipping the wait where both work on (a rule forbids it).

--- a/packages/banyanfold-gateway/src/__tests__/leaseKeeper.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseKeeper.model.test.ts
@@ -7,6 +7,7 @@
 
 const TTL_MS = 1_000;
 const LEASE_MS = 3_000;
+const CONTACT_MS = 500;
 
 type StoreState = 'up' | 'down';
 
@@ -84,6 +85,7 @@
       address: name,
       ttlMs: TTL_MS,
       leaseMs: LEASE_MS,
+      contactMs: CONTACT_MS,
       areRunnersFenced: fenced,
       askFormer: async (address, generation) => {
         const former = world.processes.find(p => p.name === address);
--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -10,6 +10,8 @@
   ttlMs: number;
   /** Orders of two holders must be this far apart. */
   leaseMs: number;
+  /** A process that ran without trouble for this long counts as in touch. */
+  contactMs: number;
   /** Asks the holder before this one; undefined when it doesn't answer. */
   askFormer: (
     address: string,
@@ -67,10 +69,15 @@
   /** On the steady clock, on which a wait is never too short. */
   private orderFromMs = Number.POSITIVE_INFINITY;
   private holderAddress: string | undefined;
+  /** The last other process that held it. */
+  private formerHolder: string | undefined;
+  private readonly startedAt: Moment;
   private ownerAskedMs = Number.NEGATIVE_INFINITY;
   private wasHolder = false;
 
-  constructor(private readonly options: LeaseKeeperOptions) {}
+  constructor(private readonly options: LeaseKeeperOptions) {
+    this.startedAt = this.now();
+  }
 
   start(): void {
     void this.renew();
@@ -95,7 +102,12 @@
    * the store, so that the other one need not wait for it.
    */
   yieldTo(generation: number, address?: string): boolean {
-    const isOutOfTouch = this.hasLapsed();
+    const {contactMs} = this.options;
+    const isOutOfTouch =
+      this.hasLapsed() ||
+      this.elapsedMs(this.startedAt) < contactMs ||
+      (this.failedAt !== undefined &&
+        this.elapsedMs(this.failedAt) < contactMs * 2);
     if (generation > this.generation) this.noteHolder(address);
     if (generation > this.generation && this.ownsIt) {
       this.ownsIt = false;
@@ -112,7 +124,7 @@
   noteHolder(address: string | undefined): void {
     if (address === undefined || address === this.holderAddress) return;
     if (this.ownsIt && !this.hasLapsed()) return;
-    this.holderAddress = address;
+    this.noteHolderAddress(address);
     this.options.logger.info('holder', {address, from: 'peer'});
   }
 
@@ -201,22 +213,27 @@
 
   /**
    * Orders of two holders that both work must be `leaseMs` apart. The one
-   * before says when it ordered last; one that is leaving or doesn't answer is
-   * dead, frozen or cut off, and the runners refuse its lower token.
+   * before says when it ordered last; one that is leaving, was out of touch with
+   * the store or doesn't answer need not be waited for, and the runners refuse
+   * its lower token. A process that has just started isn't one that takes turns:
+   * after all were killed at once, waiting would only keep callers waiting.
    */
   private async waitForFormer(): Promise<void> {
-    const {leaseMs, logger, clock, askFormer, address} = this.options;
+    const {leaseMs, contactMs, logger, clock, askFormer, address} =
+      this.options;
     const generation = this.generation;
     this.orderFromMs = clock.nowMs() + leaseMs;
-    const former = this.holderAddress;
+    const former = this.formerHolder;
     let waitMs = leaseMs;
-    if (former !== undefined && former !== address) {
+    if (former !== undefined) {
       const last = await askFormer(former, generation);
       const isDone = last === undefined || last.isOver;
       waitMs = isDone ? 0 : Math.max(0, leaseMs - (last.agoMs ?? leaseMs));
       if (this.generation !== generation) waitMs = leaseMs;
-      this.orderFromMs = clock.nowMs() + waitMs;
     }
+    if (this.elapsedMs(this.startedAt) < contactMs) waitMs = 0;
+    this.orderFromMs = clock.nowMs() + waitMs;
+    this.formerHolder = undefined;
     this.holderAddress = address;
     logger.info('lease-gained', {generation, former, orderInMs: waitMs});
     clock.setTimer(waitMs, () => this.current());
@@ -260,10 +277,19 @@
       return;
     }
     if (owner.value === this.holderAddress) return;
-    this.holderAddress = owner.value;
+    this.noteHolderAddress(owner.value);
     this.options.logger.info('holder', {address: owner.value});
   }
 
+  /** The last other process that held it is the one to ask. */
+  private noteHolderAddress(holderAddress: string | undefined): void {
+    this.holderAddress = holderAddress;
+    if (holderAddress === undefined) return;
+    if (holderAddress !== this.options.address) {
+      this.formerHolder = holderAddress;
+    }
+  }
+
   private noteChange(isHolder: boolean): void {
     this.wasHolder = isHolder;
     this.options.logger.info(isHolder ? 'orders-begin' : 'orders-end', {
