--- a/packages/banyanfold-core/src/index.ts
+++ b/packages/banyanfold-core/src/index.ts
@@ -6,3 +6,4 @@
 export * from './logger.js';
 export * from './metrics.js';
 export * from './secrets.js';
+export * from './traceRequest.js';
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -11,7 +11,7 @@
 import {DemandMeter} from './placement/demandMeter.js';
 import {Holder} from './placement/holder.js';
 import {LoadRate} from './placement/loadRate.js';
-import {createReadinessServer} from './readinessServer.js';
+import {createMetricsServer, createReadinessServer} from './readinessServer.js';
 import {HeldCopies} from './runners/heldCopies.js';
 import {RunnerConnections} from './runners/runnerConnections.js';
 import {RunnerStates} from './runners/runnerStates.js';
@@ -43,6 +43,8 @@
   callers: ListenAddress;
   readiness: ListenAddress;
   peers: ListenAddress;
+  /** Without it no metrics are served. */
+  metrics?: ListenAddress;
   bounds: DeploymentBounds;
 }
 
@@ -68,7 +70,6 @@
 /** Of the slack, what comes back over a window; the rest is there at once. */
 const REFILLED_SLACK = 0.4;
 const MS_PER_SECOND = 1000;
-const METRICS_PATH = '/metrics';
 
 /** The process on an entry VM. */
 export class Gateway {
@@ -76,12 +77,14 @@
   private readonly context: GatewayContext;
   private readonly callers: GatewayServer;
   private readonly readiness: Server;
+  private readonly metricsServer: Server;
   private readonly peers: Server;
   private readonly holder: Holder;
   private readonly link: HolderLink;
   private readonly budgets = new Map<string, RetryBudget>();
   private readonly timers = new Set<Timer>();
   private entries = ASSUMED_ENTRIES;
+  private tidiedMs = 0;
   private isLeaving = false;
 
   constructor(private readonly parts: GatewayParts) {
@@ -138,11 +141,9 @@
       isLeaving: () => this.isLeaving,
     };
     this.callers = new GatewayServer(this.context);
-    this.readiness = createReadinessServer(
-      () => this.isReady,
-      () => metrics.render(),
-      METRICS_PATH,
-    );
+    this.readiness = createReadinessServer(() => this.isReady);
+    this.metricsServer = createMetricsServer(() => metrics.render());
+    this.addGauges();
     const serve = createHTTPHandler({
       router: createPeerRouter(this.holder),
       basePath: '/trpc/',
@@ -173,14 +174,16 @@
 
   async start(): Promise<void> {
     const {settings, fleet, lease, logger} = this.parts;
-    const {callers, readiness, peers} = settings;
+    const {callers, readiness, peers, metrics: metricsAt} = settings;
     await this.callers.listen(callers.port, callers.host);
     await listen(this.readiness, readiness);
+    if (metricsAt) await listen(this.metricsServer, metricsAt);
     await listen(this.peers, peers);
     fleet.start(this.view);
     lease.start();
     this.holder.start();
     this.link.start();
+    this.tidiedMs = this.parts.clock.nowMs();
     this.every(JUDGE_INTERVAL_MS, () => this.tidy());
     logger.info('started', {
       callers: `${callers.host}:${callers.port}`,
@@ -225,9 +228,27 @@
     for (const timer of this.timers) timer.cancel();
     this.callers.stopAccepting();
     this.readiness.close();
+    this.metricsServer.close();
     this.peers.close();
   }
 
+  /** Values that are read when the metrics are. */
+  private addGauges(): void {
+    const {clock, metrics, lease} = this.parts;
+    const sinceMs = (atMs: number) => Math.round(clock.nowMs() - atMs);
+    metrics.gauge('config_version', () => this.view.current?.version ?? 0);
+    metrics.gauge('config_heard_age_ms', () => sinceMs(this.view.configAtMs));
+    metrics.gauge('runners_heard_age_ms', () => sinceMs(this.view.runnersAtMs));
+    metrics.gauge('runners_known', () => [...this.view.allRunners()].length);
+    metrics.gauge('open_requests', () => this.callers.openRequests);
+    metrics.gauge('runner_connections_opened', () => {
+      return this.context.connections.opened;
+    });
+    metrics.gauge('is_holder', () => Number(lease.current().isHolder));
+    metrics.gauge('fencing_token', () => lease.current().fencingToken);
+    metrics.gauge('entries_heard', () => this.entries);
+  }
+
   private budgetOf(service: string): RetryBudget {
     let budget = this.budgets.get(service);
     if (!budget) {
@@ -247,6 +268,11 @@
   }
 
   private tidy(): void {
+    const nowMs = this.parts.clock.nowMs();
+    const lateMs = nowMs - this.tidiedMs - JUDGE_INTERVAL_MS;
+    this.parts.metrics.observeMs('loop_delay_ms', Math.max(0, lateMs));
+    this.tidiedMs = nowMs;
+
     this.context.states.judge();
     this.context.states.keepOnly(id => this.view.runner(id) !== undefined);
     this.context.connections.closeIdle();
--- a/packages/banyanfold-gateway/src/readinessServer.ts
+++ b/packages/banyanfold-gateway/src/readinessServer.ts
@@ -1,21 +1,25 @@
 import http, {type Server} from 'node:http';
 
 const OK = 200;
+const NOT_FOUND = 404;
 const UNAVAILABLE = 503;
 
 /** Tells the balancer whether new callers may come here. */
-export function createReadinessServer(
-  isReady: () => boolean,
-  renderMetrics: () => string,
-  metricsPath: string,
-): Server {
+export function createReadinessServer(isReady: () => boolean): Server {
+  return http.createServer((_request, response) => {
+    response.writeHead(isReady() ? OK : UNAVAILABLE);
+    response.end();
+  });
+}
+
+/** Serves the metrics at `/metrics`, in the usual text format. */
+export function createMetricsServer(render: () => string): Server {
   return http.createServer((request, response) => {
-    if (request.url === metricsPath) {
-      response.writeHead(OK, {'content-type': 'text/plain'});
-      response.end(renderMetrics());
+    if (request.url !== '/metrics') {
+      response.writeHead(NOT_FOUND).end();
       return;
     }
-    response.writeHead(isReady() ? OK : UNAVAILABLE);
-    response.end();
+    response.writeHead(OK, {'content-type': 'text/plain'});
+    response.end(render());
   });
 }
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -59,6 +59,7 @@
   private attemptsMade = 0;
   private rejections = 0;
   private mayHaveRun = false;
+  private hasWaited = false;
 
   constructor(private readonly options: RequestRunOptions) {
     const {context, route, decoded, startedMs, response} = options;
@@ -190,6 +191,8 @@
   private async park(): Promise<void> {
     const {context, decoded} = this.options;
     const {model} = decoded.request;
+    if (!this.hasWaited) this.logWait();
+    this.hasWaited = true;
     const done =
       model === undefined ? () => {} : context.demand.noteWaiting(model);
     const unsubscribe = context.view.onChange(() => this.wake?.());
@@ -198,6 +201,33 @@
     done();
   }
 
+  /** Why no runner could be chosen, once a request. */
+  private logWait(): void {
+    const {context, decoded, route} = this.options;
+    const {requestId, model, adapter} = decoded.request;
+    const runners = context.view.runnersOf(this.service);
+    const staying = runners.filter(({leaving}) => !leaving);
+    const holding = staying.filter(runner => this.holds(runner, model));
+    const reached = holding.filter(
+      ({runnerId}) => !context.states.isUnreachable(runnerId),
+    );
+    context.logger.info('wait', {
+      request: requestId,
+      route: route.name,
+      model,
+      adapter,
+      runners: runners.length,
+      staying: staying.length,
+      holding: holding.length,
+      reached: reached.length,
+      copiesAgeMs: Number.isFinite(context.held.ageMs)
+        ? Math.round(context.held.ageMs)
+        : undefined,
+      config: context.view.current?.version,
+      leftMs: Math.round(this.deadlineMs - context.clock.nowMs()),
+    });
+  }
+
   private pause(delayMs: number): Promise<void> {
     return new Promise(resolve => {
       const timer = this.options.context.clock.setTimer(delayMs, resolve);
@@ -446,6 +476,12 @@
     this.wake?.();
     const {context, decoded, route, startedMs} = this.options;
     context.metrics.count('requests', {kind: route.kind, outcome});
+    const {firstByteMs} = this.relay;
+    if (firstByteMs !== undefined) {
+      context.metrics.observeMs('first_byte_ms', firstByteMs, {
+        kind: route.kind,
+      });
+    }
     context.logger.info('request-end', {
       request: decoded.request.requestId,
       route: route.name,
--- a/packages/banyanfold-gateway/src/runners/heldCopies.ts
+++ b/packages/banyanfold-gateway/src/runners/heldCopies.ts
@@ -36,6 +36,11 @@
     private readonly freshMs: number,
   ) {}
 
+  /** Since the holder last told; infinite before it did. */
+  get ageMs(): number {
+    return this.nowMs() - this.toldAtMs;
+  }
+
   holdsModel(runnerId: string, model: string): boolean {
     if (this.isAbsent(runnerId, model)) return false;
     const told = this.toldOf(runnerId);
