--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -1,18 +1,19 @@
 // Starts the whole path on loopback: the stand-ins of the platform, four model
 // engines, four agents and two entries, each a process of its own. It is only
 // for trying the system out; banyanfold's own programs start no process.
-import {spawn, spawnSync} from 'node:child_process';
-import {createWriteStream, mkdirSync, rmSync, writeFileSync} from 'node:fs';
-import {fileURLToPath} from 'node:url';
+import {spawnSync} from 'node:child_process';
+import {
+  answersOk,
+  prepare,
+  ROOT,
+  run,
+  startProcess,
+  waitUntil,
+} from './processes.mjs';
 
-const ROOT = fileURLToPath(new URL('..', import.meta.url));
 const EXAMPLE = `${ROOT}examples/local`;
 const CLI = `${ROOT}packages/banyanfold-cli/bin/run.js`;
 const STANDINS = `${ROOT}packages/banyanfold-standins/lib/main.js`;
-const RUN_FOLDER = `${ROOT}.run`;
-const READY_TIMEOUT_MS = 60_000;
-const POLL_MS = 200;
-const KILL_AFTER_MS = 15_000;
 const ENTRY_URL = 'http://127.0.0.1:8400';
 
 /** Started in this order; ended in the reverse one. */
@@ -32,50 +33,6 @@
   })),
 ];
 
-const children = new Map();
-let stopping = false;
-
-function startProcess({name, args}) {
-  const log = createWriteStream(`${RUN_FOLDER}/${name}.log`);
-  const child = spawn(process.execPath, args, {
-    stdio: ['ignore', 'pipe', 'pipe'],
-  });
-  child.stdout.pipe(log);
-  child.stderr.pipe(log);
-  child.on('exit', (code, signal) => {
-    children.delete(name);
-    if (stopping) return;
-    console.log(
-      `${name} ended (${signal ?? code}); start it again with:\n` +
-        `  node ${args.map(shorten).join(' ')}`,
-    );
-  });
-  children.set(name, child);
-  writeFileSync(`${RUN_FOLDER}/${name}.pid`, `${child.pid}\n`);
-}
-
-function shorten(arg) {
-  return arg.startsWith(ROOT) ? arg.slice(ROOT.length) : arg;
-}
-
-async function answersOk(url, headers = {}) {
-  try {
-    const response = await fetch(url, {headers});
-    return response.ok;
-  } catch {
-    return false;
-  }
-}
-
-async function waitUntil(what, condition) {
-  const endMs = performance.now() + READY_TIMEOUT_MS;
-  while (performance.now() < endMs) {
-    if (await condition()) return;
-    await new Promise(resolve => setTimeout(resolve, POLL_MS));
-  }
-  throw new Error(`${what} is not ready; see the logs in ${RUN_FOLDER}`);
-}
-
 function publish() {
   const args = [CLI, 'publish', `${EXAMPLE}/published.jsonc`];
   args.push('--settings', `${EXAMPLE}/operator.jsonc`, '--wait');
@@ -111,27 +68,8 @@
   ['tenancy', 'local-drafting-key'],
 ];
 
-async function stopAll() {
-  if (stopping) return;
-  stopping = true;
-  console.log('ending all processes …');
-  for (const {name} of [...PROCESSES].reverse()) {
-    const child = children.get(name);
-    if (!child) continue;
-    const ended = new Promise(resolve => child.once('exit', resolve));
-    const timer = setTimeout(() => child.kill('SIGKILL'), KILL_AFTER_MS);
-    child.kill('SIGTERM');
-    await ended;
-    clearTimeout(timer);
-  }
-  process.exit(0);
-}
-
 async function main() {
-  rmSync(RUN_FOLDER, {recursive: true, force: true});
-  mkdirSync(RUN_FOLDER, {recursive: true});
-  process.on('SIGINT', stopAll);
-  process.on('SIGTERM', stopAll);
+  prepare();
   for (const entry of PROCESSES) {
     startProcess(entry);
     if (entry.name === 'platform') {
@@ -159,7 +97,5 @@
 Ctrl-C ends all.`);
 }
 
-main().catch(async error => {
-  console.error(String(error.message ?? error));
-  await stopAll();
-});
+if (process.argv.includes('--platform')) await import('./startPlatform.mjs');
+else run(main);
