--- a/packages/banyanfold-decisions/src/__tests__/planCopies.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/planCopies.test.ts
@@ -69,6 +69,46 @@
     expect(brief(then)).toEqual(['load b at r1: room-made']);
   });
 
+  it('makes room by what no run keeps, not by a busy copy', () => {
+    // Callers wait for a model. One runner could unload a busy model, which
+    // takes until its streams are over; another one an idle model, at once.
+    const orders = planCopies({
+      runners: [
+        runner({runnerId: 'r1', models: ['busy', 'x']}),
+        runner({runnerId: 'r2', models: ['idle', 'busy']}),
+      ],
+      models: [
+        model('busy', {workPerSecond: 2, idleMs: 0}),
+        model('x', {workPerSecond: 1, idleMs: 10}),
+        model('idle'),
+        model('b', {waiting: 1, idleMs: 0}),
+      ],
+      storeLoadsLeft: 1,
+    });
+    expect(brief(orders)).toEqual(['unload idle at r2: room for b']);
+  });
+
+  it('uses room that comes up elsewhere while other room is being made', () => {
+    const orders = planCopies({
+      runners: [
+        runner({
+          runnerId: 'r1',
+          models: ['busy', 'x'],
+          isBusy: true,
+          intendedModel: 'b',
+        }),
+        runner({runnerId: 'r2', models: ['busy']}),
+      ],
+      models: [
+        model('busy', {workPerSecond: 2, idleMs: 0}),
+        model('x', {workPerSecond: 1, idleMs: 10}),
+        model('b', {waiting: 1, idleMs: 0}),
+      ],
+      storeLoadsLeft: 1,
+    });
+    expect(brief(orders)).toEqual(['load b at r2: orphan']);
+  });
+
   it('relieves the hottest runner when demand moves to one model', () => {
     // Load: all demand moved to a model with one copy. Callers queue there
     // while three runners idle; a copy more halves what its runner carries.
--- a/packages/banyanfold-decisions/src/planCopies.ts
+++ b/packages/banyanfold-decisions/src/planCopies.ts
@@ -53,6 +53,10 @@
   minGainShare: number;
   /** A sole copy without a request for this long may make way. */
   soleIdleMs: number;
+  /** A sole copy without a request for this long is rarely missed. */
+  rareIdleMs: number;
+  /** Without a request for this long no run keeps an unload waiting. */
+  quietMs: number;
   /** A copy that isn't the last may make way after this. */
   surplusIdleMs: number;
 }
@@ -61,6 +65,8 @@
   relieveAboveWork: 6,
   minGainShare: 0.2,
   soleIdleMs: 4_000,
+  rareIdleMs: 10_000,
+  quietMs: 1_500,
   surplusIdleMs: 2_500,
 };
 
@@ -94,6 +100,15 @@
   return plan.orders;
 }
 
+/**
+ * Who makes way first. An unload waits for the runs under way, seconds for a
+ * busy model; a sole copy that goes has the next request for it wait for a load.
+ */
+const TIER = {idleSurplus: 0, rareSole: 1, busySurplus: 2, sole: 3} as const;
+const TIER_WIDTH = 1_000_000;
+/** In work a second: what making room costs against a runner's load. */
+const ROOM_COST = 3;
+
 class CopyPlan {
   readonly orders: CopyOrder[] = [];
   private readonly planned: Planned[];
@@ -122,11 +137,21 @@
     for (const to of this.planned) {
       const model = this.models.get(to.runner.intendedModel ?? '');
       if (!model || to.models.has(model.name)) continue;
-      if (to.isTaken) to.models.add(model.name);
-      else this.make(to, model, 'room-made');
+      if (!to.isTaken) this.make(to, model, 'room-made');
+      // Callers need not wait for the room while there is some elsewhere.
+      else if (model.waiting === 0 || !this.hasRoomFor(model)) {
+        to.models.add(model.name);
+      }
     }
   }
 
+  private hasRoomFor(model: CopyModel): boolean {
+    return this.planned.some(
+      to =>
+        !to.isTaken && to.freeMb >= model.weightsMb && this.canFetch(to, model),
+    );
+  }
+
   placeOrphans(wanted: (model: CopyModel) => boolean): void {
     const orphans = [...this.models.values()]
       .filter(model => this.copies(model.name) === 0 && wanted(model))
@@ -152,7 +177,10 @@
 
   /** Where room is left, models that nobody holds come back in quiet times. */
   fillRoom(): void {
-    if (this.orders.length > 0) return;
+    const isAnyoneWaiting = [...this.models.values()].some(
+      model => model.waiting > 0,
+    );
+    if (this.orders.length > 0 || isAnyoneWaiting) return;
     const orphan = [...this.models.values()]
       .filter(model => this.copies(model.name) === 0)
       .sort(byWant)[0];
@@ -256,21 +284,38 @@
     return shareAfter < this.options.relieveAboveWork / 2;
   }
 
-  /** Work a second that would move elsewhere, with sole copies dearest. */
+  /** Which copies make way first; see TIER. */
+  private tierOf(victim: CopyModel): number {
+    if (this.copies(victim.name) > 1) {
+      const isIdle = victim.idleMs >= this.options.quietMs;
+      return isIdle ? TIER.idleSurplus : TIER.busySurplus;
+    }
+    const isRare = victim.idleMs >= this.options.rareIdleMs;
+    return isRare ? TIER.rareSole : TIER.sole;
+  }
+
+  /** Least for what makes way first. */
   private lossOf(victim: CopyModel): number {
-    const copies = this.copies(victim.name);
-    const soleLoss = copies <= 1 ? 1_000_000 : 0;
-    return soleLoss + this.shareOf(victim) - victim.idleMs / 1_000_000;
+    const tier = this.tierOf(victim) * TIER_WIDTH;
+    return tier + this.shareOf(victim) - victim.idleMs / TIER_WIDTH;
   }
 
   private costOf(to: Planned, model: CopyModel): number {
     let cost = this.loadOf(to);
-    if (to.freeMb < model.weightsMb) cost += 3;
+    if (to.freeMb < model.weightsMb) cost += this.roomCostOf(to, model);
     if (!to.runner.inMemory.includes(model.name)) cost += 2;
     if (!this.isNear(to, model)) cost += 6;
     return cost;
   }
 
+  /** Room that only busy copies can make takes as long as their runs. */
+  private roomCostOf(to: Planned, model: CopyModel): number {
+    const victims = this.victimsOn(to, model);
+    if (!victims) return Number.POSITIVE_INFINITY;
+    const tiers = victims.map(victim => this.tierOf(victim));
+    return ROOM_COST + Math.max(...tiers) * ROOM_COST;
+  }
+
   private isNear(to: Planned, model: CopyModel): boolean {
     const {inMemory, onDisk} = to.runner;
     return inMemory.includes(model.name) || onDisk.includes(model.name);
