Tell the holder at once that a caller waits for a copy

Cause: a request whose model was nowhere waited for the next exchange (0.25 s) and the next plan (0.15 s) before a load began. Both happen now within 60 ms.

Ruled out: late orders (the unload was answered at once and carried out when its runs were over).

--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -23,6 +23,8 @@
   unreachablePauseCapMs: durationMs.default(4_000),
   /** Interval at which an entry tells the holder its demand. */
   exchangeIntervalMs: durationMs.default(250),
+  /** The shortest one, while callers wait for copies. */
+  urgentIntervalMs: durationMs.default(60),
   /** Interval of the holder's reports from each runner. */
   reportIntervalMs: durationMs.default(500),
   /** The same from when an order is expected to be over; loads take 0.5 s up. */
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -34,18 +34,13 @@
   private timer: Timer | undefined;
   private client: {address: string; peer: PeerClient} | undefined;
   private wasHeard = true;
+  private lastMs = 0;
 
   constructor(private readonly deps: HolderLinkOptions) {}
 
   start(): void {
-    const tick = async () => {
-      await this.exchange();
-      this.timer = this.deps.clock.setTimer(
-        this.deps.options.exchangeIntervalMs,
-        () => void tick(),
-      );
-    };
-    void tick();
+    this.deps.demand.onWaiting = () => this.exchangeSoon();
+    void this.run();
   }
 
   stop(): void {
@@ -78,6 +73,29 @@
     return true;
   };
 
+  private async run(): Promise<void> {
+    const {clock, options} = this.deps;
+    this.timer?.cancel();
+    this.timer = undefined;
+    this.lastMs = clock.nowMs();
+    await this.exchange();
+    this.schedule(options.exchangeIntervalMs);
+  }
+
+  /** A caller that waits for a copy need not wait for the next exchange too. */
+  private exchangeSoon(): void {
+    const {clock, options} = this.deps;
+    // Without a timer an exchange is under way; the next one tells the rest.
+    if (!this.timer) return;
+    const gapMs = clock.nowMs() - this.lastMs;
+    this.schedule(Math.max(0, options.urgentIntervalMs - gapMs));
+  }
+
+  private schedule(delayMs: number): void {
+    this.timer?.cancel();
+    this.timer = this.deps.clock.setTimer(delayMs, () => void this.run());
+  }
+
   private async exchange(): Promise<void> {
     const {own, lease, demand, states, address} = this.deps;
     const input = {
--- a/packages/banyanfold-gateway/src/placement/demandMeter.ts
+++ b/packages/banyanfold-gateway/src/placement/demandMeter.ts
@@ -15,6 +15,8 @@
 export class DemandMeter {
   private byModel = new Map<string, ModelDemand>();
   private readonly waiting = new Map<string, number>();
+  /** Called when a request begins to wait for a copy. */
+  onWaiting: () => void = () => {};
 
   noteArrival(
     model: string,
@@ -33,6 +35,7 @@
   /** A request waits for a copy; call what is returned when it no longer does. */
   noteWaiting(model: string): () => void {
     this.waiting.set(model, (this.waiting.get(model) ?? 0) + 1);
+    this.onWaiting();
     let isOver = false;
     return () => {
       if (isOver) return;
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -51,6 +51,7 @@
   private readonly desks = new Map<string, RunnerDesk>();
   private readonly demand = new DemandView();
   private readonly timers = new Set<Timer>();
+  private plannedMs = Number.NEGATIVE_INFINITY;
   private readonly reportsOpen = new Set<string>();
 
   constructor(private readonly deps: HolderOptions) {}
@@ -79,6 +80,7 @@
         for (const desk of this.desks.values()) desk.noteUse(model, adapter);
       }
     }
+    if (input.demand.some(({waiting}) => waiting > 0)) this.planSoon();
     const {isHolder, holderAddress} = lease.current();
     if (!isHolder) return {kind: 'not-holder', holderAddress};
     return {
@@ -209,8 +211,14 @@
     });
   }
 
+  private planSoon(): void {
+    const {clock, options} = this.deps;
+    if (clock.nowMs() - this.plannedMs >= options.urgentIntervalMs) this.plan();
+  }
+
   private plan(): void {
-    const {lease, view} = this.deps;
+    const {lease, view, clock} = this.deps;
+    this.plannedMs = clock.nowMs();
     if (!lease.current().isHolder) return;
     for (const {name, engine} of view.current?.services.values() ?? []) {
       if (engine) this.planService(name, engine);
