--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -263,6 +263,10 @@
         capacity: Math.max(2, slack * (1 - REFILLED_SLACK)),
       });
       this.budgets.set(service, budget);
+      const made = budget;
+      this.parts.metrics.gauge('retry_budget_left', () => made.available, {
+        service,
+      });
     }
     return budget;
   }
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -136,7 +136,7 @@
     status: number,
     closeConnection: boolean,
   ): void {
-    this.context.metrics.count('turned_away', {status: String(status)});
+    this.context.metrics.count('turned_away_total', {status: String(status)});
     this.context.logger.info('turned-away', {
       status,
       host: request.headers.host,
--- a/packages/banyanfold-gateway/src/placement/runnerDesk.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerDesk.ts
@@ -313,7 +313,7 @@
       error: answer.isErr() ? answer.error.message : undefined,
       tookMs: Math.round(clock.nowMs() - sentMs),
     });
-    metrics.count('orders', {kind: order.kind, outcome});
+    metrics.count('orders_total', {kind: order.kind, outcome});
     if (outcome === 'accepted') {
       this.orderNumber = Math.max(this.orderNumber, expectedOrderNumber + 1);
       return 'begun';
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -405,7 +405,7 @@
       return;
     }
     if (result.kind !== 'unreached') budget.tryTake();
-    context.metrics.count('retries', {after: result.kind});
+    context.metrics.count('retries_total', {after: result.kind});
   }
 
   private fail(result: AttemptResult): void {
@@ -475,7 +475,7 @@
     this.isOver = true;
     this.wake?.();
     const {context, decoded, route, startedMs} = this.options;
-    context.metrics.count('requests', {kind: route.kind, outcome});
+    context.metrics.count('requests_total', {kind: route.kind, outcome});
     const {firstByteMs} = this.relay;
     if (firstByteMs !== undefined) {
       context.metrics.observeMs('first_byte_ms', firstByteMs, {
