--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -68,7 +68,7 @@
 const JUDGE_INTERVAL_MS = 500;
 const DRAIN_POLL_MS = 50;
 /** Of the slack, what comes back over a window; the rest is there at once. */
-const REFILLED_SLACK = 0.4;
+const REFILLED_SLACK = 0.3;
 const MS_PER_SECOND = 1000;
 
 /** The process on an entry VM. */
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -20,6 +20,8 @@
 const PARSER_HEADER_BYTES = 131_072;
 /** Callers reuse a connection up to its announced timeout; keep it longer. */
 const IDLE_SLACK_MS = 1_500;
+/** Callers give up on a connection that nothing is read from after 1 s. */
+const START_WAIT_MS = 600;
 /** A caller that is refused for want of a configuration may come back. */
 const NOT_READY_RETRY_MS = 500;
 
@@ -96,6 +98,7 @@
       this.turnAway(request, response, FINAL_STATUS.tooLarge, true);
       return;
     }
+    if (!context.view.isReady) await this.untilReady();
     if (!context.view.isReady) {
       this.turnAway(request, response, FINAL_STATUS.notRun, false);
       return;
@@ -121,6 +124,26 @@
     this.runs.delete(run);
   }
 
+  /**
+   * A process that has just started knows the configuration within some tens
+   * of ms. A caller whose connection was cut comes back once; it would be
+   * refused for good just before it could be served.
+   */
+  private untilReady(): Promise<void> {
+    const {view, clock} = this.context;
+    return new Promise(resolve => {
+      const finish = () => {
+        timer.cancel();
+        unsubscribe();
+        resolve();
+      };
+      const timer = clock.setTimer(START_WAIT_MS, finish);
+      const unsubscribe = view.onChange(() => {
+        if (view.isReady) finish();
+      });
+    });
+  }
+
   private headProblem(request: IncomingMessage): number | undefined {
     let bytes = 0;
     for (const text of request.rawHeaders) bytes += text.length + 2;
--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -43,7 +43,7 @@
   maxGatheredBytes: z.number().int().positive().default(8_388_608),
   /** Share of the allowed repeats that is used, so that a count that differs
    * by some requests does not pass the bound. */
-  retryBudgetShare: z.number().min(0).max(1).default(0.8),
+  retryBudgetShare: z.number().min(0).max(1).default(0.85),
 });
 
 export type GatewayOptions = z.infer<typeof gatewayOptionsSchema>;
--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -1,5 +1,5 @@
 import {createTRPCClient, httpLink} from '@trpc/client';
-import {fetch, Pool} from 'undici';
+import {Pool, type Dispatcher} from 'undici';
 import type {
   LastOrder,
   LaterHolder,
@@ -16,12 +16,25 @@
     connections: CONNECTIONS,
     connect: {timeout: timeoutMs},
   });
-  const send = (url: unknown, init: unknown) =>
-    fetch(String(url), {
-      ...(init as object),
-      dispatcher,
+  // A fetch as far as the link uses it. The runtime's own would load a second
+  // HTTP client into the process.
+  const send = async (url: unknown, init: unknown) => {
+    const {method, headers, body} = init as {
+      method: Dispatcher.HttpMethod;
+      headers: Record<string, string>;
+      body?: string;
+    };
+    const answer = await dispatcher.request({
+      path: String(url).slice(origin.length),
+      method,
+      headers,
+      body: body ?? null,
       signal: AbortSignal.timeout(timeoutMs),
-    } as Parameters<typeof fetch>[1]);
+    });
+    const status = answer.statusCode;
+    const ok = status >= 200 && status < 300;
+    return {ok, status, json: () => answer.body.json()};
+  };
   const client = createTRPCClient<PeerRouter>({
     links: [
       httpLink({
--- a/scripts/startPlatform.mjs
+++ b/scripts/startPlatform.mjs
@@ -13,7 +13,7 @@
   waitUntil,
 } from './processes.mjs';
 
-const BUNDLE = `${ROOT}target/banyanfold.mjs`;
+const BUNDLE = `${ROOT}target/main.cjs`;
 const STANDIN = `${ROOT}platform/lib/standins/main.js`;
 const STORE_PORT = 8520;
 /** Entries differ by address, as VMs do; their ports are the same. */
