--- a/eslint.config.js
+++ b/eslint.config.js
@@ -28,6 +28,11 @@
       ],
     },
   },
+  {
+    // What the runtime loads with require() can only use that.
+    files: ['**/*.cjs'],
+    rules: {'@typescript-eslint/no-require-imports': 'off'},
+  },
   {
     files: ['**/*.ts'],
     rules: {
