--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -177,7 +177,7 @@
     const {callers, readiness, peers, metrics: metricsAt} = settings;
     await this.callers.listen(callers.port, callers.host);
     await listen(this.readiness, readiness);
-    if (metricsAt) await listen(this.metricsServer, metricsAt);
+    if (metricsAt) await this.listenForMetrics(metricsAt);
     await listen(this.peers, peers);
     fleet.start(this.view);
     lease.start();
@@ -232,6 +232,18 @@
     this.peers.close();
   }
 
+  /** Callers are served without metrics too; a taken port is only told. */
+  private async listenForMetrics(at: ListenAddress): Promise<void> {
+    try {
+      await listen(this.metricsServer, at);
+    } catch (thrown) {
+      this.parts.logger.warn('metrics-unavailable', {
+        address: `${at.host}:${at.port}`,
+        error: thrown instanceof Error ? thrown.message : String(thrown),
+      });
+    }
+  }
+
   /** Values that are read when the metrics are. */
   private addGauges(): void {
     const {clock, metrics, lease} = this.parts;
