--- a/packages/banyanfold-gateway/src/__tests__/runnerDesk.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
@@ -6,7 +6,7 @@
 } from '@banyanfold/core';
 import {err, ok} from 'neverthrow';
 import {beforeEach, describe, expect, it} from 'vitest';
-import {RunnerDesk} from '../placement/runnerDesk.js';
+import {RunnerController} from '../placement/runnerController.js';
 import type {
   LeaseSource,
   OrderOutcome,
@@ -22,7 +22,7 @@
 let answers: Array<OrderOutcome | 'lost'>;
 let isHolder: boolean;
 let fencedCount: number;
-let desk: RunnerDesk;
+let controller: RunnerController;
 
 beforeEach(() => {
   clock = new VirtualClock();
@@ -30,7 +30,7 @@
   answers = [];
   isHolder = true;
   fencedCount = 0;
-  desk = new RunnerDesk(
+  controller = new RunnerController(
     {
       runnerId: 'r1',
       service: 's',
@@ -87,9 +87,9 @@
 
 describe('the orders to one runner', () => {
   it('wait until the number of its orders is known', async () => {
-    expect(await desk.ensureAdapter('m1', 'a1', SLOTS)).toBe(false);
-    desk.noteReport(report({orderNumber: 4}), 0);
-    expect(await desk.ensureAdapter('m1', 'a1', SLOTS)).toBe(true);
+    expect(await controller.ensureAdapter('m1', 'a1', SLOTS)).toBe(false);
+    controller.noteReport(report({orderNumber: 4}), 0);
+    expect(await controller.ensureAdapter('m1', 'a1', SLOTS)).toBe(true);
     expect(orders).toMatchObject([{adapter: 'a1', expectedOrderNumber: 4}]);
   });
 
@@ -97,52 +97,52 @@
     // A runner must never be overfilled. An order gets no answer and may be
     // carried out seconds later; the one after it names the same number, so
     // that the runner takes whichever comes first and refuses the other.
-    desk.noteReport(report(), 0);
+    controller.noteReport(report(), 0);
     answers = ['lost'];
-    expect(await desk.ensureAdapter('m1', 'a1', SLOTS)).toBe(false);
-    await desk.ensureAdapter('m1', 'a2', SLOTS);
+    expect(await controller.ensureAdapter('m1', 'a1', SLOTS)).toBe(false);
+    await controller.ensureAdapter('m1', 'a2', SLOTS);
     const numbers = orders.map(order => order.expectedOrderNumber);
     expect(numbers).toEqual([0, 0]);
   });
 
   it('are kept when a report from before them comes', async () => {
-    desk.noteReport(report(), 0);
-    await desk.ensureAdapter('m1', 'a1', SLOTS);
-    desk.noteReport(report({orderNumber: 0}), clock.nowMs());
-    expect(desk.servingAdapters()).toEqual(['m1/a1']);
+    controller.noteReport(report(), 0);
+    await controller.ensureAdapter('m1', 'a1', SLOTS);
+    controller.noteReport(report({orderNumber: 0}), clock.nowMs());
+    expect(controller.servingAdapters()).toEqual(['m1/a1']);
   });
 
   it('are counted anew when the number ran ahead of the runner', async () => {
     // All orders would be refused for good: an order that was under way already
     // was answered like a new one and counted twice. A report that was asked
     // for long after the last order counts, whatever its number.
-    desk.noteReport(report(), 0);
-    await desk.orderModel({kind: 'load', model: 'm2', reason: 'x'}, 100);
-    await desk.orderModel({kind: 'load', model: 'm2', reason: 'x'}, 100);
+    controller.noteReport(report(), 0);
+    await controller.orderModel({kind: 'load', model: 'm2', reason: 'x'}, 100);
+    await controller.orderModel({kind: 'load', model: 'm2', reason: 'x'}, 100);
     await clock.advance(SETTLED_MS);
     const models = [...held(), {name: 'm2', version: 1, adapters: []}];
-    desk.noteReport(report({orderNumber: 1, models}), clock.nowMs());
-    await desk.ensureAdapter('m2', 'a1', SLOTS);
+    controller.noteReport(report({orderNumber: 1, models}), clock.nowMs());
+    await controller.ensureAdapter('m2', 'a1', SLOTS);
     expect(orders.at(-1)?.expectedOrderNumber).toBe(1);
   });
 
   it('stop while a load of the holder before is under way', async () => {
     // A second load after the first would overfill the runner: the first one
     // takes memory that shows in no report until it is over.
-    desk.noteReport(report({busy: true, orderNumber: 3}), 0);
-    expect(desk.isBusy).toBe(true);
-    expect(await desk.ensureAdapter('m1', 'a1', SLOTS)).toBe(false);
+    controller.noteReport(report({busy: true, orderNumber: 3}), 0);
+    expect(controller.isBusy).toBe(true);
+    expect(await controller.ensureAdapter('m1', 'a1', SLOTS)).toBe(false);
     expect(orders).toEqual([]);
-    desk.noteReport(report({orderNumber: 3}), clock.nowMs());
-    expect(desk.isBusy).toBe(false);
+    controller.noteReport(report({orderNumber: 3}), clock.nowMs());
+    expect(controller.isBusy).toBe(false);
   });
 
   it('make a place by what was unused longest', async () => {
-    desk.noteReport(report({models: held('a1', 'a2')}), 0);
+    controller.noteReport(report({models: held('a1', 'a2')}), 0);
     await clock.advance(SETTLED_MS);
-    desk.noteUse('m1', 'a1');
+    controller.noteUse('m1', 'a1');
     answers = ['holds'];
-    expect(await desk.ensureAdapter('m1', 'a3', SLOTS)).toBe(true);
+    expect(await controller.ensureAdapter('m1', 'a3', SLOTS)).toBe(true);
     expect(orders).toMatchObject([
       {kind: 'unload', adapter: 'a2', expectedOrderNumber: 0},
       {kind: 'load', adapter: 'a3', expectedOrderNumber: 1},
@@ -152,33 +152,33 @@
   it('count a place as taken until an adapter in use is gone', async () => {
     // The runner would be overfilled: an adapter in use goes only when its runs
     // are over, and a load into its place before that is one too many.
-    desk.noteReport(report({models: held('a1', 'a2')}), 0);
+    controller.noteReport(report({models: held('a1', 'a2')}), 0);
     await clock.advance(SETTLED_MS);
     answers = ['accepted', 'accepted'];
-    expect(await desk.ensureAdapter('m1', 'a3', SLOTS)).toBe(false);
+    expect(await controller.ensureAdapter('m1', 'a3', SLOTS)).toBe(false);
     expect(orders.every(({kind}) => kind === 'unload')).toBe(true);
     await clock.advance(SETTLED_MS);
     const models = held('a2');
-    desk.noteReport(report({orderNumber: 2, models}), clock.nowMs());
-    expect(await desk.ensureAdapter('m1', 'a3', SLOTS)).toBe(true);
+    controller.noteReport(report({orderNumber: 2, models}), clock.nowMs());
+    expect(await controller.ensureAdapter('m1', 'a3', SLOTS)).toBe(true);
   });
 
   it('take nothing away that was asked for a moment ago', async () => {
-    desk.noteReport(report(), 0);
-    await desk.ensureAdapter('m1', 'a1', SLOTS);
-    await desk.ensureAdapter('m1', 'a2', SLOTS);
-    expect(await desk.ensureAdapter('m1', 'a3', SLOTS)).toBe(false);
+    controller.noteReport(report(), 0);
+    await controller.ensureAdapter('m1', 'a1', SLOTS);
+    await controller.ensureAdapter('m1', 'a2', SLOTS);
+    expect(await controller.ensureAdapter('m1', 'a3', SLOTS)).toBe(false);
     expect(orders.some(({kind}) => kind === 'unload')).toBe(false);
   });
 
   it('end where the lease does, and tell it of a higher token', async () => {
-    desk.noteReport(report(), 0);
+    controller.noteReport(report(), 0);
     isHolder = false;
-    expect(await desk.ensureAdapter('m1', 'a1', SLOTS)).toBe(false);
+    expect(await controller.ensureAdapter('m1', 'a1', SLOTS)).toBe(false);
     expect(orders).toEqual([]);
     isHolder = true;
     answers = ['fenced'];
-    expect(await desk.ensureAdapter('m1', 'a1', SLOTS)).toBe(false);
+    expect(await controller.ensureAdapter('m1', 'a1', SLOTS)).toBe(false);
     expect(fencedCount).toBe(1);
   });
 });
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -27,7 +27,7 @@
 import type {FleetView} from '../view/fleetView.js';
 import {DemandView} from './demandView.js';
 import {LoadRate} from './loadRate.js';
-import {RunnerDesk} from './runnerDesk.js';
+import {RunnerController} from './runnerController.js';
 
 /** An unload waits for the runs under way, then is over at once. */
 const UNLOAD_MS = 100;
@@ -48,7 +48,7 @@
 
 /** Gives all orders to runners while this process holds the lease. */
 export class Holder implements HolderHandlers {
-  private readonly desks = new Map<string, RunnerDesk>();
+  private readonly controllers = new Map<string, RunnerController>();
   private readonly demand = new DemandView();
   private readonly timers = new Set<Timer>();
   private plannedMs = Number.NEGATIVE_INFINITY;
@@ -61,9 +61,9 @@
     this.every(options.planIntervalMs, () => this.plan());
     this.every(options.reportIntervalMs, () => this.askReports(() => true));
     this.every(options.busyReportIntervalMs, () =>
-      this.askReports(desk => desk.awaitsReport),
+      this.askReports(controller => controller.awaitsReport),
     );
-    this.deps.view.onChange(() => this.syncDesks());
+    this.deps.view.onChange(() => this.syncControllers());
   }
 
   stop(): void {
@@ -77,7 +77,8 @@
     this.demand.note(input.entry, input.openWork, input.demand, nowMs);
     for (const {model, adapters} of input.demand) {
       for (const adapter of Object.keys(adapters)) {
-        for (const desk of this.desks.values()) desk.noteUse(model, adapter);
+        for (const controller of this.controllers.values())
+          controller.noteUse(model, adapter);
       }
     }
     if (input.demand.some(({waiting}) => waiting > 0)) this.planSoon();
@@ -87,15 +88,15 @@
       kind: 'told',
       entries: this.demand.countEntries(nowMs),
       loadAgesMs: this.deps.loadRate.agesMs(nowMs),
-      runners: [...this.desks.values()]
-        .filter(desk => desk.isKnown)
-        .map(desk => ({
-          runnerId: desk.registration.runnerId,
-          models: desk.isReachable ? desk.servingModels() : [],
-          adapters: desk.servingAdapters(),
-          isBusy: desk.isBusy,
+      runners: [...this.controllers.values()]
+        .filter(controller => controller.isKnown)
+        .map(controller => ({
+          runnerId: controller.registration.runnerId,
+          models: controller.isReachable ? controller.servingModels() : [],
+          adapters: controller.servingAdapters(),
+          isBusy: controller.isBusy,
           peersWork: this.demand.peersWork(
-            desk.registration.runnerId,
+            controller.registration.runnerId,
             input.entry,
             nowMs,
           ),
@@ -108,14 +109,14 @@
     if (!lease.current().isHolder) {
       return {isThere: false, reason: 'not-holder'};
     }
-    const desk = this.desks.get(input.runnerId);
-    if (!desk?.isKnown) return {isThere: false, reason: 'runner-unknown'};
-    const engine = this.engineOf(desk.registration);
+    const controller = this.controllers.get(input.runnerId);
+    if (!controller?.isKnown) return {isThere: false, reason: 'runner-unknown'};
+    const engine = this.engineOf(controller.registration);
     if (!engine || view.runner(input.runnerId)?.leaving) {
       return {isThere: false, reason: 'runner-leaving'};
     }
-    if (desk.isBusy) return {isThere: false, reason: 'runner-busy'};
-    const isThere = await desk.ensureAdapter(
+    if (controller.isBusy) return {isThere: false, reason: 'runner-busy'};
+    const isThere = await controller.ensureAdapter(
       input.model,
       input.adapter,
       engine.adapterSlots,
@@ -136,7 +137,7 @@
     const {clock, isLeaving, lease} = this.deps;
     const isOutOfTouch = lease.yieldTo(later.generation, later.address);
     let latestMs: number | undefined;
-    for (const {lastOrderMs} of this.desks.values()) {
+    for (const {lastOrderMs} of this.controllers.values()) {
       if (lastOrderMs === undefined) continue;
       latestMs = Math.max(latestMs ?? lastOrderMs, lastOrderMs);
     }
@@ -158,17 +159,17 @@
     this.timers.add(timer);
   }
 
-  /** One desk for each model runner that is known. */
-  private syncDesks(): void {
+  /** One controller for each model runner that is known. */
+  private syncControllers(): void {
     const {view, clock, logger, metrics, lease, control, holder, options} =
       this.deps;
-    for (const runnerId of this.desks.keys()) {
-      if (!view.runner(runnerId)) this.desks.delete(runnerId);
+    for (const runnerId of this.controllers.keys()) {
+      if (!view.runner(runnerId)) this.controllers.delete(runnerId);
     }
     for (const registration of view.allRunners()) {
       if (!this.engineOf(registration)) continue;
-      if (this.desks.has(registration.runnerId)) continue;
-      const created = new RunnerDesk(registration, {
+      if (this.controllers.has(registration.runnerId)) continue;
+      const created = new RunnerController(registration, {
         clock,
         logger,
         metrics,
@@ -177,7 +178,7 @@
         holder,
         adapterSettleMs: options.adapterSettleMs,
       });
-      this.desks.set(registration.runnerId, created);
+      this.controllers.set(registration.runnerId, created);
     }
   }
 
@@ -185,26 +186,28 @@
     return this.deps.view.current?.services.get(service)?.engine;
   }
 
-  private askReports(isWanted: (desk: RunnerDesk) => boolean): void {
+  private askReports(
+    isWanted: (controller: RunnerController) => boolean,
+  ): void {
     if (!this.deps.lease.current().isHolder) return;
-    for (const desk of this.desks.values()) {
-      if (isWanted(desk)) void this.askReport(desk);
+    for (const controller of this.controllers.values()) {
+      if (isWanted(controller)) void this.askReport(controller);
     }
   }
 
-  private async askReport(desk: RunnerDesk): Promise<void> {
+  private async askReport(controller: RunnerController): Promise<void> {
     const {control, logger, clock} = this.deps;
-    const {runnerId, address} = desk.registration;
+    const {runnerId, address} = controller.registration;
     if (this.reportsOpen.has(runnerId)) return;
     this.reportsOpen.add(runnerId);
     const askedMs = clock.nowMs();
     const answer = await control.report(runnerId, address);
     this.reportsOpen.delete(runnerId);
     if (answer.isOk()) {
-      desk.noteReport(answer.value, askedMs);
+      controller.noteReport(answer.value, askedMs);
       return;
     }
-    desk.noteReportFailed();
+    controller.noteReportFailed();
     logger.warn('report-failed', {
       runner: runnerId,
       error: answer.error.message,
@@ -229,12 +232,12 @@
     const {clock, view, loadRate} = this.deps;
     const nowMs = clock.nowMs();
     const runners: CopyRunner[] = [];
-    for (const desk of this.desks.values()) {
-      const {runnerId} = desk.registration;
+    for (const controller of this.controllers.values()) {
+      const {runnerId} = controller.registration;
       const known = view.runner(runnerId);
       if (known?.service !== service || known.leaving) continue;
-      if (!desk.isReachable) continue;
-      runners.push(copyRunnerOf(desk, engine));
+      if (!controller.isReachable) continue;
+      runners.push(copyRunnerOf(controller, engine));
     }
     const orders = planCopies({
       runners,
@@ -251,43 +254,49 @@
   }
 
   private async give(order: CopyOrder, engine: EngineSpec): Promise<void> {
-    const desk = this.desks.get(order.runnerId);
-    if (!desk) return;
+    const controller = this.controllers.get(order.runnerId);
+    if (!controller) return;
     if (order.isFromStore) this.deps.loadRate.note(this.deps.clock.nowMs());
     const {kind, model, reason, roomFor} = order;
     const expectedMs =
-      kind === 'load' ? loadMsOf(order, desk, engine) : UNLOAD_MS;
-    const outcome = await desk.orderModel({kind, model, reason}, expectedMs);
+      kind === 'load' ? loadMsOf(order, controller, engine) : UNLOAD_MS;
+    const outcome = await controller.orderModel(
+      {kind, model, reason},
+      expectedMs,
+    );
     if (outcome === 'refused') return;
-    desk.intendedModel = roomFor;
+    controller.intendedModel = roomFor;
   }
 }
 
 /** How long a load takes from where the weights are. */
 function loadMsOf(
   {model}: CopyOrder,
-  desk: RunnerDesk,
+  controller: RunnerController,
   engine: EngineSpec,
 ): number {
   const spec = engine.models.get(model);
   if (!spec) return 0;
-  if (desk.inMemory.includes(model)) return spec.memoryLoadMs;
-  return desk.onDisk.includes(model) ? spec.diskLoadMs : spec.storeLoadMs;
+  if (controller.inMemory.includes(model)) return spec.memoryLoadMs;
+  return controller.onDisk.includes(model) ? spec.diskLoadMs : spec.storeLoadMs;
 }
 
-function copyRunnerOf(desk: RunnerDesk, engine: EngineSpec): CopyRunner {
+function copyRunnerOf(
+  controller: RunnerController,
+  engine: EngineSpec,
+): CopyRunner {
   const adapterMb = Math.max(
     0,
     ...[...engine.models.values()].map(model => model.adapterMb),
   );
   return {
-    runnerId: desk.registration.runnerId,
+    runnerId: controller.registration.runnerId,
     weightsMb: engine.weightsMb,
     reservedMb: engine.adapterSlots * adapterMb,
-    models: [...desk.models],
-    isBusy: desk.isBusy || !desk.isKnown,
-    inMemory: desk.inMemory,
-    onDisk: desk.onDisk,
-    intendedModel: desk.intendedModel,
+    models: [...controller.models],
+    isBusy: controller.isBusy || !controller.isKnown,
+    inMemory: controller.inMemory,
+    onDisk: controller.onDisk,
+    intendedModel: controller.intendedModel,
   };
 }
--- a/packages/banyanfold-gateway/src/placement/runnerDesk.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerController.ts
@@ -8,7 +8,7 @@
   RunnerReport,
 } from '../types.js';
 
-export interface RunnerDeskOptions {
+export interface RunnerControllerOptions {
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
@@ -18,7 +18,7 @@
   adapterSettleMs: number;
 }
 
-export interface DeskOrder {
+export interface ControllerOrder {
   kind: OrderKind;
   model: string;
   adapter?: string;
@@ -29,7 +29,7 @@
  * What came of an order, as far as it is known: taken on and not over yet, over
  * at once, turned away, or without an answer.
  */
-export type DeskOutcome = 'begun' | 'done' | 'refused' | 'unknown';
+export type OrderResult = 'begun' | 'done' | 'refused' | 'unknown';
 
 /** An adapter that is at a runner, or is being fetched. */
 interface HeldAdapter {
@@ -64,7 +64,7 @@
  * which crashes. Each order names the number of orders that the runner has
  * accepted so far, so that of an old and a new order only one takes effect.
  */
-export class RunnerDesk {
+export class RunnerController {
   readonly models = new Set<string>();
   readonly adapters = new Map<string, HeldAdapter>();
   inMemory: readonly string[] = [];
@@ -89,7 +89,7 @@
 
   constructor(
     readonly registration: RunnerRegistration,
-    private readonly options: RunnerDeskOptions,
+    private readonly options: RunnerControllerOptions,
   ) {
     this.adoptModels(registration);
   }
@@ -193,7 +193,7 @@
    *
    * @param expectedMs how long it is expected to take.
    */
-  orderModel(order: DeskOrder, expectedMs: number): Promise<DeskOutcome> {
+  orderModel(order: ControllerOrder, expectedMs: number): Promise<OrderResult> {
     this.modelOrdersOpen += 1;
     return this.enqueue(async () => {
       const outcome = await this.give(order);
@@ -283,7 +283,7 @@
     return this.adapters.size < adapterSlots;
   }
 
-  private async give(order: DeskOrder): Promise<DeskOutcome> {
+  private async give(order: ControllerOrder): Promise<OrderResult> {
     const {lease, control, holder, logger, metrics, clock} = this.options;
     const {runnerId, address} = this.registration;
     if (this.orderNumber === undefined) return 'refused';
