--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -78,7 +78,7 @@
     for (const {model, adapters} of input.demand) {
       for (const adapter of Object.keys(adapters)) {
         for (const controller of this.controllers.values())
-          controller.noteUse(model, adapter);
+          {controller.noteUse(model, adapter);}
       }
     }
     if (input.demand.some(({waiting}) => waiting > 0)) this.planSoon();
