--- a/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
@@ -60,7 +60,6 @@
         report: async () => ok(report()),
       },
       holder: 'e1',
-      adapterSettleMs: 10,
     },
   );
 });
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 import http, {type Server} from 'node:http';
-import type {Clock, Logger, Metrics, Timer} from '@banyanfold/core';
+import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import {RetryBudget} from '@banyanfold/log';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import type {GatewayContext} from './context.js';
@@ -11,6 +11,7 @@
 import {DemandMeter} from './placement/demandMeter.js';
 import {Holder} from './placement/holder.js';
 import {LoadRate} from './placement/loadRate.js';
+import {repeatEvery} from './repeatEvery.js';
 import {createMetricsServer, createReadinessServer} from './readinessServer.js';
 import {HeldCopies} from './runners/heldCopies.js';
 import {RunnerConnections} from './runners/runnerConnections.js';
@@ -82,7 +83,7 @@
   private readonly holder: Holder;
   private readonly link: HolderLink;
   private readonly budgets = new Map<string, RetryBudget>();
-  private readonly timers = new Set<Timer>();
+  private stopTidying: () => void = () => {};
   private entries = ASSUMED_ENTRIES;
   private tidiedMs = 0;
   private isLeaving = false;
@@ -173,7 +174,7 @@
   }
 
   async start(): Promise<void> {
-    const {settings, fleet, lease, logger} = this.parts;
+    const {settings, fleet, lease, logger, clock} = this.parts;
     const {callers, readiness, peers, metrics: metricsAt} = settings;
     await this.callers.listen(callers.port, callers.host);
     await listen(this.readiness, readiness);
@@ -183,8 +184,8 @@
     lease.start();
     this.holder.start();
     this.link.start();
-    this.tidiedMs = this.parts.clock.nowMs();
-    this.every(JUDGE_INTERVAL_MS, () => this.tidy());
+    this.tidiedMs = clock.nowMs();
+    this.stopTidying = repeatEvery(clock, JUDGE_INTERVAL_MS, () => this.tidy());
     logger.info('started', {
       callers: `${callers.host}:${callers.port}`,
       peers: `${peers.host}:${peers.port}`,
@@ -225,7 +226,7 @@
     this.parts.fleet.stop();
     this.holder.stop();
     this.link.stop();
-    for (const timer of this.timers) timer.cancel();
+    this.stopTidying();
     this.callers.stopAccepting();
     this.readiness.close();
     this.metricsServer.close();
@@ -293,17 +294,6 @@
     this.context.states.keepOnly(id => this.view.runner(id) !== undefined);
     this.context.connections.closeIdle();
   }
-
-  private every(intervalMs: number, work: () => void): void {
-    const tick = () => {
-      this.timers.delete(timer);
-      work();
-      timer = this.parts.clock.setTimer(intervalMs, tick);
-      this.timers.add(timer);
-    };
-    let timer = this.parts.clock.setTimer(intervalMs, tick);
-    this.timers.add(timer);
-  }
 }
 
 function listen(server: Server, {host, port}: ListenAddress): Promise<void> {
--- a/packages/banyanfold-gateway/src/placement/demandView.ts
+++ b/packages/banyanfold-gateway/src/placement/demandView.ts
@@ -1,12 +1,9 @@
+import {workOf} from '../requests/workOf.js';
 import type {ModelDemand} from './demandMeter.js';
 
 /** Demand moves to other models within seconds; so must its average. */
 const SMOOTHING_MS = 1_500;
 const MS_PER_SECOND = 1000;
-/** Work of one arrival: its place in a batch, whatever its length. */
-const ARRIVAL_WORK = 0.5;
-const PROMPT_TOKENS_PER_WORK = 8_000;
-const OUTPUT_TOKENS_PER_WORK = 300;
 /** An entry that was not heard of for this long no longer counts. */
 const ENTRY_LOST_MS = 2_000;
 
@@ -88,10 +85,8 @@
   }
 
   private add(asked: ModelDemand, nowMs: number): void {
-    const work =
-      asked.arrivals * ARRIVAL_WORK +
-      asked.promptTokens / PROMPT_TOKENS_PER_WORK +
-      asked.outputTokens / OUTPUT_TOKENS_PER_WORK;
+    const {arrivals, promptTokens, outputTokens} = asked;
+    const work = workOf({requests: arrivals, promptTokens, outputTokens});
     const before = this.workPerSecond(asked.model, nowMs);
     const lastAskedMs =
       asked.arrivals > 0 || asked.waiting > 0
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -1,4 +1,4 @@
-import type {Clock, Logger, Metrics, Timer} from '@banyanfold/core';
+import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import {
   planCopies,
   type CopyOrder,
@@ -25,6 +25,7 @@
   LeaseHandover,
 } from '../peers/peerContract.js';
 import type {FleetView} from '../view/fleetView.js';
+import {repeatEvery} from '../repeatEvery.js';
 import {DemandView} from './demandView.js';
 import {LoadRate} from './loadRate.js';
 import {RunnerController} from './runnerController.js';
@@ -50,25 +51,28 @@
 export class Holder implements HolderHandlers {
   private readonly controllers = new Map<string, RunnerController>();
   private readonly demand = new DemandView();
-  private readonly timers = new Set<Timer>();
+  private readonly repeated: Array<() => void> = [];
   private plannedMs = Number.NEGATIVE_INFINITY;
   private readonly reportsOpen = new Set<string>();
 
   constructor(private readonly deps: HolderOptions) {}
 
   start(): void {
-    const {options} = this.deps;
-    this.every(options.planIntervalMs, () => this.plan());
-    this.every(options.reportIntervalMs, () => this.askReports(() => true));
-    this.every(options.busyReportIntervalMs, () =>
-      this.askReports(controller => controller.awaitsReport),
+    const {options, clock} = this.deps;
+    this.repeated.push(
+      repeatEvery(clock, options.planIntervalMs, () => this.plan()),
+      repeatEvery(clock, options.reportIntervalMs, () =>
+        this.askReports(() => true),
+      ),
+      repeatEvery(clock, options.busyReportIntervalMs, () =>
+        this.askReports(controller => controller.awaitsReport),
+      ),
     );
     this.deps.view.onChange(() => this.syncControllers());
   }
 
   stop(): void {
-    for (const timer of this.timers) timer.cancel();
-    this.timers.clear();
+    for (const stop of this.repeated.splice(0)) stop();
   }
 
   exchange(input: ExchangeInput): ExchangeOutput | NotHolder {
@@ -77,8 +81,9 @@
     this.demand.note(input.entry, input.openWork, input.demand, nowMs);
     for (const {model, adapters} of input.demand) {
       for (const adapter of Object.keys(adapters)) {
-        for (const controller of this.controllers.values())
-          {controller.noteUse(model, adapter);}
+        for (const controller of this.controllers.values()) {
+          controller.noteUse(model, adapter);
+        }
       }
     }
     if (input.demand.some(({waiting}) => waiting > 0)) this.planSoon();
@@ -147,22 +152,9 @@
     };
   }
 
-  private every(intervalMs: number, work: () => void): void {
-    const {clock} = this.deps;
-    const tick = () => {
-      this.timers.delete(timer);
-      work();
-      timer = clock.setTimer(intervalMs, tick);
-      this.timers.add(timer);
-    };
-    let timer = clock.setTimer(intervalMs, tick);
-    this.timers.add(timer);
-  }
-
   /** One controller for each model runner that is known. */
   private syncControllers(): void {
-    const {view, clock, logger, metrics, lease, control, holder, options} =
-      this.deps;
+    const {view, clock, logger, metrics, lease, control, holder} = this.deps;
     for (const runnerId of this.controllers.keys()) {
       if (!view.runner(runnerId)) this.controllers.delete(runnerId);
     }
@@ -176,7 +168,6 @@
         lease,
         control,
         holder,
-        adapterSettleMs: options.adapterSettleMs,
       });
       this.controllers.set(registration.runnerId, created);
     }
--- a/packages/banyanfold-gateway/src/placement/runnerController.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerController.ts
@@ -15,7 +15,6 @@
   lease: LeaseSource;
   control: RunnerControl;
   holder: string;
-  adapterSettleMs: number;
 }
 
 export interface ControllerOrder {
@@ -36,7 +35,6 @@
   model: string;
   adapter: string;
   usedMs: number;
-  readyMs: number;
 }
 
 /** Reports are some hundred ms old; 200 to 260 ms were seen. */
@@ -69,8 +67,6 @@
   readonly adapters = new Map<string, HeldAdapter>();
   inMemory: readonly string[] = [];
   onDisk: readonly string[] = [];
-  running = 0;
-  queued = 0;
   /** The model that is being loaded. */
   loading: string | undefined;
   lastOrderMs: number | undefined;
@@ -133,8 +129,6 @@
   noteReport(report: RunnerReport, askedMs: number): void {
     const {options} = this;
     this.failedReports = 0;
-    this.running = report.running;
-    this.queued = report.queued;
     this.inMemory = report.inMemory;
     this.onDisk = report.onDisk;
     const isSettled =
@@ -230,7 +224,7 @@
     adapter: string,
     adapterSlots: number,
   ): Promise<boolean> {
-    const {clock, adapterSettleMs} = this.options;
+    const {clock} = this.options;
     const key = adapterKey(model, adapter);
     if (!this.models.has(model) || this.loading === model) return false;
     const held = this.adapters.get(key);
@@ -253,7 +247,6 @@
       model,
       adapter,
       usedMs: nowMs,
-      readyMs: nowMs + adapterSettleMs,
     });
     return outcome !== 'unknown';
   }
@@ -338,7 +331,7 @@
   private adopt(model: string, adapter: string, nowMs: number): void {
     const key = adapterKey(model, adapter);
     if (this.adapters.has(key)) return;
-    this.adapters.set(key, {model, adapter, usedMs: nowMs, readyMs: nowMs});
+    this.adapters.set(key, {model, adapter, usedMs: nowMs});
   }
 
   private adoptModels({models}: RunnerRegistration): void {
--- /dev/null
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -0,0 +1,119 @@
+import type {SendDecision, SendView} from '@banyanfold/decisions';
+import type {GatewayContext} from '../context.js';
+import type {DecodedRequest, RoutePolicy} from '../types.js';
+import type {AttemptResult} from './answerRelay.js';
+import type {CandidateCounts, Target} from './targetChooser.js';
+
+export interface RequestLogOptions {
+  context: GatewayContext;
+  decoded: DecodedRequest;
+  route: RoutePolicy;
+  startedMs: number;
+  deadlineMs: number;
+}
+
+/** How often a request was tried, and what is known of it. */
+export interface TryCounts {
+  attemptsMade: number;
+  rejections: number;
+  mayHaveRun: boolean;
+}
+
+/** The log lines of one request: a line a decision, with what decided it. */
+export class RequestLog {
+  constructor(private readonly options: RequestLogOptions) {}
+
+  route(target: Target, counts: TryCounts, isReused: boolean): void {
+    const {context, route, startedMs} = this.options;
+    const {runner, reason} = target;
+    this.line('route', {
+      route: route.name,
+      runner: runner.runnerId,
+      attempt: counts.attemptsMade + 1,
+      rejections: counts.rejections,
+      reason,
+      openWork: context.states.openWork(runner.runnerId).toFixed(1),
+      heartbeat: runner.heartbeatNumber,
+      config: context.view.current?.version,
+      leftMs: this.leftMs(),
+      waitedMs: Math.round(context.clock.nowMs() - startedMs),
+      reused: isReused,
+    });
+  }
+
+  /** Why no runner could be chosen. */
+  wait(counts: CandidateCounts): void {
+    const {context, decoded, route} = this.options;
+    const {model, adapter} = decoded.request;
+    const {ageMs} = context.held;
+    this.line('wait', {
+      route: route.name,
+      model,
+      adapter,
+      ...counts,
+      copiesAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+      config: context.view.current?.version,
+      leftMs: this.leftMs(),
+    });
+  }
+
+  refuse(runnerId: string, view: SendView, {waitMs}: SendDecision): void {
+    this.line('refuse', {
+      runner: runnerId,
+      pendingAhead: view.pendingAhead,
+      firstBytesPerSecond: view.firstBytesPerSecond.toFixed(1),
+      waitMs: Math.round(waitMs),
+      leftMs: Math.round(view.leftMs),
+    });
+  }
+
+  retry(
+    runnerId: string,
+    result: AttemptResult,
+    decision: {kind: string; reason: string},
+    mayHaveRun: boolean,
+  ): void {
+    this.line('retry', {
+      runner: runnerId,
+      after: result.kind,
+      status: 'status' in result ? result.status : undefined,
+      error: 'error' in result ? result.error : undefined,
+      decision: decision.kind,
+      reason: decision.reason,
+      mayHaveRun,
+    });
+  }
+
+  end(
+    outcome: string,
+    status: number,
+    counts: TryCounts,
+    firstByteMs: number | undefined,
+  ): void {
+    const {context, route, startedMs} = this.options;
+    this.line('request-end', {
+      route: route.name,
+      outcome,
+      status,
+      attempts: counts.attemptsMade,
+      rejections: counts.rejections,
+      mayHaveRun: counts.mayHaveRun,
+      firstByteMs,
+      totalMs: Math.round(context.clock.nowMs() - startedMs),
+    });
+  }
+
+  private leftMs(): number {
+    const {context, deadlineMs} = this.options;
+    return Math.round(deadlineMs - context.clock.nowMs());
+  }
+
+  private line(
+    event: string,
+    fields: Record<string, string | number | boolean | undefined>,
+  ): void {
+    const {context, decoded} = this.options;
+    const {requestId} = decoded.request;
+    context.logger.info(event, {request: requestId, ...fields});
+  }
+}
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -1,23 +1,21 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-  chooseRunner,
   decideRetry,
   decideSend,
   type RetryDecision,
 } from '@banyanfold/decisions';
 import type {Timer} from '@banyanfold/core';
 import type {GatewayContext} from '../context.js';
-import type {
-  DecodedRequest,
-  RoutePolicy,
-  RunnerRegistration,
-} from '../types.js';
-import type {RunnerConnection} from '../runners/runnerConnections.js';
+import type {DecodedRequest, RoutePolicy} from '../types.js';
 import {AnswerRelay, type AttemptResult} from './answerRelay.js';
 import {FINAL_STATUS, sendFinalAnswer} from './finalAnswer.js';
 import {pickService} from './pickService.js';
+import {RequestLog, type TryCounts} from './requestLog.js';
+import {TargetChooser, type Target} from './targetChooser.js';
 import {workOf} from './workOf.js';
 
+/** The runner doesn't hold what the request needs. */
+const MISDIRECTED = 421;
 /** Tries of one request that runners turned away without running it. */
 const MAX_REJECTIONS = 6;
 /** A runner that is full or fetches an adapter is asked again after this. */
@@ -40,19 +38,14 @@
   startedMs: number;
 }
 
-interface Target {
-  runner: RunnerRegistration;
-  needsAdapter: boolean;
-  reason: string;
-}
-
 /** Carries one request of a caller to its one final answer. */
 export class RequestRun {
   private readonly deadlineMs: number;
   private readonly service: string;
   private readonly work: number;
   private readonly relay: AnswerRelay;
-  private readonly rejectedBy = new Set<string>();
+  private readonly targets: TargetChooser;
+  private readonly log: RequestLog;
   private timer: Timer | undefined;
   private wake: (() => void) | undefined;
   private isOver = false;
@@ -69,7 +62,23 @@
     );
     this.deadlineMs = startedMs + waitMs - context.options.deadlineMarginMs;
     this.service = pickService(route.services, context.random);
-    this.work = workOf(decoded.request);
+    this.work = workOf({
+      requests: 1,
+      promptTokens: decoded.request.promptTokens,
+      outputTokens: decoded.request.maxOutputTokens,
+    });
+    this.targets = new TargetChooser({
+      context,
+      request: decoded.request,
+      service: this.service,
+    });
+    this.log = new RequestLog({
+      context,
+      decoded,
+      route,
+      startedMs,
+      deadlineMs: this.deadlineMs,
+    });
     this.relay = new AnswerRelay({
       context,
       route,
@@ -80,6 +89,11 @@
     response.once('close', () => this.onCallerClosed());
   }
 
+  private get counts(): TryCounts {
+    const {attemptsMade, rejections, mayHaveRun} = this;
+    return {attemptsMade, rejections, mayHaveRun};
+  }
+
   async run(): Promise<void> {
     const {context, decoded, startedMs} = this.options;
     const {model, adapter, promptTokens, maxOutputTokens} = decoded.request;
@@ -97,65 +111,15 @@
   }
 
   private async step(): Promise<void> {
-    const target = this.chooseTarget();
+    const target = this.targets.choose();
     if (!target) return this.park();
     if (target.needsAdapter && !(await this.fetchAdapter(target))) return;
-    if (this.isOver || !this.isStillUsable(target.runner)) return;
+    if (this.isOver || !this.targets.isStillUsable(target.runner)) return;
     if (this.isTurnedAway(target)) return;
     const result = await this.attempt(target);
     if (!this.isOver) this.settle(target, result);
   }
 
-  private chooseTarget(): Target | undefined {
-    const {context, decoded} = this.options;
-    const {model, adapter, promptParts} = decoded.request;
-    const usable = context.view
-      .runnersOf(this.service)
-      .filter(runner => !runner.leaving && this.holds(runner, model));
-    const serving = usable.filter(
-      ({runnerId}) =>
-        !context.states.isUnreachable(runnerId) &&
-        (this.hasAdapter(runnerId) || context.held.canFetch(runnerId)),
-    );
-    const fresh = serving.filter(r => !this.rejectedBy.has(r.runnerId));
-    const choices = (fresh.length > 0 ? fresh : serving).map(runner => ({
-      runnerId: runner.runnerId,
-      failureDomain: runner.failureDomain,
-      openWork: context.states.openWork(runner.runnerId),
-      hasAdapter: this.hasAdapter(runner.runnerId),
-      isSuspect: context.states.isSuspect(runner.runnerId),
-    }));
-    const key =
-      model === undefined
-        ? ''
-        : `${model}/${adapter ?? ''}/${promptParts[0]?.partId ?? ''}`;
-    const chosen = chooseRunner(choices, key, context.failureDomain);
-    const runner = chosen && context.view.runner(chosen.runnerId);
-    if (!chosen || !runner) return undefined;
-    return {
-      runner,
-      needsAdapter: !this.hasAdapter(runner.runnerId),
-      reason: chosen.reason,
-    };
-  }
-
-  private holds(runner: RunnerRegistration, model?: string): boolean {
-    if (model === undefined) return true;
-    return this.options.context.held.holdsModel(runner.runnerId, model);
-  }
-
-  private hasAdapter(runnerId: string): boolean {
-    const {model, adapter} = this.options.decoded.request;
-    if (model === undefined || adapter === undefined) return true;
-    return this.options.context.held.holdsAdapter(runnerId, model, adapter);
-  }
-
-  /** The view may have changed while an adapter was on its way. */
-  private isStillUsable({runnerId}: RunnerRegistration): boolean {
-    const runner = this.options.context.view.runner(runnerId);
-    return runner !== undefined && !runner.leaving;
-  }
-
   /** Refuses what a full queue would hold until its caller gives up. */
   private isTurnedAway({runner}: Target): boolean {
     const {context, decoded, route, startedMs} = this.options;
@@ -174,14 +138,7 @@
     };
     const decision = decideSend(view);
     if (decision.kind === 'send') return false;
-    context.logger.info('refuse', {
-      request: decoded.request.requestId,
-      runner: runner.runnerId,
-      pendingAhead: view.pendingAhead,
-      firstBytesPerSecond: view.firstBytesPerSecond.toFixed(1),
-      waitMs: Math.round(decision.waitMs),
-      leftMs: Math.round(view.leftMs),
-    });
+    this.log.refuse(runner.runnerId, view, decision);
     if (this.mayHaveRun) this.answer(FINAL_STATUS.unknown, 'runner-failed');
     else this.answer(FINAL_STATUS.notRun, 'queue', decision.retryAfterMs);
     return true;
@@ -191,7 +148,7 @@
   private async park(): Promise<void> {
     const {context, decoded} = this.options;
     const {model} = decoded.request;
-    if (!this.hasWaited) this.logWait();
+    if (!this.hasWaited) this.log.wait(this.targets.counts());
     this.hasWaited = true;
     const done =
       model === undefined ? () => {} : context.demand.noteWaiting(model);
@@ -201,33 +158,6 @@
     done();
   }
 
-  /** Why no runner could be chosen, once a request. */
-  private logWait(): void {
-    const {context, decoded, route} = this.options;
-    const {requestId, model, adapter} = decoded.request;
-    const runners = context.view.runnersOf(this.service);
-    const staying = runners.filter(({leaving}) => !leaving);
-    const holding = staying.filter(runner => this.holds(runner, model));
-    const reached = holding.filter(
-      ({runnerId}) => !context.states.isUnreachable(runnerId),
-    );
-    context.logger.info('wait', {
-      request: requestId,
-      route: route.name,
-      model,
-      adapter,
-      runners: runners.length,
-      staying: staying.length,
-      holding: holding.length,
-      reached: reached.length,
-      copiesAgeMs: Number.isFinite(context.held.ageMs)
-        ? Math.round(context.held.ageMs)
-        : undefined,
-      config: context.view.current?.version,
-      leftMs: Math.round(this.deadlineMs - context.clock.nowMs()),
-    });
-  }
-
   private pause(delayMs: number): Promise<void> {
     return new Promise(resolve => {
       const timer = this.options.context.clock.setTimer(delayMs, resolve);
@@ -252,11 +182,12 @@
     return isThere;
   }
 
-  private async attempt({runner, reason}: Target): Promise<AttemptResult> {
+  private async attempt(target: Target): Promise<AttemptResult> {
     const {context, decoded, route, request, body} = this.options;
+    const {runner} = target;
     const nowMs = context.clock.nowMs();
     const connection = context.connections.acquire(runner.address);
-    this.logRoute(runner, reason, connection);
+    this.log.route(target, this.counts, connection.used);
     context.states.noteStart(runner.runnerId, this.service, this.work);
     const headers = context.codec.encodeAttempt(decoded, {
       runnerId: runner.runnerId,
@@ -291,29 +222,6 @@
     return result;
   }
 
-  private logRoute(
-    runner: RunnerRegistration,
-    reason: string,
-    connection: RunnerConnection,
-  ): void {
-    const {context, decoded, route, startedMs} = this.options;
-    const nowMs = context.clock.nowMs();
-    context.logger.info('route', {
-      request: decoded.request.requestId,
-      route: route.name,
-      runner: runner.runnerId,
-      attempt: this.attemptsMade + 1,
-      rejections: this.rejections,
-      reason,
-      openWork: context.states.openWork(runner.runnerId).toFixed(1),
-      heartbeat: runner.heartbeatNumber,
-      config: context.view.current?.version,
-      leftMs: Math.round(this.deadlineMs - nowMs),
-      waitedMs: Math.round(nowMs - startedMs),
-      reused: connection.used,
-    });
-  }
-
   private settle(target: Target, result: AttemptResult): void {
     const {context} = this.options;
     const {runnerId} = target.runner;
@@ -353,7 +261,7 @@
   private noteRejection({runner, needsAdapter}: Target, status: number): void {
     const {context, decoded} = this.options;
     const {model, adapter} = decoded.request;
-    const isAbsent = status === 421;
+    const isAbsent = status === MISDIRECTED;
     if (isAbsent && model !== undefined) {
       context.held.noteAbsent(
         runner.runnerId,
@@ -365,11 +273,11 @@
 
   /** Tries once more where that is allowed and helps, or ends the request. */
   private again({runner}: Target, result: AttemptResult): void {
-    const {context, route, decoded} = this.options;
+    const {context, route} = this.options;
     const wasTurnedAway =
       result.kind === 'rejected' || result.kind === 'unreached';
     if (wasTurnedAway) this.rejections += 1;
-    this.rejectedBy.add(runner.runnerId);
+    this.targets.noteRejected(runner.runnerId);
     const budget = context.retryBudgetOf(this.service);
     const decision: RetryDecision = decideRetry(
       {
@@ -390,16 +298,10 @@
       context.random,
     );
     const isExhausted = this.rejections > MAX_REJECTIONS;
-    context.logger.info('retry', {
-      request: decoded.request.requestId,
-      runner: runner.runnerId,
-      after: result.kind,
-      status: 'status' in result ? result.status : undefined,
-      error: 'error' in result ? result.error : undefined,
-      decision: isExhausted ? 'stop' : decision.kind,
-      reason: isExhausted ? 'turned-away-too-often' : decision.reason,
-      mayHaveRun: this.mayHaveRun,
-    });
+    const said = isExhausted
+      ? {kind: 'stop', reason: 'turned-away-too-often'}
+      : decision;
+    this.log.retry(runner.runnerId, result, said, this.mayHaveRun);
     if (decision.kind === 'stop' || isExhausted) {
       this.fail(result);
       return;
@@ -474,7 +376,7 @@
     if (this.isOver) return;
     this.isOver = true;
     this.wake?.();
-    const {context, decoded, route, startedMs} = this.options;
+    const {context, route} = this.options;
     context.metrics.count('requests_total', {kind: route.kind, outcome});
     const {firstByteMs} = this.relay;
     if (firstByteMs !== undefined) {
@@ -482,16 +384,6 @@
         kind: route.kind,
       });
     }
-    context.logger.info('request-end', {
-      request: decoded.request.requestId,
-      route: route.name,
-      outcome,
-      status,
-      attempts: this.attemptsMade,
-      rejections: this.rejections,
-      mayHaveRun: this.mayHaveRun,
-      firstByteMs: this.relay.firstByteMs,
-      totalMs: Math.round(context.clock.nowMs() - startedMs),
-    });
+    this.log.end(outcome, status, this.counts, firstByteMs);
   }
 }
--- /dev/null
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -0,0 +1,116 @@
+import {chooseRunner} from '@banyanfold/decisions';
+import type {GatewayContext} from '../context.js';
+import type {InferenceRequest, RunnerRegistration} from '../types.js';
+
+/** The runner that a request is to go to. */
+export interface Target {
+  runner: RunnerRegistration;
+  needsAdapter: boolean;
+  reason: string;
+}
+
+/** Why there is no target: how many runners are left at each condition. */
+export interface CandidateCounts {
+  runners: number;
+  staying: number;
+  holding: number;
+  reached: number;
+}
+
+export interface TargetChooserOptions {
+  context: GatewayContext;
+  request: InferenceRequest;
+  service: string;
+}
+
+/** Chooses runners for one request, from what the view says at the time. */
+export class TargetChooser {
+  private readonly rejectedBy = new Set<string>();
+
+  constructor(private readonly options: TargetChooserOptions) {}
+
+  /** Undefined while no runner can take the request. */
+  choose(): Target | undefined {
+    const {context} = this.options;
+    const serving = this.reachable(this.holding(this.staying())).filter(
+      ({runnerId}) =>
+        this.hasAdapter(runnerId) || context.held.canFetch(runnerId),
+    );
+    const fresh = serving.filter(r => !this.rejectedBy.has(r.runnerId));
+    const choices = (fresh.length > 0 ? fresh : serving).map(runner => ({
+      runnerId: runner.runnerId,
+      failureDomain: runner.failureDomain,
+      openWork: context.states.openWork(runner.runnerId),
+      hasAdapter: this.hasAdapter(runner.runnerId),
+      isSuspect: context.states.isSuspect(runner.runnerId),
+    }));
+    const chosen = chooseRunner(
+      choices,
+      this.affinityKey(),
+      context.failureDomain,
+    );
+    const runner = chosen && context.view.runner(chosen.runnerId);
+    if (!chosen || !runner) return undefined;
+    return {
+      runner,
+      needsAdapter: !this.hasAdapter(runner.runnerId),
+      reason: chosen.reason,
+    };
+  }
+
+  /** Others go before a runner that turned the request away. */
+  noteRejected(runnerId: string): void {
+    this.rejectedBy.add(runnerId);
+  }
+
+  /** The view may have changed while an adapter was on its way. */
+  isStillUsable({runnerId}: RunnerRegistration): boolean {
+    const runner = this.options.context.view.runner(runnerId);
+    return runner !== undefined && !runner.leaving;
+  }
+
+  counts(): CandidateCounts {
+    const {context, service} = this.options;
+    const staying = this.staying();
+    const holding = this.holding(staying);
+    return {
+      runners: context.view.runnersOf(service).length,
+      staying: staying.length,
+      holding: holding.length,
+      reached: this.reachable(holding).length,
+    };
+  }
+
+  private staying(): RunnerRegistration[] {
+    const {context, service} = this.options;
+    return context.view.runnersOf(service).filter(({leaving}) => !leaving);
+  }
+
+  private holding(runners: RunnerRegistration[]): RunnerRegistration[] {
+    const {context, request} = this.options;
+    const {model} = request;
+    if (model === undefined) return runners;
+    return runners.filter(({runnerId}) =>
+      context.held.holdsModel(runnerId, model),
+    );
+  }
+
+  private reachable(runners: RunnerRegistration[]): RunnerRegistration[] {
+    const {states} = this.options.context;
+    return runners.filter(({runnerId}) => !states.isUnreachable(runnerId));
+  }
+
+  private hasAdapter(runnerId: string): boolean {
+    const {context, request} = this.options;
+    const {model, adapter} = request;
+    if (model === undefined || adapter === undefined) return true;
+    return context.held.holdsAdapter(runnerId, model, adapter);
+  }
+
+  /** What the request shares with others; empty for a plain call. */
+  private affinityKey(): string {
+    const {model, adapter, promptParts} = this.options.request;
+    if (model === undefined) return '';
+    return `${model}/${adapter ?? ''}/${promptParts[0]?.partId ?? ''}`;
+  }
+}
--- a/packages/banyanfold-gateway/src/runners/runnerConnections.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerConnections.ts
@@ -99,7 +99,10 @@
     const resting = this.idle.get(address);
     while (resting && resting.length > 0) {
       const oldest = resting[0]!;
-      if (!oldest.closed && this.restedMs(oldest, nowMs) < this.minRestMs) {
+      if (
+        !oldest.closed &&
+        this.restedMs(oldest, nowMs) < this.options.reuseRestMs
+      ) {
         break;
       }
       resting.shift();
@@ -138,10 +141,6 @@
     }
   }
 
-  private get minRestMs(): number {
-    return this.options.reuseRestMs;
-  }
-
   private restedMs(connection: RunnerConnection, nowMs: number): number {
     return nowMs - connection.idleSinceMs;
   }
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -1,7 +1,6 @@
 import type {Clock, Logger} from '@banyanfold/core';
 import {decideEjections, type RunnerOutcomes} from '@banyanfold/decisions';
 import type {GatewayOptions} from '../options.js';
-import type {ServerLoad} from '../types.js';
 
 /** Outcomes older than this say nothing of a runner's state now. */
 const OUTCOME_WINDOW_MS = 4_000;
@@ -35,7 +34,6 @@
   pauseMs: number;
   ejectedUntilMs: number;
   outcomes: Outcome[];
-  load?: ServerLoad;
   /** Requests without a first byte, by priority. */
   pending: Map<number, number>;
   firstBytesMs: number[];
@@ -133,11 +131,6 @@
     }
   }
 
-  noteLoad(runnerId: string, load: ServerLoad): void {
-    const state = this.states.get(runnerId);
-    if (state) state.load = load;
-  }
-
   /** A connection couldn't be established; the pause doubles each time. */
   noteUnreachable(runnerId: string, service: string): void {
     const state = this.of(runnerId, service);
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -166,12 +166,6 @@
   lastEventId?: string;
 }
 
-export interface ServerLoad {
-  running: number;
-  waiting: number;
-  slots: number;
-}
-
 /** What an answer's head says. */
 export interface AnswerFacts {
   requestId?: string;
@@ -183,7 +177,6 @@
   fromOtherRunner: boolean;
   /** The body was recoded on the way, so it isn't the runner's. */
   encoded: boolean;
-  load?: ServerLoad;
 }
 
 export type AnswerHeaders = Record<string, string | string[] | undefined>;
