--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -120,6 +120,11 @@
       states,
       held,
       loadRate,
+      configVersion: () => this.view.current?.version ?? 0,
+      onNewerConfig: version => {
+        logger.info('config-behind', {version});
+        parts.fleet.refreshConfig();
+      },
       onEntries: count => {
         this.entries = count;
       },
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -27,6 +27,9 @@
   held: HeldCopies;
   loadRate: LoadRate;
   onEntries(count: number): void;
+  configVersion(): number;
+  /** A peer has this configuration, and this process an older one. */
+  onNewerConfig(version: number): void;
 }
 
 /** How an entry speaks to the holder of orders, itself or another. */
@@ -97,9 +100,10 @@
   }
 
   private async exchange(): Promise<void> {
-    const {own, lease, demand, states, address} = this.deps;
+    const {own, lease, demand, states, address, configVersion} = this.deps;
     const input = {
       entry: address,
+      configVersion: configVersion(),
       openWork: states.ownOpenWork(),
       demand: demand.take(),
     };
@@ -138,6 +142,9 @@
       });
       peersWork[runner.runnerId] = runner.peersWork;
     }
+    if (output.configVersion > this.deps.configVersion()) {
+      this.deps.onNewerConfig(output.configVersion);
+    }
     held.tell(copies);
     loadRate.learn(output.loadAgesMs, clock.nowMs());
     states.notePeersWork(peersWork);
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -4,6 +4,8 @@
 /** What an entry tells the holder of orders, some times a second. */
 export const exchangeInputSchema = z.object({
   entry: z.string(),
+  /** Version of the configuration in force there; 0 for none. */
+  configVersion: z.number(),
   openWork: z.record(z.string(), z.number()),
   demand: z.array(
     z.object({
@@ -20,6 +22,8 @@
 /** What the holder tells back. */
 export const exchangeOutputSchema = z.object({
   kind: z.literal('told'),
+  /** The highest version that an entry has told. */
+  configVersion: z.number(),
   /** Entries heard of within the last seconds, this one included. */
   entries: z.number(),
   /** Since each load from the weight store that still counts, in ms. */
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -52,6 +52,7 @@
   private readonly controllers = new Map<string, RunnerController>();
   private readonly demand = new DemandView();
   private readonly repeated: Array<() => void> = [];
+  private newestConfig = 0;
   private plannedMs = Number.NEGATIVE_INFINITY;
   private readonly reportsOpen = new Set<string>();
 
@@ -86,11 +87,13 @@
         }
       }
     }
+    this.newestConfig = Math.max(this.newestConfig, input.configVersion);
     if (input.demand.some(({waiting}) => waiting > 0)) this.planSoon();
     const {isHolder, holderAddress} = lease.current();
     if (!isHolder) return {kind: 'not-holder', holderAddress};
     return {
       kind: 'told',
+      configVersion: this.newestConfig,
       entries: this.demand.countEntries(nowMs),
       loadAgesMs: this.deps.loadRate.agesMs(nowMs),
       runners: [...this.controllers.values()]
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -211,6 +211,8 @@
 /** Where a configuration or a registration comes from. */
 export interface FleetSource {
   start(handlers: FleetHandlers): void;
+  /** Reads the configuration anew, because a peer has a newer one. */
+  refreshConfig(): void;
   stop(): void;
 }
 
