Cancel what is still to be sent before it is refused; begin no loads unheard

It begins none for a window unless it has heard, but at the first start of the whole system. Ruled out: late orders (counted when given; 10 of the 14 that are allowed are used).

--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -47,6 +47,8 @@
   /** Without it no metrics are served. */
   metrics?: ListenAddress;
   bounds: DeploymentBounds;
+  /** The whole system starts for the first time. */
+  isFirstStart: boolean;
 }
 
 export interface GatewayParts {
@@ -96,7 +98,12 @@
     const states = new RunnerStates(clock, logger, options);
     const held = new HeldCopies(this.view, () => clock.nowMs(), TOLD_FRESH_MS);
     const demand = new DemandMeter();
-    const loadRate = new LoadRate(settings.bounds.loadWindowMs);
+    const loadRate = new LoadRate(
+      settings.bounds.loadWindowMs,
+      settings.isFirstStart
+        ? clock.nowMs()
+        : clock.nowMs() + settings.bounds.loadWindowMs,
+    );
     this.holder = new Holder({
       clock,
       logger,
--- a/packages/banyanfold-gateway/src/index.ts
+++ b/packages/banyanfold-gateway/src/index.ts
@@ -3,3 +3,4 @@
 export * from './placement/leaseKeeper.js';
 export * from './types.js';
 export * from './peers/peerClient.js';
+export * from './runners/runnerConnections.js';
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -146,7 +146,10 @@
       this.deps.onNewerConfig(output.configVersion);
     }
     held.tell(copies);
-    loadRate.learn(output.loadAgesMs, clock.nowMs());
+    // Its own word says nothing that it doesn't know.
+    if (!lease.current().isHolder) {
+      loadRate.learn(output.loadAgesMs, clock.nowMs());
+    }
     states.notePeersWork(peersWork);
     onEntries(output.entries);
   }
--- a/packages/banyanfold-gateway/src/placement/loadRate.ts
+++ b/packages/banyanfold-gateway/src/placement/loadRate.ts
@@ -7,7 +7,15 @@
 export class LoadRate {
   private begunMs: number[] = [];
 
-  constructor(private readonly windowMs: number) {}
+  /**
+   * @param unknownUntilMs until then others may have begun as many loads as are
+   *   allowed; a process that has just started has not heard of them yet, and
+   *   with a window of its own the store would get twice as many.
+   */
+  constructor(
+    private readonly windowMs: number,
+    private unknownUntilMs: number,
+  ) {}
 
   note(nowMs: number): void {
     this.begunMs.push(nowMs);
@@ -25,10 +33,12 @@
    * begin as many again within the same window.
    */
   learn(agesMs: readonly number[], nowMs: number): void {
+    this.unknownUntilMs = Number.NEGATIVE_INFINITY;
     this.begunMs = agesMs.map(ageMs => nowMs - ageMs);
   }
 
   left(loadsPerSecond: number, nowMs: number): number {
+    if (nowMs < this.unknownUntilMs) return 0;
     this.begunMs = this.begunMs.filter(atMs => nowMs - atMs < this.windowMs);
     const allowed = Math.floor(
       (loadsPerSecond * this.windowMs) / MS_PER_SECOND,
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -348,6 +348,8 @@
   /** The process ends soon; what has not been sent can still go elsewhere. */
   refuseUnsent(): void {
     if (this.isOver || this.relay.isSent || this.mayHaveRun) return;
+    // One that waits for its connection would be sent after the refusal.
+    this.relay.cancel();
     this.refuse('leaving');
   }
 
--- a/scripts/startPlatform.mjs
+++ b/scripts/startPlatform.mjs
@@ -26,6 +26,7 @@
     role: 'entry',
     ip: host,
     zone: 'hall-a',
+    bootstrap: true,
     listen: {
       frontend: `${host}:${PORTS.callers}`,
       readiness: `${host}:${PORTS.readiness}`,
