Refuse a stream that would be cut off when a stopping process ends

With few entries of a failure domain left, the balancer goes on sending callers to one that isn't ready. Ruled out: a kept connection (idle ones are closed from 2.6 s on) and a runner's failure (it was at work). Change: once the balancer must have noticed, a request whose time reaches beyond the end of the process is refused at once as not run; what ends before is served. The test failed before (the late stream got 200 and went on).

--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -33,4 +33,9 @@
   random(): number;
   /** True once this process is leaving. */
   isLeaving(): boolean;
+  /**
+   * When this process cuts off what it still carries, in ms of the clock;
+   * undefined until it leaves and the balancer has noticed.
+   */
+  cutOffMs(): number | undefined;
 }
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -89,6 +89,7 @@
   private entries = ASSUMED_ENTRIES;
   private tidiedMs = 0;
   private isLeaving = false;
+  private cutOffMs: number | undefined;
 
   constructor(private readonly parts: GatewayParts) {
     const {clock, logger, metrics, settings, codec, lease, control} = parts;
@@ -152,6 +153,7 @@
       ensureAdapter: this.link.ensureAdapter,
       random: parts.random ?? Math.random,
       isLeaving: () => this.isLeaving,
+      cutOffMs: () => this.cutOffMs,
     };
     this.callers = new GatewayServer(this.context);
     this.readiness = createReadinessServer(() => this.isReady);
@@ -169,6 +171,11 @@
     return this.view.isReady && !this.isLeaving;
   }
 
+  /** It leaves, and the balancer sends no callers here any more. */
+  get hasBeenNoticed(): boolean {
+    return this.cutOffMs !== undefined;
+  }
+
   get callersPort(): number {
     return this.parts.settings.callers.port;
   }
@@ -220,6 +227,7 @@
     const endMs = startedMs + settings.bounds.graceMs - graceMarginMs;
     while (clock.nowMs() < endMs) {
       const isNoticed = clock.nowMs() - startedMs >= noticeMs;
+      if (isNoticed) this.cutOffMs = endMs;
       // A caller that comes back after a refusal needs time at another entry.
       if (isNoticed) this.callers.refuseUnsent();
       if (isNoticed) this.callers.closeIdleConnections();
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -101,6 +101,7 @@
       context.demand.noteArrival(model, adapter, promptTokens, maxOutputTokens);
     }
     context.retryBudgetOf(this.service).noteAttempt();
+    if (this.isTooLate()) return this.refuse('leaving');
     const leftMs = this.deadlineMs - context.clock.nowMs();
     this.timer = context.clock.setTimer(leftMs, () => this.onDeadline());
     while (!this.isOver) await this.step();
@@ -110,6 +111,17 @@
     });
   }
 
+  /**
+   * A balancer with few entries left sends callers here to the end. A stream
+   * that begins when this process is about to go would be cut off half-way;
+   * its caller loses less by asking another entry at once. What ends in any
+   * case before the process does is still served.
+   */
+  private isTooLate(): boolean {
+    const cutOffMs = this.options.context.cutOffMs();
+    return cutOffMs !== undefined && this.deadlineMs > cutOffMs;
+  }
+
   private async step(): Promise<void> {
     const target = this.targets.choose();
     if (!target) return this.park();
