Leave adapters in use where they are

Cause: to make a place for an adapter the holder ordered the longest unused one away, also when requests were using it. Change: entries tell which adapters their requests use; the holder takes none of those, and a request whose adapter finds no place at one runner asks another holder of the model first. Ruled out: a slow fetch (5 to 14 ms) and lost orders (outcome was 409). Test: 'leave an adapter in use where it is'.

--- a/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
@@ -23,6 +23,7 @@
 let isHolder: boolean;
 let fencedCount: number;
 let controller: RunnerController;
+let inUse: Set<string>;
 
 beforeEach(() => {
   clock = new VirtualClock();
@@ -30,6 +31,7 @@
   answers = [];
   isHolder = true;
   fencedCount = 0;
+  inUse = new Set();
   controller = new RunnerController(
     {
       runnerId: 'r1',
@@ -60,6 +62,7 @@
         report: async () => ok(report()),
       },
       holder: 'e1',
+      isAdapterInUse: adapter => inUse.has(adapter),
     },
   );
 });
@@ -148,6 +151,24 @@
     ]);
   });
 
+  it('leave an adapter in use where it is', async () => {
+    // Callers of other adapters would wait for seconds: a runner that is to
+    // drop an adapter in use carries that order out until the runs are over,
+    // and refuses all others meanwhile. The longest unused one that is free goes.
+    controller.noteReport(report({models: held('a1', 'a2')}), 0);
+    await clock.advance(SETTLED_MS);
+    controller.noteUse('m1', 'a2');
+    await clock.advance(SETTLED_MS);
+    inUse = new Set(['m1/a1']);
+    answers = ['holds'];
+    expect(await controller.ensureAdapter('m1', 'a3', SLOTS)).toBe(true);
+    expect(orders.map(({adapter}) => adapter)).toEqual(['a2', 'a3']);
+    inUse = new Set(['m1/a1', 'm1/a3']);
+    await clock.advance(SETTLED_MS);
+    expect(await controller.ensureAdapter('m1', 'a4', SLOTS)).toBe(false);
+    expect(orders).toHaveLength(2);
+  });
+
   it('count a place as taken until an adapter in use is gone', async () => {
     // The runner would be overfilled: an adapter in use goes only when its runs
     // are over, and a load into its place before that is one too many.
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -105,6 +105,7 @@
       entry: address,
       configVersion: configVersion(),
       openWork: states.ownOpenWork(),
+      adaptersInUse: states.ownAdaptersInUse(),
       demand: demand.take(),
     };
     if (lease.current().isHolder) {
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -7,6 +7,8 @@
   /** Version of the configuration in force there; 0 for none. */
   configVersion: z.number(),
   openWork: z.record(z.string(), z.number()),
+  /** Adapters that its requests use now, by runner. */
+  adaptersInUse: z.record(z.string(), z.array(z.string())),
   demand: z.array(
     z.object({
       model: z.string(),
--- a/packages/banyanfold-gateway/src/placement/demandView.ts
+++ b/packages/banyanfold-gateway/src/placement/demandView.ts
@@ -13,9 +13,14 @@
   lastAskedMs: number;
 }
 
-interface EntryState {
-  heardMs: number;
+/** What an entry has open at the runners. */
+export interface EntryLoad {
   openWork: Readonly<Record<string, number>>;
+  adaptersInUse: Readonly<Record<string, readonly string[]>>;
+}
+
+interface EntryState extends EntryLoad {
+  heardMs: number;
   waiting: Map<string, number>;
 }
 
@@ -26,7 +31,7 @@
 
   note(
     entry: string,
-    openWork: Readonly<Record<string, number>>,
+    {openWork, adaptersInUse}: EntryLoad,
     demand: readonly ModelDemand[],
     nowMs: number,
   ): void {
@@ -35,7 +40,8 @@
       if (asked.waiting > 0) waiting.set(asked.model, asked.waiting);
       this.add(asked, nowMs);
     }
-    this.entries.set(entry, {heardMs: nowMs, openWork, waiting});
+    const heardMs = nowMs;
+    this.entries.set(entry, {heardMs, openWork, adaptersInUse, waiting});
   }
 
   workPerSecond(model: string, nowMs: number): number {
@@ -84,6 +90,15 @@
     return work;
   }
 
+  /** Whether an entry has a request under way there that uses the adapter. */
+  isAdapterInUse(runnerId: string, adapter: string, nowMs: number): boolean {
+    return [...this.entries.values()].some(
+      ({heardMs, adaptersInUse}) =>
+        nowMs - heardMs < ENTRY_LOST_MS &&
+        adaptersInUse[runnerId]?.includes(adapter),
+    );
+  }
+
   private add(asked: ModelDemand, nowMs: number): void {
     const {arrivals, promptTokens, outputTokens} = asked;
     const work = workOf({requests: arrivals, promptTokens, outputTokens});
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -79,7 +79,7 @@
   exchange(input: ExchangeInput): ExchangeOutput | NotHolder {
     const {lease, clock} = this.deps;
     const nowMs = clock.nowMs();
-    this.demand.note(input.entry, input.openWork, input.demand, nowMs);
+    this.demand.note(input.entry, input, input.demand, nowMs);
     for (const {model, adapters} of input.demand) {
       for (const adapter of Object.keys(adapters)) {
         for (const controller of this.controllers.values()) {
@@ -171,6 +171,12 @@
         lease,
         control,
         holder,
+        isAdapterInUse: adapter =>
+          this.demand.isAdapterInUse(
+            registration.runnerId,
+            adapter,
+            clock.nowMs(),
+          ),
       });
       this.controllers.set(registration.runnerId, created);
     }
--- a/packages/banyanfold-gateway/src/placement/runnerController.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerController.ts
@@ -15,6 +15,8 @@
   lease: LeaseSource;
   control: RunnerControl;
   holder: string;
+  /** Whether requests that use the adapter are under way here. */
+  isAdapterInUse(adapter: string): boolean;
 }
 
 export interface ControllerOrder {
@@ -251,7 +253,13 @@
     return outcome !== 'unknown';
   }
 
-  /** Unloads adapters, longest unused first, until one place is free. */
+  /**
+   * Unloads adapters, longest unused first, until one place is free.
+   *
+   * One in use stays: its runner would refuse all other orders until the runs
+   * are over. Callers of other adapters and models then waited for seconds,
+   * each asking again some 40 times a second.
+   */
   private async makePlace(adapterSlots: number): Promise<boolean> {
     const {clock} = this.options;
     const byUse = [...this.adapters.entries()].sort(
@@ -260,6 +268,7 @@
     for (const [key, {model, adapter, usedMs}] of byUse) {
       if (this.adapters.size < adapterSlots) return true;
       if (this.leaving.has(key)) continue;
+      if (this.options.isAdapterInUse(key)) continue;
       if (clock.nowMs() - usedMs < KEEP_ADAPTER_MS) return false;
       const outcome = await this.give({
         kind: 'unload',
@@ -271,7 +280,7 @@
       // a report shows it gone; a load into it would overfill the runner.
       if (outcome === 'done') this.adapters.delete(key);
       if (outcome === 'begun') this.leaving.add(key);
-      if (outcome === 'unknown' || outcome === 'refused') return false;
+      if (outcome !== 'done') return false;
     }
     return this.adapters.size < adapterSlots;
   }
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -6,6 +6,8 @@
 } from '@banyanfold/decisions';
 import type {Timer} from '@banyanfold/core';
 import type {GatewayContext} from '../context.js';
+import {adapterKey} from '../runners/heldCopies.js';
+import type {StartedWork} from '../runners/runnerStates.js';
 import type {DecodedRequest, RoutePolicy} from '../types.js';
 import {AnswerRelay, type AttemptResult} from './answerRelay.js';
 import {FINAL_STATUS, sendFinalAnswer} from './finalAnswer.js';
@@ -42,7 +44,7 @@
 export class RequestRun {
   private readonly deadlineMs: number;
   private readonly service: string;
-  private readonly work: number;
+  private readonly started: StartedWork;
   private readonly relay: AnswerRelay;
   private readonly targets: TargetChooser;
   private readonly log: RequestLog;
@@ -62,11 +64,14 @@
     );
     this.deadlineMs = startedMs + waitMs - context.options.deadlineMarginMs;
     this.service = pickService(route.services, context.random);
-    this.work = workOf({
-      requests: 1,
-      promptTokens: decoded.request.promptTokens,
-      outputTokens: decoded.request.maxOutputTokens,
-    });
+    const {model, adapter, promptTokens, maxOutputTokens} = decoded.request;
+    this.started = {
+      work: workOf({requests: 1, promptTokens, outputTokens: maxOutputTokens}),
+      adapter:
+        model !== undefined && adapter !== undefined
+          ? adapterKey(model, adapter)
+          : undefined,
+    };
     this.targets = new TargetChooser({
       context,
       request: decoded.request,
@@ -190,8 +195,10 @@
       model: model!,
       adapter: adapter!,
     });
-    if (!isThere && !this.isOver) await this.pause(REJECTION_PAUSE_MS);
-    return isThere;
+    if (isThere || this.isOver) return isThere;
+    this.targets.noteRejected(runnerId);
+    await this.pause(REJECTION_PAUSE_MS);
+    return false;
   }
 
   private async attempt(target: Target): Promise<AttemptResult> {
@@ -200,7 +207,7 @@
     const nowMs = context.clock.nowMs();
     const connection = context.connections.acquire(runner.address);
     this.log.route(target, this.counts, connection.used);
-    context.states.noteStart(runner.runnerId, this.service, this.work);
+    context.states.noteStart(runner.runnerId, this.service, this.started);
     const headers = context.codec.encodeAttempt(decoded, {
       runnerId: runner.runnerId,
       remainingMs: this.deadlineMs - nowMs,
@@ -223,7 +230,7 @@
       {runnerId: runner.runnerId, onFirstByte: () => endPending(true)},
     );
     endPending(false);
-    context.states.noteEnd(runner.runnerId, this.work);
+    context.states.noteEnd(runner.runnerId, this.started);
     if (result.kind === 'delivered' || result.kind === 'rejected') {
       if (result.canReuse) {
         context.connections.release(runner.address, connection);
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -19,6 +19,13 @@
   ejectionMs: EJECTION_MS,
 };
 
+/** What a request means to the runner that it was sent to. */
+export interface StartedWork {
+  work: number;
+  /** As model and name, joined by a slash. */
+  adapter?: string;
+}
+
 interface Outcome {
   atMs: number;
   isSuccess: boolean;
@@ -34,6 +41,8 @@
   pauseMs: number;
   ejectedUntilMs: number;
   outcomes: Outcome[];
+  /** Requests under way by the adapter that they use. */
+  adaptersInUse: Map<string, number>;
   /** Requests without a first byte, by priority. */
   pending: Map<number, number>;
   firstBytesMs: number[];
@@ -75,10 +84,20 @@
     return untilMs > this.clock.nowMs();
   }
 
-  noteStart(runnerId: string, service: string, work: number): void {
+  /** Adapters that this process's requests use, by runner. */
+  ownAdaptersInUse(): Record<string, string[]> {
+    const inUse: Record<string, string[]> = {};
+    for (const [runnerId, {adaptersInUse}] of this.states) {
+      if (adaptersInUse.size > 0) inUse[runnerId] = [...adaptersInUse.keys()];
+    }
+    return inUse;
+  }
+
+  noteStart(runnerId: string, service: string, started: StartedWork): void {
     const state = this.of(runnerId, service);
-    state.openWork += work;
+    state.openWork += started.work;
     state.openRequests += 1;
+    count(state.adaptersInUse, started.adapter, 1);
   }
 
   /**
@@ -115,11 +134,12 @@
     return (state.firstBytesMs.length * MS_PER_SECOND) / RATE_WINDOW_MS;
   }
 
-  noteEnd(runnerId: string, work: number): void {
+  noteEnd(runnerId: string, ended: StartedWork): void {
     const state = this.states.get(runnerId);
     if (!state) return;
-    state.openWork = Math.max(0, state.openWork - work);
+    state.openWork = Math.max(0, state.openWork - ended.work);
     state.openRequests -= 1;
+    count(state.adaptersInUse, ended.adapter, -1);
   }
 
   notePeersWork(work: Readonly<Record<string, number>>): void {
@@ -203,6 +223,7 @@
         pauseMs: 0,
         ejectedUntilMs: 0,
         outcomes: [],
+        adaptersInUse: new Map(),
         pending: new Map(),
         firstBytesMs: [],
       };
@@ -213,6 +234,17 @@
   }
 }
 
+function count(
+  counts: Map<string, number>,
+  key: string | undefined,
+  change: number,
+): void {
+  if (key === undefined) return;
+  const value = (counts.get(key) ?? 0) + change;
+  if (value > 0) counts.set(key, value);
+  else counts.delete(key);
+}
+
 function medianOf(values: number[]): number {
   if (values.length === 0) return 0;
   const sorted = [...values].sort((a, b) => a - b);
