Find out the number of a runner's orders again while it refuses them

The load of an adapter had no answer, its unload was answered 200 as something that wasn't there, and was counted as an order. The report with the right number was left out as older than the last order, because each refused order put that moment off. Ruled out: places in use (the runner had free ones), a busy runner (adapters don't make one busy). Change: a refused order no longer counts as the last one that had an effect; after the unload of an adapter whose load had no answer the number counts only once a report told it; refusals in a row pause longer (150 to 600 ms).

--- a/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
@@ -128,6 +128,44 @@
     expect(orders.at(-1)?.expectedOrderNumber).toBe(1);
   });
 
+  it('are counted anew while the runner refuses them one after the other', async () => {
+    // Callers of all adapters at this runner would wait for good. The number is
+    // one too high, each order is refused, and an order every 200 ms made every
+    // report look as if it came from before the last order.
+    controller.noteReport(report({orderNumber: 1}), 0);
+    await controller.ensureAdapter('m1', 'a1', SLOTS);
+    for (let i = 0; i < 8; i++) {
+      answers = ['conflict'];
+      await controller.ensureAdapter('m1', `b${i}`, SLOTS);
+      await clock.advance(200);
+      const models = held('a1');
+      controller.noteReport(report({orderNumber: 1, models}), clock.nowMs());
+    }
+    expect(await controller.ensureAdapter('m1', 'a2', SLOTS)).toBe(true);
+    expect(orders.at(-1)?.expectedOrderNumber).toBe(1);
+  });
+
+  it('wait for a report where an answer left the number open', async () => {
+    // All later orders would name a number that the runner never reached. The
+    // load of an adapter gets no answer and did not happen; its unload is
+    // answered as if it had gone at once, which would count as an order.
+    controller.noteReport(report({models: held('a1')}), 0);
+    answers = ['lost'];
+    expect(await controller.ensureAdapter('m1', 'a2', SLOTS)).toBe(false);
+    inUse = new Set(['m1/a1']);
+    await clock.advance(400);
+    answers = ['holds'];
+    expect(await controller.ensureAdapter('m1', 'a3', SLOTS)).toBe(false);
+    expect(orders).toHaveLength(2);
+    await clock.advance(SETTLED_MS);
+    controller.noteReport(report({models: held('a1')}), clock.nowMs());
+    expect(await controller.ensureAdapter('m1', 'a3', SLOTS)).toBe(true);
+    expect(orders.at(-1)).toMatchObject({
+      adapter: 'a3',
+      expectedOrderNumber: 0,
+    });
+  });
+
   it('stop while a load of the holder before is under way', async () => {
     // A second load after the first would overfill the runner: the first one
     // takes memory that shows in no report until it is over.
--- a/packages/banyanfold-gateway/src/placement/runnerController.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerController.ts
@@ -37,6 +37,8 @@
   model: string;
   adapter: string;
   usedMs: number;
+  /** Its load got no answer; the place counts as taken all the same. */
+  isDoubtful?: boolean;
 }
 
 /** Reports are some hundred ms old; 200 to 260 ms were seen. */
@@ -51,6 +53,8 @@
 const KEEP_ADAPTER_MS = 300;
 /** A runner that turned an order away is left alone until its next report. */
 const CONFLICT_PAUSE_MS = 150;
+/** From 150 ms to 600; by then a report has come. */
+const CONFLICT_DOUBLINGS = 2;
 
 /** A load takes a few seconds; then the runner's report decides. */
 const BUSY_CAP_MS = 12_000;
@@ -72,6 +76,9 @@
   /** The model that is being loaded. */
   loading: string | undefined;
   lastOrderMs: number | undefined;
+  /** The last order that a runner may have taken on. */
+  private lastEffectMs: number | undefined;
+  private conflictsInARow = 0;
   /** Room is being made for it. */
   intendedModel: string | undefined;
   /** Orders on models that wait here or have no answer yet. */
@@ -80,6 +87,8 @@
   private expectedEndMs = 0;
   private failedReports = 0;
   private orderNumber: number | undefined;
+  /** An answer left open whether the runner counted the order. */
+  private isNumberDoubtful = false;
   private queue: Promise<unknown> = Promise.resolve();
   /** Adapters that were ordered away and still serve. */
   private readonly leaving = new Set<string>();
@@ -134,12 +143,13 @@
     this.inMemory = report.inMemory;
     this.onDisk = report.onDisk;
     const isSettled =
-      this.lastOrderMs === undefined ||
-      askedMs - this.lastOrderMs >= REPORT_LAG_BOUND_MS;
+      this.lastEffectMs === undefined ||
+      askedMs - this.lastEffectMs >= REPORT_LAG_BOUND_MS;
     const isOld =
       this.orderNumber !== undefined && report.orderNumber < this.orderNumber;
-    if (isOld && !isSettled) return;
+    if (!isSettled && (isOld || this.isNumberDoubtful)) return;
     this.orderNumber = report.orderNumber;
+    this.isNumberDoubtful = false;
     if (report.busy) {
       // A load of the holder before this one takes memory that no report shows
       // until it is over; another one after it would overfill the runner.
@@ -245,11 +255,8 @@
     });
     if (outcome === 'refused') return false;
     const nowMs = clock.nowMs();
-    this.adapters.set(key, {
-      model,
-      adapter,
-      usedMs: nowMs,
-    });
+    const isDoubtful = outcome === 'unknown';
+    this.adapters.set(key, {model, adapter, usedMs: nowMs, isDoubtful});
     return outcome !== 'unknown';
   }
 
@@ -265,7 +272,7 @@
     const byUse = [...this.adapters.entries()].sort(
       ([, a], [, b]) => a.usedMs - b.usedMs,
     );
-    for (const [key, {model, adapter, usedMs}] of byUse) {
+    for (const [key, {model, adapter, usedMs, isDoubtful}] of byUse) {
       if (this.adapters.size < adapterSlots) return true;
       if (this.leaving.has(key)) continue;
       if (this.options.isAdapterInUse(key)) continue;
@@ -276,6 +283,10 @@
         adapter,
         reason: 'longest-unused',
       });
+      // The answer is the same for one that went at once, which counts as an
+      // order, and for one that was never there, which doesn't. Counted wrong,
+      // all later orders were refused.
+      if (isDoubtful) this.isNumberDoubtful = true;
       // One in use goes when its runs are over. Its place counts as taken until
       // a report shows it gone; a load into it would overfill the runner.
       if (outcome === 'done') this.adapters.delete(key);
@@ -288,12 +299,16 @@
   private async give(order: ControllerOrder): Promise<OrderResult> {
     const {lease, control, holder, logger, metrics, clock} = this.options;
     const {runnerId, address} = this.registration;
-    if (this.orderNumber === undefined) return 'refused';
+    if (this.orderNumber === undefined || this.isNumberDoubtful) {
+      return 'refused';
+    }
     const state = lease.current();
     if (!state.isHolder) return 'refused';
     const expectedOrderNumber = this.orderNumber;
     const sentMs = clock.nowMs();
+    const effectBeforeMs = this.lastEffectMs;
     this.lastOrderMs = sentMs;
+    this.lastEffectMs = sentMs;
     const answer = await control.order(runnerId, address, {
       kind: order.kind,
       model: order.model,
@@ -316,6 +331,7 @@
       tookMs: Math.round(clock.nowMs() - sentMs),
     });
     metrics.count('orders_total', {kind: order.kind, outcome});
+    if (outcome !== 'conflict') this.conflictsInARow = 0;
     if (outcome === 'accepted') {
       this.orderNumber = Math.max(this.orderNumber, expectedOrderNumber + 1);
       return 'begun';
@@ -331,12 +347,22 @@
     // Another runner has the address; this one has ended.
     if (outcome === 'other-runner') this.failedReports = LOST_REPORTS;
     if (outcome === 'conflict') {
-      const pauseEndMs = clock.nowMs() + CONFLICT_PAUSE_MS;
-      this.busyUntilMs = Math.max(this.busyUntilMs, pauseEndMs);
+      this.noteConflict();
+      // It changed nothing. Counted as an order, each try put off the report
+      // that tells the right number, and no order came about for ten seconds.
+      this.lastEffectMs = effectBeforeMs;
     }
     return outcome === 'unknown' ? 'unknown' : 'refused';
   }
 
+  private noteConflict(): void {
+    this.conflictsInARow += 1;
+    const doublings = Math.min(this.conflictsInARow - 1, CONFLICT_DOUBLINGS);
+    const pauseMs = CONFLICT_PAUSE_MS * 2 ** doublings;
+    const endMs = this.options.clock.nowMs() + pauseMs;
+    this.busyUntilMs = Math.max(this.busyUntilMs, endMs);
+  }
+
   private adopt(model: string, adapter: string, nowMs: number): void {
     const key = adapterKey(model, adapter);
     if (this.adapters.has(key)) return;
