--- /dev/null
+++ b/packages/banyanfold-gateway/src/requests/ownRefusals.ts
@@ -0,0 +1,70 @@
+import {
+  decideSend,
+  decideWait,
+  type SendDecision,
+  type SendView,
+} from '@banyanfold/decisions';
+import type {GatewayContext} from '../context.js';
+import type {InferenceRequest, RoutePolicy} from '../types.js';
+
+export interface OwnRefusalsOptions {
+  context: GatewayContext;
+  request: InferenceRequest;
+  route: RoutePolicy;
+  startedMs: number;
+  deadlineMs: number;
+}
+
+/** A refusal by the queue of a runner, with what decided it. */
+export interface QueueRefusal {
+  view: SendView;
+  decision: Extract<SendDecision, {kind: 'refuse'}>;
+}
+
+/** What this process refuses by itself, for a request that no runner has. */
+export class OwnRefusals {
+  constructor(private readonly options: OwnRefusalsOptions) {}
+
+  /**
+   * A balancer with few entries left sends callers here to the end. A stream
+   * that begins when this process is about to go would be cut off half-way;
+   * its caller loses less by asking another entry at once. What ends in any
+   * case before the process does is still served.
+   */
+  get isTooLate(): boolean {
+    const cutOffMs = this.options.context.cutOffMs();
+    return cutOffMs !== undefined && this.options.deadlineMs > cutOffMs;
+  }
+
+  /** Of what a full queue would hold until its caller gives up. */
+  byQueue(runnerId: string): QueueRefusal | undefined {
+    const {context, request, route, startedMs} = this.options;
+    if (request.model === undefined) return undefined;
+    const view = {
+      workAhead: context.states.workAhead(runnerId, route.priority),
+      workPerSecond: context.states.workPerSecond(runnerId),
+      leftMs: this.leftMs,
+      targetLeftMs: startedMs + route.targetMs - context.clock.nowMs(),
+    };
+    const decision = decideSend(view);
+    return decision.kind === 'refuse' ? {view, decision} : undefined;
+  }
+
+  /**
+   * Of what its copy would reach only after its caller has given up: the time
+   * to come back, in ms.
+   */
+  withoutCopy(): number | undefined {
+    const {context, request} = this.options;
+    if (request.model === undefined) return undefined;
+    const decision = decideWait({
+      leftMs: this.leftMs,
+      copyInMs: context.held.copyInMs(request.model),
+    });
+    return decision.kind === 'refuse' ? decision.retryAfterMs : undefined;
+  }
+
+  private get leftMs(): number {
+    return this.options.deadlineMs - this.options.context.clock.nowMs();
+  }
+}
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -1,10 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {
-  decideRetry,
-  decideSend,
-  decideWait,
-  type RetryDecision,
-} from '@banyanfold/decisions';
+import {decideRetry, type RetryDecision} from '@banyanfold/decisions';
 import type {Timer} from '@banyanfold/core';
 import type {GatewayContext} from '../context.js';
 import {adapterKey} from '../runners/heldCopies.js';
@@ -12,6 +7,7 @@
 import type {DecodedRequest, RoutePolicy} from '../types.js';
 import {AnswerRelay, type AttemptResult} from './answerRelay.js';
 import {FINAL_STATUS, sendFinalAnswer} from './finalAnswer.js';
+import {OwnRefusals} from './ownRefusals.js';
 import {pickService} from './pickService.js';
 import {RequestLog, type TryCounts} from './requestLog.js';
 import {TargetChooser, type Target} from './targetChooser.js';
@@ -49,6 +45,7 @@
   private readonly relay: AnswerRelay;
   private readonly targets: TargetChooser;
   private readonly log: RequestLog;
+  private readonly refusals: OwnRefusals;
   private timer: Timer | undefined;
   private wake: (() => void) | undefined;
   private isOver = false;
@@ -87,6 +84,13 @@
       startedMs,
       deadlineMs: this.deadlineMs,
     });
+    this.refusals = new OwnRefusals({
+      context,
+      request: decoded.request,
+      route,
+      startedMs,
+      deadlineMs: this.deadlineMs,
+    });
     this.relay = new AnswerRelay({
       context,
       route,
@@ -109,7 +113,7 @@
       context.demand.noteArrival(model, adapter, promptTokens, maxOutputTokens);
     }
     context.retryBudgetOf(this.service).noteAttempt();
-    if (this.isTooLate()) return this.refuse('leaving');
+    if (this.refusals.isTooLate) return this.refuse('leaving');
     const leftMs = this.deadlineMs - context.clock.nowMs();
     this.timer = context.clock.setTimer(leftMs, () => this.onDeadline());
     while (!this.isOver) await this.step();
@@ -119,17 +123,6 @@
     });
   }
 
-  /**
-   * A balancer with few entries left sends callers here to the end. A stream
-   * that begins when this process is about to go would be cut off half-way;
-   * its caller loses less by asking another entry at once. What ends in any
-   * case before the process does is still served.
-   */
-  private isTooLate(): boolean {
-    const cutOffMs = this.options.context.cutOffMs();
-    return cutOffMs !== undefined && this.deadlineMs > cutOffMs;
-  }
-
   private async step(): Promise<void> {
     const target = this.targets.choose();
     if (!target) return this.park();
@@ -142,19 +135,10 @@
 
   /** Refuses what a full queue would hold until its caller gives up. */
   private isTurnedAway({runner}: Target): boolean {
-    const {context, decoded, route, startedMs} = this.options;
-    if (decoded.request.model === undefined || this.relay.hasBegun) {
-      return false;
-    }
-    const nowMs = context.clock.nowMs();
-    const view = {
-      workAhead: context.states.workAhead(runner.runnerId, route.priority),
-      workPerSecond: context.states.workPerSecond(runner.runnerId),
-      leftMs: this.deadlineMs - nowMs,
-      targetLeftMs: startedMs + route.targetMs - nowMs,
-    };
-    const decision = decideSend(view);
-    if (decision.kind === 'send') return false;
+    if (this.relay.hasBegun) return false;
+    const refusal = this.refusals.byQueue(runner.runnerId);
+    if (!refusal) return false;
+    const {view, decision} = refusal;
     this.log.refuse(runner.runnerId, view, decision);
     if (this.mayHaveRun) this.answer(FINAL_STATUS.unknown, 'runner-failed');
     else this.answer(FINAL_STATUS.notRun, 'queue', decision.retryAfterMs);
@@ -175,17 +159,10 @@
 
   /** Refuses what its copy would reach only after its caller has given up. */
   private isWaitInVain(): boolean {
-    const {context, decoded} = this.options;
-    const {model} = decoded.request;
-    if (model === undefined || this.relay.hasBegun || this.mayHaveRun) {
-      return false;
-    }
-    const decision = decideWait({
-      leftMs: this.deadlineMs - context.clock.nowMs(),
-      copyInMs: context.held.copyInMs(model),
-    });
-    if (decision.kind === 'wait') return false;
-    this.answer(FINAL_STATUS.notRun, 'no-copy-in-time', decision.retryAfterMs);
+    if (this.relay.hasBegun || this.mayHaveRun) return false;
+    const retryAfterMs = this.refusals.withoutCopy();
+    if (retryAfterMs === undefined) return false;
+    this.answer(FINAL_STATUS.notRun, 'no-copy-in-time', retryAfterMs);
     return true;
   }
 
