--- /dev/null
+++ b/packages/banyanfold-gateway/src/__tests__/ownRefusals.test.ts
@@ -0,0 +1,102 @@
+import {MemoryLogger, VirtualClock} from '@banyanfold/core';
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {GatewayContext} from '../context.js';
+import {OwnRefusals} from '../requests/ownRefusals.js';
+import {RequestLog} from '../requests/requestLog.js';
+import type {InferenceRequest, RoutePolicy} from '../types.js';
+
+const DEADLINE_MS = 5_000;
+
+let clock: VirtualClock;
+let logger: MemoryLogger;
+let copyInMs: number | undefined;
+let workAhead: number;
+let cutOffMs: number | undefined;
+let context: GatewayContext;
+
+beforeEach(() => {
+  clock = new VirtualClock();
+  logger = new MemoryLogger();
+  copyInMs = undefined;
+  workAhead = 0;
+  cutOffMs = undefined;
+  context = {
+    clock,
+    logger,
+    cutOffMs: () => cutOffMs,
+    held: {copyInMs: () => copyInMs, ageMs: 120},
+    states: {workAhead: () => workAhead, workPerSecond: () => 40},
+  } as unknown as GatewayContext;
+});
+
+const route = {name: 'letter', targetMs: 800, priority: 1} as RoutePolicy;
+
+function request(model: string | undefined): InferenceRequest {
+  return {
+    requestId: 'r1',
+    model,
+    promptTokens: 9_000,
+    maxOutputTokens: 50,
+    promptParts: [],
+  };
+}
+
+function refusalsOf(model: string | undefined): OwnRefusals {
+  return new OwnRefusals({
+    context,
+    request: request(model),
+    route,
+    startedMs: clock.nowMs(),
+    deadlineMs: clock.nowMs() + DEADLINE_MS,
+  });
+}
+
+describe('OwnRefusals', () => {
+  it('tells of a copy that comes after its caller has left', () => {
+    // Held, the caller would be refused when its time is over; it learns at
+    // once that its request has not run and when to come back.
+    const refusals = refusalsOf('m1');
+    expect(refusals.withoutCopy()).toBeUndefined();
+    copyInMs = 4_000;
+    expect(refusals.withoutCopy()).toBeUndefined();
+    copyInMs = 5_800;
+    expect(refusals.withoutCopy()?.decision.retryAfterMs).toBe(1_650);
+  });
+
+  it('tells of a queue that leaves no time, at runners of models only', () => {
+    workAhead = 30;
+    expect(refusalsOf('m1').byQueue('r1')).toBeUndefined();
+    workAhead = 400;
+    expect(refusalsOf('m1').byQueue('r1')?.decision.kind).toBe('refuse');
+    expect(refusalsOf(undefined).byQueue('r1')).toBeUndefined();
+  });
+
+  it('tells what would be cut off when this process ends', () => {
+    expect(refusalsOf('m1').isTooLate).toBe(false);
+    cutOffMs = clock.nowMs() + DEADLINE_MS + 1;
+    expect(refusalsOf('m1').isTooLate).toBe(false);
+    cutOffMs = clock.nowMs() + DEADLINE_MS - 1;
+    expect(refusalsOf('m1').isTooLate).toBe(true);
+  });
+
+  it('has what decided it in the log', () => {
+    copyInMs = 5_800;
+    workAhead = 400;
+    const refusals = refusalsOf('m1');
+    const log = new RequestLog({
+      context,
+      decoded: {request: request('m1'), passedHeaders: []},
+      route,
+      startedMs: clock.nowMs(),
+      deadlineMs: clock.nowMs() + DEADLINE_MS,
+    });
+    log.refuseWithoutCopy(refusals.withoutCopy()!);
+    log.refuseByQueue('runner-1', refusals.byQueue('runner-1')!);
+    expect(logger.lines).toMatchInlineSnapshot(`
+      [
+        "level=info event=refuse request=r1 reason=no-copy-in-time model=m1 copyInMs=5800 copiesAgeMs=120 leftMs=5000 retryAfterMs=1650",
+        "level=info event=refuse request=r1 reason=queue runner=runner-1 workAhead=400.0 workPerSecond=40.0 waitMs=10000 leftMs=5000 retryAfterMs=1500",
+      ]
+    `);
+  });
+});
--- a/packages/banyanfold-gateway/src/requests/ownRefusals.ts
+++ b/packages/banyanfold-gateway/src/requests/ownRefusals.ts
@@ -3,6 +3,8 @@
   decideWait,
   type SendDecision,
   type SendView,
+  type WaitDecision,
+  type WaitView,
 } from '@banyanfold/decisions';
 import type {GatewayContext} from '../context.js';
 import type {InferenceRequest, RoutePolicy} from '../types.js';
@@ -21,6 +23,12 @@
   decision: Extract<SendDecision, {kind: 'refuse'}>;
 }
 
+/** A refusal for want of a copy, likewise. */
+export interface CopyRefusal {
+  view: WaitView;
+  decision: Extract<WaitDecision, {kind: 'refuse'}>;
+}
+
 /** What this process refuses by itself, for a request that no runner has. */
 export class OwnRefusals {
   constructor(private readonly options: OwnRefusalsOptions) {}
@@ -50,18 +58,14 @@
     return decision.kind === 'refuse' ? {view, decision} : undefined;
   }
 
-  /**
-   * Of what its copy would reach only after its caller has given up: the time
-   * to come back, in ms.
-   */
-  withoutCopy(): number | undefined {
+  /** Of what its copy would reach only after its caller has given up. */
+  withoutCopy(): CopyRefusal | undefined {
     const {context, request} = this.options;
     if (request.model === undefined) return undefined;
-    const decision = decideWait({
-      leftMs: this.leftMs,
-      copyInMs: context.held.copyInMs(request.model),
-    });
-    return decision.kind === 'refuse' ? decision.retryAfterMs : undefined;
+    const copyInMs = context.held.copyInMs(request.model);
+    const view = {leftMs: this.leftMs, copyInMs};
+    const decision = decideWait(view);
+    return decision.kind === 'refuse' ? {view, decision} : undefined;
   }
 
   private get leftMs(): number {
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -1,7 +1,7 @@
-import type {SendDecision, SendView} from '@banyanfold/decisions';
 import type {GatewayContext} from '../context.js';
 import type {DecodedRequest, RoutePolicy} from '../types.js';
 import type {AttemptResult} from './answerRelay.js';
+import type {CopyRefusal, QueueRefusal} from './ownRefusals.js';
 import type {CandidateCounts, Target} from './targetChooser.js';
 
 export interface RequestLogOptions {
@@ -57,13 +57,27 @@
     });
   }
 
-  refuse(runnerId: string, view: SendView, {waitMs}: SendDecision): void {
+  refuseByQueue(runnerId: string, {view, decision}: QueueRefusal): void {
     this.line('refuse', {
+      reason: 'queue',
       runner: runnerId,
       workAhead: view.workAhead.toFixed(1),
       workPerSecond: view.workPerSecond.toFixed(1),
-      waitMs: Math.round(waitMs),
+      waitMs: Math.round(decision.waitMs),
       leftMs: Math.round(view.leftMs),
+      retryAfterMs: Math.round(decision.retryAfterMs),
+    });
+  }
+
+  refuseWithoutCopy({view, decision}: CopyRefusal): void {
+    const {context, decoded} = this.options;
+    this.line('refuse', {
+      reason: 'no-copy-in-time',
+      model: decoded.request.model,
+      copyInMs: Math.round(view.copyInMs ?? 0),
+      copiesAgeMs: Math.round(context.held.ageMs),
+      leftMs: Math.round(view.leftMs),
+      retryAfterMs: Math.round(decision.retryAfterMs),
     });
   }
 
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -138,8 +138,8 @@
     if (this.relay.hasBegun) return false;
     const refusal = this.refusals.byQueue(runner.runnerId);
     if (!refusal) return false;
-    const {view, decision} = refusal;
-    this.log.refuse(runner.runnerId, view, decision);
+    const {decision} = refusal;
+    this.log.refuseByQueue(runner.runnerId, refusal);
     if (this.mayHaveRun) this.answer(FINAL_STATUS.unknown, 'runner-failed');
     else this.answer(FINAL_STATUS.notRun, 'queue', decision.retryAfterMs);
     return true;
@@ -160,8 +160,10 @@
   /** Refuses what its copy would reach only after its caller has given up. */
   private isWaitInVain(): boolean {
     if (this.relay.hasBegun || this.mayHaveRun) return false;
-    const retryAfterMs = this.refusals.withoutCopy();
-    if (retryAfterMs === undefined) return false;
+    const refusal = this.refusals.withoutCopy();
+    if (!refusal) return false;
+    this.log.refuseWithoutCopy(refusal);
+    const {retryAfterMs} = refusal.decision;
     this.answer(FINAL_STATUS.notRun, 'no-copy-in-time', retryAfterMs);
     return true;
   }
