Let only copies that serve decide what makes way, and no model serve that goes

A report that came while an unload waited for its runs brought the model back as serving, and requests went to a runner that refused them six times within 20 ms, which ended them ('no-place'). Change: copies that serve alone decide what may go; a model that is being unloaded serves no more, whatever reports say. Open: a rejected request asks again at once; decideRetry's delay is not waited for. Tests: 'takes no serving copy away for those that are still to come', 'are not undone by a report while a model goes'; both failed before.

--- a/packages/banyanfold-decisions/src/__tests__/planCopies.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/planCopies.test.ts
@@ -212,6 +212,37 @@
     expect(planCopies({runners, models, storeLoadsLeft: 3})).toEqual([]);
   });
 
+  it('takes no serving copy away for those that are still to come', () => {
+    // Callers of the model in most demand are refused for seconds: three copies
+    // are being made, so that the two that serve pass for two of five, and both
+    // make way for models that nobody holds.
+    const runners = [
+      runner({runnerId: 'r1', models: ['hot', 'x']}),
+      runner({runnerId: 'r2', models: ['hot', 'y']}),
+      ...['r3', 'r4', 'r5'].map(runnerId =>
+        runner({
+          runnerId,
+          models: ['hot', 'z'],
+          isBusy: true,
+          loadingModel: 'hot',
+        }),
+      ),
+    ];
+    const models = [
+      model('hot', {workPerSecond: 12, idleMs: 0}),
+      ...['x', 'y', 'z'].map(name =>
+        model(name, {workPerSecond: 1, idleMs: 100}),
+      ),
+      model('gone', {waiting: 1, idleMs: 0}),
+      model('none'),
+    ];
+    const orders = planCopies({runners, models, storeLoadsLeft: 4});
+    expect(orders.filter(({model: name}) => name === 'hot')).toEqual([]);
+    const quiet = models.map(each => ({...each, waiting: 0}));
+    const later = planCopies({runners, models: quiet, storeLoadsLeft: 4});
+    expect(later.filter(({model: name}) => name === 'hot')).toEqual([]);
+  });
+
   it('puts a copy more into another failure domain', () => {
     // A domain that is lost would take both copies, and prompts of callers in
     // the other domains would cross to it. Loads being alike, the next copy
--- a/packages/banyanfold-decisions/src/copyPlan.ts
+++ b/packages/banyanfold-decisions/src/copyPlan.ts
@@ -8,7 +8,10 @@
 
 interface Planned {
   runner: CopyRunner;
+  /** Held, on their way, or those for which room is being made. */
   models: Set<string>;
+  /** Of these the ones that answer requests now. */
+  serving: Set<string>;
   freeMb: number;
   isTaken: boolean;
 }
@@ -53,6 +56,9 @@
     this.planned = input.runners.map(runner => ({
       runner,
       models: new Set(runner.models),
+      serving: new Set(
+        runner.models.filter(name => name !== runner.loadingModel),
+      ),
       freeMb: this.freeOf(runner),
       isTaken: runner.isBusy,
     }));
@@ -165,7 +171,7 @@
       .map(name => this.models.get(name))
       .filter(victim => victim !== undefined)
       .filter(victim => {
-        const left = this.copies(victim.name) - 1;
+        const left = this.servingCopies(victim.name) - 1;
         return (
           left >= keptCopies &&
           victim.workPerSecond / left < relieveAboveWork &&
@@ -213,6 +219,7 @@
     if (!this.isNear(to, model)) this.loadsLeft -= 1;
     to.isTaken = true;
     to.models.delete(victim.name);
+    to.serving.delete(victim.name);
     this.orders.push({
       kind: 'unload',
       runnerId: to.runner.runnerId,
@@ -261,7 +268,7 @@
 
   private mayGo(victim: CopyModel, model: CopyModel): boolean {
     if (victim.waiting > 0) return false;
-    const isSole = this.copies(victim.name) <= 1;
+    const isSole = this.servingCopies(victim.name) <= 1;
     if (isSole && this.isOutweighed(victim, model)) return true;
     if (isSole) {
       const {soleIdleMs, rareIdleMs} = this.options;
@@ -274,7 +281,7 @@
     }
     if (victim.idleMs >= this.options.surplusIdleMs) return true;
     // A copy that relieves little makes way for a model without any.
-    const copies = this.copies(victim.name);
+    const copies = this.servingCopies(victim.name);
     const shareAfter = victim.workPerSecond / (copies - 1);
     return shareAfter < this.options.relieveAboveWork / 2;
   }
@@ -291,7 +298,7 @@
 
   /** Which copies make way first; see TIER. */
   private tierOf(victim: CopyModel): number {
-    if (this.copies(victim.name) > 1) {
+    if (this.servingCopies(victim.name) > 1) {
       const isIdle = victim.idleMs >= this.options.quietMs;
       return isIdle ? TIER.idleSurplus : TIER.busySurplus;
     }
@@ -346,6 +353,15 @@
     return this.planned.filter(({models}) => models.has(name)).length;
   }
 
+  /**
+   * Whether a copy may go is decided by these. Counted with copies that were
+   * still to come, both serving ones of the model in most demand made way, and
+   * its callers were refused until a load was over.
+   */
+  private servingCopies(name: string): number {
+    return this.planned.filter(({serving}) => serving.has(name)).length;
+  }
+
   private shareOf(model: CopyModel): number {
     return model.workPerSecond / Math.max(1, this.copies(model.name));
   }
--- a/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
@@ -166,6 +166,18 @@
     });
   });
 
+  it('are not undone by a report while a model goes', async () => {
+    // Callers are sent to a runner that refuses them: its unload waits for the
+    // runs under way, and reports name the model as held until then.
+    controller.noteReport(report(), 0);
+    await controller.orderModel({kind: 'unload', model: 'm1', reason: 'x'}, 0);
+    await clock.advance(SETTLED_MS);
+    controller.noteReport(report({orderNumber: 1, busy: true}), clock.nowMs());
+    expect(controller.servingModels()).toEqual([]);
+    controller.noteReport(report({orderNumber: 1}), clock.nowMs());
+    expect(controller.servingModels()).toEqual(['m1']);
+  });
+
   it('stop while a load of the holder before is under way', async () => {
     // A second load after the first would overfill the runner: the first one
     // takes memory that shows in no report until it is over.
--- a/packages/banyanfold-gateway/src/placement/runnerController.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerController.ts
@@ -75,6 +75,11 @@
   onDisk: readonly string[] = [];
   /** The model that is being loaded. */
   loading: string | undefined;
+  /**
+   * The model that is being unloaded. The runner goes on with its runs and
+   * names it in reports until they are over, and refuses new ones.
+   */
+  private unloading: string | undefined;
   lastOrderMs: number | undefined;
   /** The last order that a runner may have taken on. */
   private lastEffectMs: number | undefined;
@@ -162,6 +167,7 @@
     } else {
       this.busyUntilMs = 0;
       this.loading = undefined;
+      this.unloading = undefined;
     }
     this.models.clear();
     const nowMs = options.clock.nowMs();
@@ -217,6 +223,7 @@
         this.loading = order.model;
         this.models.add(order.model);
       } else {
+        this.unloading = order.model;
         this.models.delete(order.model);
         for (const [key, held] of this.adapters) {
           if (held.model === order.model) this.adapters.delete(key);
@@ -233,7 +240,9 @@
 
   /** Models that serve now: the one being loaded doesn't yet. */
   servingModels(): string[] {
-    return [...this.models].filter(name => name !== this.loading);
+    return [...this.models].filter(
+      name => name !== this.loading && name !== this.unloading,
+    );
   }
 
   private async fetchAdapter(
