Let a returning holder of orders hear from each runner before it orders

An unload whose answer was lost and that never happened leaves memory counted as free and the number of orders unchanged, so that a load by that knowledge is taken and overfills the runner. Ruled out by the expected number: knowledge from before another holder's order (those orders were answered 409 in the replays). Change: the lease tells its term, which rises whenever another may have ordered; a runner is known only by a report taken in it, and all reports are asked for at once. Test: 'wait for a report when the lease comes back after another holder', failed before.

--- a/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
@@ -24,6 +24,7 @@
 let fencedCount: number;
 let controller: RunnerController;
 let inUse: Set<string>;
+let term: number;
 
 beforeEach(() => {
   clock = new VirtualClock();
@@ -32,6 +33,7 @@
   isHolder = true;
   fencedCount = 0;
   inUse = new Set();
+  term = 1;
   controller = new RunnerController(
     {
       runnerId: 'r1',
@@ -48,7 +50,7 @@
       logger: new MemoryLogger(),
       metrics: new Metrics(),
       lease: {
-        current: () => ({isHolder, fencingToken: 7}),
+        current: () => ({isHolder, fencingToken: 7, term}),
         noteFenced: () => (fencedCount += 1),
       } as unknown as LeaseSource,
       control: {
@@ -166,6 +168,25 @@
     });
   });
 
+  it('wait for a report when the lease comes back after another holder', async () => {
+    // The runner would be overfilled and crash. An unload got no answer and never
+    // happened; the lease went to another process and came back long after. The
+    // number of orders is still the same, and the memory that the unload was to
+    // free is not.
+    controller.noteReport(report(), 0);
+    answers = ['lost'];
+    await controller.orderModel({kind: 'unload', model: 'm1', reason: 'x'}, 0);
+    await clock.advance(60_000);
+    term = 2;
+    expect(controller.isKnown).toBe(false);
+    const load = {kind: 'load', model: 'm2', reason: 'x'} as const;
+    expect(await controller.orderModel(load, 0)).toBe('refused');
+    expect(orders).toHaveLength(1);
+    controller.noteReport(report(), clock.nowMs());
+    expect(controller.isKnown).toBe(true);
+    expect([...controller.models]).toEqual(['m1']);
+  });
+
   it('are not undone by a report while a model goes', async () => {
     // Callers are sent to a runner that refuses them: its unload waits for the
     // runs under way, and reports name the model as held until then.
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -61,6 +61,8 @@
   private newestConfig = 0;
   private newestRunnersChange = 0;
   private plannedMs = Number.NEGATIVE_INFINITY;
+  /** A new one asks for all reports at once; no order goes out before them. */
+  private plannedTerm: number | undefined;
   private readonly reportsOpen = new Set<string>();
 
   constructor(private readonly deps: HolderOptions) {
@@ -255,7 +257,10 @@
   private plan(): void {
     const {lease, view, clock} = this.deps;
     this.plannedMs = clock.nowMs();
-    if (!lease.current().isHolder) return;
+    const {isHolder, term} = lease.current();
+    if (!isHolder) return;
+    if (term !== this.plannedTerm) this.askReports(() => true);
+    this.plannedTerm = term;
     for (const {name, engine} of view.current?.services.values() ?? []) {
       if (engine) this.planService(name, engine);
     }
--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -74,6 +74,7 @@
   private readonly startedAt: Moment;
   private ownerAskedMs = Number.NEGATIVE_INFINITY;
   private wasHolder = false;
+  private term = 0;
 
   constructor(private readonly options: LeaseKeeperOptions) {
     this.startedAt = this.now();
@@ -92,6 +93,7 @@
     return {
       isHolder,
       fencingToken: this.generation * HANDOVERS + this.handedOver,
+      term: this.term,
       holderAddress: this.holderAddress,
     };
   }
@@ -179,6 +181,7 @@
     this.generation = generation;
     this.handedOver = step;
     this.ownsIt = true;
+    this.term += 1;
     this.orderFromMs = this.options.clock.nowMs();
     this.holderAddress = this.options.address;
     this.options.logger.info('lease-taken-over', {generation, step});
@@ -194,6 +197,8 @@
     if (joined.isOk()) {
       const {generation, owns} = joined.value;
       const isGained = owns && !this.ownsIt;
+      // It may have gone to another and come back between two renewals.
+      if (isGained || (owns && this.hasLapsed())) this.term += 1;
       if (!owns && this.ownsIt) logger.info('lease-lost', {generation});
       this.generation = generation;
       this.handedOver = 0;
--- a/packages/banyanfold-gateway/src/placement/runnerController.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerController.ts
@@ -92,6 +92,8 @@
   private expectedEndMs = 0;
   private failedReports = 0;
   private orderNumber: number | undefined;
+  /** The lease's term in which the last report was taken. */
+  private knownInTerm: number | undefined;
   /** An answer left open whether the runner counted the order. */
   private isNumberDoubtful = false;
   private queue: Promise<unknown> = Promise.resolve();
@@ -121,9 +123,19 @@
     return Math.max(0, this.expectedEndMs - this.options.clock.nowMs());
   }
 
-  /** It can be given orders: the number of its orders is known. */
+  /**
+   * It can be given orders: a report has come since this process got the lease.
+   *
+   * What it knew when it last had the lease may be wrong though the number of
+   * orders still fits: an unload whose answer was lost, and that never happened,
+   * left memory that counted as free, and the next load would overfill the
+   * runner, which crashes. A report tells both the number and what is held.
+   */
   get isKnown(): boolean {
-    return this.orderNumber !== undefined;
+    return (
+      this.orderNumber !== undefined &&
+      this.knownInTerm === this.options.lease.current().term
+    );
   }
 
   /** It answered the last question for its report. */
@@ -159,6 +171,7 @@
       this.orderNumber !== undefined && report.orderNumber < this.orderNumber;
     if (!isSettled && (isOld || this.isNumberDoubtful)) return;
     this.orderNumber = report.orderNumber;
+    this.knownInTerm = options.lease.current().term;
     this.isNumberDoubtful = false;
     if (report.busy) {
       // A load of the holder before this one takes memory that no report shows
@@ -312,9 +325,8 @@
   private async give(order: ControllerOrder): Promise<OrderResult> {
     const {lease, control, holder, logger, metrics, clock} = this.options;
     const {runnerId, address} = this.registration;
-    if (this.orderNumber === undefined || this.isNumberDoubtful) {
-      return 'refused';
-    }
+    if (this.orderNumber === undefined) return 'refused';
+    if (!this.isKnown || this.isNumberDoubtful) return 'refused';
     const state = lease.current();
     if (!state.isHolder) return 'refused';
     const expectedOrderNumber = this.orderNumber;
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -238,6 +238,8 @@
   isHolder: boolean;
   /** Rises with each change of holder. */
   fencingToken: number;
+  /** Rises when another process may have ordered since this one last did. */
+  term: number;
   /** Address of the holder's internal listener, where one is known. */
   holderAddress?: string;
 }
