Write a process's whole log before it ends, and lose no line to a full pipe

Found while tracing it: lines whose turn came during a slow write waited for the next line; and a full pipe refuses a write (EAGAIN), which was taken for a reader that is gone, so that up to 32 KB were lost uncounted and a line was cut in the middle. Ruled out: a pipe that blocks (the runtime makes it non-blocking; with a blocking one an exit hangs, tried alone). Change: LineWriter.end() waits 0.5 s at most before a process exits; a full pipe is tried again; the harness waits for 'close'.

--- a/packages/banyanfold-cli/src/daemonCommand.ts
+++ b/packages/banyanfold-cli/src/daemonCommand.ts
@@ -1,6 +1,7 @@
 import {Flags} from '@oclif/core';
 import {
   createLogger,
+  exitProcess,
   startLogOutput,
   toBanyanfoldError,
   type Logger,
@@ -51,12 +52,12 @@
     logger.info('stopping', {signal});
     void nextStopSignal().then(again => {
       logger.warn('stopping-at-once', {signal: again});
-      process.exit(EXIT_CODES.failed);
+      void exitProcess(EXIT_CODES.failed);
     });
     await daemon.drain();
     await daemon.stop();
     logger.info('stopped');
-    process.exit(EXIT_CODES.ok);
+    await exitProcess(EXIT_CODES.ok);
   }
 
   private async startOrFail(
--- a/packages/banyanfold-core/src/index.ts
+++ b/packages/banyanfold-core/src/index.ts
@@ -1,5 +1,6 @@
 export * from './clock.js';
 export * from './errors.js';
+export * from './exitProcess.js';
 export * from './jsonWithComments.js';
 export * from './kernel.js';
 export * from './lineWriter.js';
--- a/packages/banyanfold-core/src/lineWriter.ts
+++ b/packages/banyanfold-core/src/lineWriter.ts
@@ -1,5 +1,5 @@
 import {write, writeSync} from 'node:fs';
-import {systemClock, type Clock} from './clock.js';
+import {sleep, systemClock, type Clock} from './clock.js';
 
 /** How lines are gathered before they are written. */
 export interface LineWriterOptions {
@@ -10,11 +10,20 @@
   maxChars?: number;
   /** Text that waits for a slow reader; lines beyond it are dropped. */
   maxWaitingChars?: number;
+  /** How long the end of a process waits for the reader. */
+  endWaitMs?: number;
   /** Writes without blocking and calls `done` when it is over. */
   write?: (text: string, done: () => void) => void;
 }
 
+/**
+ * Reasoned, not measured: many turns of a reader that is only slow, and a small
+ * part of the seconds that a supervisor gives a process to stop.
+ */
+export const DEFAULT_END_WAIT_MS = 500;
+
 const DEFAULT_OPTIONS = {
+  endWaitMs: DEFAULT_END_WAIT_MS,
   maxWaitMs: 10,
   maxChars: 32_768,
   // Some seconds of lines of a busy process, a few MB of its memory.
@@ -22,6 +31,9 @@
 } as const;
 
 const STDOUT_FD = 1;
+const PIPE_IS_FULL = 'EAGAIN';
+/** As long as lines are gathered, so that a full pipe costs no more wake-ups. */
+const FULL_PIPE_PAUSE_MS = 10;
 
 /**
  * Gathers log lines and writes them together; writing each by itself took a
@@ -38,6 +50,7 @@
   private isScheduled = false;
   private isWriting = false;
   private dropped = 0;
+  private endWaiters: Array<() => void> = [];
   private readonly options: Required<LineWriterOptions>;
 
   constructor(options: LineWriterOptions = {}) {
@@ -72,17 +85,24 @@
     if (this.isWriting || this.text === '') return;
     const text = this.takeText();
     this.isWriting = true;
-    this.options.write(text, () => {
-      this.isWriting = false;
-      if (this.text.length >= this.options.maxChars || this.dropped > 0) {
-        this.flush();
-      }
-    });
+    this.options.write(text, () => this.written());
   }
 
   /**
-   * Writes the rest before the process ends. What waits for a reader is left
-   * out: the process would wait for it for good.
+   * Writes what is gathered before the process ends, unless the reader takes too
+   * long for it.
+   *
+   * A process that ends while a write is under way loses the lines after it,
+   * among them the one that says that it stopped.
+   */
+  async end(): Promise<void> {
+    const {clock, endWaitMs} = this.options;
+    await Promise.race([this.whenEmpty(), sleep(clock, endWaitMs)]);
+  }
+
+  /**
+   * Writes the rest of a process that ends without `end`. What waits for a
+   * reader is left out: the process would wait for it for good.
    */
   flushAtExit(): void {
     if (this.isWriting || this.text === '') return;
@@ -93,6 +113,33 @@
     }
   }
 
+  private get isEmpty(): boolean {
+    return !this.isWriting && this.text === '';
+  }
+
+  private whenEmpty(): Promise<void> {
+    this.flush();
+    if (this.isEmpty) return Promise.resolve();
+    return new Promise(resolve => this.endWaiters.push(resolve));
+  }
+
+  private written(): void {
+    this.isWriting = false;
+    // Lines whose turn came during the write have no timer left: without this
+    // they would wait for the next line, on a quiet process for good.
+    if (!this.isScheduled || this.isOverdue) this.flush();
+    if (!this.isEmpty) return;
+    for (const wake of this.endWaiters.splice(0)) wake();
+  }
+
+  private get isOverdue(): boolean {
+    return (
+      this.endWaiters.length > 0 ||
+      this.text.length >= this.options.maxChars ||
+      this.dropped > 0
+    );
+  }
+
   private takeText(): string {
     const count =
       this.dropped > 0 ? `event=log-lines-dropped lines=${this.dropped}\n` : '';
@@ -103,11 +150,21 @@
   }
 }
 
-/** A reader that is gone must not end the process: its lines are lost. */
+/**
+ * Writes to standard output without ever blocking a thread. A full pipe takes
+ * part of the text or none; the rest is tried again. Given up, the lines would be
+ * lost without being counted, and one of them cut in the middle.
+ */
 function writeToStdout(text: string, done: () => void): void {
   const bytes = Buffer.from(text);
   const writeFrom = (offset: number): void => {
     write(STDOUT_FD, bytes, offset, (error, written) => {
+      if (error?.code === PIPE_IS_FULL) {
+        setTimeout(writeFrom, FULL_PIPE_PAUSE_MS, offset);
+        return;
+      }
+      // Any other error: the reader is gone, and there is nobody to tell. It
+      // must not end the process.
       const next = offset + written;
       if (error || next >= bytes.length) done();
       else writeFrom(next);
--- a/packages/banyanfold-core/src/logger.ts
+++ b/packages/banyanfold-core/src/logger.ts
@@ -51,6 +51,8 @@
 ROARR.serializeMessage = renderMessage;
 ROARR.write = () => {};
 
+let output: LineWriter | undefined;
+
 /**
  * Sends log lines to `write`, or gathered to standard output. It is for the
  * whole process; the daemons call it once at their start, and until then
@@ -61,11 +63,21 @@
     ROARR.write = write;
     return;
   }
+  // Opening the stream makes the pipe non-blocking. A write to a full blocking
+  // pipe holds its thread, and an exit waits for all threads: the process would
+  // run on until its supervisor kills it.
+  void process.stdout;
   const writer = new LineWriter();
+  output = writer;
   ROARR.write = line => writer.add(line);
   process.on('exit', () => writer.flushAtExit());
 }
 
+/** Waits until the log is written, but not for long if nobody reads it. */
+export async function endLogOutput(): Promise<void> {
+  await output?.end();
+}
+
 /**
  * Creates a logger on roarr.
  *
--- a/packages/banyanfold-standins/src/main.ts
+++ b/packages/banyanfold-standins/src/main.ts
@@ -1,6 +1,7 @@
 import {readFileSync} from 'node:fs';
 import {
   createLogger,
+  exitProcess,
   parseJsonWithComments,
   renderProblems,
   startLogOutput,
@@ -28,7 +29,7 @@
   startLogOutput();
   const standins = await startStandins(settings, createLogger());
   const stop = (): void => {
-    void standins.stop().then(() => process.exit(0));
+    void standins.stop().then(() => exitProcess(0));
   };
   process.once('SIGTERM', stop);
   process.once('SIGINT', stop);
--- a/packages/banyanfold-testing/src/ManagedProcess.ts
+++ b/packages/banyanfold-testing/src/ManagedProcess.ts
@@ -54,11 +54,12 @@
     this.child?.kill(signal);
   }
 
-  /** Ends the process and waits until it is gone. */
+  /** Ends the process and waits until it is gone and its log is read. */
   async end(signal: NodeJS.Signals = 'SIGKILL'): Promise<void> {
     const child = this.child;
     if (!child) return;
-    const gone = new Promise(resolve => child.once('exit', resolve));
+    // 'exit' may come while the last lines are still in the pipe.
+    const gone = new Promise(resolve => child.once('close', resolve));
     child.kill(signal);
     await gone;
   }
