Ask full runners again after a pause; log the longest pause of a stream

Change: once every runner has turned a request away it pauses 25 ms, doubling up to 200 ms, half of it jittered. A runner that has not refused yet is asked at once, as before.

--- a/packages/banyanfold-gateway/src/requests/answerRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/answerRelay.ts
@@ -75,6 +75,9 @@
   hasBegun = false;
   firstByteMs: number | undefined;
   lastEventId: string | undefined;
+  /** Between two events that went on to the caller. */
+  longestPauseMs: number | undefined;
+  private lastEventAtMs: number | undefined;
   private current: {attempt: Attempt; abandon: () => void} | undefined;
 
   constructor(private readonly options: AnswerRelayOptions) {}
@@ -223,6 +226,7 @@
     const events = splitter.push(chunk);
     if (!events) return true;
     if (events.lastEventId !== undefined) this.lastEventId = events.lastEventId;
+    this.notePause();
     const {response} = this.options;
     if (response.write(events.bytes)) return true;
     const {current} = this;
@@ -230,6 +234,13 @@
     return false;
   }
 
+  private notePause(): void {
+    const nowMs = this.options.context.clock.nowMs();
+    const pauseMs = Math.round(nowMs - (this.lastEventAtMs ?? nowMs));
+    this.longestPauseMs = Math.max(this.longestPauseMs ?? 0, pauseMs);
+    this.lastEventAtMs = nowMs;
+  }
+
   private conclude(incoming: Incoming, splitter: EventSplitter): AttemptResult {
     const {head, facts, chunks, isStreamed, firstByteMs} = incoming;
     const {status, headers} = head;
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -19,6 +19,13 @@
   mayHaveRun: boolean;
 }
 
+/** How an answer came; undefined for what did not. */
+export interface AnswerPace {
+  firstByteMs?: number;
+  /** Between two events of a stream. */
+  longestPauseMs?: number;
+}
+
 /** The log lines of one request: a line a decision, with what decided it. */
 export class RequestLog {
   constructor(private readonly options: RequestLogOptions) {}
@@ -102,7 +109,7 @@
     outcome: string,
     status: number,
     counts: TryCounts,
-    firstByteMs: number | undefined,
+    pace: AnswerPace,
   ): void {
     const {context, route, startedMs} = this.options;
     this.line('request-end', {
@@ -112,7 +119,8 @@
       attempts: counts.attemptsMade,
       rejections: counts.rejections,
       mayHaveRun: counts.mayHaveRun,
-      firstByteMs,
+      firstByteMs: pace.firstByteMs,
+      longestPauseMs: pace.longestPauseMs,
       totalMs: Math.round(context.clock.nowMs() - startedMs),
     });
   }
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -19,6 +19,12 @@
 const MAX_REJECTIONS = 6;
 /** A runner that is full or fetches an adapter is asked again after this. */
 const REJECTION_PAUSE_MS = 25;
+/**
+ * The pause doubles with each rejection up to this, a few turns of a queue that
+ * is full. All tries of a request then last 0.4 s at least; without pauses they
+ * were over in 20 ms, and the request refused, while one runner was full.
+ */
+const REJECTION_PAUSE_CAP_MS = 200;
 /** Without a copy or a place, look again after this if nothing changes. */
 const PARK_POLL_MS = 100;
 /** A stop of this many ms is no place to begin a wait. */
@@ -54,6 +60,7 @@
   private mayHaveRun = false;
   private hasWaited = false;
   private endWaiting: (() => void) | undefined;
+  private nextPauseMs = 0;
 
   constructor(private readonly options: RequestRunOptions) {
     const {context, route, decoded, startedMs, response} = options;
@@ -124,6 +131,9 @@
   }
 
   private async step(): Promise<void> {
+    if (this.nextPauseMs > 0) await this.pause(this.nextPauseMs);
+    this.nextPauseMs = 0;
+    if (this.isOver) return;
     const target = this.targets.choose();
     if (!target) return this.park();
     if (target.needsAdapter && !(await this.fetchAdapter(target))) return;
@@ -325,8 +335,8 @@
       context.clock.nowMs(),
       {
         maxAttempts: route.maxAttempts,
-        baseDelayMs: wasTurnedAway ? REJECTION_PAUSE_MS : 0,
-        maxDelayMs: REJECTION_PAUSE_MS,
+        baseDelayMs: 0,
+        maxDelayMs: 0,
         minRemainingMs: context.options.minAttemptMs,
       },
       context.random,
@@ -341,9 +351,22 @@
       return;
     }
     if (result.kind !== 'unreached') budget.tryTake();
+    if (wasTurnedAway) this.nextPauseMs = this.rejectionPauseMs();
     context.metrics.count('retries_total', {after: result.kind});
   }
 
+  /** None while a runner is left that has not turned the request away. */
+  private rejectionPauseMs(): number {
+    const target = this.targets.choose();
+    if (!target || !this.targets.hasRejected(target.runner)) return 0;
+    const ceilingMs = Math.min(
+      REJECTION_PAUSE_MS * 2 ** (this.rejections - 1),
+      REJECTION_PAUSE_CAP_MS,
+    );
+    // Half is sure; the rest keeps those that were turned away together apart.
+    return (ceilingMs * (1 + this.options.context.random())) / 2;
+  }
+
   private fail(result: AttemptResult): void {
     const {response} = this.options;
     if (result.kind === 'failed' && !this.relay.hasBegun) {
@@ -415,12 +438,14 @@
     this.wake?.();
     const {context, route} = this.options;
     context.metrics.count('requests_total', {kind: route.kind, outcome});
-    const {firstByteMs} = this.relay;
+    const {firstByteMs, longestPauseMs} = this.relay;
+    const {kind} = route;
     if (firstByteMs !== undefined) {
-      context.metrics.observeMs('first_byte_ms', firstByteMs, {
-        kind: route.kind,
-      });
+      context.metrics.observeMs('first_byte_ms', firstByteMs, {kind});
+    }
+    if (longestPauseMs !== undefined) {
+      context.metrics.observeMs('stream_pause_ms', longestPauseMs, {kind});
     }
-    this.log.end(outcome, status, this.counts, firstByteMs);
+    this.log.end(outcome, status, this.counts, {firstByteMs, longestPauseMs});
   }
 }
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -64,6 +64,10 @@
     this.rejectedBy.add(runnerId);
   }
 
+  hasRejected({runnerId}: RunnerRegistration): boolean {
+    return this.rejectedBy.has(runnerId);
+  }
+
   /** The view may have changed while an adapter was on its way. */
   isStillUsable({runnerId}: RunnerRegistration): boolean {
     const runner = this.options.context.view.runner(runnerId);
