Add a fault soak: the real programs as processes, with faults from outside

Three entries as processes; store and runners behind loopback proxies that delay, reset, lose one direction or fall silent; SIGTERM, SIGKILL, SIGSTOP, SIGHUP; the store down, garbled or without its history; runners that spoil answers, leave or crash; new configurations; all by one seed, alone, overlapping and in series. Callers keep their connections. Judged by what callers and runners saw (judge.ts, 14 cases). Not covered: clocks (a process can't be given another time from outside), connections between entries (they speak at their own addresses), disks (there are none). Also: the bundle is built once before all tests, since two files would build it at once.

--- /dev/null
+++ b/soak/src/__tests__/judge.test.ts
@@ -0,0 +1,157 @@
+import {describe, expect, it} from 'vitest';
+import type {Call} from '../callers.js';
+import {judge, type SoakRecord} from '../judge.js';
+
+const QUIET: SoakRecord = {
+  calls: [],
+  seen: new Map(),
+  orders: [],
+  overfilled: [],
+  faults: [],
+  probes: [],
+  ownEnds: [],
+  notRecovered: [],
+};
+
+const SIGNED = {'request-id': 'c1', 'server-stamp': 's'};
+
+function callOf(kind: string, seen: Partial<Call['seen']>): Call {
+  return {
+    id: 'c1',
+    kind,
+    entry: 'entry-0',
+    entryStart: 1,
+    startedMs: 1_000,
+    endedMs: 1_100,
+    seen: {status: 200, headers: SIGNED, text: '', isCut: false, ...seen},
+  };
+}
+
+function ran(times: number, fault?: 'silent'): SoakRecord['seen'] {
+  const one = {
+    requestId: 'c1',
+    target: '/x',
+    ran: true,
+    cancelled: false,
+    fault,
+  };
+  return new Map([['c1', Array.from({length: times}, () => one)]]);
+}
+
+const ORDER = {operation: 'load', model: 'm1', fencing_token: 7};
+const PROBE = {
+  entry: 'entry-0',
+  entryStart: 1,
+  route: 'added-0',
+  addedMs: 1_000,
+};
+
+/** What was seen, and the rule that it breaks; none for what is allowed. */
+const CASES: Array<[string, Partial<SoakRecord>, string[]]> = [
+  ['nothing', {}, []],
+  [
+    'a whole answer',
+    {calls: [callOf('lodge', {text: 'answer of desk-1'})], seen: ran(1)},
+    [],
+  ],
+  [
+    'an answer with another head',
+    {
+      calls: [
+        callOf('lodge', {
+          text: 'answer of desk-1',
+          headers: {...SIGNED, 'request-id': 'other'},
+        }),
+      ],
+    },
+    ['answer is whole and the caller’s own'],
+  ],
+  [
+    'a stream that ends early as if whole',
+    {calls: [callOf('letter', {text: 'id: 1\ndata: token 1\n\n'})]},
+    ['answer is whole and the caller’s own'],
+  ],
+  [
+    'a stream with a repeat',
+    {
+      calls: [
+        callOf('letter', {
+          isCut: true,
+          text: 'id: 1\ndata: token 1\n\nid: 1\ndata: token 1\n\n',
+        }),
+      ],
+    },
+    ['stream has no gap and no repeat'],
+  ],
+  [
+    'two runs of what may run once',
+    {calls: [callOf('lodge', {status: 502})], seen: ran(2)},
+    ['what may not be repeated runs once'],
+  ],
+  [
+    'a refusal of what ran',
+    {calls: [callOf('lodge', {status: 503})], seen: ran(1)},
+    ['what is refused has not run'],
+  ],
+  [
+    'a cut without a cause',
+    {calls: [callOf('lodge', {isCut: true})], seen: ran(1)},
+    ['no answer is cut but by a fault'],
+  ],
+  [
+    'a cut by a kill',
+    {
+      calls: [callOf('lodge', {isCut: true})],
+      seen: ran(1),
+      faults: [
+        {kind: 'entry-kill', fromMs: 1_050, toMs: 1_050, entry: 'entry-0'},
+      ],
+    },
+    [],
+  ],
+  [
+    'a cut that the runner made',
+    {calls: [callOf('lodge', {isCut: true})], seen: ran(1, 'silent')},
+    [],
+  ],
+  [
+    'two holders with one token',
+    {
+      orders: [
+        {...ORDER, holder: 'a'},
+        {...ORDER, holder: 'b'},
+      ],
+    },
+    ['one holder has a fencing token'],
+  ],
+  [
+    'a version that goes back',
+    {
+      probes: [
+        {...PROBE, askedMs: 2_000, isKnown: true},
+        {...PROBE, askedMs: 2_500, isKnown: false},
+      ],
+    },
+    ['no version goes back'],
+  ],
+  [
+    'a version that comes late',
+    {probes: [{...PROBE, askedMs: 4_000, isKnown: false}]},
+    ['a change is in force in time'],
+  ],
+  [
+    'a version that comes late while the store is down',
+    {
+      probes: [{...PROBE, askedMs: 4_000, isKnown: false}],
+      faults: [{kind: 'store-down', fromMs: 900, toMs: 3_000}],
+    },
+    [],
+  ],
+];
+
+describe('judge', () => {
+  it.each(CASES)('%s', (_name, seen, rules) => {
+    const found = judge({...QUIET, ...seen}, true);
+    expect(found.map(({rule}) => rule)).toEqual(rules);
+  });
+});
--- /dev/null
+++ b/soak/src/__tests__/runSeed.test.ts
@@ -0,0 +1,25 @@
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {describe, expect, it} from 'vitest';
+import {REGRESSIONS} from '../regressions.js';
+import {runSeed} from '../runSeed.js';
+
+/** Some six faults, a part of them at the same time. */
+const LENGTH_MS = 5_000;
+
+describe('a short soak', () => {
+  const seeds = [1, ...REGRESSIONS.slice(-2).map(({seed}) => seed)];
+
+  it.each(seeds)('breaks no rule with seed %i', async seed => {
+    const folder = mkdtempSync(join(tmpdir(), 'soak-'));
+    const verdict = await runSeed({
+      seed,
+      lengthMs: LENGTH_MS,
+      folder,
+      isTimed: false,
+    });
+    expect(verdict.violations).toEqual([]);
+    expect(verdict.served).toBeGreaterThan(0);
+  });
+});
--- /dev/null
+++ b/soak/src/entryProcess.ts
@@ -0,0 +1,88 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createWriteStream, writeFileSync, type WriteStream} from 'node:fs';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {entrySettings, type EntryPorts} from '@banyanfold/platform/standins';
+
+const ROOT = fileURLToPath(new URL('../../', import.meta.url));
+const PROGRAM = 'target/main.cjs';
+/** A supervisor starts a process that has ended again after about this long. */
+const RESTART_MS = 300;
+
+export interface EntryProcessOptions {
+  name: string;
+  ports: EntryPorts;
+  /** For its settings and its log. */
+  folder: string;
+}
+
+/** One entry as a process of its own, under a small supervisor. */
+export class EntryProcess {
+  readonly name: string;
+  readonly callersPort: number;
+  /** Ends that nobody asked for. */
+  readonly ownEnds: string[] = [];
+  /** Rises with each start, so that one process is told from the next. */
+  starts = 0;
+  private child: ChildProcess | undefined;
+  private readonly settingsPath: string;
+  private readonly log: WriteStream;
+  private isEnding = false;
+  private isOver = false;
+
+  constructor(private readonly options: EntryProcessOptions) {
+    const {name, ports, folder} = options;
+    this.name = name;
+    this.callersPort = ports.callers;
+    this.settingsPath = join(folder, `${name}.json`);
+    this.log = createWriteStream(join(folder, `${name}.log`));
+    this.writeSettings(true);
+  }
+
+  start(): void {
+    if (this.isOver) return;
+    this.starts += 1;
+    this.isEnding = false;
+    const child = spawn(process.execPath, [PROGRAM, 'entry'], {
+      cwd: ROOT,
+      env: {...process.env, BANYANFOLD_BOOT: this.settingsPath},
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.child = child;
+    child.stdout.pipe(this.log, {end: false});
+    child.stderr.pipe(this.log, {end: false});
+    child.once('exit', (code, signal) => {
+      if (!this.isEnding) this.ownEnds.push(`${code ?? signal}`);
+      this.writeSettings(false);
+      setTimeout(() => this.start(), RESTART_MS);
+    });
+  }
+
+  /** Ends the process; another takes its place soon after it is gone. */
+  end(signal: 'SIGTERM' | 'SIGKILL'): void {
+    this.isEnding = true;
+    this.child?.kill(signal);
+  }
+
+  signal(signal: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
+    this.child?.kill(signal);
+  }
+
+  async stop(): Promise<void> {
+    this.isOver = true;
+    const {child} = this;
+    if (child && child.exitCode === null && child.signalCode === null) {
+      const gone = new Promise(resolve => child.once('exit', resolve));
+      // One that is paused ends too.
+      this.end('SIGKILL');
+      await gone;
+    }
+    await new Promise<void>(resolve => this.log.end(resolve));
+  }
+
+  private writeSettings(isFirstStart: boolean): void {
+    const settings = entrySettings(this.options.ports);
+    const text = JSON.stringify({...settings, bootstrap: isFirstStart});
+    writeFileSync(this.settingsPath, text);
+  }
+}
--- /dev/null
+++ b/soak/src/faults.ts
@@ -0,0 +1,139 @@
+import {
+  exampleRoute,
+  type RunnerFault,
+  type StoreFault,
+} from '@banyanfold/platform/standins';
+import type {LinkMode} from './faultProxy.js';
+import {pause} from './pause.js';
+import type {FaultKind, PlannedFault} from './soakPlan.js';
+import type {EntryPlace, RunnerPlace, SoakSystem} from './soakSystem.js';
+
+/** A route that the operator added, and when the store had it. */
+export interface AddedRoute {
+  name: string;
+  atMs: number;
+}
+
+export interface FaultContext {
+  system: SoakSystem;
+  addedRoutes: AddedRoute[];
+}
+
+type FaultHandler = (
+  context: FaultContext,
+  fault: PlannedFault,
+) => Promise<void>;
+
+const LINK_MODES: readonly LinkMode[] = [
+  'delay',
+  'reset',
+  'silent',
+  'requests-lost',
+  'answers-lost',
+];
+const STORE_FAULTS: readonly StoreFault[] = [
+  'busy',
+  'many',
+  'reset',
+  'silent',
+  'truncated',
+  'garbage',
+];
+const RUNNER_FAULTS: readonly RunnerFault[] = [
+  'full',
+  'failure',
+  'reset-before-answer',
+  'silent',
+  'truncated',
+  'cut-in-event',
+  'unframed-reset',
+  'crossed',
+  'unsigned',
+  'twice',
+  'garbage',
+];
+const ANSWERS_SPOILT = 4;
+const TOPICS = ['keyed.op', 'keyed.servers'] as const;
+/** A runner serves on this long after it has said that it leaves. */
+const LEAVING_MS = 2_500;
+
+/** Begins a fault and resolves when it is over. */
+export const FAULT_HANDLERS: Record<FaultKind, FaultHandler> = {
+  'entry-term': async (context, fault) => {
+    entryOf(context, fault).process.end('SIGTERM');
+  },
+  'entry-kill': async (context, fault) => {
+    entryOf(context, fault).process.end('SIGKILL');
+  },
+  'entry-pause': async (context, fault) => {
+    const {process} = entryOf(context, fault);
+    process.signal('SIGSTOP');
+    await pause(fault.forMs);
+    process.signal('SIGCONT');
+  },
+  'entry-reload': async (context, fault) => {
+    entryOf(context, fault).process.signal('SIGHUP');
+  },
+  'store-link': async (context, fault) => {
+    const {storeLink} = entryOf(context, fault);
+    storeLink.set(at(LINK_MODES, fault.variant));
+    await pause(fault.forMs);
+    storeLink.set('pass');
+  },
+  'store-down': async ({system}, fault) => {
+    const {store} = system.platform;
+    store.fault = at(STORE_FAULTS, fault.variant);
+    await pause(fault.forMs);
+    store.fault = 'none';
+  },
+  'store-forgets': async ({system}, fault) => {
+    system.platform.store.forgetHistory(at(TOPICS, fault.variant));
+  },
+  'runner-link': async (context, fault) => {
+    const {proxy} = runnerOf(context, fault);
+    proxy.set(at(LINK_MODES, fault.variant));
+    await pause(fault.forMs);
+    proxy.set('pass');
+  },
+  'runner-answers': async (context, fault) => {
+    const {service} = runnerOf(context, fault);
+    const spoilt = at(RUNNER_FAULTS, fault.variant);
+    const queue = context.system.faults[service]!;
+    for (let i = 0; i < ANSWERS_SPOILT; i++) queue.push(spoilt);
+  },
+  'runner-leaves': async (context, fault) => {
+    const place = runnerOf(context, fault);
+    context.system.platform.drainRunner(place.runner);
+    await pause(LEAVING_MS);
+    await replaceOnce(context, place);
+  },
+  'runner-crash': async (context, fault) => {
+    await replaceOnce(context, runnerOf(context, fault));
+  },
+  'config-change': async ({system, addedRoutes}) => {
+    const name = `added-${addedRoutes.length}`;
+    const names = [...addedRoutes.map(route => route.name), name];
+    system.platform.publish(names.map(added => exampleRoute(added)));
+    addedRoutes.push({name, atMs: performance.now()});
+  },
+};
+
+/** Two faults may strike the same runner; the second finds another one there. */
+async function replaceOnce(
+  {system}: FaultContext,
+  place: RunnerPlace,
+): Promise<void> {
+  if (system.runnerPlaces.includes(place)) await system.replaceRunner(place);
+}
+
+function entryOf({system}: FaultContext, {target}: PlannedFault): EntryPlace {
+  return at(system.entries, target);
+}
+
+function runnerOf({system}: FaultContext, {target}: PlannedFault): RunnerPlace {
+  return at(system.runnerPlaces, target);
+}
+
+function at<T>(values: readonly T[], index: number): T {
+  return values[index % values.length]!;
+}
--- /dev/null
+++ b/soak/src/index.ts
@@ -0,0 +1,102 @@
+import {mkdirSync, rmSync} from 'node:fs';
+import {join} from 'node:path';
+import {parseArgs} from 'node:util';
+import {REGRESSIONS} from './regressions.js';
+import {runSeed, type SeedVerdict} from './runSeed.js';
+
+const USAGE = `usage: npm run soak -- [options]
+  --seeds N       how many seeds to play (default 10)
+  --from S        the first seed; without it a fresh one
+  --regressions   the seeds that failed once, in place of others
+  --seconds T     the span in which faults begin (default 12)
+  --parallel P    how many runs at once (default 2; each has 3 processes)
+  --folder F      for logs of runs that failed (default .run/soak)`;
+
+/** Well under the few hundred processes that a machine is to bear. */
+const MAX_PARALLEL = 16;
+const MS_PER_SECOND = 1000;
+const FRESH_SEEDS = 1_000_000_000;
+
+interface SoakArgs {
+  seeds: number[];
+  lengthMs: number;
+  parallel: number;
+  folder: string;
+}
+
+function readArgs(): SoakArgs {
+  const {values} = parseArgs({
+    options: {
+      seeds: {type: 'string', default: '10'},
+      from: {type: 'string'},
+      regressions: {type: 'boolean', default: false},
+      seconds: {type: 'string', default: '12'},
+      parallel: {type: 'string', default: '2'},
+      folder: {type: 'string', default: '.run/soak'},
+    },
+  });
+  const count = Number(values.seeds);
+  const first = Number(values.from ?? Math.floor(Math.random() * FRESH_SEEDS));
+  const parallel = Number(values.parallel);
+  const seconds = Number(values.seconds);
+  const isGood = [count, first, parallel, seconds].every(Number.isFinite);
+  if (!isGood || parallel < 1 || parallel > MAX_PARALLEL) {
+    throw new Error(USAGE);
+  }
+  return {
+    seeds: values.regressions
+      ? REGRESSIONS.map(({seed}) => seed)
+      : Array.from({length: count}, (_, i) => first + i),
+    lengthMs: seconds * MS_PER_SECOND,
+    parallel,
+    folder: values.folder,
+  };
+}
+
+function report({seed, violations, faults, calls, served}: SeedVerdict): void {
+  const verdict = violations.length === 0 ? 'ok' : 'BROKEN';
+  console.log(
+    `seed ${seed}: ${verdict}, ${faults} faults, ${served} of ${calls} served`,
+  );
+  for (const {rule, what} of violations) console.log(`  ${rule}: ${what}`);
+}
+
+async function playOne(seed: number, args: SoakArgs): Promise<boolean> {
+  const folder = join(args.folder, String(seed));
+  mkdirSync(folder, {recursive: true});
+  const verdict = await runSeed({
+    seed,
+    lengthMs: args.lengthMs,
+    folder,
+    isTimed: true,
+  });
+  report(verdict);
+  const isGood = verdict.violations.length === 0;
+  if (isGood) rmSync(folder, {recursive: true});
+  return isGood;
+}
+
+async function main(): Promise<void> {
+  const args = readArgs();
+  const waiting = [...args.seeds];
+  const broken: number[] = [];
+  const work = async () => {
+    for (let seed = waiting.shift(); seed; seed = waiting.shift()) {
+      const isGood = await playOne(seed, args).catch((thrown: unknown) => {
+        console.log(`seed ${seed}: NOT PLAYED, ${String(thrown)}`);
+        return false;
+      });
+      if (!isGood) broken.push(seed);
+    }
+  };
+  await Promise.all(Array.from({length: args.parallel}, work));
+  console.log(
+    `${args.seeds.length} seeds, ${broken.length} broken` +
+      (broken.length > 0
+        ? `: ${broken.join(', ')}; logs in ${args.folder}`
+        : ''),
+  );
+  process.exitCode = broken.length > 0 ? 1 : 0;
+}
+
+await main();
--- /dev/null
+++ b/soak/src/judge.ts
@@ -0,0 +1,209 @@
+import {
+  eventsOf,
+  type AcceptedOrder,
+  type SeenRequest,
+} from '@banyanfold/platform/standins';
+import {CALL_KINDS, type Call} from './callers.js';
+import type {FaultKind} from './soakPlan.js';
+import {STREAM_EVENTS} from './soakSystem.js';
+
+/** A fault as it was played. */
+export interface PlayedFault {
+  kind: FaultKind;
+  fromMs: number;
+  toMs: number;
+  /** The entry that it struck; undefined for others. */
+  entry?: string;
+}
+
+/** One question which configuration is in force at an entry. */
+export interface ConfigProbe {
+  entry: string;
+  entryStart: number;
+  route: string;
+  /** When the store had the route. */
+  addedMs: number;
+  askedMs: number;
+  isKnown: boolean;
+}
+
+/** What callers, runners and the supervisor saw of one run. */
+export interface SoakRecord {
+  calls: readonly Call[];
+  /** All that reached a runner, by request id. */
+  seen: ReadonlyMap<string, readonly SeenRequest[]>;
+  orders: readonly AcceptedOrder[];
+  overfilled: readonly AcceptedOrder[];
+  faults: readonly PlayedFault[];
+  probes: readonly ConfigProbe[];
+  /** Processes that ended by themselves. */
+  ownEnds: readonly string[];
+  /** What was not served again after the last fault. */
+  notRecovered: readonly string[];
+}
+
+export interface Violation {
+  rule: string;
+  what: string;
+}
+
+/** Statuses that promise that the request has not run and never will. */
+const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+/** A fault is felt this long after it is over: silent connections time out. */
+const AFTER_EFFECT_MS = 4_000;
+/** A change is in force after two seconds; the rest is for a busy machine. */
+const CONFIG_BOUND_MS = 2_500;
+/** A route's timeout of 3 s, and what a busy machine adds. */
+const HELD_BOUND_MS = 8_000;
+
+const RUNNER_FAULTS: ReadonlySet<FaultKind> = new Set([
+  'runner-link',
+  'runner-leaves',
+  'runner-crash',
+]);
+const STORE_FAULTS: ReadonlySet<FaultKind> = new Set([
+  'store-link',
+  'store-down',
+  'store-forgets',
+]);
+
+type Rule = (record: SoakRecord) => string[];
+
+/** What must hold, whatever is disturbed. */
+const RULES: Record<string, Rule> = {
+  'answer is whole and the caller’s own': ({calls}) =>
+    calls.filter(call => !isWholeOrFailed(call)).map(describe),
+  'stream has no gap and no repeat': ({calls}) =>
+    calls
+      .filter(({kind}) => CALL_KINDS[kind]!.isStream)
+      .filter(({seen}) => !isPrefix(eventsOf(seen.text)))
+      .map(describe),
+  'what may not be repeated runs once': ({calls, seen}) =>
+    calls
+      .filter(({kind}) => !CALL_KINDS[kind]!.isRepeatable)
+      .filter(({id}) => runsOf(seen, id).length > 1)
+      .map(describe),
+  'what is refused has not run': ({calls, seen}) =>
+    calls
+      .filter(call => NOT_RUN_STATUSES.has(call.seen.status))
+      .filter(({id}) => runsOf(seen, id).length > 0)
+      .map(describe),
+  'no answer is cut but by a fault': record =>
+    record.calls.filter(call => isCutWithoutCause(call, record)).map(describe),
+  'one holder has a fencing token': ({orders}) => sharedTokens(orders),
+  'no runner is ordered to hold more than fits': ({overfilled}) =>
+    overfilled.map(order => JSON.stringify(order)),
+  'no version goes back': ({probes}) => probesGoneBack(probes),
+  'no process ends by itself': ({ownEnds}) => [...ownEnds],
+  'all is served again after the faults': ({notRecovered}) => [...notRecovered],
+};
+
+/** Rules with a bound in time, for machines that are not too busy for them. */
+const TIMED_RULES: Record<string, Rule> = {
+  'a change is in force in time': record =>
+    record.probes
+      .filter(probe => isLate(probe, record))
+      .map(probe => JSON.stringify(probe)),
+  'no caller is held past its time': record =>
+    record.calls
+      .filter(({startedMs, endedMs}) => endedMs - startedMs > HELD_BOUND_MS)
+      .filter(call => !isEntryStruck(call.entry, call, record.faults))
+      .map(describe),
+};
+
+/** @param isTimed whether the rules with a bound in time count too. */
+export function judge(record: SoakRecord, isTimed: boolean): Violation[] {
+  const rules = {...RULES, ...(isTimed && TIMED_RULES)};
+  return Object.entries(rules).flatMap(([rule, find]) =>
+    find(record).map(what => ({rule, what})),
+  );
+}
+
+function isWholeOrFailed({id, kind, seen}: Call): boolean {
+  if (seen.isCut || seen.status >= 300) return true;
+  const isOwn = seen.headers['request-id'] === id;
+  if (!isOwn || seen.headers['server-stamp'] === undefined) return false;
+  if (!CALL_KINDS[kind]!.isStream) return /^answer of \S+$/.test(seen.text);
+  return eventsOf(seen.text).length === STREAM_EVENTS;
+}
+
+function isPrefix(events: readonly string[]): boolean {
+  return events.every((event, i) => event === `${i + 1} token ${i + 1}`);
+}
+
+function runsOf(seen: SoakRecord['seen'], id: string): readonly SeenRequest[] {
+  return (seen.get(id) ?? []).filter(({ran}) => ran);
+}
+
+/** A request that a runner ran and whose caller got no end, undisturbed. */
+function isCutWithoutCause(call: Call, {seen, faults}: SoakRecord): boolean {
+  if (!call.seen.isCut && call.seen.status !== 0) return false;
+  const runs = runsOf(seen, call.id);
+  if (runs.length === 0 || runs.some(({fault}) => fault)) return false;
+  const isRunnerStruck = faults.some(
+    fault => RUNNER_FAULTS.has(fault.kind) && overlaps(fault, call),
+  );
+  return !isRunnerStruck && !isEntryStruck(call.entry, call, faults);
+}
+
+/** Its process was killed or paused, which is no shutdown. */
+function isEntryStruck(
+  entry: string,
+  span: {startedMs: number; endedMs: number},
+  faults: readonly PlayedFault[],
+): boolean {
+  return faults
+    .filter(({kind}) => kind === 'entry-kill' || kind === 'entry-pause')
+    .some(fault => fault.entry === entry && overlaps(fault, span));
+}
+
+function overlaps(
+  {fromMs, toMs}: PlayedFault,
+  {startedMs, endedMs}: {startedMs: number; endedMs: number},
+): boolean {
+  return fromMs <= endedMs && toMs + AFTER_EFFECT_MS >= startedMs;
+}
+
+function sharedTokens(orders: readonly AcceptedOrder[]): string[] {
+  const holders = new Map<number, Set<string>>();
+  for (const {fencing_token: token, holder} of orders) {
+    const known = holders.get(token) ?? new Set();
+    holders.set(token, known.add(holder));
+  }
+  return [...holders]
+    .filter(([, names]) => names.size > 1)
+    .map(([token, names]) => `${token}: ${[...names].join(', ')}`);
+}
+
+function probesGoneBack(probes: readonly ConfigProbe[]): string[] {
+  const known = new Set<string>();
+  const gone: string[] = [];
+  for (const probe of probes) {
+    const key = `${probe.entry} ${probe.entryStart} ${probe.route}`;
+    if (probe.isKnown) known.add(key);
+    else if (known.has(key)) gone.push(key);
+  }
+  return gone;
+}
+
+function isLate(probe: ConfigProbe, {faults}: SoakRecord): boolean {
+  if (probe.isKnown || probe.askedMs - probe.addedMs < CONFIG_BOUND_MS) {
+    return false;
+  }
+  const span = {startedMs: probe.addedMs, endedMs: probe.askedMs};
+  const isDisturbed = faults
+    .filter(({entry}) => entry === undefined || entry === probe.entry)
+    .filter(({kind}) => STORE_FAULTS.has(kind) || kind.startsWith('entry-'))
+    .some(fault => overlaps(fault, span));
+  return !isDisturbed;
+}
+
+function describe({id, kind, entry, startedMs, endedMs, seen}: Call): string {
+  const {status, isCut} = seen;
+  const tookMs = Math.round(endedMs - startedMs);
+  const events = eventsOf(seen.text).length;
+  return (
+    `${id} ${kind} at ${entry}: status ${status}, ` +
+    `${isCut ? 'cut' : 'ended'} after ${tookMs} ms, ${events} events`
+  );
+}
--- /dev/null
+++ b/soak/src/soakPlan.ts
@@ -0,0 +1,74 @@
+import {createDraw} from './random.js';
+
+/** What is disturbed, from outside the programs. */
+export const FAULT_KINDS = [
+  'entry-term',
+  'entry-kill',
+  'entry-pause',
+  'entry-reload',
+  'store-link',
+  'store-down',
+  'store-forgets',
+  'runner-link',
+  'runner-answers',
+  'runner-leaves',
+  'runner-crash',
+  'config-change',
+] as const;
+
+export type FaultKind = (typeof FAULT_KINDS)[number];
+
+export interface PlannedFault {
+  kind: FaultKind;
+  atMs: number;
+  forMs: number;
+  /** Which of the entries or runners, counted modulo their number. */
+  target: number;
+  /** Which variant of the fault, counted modulo their number. */
+  variant: number;
+}
+
+export interface SoakPlanOptions {
+  seed: number;
+  /** The span in which faults begin. */
+  lengthMs: number;
+}
+
+/** Faults begin this far apart, so that two or three overlap. */
+const MIN_GAP_MS = 150;
+const MAX_GAP_MS = 1_300;
+const MIN_FOR_MS = 300;
+const MAX_FOR_MS = 3_500;
+/** One in so many comes in a series: the same again, soon after. */
+const SERIES_ONE_IN = 4;
+const MANY = 1_000;
+
+/**
+ * The faults of one seed: single ones, overlapping ones, and series of the same.
+ *
+ * @example planFaults({seed: 7, lengthMs: 12_000})[0]?.kind
+ */
+export function planFaults({seed, lengthMs}: SoakPlanOptions): PlannedFault[] {
+  const draw = createDraw(seed);
+  const faults: PlannedFault[] = [];
+  let atMs = draw.int(MIN_GAP_MS, MAX_GAP_MS);
+  while (atMs < lengthMs) {
+    const fault = {
+      kind: draw.pick(FAULT_KINDS),
+      atMs,
+      forMs: draw.int(MIN_FOR_MS, MAX_FOR_MS),
+      target: draw.int(0, MANY),
+      variant: draw.int(0, MANY),
+    };
+    faults.push(fault);
+    if (draw.int(1, SERIES_ONE_IN) === 1) {
+      faults.push({
+        ...fault,
+        atMs: atMs + MIN_GAP_MS,
+        target: fault.target + 1,
+      });
+    }
+    atMs += draw.int(MIN_GAP_MS, MAX_GAP_MS);
+  }
+  return faults;
+}
--- /dev/null
+++ b/soak/src/soakSystem.ts
@@ -0,0 +1,115 @@
+import {
+  freePorts,
+  PlatformStandin,
+  type RunnerFault,
+  type RunnerStandin,
+} from '@banyanfold/platform/standins';
+import {EntryProcess} from './entryProcess.js';
+import {FaultProxy} from './faultProxy.js';
+
+/** One runner behind a proxy, and the one that takes its place. */
+export interface RunnerPlace {
+  service: string;
+  proxy: FaultProxy;
+  runner: RunnerStandin;
+}
+
+export interface EntryPlace {
+  process: EntryProcess;
+  storeLink: FaultProxy;
+}
+
+export const STREAM_EVENTS = 6;
+const EVENT_PAUSE_MS = 12;
+const ENTRIES = 3;
+const MODEL_RUNNERS = 3;
+const PLAIN_RUNNERS = 3;
+const MODELS_HELD = ['m1', 'm2', 'm1'];
+/** As the stand-in's configuration has them. */
+const CAPACITY = {weightsMb: 100, adapterSlots: 2, modelMb: {m1: 60, m2: 30}};
+
+/** Entries as processes, with store and runners behind proxies. */
+export class SoakSystem {
+  readonly platform = new PlatformStandin();
+  readonly entries: EntryPlace[] = [];
+  readonly runnerPlaces: RunnerPlace[] = [];
+  /** All runners that ever were, for what they saw. */
+  readonly runners: RunnerStandin[] = [];
+  readonly faults: Record<string, RunnerFault[]> = {drafting: [], desk: []};
+  private runnersMade = 0;
+
+  /** @param folder for settings and logs. */
+  constructor(private readonly folder: string) {}
+
+  async start(): Promise<void> {
+    await this.platform.start();
+    for (let i = 0; i < MODEL_RUNNERS; i++) {
+      this.runnerPlaces.push(await this.makeRunner('drafting', i));
+    }
+    for (let i = 0; i < PLAIN_RUNNERS; i++) {
+      this.runnerPlaces.push(await this.makeRunner('desk', i));
+    }
+    const ports = await freePorts(ENTRIES * 3);
+    for (let i = 0; i < ENTRIES; i++) {
+      const [callers, readiness, peers] = ports.slice(i * 3);
+      const storeLink = new FaultProxy(this.platform.store.address);
+      await storeLink.listen();
+      const process = new EntryProcess({
+        name: `entry-${i}`,
+        folder: this.folder,
+        ports: {
+          store: storeLink.address,
+          callers: callers!,
+          readiness: readiness!,
+          peers: peers!,
+        },
+      });
+      this.entries.push({process, storeLink});
+      process.start();
+    }
+  }
+
+  /** The runner of a place is gone; an empty one of another id comes. */
+  async replaceRunner(place: RunnerPlace): Promise<void> {
+    const at = this.runnerPlaces.indexOf(place);
+    place.runner.close();
+    place.proxy.close();
+    this.platform.removeRunner(place.runner);
+    this.runnerPlaces[at] = await this.makeRunner(place.service);
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.entries.map(({process}) => process.stop()));
+    for (const {storeLink} of this.entries) storeLink.close();
+    for (const {proxy} of this.runnerPlaces) proxy.close();
+    this.platform.stop();
+  }
+
+  private async makeRunner(
+    service: string,
+    holds?: number,
+  ): Promise<RunnerPlace> {
+    this.runnersMade += 1;
+    const model = holds === undefined ? undefined : MODELS_HELD[holds];
+    const isModelRunner = service === 'drafting';
+    let proxy: FaultProxy | undefined;
+    const runner = await this.platform.addRunner(
+      {
+        runnerId: `${service}-${this.runnersMade}`,
+        service,
+        models: isModelRunner && model ? [{name: model, adapters: []}] : [],
+        events: STREAM_EVENTS,
+        eventPauseMs: EVENT_PAUSE_MS,
+        faults: this.faults[service],
+        ...(isModelRunner && CAPACITY),
+      },
+      async address => {
+        proxy = new FaultProxy(address);
+        await proxy.listen();
+        return proxy.address;
+      },
+    );
+    this.runners.push(runner);
+    return {service, proxy: proxy!, runner};
+  }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -12,8 +12,9 @@
     const role = folder.slice(PACKAGE_PREFIX.length);
     aliases[`@banyanfold/${role}`] = `${root}${folder}/src/index.ts`;
   }
-  const platform = new URL('./platform/src/index.ts', import.meta.url);
-  aliases['@banyanfold/platform'] = fileURLToPath(platform);
+  const platform = fileURLToPath(new URL('./platform/src/', import.meta.url));
+  aliases['@banyanfold/platform/standins'] = `${platform}standins/index.ts`;
+  aliases['@banyanfold/platform'] = `${platform}index.ts`;
   return aliases;
 }
 
@@ -24,7 +25,9 @@
       'packages/*/src/**/__tests__/**/*.test.ts',
       'platform/src/**/__tests__/**/*.test.ts',
       'bench/src/**/__tests__/**/*.test.ts',
+      'soak/src/**/__tests__/**/*.test.ts',
     ],
+    globalSetup: ['scripts/testSetup.mjs'],
     pool: 'forks',
     maxWorkers: 4,
     testTimeout: 60_000,
