Check the head of a stream before it goes to the caller

The head went to the caller before it was judged; the attempt then failed, another runner went on, and its events came under the foreign head. The same with an encoded one. Ruled out: plain answers (gathered and judged first), streams that may not be resumed (cut off, though with the foreign head).

--- a/packages/banyanfold-gateway/src/requests/answerRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/answerRelay.ts
@@ -141,13 +141,11 @@
       onHead: head => {
         incoming = this.judgeHead(head, sentMs, tracking.runnerId);
         if (!incoming.facts.notExecuted) tracking.onFirstByte();
-        const {requestId} = this.options.decoded.request;
-        const {facts} = incoming;
-        if (facts.requestId !== undefined && facts.requestId !== requestId) {
-          fail('answer of another request');
-        } else if (facts.encoded) {
-          fail('answer is recoded');
-        }
+        const flaw = this.flawOf(incoming.facts);
+        if (flaw !== undefined) return fail(flaw);
+        // Only now: the head of a stream stays when another runner goes on, and
+        // the caller would take that runner's events for another request's.
+        if (incoming.isStreamed) this.begin(head);
       },
       onData: chunk => {
         if (!incoming) return true;
@@ -186,7 +184,7 @@
     sentMs: number,
     runnerId: string,
   ): Incoming {
-    const {context, route, startedMs} = this.options;
+    const {context, route} = this.options;
     const facts = context.codec.decodeAnswer(
       head.status,
       head.headers,
@@ -195,10 +193,6 @@
     const isSuccess = head.status < 300 && facts.signed;
     const nowMs = context.clock.nowMs();
     const isStreamed = route.kind === 'streaming' && isSuccess;
-    if (isStreamed) {
-      this.firstByteMs ??= Math.round(nowMs - startedMs);
-      this.begin(head);
-    }
     return {
       head,
       facts,
@@ -210,11 +204,21 @@
     };
   }
 
+  /** What shows by the head that an answer isn't this request's. */
+  private flawOf({requestId, encoded}: AnswerFacts): string | undefined {
+    const expected = this.options.decoded.request.requestId;
+    if (requestId !== undefined && requestId !== expected) {
+      return 'answer of another request';
+    }
+    return encoded ? 'answer is recoded' : undefined;
+  }
+
   /** The first answer's head stays when another runner goes on. */
   private begin({status, headers}: AnswerHead): void {
     if (this.hasBegun) return;
     this.hasBegun = true;
-    const {response, context} = this.options;
+    const {response, context, startedMs} = this.options;
+    this.firstByteMs = Math.round(context.clock.nowMs() - startedMs);
     const passed = context.codec.passedAnswerHeaders(headers);
     delete passed['content-length'];
     if (context.isLeaving()) passed['connection'] = 'close';
