Prove why a reset answer passed for whole, and carry resets through the soak's proxy

Cause, assumed so far: where the last bytes of an answer without a length and a reset lie ready together, the runtime reports an ordinary end without reading the reset, and the client library takes the part for the whole. Shown by a connection whose reader is busy for 100 ms: data, end, and only a write fails with ECONNRESET.

--- a/soak/src/faultProxy.ts
+++ b/soak/src/faultProxy.ts
@@ -99,7 +99,23 @@
     };
     from.on('data', chunk => pass(() => to.write(chunk)));
     // A lost end leaves the other side with an open connection.
-    from.on('end', () => pass(() => to.end()));
+    from.on('end', () => pass(() => this.passEnd(link, from, to)));
+  }
+
+  /**
+   * The runtime reports an ordinary end where the last bytes and a reset came
+   * together. Passed on as an end, it would make the part that came look whole;
+   * a write, a blank line that servers skip, fails on a connection that was reset.
+   */
+  private passEnd(link: Link, from: Socket, to: Socket): void {
+    if (from !== link.server) {
+      to.end();
+      return;
+    }
+    from.write('\r\n', error => {
+      if (error) this.reset(link);
+      else to.end();
+    });
   }
 
   private reset(link: Link): void {
--- a/soak/src/judge.ts
+++ b/soak/src/judge.ts
@@ -71,25 +71,29 @@
 
 /** What must hold, whatever is disturbed. */
 const RULES: Record<string, Rule> = {
-  'answer is whole and the caller’s own': ({calls}) =>
-    calls.filter(call => !isWholeOrFailed(call)).map(describe),
-  'stream has no gap and no repeat': ({calls}) =>
+  'answer is whole and the caller’s own': ({calls, seen}) =>
+    calls
+      .filter(call => !isWholeOrFailed(call))
+      .map(call => describe(call, seen)),
+  'stream has no gap and no repeat': ({calls, seen}) =>
     calls
       .filter(({kind}) => CALL_KINDS[kind]!.isStream)
-      .filter(({seen}) => !isPrefix(eventsOf(seen.text)))
-      .map(describe),
+      .filter(call => !isPrefix(eventsOf(call.seen.text)))
+      .map(call => describe(call, seen)),
   'what may not be repeated runs once': ({calls, seen}) =>
     calls
       .filter(({kind}) => !CALL_KINDS[kind]!.isRepeatable)
       .filter(({id}) => runsOf(seen, id).length > 1)
-      .map(describe),
+      .map(call => describe(call, seen)),
   'what is refused has not run': ({calls, seen}) =>
     calls
       .filter(call => NOT_RUN_STATUSES.has(call.seen.status))
       .filter(({id}) => runsOf(seen, id).length > 0)
-      .map(describe),
+      .map(call => describe(call, seen)),
   'no answer is cut but by a fault': record =>
-    record.calls.filter(call => isCutWithoutCause(call, record)).map(describe),
+    record.calls
+      .filter(call => isCutWithoutCause(call, record))
+      .map(call => describe(call, record.seen)),
   'one holder has a fencing token': ({orders}) => sharedTokens(orders),
   'no runner is ordered to hold more than fits': ({overfilled}) =>
     overfilled.map(order => JSON.stringify(order)),
@@ -108,7 +112,7 @@
     record.calls
       .filter(({startedMs, endedMs}) => endedMs - startedMs > HELD_BOUND_MS)
       .filter(call => !isEntryStruck(call.entry, call, record.faults))
-      .map(describe),
+      .map(call => describe(call, record.seen)),
 };
 
 /** @param isTimed whether the rules with a bound in time count too. */
@@ -198,12 +202,17 @@
   return !isDisturbed;
 }
 
-function describe({id, kind, entry, startedMs, endedMs, seen}: Call): string {
+function describe(call: Call, allSeen: SoakRecord['seen']): string {
+  const {id, kind, entry, startedMs, endedMs, seen} = call;
   const {status, isCut} = seen;
   const tookMs = Math.round(endedMs - startedMs);
   const events = eventsOf(seen.text).length;
+  const runs = (allSeen.get(id) ?? []).map(
+    ({ran, fault}) => fault ?? (ran ? 'ran' : 'turned away'),
+  );
   return (
     `${id} ${kind} at ${entry}: status ${status}, ` +
-    `${isCut ? 'cut' : 'ended'} after ${tookMs} ms, ${events} events`
+    `${isCut ? 'cut' : 'ended'} after ${tookMs} ms, ${events} events; ` +
+    `at runners: ${runs.join(', ') || 'none'}`
   );
 }
