Let a few large entries stand by for the lease on orders

Cause: on the grown co-operative (28 entries, 20 of them with 0.24 of a core, 8 with 1.35) the store dealt the lease to any of them. A small holder answered exchanges late; the others then took it for silent and read the store for themselves. Change: entries tell their processor share; the holder tells who stands by (six, the largest first, among equals by a hash); the others leave the group and come back when they have heard from no holder for 2.5 s; a holder with less than two thirds of the largest gives the lease away once all have heard of it, and the next one waits as before.

--- a/packages/banyanfold-gateway/src/__tests__/leaseKeeper.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseKeeper.model.test.ts
@@ -9,6 +9,17 @@
 const LEASE_MS = 3_000;
 const CONTACT_MS = 500;
 
+const EVENTS = [
+  'freeze',
+  'thaw',
+  'down',
+  'up',
+  'cut',
+  'heal',
+  'stand-aside',
+  'stand-by',
+] as const;
+
 type StoreState = 'up' | 'down';
 
 /** The store's side: one partition, dealt to one member at a time. */
@@ -189,9 +200,43 @@
     expect(next!.keeper.current().fencingToken).toBeGreaterThan(before);
   });
 
+  it('goes to one that stands by when the holder stands aside', async () => {
+    // Orders go on from another process. The holder is too small for the work
+    // and leaves the group in the middle of its orders; the next one waits until
+    // orders of both are a lease apart.
+    const world = new World(true);
+    await world.run(LEASE_MS + 500);
+    const [first] = world.holders();
+    for (const {keeper} of world.processes) keeper.refreshHolder();
+    await world.run(100);
+    first!.keeper.setStandby(false);
+    expect(world.holders()).toHaveLength(0);
+    await world.run(LEASE_MS - 100);
+    expect(world.holders()).toHaveLength(0);
+    await world.run(600);
+    expect(world.holders()).toHaveLength(1);
+    expect(world.holders()).not.toContain(first);
+  });
+
+  it('comes to one that stood aside, once it is told that no holder is left', async () => {
+    // Orders go on. All that stood by have died, and the store has nobody to deal
+    // the lease to until one that stood aside joins again.
+    const world = new World(true);
+    await world.run(500);
+    const last = world.processes[2]!;
+    last.keeper.setStandby(false);
+    await world.run(LEASE_MS);
+    for (const process of world.processes.slice(0, 2)) process.isFrozen = true;
+    await world.run(TTL_MS * 3);
+    expect(world.holders()).toHaveLength(0);
+    last.keeper.setStandby(true);
+    await world.run(TTL_MS + LEASE_MS);
+    expect(world.holders()).toEqual([last]);
+  });
+
   it('never gives two holders one token, nor an older one to a later holder', async () => {
     const event = fc.record({
-      kind: fc.constantFrom('freeze', 'thaw', 'down', 'up', 'cut', 'heal'),
+      kind: fc.constantFrom(...EVENTS),
       process: fc.nat({max: 2}),
       afterMs: fc.integer({min: 50, max: 3_000}),
     });
@@ -218,6 +263,8 @@
             up: () => (world.store.state = 'up'),
             cut: p => void world.store.cutOff.add(p.name),
             heal: p => void world.store.cutOff.delete(p.name),
+            'stand-aside': p => p.keeper.setStandby(false),
+            'stand-by': p => p.keeper.setStandby(true),
           };
           for (const {kind, process, afterMs} of events) {
             await world.run(afterMs, check);
@@ -227,7 +274,7 @@
           await world.run(2_000, check);
         },
       ),
-      {numRuns: 40, seed: 11},
+      {numRuns: 80, seed: 11},
     );
   }, 120_000);
 });
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -41,6 +41,8 @@
 
 export interface GatewaySettings {
   failureDomain: string;
+  /** Cores' worth of processor that the process may use. */
+  processorShare: number;
   callers: ListenAddress;
   readiness: ListenAddress;
   peers: ListenAddress;
@@ -124,6 +126,7 @@
       lease,
       own: this.holder,
       address,
+      processorShare: settings.processorShare,
       demand,
       states,
       held,
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -23,6 +23,8 @@
   own: HolderHandlers;
   /** Address of this process's internal listener. */
   address: string;
+  /** Cores' worth of processor that this process may use. */
+  processorShare: number;
   demand: DemandMeter;
   states: RunnerStates;
   held: HeldCopies;
@@ -38,6 +40,11 @@
 
 /** Three exchanges; after that this process reads for itself again. */
 const RELAY_FRESH_MS = 800;
+/**
+ * Longer than the store takes to give the lease of a dead holder to another that
+ * stands by, so that the others join the group only when none of those is left.
+ */
+const HOLDER_SILENT_MS = 2_500;
 /** The holder reads the runners once a second. */
 const RELAY_READ_AGE_MS = 1_500;
 
@@ -49,6 +56,7 @@
   private known: KnownRevision | undefined;
   private relay: {atMs: number; readAgeMs: number} | undefined;
   private lastMs = 0;
+  private heardMs = 0;
 
   constructor(private readonly deps: HolderLinkOptions) {}
 
@@ -107,6 +115,8 @@
     this.timer = undefined;
     this.lastMs = clock.nowMs();
     await this.exchange();
+    const silentMs = clock.nowMs() - this.heardMs;
+    if (silentMs > HOLDER_SILENT_MS) this.deps.lease.setStandby(true);
     this.schedule(options.exchangeIntervalMs);
   }
 
@@ -128,6 +138,7 @@
     const {own, lease, demand, states, address, configVersion} = this.deps;
     const input = {
       entry: address,
+      processorShare: this.deps.processorShare,
       configVersion: configVersion(),
       runnersChange: this.deps.runnersChange(),
       known: this.known,
@@ -175,6 +186,8 @@
     }
     states.notePeersWork(output.peersWork);
     onEntries(output.entries);
+    this.heardMs = clock.nowMs();
+    lease.setStandby(output.isStandby);
   }
 
   private lost(thrown: unknown): void {
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -16,6 +16,8 @@
 /** What an entry tells the holder of orders, some times a second. */
 export const exchangeInputSchema = z.object({
   entry: z.string(),
+  /** Cores' worth of processor that it may use. */
+  processorShare: z.number().default(1),
   /** Version of the configuration in force there; 0 for none. */
   configVersion: z.number(),
   /** Position of the last change of the runners that it has read. */
@@ -48,6 +50,8 @@
   runnersReadAgeMs: z.number(),
   /** Entries heard of within the last seconds, this one included. */
   entries: z.number(),
+  /** Whether the entry is to stand by for the lease. */
+  isStandby: z.boolean(),
   /** Since each load from the weight store that still counts, in ms. */
   loadAgesMs: z.array(z.number()),
   /** Changes of what the runners hold since what the entry knew. */
--- a/packages/banyanfold-gateway/src/placement/demandView.ts
+++ b/packages/banyanfold-gateway/src/placement/demandView.ts
@@ -19,10 +19,16 @@
 
 /** What an entry has open at the runners. */
 export interface EntryLoad {
+  processorShare: number;
   openWork: Readonly<Record<string, number>>;
   adaptersInUse: Readonly<Record<string, readonly string[]>>;
 }
 
+export interface HeardEntry {
+  address: string;
+  processorShare: number;
+}
+
 interface EntryState extends EntryLoad {
   heardMs: number;
   waiting: Map<string, number>;
@@ -35,7 +41,7 @@
 
   note(
     entry: string,
-    {openWork, adaptersInUse}: EntryLoad,
+    {processorShare, openWork, adaptersInUse}: EntryLoad,
     demand: readonly ModelDemand[],
     nowMs: number,
   ): void {
@@ -45,7 +51,13 @@
       this.add(asked, nowMs);
     }
     const heardMs = nowMs;
-    this.entries.set(entry, {heardMs, openWork, adaptersInUse, waiting});
+    this.entries.set(entry, {
+      heardMs,
+      processorShare,
+      openWork,
+      adaptersInUse,
+      waiting,
+    });
   }
 
   workPerSecond(model: string, nowMs: number): number {
@@ -83,11 +95,11 @@
   }
 
   /** Entries heard of lately, the last heard first. */
-  entriesHeard(nowMs: number): string[] {
+  entriesHeard(nowMs: number): HeardEntry[] {
     return [...this.entries]
       .filter(([, {heardMs}]) => nowMs - heardMs < ENTRY_LOST_MS)
       .sort(([, a], [, b]) => b.heardMs - a.heardMs)
-      .map(([entry]) => entry);
+      .map(([address, {processorShare}]) => ({address, processorShare}));
   }
 
   /** Open work of the other entries, by runner. */
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -1,5 +1,6 @@
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import {
+  chooseStandbys,
   planCopies,
   type CopyOrder,
   type CopyRunner,
@@ -35,6 +36,13 @@
 
 /** Who asks for a model is told when it comes for this long after. */
 const ASKED_LATELY_MS = 5_000;
+/** Who stands by is chosen anew at this interval. */
+const CHOOSE_STANDBYS_MS = 500;
+/**
+ * A holder gives the lease away only after the others have heard for some
+ * exchanges whether they stand by: else another that doesn't would get it.
+ */
+const SETTLE_MS = 1_000;
 /** An unload waits for the runs under way, then is over at once. */
 const UNLOAD_MS = 100;
 
@@ -64,6 +72,9 @@
   /** A new one asks for all reports at once; no order goes out before them. */
   private plannedTerm: number | undefined;
   private readonly reportsOpen = new Set<string>();
+  private held: {term: number; sinceMs: number} | undefined;
+  private standbys: ReadonlySet<string> = new Set();
+  private standbysChosenMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly deps: HolderOptions) {
     const startedMs = deps.clock.wallMs();
@@ -105,7 +116,7 @@
       input.runnersChange,
     );
     if (input.demand.some(({waiting}) => waiting > 0)) this.planSoon();
-    const {isHolder, holderAddress} = lease.current();
+    const {isHolder, holderAddress, term} = lease.current();
     if (!isHolder) return {kind: 'not-holder', holderAddress};
     this.revisions.update(this.toldRunners());
     return {
@@ -114,6 +125,7 @@
       runnersChange: this.newestRunnersChange,
       runnersReadAgeMs: nowMs - this.deps.view.runnersAtMs,
       entries: this.demand.countEntries(nowMs),
+      isStandby: this.isStandby(input.entry, term, nowMs),
       loadAgesMs: this.deps.loadRate.agesMs(nowMs),
       copies: this.revisions.since(input.known),
       copiesInMs: this.copiesInMs(nowMs),
@@ -121,6 +133,18 @@
     };
   }
 
+  /** Whether an entry, this one or another, stands by for the lease. */
+  private isStandby(entry: string, term: number, nowMs: number): boolean {
+    const {holder} = this.deps;
+    if (this.held?.term !== term) this.held = {term, sinceMs: nowMs};
+    if (nowMs - this.standbysChosenMs >= CHOOSE_STANDBYS_MS) {
+      this.standbysChosenMs = nowMs;
+      this.standbys = chooseStandbys(this.demand.entriesHeard(nowMs), holder);
+    }
+    const isNew = nowMs - this.held.sinceMs < SETTLE_MS;
+    return this.standbys.has(entry) || (entry === holder && isNew);
+  }
+
   /** For models that were asked for lately and that nobody holds. */
   private copiesInMs(nowMs: number): Record<string, number> {
     const left: Record<string, number> = {};
@@ -173,7 +197,8 @@
 
   /** Entries heard of lately, the last heard first. */
   peers(): string[] {
-    return this.demand.entriesHeard(this.deps.clock.nowMs());
+    const heard = this.demand.entriesHeard(this.deps.clock.nowMs());
+    return heard.map(({address}) => address);
   }
 
   lastOrder(later: LaterHolder): LastOrder {
--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -58,6 +58,7 @@
 export class LeaseKeeper implements LeaseSource {
   private timer: Timer | undefined;
   private isStopped = false;
+  private isStandby = true;
   private generation = 0;
   /** Times that it went from peer to peer within this generation. */
   private handedOver = 0;
@@ -106,7 +107,7 @@
   yieldTo(generation: number, address?: string): boolean {
     const {contactMs} = this.options;
     const isOutOfTouch =
-      this.hasLapsed() ||
+      (this.isStandby && this.hasLapsed()) ||
       this.elapsedMs(this.startedAt) < contactMs ||
       (this.failedAt !== undefined &&
         this.elapsedMs(this.failedAt) < contactMs * 2);
@@ -130,6 +131,20 @@
     this.options.logger.info('holder', {address, from: 'peer'});
   }
 
+  /**
+   * The group is for a few processes with room for the work of a holder. One
+   * that is told to stand aside leaves it; one that hears from no holder any
+   * more comes back, whatever its size, or nobody would give orders once all
+   * that stood by are gone.
+   */
+  setStandby(isStandby: boolean): void {
+    if (this.isStopped || isStandby === this.isStandby) return;
+    this.isStandby = isStandby;
+    this.options.logger.info('lease-standby', {isStandby, held: this.ownsIt});
+    if (isStandby) void this.renew();
+    else void this.standAside();
+  }
+
   /** A runner has seen a higher token than this process's. */
   noteFenced(): void {
     this.yieldTo(this.generation + 1);
@@ -189,11 +204,25 @@
     return true;
   }
 
+  /** Orders end before the store may give the lease to another. */
+  private async standAside(): Promise<void> {
+    this.timer?.cancel();
+    this.ownsIt = false;
+    this.current();
+    const left = await this.options.store.leave();
+    // The store drops a member that is silent, a little later.
+    if (left.isErr()) {
+      const error = left.error.message;
+      this.options.logger.warn('lease-leave-failed', {isHeld: false, error});
+    }
+  }
+
   private async renew(): Promise<void> {
     const {store, ttlMs, logger, clock} = this.options;
+    this.timer?.cancel();
     const sentAt = this.now();
     const joined = await store.join(this.generation);
-    if (this.isStopped) return;
+    if (this.isStopped || !this.isStandby) return;
     if (joined.isOk()) {
       const {generation, owns} = joined.value;
       const isGained = owns && !this.ownsIt;
@@ -213,6 +242,8 @@
     }
     this.current();
     const delayMs = ttlMs / RENEWALS_PER_TTL;
+    // One of before it stood aside may have come back late.
+    this.timer?.cancel();
     this.timer = clock.setTimer(delayMs, () => void this.renew());
   }
 
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -272,5 +272,10 @@
   takeOver(handover: LeaseHandover): boolean;
   /** A runner refused this process's token. */
   noteFenced(): void;
+  /**
+   * Whether this process stands by for the lease. One that doesn't leaves the
+   * group, and gives the lease away if it has it.
+   */
+  setStandby(isStandby: boolean): void;
   release(): Promise<void>;
 }
