--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -74,6 +74,8 @@
   private readonly reportsOpen = new Set<string>();
   private held: {term: number; sinceMs: number} | undefined;
   private standbys: ReadonlySet<string> = new Set();
+  /** Among whom they were chosen. */
+  private rankedEntries: ReadonlySet<string> = new Set();
   private standbysChosenMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly deps: HolderOptions) {
@@ -137,14 +139,20 @@
   private isStandby(entry: string, term: number, nowMs: number): boolean {
     const {holder} = this.deps;
     if (this.held?.term !== term) this.held = {term, sinceMs: nowMs};
-    if (nowMs - this.standbysChosenMs >= CHOOSE_STANDBYS_MS) {
-      this.standbysChosenMs = nowMs;
-      this.standbys = chooseStandbys(this.demand.entriesHeard(nowMs), holder);
-    }
+    const isDue = nowMs - this.standbysChosenMs >= CHOOSE_STANDBYS_MS;
+    // An entry that has just come would be told to leave, and to come back.
+    if (isDue || !this.rankedEntries.has(entry)) this.rankEntries(nowMs);
     const isNew = nowMs - this.held.sinceMs < SETTLE_MS;
     return this.standbys.has(entry) || (entry === holder && isNew);
   }
 
+  private rankEntries(nowMs: number): void {
+    const heard = this.demand.entriesHeard(nowMs);
+    this.standbysChosenMs = nowMs;
+    this.rankedEntries = new Set(heard.map(({address}) => address));
+    this.standbys = chooseStandbys(heard, this.deps.holder);
+  }
+
   /** For models that were asked for lately and that nobody holds. */
   private copiesInMs(nowMs: number): Record<string, number> {
     const left: Record<string, number> = {};
