--- a/soak/src/regressions.ts
+++ b/soak/src/regressions.ts
@@ -12,4 +12,10 @@
       'the head of a stream for another request went to the caller before it ' +
       'was checked, and the events of the next runner under it',
   },
+  {
+    seed: 113,
+    cause:
+      'a second SIGTERM ended a stopping process at once, with its requests: ' +
+      'only the first one had a listener',
+  },
 ];
