--- a/packages/banyanfold-gateway/src/placement/demandView.ts
+++ b/packages/banyanfold-gateway/src/placement/demandView.ts
@@ -1,3 +1,4 @@
+import type {StandbyCandidate} from '@banyanfold/decisions';
 import {workOf} from '../requests/workOf.js';
 import type {ModelDemand} from './demandMeter.js';
 
@@ -24,11 +25,6 @@
   adaptersInUse: Readonly<Record<string, readonly string[]>>;
 }
 
-export interface HeardEntry {
-  address: string;
-  processorShare: number;
-}
-
 interface EntryState extends EntryLoad {
   heardMs: number;
   waiting: Map<string, number>;
@@ -95,7 +91,7 @@
   }
 
   /** Entries heard of lately, the last heard first. */
-  entriesHeard(nowMs: number): HeardEntry[] {
+  entriesHeard(nowMs: number): StandbyCandidate[] {
     return [...this.entries]
       .filter(([, {heardMs}]) => nowMs - heardMs < ENTRY_LOST_MS)
       .sort(([, a], [, b]) => b.heardMs - a.heardMs)
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -1,6 +1,5 @@
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import {
-  chooseStandbys,
   planCopies,
   type CopyOrder,
   type CopyRunner,
@@ -33,16 +32,10 @@
 import {DemandView} from './demandView.js';
 import {LoadRate} from './loadRate.js';
 import {RunnerController} from './runnerController.js';
+import {StandbyRoster} from './standbyRoster.js';
 
 /** Who asks for a model is told when it comes for this long after. */
 const ASKED_LATELY_MS = 5_000;
-/** Who stands by is chosen anew at this interval. */
-const CHOOSE_STANDBYS_MS = 500;
-/**
- * A holder gives the lease away only after the others have heard for some
- * exchanges whether they stand by: else another that doesn't would get it.
- */
-const SETTLE_MS = 1_000;
 /** An unload waits for the runs under way, then is over at once. */
 const UNLOAD_MS = 100;
 
@@ -72,15 +65,14 @@
   /** A new one asks for all reports at once; no order goes out before them. */
   private plannedTerm: number | undefined;
   private readonly reportsOpen = new Set<string>();
-  private held: {term: number; sinceMs: number} | undefined;
-  private standbys: ReadonlySet<string> = new Set();
-  /** Among whom they were chosen. */
-  private rankedEntries: ReadonlySet<string> = new Set();
-  private standbysChosenMs = Number.NEGATIVE_INFINITY;
+  private readonly standbys: StandbyRoster;
 
   constructor(private readonly deps: HolderOptions) {
     const startedMs = deps.clock.wallMs();
     this.revisions = new CopyRevisions(`${deps.holder}#${startedMs}`);
+    this.standbys = new StandbyRoster(deps.holder, nowMs =>
+      this.demand.entriesHeard(nowMs),
+    );
   }
 
   start(): void {
@@ -127,7 +119,7 @@
       runnersChange: this.newestRunnersChange,
       runnersReadAgeMs: nowMs - this.deps.view.runnersAtMs,
       entries: this.demand.countEntries(nowMs),
-      isStandby: this.isStandby(input.entry, term, nowMs),
+      isStandby: this.standbys.has(input.entry, term, nowMs),
       loadAgesMs: this.deps.loadRate.agesMs(nowMs),
       copies: this.revisions.since(input.known),
       copiesInMs: this.copiesInMs(nowMs),
@@ -135,24 +127,6 @@
     };
   }
 
-  /** Whether an entry, this one or another, stands by for the lease. */
-  private isStandby(entry: string, term: number, nowMs: number): boolean {
-    const {holder} = this.deps;
-    if (this.held?.term !== term) this.held = {term, sinceMs: nowMs};
-    const isDue = nowMs - this.standbysChosenMs >= CHOOSE_STANDBYS_MS;
-    // An entry that has just come would be told to leave, and to come back.
-    if (isDue || !this.rankedEntries.has(entry)) this.rankEntries(nowMs);
-    const isNew = nowMs - this.held.sinceMs < SETTLE_MS;
-    return this.standbys.has(entry) || (entry === holder && isNew);
-  }
-
-  private rankEntries(nowMs: number): void {
-    const heard = this.demand.entriesHeard(nowMs);
-    this.standbysChosenMs = nowMs;
-    this.rankedEntries = new Set(heard.map(({address}) => address));
-    this.standbys = chooseStandbys(heard, this.deps.holder);
-  }
-
   /** For models that were asked for lately and that nobody holds. */
   private copiesInMs(nowMs: number): Record<string, number> {
     const left: Record<string, number> = {};
