Name the new holder after a handover; leave the lease to the one at work after a pause

A suspended process now asks who holds the lease and leaves it to another; only silence brings it back (1.2 s for those that stand by, 2.5 s for others). Ruled out: the store's limits (no 429 lines), runners (they were reached in both).

--- a/packages/banyanfold-gateway/src/__tests__/leaseKeeper.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseKeeper.model.test.ts
@@ -42,7 +42,8 @@
         this.dropSilent();
         if (!this.heardMs.has(member)) this.generation += 1;
         this.heardMs.set(member, this.clock.nowMs());
-        this.owner ??= member;
+        // Dealt anew among the members, as some stores do when one joins.
+        [this.owner] = [...this.heardMs.keys()].sort();
         const owns = this.owner === member;
         return ok({generation: this.generation, owns});
       },
@@ -105,9 +106,9 @@
         return {agoMs: 0, isOver: isOutOfTouch};
       },
       handOver: async handover =>
-        world.processes.some(
+        world.processes.find(
           p => p !== this && !p.isFrozen && p.keeper.takeOver(handover),
-        ),
+        )?.name,
     });
   }
 
@@ -172,6 +173,21 @@
     expect(first!.keeper.current().isHolder).toBe(false);
   });
 
+  it('stays with the one at work when the holder before it wakes up', async () => {
+    // Callers get adapters all the while. The holder is suspended, another takes
+    // over, and the first wakes; would it join again the store would deal it the
+    // lease, and it would have to wait before it may order.
+    const world = new World(true);
+    await world.run(LEASE_MS + 500);
+    const [first] = world.holders();
+    first!.isFrozen = true;
+    await world.run(LEASE_MS * 2);
+    const [second] = world.holders();
+    first!.thaw();
+    await world.run(LEASE_MS, () => expect(world.holders()).toEqual([second]));
+    expect(first!.keeper.current().holderAddress).toBe(second!.name);
+  });
+
   it('stays with the last holder while the store is out, where tokens are checked', async () => {
     const fenced = new World(true);
     await fenced.run(LEASE_MS + 500);
@@ -198,6 +214,8 @@
     const [next] = world.holders();
     expect(next?.name).not.toBe(first!.name);
     expect(next!.keeper.current().fencingToken).toBeGreaterThan(before);
+    // Those that still ask the one that leaves are told who has it.
+    expect(first!.keeper.current().holderAddress).toBe(next!.name);
   });
 
   it('goes to one that stands by when the holder stands aside', async () => {
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -185,16 +185,16 @@
     return this.parts.settings.callers.port;
   }
 
-  /** Offers the lease to the peers, one after the other. */
-  async handOverLease(handover: LeaseHandover): Promise<boolean> {
+  /** Offers the lease to the peers, one after the other, until one takes it. */
+  async handOverLease(handover: LeaseHandover): Promise<string | undefined> {
     const {peers} = this.parts.settings;
     const own = `${peers.host}:${peers.port}`;
     const {peerTimeoutMs} = this.context.options;
     for (const address of this.holder.peers()) {
       if (address === own) continue;
-      if (await offerLease(address, handover, peerTimeoutMs)) return true;
+      if (await offerLease(address, handover, peerTimeoutMs)) return address;
     }
-    return false;
+    return undefined;
   }
 
   async start(): Promise<void> {
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -42,9 +42,11 @@
 const RELAY_FRESH_MS = 800;
 /**
  * Longer than the store takes to give the lease of a dead holder to another that
- * stands by, so that the others join the group only when none of those is left.
+ * is in the group, so that others join only when none of those is left: first
+ * those that are to stand by, then the rest.
  */
-const HOLDER_SILENT_MS = 2_500;
+const STANDBY_JOINS_MS = 1_200;
+const OTHER_JOINS_MS = 2_500;
 /** The holder reads the runners once a second. */
 const RELAY_READ_AGE_MS = 1_500;
 
@@ -57,6 +59,7 @@
   private relay: {atMs: number; readAgeMs: number} | undefined;
   private lastMs = 0;
   private heardMs = 0;
+  private isStandby = true;
 
   constructor(private readonly deps: HolderLinkOptions) {}
 
@@ -116,7 +119,8 @@
     this.lastMs = clock.nowMs();
     await this.exchange();
     const silentMs = clock.nowMs() - this.heardMs;
-    if (silentMs > HOLDER_SILENT_MS) this.deps.lease.setStandby(true);
+    const joinsMs = this.isStandby ? STANDBY_JOINS_MS : OTHER_JOINS_MS;
+    if (silentMs > joinsMs) this.deps.lease.setStandby(true);
     this.schedule(options.exchangeIntervalMs);
   }
 
@@ -187,7 +191,8 @@
     states.notePeersWork(output.peersWork);
     onEntries(output.entries);
     this.heardMs = clock.nowMs();
-    lease.setStandby(output.isStandby);
+    this.isStandby = output.isStandby;
+    if (!this.isStandby) lease.setStandby(false);
   }
 
   private lost(thrown: unknown): void {
--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -17,8 +17,8 @@
     address: string,
     generation: number,
   ) => Promise<LastOrder | undefined>;
-  /** Offers the lease to a peer; false when none took it. */
-  handOver: (handover: LeaseHandover) => Promise<boolean>;
+  /** Offers the lease to the peers; the address of the one that took it. */
+  handOver: (handover: LeaseHandover) => Promise<string | undefined>;
   /** This process's own address. */
   address: string;
   /** Runners refuse an order with a lower token than they have seen. */
@@ -135,7 +135,8 @@
    * The group is for a few processes with room for the work of a holder. One
    * that is told to stand aside leaves it; one that hears from no holder any
    * more comes back, whatever its size, or nobody would give orders once all
-   * that stood by are gone.
+   * that stood by are gone. It comes back for no other reason, because the store
+   * may deal the lease anew then.
    */
   setStandby(isStandby: boolean): void {
     if (this.isStopped || isStandby === this.isStandby) return;
@@ -175,13 +176,16 @@
     const {logger, handOver} = this.options;
     logger.warn('lease-leave-failed', {isHeld, error: left.error.message});
     if (!isHeld) return;
-    const isTaken = await handOver({
+    const takenBy = await handOver({
       generation: this.generation,
       step: this.handedOver + 1,
     });
-    logger.info('lease-handed-over', {isTaken});
-    if (isTaken) this.ownsIt = false;
-    this.keepsToEnd = !isTaken;
+    logger.info('lease-handed-over', {takenBy});
+    this.ownsIt = takenBy === undefined;
+    this.keepsToEnd = this.ownsIt;
+    // Peers that still ask this process learn it in no other way: the store,
+    // which is out, says who holds the lease only when it is back.
+    if (takenBy !== undefined) this.noteHolderAddress(takenBy);
     this.current();
   }
 
@@ -208,6 +212,7 @@
   private async standAside(): Promise<void> {
     this.timer?.cancel();
     this.ownsIt = false;
+    this.renewedAt = undefined;
     this.current();
     const left = await this.options.store.leave();
     // The store drops a member that is silent, a little later.
@@ -220,6 +225,7 @@
   private async renew(): Promise<void> {
     const {store, ttlMs, logger, clock} = this.options;
     this.timer?.cancel();
+    if (this.wasSuspended() && (await this.leavesItToAnother())) return;
     const sentAt = this.now();
     const joined = await store.join(this.generation);
     if (this.isStopped || !this.isStandby) return;
@@ -288,6 +294,34 @@
     return this.elapsedMs(this.failedAt) < FAILURE_FRESH_MS;
   }
 
+  /** No renewal for longer than the lease, and none that failed. */
+  private wasSuspended(): boolean {
+    if (!this.renewedAt || !this.hasLapsed()) return false;
+    const {failedAt} = this;
+    return !failedAt || this.elapsedMs(failedAt) >= FAILURE_FRESH_MS;
+  }
+
+  /**
+   * A process that wakes up finds another one at work. The store may deal the
+   * lease anew when a member comes back, and the new holder must wait until its
+   * orders are a lease apart from the last one's: callers of adapters got none
+   * for 2.9 s. It stands aside instead, until it hears from no holder.
+   */
+  private async leavesItToAnother(): Promise<boolean> {
+    const {store, address, logger} = this.options;
+    const owner = await store.owner();
+    const other = owner.isOk() ? owner.value : undefined;
+    if (other === undefined || other === address) return false;
+    this.isStandby = false;
+    this.ownsIt = false;
+    // When told to come back it joins, whoever the store still names as holder.
+    this.renewedAt = undefined;
+    this.noteHolderAddress(other);
+    logger.info('lease-left', {holder: other});
+    this.current();
+    return true;
+  }
+
   private now(): Moment {
     const {clock} = this.options;
     return {steadyMs: clock.nowMs(), wallMs: clock.wallMs()};
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -273,8 +273,8 @@
   /** A runner refused this process's token. */
   noteFenced(): void;
   /**
-   * Whether this process stands by for the lease. One that doesn't leaves the
-   * group, and gives the lease away if it has it.
+   * Whether this process is in the group that the lease is dealt to. One that
+   * isn't gives the lease away if it has it.
    */
   setStandby(isStandby: boolean): void;
   release(): Promise<void>;
