--- a/packages/banyanfold-gateway/src/__tests__/leaseKeeper.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseKeeper.model.test.ts
@@ -74,6 +74,7 @@
   isFrozen = false;
   frozenMs = 0;
   readonly keeper: LeaseKeeper;
+  readonly logger = new MemoryLogger();
   private held: Array<() => void> = [];
 
   constructor(
@@ -92,7 +93,7 @@
             else callback();
           }),
       },
-      logger: new MemoryLogger(),
+      logger: this.logger,
       store: store.sideOf(name),
       address: name,
       ttlMs: TTL_MS,
@@ -201,6 +202,19 @@
     expect(open.holders()).toHaveLength(0);
   });
 
+  it('logs the loss of the store once, and its return', async () => {
+    const world = new World(true);
+    await world.run(LEASE_MS);
+    world.store.state = 'down';
+    await world.run(4_000);
+    world.store.state = 'up';
+    await world.run(1_000);
+    const events = world.processes[0]!.logger.lines.map(
+      line => /event=(\S+)/.exec(line)?.[1],
+    ).filter(event => event?.startsWith('lease-renew'));
+    expect(events).toEqual(['lease-renewal-failed', 'lease-renewed']);
+  });
+
   it('goes from a leaving holder to a peer while the store is out', async () => {
     const world = new World(true);
     await world.run(LEASE_MS + 500);
--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -67,6 +67,7 @@
   private renewedAt: Moment | undefined;
   /** When the renewal was sent that failed last. */
   private failedAt: Moment | undefined;
+  private isStoreLost = false;
   /** On the steady clock, on which a wait is never too short. */
   private orderFromMs = Number.POSITIVE_INFINITY;
   private holderAddress: string | undefined;
@@ -231,6 +232,8 @@
     if (this.isStopped || !this.isStandby) return;
     if (joined.isOk()) {
       const {generation, owns} = joined.value;
+      if (this.isStoreLost) logger.info('lease-renewed', {generation, owns});
+      this.isStoreLost = false;
       const isGained = owns && !this.ownsIt;
       // It may have gone to another and come back between two renewals.
       if (isGained || (owns && this.hasLapsed())) this.term += 1;
@@ -241,7 +244,11 @@
       this.renewedAt = sentAt;
       if (isGained) void this.waitForFormer();
     } else {
-      logger.warn('lease-renewal-failed', {error: joined.error.message});
+      // Once for each loss: it is tried four times a second.
+      if (!this.isStoreLost) {
+        logger.warn('lease-renewal-failed', {error: joined.error.message});
+      }
+      this.isStoreLost = true;
       this.failedAt = sentAt;
       // After a lapse another one may have ordered; the wait begins anew.
       if (this.hasLapsed() && !this.mayGoOn()) this.ownsIt = false;
