--- a/packages/banyanfold-decisions/src/chooseStandbys.ts
+++ b/packages/banyanfold-decisions/src/chooseStandbys.ts
@@ -34,7 +34,7 @@
  * Answers the load of many entries of unequal size: the holder hears from each
  * some times a second and asks every runner for reports. On one of the small VMs
  * it answered late, all others read the store for themselves, and a day of 28
- * entries took 8,544 calls where 3,163 do.
+ * entries took 8,544 calls, and 3,608 since (one run each, other changes included).
  *
  * @param holder address of the process that has the lease.
  * @example
