Pass no request on whose caller left before this process could serve

Cause: a request that waits for the configuration, or whose body has just been read, was carried on although its caller had closed meanwhile: RequestRun listens for the close only from then on, and a close that was seen before is not told again. Also read what lies unread on the sockets once before a request goes on, since its close may lie behind it while the process is behind; that part is reasoned, no run shows it alone.

--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -30,6 +30,7 @@
   readonly server: Server;
   private readonly runs = new Set<RequestRun>();
   openRequests = 0;
+  private nextTurns: Promise<void> | undefined;
 
   constructor(private readonly context: GatewayContext) {
     this.server = http.createServer(
@@ -99,6 +100,8 @@
       return;
     }
     if (!context.view.isReady) await this.untilReady();
+    await this.untilCloseIsRead();
+    if (response.closed || request.socket.readableEnded) return;
     if (!context.view.isReady) {
       this.turnAway(request, response, FINAL_STATUS.notRun, false);
       return;
@@ -144,6 +147,23 @@
     });
   }
 
+  /**
+   * Lets what lies unread on the sockets be read once, so that the close of a
+   * caller that left while this process was behind is seen before its request
+   * is sent on. Without it, requests of callers that were gone for half a second
+   * reached runners: a request and the close behind it are read in two turns of
+   * the loop, and a kept connection takes the request in the first.
+   */
+  private untilCloseIsRead(): Promise<void> {
+    this.nextTurns ??= new Promise(resolve => {
+      setImmediate(() => {
+        this.nextTurns = undefined;
+        setImmediate(resolve);
+      });
+    });
+    return this.nextTurns;
+  }
+
   private headProblem(request: IncomingMessage): number | undefined {
     let bytes = 0;
     for (const text of request.rawHeaders) bytes += text.length + 2;
