--- a/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
@@ -28,6 +28,7 @@
 ): RunnerRegistration {
   return {
     runnerId: 'r1',
+    bornMs: 1,
     service: 's',
     address: '127.0.0.1:1',
     failureDomain: 'hall-a',
@@ -65,6 +66,26 @@
     expect(view.runner('r1')).toBeDefined();
   });
 
+  it('takes a runner that starts again under its id for a new one', () => {
+    // Callers were refused though the runner was back: it crashed and started
+    // again, its heartbeats began at 1, and all counted as late. A late one of
+    // the former life must not bring that back either.
+    const view = createView();
+    const restarted: string[] = [];
+    view.onNewLife(runnerId => restarted.push(runnerId));
+    view.onRegistration(registration(40, {bornMs: 100, leaving: true}));
+    view.onRegistration(registration(1, {bornMs: 200}));
+    expect(view.runner('r1')).toMatchObject({bornMs: 200, leaving: false});
+    view.onRegistration(registration(41, {bornMs: 100, leaving: true}));
+    expect(view.runner('r1')).toMatchObject({bornMs: 200, leaving: false});
+    view.onRemoval('r1');
+    view.onRegistration(registration(42, {bornMs: 100}));
+    expect(view.runner('r1')).toBeUndefined();
+    view.onRegistration(registration(1, {bornMs: 300}));
+    expect(view.runner('r1')).toBeDefined();
+    expect(restarted).toEqual(['r1', 'r1']);
+  });
+
   it('is ready when it knows a configuration and the runners', () => {
     const view = createView();
     view.onConfig(config(1));
--- a/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
@@ -43,6 +43,7 @@
       slots: 8,
       leaving: false,
       models: [{name: 'm1', version: 1, adapters: []}],
+      bornMs: 1,
       heartbeatNumber: 1,
     },
     {
@@ -71,6 +72,7 @@
 
 function report(fields: Partial<RunnerReport> = {}): RunnerReport {
   return {
+    bornMs: 1,
     models: [{name: 'm1', version: 1, adapters: []}],
     pendingAdapters: [],
     busy: false,
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -100,6 +100,10 @@
     this.view = new FleetView(clock, logger);
     const states = new RunnerStates(clock, logger, options);
     const held = new HeldCopies(this.view, () => clock.nowMs(), TOLD_FRESH_MS);
+    this.view.onNewLife(runnerId => {
+      states.noteNewLife(runnerId);
+      held.noteNewLife(runnerId);
+    });
     const demand = new DemandMeter();
     const loadRate = new LoadRate(
       settings.bounds.loadWindowMs,
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -91,6 +91,8 @@
 export const lastOrderOutputSchema = z.object({
   /** Since the last order; undefined when none was given. */
   agoMs: z.number().optional(),
+  /** Since the process that answers has started. */
+  upMs: z.number().default(0),
   /** It is leaving or out of touch with the store, and orders no more. */
   isOver: z.boolean(),
 });
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -20,6 +20,7 @@
   ModelSpec,
   RunnerControl,
   RunnerRegistration,
+  RunnerReport,
 } from '../types.js';
 import type {
   LastOrder,
@@ -66,10 +67,12 @@
   private plannedTerm: number | undefined;
   private readonly reportsOpen = new Set<string>();
   private readonly standbys: StandbyRoster;
+  private readonly startedMs: number;
 
   constructor(private readonly deps: HolderOptions) {
-    const startedMs = deps.clock.wallMs();
-    this.revisions = new CopyRevisions(`${deps.holder}#${startedMs}`);
+    this.startedMs = deps.clock.nowMs();
+    const epoch = `${deps.holder}#${deps.clock.wallMs()}`;
+    this.revisions = new CopyRevisions(epoch);
     this.standbys = new StandbyRoster(deps.holder, nowMs =>
       this.demand.entriesHeard(nowMs),
     );
@@ -193,36 +196,46 @@
     }
     return {
       agoMs: latestMs === undefined ? undefined : clock.nowMs() - latestMs,
+      upMs: clock.nowMs() - this.startedMs,
       isOver: isLeaving() || isOutOfTouch,
     };
   }
 
   /** One controller for each model runner that is known. */
   private syncControllers(): void {
-    const {view, clock, logger, metrics, lease, control, holder} = this.deps;
+    const {view} = this.deps;
     for (const runnerId of this.controllers.keys()) {
       if (!view.runner(runnerId)) this.controllers.delete(runnerId);
     }
     for (const registration of view.allRunners()) {
       if (!this.engineOf(registration)) continue;
-      if (this.controllers.has(registration.runnerId)) continue;
-      const created = new RunnerController(registration, {
-        clock,
-        logger,
-        metrics,
-        lease,
-        control,
-        holder,
-        isAdapterInUse: adapter =>
-          this.demand.isAdapterInUse(
-            registration.runnerId,
-            adapter,
-            clock.nowMs(),
-          ),
-      });
-      this.controllers.set(registration.runnerId, created);
+      const {runnerId, bornMs} = registration;
+      const known = this.controllers.get(runnerId);
+      if (known && known.registration.bornMs >= bornMs) continue;
+      this.control(registration);
     }
   }
+  /**
+   * Orders, copies and doubts of a former life of the runner end with it: a
+   * runner that starts again holds nothing, and by what was known of before its
+   * callers would be sent to models that aren't there.
+   */
+  private control(registration: RunnerRegistration): RunnerController {
+    const {clock, logger, metrics, lease, control, holder} = this.deps;
+    const {runnerId} = registration;
+    const created = new RunnerController(registration, {
+      clock,
+      logger,
+      metrics,
+      lease,
+      control,
+      holder,
+      isAdapterInUse: adapter =>
+        this.demand.isAdapterInUse(runnerId, adapter, clock.nowMs()),
+    });
+    this.controllers.set(runnerId, created);
+    return created;
+  }
 
   private engineOf({service}: RunnerRegistration): EngineSpec | undefined {
     return this.deps.view.current?.services.get(service)?.engine;
@@ -246,7 +259,7 @@
     const answer = await control.report(runnerId, address);
     this.reportsOpen.delete(runnerId);
     if (answer.isOk()) {
-      controller.noteReport(answer.value, askedMs);
+      this.lifeOf(controller, answer.value)?.noteReport(answer.value, askedMs);
       return;
     }
     controller.noteReportFailed();
@@ -256,6 +269,20 @@
     });
   }
 
+  /** The controller of the life that reports; undefined for a life before. */
+  private lifeOf(
+    asked: RunnerController,
+    {bornMs}: RunnerReport,
+  ): RunnerController | undefined {
+    const {registration} = asked;
+    const {runnerId} = registration;
+    const current = this.controllers.get(runnerId);
+    if (!current || bornMs < current.registration.bornMs) return undefined;
+    if (bornMs === current.registration.bornMs) return current;
+    this.deps.logger.info('runner-restarted', {runner: runnerId, bornMs});
+    return this.control({...registration, bornMs, models: []});
+  }
+
   private planSoon(): void {
     const {clock, options} = this.deps;
     if (clock.nowMs() - this.plannedMs >= options.urgentIntervalMs) this.plan();
--- a/packages/banyanfold-gateway/src/runners/heldCopies.ts
+++ b/packages/banyanfold-gateway/src/runners/heldCopies.ts
@@ -92,6 +92,11 @@
     }
   }
 
+  /** It has started again and holds what it registers, nothing of before. */
+  noteNewLife(runnerId: string): void {
+    this.told.delete(runnerId);
+  }
+
   noteAdapter(runnerId: string, model: string, adapter: string): void {
     const key = adapterKey(model, adapter);
     this.told.get(runnerId)?.adapters.add(key);
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -186,6 +186,16 @@
     state.unreachableUntilMs = 0;
   }
 
+  /** It has started again: what it was set aside for is over. */
+  noteNewLife(runnerId: string): void {
+    const state = this.states.get(runnerId);
+    if (!state) return;
+    state.pauseMs = 0;
+    state.unreachableUntilMs = 0;
+    state.ejectedUntilMs = 0;
+    state.outcomes = [];
+  }
+
   /** Compares runners of a service and sets aside those that stand out. */
   judge(): void {
     const nowMs = this.clock.nowMs();
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -86,8 +86,10 @@
 
 /** What a runner says of itself in its registration. */
 export interface RunnerRegistration {
-  /** One start of a runner; never used again. */
+  /** Names the runner; one that crashed may start again under it. */
   runnerId: string;
+  /** Start of this life, Unix time; a later life knows nothing of it. */
+  bornMs: number;
   service: string;
   address: string;
   failureDomain: string;
@@ -97,12 +99,14 @@
   remainingMs?: number;
   /** Undefined at a plain service. */
   models?: readonly HeldModel[];
-  /** Rises with each heartbeat; an older one says nothing new. */
+  /** Rises with each heartbeat of a life; an older one says nothing new. */
   heartbeatNumber: number;
 }
 
 /** What a runner reports about its load, some hundred ms late. */
 export interface RunnerReport {
+  /** Start of the life that reports, Unix time. */
+  bornMs: number;
   models: readonly HeldModel[];
   /** Adapters that are being fetched, as model and name. */
   pendingAdapters: ReadonlyArray<{model: string; adapter: string}>;
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -10,8 +10,10 @@
 /** How long the last heartbeat number of a removed runner is kept. */
 const REMOVED_MEMORY_MS = 600_000;
 
-interface RemovedRunner {
-  heartbeatNumber: number;
+/** A heartbeat of one life of a runner. */
+type Heartbeat = Pick<RunnerRegistration, 'bornMs' | 'heartbeatNumber'>;
+
+interface RemovedRunner extends Heartbeat {
   atMs: number;
 }
 
@@ -22,6 +24,7 @@
   private readonly runners = new Map<string, RunnerRegistration>();
   private readonly removed = new Map<string, RemovedRunner>();
   private readonly listeners = new Set<() => void>();
+  private readonly newLifeListeners = new Set<(runnerId: string) => void>();
   private caughtUp = false;
   /** When the configuration and the runners were last heard of. */
   configAtMs = 0;
@@ -80,24 +83,35 @@
     this.changed();
   }
 
+  /** Called when a runner has started again under its id. */
+  onNewLife(listener: (runnerId: string) => void): void {
+    this.newLifeListeners.add(listener);
+  }
+
   /**
    * A late or replayed heartbeat would revive a runner that left, and requests
-   * would go to whoever has its address now; only a higher number counts.
+   * would go to whoever has its address now; only a later one counts. Numbers
+   * begin anew with each life of a runner: compared by the number alone, all
+   * heartbeats of one that crashed and came back were left out, and it got no
+   * request until its number had passed the former one.
    */
   onRegistration(registration: RunnerRegistration): void {
-    const {runnerId, heartbeatNumber} = registration;
+    const {runnerId, bornMs, heartbeatNumber} = registration;
     this.runnersAtMs = this.clock.nowMs();
     const known = this.runners.get(runnerId);
-    const lastNumber =
-      known?.heartbeatNumber ?? this.removed.get(runnerId)?.heartbeatNumber;
-    if (lastNumber !== undefined && heartbeatNumber <= lastNumber) return;
-    // What is leaving never comes back within the same start of a runner.
-    const leaving = registration.leaving || (known?.leaving ?? false);
+    const last = known ?? this.removed.get(runnerId);
+    if (last && !isLater(registration, last)) return;
+    const isNewLife = last !== undefined && bornMs !== last.bornMs;
+    // What is leaving never comes back within the same life of a runner.
+    const wasLeaving = !isNewLife && (known?.leaving ?? false);
+    const leaving = registration.leaving || wasLeaving;
     this.runners.set(runnerId, {...registration, leaving});
     this.removed.delete(runnerId);
-    if (!known || known.leaving !== leaving) {
+    if (isNewLife) for (const told of this.newLifeListeners) told(runnerId);
+    if (!known || isNewLife || known.leaving !== leaving) {
       this.logger.info('runner', {
         runner: runnerId,
+        bornMs,
         service: registration.service,
         address: registration.address,
         leaving,
@@ -115,10 +129,8 @@
     if (!known) return;
     this.runners.delete(runnerId);
     this.forgetOldRemovals(nowMs);
-    this.removed.set(runnerId, {
-      heartbeatNumber: known.heartbeatNumber,
-      atMs: nowMs,
-    });
+    const {bornMs, heartbeatNumber} = known;
+    this.removed.set(runnerId, {bornMs, heartbeatNumber, atMs: nowMs});
     this.logger.info('runner-removed', {runner: runnerId});
     this.changed();
   }
@@ -140,3 +152,8 @@
     }
   }
 }
+
+function isLater(a: Heartbeat, b: Heartbeat): boolean {
+  if (a.bornMs !== b.bornMs) return a.bornMs > b.bornMs;
+  return a.heartbeatNumber > b.heartbeatNumber;
+}
