Keep orders of two holders a lease apart where runners check no tokens

Without checks: a leaving holder stops before it leaves the group, a former one's word counts by its age or, if it has started since, by its uptime, a silent one costs the whole lease, and so does a lease that went away and came back.

--- a/packages/banyanfold-gateway/src/__tests__/leaseKeeper.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseKeeper.model.test.ts
@@ -104,7 +104,7 @@
         const former = world.processes.find(p => p.name === address);
         if (!former || former.isFrozen) return undefined;
         const isOutOfTouch = former.keeper.yieldTo(generation);
-        return {agoMs: 0, isOver: isOutOfTouch};
+        return {agoMs: 0, upMs: clock.nowMs(), isOver: isOutOfTouch};
       },
       handOver: async handover =>
         world.processes.find(
@@ -266,6 +266,48 @@
     expect(world.holders()).toEqual([last]);
   });
 
+  it('keeps orders of two holders a lease apart where tokens are not checked', async () => {
+    // A runner would obey both. The holder leaves in order, is killed, or goes
+    // silent just after an order, and the next one begins, also one that has just
+    // started; a leaving holder says that it is over, a killed one nothing.
+    const ends: Array<(p: Process) => void> = [
+      p => void p.keeper.release(),
+      p => (p.isFrozen = true),
+      p => p.keeper.setStandby(false),
+    ];
+    for (const end of ends) {
+      const world = new World(false);
+      await world.run(LEASE_MS * 2 + 500);
+      const [first] = world.holders();
+      for (const {keeper} of world.processes) keeper.refreshHolder();
+      await world.run(100);
+      end(first!);
+      let waitedMs = 0;
+      while (world.holders().length === 0 && waitedMs < LEASE_MS * 4) {
+        await world.run(50);
+        waitedMs += 50;
+      }
+      expect(world.holders()).not.toContain(first);
+      expect(waitedMs).toBeGreaterThanOrEqual(LEASE_MS);
+    }
+  });
+
+  it('keeps a lease apart when all start anew where tokens are not checked', async () => {
+    // Power is lost and comes back: whoever gets the lease knows of no holder,
+    // but another VM ordered just before.
+    const world = new World(false);
+    await world.run(LEASE_MS * 2);
+    for (const process of world.processes) process.isFrozen = true;
+    await world.run(TTL_MS + 100);
+    const next = new Process('p0', world, false);
+    world.processes.push(next);
+    next.keeper.start();
+    await world.run(LEASE_MS - 200);
+    expect(world.holders()).toHaveLength(0);
+    await world.run(500);
+    expect(world.holders()).toEqual([next]);
+  });
+
   it('never gives two holders one token, nor an older one to a later holder', async () => {
     const event = fc.record({
       kind: fc.constantFrom(...EVENTS),
--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -41,6 +41,8 @@
 const FAILURE_FRESH_MS = 2_500;
 /** Tokens of one generation; it goes from peer to peer far less often. */
 const HANDOVERS = 1_000;
+/** The store counts the changes of a group from 1. */
+const FIRST_GENERATION = 1;
 /** Who holds it is asked again no sooner than this. */
 const OWNER_QUERY_PAUSE_MS = 300;
 
@@ -168,6 +170,9 @@
     this.isStopped = true;
     this.timer?.cancel();
     const isHeld = this.ownsIt;
+    // The store may take the call and its answer be lost; the next holder's
+    // orders and this one's would then reach the same runner by turns.
+    if (!this.options.areRunnersFenced) this.endOrders();
     const left = await this.options.store.leave();
     if (left.isOk()) {
       this.ownsIt = false;
@@ -176,7 +181,7 @@
     }
     const {logger, handOver} = this.options;
     logger.warn('lease-leave-failed', {isHeld, error: left.error.message});
-    if (!isHeld) return;
+    if (!isHeld || !this.options.areRunnersFenced) return;
     const takenBy = await handOver({
       generation: this.generation,
       step: this.handedOver + 1,
@@ -209,12 +214,16 @@
     return true;
   }
 
+  private endOrders(): void {
+    this.ownsIt = false;
+    this.current();
+  }
+
   /** Orders end before the store may give the lease to another. */
   private async standAside(): Promise<void> {
     this.timer?.cancel();
-    this.ownsIt = false;
     this.renewedAt = undefined;
-    this.current();
+    this.endOrders();
     const left = await this.options.store.leave();
     // The store drops a member that is silent, a little later.
     if (left.isErr()) {
@@ -234,7 +243,11 @@
       const {generation, owns} = joined.value;
       if (this.isStoreLost) logger.info('lease-renewed', {generation, owns});
       this.isStoreLost = false;
-      const isGained = owns && !this.ownsIt;
+      // Without checks at the runners, one that went to another and came back
+      // is as good as new: the other one may have ordered a moment ago.
+      const hasMoved = this.hasLapsed() && generation !== this.generation;
+      const isFenced = this.options.areRunnersFenced;
+      const isGained = owns && (!this.ownsIt || (hasMoved && !isFenced));
       // It may have gone to another and come back between two renewals.
       if (isGained || (owns && this.hasLapsed())) this.term += 1;
       if (!owns && this.ownsIt) logger.info('lease-lost', {generation});
@@ -262,10 +275,16 @@
 
   /**
    * Orders of two holders that both work must be `leaseMs` apart. The one
-   * before says when it ordered last; one that is leaving, was out of touch with
-   * the store or doesn't answer need not be waited for, and the runners refuse
-   * its lower token. A process that has just started isn't one that takes turns:
-   * after all were killed at once, waiting would only keep callers waiting.
+   * before says when it ordered last; where runners check tokens, one that is
+   * leaving, was out of touch with the store or doesn't answer need not be waited
+   * for, and a process that has just started doesn't wait: after all were killed
+   * at once, that would only keep callers waiting.
+   *
+   * Where they don't check, only the time between the orders of two VMs keeps
+   * them apart. A runner would obey both: after rolling stops and after power
+   * was lost, the next holder ordered within the same second as the one before.
+   * A former holder's orders end with its lease, before the store gives it to
+   * another, so that `leaseMs` from here is enough without any answer.
    */
   private async waitForFormer(): Promise<void> {
     const {leaseMs, contactMs, logger, clock, askFormer, address} =
@@ -273,14 +292,18 @@
     const generation = this.generation;
     this.orderFromMs = clock.nowMs() + leaseMs;
     const former = this.formerHolder;
+    const isFenced = this.options.areRunnersFenced;
     let waitMs = leaseMs;
     if (former !== undefined) {
       const last = await askFormer(former, generation);
-      const isDone = last === undefined || last.isOver;
-      waitMs = isDone ? 0 : Math.max(0, leaseMs - (last.agoMs ?? leaseMs));
+      const isDone = isFenced && (last === undefined || last.isOver);
+      waitMs = isDone ? 0 : Math.max(0, leaseMs - agoMsOf(last, isFenced));
       if (this.generation !== generation) waitMs = leaseMs;
     }
-    if (this.elapsedMs(this.startedAt) < contactMs) waitMs = 0;
+    const hasJustStarted = this.elapsedMs(this.startedAt) < contactMs;
+    if (isFenced && hasJustStarted) waitMs = 0;
+    // Nobody has had the lease before in the group's first generation.
+    if (generation === FIRST_GENERATION) waitMs = 0;
     this.orderFromMs = clock.nowMs() + waitMs;
     this.formerHolder = undefined;
     this.holderAddress = address;
@@ -375,3 +398,11 @@
     this.options.onChange?.(isHolder);
   }
 }
+
+/** Since a former holder's last order, as far as its answer says. */
+function agoMsOf(last: LastOrder | undefined, isFenced: boolean): number {
+  if (!last) return 0;
+  if (last.agoMs !== undefined) return last.agoMs;
+  // One that has started since may have ordered in its life before.
+  return isFenced ? Number.POSITIVE_INFINITY : last.upMs;
+}
