--- /dev/null
+++ b/packages/banyanfold-decisions/src/copies/copyMoves.ts
@@ -0,0 +1,186 @@
+import type {FleetCopies, PlannedRunner} from './fleetCopies.js';
+import type {CopyModel, PlanCopiesOptions} from './types.js';
+
+const MS_PER_SECOND = 1000;
+
+/** One copy more, with the way to it. */
+export interface CopyMove {
+  model: CopyModel;
+  to: PlannedRunner;
+  /** What makes way for it, in this order. */
+  victims: CopyModel[];
+  isFromStore: boolean;
+  /** Until the copy serves. */
+  readyMs: number;
+  /** Callers saved over the horizon, less what the way costs. */
+  gain: number;
+  reason: 'orphan' | 'relieve' | 'crowded';
+}
+
+interface Victims {
+  models: CopyModel[];
+  /** Callers lost over the horizon by their going. */
+  loss: number;
+  waitMs: number;
+}
+
+/** Finds the copy that saves most callers, from the state at the time. */
+export class CopyMoves {
+  constructor(
+    private readonly fleet: FleetCopies,
+    private readonly options: PlanCopiesOptions,
+  ) {}
+
+  /** The best move; undefined if none is worth its way. */
+  best(storeLoadsLeft: number): CopyMove | undefined {
+    let best: CopyMove | undefined;
+    for (const model of this.fleet.models.values()) {
+      if (!this.isWanted(model)) continue;
+      for (const to of this.fleet.runners) {
+        const move = this.moveTo(to, model, storeLoadsLeft);
+        if (move && (!best || move.gain > best.gain)) best = move;
+      }
+    }
+    return best;
+  }
+
+  /** A copy more at that runner; undefined if it isn't worth its way. */
+  moveTo(
+    to: PlannedRunner,
+    model: CopyModel,
+    storeLoadsLeft: number,
+  ): CopyMove | undefined {
+    if (to.isTaken || to.models.has(model.name)) return undefined;
+    const {onDisk, inMemory} = to.runner;
+    const isNear =
+      inMemory.includes(model.name) || onDisk.includes(model.name);
+    if (!isNear && storeLoadsLeft < 1) return undefined;
+    const victims = this.victimsAt(to, model);
+    if (!victims) return undefined;
+    const readyMs =
+      victims.waitMs +
+      loadMsOf(model, to) +
+      (to.runner.isSilent ? this.options.silentMs : 0);
+    const needsRoom = victims.models.length > 0;
+    const {saved, reason} = this.savedBy(model, to, {readyMs, needsRoom});
+    const {minGain, minGainOverLoss, storeLoadCost} = this.options;
+    const price = isNear ? 0 : storeLoadCost;
+    const gain = saved + this.domainGain(model, to) - price - victims.loss;
+    if (saved - price - victims.loss < minGain) return undefined;
+    if (saved < victims.loss * minGainOverLoss) return undefined;
+    return {
+      model,
+      to,
+      victims: victims.models,
+      isFromStore: !isNear,
+      readyMs,
+      gain,
+      reason,
+    };
+  }
+
+  /** Spares the look at every runner for what nobody asks for. */
+  private isWanted(model: CopyModel): boolean {
+    return this.fleet.askedOverHorizon(model) >= this.options.minGain;
+  }
+
+  /**
+   * Callers saved over the horizon by a copy that serves after `readyMs`. They
+   * need not wait for room that is being made while there is some elsewhere.
+   */
+  private savedBy(
+    model: CopyModel,
+    to: PlannedRunner,
+    {readyMs, needsRoom}: {readyMs: number; needsRoom: boolean},
+  ): Pick<CopyMove, 'reason'> & {saved: number} {
+    const {fleet, options} = this;
+    const leftMs = Math.max(0, options.horizonMs - readyMs);
+    const relieved = (fleet.relievedBy(model, to) * leftMs) / MS_PER_SECOND;
+    if (fleet.servingCopies(model.name) === 0) {
+      const plannedMs = fleet.readyInMs(model.name, needsRoom);
+      const before = fleet.absentCallers(model, plannedMs);
+      const after = Math.min(before, fleet.absentCallers(model, readyMs));
+      return {saved: before - after + relieved, reason: 'orphan'};
+    }
+    const crowded = this.crowdedCallers(model);
+    if (crowded > relieved) return {saved: crowded, reason: 'crowded'};
+    return {saved: relieved, reason: 'relieve'};
+  }
+
+  /** Callers who wait though runners hold their model, and no copy comes. */
+  private crowdedCallers({name, waiting}: CopyModel): number {
+    const {waitingPerCopy} = this.options;
+    const toCome = this.fleet.comingCopies(name);
+    return Math.floor(waiting / waitingPerCopy) > toCome
+      ? waiting - toCome * waitingPerCopy
+      : 0;
+  }
+
+  private domainGain({name}: CopyModel, {runner}: PlannedRunner): number {
+    const isSecond = this.fleet.isInDomain(name, runner.failureDomain);
+    return isSecond ? 0 : this.options.otherDomainGain;
+  }
+
+  /** What makes way; undefined if what may go isn't enough. */
+  private victimsAt(to: PlannedRunner, model: CopyModel): Victims | undefined {
+    const victims: Victims = {models: [], loss: 0, waitMs: 0};
+    let freeMb = to.freeMb;
+    if (freeMb >= model.weightsMb) return victims;
+    const candidates = [...to.models]
+      .map(name => this.fleet.model(name))
+      .filter(victim => victim !== undefined)
+      .filter(victim => this.mayGo(victim))
+      .map(victim => ({victim, loss: this.lossOf(victim, to)}))
+      .sort((a, b) => a.loss - b.loss);
+    // One that is large enough by itself goes before several smaller ones.
+    const missingMb = model.weightsMb - freeMb;
+    const alone = candidates.find(({victim}) => victim.weightsMb >= missingMb);
+    const several = candidates.filter(each => each !== alone);
+    const chosen = [];
+    for (const each of several) {
+      if (freeMb >= model.weightsMb) break;
+      chosen.push(each);
+      freeMb += each.victim.weightsMb;
+    }
+    const isEnough = freeMb >= model.weightsMb;
+    const lossOfSeveral = chosen.reduce((sum, {loss}) => sum + loss, 0);
+    const takesAlone = alone && (!isEnough || alone.loss <= lossOfSeveral);
+    if (!takesAlone && !isEnough) return undefined;
+    for (const {victim, loss} of takesAlone ? [alone] : chosen) {
+      victims.models.push(victim);
+      victims.loss += loss;
+      victims.waitMs = Math.max(victims.waitMs, this.unloadMs(victim));
+    }
+    return victims;
+  }
+
+  /**
+   * No copy goes while callers wait for its model, nor while another one of it
+   * is on its way: the plan counts that one, callers can't.
+   */
+  private mayGo(victim: CopyModel): boolean {
+    return victim.waiting === 0 && this.fleet.comingCopies(victim.name) === 0;
+  }
+
+  private unloadMs(victim: CopyModel): number {
+    const {quietMs, runMs} = this.options;
+    return victim.idleMs >= quietMs ? 0 : runMs;
+  }
+
+  private lossOf(victim: CopyModel, at: PlannedRunner): number {
+    const {fleet, options} = this;
+    if (fleet.servingCopies(victim.name) > 1) {
+      const burdened = fleet.burdenedWithout(victim, at);
+      return Math.max(0, (burdened * options.horizonMs) / MS_PER_SECOND);
+    }
+    return fleet.askedOverHorizon(victim);
+  }
+}
+
+/** How long a load there takes, from where the weights are. */
+export function loadMsOf(model: CopyModel, {runner}: PlannedRunner): number {
+  const {storeLoadMs, diskLoadMs = storeLoadMs, memoryLoadMs = diskLoadMs} =
+    model;
+  if (runner.inMemory.includes(model.name)) return memoryLoadMs;
+  return runner.onDisk.includes(model.name) ? diskLoadMs : storeLoadMs;
+}
--- /dev/null
+++ b/packages/banyanfold-decisions/src/copies/fleetCopies.ts
@@ -0,0 +1,242 @@
+import type {
+  CopyModel,
+  CopyPlanInput,
+  CopyRunner,
+  PlanCopiesOptions,
+} from './types.js';
+
+/** A runner with what the plan has decided about it so far. */
+export interface PlannedRunner {
+  runner: CopyRunner;
+  /** Held, on their way, or those for which room is being made. */
+  models: Set<string>;
+  freeMb: number;
+  /** It has an order, or gets one by this plan. */
+  isTaken: boolean;
+  /** Work and requests a second that its copies stand for. */
+  work: number;
+  requests: number;
+}
+
+/** A copy that doesn't serve yet. */
+interface ComingCopy {
+  at: PlannedRunner;
+  inMs: number;
+  /** Room is still being made, which takes as long as the runs there. */
+  needsRoom: boolean;
+}
+
+const MS_PER_SECOND = 1000;
+
+/**
+ * Which runner holds what, and how many callers that loses over the horizon.
+ *
+ * The one currency of the plan: callers who get no answer, or a late one. A model
+ * that nobody holds loses all who ask until a copy serves; a runner's callers get
+ * late answers the more, the more work its copies stand for, since all that it
+ * holds shares its batch.
+ */
+export class FleetCopies {
+  readonly runners: PlannedRunner[];
+  readonly models: ReadonlyMap<string, CopyModel>;
+  private readonly holders = new Map<string, PlannedRunner[]>();
+  private readonly serving = new Map<string, number>();
+  private readonly coming = new Map<string, ComingCopy[]>();
+  private readonly largestMb: number;
+
+  constructor(
+    input: CopyPlanInput,
+    private readonly options: PlanCopiesOptions,
+  ) {
+    this.models = new Map(input.models.map(model => [model.name, model]));
+    this.largestMb = Math.max(1, ...input.models.map(m => m.weightsMb));
+    this.runners = input.runners.map(runner => ({
+      runner,
+      models: new Set<string>(),
+      freeMb: runner.weightsMb - runner.reservedMb,
+      isTaken: runner.isBusy,
+      work: 0,
+      requests: 0,
+    }));
+    for (const at of this.runners) this.addHeld(at);
+    for (const at of this.runners) this.weigh(at);
+  }
+
+  model(name: string): CopyModel | undefined {
+    return this.models.get(name);
+  }
+
+  /** Copies, with those to come. */
+  copies(name: string): number {
+    return this.holders.get(name)?.length ?? 0;
+  }
+
+  servingCopies(name: string): number {
+    return this.serving.get(name) ?? 0;
+  }
+
+  comingCopies(name: string): number {
+    return this.coming.get(name)?.length ?? 0;
+  }
+
+  /** Another copy is, or will be, in the failure domain. */
+  isInDomain(name: string, failureDomain: string): boolean {
+    const holders = this.holders.get(name) ?? [];
+    return holders.some(({runner}) => runner.failureDomain === failureDomain);
+  }
+
+  /** Callers a second who get a late answer at such a runner, weighed. */
+  lateCallers(work: number, requests: number): number {
+    const load = work / this.options.runnerWork;
+    const square = load * load;
+    return (requests * this.options.lateWeight * square) / (1 + square);
+  }
+
+  /** Work a second of all copies; a larger model takes longer for the same. */
+  workOf(model: CopyModel): number {
+    return (model.workPerSecond * model.weightsMb) / this.largestMb;
+  }
+
+  /** Callers who ask for a model over the horizon, or wait for it now. */
+  askedOverHorizon(model: CopyModel): number {
+    return model.waiting + this.arrivingOverHorizon(model);
+  }
+
+  /**
+   * Callers lost over the horizon until a copy of the model serves. Those who
+   * wait now are lost the more, the later it comes; half of them are taken to
+   * stay for all of the horizon.
+   */
+  absentCallers(model: CopyModel, readyMs = this.readyInMs(model.name)): number {
+    const {horizonMs} = this.options;
+    const share = Math.min(readyMs, horizonMs) / horizonMs;
+    const lostOfWaiting = share < 1 ? share / 2 : 1;
+    const arriving = this.arrivingOverHorizon(model);
+    return model.waiting * lostOfWaiting + arriving * share;
+  }
+
+  private arrivingOverHorizon(model: CopyModel): number {
+    const {horizonMs, returnShare} = this.options;
+    const returning = (model.usualRequestsPerSecond ?? 0) * returnShare;
+    const perSecond = Math.max(model.requestsPerSecond, returning);
+    return (perSecond * horizonMs) / MS_PER_SECOND;
+  }
+
+  /**
+   * Until a copy serves, infinite while none is to come.
+   *
+   * @param countsRoom whether copies count for which room is still being made.
+   */
+  readyInMs(name: string, countsRoom = true): number {
+    if (this.servingCopies(name) > 0) return 0;
+    const coming = (this.coming.get(name) ?? []).filter(
+      ({needsRoom}) => countsRoom || !needsRoom,
+    );
+    return Math.min(Number.POSITIVE_INFINITY, ...coming.map(c => c.inMs));
+  }
+
+  /** Callers a second that a copy more here saves by the work it takes. */
+  relievedBy(model: CopyModel, to: PlannedRunner): number {
+    const holders = this.holders.get(model.name) ?? [];
+    const work = this.workOf(model);
+    const count = holders.length;
+    const workChange = count === 0 ? 0 : work / count - work / (count + 1);
+    const askedChange =
+      count === 0
+        ? 0
+        : model.requestsPerSecond / count - model.requestsPerSecond / (count + 1);
+    let saved = 0;
+    for (const at of holders) {
+      saved += this.lateCallers(at.work, at.requests);
+      saved -= this.lateCallers(at.work - workChange, at.requests - askedChange);
+    }
+    const workHere = to.work + work / (count + 1);
+    const askedHere = to.requests + model.requestsPerSecond / (count + 1);
+    saved += this.lateCallers(to.work, to.requests);
+    return saved - this.lateCallers(workHere, askedHere);
+  }
+
+  /** Callers a second that the copies left lose when one here goes. */
+  burdenedWithout(model: CopyModel, from: PlannedRunner): number {
+    const holders = this.holders.get(model.name) ?? [];
+    const work = this.workOf(model);
+    const asked = model.requestsPerSecond;
+    const count = holders.length;
+    let lost = 0;
+    for (const at of holders) {
+      lost -= this.lateCallers(at.work, at.requests);
+      const isLeft = at !== from;
+      const share = isLeft ? 1 / (count - 1) - 1 / count : -1 / count;
+      lost += this.lateCallers(at.work + work * share, at.requests + asked * share);
+    }
+    return lost;
+  }
+
+  /** A copy is on its way here. */
+  addComing(
+    to: PlannedRunner,
+    model: CopyModel,
+    {inMs, needsRoom}: {inMs: number; needsRoom: boolean},
+  ): void {
+    this.hold(to, model.name);
+    append(this.coming, model.name, {at: to, inMs, needsRoom});
+    this.weighHolders(model.name);
+  }
+
+  remove(from: PlannedRunner, model: CopyModel): void {
+    const left = this.holders.get(model.name)?.filter(at => at !== from) ?? [];
+    this.holders.set(model.name, left);
+    this.serving.set(model.name, this.servingCopies(model.name) - 1);
+    from.models.delete(model.name);
+    this.weigh(from);
+    this.weighHolders(model.name);
+  }
+
+  private addHeld(at: PlannedRunner): void {
+    const {runner} = at;
+    const {loadingModel, loadingLeftMs} = runner;
+    const names = new Set(runner.models);
+    if (loadingModel !== undefined) names.add(loadingModel);
+    for (const name of names) {
+      at.freeMb -= this.models.get(name)?.weightsMb ?? 0;
+      const isLoading = name === loadingModel;
+      // One that may never come keeps its memory, and nobody waits for it.
+      if (isLoading && runner.isSilent) continue;
+      this.hold(at, name);
+      if (!isLoading) {
+        this.serving.set(name, this.servingCopies(name) + 1);
+        continue;
+      }
+      const loadMs = this.models.get(name)?.storeLoadMs ?? 0;
+      const inMs = loadingLeftMs ?? loadMs;
+      append(this.coming, name, {at, inMs, needsRoom: false});
+    }
+  }
+
+  private hold(at: PlannedRunner, name: string): void {
+    at.models.add(name);
+    append(this.holders, name, at);
+  }
+
+  private weighHolders(name: string): void {
+    for (const at of this.holders.get(name) ?? []) this.weigh(at);
+  }
+
+  private weigh(at: PlannedRunner): void {
+    at.work = 0;
+    at.requests = 0;
+    for (const name of at.models) {
+      const model = this.models.get(name);
+      if (!model) continue;
+      const copies = this.copies(name);
+      at.work += this.workOf(model) / copies;
+      at.requests += model.requestsPerSecond / copies;
+    }
+  }
+}
+
+function append<T>(lists: Map<string, T[]>, key: string, item: T): void {
+  const list = lists.get(key);
+  if (list) list.push(item);
+  else lists.set(key, [item]);
+}
--- /dev/null
+++ b/packages/banyanfold-decisions/src/copies/types.ts
@@ -0,0 +1,126 @@
+/** A runner as the plan of copies sees it. */
+export interface CopyRunner {
+  runnerId: string;
+  failureDomain: string;
+  weightsMb: number;
+  /** Kept free for adapters. */
+  reservedMb: number;
+  /** Held or on their way. */
+  models: readonly string[];
+  /** It carries out an order; it takes no other one until it is done. */
+  isBusy: boolean;
+  /** An order of the last seconds got no answer: it may be about to go. */
+  isSilent?: boolean;
+  inMemory: readonly string[];
+  onDisk: readonly string[];
+  /** A model for which room was made here. */
+  intendedModel?: string;
+  /** The model that is being loaded. */
+  loadingModel?: string;
+  /** Until it is loaded, as far as is known. */
+  loadingLeftMs?: number;
+}
+
+export interface CopyModel {
+  name: string;
+  weightsMb: number;
+  /** A load from the weight store takes this long. */
+  storeLoadMs: number;
+  /** From a runner's disk and from its memory. */
+  diskLoadMs?: number;
+  memoryLoadMs?: number;
+  /** Smoothed work a second that is asked for, over all entries. */
+  workPerSecond: number;
+  /** Smoothed requests a second, likewise. */
+  requestsPerSecond: number;
+  /** The same over a longer time: demand that left may return. */
+  usualRequestsPerSecond?: number;
+  /** Requests that wait for a copy, or for a place for their adapter, now. */
+  waiting: number;
+  /** Since the last request for it. */
+  idleMs: number;
+}
+
+export interface CopyPlanInput {
+  runners: readonly CopyRunner[];
+  models: readonly CopyModel[];
+  /** Loads that the weight store allows now. */
+  storeLoadsLeft: number;
+}
+
+export interface CopyOrder {
+  kind: 'load' | 'unload';
+  runnerId: string;
+  model: string;
+  /** A load from the weight store counts against its rate. */
+  isFromStore: boolean;
+  /** Of an unload: the model that is to come. */
+  roomFor?: string;
+  reason: string;
+}
+
+/** What a plan weighs with; callers are counted over the horizon. */
+export interface PlanCopiesOptions {
+  /**
+   * Demand of today is taken to last so long, in ms. Observed shifts of demand
+   * last five to seven seconds; a load takes half a second to four.
+   */
+  horizonMs: number;
+  /**
+   * Work a second, in thousands of prompt tokens of the largest model, at which
+   * half of a runner's callers get a late answer: engines read 38 to 41 thousand.
+   */
+  runnerWork: number;
+  /** What a late answer counts against one that is not given at all. */
+  lateWeight: number;
+  /** Runs under way keep an unload waiting; today's streams take 1 to 3 s. */
+  runMs: number;
+  /** Without a request for this long no run keeps an unload waiting, in ms. */
+  quietMs: number;
+  /** A runner that left an order unanswered is taken for so much slower, in ms. */
+  silentMs: number;
+  /** Share of the usual demand that may return within the horizon; reasoned. */
+  returnShare: number;
+  /** A move must save so many callers over the horizon, and more. */
+  minGain: number;
+  /** A move that takes a copy away must gain so many times what that loses. */
+  minGainOverLoss: number;
+  /** Callers that a load from the weight store must save besides. */
+  storeLoadCost: number;
+  /** Callers that a copy in another failure domain is worth: it outlives one. */
+  otherDomainGain: number;
+  /**
+   * So many requests that wait although runners hold their model are worth one
+   * copy more: the places for its adapters there are all in use. One runner was
+   * asked for 16 adapters at five places, and 87 callers waited 5 s on average.
+   */
+  waitingPerCopy: number;
+  /**
+   * Of a model with more copies than this, one makes way for a model that has
+   * none while nobody waits; three stand the loss of a runner and one more that
+   * is being emptied.
+   */
+  keptCopies: number;
+  /**
+   * Only a model whose load takes longer, in ms, is brought in place of another
+   * in advance: callers of rare models wait 2.5 s and more.
+   */
+  slowLoadMs: number;
+}
+
+export const DEFAULT_PLAN_COPIES_OPTIONS: PlanCopiesOptions = {
+  horizonMs: 6_000,
+  runnerWork: 40,
+  lateWeight: 0.7,
+  runMs: 1_500,
+  quietMs: 1_500,
+  silentMs: 2_000,
+  returnShare: 0.05,
+  minGain: 0.4,
+  minGainOverLoss: 1.3,
+  storeLoadCost: 0.1,
+  otherDomainGain: 0.3,
+  waitingPerCopy: 4,
+  keptCopies: 3,
+  slowLoadMs: 2_000,
+};
--- a/packages/banyanfold-decisions/src/planCopies.ts
+++ b/packages/banyanfold-decisions/src/planCopies.ts
@@ -1,141 +1,26 @@
-import {CopyPlan} from './copyPlan.js';
-
-/** A runner as the plan of copies sees it. */
-export interface CopyRunner {
-  runnerId: string;
-  failureDomain: string;
-  weightsMb: number;
-  /** Kept free for adapters. */
-  reservedMb: number;
-  /** Held or on their way. */
-  models: readonly string[];
-  /** It carries out an order; it takes no other one until it is done. */
-  isBusy: boolean;
-  inMemory: readonly string[];
-  onDisk: readonly string[];
-  /** A model for which room was made here. */
-  intendedModel?: string;
-  /** The model that is being loaded. */
-  loadingModel?: string;
-}
-
-export interface CopyModel {
-  name: string;
-  weightsMb: number;
-  /** A load from the weight store takes this long. */
-  storeLoadMs: number;
-  /** Smoothed work a second that is asked for, over all entries. */
-  workPerSecond: number;
-  /** Smoothed requests a second, likewise. */
-  requestsPerSecond: number;
-  /** Requests that wait for a copy, or for a place for their adapter, now. */
-  waiting: number;
-  /** Since the last request for it. */
-  idleMs: number;
-}
-
-export interface CopyPlanInput {
-  runners: readonly CopyRunner[];
-  models: readonly CopyModel[];
-  /** Loads that the weight store allows now. */
-  storeLoadsLeft: number;
-}
-
-export interface CopyOrder {
-  kind: 'load' | 'unload';
-  runnerId: string;
-  model: string;
-  /** A load from the weight store counts against its rate. */
-  isFromStore: boolean;
-  /** Of an unload: the model that is to come. */
-  roomFor?: string;
-  reason: string;
-}
-
-export interface PlanCopiesOptions {
-  /**
-   * A runner with less work a second than this, thousands of prompt tokens,
-   * isn't worth relieving: today's engines read about four times as many.
-   * Reasoned, not compared with others.
-   */
-  relieveAboveWork: number;
-  /**
-   * From here on a runner's queue grows. Its callers are many, those who wait
-   * for a rare model few, so that it is relieved before these are served:
-   * today's engines read about so many thousands of prompt tokens a second.
-   * Reasoned, not compared with others.
-   */
-  severeWork: number;
-  /** The hottest runner's work must fall by this share for a copy more. */
-  minGainShare: number;
-  /**
-   * A copy more is made only where each would get so many requests a second. A
-   * smoothed rate begins with whoever asks first: two prompts of 9,000 tokens
-   * within its 1.5 s pass for 12,000 tokens a second. No gain in what callers
-   * get was shown, and as many copies were loaded on the one day compared.
-   */
-  minRequestsPerCopy: number;
-  /**
-   * A sole copy without a request for this long may make way for a model that
-   * has none.
-   */
-  soleIdleMs: number;
-  /** A sole copy without a request for this long is rarely missed. */
-  rareIdleMs: number;
-  /** Demand that is so many times a sole copy's goes before it. */
-  outweighsBy: number;
-  /** Without a request for this long no run keeps an unload waiting. */
-  quietMs: number;
-  /** A copy that isn't the last may make way after this. */
-  surplusIdleMs: number;
-  /**
-   * Of a model with more copies than this, one makes way for a model that has
-   * none while nobody waits. Demand moves to models that nobody asked for
-   * before, and a load takes seconds; three copies stand the loss of a runner
-   * and one more that is being emptied. Reasoned; the runs with and without it
-   * differ within noise.
-   */
-  keptCopies: number;
-  /**
-   * Only a model whose load takes longer, in ms, is brought in advance: callers
-   * of rare models wait 2.5 s and more. With loads of 1.2 s it earned 90.8%
-   * of the value without and 88.7% with it on one day, 92.3% without and 93.1%
-   * with it on another, so that nothing speaks for it there.
-   */
-  slowLoadMs: number;
-  /**
-   * So many requests that wait although runners hold their model are worth one
-   * copy more: the places for its adapters there are all in use. One runner was
-   * asked for 16 adapters at five places, and 87 callers waited 5 s on average.
-   * Four is most of the places of such a runner; not compared with others.
-   */
-  waitingPerCopy: number;
-}
+import {CopyMoves, loadMsOf, type CopyMove} from './copies/copyMoves.js';
+import {FleetCopies, type PlannedRunner} from './copies/fleetCopies.js';
+import {
+  DEFAULT_PLAN_COPIES_OPTIONS,
+  type CopyModel,
+  type CopyOrder,
+  type CopyPlanInput,
+  type PlanCopiesOptions,
+} from './copies/types.js';
 
-export const DEFAULT_PLAN_COPIES_OPTIONS: PlanCopiesOptions = {
-  relieveAboveWork: 10,
-  severeWork: 40,
-  minGainShare: 0.2,
-  minRequestsPerCopy: 1,
-  soleIdleMs: 4_000,
-  rareIdleMs: 10_000,
-  outweighsBy: 20,
-  quietMs: 1_500,
-  surplusIdleMs: 2_500,
-  keptCopies: 3,
-  slowLoadMs: 2_000,
-  waitingPerCopy: 4,
-};
+export * from './copies/types.js';
 
 /**
- * Plans orders on copies of models: first copies that relieve a runner far over
- * its load, then one for each model that callers wait for, then more of those
- * whose adapters find no place where it is held, then copies that relieve the
- * hottest runner, then copies of models that nobody holds, in room
- * or in place of one of many. A runner gets one order at a time.
+ * Plans orders on copies of models: always the copy that saves most callers
+ * next, counted over a horizon, with the way to it. What makes way costs the
+ * callers of its model, an unload waits for runs, and a load takes as long as
+ * from where the weights are. A runner gets one order at a time; one that left an
+ * order unanswered counts as slow, and nobody waits for what it was to load. In
+ * quiet times models that nobody holds come back.
  *
  * Answers demand that moves to other models within seconds, and more models
- * than memory: rare ones make way for those that are asked for.
+ * than memory: rare ones make way for those that are asked for, as far as that
+ * loses fewer callers than it saves.
  *
  * @example planCopies({runners, models, storeLoadsLeft: 1})[0]?.kind
  */
@@ -143,13 +28,174 @@
   input: CopyPlanInput,
   options: PlanCopiesOptions = DEFAULT_PLAN_COPIES_OPTIONS,
 ): CopyOrder[] {
-  const plan = new CopyPlan(input, options);
+  const plan = new Plan(input, options);
   plan.useRoomMade();
-  plan.relieveHottest(options.severeWork);
-  plan.placeOrphans(model => model.waiting > 0);
-  plan.placeOrphans(model => model.waiting === 0 && model.workPerSecond > 0.05);
-  plan.addToCrowded();
-  plan.relieveHottest(options.relieveAboveWork);
+  plan.takeBestMoves();
   plan.keepReachable();
   return plan.orders;
 }
+
+/** One plan in the making: what it orders counts for its next decisions. */
+class Plan {
+  readonly orders: CopyOrder[] = [];
+  private readonly fleet: FleetCopies;
+  private readonly moves: CopyMoves;
+  private loadsLeft: number;
+
+  constructor(
+    input: CopyPlanInput,
+    private readonly options: PlanCopiesOptions,
+  ) {
+    this.fleet = new FleetCopies(input, options);
+    this.moves = new CopyMoves(this.fleet, options);
+    this.loadsLeft = input.storeLoadsLeft;
+  }
+
+  /**
+   * Room that was made for a model is used for it. Without this the next
+   * decision may give it to what just made way, and both come and go by turns.
+   */
+  useRoomMade(): void {
+    for (const to of this.fleet.runners) {
+      const model = this.fleet.model(to.runner.intendedModel ?? '');
+      if (!model || to.models.has(model.name)) continue;
+      if (to.isTaken) this.noteRoomToCome(to, model);
+      else if (to.freeMb >= model.weightsMb) this.load(to, model, 'room-made');
+      else this.makeMoreRoom(to, model);
+    }
+  }
+
+  /** Callers need not wait for the room while a copy elsewhere is sooner. */
+  private noteRoomToCome(to: PlannedRunner, model: CopyModel): void {
+    if (to.runner.isSilent) return;
+    const inMs = this.options.runMs + model.storeLoadMs;
+    this.fleet.addComing(to, model, {inMs, needsRoom: true});
+  }
+
+  private makeMoreRoom(to: PlannedRunner, model: CopyModel): void {
+    const move = this.moves.moveTo(to, model, this.loadsLeft);
+    if (move) this.take(move);
+  }
+
+  takeBestMoves(): void {
+    for (;;) {
+      const move = this.moves.best(this.loadsLeft);
+      if (!move) return;
+      this.take(move);
+    }
+  }
+
+  /** In quiet times models that nobody holds come back. */
+  keepReachable(): void {
+    const models = [...this.fleet.models.values()];
+    const isAnyoneWaiting = models.some(({waiting}) => waiting > 0);
+    if (this.orders.length > 0 || isAnyoneWaiting) return;
+    const orphans = models
+      .filter(({name}) => this.fleet.copies(name) === 0)
+      .sort(byWant);
+    for (const orphan of orphans) this.bringBack(orphan);
+  }
+
+  private bringBack(orphan: CopyModel): void {
+    const [target] = this.fleet.runners
+      .filter(to => !to.isTaken && to.freeMb >= orphan.weightsMb)
+      .filter(to => this.canFetch(to, orphan))
+      .sort((a, b) => a.work - b.work);
+    if (target) this.load(target, orphan, 'room');
+    else if (orphan.storeLoadMs > this.options.slowLoadMs) {
+      this.replaceOneOfMany(orphan);
+    }
+  }
+
+  /** A copy of the model that has most of them makes way. */
+  private replaceOneOfMany(orphan: CopyModel): void {
+    const [choice] = this.fleet.runners
+      .filter(to => !to.isTaken && this.canFetch(to, orphan))
+      .flatMap(to => this.sparedBy(to, orphan).map(victim => ({to, victim})))
+      .sort(
+        (a, b) =>
+          this.fleet.copies(b.victim.name) - this.fleet.copies(a.victim.name) ||
+          a.to.work - b.to.work,
+      );
+    if (choice) this.makeRoom(choice.to, choice.victim, orphan);
+  }
+
+  /** Models of which a copy here is one of many, and large enough. */
+  private sparedBy(to: PlannedRunner, orphan: CopyModel): CopyModel[] {
+    const {keptCopies, minGain, horizonMs} = this.options;
+    return [...to.models]
+      .map(name => this.fleet.model(name))
+      .filter(victim => victim !== undefined)
+      .filter(victim => {
+        const left = this.fleet.servingCopies(victim.name) - 1;
+        if (left < keptCopies) return false;
+        const burdened = this.fleet.burdenedWithout(victim, to) * horizonMs;
+        const isSpare = burdened / MS_PER_SECOND < minGain;
+        return isSpare && to.freeMb + victim.weightsMb >= orphan.weightsMb;
+      });
+  }
+
+  private take({to, model, victims, isFromStore, readyMs, reason}: CopyMove) {
+    const [victim] = victims;
+    if (victim) {
+      // The load that is to follow counts against the rate by now.
+      if (isFromStore) this.loadsLeft -= 1;
+      this.makeRoom(to, victim, model);
+    } else {
+      this.load(to, model, reason);
+    }
+    if (to.models.has(model.name)) return;
+    this.fleet.addComing(to, model, {inMs: readyMs, needsRoom: true});
+  }
+
+  private makeRoom(
+    to: PlannedRunner,
+    victim: CopyModel,
+    model: CopyModel,
+  ): void {
+    to.isTaken = true;
+    this.fleet.remove(to, victim);
+    this.orders.push({
+      kind: 'unload',
+      runnerId: to.runner.runnerId,
+      model: victim.name,
+      isFromStore: false,
+      roomFor: model.name,
+      reason: `room for ${model.name}`,
+    });
+  }
+
+  private load(to: PlannedRunner, model: CopyModel, reason: string): void {
+    if (!this.canFetch(to, model)) return;
+    const isFromStore = !isNear(to, model);
+    if (isFromStore) this.loadsLeft -= 1;
+    to.isTaken = true;
+    to.freeMb -= model.weightsMb;
+    const inMs = loadMsOf(model, to);
+    this.fleet.addComing(to, model, {inMs, needsRoom: false});
+    this.orders.push({
+      kind: 'load',
+      runnerId: to.runner.runnerId,
+      model: model.name,
+      isFromStore,
+      reason,
+    });
+  }
+
+  private canFetch(to: PlannedRunner, model: CopyModel): boolean {
+    return isNear(to, model) || this.loadsLeft >= 1;
+  }
+}
+
+const MS_PER_SECOND = 1000;
+
+function isNear({runner}: PlannedRunner, {name}: CopyModel): boolean {
+  return runner.inMemory.includes(name) || runner.onDisk.includes(name);
+}
+
+function byWant(a: CopyModel, b: CopyModel): number {
+  if (a.workPerSecond !== b.workPerSecond) {
+    return b.workPerSecond - a.workPerSecond;
+  }
+  return a.name < b.name ? -1 : 1;
+}
--- a/packages/banyanfold-gateway/src/placement/demandView.ts
+++ b/packages/banyanfold-gateway/src/placement/demandView.ts
@@ -5,6 +5,8 @@
 /** Demand moves to other models within seconds; so must its average. */
 const SMOOTHING_MS = 1_500;
 const MS_PER_SECOND = 1000;
+/** Demand that left for some seconds is still in this average. */
+const USUAL_SMOOTHING_MS = 15_000;
 /** An entry that was not heard of for this long no longer counts. */
 const ENTRY_LOST_MS = 2_000;
 
@@ -14,6 +16,7 @@
 interface SmoothedDemand {
   workPerSecond: number;
   requestsPerSecond: number;
+  usualPerSecond: number;
   updatedMs: number;
   lastAskedMs: number;
 }
@@ -68,6 +71,14 @@
     return smoothed.requestsPerSecond * decay(nowMs - smoothed.updatedMs);
   }
 
+  /** Requests a second over a longer time. */
+  usualPerSecond(model: string, nowMs: number): number {
+    const smoothed = this.models.get(model);
+    if (!smoothed) return 0;
+    const sinceMs = nowMs - smoothed.updatedMs;
+    return smoothed.usualPerSecond * decay(sinceMs, USUAL_SMOOTHING_MS);
+  }
+
   idleMs(model: string, nowMs: number): number {
     const smoothed = this.models.get(model);
     return smoothed ? nowMs - smoothed.lastAskedMs : Number.MAX_SAFE_INTEGER;
@@ -131,6 +142,7 @@
     });
     const work = read + generate;
     const before = this.workPerSecond(asked.model, nowMs);
+    const usualBefore = this.usualPerSecond(asked.model, nowMs);
     const requestsBefore = this.requestsPerSecond(asked.model, nowMs);
     const lastAskedMs =
       asked.arrivals > 0 || asked.waiting > 0
@@ -140,12 +152,14 @@
       workPerSecond: before + (work * MS_PER_SECOND) / SMOOTHING_MS,
       requestsPerSecond:
         requestsBefore + (arrivals * MS_PER_SECOND) / SMOOTHING_MS,
+      usualPerSecond:
+        usualBefore + (arrivals * MS_PER_SECOND) / USUAL_SMOOTHING_MS,
       updatedMs: nowMs,
       lastAskedMs,
     });
   }
 }
 
-function decay(elapsedMs: number): number {
-  return Math.exp(-elapsedMs / SMOOTHING_MS);
+function decay(elapsedMs: number, smoothingMs = SMOOTHING_MS): number {
+  return Math.exp(-elapsedMs / smoothingMs);
 }
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -314,12 +314,15 @@
     const orders = planCopies({
       runners,
       models: [...engine.models.values()].map(
-        ({name, weightsMb, storeLoadMs}) => ({
+        ({name, weightsMb, storeLoadMs, diskLoadMs, memoryLoadMs}) => ({
           name,
           weightsMb,
           storeLoadMs,
+          diskLoadMs,
+          memoryLoadMs,
           workPerSecond: this.demand.workPerSecond(name, nowMs),
           requestsPerSecond: this.demand.requestsPerSecond(name, nowMs),
+          usualRequestsPerSecond: this.demand.usualPerSecond(name, nowMs),
           waiting: this.demand.waiting(name, nowMs),
           idleMs: this.demand.idleMs(name, nowMs),
         }),
@@ -385,9 +388,11 @@
     reservedMb: engine.adapterSlots * adapterMb,
     models: [...controller.models],
     isBusy: controller.isBusy || !controller.isKnown,
+    isSilent: controller.isSilent,
     inMemory: controller.inMemory,
     onDisk: controller.onDisk,
     intendedModel: controller.intendedModel,
     loadingModel: controller.loading,
+    loadingLeftMs: controller.leftMs,
   };
 }
--- a/packages/banyanfold-gateway/src/placement/runnerController.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerController.ts
@@ -56,6 +56,12 @@
 /** From 150 ms to 600; by then a report has come. */
 const CONFLICT_DOUBLINGS = 2;
 
+/**
+ * A runner that left an order unanswered is not relied on for so long: three
+ * loads in a row went to one that was about to go, and 58 callers waited for 5 s.
+ */
+const SILENT_MS = 3_000;
+
 /** A load takes a few seconds; then the runner's report decides. */
 const BUSY_CAP_MS = 12_000;
 
@@ -84,6 +90,8 @@
   /** The last order that a runner may have taken on. */
   private lastEffectMs: number | undefined;
   private conflictsInARow = 0;
+  /** When the last order turned out to be without an answer. */
+  private unansweredMs: number | undefined;
   /** Room is being made for it. */
   intendedModel: string | undefined;
   /** Orders on models that wait here or have no answer yet. */
@@ -118,6 +126,13 @@
     return this.isBusy && this.options.clock.nowMs() >= this.expectedEndMs;
   }
 
+  /** It left an order unanswered lately, as one does that is about to go. */
+  get isSilent(): boolean {
+    const {unansweredMs} = this;
+    if (unansweredMs === undefined) return false;
+    return this.options.clock.nowMs() - unansweredMs < SILENT_MS;
+  }
+
   /** Until the order under way is expected to be over. */
   get leftMs(): number {
     return Math.max(0, this.expectedEndMs - this.options.clock.nowMs());
@@ -343,6 +358,7 @@
       fencingToken: state.fencingToken,
     });
     const outcome = answer.isOk() ? answer.value : 'unknown';
+    this.unansweredMs = outcome === 'unknown' ? clock.nowMs() : undefined;
     logger.info('order', {
       runner: runnerId,
       kind: order.kind,
