Place copies by the callers that each saves, with the way to it

Hypothesis: thresholds and tiers compare unlike things (idle times, work, order of kinds); one currency over a whole assignment places sooner and thrashes less. Change: planCopies takes, again and again, the copy that saves most callers over a horizon of 6 s: absent models lose who asks until a copy serves, runners lose by the work of all their copies (sizes of models counted), what makes way costs its callers, the last copy also by the chance that demand moves to it.

--- a/packages/banyanfold-decisions/src/copies/copyMoves.ts
+++ b/packages/banyanfold-decisions/src/copies/copyMoves.ts
@@ -24,6 +24,17 @@
   waitMs: number;
 }
 
+/** One copy that may make way, with what that costs. */
+interface Victim {
+  victim: CopyModel;
+  /** Callers lost over the horizon by its going. */
+  loss: number;
+  /** Until its runs are over. */
+  waitMs: number;
+  /** The loss, and those lost of the model that waits for the room. */
+  cost: number;
+}
+
 /** Finds the copy that saves most callers, from the state at the time. */
 export class CopyMoves {
   constructor(
@@ -52,8 +63,7 @@
   ): CopyMove | undefined {
     if (to.isTaken || to.models.has(model.name)) return undefined;
     const {onDisk, inMemory} = to.runner;
-    const isNear =
-      inMemory.includes(model.name) || onDisk.includes(model.name);
+    const isNear = inMemory.includes(model.name) || onDisk.includes(model.name);
     if (!isNear && storeLoadsLeft < 1) return undefined;
     const victims = this.victimsAt(to, model);
     if (!victims) return undefined;
@@ -123,35 +133,38 @@
 
   /** What makes way; undefined if what may go isn't enough. */
   private victimsAt(to: PlannedRunner, model: CopyModel): Victims | undefined {
-    const victims: Victims = {models: [], loss: 0, waitMs: 0};
-    let freeMb = to.freeMb;
-    if (freeMb >= model.weightsMb) return victims;
-    const candidates = [...to.models]
+    const missingMb = model.weightsMb - to.freeMb;
+    if (missingMb <= 0) return {models: [], loss: 0, waitMs: 0};
+    const candidates = this.victimsFor(model, to);
+    // One that is large enough by itself goes before several smaller ones.
+    const alone = candidates.find(({victim}) => victim.weightsMb >= missingMb);
+    const several = takeUntil(candidates, missingMb);
+    const choices = [alone ? [alone] : undefined, several]
+      .filter(choice => choice !== undefined)
+      .sort((a, b) => costOfAll(a) - costOfAll(b));
+    const [chosen] = choices;
+    if (!chosen) return undefined;
+    return {
+      models: chosen.map(({victim}) => victim),
+      loss: chosen.reduce((sum, {loss}) => sum + loss, 0),
+      waitMs: Math.max(...chosen.map(({waitMs}) => waitMs)),
+    };
+  }
+
+  /** What may go for a model, the cheapest first. */
+  private victimsFor(model: CopyModel, at: PlannedRunner): Victim[] {
+    const asked = this.fleet.askedOverHorizon(model);
+    return [...at.models]
       .map(name => this.fleet.model(name))
       .filter(victim => victim !== undefined)
       .filter(victim => this.mayGo(victim))
-      .map(victim => ({victim, loss: this.lossOf(victim, to)}))
-      .sort((a, b) => a.loss - b.loss);
-    // One that is large enough by itself goes before several smaller ones.
-    const missingMb = model.weightsMb - freeMb;
-    const alone = candidates.find(({victim}) => victim.weightsMb >= missingMb);
-    const several = candidates.filter(each => each !== alone);
-    const chosen = [];
-    for (const each of several) {
-      if (freeMb >= model.weightsMb) break;
-      chosen.push(each);
-      freeMb += each.victim.weightsMb;
-    }
-    const isEnough = freeMb >= model.weightsMb;
-    const lossOfSeveral = chosen.reduce((sum, {loss}) => sum + loss, 0);
-    const takesAlone = alone && (!isEnough || alone.loss <= lossOfSeveral);
-    if (!takesAlone && !isEnough) return undefined;
-    for (const {victim, loss} of takesAlone ? [alone] : chosen) {
-      victims.models.push(victim);
-      victims.loss += loss;
-      victims.waitMs = Math.max(victims.waitMs, this.unloadMs(victim));
-    }
-    return victims;
+      .map(victim => {
+        const loss = this.lossOf(victim, at);
+        const waitMs = this.unloadMs(victim, at);
+        const waitLoss = (asked * waitMs) / this.options.horizonMs;
+        return {victim, loss, waitMs, cost: loss + waitLoss};
+      })
+      .sort((a, b) => a.cost - b.cost);
   }
 
   /**
@@ -162,9 +175,24 @@
     return victim.waiting === 0 && this.fleet.comingCopies(victim.name) === 0;
   }
 
-  private unloadMs(victim: CopyModel): number {
+  /** An unload waits for the longest of the runs under way. */
+  private unloadMs(victim: CopyModel, {runner}: PlannedRunner): number {
     const {quietMs, runMs} = this.options;
-    return victim.idleMs >= quietMs ? 0 : runMs;
+    const isIdle = victim.idleMs >= quietMs;
+    const runs = runner.inUse
+      ? (runner.inUse[victim.name] ?? 0)
+      : isIdle
+        ? 0
+        : 1;
+    return runs === 0 ? 0 : runMs * (1 + Math.log(runs));
+  }
+
+  /** Callers lost by a move of demand to a model that nobody holds. */
+  private insuranceOf(victim: CopyModel, at: PlannedRunner): number {
+    const reloadMs = loadMsOf(victim, at);
+    const {shiftShare} = this.options;
+    const moved = this.fleet.requestsPerSecond * shiftShare;
+    return (moved * reloadMs) / MS_PER_SECOND;
   }
 
   private lossOf(victim: CopyModel, at: PlannedRunner): number {
@@ -173,14 +201,33 @@
       const burdened = fleet.burdenedWithout(victim, at);
       return Math.max(0, (burdened * options.horizonMs) / MS_PER_SECOND);
     }
-    return fleet.askedOverHorizon(victim);
+    return fleet.askedOverHorizon(victim) + this.insuranceOf(victim, at);
   }
 }
 
+/** The first ones that are enough together; undefined if all aren't. */
+function takeUntil(victims: Victim[], missingMb: number): Victim[] | undefined {
+  let leftMb = missingMb;
+  const taken: Victim[] = [];
+  for (const each of victims) {
+    if (leftMb <= 0) break;
+    taken.push(each);
+    leftMb -= each.victim.weightsMb;
+  }
+  return leftMb <= 0 ? taken : undefined;
+}
+
+function costOfAll(victims: Victim[]): number {
+  return victims.reduce((sum, {cost}) => sum + cost, 0);
+}
+
 /** How long a load there takes, from where the weights are. */
 export function loadMsOf(model: CopyModel, {runner}: PlannedRunner): number {
-  const {storeLoadMs, diskLoadMs = storeLoadMs, memoryLoadMs = diskLoadMs} =
-    model;
+  const {
+    storeLoadMs,
+    diskLoadMs = storeLoadMs,
+    memoryLoadMs = diskLoadMs,
+  } = model;
   if (runner.inMemory.includes(model.name)) return memoryLoadMs;
   return runner.onDisk.includes(model.name) ? diskLoadMs : storeLoadMs;
 }
--- a/packages/banyanfold-decisions/src/copies/fleetCopies.ts
+++ b/packages/banyanfold-decisions/src/copies/fleetCopies.ts
@@ -39,6 +39,8 @@
 export class FleetCopies {
   readonly runners: PlannedRunner[];
   readonly models: ReadonlyMap<string, CopyModel>;
+  /** Of all models together. */
+  readonly requestsPerSecond: number;
   private readonly holders = new Map<string, PlannedRunner[]>();
   private readonly serving = new Map<string, number>();
   private readonly coming = new Map<string, ComingCopy[]>();
@@ -49,6 +51,10 @@
     private readonly options: PlanCopiesOptions,
   ) {
     this.models = new Map(input.models.map(model => [model.name, model]));
+    this.requestsPerSecond = input.models.reduce(
+      (sum, model) => sum + model.requestsPerSecond,
+      0,
+    );
     this.largestMb = Math.max(1, ...input.models.map(m => m.weightsMb));
     this.runners = input.runners.map(runner => ({
       runner,
@@ -107,7 +113,10 @@
    * wait now are lost the more, the later it comes; half of them are taken to
    * stay for all of the horizon.
    */
-  absentCallers(model: CopyModel, readyMs = this.readyInMs(model.name)): number {
+  absentCallers(
+    model: CopyModel,
+    readyMs = this.readyInMs(model.name),
+  ): number {
     const {horizonMs} = this.options;
     const share = Math.min(readyMs, horizonMs) / horizonMs;
     const lostOfWaiting = share < 1 ? share / 2 : 1;
@@ -144,11 +153,15 @@
     const askedChange =
       count === 0
         ? 0
-        : model.requestsPerSecond / count - model.requestsPerSecond / (count + 1);
+        : model.requestsPerSecond / count -
+          model.requestsPerSecond / (count + 1);
     let saved = 0;
     for (const at of holders) {
       saved += this.lateCallers(at.work, at.requests);
-      saved -= this.lateCallers(at.work - workChange, at.requests - askedChange);
+      saved -= this.lateCallers(
+        at.work - workChange,
+        at.requests - askedChange,
+      );
     }
     const workHere = to.work + work / (count + 1);
     const askedHere = to.requests + model.requestsPerSecond / (count + 1);
@@ -167,7 +180,10 @@
       lost -= this.lateCallers(at.work, at.requests);
       const isLeft = at !== from;
       const share = isLeft ? 1 / (count - 1) - 1 / count : -1 / count;
-      lost += this.lateCallers(at.work + work * share, at.requests + asked * share);
+      lost += this.lateCallers(
+        at.work + work * share,
+        at.requests + asked * share,
+      );
     }
     return lost;
   }
--- a/packages/banyanfold-decisions/src/copies/types.ts
+++ b/packages/banyanfold-decisions/src/copies/types.ts
@@ -11,6 +11,8 @@
   isBusy: boolean;
   /** An order of the last seconds got no answer: it may be about to go. */
   isSilent?: boolean;
+  /** Requests under way there, by model; without it idle times tell. */
+  inUse?: Readonly<Record<string, number>>;
   inMemory: readonly string[];
   onDisk: readonly string[];
   /** A model for which room was made here. */
@@ -73,10 +75,19 @@
   runnerWork: number;
   /** What a late answer counts against one that is not given at all. */
   lateWeight: number;
-  /** Runs under way keep an unload waiting; today's streams take 1 to 3 s. */
+  /**
+   * One run under way keeps an unload waiting for so long, in ms, several for
+   * the longest of them: with 30 streams of some 2 s it took up to 10 s, in
+   * which the runner took no other order.
+   */
   runMs: number;
   /** Without a request for this long no run keeps an unload waiting, in ms. */
   quietMs: number;
+  /**
+   * Share of all demand that moves to a model which nobody asks for, within the
+   * horizon; its last copy is worth so many callers for each second of a load.
+   */
+  shiftShare: number;
   /** A runner that left an order unanswered is taken for so much slower, in ms. */
   silentMs: number;
   /** Share of the usual demand that may return within the horizon; reasoned. */
@@ -112,8 +123,9 @@
   horizonMs: 6_000,
   runnerWork: 40,
   lateWeight: 0.7,
-  runMs: 1_500,
+  runMs: 2_000,
   quietMs: 1_500,
+  shiftShare: 0.02,
   silentMs: 2_000,
   returnShare: 0.05,
   minGain: 0.4,
--- a/packages/banyanfold-gateway/src/__tests__/holder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holder.test.ts
@@ -36,6 +36,7 @@
     runnersChange: 0,
     openWork: {},
     adaptersInUse: {},
+    modelsInUse: {},
     demand: [],
   };
 }
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -148,6 +148,7 @@
       known: this.known,
       openWork: states.ownOpenWork(),
       adaptersInUse: states.ownAdaptersInUse(),
+      modelsInUse: states.ownModelsInUse(),
       demand: demand.take(),
     };
     if (lease.current().isHolder) {
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -27,6 +27,10 @@
   openWork: z.record(z.string(), z.number()),
   /** Adapters that its requests use now, by runner. */
   adaptersInUse: z.record(z.string(), z.array(z.string())),
+  /** Requests under way, by runner and model. */
+  modelsInUse: z
+    .record(z.string(), z.record(z.string(), z.number()))
+    .default({}),
   demand: z.array(
     z.object({
       model: z.string(),
--- a/packages/banyanfold-gateway/src/placement/demandView.ts
+++ b/packages/banyanfold-gateway/src/placement/demandView.ts
@@ -26,6 +26,8 @@
   processorShare: number;
   openWork: Readonly<Record<string, number>>;
   adaptersInUse: Readonly<Record<string, readonly string[]>>;
+  /** Requests under way, by runner and model. */
+  modelsInUse: Readonly<Record<string, Readonly<Record<string, number>>>>;
 }
 
 interface EntryState extends EntryLoad {
@@ -40,7 +42,7 @@
 
   note(
     entry: string,
-    {processorShare, openWork, adaptersInUse}: EntryLoad,
+    {processorShare, openWork, adaptersInUse, modelsInUse}: EntryLoad,
     demand: readonly ModelDemand[],
     nowMs: number,
   ): void {
@@ -55,6 +57,7 @@
       processorShare,
       openWork,
       adaptersInUse,
+      modelsInUse,
       waiting,
     });
   }
@@ -133,6 +136,20 @@
     );
   }
 
+  /** Requests of all entries under way at a runner, by model. */
+  modelsInUse(runnerId: string, nowMs: number): Record<string, number> {
+    const total: Record<string, number> = {};
+    for (const {heardMs, modelsInUse} of this.entries.values()) {
+      if (nowMs - heardMs >= ENTRY_LOST_MS) continue;
+      for (const [model, count] of Object.entries(
+        modelsInUse[runnerId] ?? {},
+      )) {
+        total[model] = (total[model] ?? 0) + count;
+      }
+    }
+    return total;
+  }
+
   private add(asked: ModelDemand, nowMs: number): void {
     const {arrivals, promptTokens, outputTokens} = asked;
     const {read, generate} = workOf({
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -309,7 +309,8 @@
       const known = view.runner(runnerId);
       if (known?.service !== service || known.leaving) continue;
       if (!controller.isReachable) continue;
-      runners.push(copyRunnerOf(controller, engine));
+      const inUse = this.demand.modelsInUse(runnerId, nowMs);
+      runners.push({...copyRunnerOf(controller, engine), inUse});
     }
     const orders = planCopies({
       runners,
@@ -376,7 +377,7 @@
 function copyRunnerOf(
   controller: RunnerController,
   engine: EngineSpec,
-): CopyRunner {
+): Omit<CopyRunner, 'inUse'> {
   const adapterMb = Math.max(
     0,
     ...[...engine.models.values()].map(model => model.adapterMb),
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -84,6 +84,7 @@
     this.started = {
       priority: model === undefined ? undefined : route.priority,
       work: workOf({requests: 1, promptTokens, outputTokens: maxOutputTokens}),
+      model,
       adapter:
         model !== undefined && adapter !== undefined
           ? adapterKey(model, adapter)
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -30,6 +30,8 @@
   work: Work;
   /** 0 is the most urgent; a plain service has no order of its own. */
   priority?: number;
+  /** Undefined at a plain service. */
+  model?: string;
   /** As model and name, joined by a slash. */
   adapter?: string;
 }
@@ -49,8 +51,9 @@
   pauseMs: number;
   ejectedUntilMs: number;
   outcomes: Outcome[];
-  /** Requests under way by the adapter that they use. */
+  /** Requests under way by the adapter and by the model that they use. */
   adaptersInUse: Map<string, number>;
+  modelsInUse: Map<string, number>;
   workPerSecond: number;
 }
 
@@ -100,6 +103,16 @@
     return inUse;
   }
 
+  /** Requests of this process under way, by runner and model. */
+  ownModelsInUse(): Record<string, Record<string, number>> {
+    const inUse: Record<string, Record<string, number>> = {};
+    for (const [runnerId, {modelsInUse}] of this.states) {
+      if (modelsInUse.size === 0) continue;
+      inUse[runnerId] = Object.fromEntries(modelsInUse);
+    }
+    return inUse;
+  }
+
   noteStart(runnerId: string, service: string, started: StartedWork): void {
     const {priority, work} = started;
     if (priority !== undefined) this.urgency.note(priority, work.read);
@@ -107,6 +120,7 @@
     state.openWork += started.work.read + started.work.generate;
     state.openRequests += 1;
     count(state.adaptersInUse, started.adapter, 1);
+    count(state.modelsInUse, started.model, 1);
   }
 
   /**
@@ -150,6 +164,7 @@
     state.openWork = Math.max(0, state.openWork - left);
     state.openRequests -= 1;
     count(state.adaptersInUse, ended.adapter, -1);
+    count(state.modelsInUse, ended.model, -1);
   }
 
   notePeersWork(work: Readonly<Record<string, number>>): void {
@@ -244,6 +259,7 @@
         ejectedUntilMs: 0,
         outcomes: [],
         adaptersInUse: new Map(),
+        modelsInUse: new Map(),
         workPerSecond: ASSUMED_WORK_PER_SECOND,
       };
       this.states.set(runnerId, state);
