--- a/packages/banyanfold-decisions/src/copies/types.ts
+++ b/packages/banyanfold-decisions/src/copies/types.ts
@@ -120,7 +120,7 @@
 }
 
 export const DEFAULT_PLAN_COPIES_OPTIONS: PlanCopiesOptions = {
-  horizonMs: 6_000,
+  horizonMs: 10_000,
   runnerWork: 40,
   lateWeight: 0.7,
   runMs: 2_000,
--- a/packages/banyanfold-decisions/src/index.ts
+++ b/packages/banyanfold-decisions/src/index.ts
@@ -11,3 +11,4 @@
 export * from './planCopies.js';
 export * from './decideSend.js';
 export * from './decideWait.js';
+export * from './decideWindow.js';
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -3,6 +3,7 @@
 import type {DemandMeter} from './placement/demandMeter.js';
 import type {GatewayOptions} from './options.js';
 import type {HeldCopies} from './runners/heldCopies.js';
+import type {PromptGate} from './runners/promptGate.js';
 import type {RunnerConnections} from './runners/runnerConnections.js';
 import type {RunnerStates} from './runners/runnerStates.js';
 import type {RequestCodec} from './types.js';
@@ -26,6 +27,7 @@
   codec: RequestCodec;
   connections: RunnerConnections;
   states: RunnerStates;
+  gate: PromptGate;
   held: HeldCopies;
   demand: DemandMeter;
   retryBudgetOf(service: string): RetryBudget;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import {repeatEvery} from './repeatEvery.js';
 import {createMetricsServer, createReadinessServer} from './readinessServer.js';
 import {HeldCopies} from './runners/heldCopies.js';
+import {PromptGate} from './runners/promptGate.js';
 import {RunnerConnections} from './runners/runnerConnections.js';
 import {RunnerStates} from './runners/runnerStates.js';
 import type {
@@ -156,6 +157,7 @@
       codec,
       connections: new RunnerConnections(clock, options),
       states,
+      gate: new PromptGate(clock),
       held,
       demand,
       retryBudgetOf: service => this.budgetOf(service),
@@ -327,6 +329,7 @@
 
     this.context.states.judge();
     this.context.states.keepOnly(id => this.view.runner(id) !== undefined);
+    this.context.gate.keepOnly(id => this.view.runner(id) !== undefined);
     this.context.connections.closeIdle();
   }
 }
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -3,6 +3,7 @@
 import type {Timer} from '@banyanfold/core';
 import type {GatewayContext} from '../context.js';
 import {adapterKey} from '../runners/heldCopies.js';
+import type {PromptTurn} from '../runners/promptGate.js';
 import type {StartedWork} from '../runners/runnerStates.js';
 import type {DecodedRequest, RoutePolicy} from '../types.js';
 import {AnswerRelay, type AttemptResult} from './answerRelay.js';
@@ -29,6 +30,11 @@
 const PARK_POLL_MS = 100;
 /** A stop of this many ms is no place to begin a wait. */
 const MIN_RETRY_AFTER_MS = 300;
+/**
+ * Of the time to its target a prompt waits for its turn up to this share; then it
+ * goes all the same, and the runner's own order decides.
+ */
+const TURN_WAIT_SHARE = 0.25;
 /** What a refused caller's next try needs after it has come back. */
 const RETRY_AFTER_SHARE = 1 / 3;
 
@@ -67,6 +73,7 @@
   private hasWaited = false;
   private endWaiting: (() => void) | undefined;
   private nextPauseMs = 0;
+  private turn: PromptTurn | undefined;
 
   constructor(private readonly options: RequestRunOptions) {
     const {context, route, decoded, startedMs, response} = options;
@@ -162,7 +169,7 @@
     if (this.isOver || !this.targets.isStillUsable(target.runner)) return;
     if (this.isTurnedAway(target)) return;
     const result = await this.attempt(target);
-    if (!this.isOver) this.settle(target, result);
+    if (result && !this.isOver) this.settle(target, result);
   }
 
   /** Refuses what a full queue would hold until its caller gives up. */
@@ -240,15 +247,42 @@
     return false;
   }
 
-  private async attempt(target: Target): Promise<AttemptResult> {
-    const {context, decoded, route, request, body} = this.options;
+  /** Undefined when it was not sent: its turn came too late. */
+  private async attempt(target: Target): Promise<AttemptResult | undefined> {
+    const {context, route, decoded} = this.options;
     const {runner} = target;
     this.noteNotWaiting();
+    const aheadWork = context.states.workAhead(runner.runnerId, route.priority);
+    context.states.noteStart(runner.runnerId, this.service, this.started);
+    const isPrompt = decoded.request.model !== undefined;
+    this.turn = isPrompt
+      ? context.gate.enter(
+          runner.runnerId,
+          route.priority,
+          this.options.startedMs,
+        )
+      : undefined;
+    const waitMs = route.targetMs * TURN_WAIT_SHARE;
+    const waited = context.clock.setTimer(waitMs, () => this.turn?.goAhead());
+    const mayGo = (await this.turn?.come) ?? true;
+    waited.cancel();
+    if (!mayGo || this.isOver || !this.targets.isStillUsable(runner)) {
+      this.turn?.giveBack();
+      context.states.noteEnd(runner.runnerId, this.started, false);
+      return undefined;
+    }
+    return this.send(target, aheadWork);
+  }
+
+  private async send(
+    target: Target,
+    aheadWork: number,
+  ): Promise<AttemptResult> {
+    const {context, decoded, route, request, body} = this.options;
+    const {runner} = target;
     const nowMs = context.clock.nowMs();
     const connection = context.connections.acquire(runner.address);
     this.log.route(target, this.counts, connection.used);
-    const aheadWork = context.states.workAhead(runner.runnerId, route.priority);
-    context.states.noteStart(runner.runnerId, this.service, this.started);
     const headers = context.codec.encodeAttempt(decoded, {
       runnerId: runner.runnerId,
       remainingMs: this.deadlineMs - nowMs,
@@ -269,6 +303,7 @@
         runnerId: runner.runnerId,
         onFirstByte: () => {
           wasRead = true;
+          this.turn?.giveBack();
           const tookMs = context.clock.nowMs() - nowMs;
           context.states.noteRead(runner.runnerId, this.started, {
             aheadWork,
@@ -277,6 +312,7 @@
         },
       },
     );
+    this.turn?.giveBack();
     context.states.noteEnd(runner.runnerId, this.started, wasRead);
     if (result.kind === 'delivered' || result.kind === 'rejected') {
       if (result.canReuse) {
@@ -293,6 +329,7 @@
     const {runnerId} = target.runner;
     switch (result.kind) {
       case 'delivered':
+        this.notePace(runnerId);
         context.states.noteOutcome(
           runnerId,
           result.isSuccess,
@@ -324,6 +361,14 @@
     }
   }
 
+  private notePace(runnerId: string): void {
+    const {context, route} = this.options;
+    const {longestPauseMs} = this.relay;
+    const {pauseTargetMs} = route;
+    if (longestPauseMs === undefined || pauseTargetMs === undefined) return;
+    context.gate.notePace(runnerId, {longestPauseMs, pauseTargetMs});
+  }
+
   private noteRejection({runner, needsAdapter}: Target, status: number): void {
     const {context, decoded} = this.options;
     const {model, adapter} = decoded.request;
@@ -461,6 +506,7 @@
     if (this.isOver) return;
     this.isOver = true;
     this.noteNotWaiting();
+    this.turn?.giveBack();
     this.wake?.();
     const {context, route} = this.options;
     context.metrics.count('requests_total', {kind: route.kind, outcome});
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -43,7 +43,9 @@
       failureDomain: runner.failureDomain,
       openWork: context.states.openWork(runner.runnerId),
       hasAdapter: this.hasAdapter(runner.runnerId),
-      isSuspect: context.states.isSuspect(runner.runnerId),
+      isSuspect:
+        context.states.isSuspect(runner.runnerId) ||
+        context.gate.isStalled(runner.runnerId),
     }));
     const chosen = chooseRunner(
       choices,
