--- a/packages/banyanfold-decisions/src/copies/copyMoves.ts
+++ b/packages/banyanfold-decisions/src/copies/copyMoves.ts
@@ -40,6 +40,7 @@
   constructor(
     private readonly fleet: FleetCopies,
     private readonly options: PlanCopiesOptions,
+    private readonly mayMakeRoom: boolean,
   ) {}
 
   /** The best move; undefined if none is worth its way. */
@@ -73,9 +74,11 @@
       (to.runner.isSilent ? this.options.silentMs : 0);
     const needsRoom = victims.models.length > 0;
     const {saved, reason} = this.savedBy(model, to, {readyMs, needsRoom});
-    const {minGain, minGainOverLoss, storeLoadCost} = this.options;
-    const price = isNear ? 0 : storeLoadCost;
+    const {minGainOverLoss, storeLoadCost, blockedPerSecond} = this.options;
+    const blocked = (victims.waitMs * blockedPerSecond) / MS_PER_SECOND;
+    const price = blocked + (isNear ? 0 : storeLoadCost);
     const gain = saved + this.domainGain(model, to) - price - victims.loss;
+    const minGain = this.minGainFor(model, needsRoom);
     if (saved - price - victims.loss < minGain) return undefined;
     if (saved < victims.loss * minGainOverLoss) return undefined;
     return {
@@ -89,6 +92,12 @@
     };
   }
 
+  private minGainFor({name}: CopyModel, needsRoom: boolean): number {
+    const {minGain, minGainOverComing} = this.options;
+    const isComing = this.fleet.comingCopies(name) > 0;
+    return isComing && needsRoom ? minGainOverComing : minGain;
+  }
+
   /** Spares the look at every runner for what nobody asks for. */
   private isWanted(model: CopyModel): boolean {
     return this.fleet.askedOverHorizon(model) >= this.options.minGain;
@@ -135,6 +144,7 @@
   private victimsAt(to: PlannedRunner, model: CopyModel): Victims | undefined {
     const missingMb = model.weightsMb - to.freeMb;
     if (missingMb <= 0) return {models: [], loss: 0, waitMs: 0};
+    if (!this.mayMakeRoom) return undefined;
     const candidates = this.victimsFor(model, to);
     // One that is large enough by itself goes before several smaller ones.
     const alone = candidates.find(({victim}) => victim.weightsMb >= missingMb);
--- a/packages/banyanfold-decisions/src/copies/fleetCopies.ts
+++ b/packages/banyanfold-decisions/src/copies/fleetCopies.ts
@@ -50,8 +50,9 @@
     input: CopyPlanInput,
     private readonly options: PlanCopiesOptions,
   ) {
-    this.models = new Map(input.models.map(model => [model.name, model]));
-    this.requestsPerSecond = input.models.reduce(
+    const models = input.models.map(model => withSureRate(model, options));
+    this.models = new Map(models.map(model => [model.name, model]));
+    this.requestsPerSecond = models.reduce(
       (sum, model) => sum + model.requestsPerSecond,
       0,
     );
@@ -251,6 +252,26 @@
   }
 }
 
+/**
+ * Rates as far as they are sure: a few requests say little of what comes, many
+ * do, and what was asked as often for long is as sure.
+ */
+function withSureRate(model: CopyModel, options: PlanCopiesOptions): CopyModel {
+  const {requestsPerSecond, usualRequestsPerSecond = 0} = model;
+  if (requestsPerSecond === 0) return model;
+  const {smoothingMs, priorRequests} = options;
+  const seen = (requestsPerSecond * smoothingMs) / MS_PER_SECOND;
+  const sure = (requestsPerSecond * seen) / (seen + priorRequests);
+  const steady = Math.min(requestsPerSecond, usualRequestsPerSecond);
+  const rate = Math.max(sure, steady);
+  const share = rate / requestsPerSecond;
+  return {
+    ...model,
+    requestsPerSecond: rate,
+    workPerSecond: model.workPerSecond * share,
+  };
+}
+
 function append<T>(lists: Map<string, T[]>, key: string, item: T): void {
   const list = lists.get(key);
   if (list) list.push(item);
--- a/packages/banyanfold-decisions/src/copies/types.ts
+++ b/packages/banyanfold-decisions/src/copies/types.ts
@@ -48,6 +48,8 @@
   models: readonly CopyModel[];
   /** Loads that the weight store allows now. */
   storeLoadsLeft: number;
+  /** False while demand has been heard of too shortly to give copies up for it. */
+  mayMakeRoom?: boolean;
 }
 
 export interface CopyOrder {
@@ -90,6 +92,21 @@
   shiftShare: number;
   /** A runner that left an order unanswered is taken for so much slower, in ms. */
   silentMs: number;
+  /** Callers lost for each second in which an unload keeps a runner's orders. */
+  blockedPerSecond: number;
+  /**
+   * A copy in place of another one, of a model that one is on its way for, must
+   * save so many callers: four of a rare model were begun within 0.3 s.
+   */
+  minGainOverComing: number;
+  /** Smoothed rates look back so far, in ms. */
+  smoothingMs: number;
+  /**
+   * A rate counts as if so many more requests had been possible and not come. A
+   * smoothed rate begins with whoever asks first: one request of a rare model
+   * passes for 0.7 a second.
+   */
+  priorRequests: number;
   /** Share of the usual demand that may return within the horizon; reasoned. */
   returnShare: number;
   /** A move must save so many callers over the horizon, and more. */
@@ -127,6 +144,10 @@
   quietMs: 1_500,
   shiftShare: 0.02,
   silentMs: 2_000,
+  blockedPerSecond: 0.5,
+  minGainOverComing: 5,
+  smoothingMs: 1_500,
+  priorRequests: 2,
   returnShare: 0.05,
   minGain: 0.4,
   minGainOverLoss: 1.3,
--- a/packages/banyanfold-decisions/src/decideSend.ts
+++ b/packages/banyanfold-decisions/src/decideSend.ts
@@ -4,6 +4,9 @@
   workAhead: number;
   /** How much work a second the runner got through lately. */
   workPerSecond: number;
+  /** Requests open there, of all entries, and how many run at once. */
+  openRequests?: number;
+  slots?: number;
   /** Until the caller leaves. */
   leftMs: number;
   /** Until its deadline, if that is later; a caller that comes back has it. */
@@ -22,6 +25,8 @@
    * Reasoned, not compared with other shares.
    */
   maxWaitShare: number;
+  /** A run holds its place for so long, in ms: streams of today take 1 to 3 s. */
+  runMs: number;
   minRetryAfterMs: number;
   /** Callers heed a time to come back up to this share of what they have left. */
   maxRetryAfterShare: number;
@@ -30,6 +35,7 @@
 export const DEFAULT_SEND_OPTIONS: SendOptions = {
   minWork: 20,
   maxWaitShare: 0.7,
+  runMs: 2_000,
   minRetryAfterMs: 300,
   maxRetryAfterShare: 0.3,
 };
@@ -66,9 +72,21 @@
   return {kind: 'refuse', waitMs, retryAfterMs};
 }
 
-/** Until the first byte, by how fast the runner gets through its work. */
+/**
+ * Until the first byte, by how fast the runner gets through its work, or by when
+ * a place in its batch comes free, whichever is later.
+ */
 function waitOf(view: SendView, options: SendOptions): number {
+  return Math.max(readWaitOf(view, options), placeWaitOf(view, options));
+}
+
+function readWaitOf(view: SendView, options: SendOptions): number {
   const {workAhead, workPerSecond} = view;
   if (workAhead < options.minWork) return 0;
   return (workAhead * MS_PER_SECOND) / Math.max(workPerSecond, 1);
 }
+
+function placeWaitOf(view: SendView, options: SendOptions): number {
+  const {openRequests = 0, slots = Number.POSITIVE_INFINITY} = view;
+  return (Math.max(0, openRequests - slots) / slots) * options.runMs;
+}
--- a/packages/banyanfold-decisions/src/planCopies.ts
+++ b/packages/banyanfold-decisions/src/planCopies.ts
@@ -47,7 +47,8 @@
     private readonly options: PlanCopiesOptions,
   ) {
     this.fleet = new FleetCopies(input, options);
-    this.moves = new CopyMoves(this.fleet, options);
+    const {mayMakeRoom = true} = input;
+    this.moves = new CopyMoves(this.fleet, options, mayMakeRoom);
     this.loadsLeft = input.storeLoadsLeft;
   }
 
@@ -68,7 +69,7 @@
   /** Callers need not wait for the room while a copy elsewhere is sooner. */
   private noteRoomToCome(to: PlannedRunner, model: CopyModel): void {
     if (to.runner.isSilent) return;
-    const inMs = this.options.runMs + model.storeLoadMs;
+    const inMs = UNLOAD_MS + loadMsOf(model, to);
     this.fleet.addComing(to, model, {inMs, needsRoom: true});
   }
 
@@ -188,6 +189,8 @@
 }
 
 const MS_PER_SECOND = 1000;
+/** From the end of the runs to a report that shows the room; 0.2 to 0.3 s. */
+const UNLOAD_MS = 300;
 
 function isNear({runner}: PlannedRunner, {name}: CopyModel): boolean {
   return runner.inMemory.includes(name) || runner.onDisk.includes(name);
--- a/packages/banyanfold-gateway/src/__tests__/ownRefusals.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/ownRefusals.test.ts
@@ -25,7 +25,12 @@
     logger,
     cutOffMs: () => cutOffMs,
     held: {copyInMs: () => copyInMs, ageMs: 120},
-    states: {workAhead: () => workAhead, workPerSecond: () => 40},
+    states: {
+      workAhead: () => workAhead,
+      workPerSecond: () => 40,
+      openRequests: () => 0,
+    },
+    view: {runner: () => undefined, current: undefined},
   } as unknown as GatewayContext;
 });
 
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -189,7 +189,7 @@
     if (!lease.current().isHolder) {
       loadRate.learn(output.loadAgesMs, clock.nowMs());
     }
-    states.notePeersWork(output.peersWork);
+    states.notePeersWork(output.peersWork, output.peersRequests);
     onEntries(output.entries);
     this.heardMs = clock.nowMs();
     this.isStandby = output.isStandby;
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -70,6 +70,8 @@
   copiesInMs: z.record(z.string(), z.number()),
   /** Work of the other entries, by runner; none where it is left out. */
   peersWork: z.record(z.string(), z.number()),
+  /** Requests that the other entries have open there, likewise. */
+  peersRequests: z.record(z.string(), z.number()).default({}),
 });
 
 export const ensureInputSchema = z.object({
--- a/packages/banyanfold-gateway/src/placement/demandView.ts
+++ b/packages/banyanfold-gateway/src/placement/demandView.ts
@@ -39,6 +39,7 @@
 export class DemandView {
   private readonly models = new Map<string, SmoothedDemand>();
   private readonly entries = new Map<string, EntryState>();
+  private firstAskedMs = Number.POSITIVE_INFINITY;
 
   note(
     entry: string,
@@ -74,6 +75,11 @@
     return smoothed.requestsPerSecond * decay(nowMs - smoothed.updatedMs);
   }
 
+  /** Since a request was first heard of; negative before. */
+  knownForMs(nowMs: number): number {
+    return nowMs - this.firstAskedMs;
+  }
+
   /** Requests a second over a longer time. */
   usualPerSecond(model: string, nowMs: number): number {
     const smoothed = this.models.get(model);
@@ -127,6 +133,19 @@
     return total;
   }
 
+  /** Requests that the other entries have open, by runner. */
+  peersRequests(entry: string, nowMs: number): Record<string, number> {
+    const total: Record<string, number> = {};
+    for (const [name, {heardMs, modelsInUse}] of this.entries) {
+      if (name === entry || nowMs - heardMs >= ENTRY_LOST_MS) continue;
+      for (const [runnerId, counts] of Object.entries(modelsInUse)) {
+        const open = Object.values(counts).reduce((sum, n) => sum + n, 0);
+        total[runnerId] = (total[runnerId] ?? 0) + open;
+      }
+    }
+    return total;
+  }
+
   /** Whether an entry has a request under way there that uses the adapter. */
   isAdapterInUse(runnerId: string, adapter: string, nowMs: number): boolean {
     return [...this.entries.values()].some(
@@ -158,6 +177,7 @@
       outputTokens,
     });
     const work = read + generate;
+    if (arrivals > 0) this.firstAskedMs = Math.min(this.firstAskedMs, nowMs);
     const before = this.workPerSecond(asked.model, nowMs);
     const usualBefore = this.usualPerSecond(asked.model, nowMs);
     const requestsBefore = this.requestsPerSecond(asked.model, nowMs);
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -37,6 +37,16 @@
 
 /** Who asks for a model is told when it comes for this long after. */
 const ASKED_LATELY_MS = 5_000;
+/** From the end of a load until entries hear of it: a report and an exchange. */
+const TOLD_MS = 250;
+/** Until there is room: idle copies go in 0.3 s, runs under way take seconds. */
+const ROOM_MS = 1_200;
+const ROOM_BEGUN_MS = 600;
+/**
+ * No copy makes way before: in the first moments whoever asks first has all of
+ * the demand. Most of the time over which rates are smoothed.
+ */
+const DEMAND_KNOWN_MS = 1_000;
 /** An unload waits for the runs under way, then is over at once. */
 const UNLOAD_MS = 100;
 
@@ -127,6 +137,7 @@
       copies: this.revisions.since(input.known),
       copiesInMs: this.copiesInMs(nowMs),
       peersWork: this.demand.peersWork(input.entry, nowMs),
+      peersRequests: this.demand.peersRequests(input.entry, nowMs),
     };
   }
 
@@ -328,6 +339,7 @@
           idleMs: this.demand.idleMs(name, nowMs),
         }),
       ),
+      mayMakeRoom: this.demand.knownForMs(nowMs) >= DEMAND_KNOWN_MS,
       storeLoadsLeft: loadRate.left(engine.loadsPerSecond, nowMs),
     });
     for (const order of orders) void this.give(order, engine);
@@ -349,17 +361,19 @@
   }
 }
 
-/** Until a model serves somewhere, at best: loads may queue for the store. */
+/** Until a model serves somewhere; one that nobody loads yet needs room first. */
 function copyInMs(spec: ModelSpec, controllers: RunnerController[]): number {
   const loading = controllers.filter(({loading}) => loading === spec.name);
   if (loading.length > 0) {
-    return Math.min(...loading.map(({leftMs}) => leftMs));
+    return Math.min(...loading.map(({leftMs}) => leftMs)) + TOLD_MS;
   }
   const isNear = controllers.some(
     ({inMemory, onDisk}) =>
       inMemory.includes(spec.name) || onDisk.includes(spec.name),
   );
-  return isNear ? spec.diskLoadMs : spec.storeLoadMs;
+  const loadMs = isNear ? spec.diskLoadMs : spec.storeLoadMs;
+  const isIntended = controllers.some(c => c.intendedModel === spec.name);
+  return loadMs + TOLD_MS + (isIntended ? ROOM_BEGUN_MS : ROOM_MS);
 }
 
 /** How long a load takes from where the weights are. */
--- a/packages/banyanfold-gateway/src/placement/runnerController.ts
+++ b/packages/banyanfold-gateway/src/placement/runnerController.ts
@@ -62,6 +62,9 @@
  */
 const SILENT_MS = 3_000;
 
+/** A registration of one that is gone lasts for three heartbeats of 1.2 s. */
+const GONE_MS = 4_000;
+
 /** A load takes a few seconds; then the runner's report decides. */
 const BUSY_CAP_MS = 12_000;
 
@@ -90,6 +93,8 @@
   /** The last order that a runner may have taken on. */
   private lastEffectMs: number | undefined;
   private conflictsInARow = 0;
+  /** When another runner last answered at its address. */
+  private goneMs: number | undefined;
   /** When the last order turned out to be without an answer. */
   private unansweredMs: number | undefined;
   /** Room is being made for it. */
@@ -153,9 +158,15 @@
     );
   }
 
-  /** It answered the last question for its report. */
+  /**
+   * It answered the last question for its report. Another runner at its address
+   * answers too, and says that it isn't this one only to an order.
+   */
   get isReachable(): boolean {
-    return this.failedReports < LOST_REPORTS;
+    const isGone =
+      this.goneMs !== undefined &&
+      this.options.clock.nowMs() - this.goneMs < GONE_MS;
+    return !isGone && this.failedReports < LOST_REPORTS;
   }
 
   noteReportFailed(): void {
@@ -386,7 +397,7 @@
     }
     if (outcome === 'fenced') lease.noteFenced();
     // Another runner has the address; this one has ended.
-    if (outcome === 'other-runner') this.failedReports = LOST_REPORTS;
+    if (outcome === 'other-runner') this.goneMs = clock.nowMs();
     if (outcome === 'conflict') {
       this.noteConflict();
       // It changed nothing. Counted as an order, each try put off the report
--- a/packages/banyanfold-gateway/src/requests/ownRefusals.ts
+++ b/packages/banyanfold-gateway/src/requests/ownRefusals.ts
@@ -53,6 +53,8 @@
     const view = {
       workAhead: context.states.workAhead(runnerId, route.priority),
       workPerSecond: context.states.workPerSecond(runnerId),
+      openRequests: context.states.openRequests(runnerId),
+      slots: this.slotsOf(runnerId),
       ...this.left(),
       targetLeftMs: startedMs + route.targetMs - context.clock.nowMs(),
     };
@@ -70,6 +72,12 @@
     return decision.kind === 'refuse' ? {view, decision} : undefined;
   }
 
+  private slotsOf(runnerId: string): number | undefined {
+    const {view} = this.options.context;
+    const service = view.runner(runnerId)?.service;
+    return view.current?.services.get(service ?? '')?.engine?.slots;
+  }
+
   private left(): {leftMs: number; deadlineLeftMs: number} {
     const {context, deadlineMs, leavesMs} = this.options;
     const nowMs = context.clock.nowMs();
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -33,8 +33,11 @@
   route(target: Target, counts: TryCounts, isReused: boolean): void {
     const {context, route, startedMs} = this.options;
     const {runner, reason} = target;
+    const {model, adapter} = this.options.decoded.request;
     this.line('route', {
       route: route.name,
+      model,
+      adapter,
       runner: runner.runnerId,
       attempt: counts.attemptsMade + 1,
       rejections: counts.rejections,
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -35,8 +35,14 @@
  * goes all the same, and the runner's own order decides.
  */
 const TURN_WAIT_SHARE = 0.25;
-/** What a refused caller's next try needs after it has come back. */
-const RETRY_AFTER_SHARE = 1 / 3;
+/**
+ * Callers heed a time to come back up to a third of what they have left, and come
+ * back once. A runner that is full or a model without a copy takes seconds to
+ * change; of those who were sent back for 0.6 s most were refused for good.
+ */
+const RETRY_AFTER_SHARE = 0.32;
+/** The time of an unload, a load and the first prompts. */
+const RETRY_AFTER_CAP_MS = 3_000;
 
 export interface RequestRunOptions {
   context: GatewayContext;
@@ -452,9 +458,11 @@
 
   private refuse(reason: string): void {
     const leftMs = this.deadlineMs - this.options.context.clock.nowMs();
+    // Half is sure; the rest keeps those that are refused together apart.
+    const share = (1 + this.options.context.random()) / 2;
     const retryAfterMs = Math.max(
       MIN_RETRY_AFTER_MS,
-      Math.min(leftMs * RETRY_AFTER_SHARE, MIN_RETRY_AFTER_MS * 2),
+      Math.min(leftMs * RETRY_AFTER_SHARE, RETRY_AFTER_CAP_MS) * share,
     );
     this.answer(FINAL_STATUS.notRun, reason, retryAfterMs);
   }
--- a/packages/banyanfold-gateway/src/runners/heldCopies.ts
+++ b/packages/banyanfold-gateway/src/runners/heldCopies.ts
@@ -17,6 +17,9 @@
 /** Reports are asked for twice a second and told four times a second. */
 const ABSENT_MS = 800;
 
+/** Until another holder may order, and a load is over. */
+const NO_HOLDER_MS = 4_000;
+
 function absentKey(runnerId: string, copy: string): string {
   return `${runnerId} ${copy}`;
 }
@@ -64,10 +67,15 @@
     return !(this.toldOf(runnerId)?.isBusy ?? false);
   }
 
-  /** Until a copy serves; undefined when the holder has not told lately. */
+  /**
+   * Until a copy serves; undefined when the holder has told nothing of it. While
+   * no holder is heard nobody orders a copy, and callers who wait for one leave.
+   */
   copyInMs(model: string): number | undefined {
+    if (this.ageMs === Number.POSITIVE_INFINITY) return undefined;
+    if (this.ageMs > this.freshMs) return NO_HOLDER_MS;
     const atMs = this.copyAtMs.get(model);
-    if (atMs === undefined || this.ageMs > this.freshMs) return undefined;
+    if (atMs === undefined) return undefined;
     return Math.max(0, atMs - this.nowMs());
   }
 
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -47,6 +47,7 @@
   openWork: number;
   openRequests: number;
   peersWork: number;
+  peersRequests: number;
   unreachableUntilMs: number;
   pauseMs: number;
   ejectedUntilMs: number;
@@ -167,15 +168,28 @@
     count(state.modelsInUse, ended.model, -1);
   }
 
-  notePeersWork(work: Readonly<Record<string, number>>): void {
+  /** What the other entries have open, by runner. */
+  notePeersWork(
+    work: Readonly<Record<string, number>>,
+    requests: Readonly<Record<string, number>> = {},
+  ): void {
     for (const [runnerId, state] of this.states) {
       state.peersWork = work[runnerId] ?? 0;
+      state.peersRequests = requests[runnerId] ?? 0;
     }
     for (const [runnerId, peersWork] of Object.entries(work)) {
-      this.of(runnerId, '').peersWork = peersWork;
+      const state = this.of(runnerId, '');
+      state.peersWork = peersWork;
+      state.peersRequests = requests[runnerId] ?? 0;
     }
   }
 
+  /** Requests open there: this process's own and, as last heard, its peers'. */
+  openRequests(runnerId: string): number {
+    const state = this.states.get(runnerId);
+    return state ? state.openRequests + state.peersRequests : 0;
+  }
+
   /** A connection couldn't be established; the pause doubles each time. */
   noteUnreachable(runnerId: string, service: string): void {
     const state = this.of(runnerId, service);
@@ -254,6 +268,7 @@
         openWork: 0,
         openRequests: 0,
         peersWork: 0,
+        peersRequests: 0,
         unreachableUntilMs: 0,
         pauseMs: 0,
         ejectedUntilMs: 0,
