--- a/packages/banyanfold-decisions/src/copies/types.ts
+++ b/packages/banyanfold-decisions/src/copies/types.ts
@@ -142,7 +142,7 @@
   lateWeight: 0.7,
   runMs: 2_000,
   quietMs: 1_500,
-  shiftShare: 0.02,
+  shiftShare: 0.1,
   silentMs: 2_000,
   blockedPerSecond: 0.5,
   minGainOverComing: 5,
