--- a/packages/banyanfold-decisions/src/__tests__/decideSend.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/decideSend.test.ts
@@ -25,6 +25,15 @@
     expect(decideSend({...QUIET, ...fields}).kind).toBe(kind);
   });
 
+  it.each([
+    ['all places taken once over, where callers wait long', 6_000, 'send'],
+    ['all places taken once over, where they leave early', 2_000, 'refuse'],
+  ])('%s', (_what, leftMs, kind) => {
+    // 64 run at once for some 2 s each; the 65th to 128th wait as long.
+    const view = {...QUIET, openRequests: 128, slots: 64, leftMs};
+    expect(decideSend(view).kind).toBe(kind);
+  });
+
   it('says to come back within the time that callers heed', () => {
     const decision = decideSend({...QUIET, workAhead: 400});
     expect(decision).toMatchObject({kind: 'refuse', retryAfterMs: 1_800});
--- a/packages/banyanfold-decisions/src/__tests__/planCopies.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/planCopies.test.ts
@@ -257,6 +257,82 @@
     expect(brief(orders)).toEqual(['load hot at r3: relieve']);
   });
 
+  it('goes on elsewhere when a runner leaves an order unanswered', () => {
+    // Load: most of the demand moves to a model that nobody holds, and the load
+    // that was ordered got no answer: that runner is about to go. Nobody waits
+    // for it; the next plan loads the model at another one.
+    const runners = [
+      runner({
+        runnerId: 'r1',
+        models: ['hot'],
+        isBusy: true,
+        isSilent: true,
+        loadingModel: 'hot',
+      }),
+      runner({runnerId: 'r2', models: ['cold']}),
+    ];
+    const models = [
+      model('hot', {workPerSecond: 30, waiting: 20, idleMs: 0}),
+      model('cold'),
+    ];
+    const orders = planCopies({runners, models, storeLoadsLeft: 2});
+    expect(brief(orders)).toEqual(['load hot at r2: orphan']);
+  });
+
+  it('makes room where no run is under way when demand moves', () => {
+    // Load: demand moves to a model that nobody holds. An unload waits for the
+    // longest of the runs under way, up to 10 s at a busy copy, and the runner
+    // takes no other order meanwhile; callers leave after 2 s.
+    const runners = [
+      runner({runnerId: 'r1', models: ['a', 'b'], inUse: {a: 20, b: 3}}),
+      runner({runnerId: 'r2', models: ['a', 'c'], inUse: {a: 20}}),
+    ];
+    const models = [
+      model('a', {workPerSecond: 30, idleMs: 0}),
+      model('b', {workPerSecond: 2, idleMs: 500}),
+      model('c', {workPerSecond: 2, idleMs: 500}),
+      model('moved', {workPerSecond: 30, waiting: 10, idleMs: 0}),
+    ];
+    const [order] = planCopies({runners, models, storeLoadsLeft: 2});
+    expect(brief([order!])).toEqual(['unload c at r2: room for moved']);
+  });
+
+  it('gives one copy, not several, to a rare model that is asked for', () => {
+    // Load: one caller waits for a rare model while its first copy is on its
+    // way. Four were begun within 0.3 s, each in place of another model, and
+    // callers of one of those were refused for seconds.
+    const held = ['u', 'v', 'w'].map((name, i) =>
+      runner({runnerId: `r${i}`, models: [name, 'busy']}),
+    );
+    const coming = {...held[0]!, isBusy: true, models: ['busy']};
+    const runners = [{...coming, intendedModel: 'rare'}, held[1]!, held[2]!];
+    const models = [
+      model('busy', {workPerSecond: 20, idleMs: 0}),
+      ...['u', 'v', 'w'].map(name => model(name)),
+      model('rare', {
+        waiting: 1,
+        idleMs: 0,
+        requestsPerSecond: 0.7,
+        workPerSecond: 2,
+      }),
+    ];
+    const orders = planCopies({runners, models, storeLoadsLeft: 4});
+    expect(orders.filter(({roomFor}) => roomFor === 'rare')).toEqual([]);
+  });
+
+  it('gives no copy up before demand has been heard of for a while', () => {
+    // Load: the first moments of a day. Whoever asks first has all the demand.
+    const full = runner({runnerId: 'r1', models: ['a', 'idle']});
+    const models = [
+      model('a', {workPerSecond: 3, idleMs: 10}),
+      model('idle'),
+      model('b', {waiting: 1, idleMs: 0}),
+    ];
+    const input = {runners: [full], models, storeLoadsLeft: 1};
+    expect(planCopies({...input, mayMakeRoom: false})).toEqual([]);
+    expect(planCopies({...input, mayMakeRoom: true})).toHaveLength(1);
+  });
+
   it('leaves a runner alone that is busy, and loads nothing over the rate', () => {
     const models = [model('a', {waiting: 3, idleMs: 0})];
     const busy = [runner({runnerId: 'r1', isBusy: true})];
--- a/packages/banyanfold-gateway/src/__tests__/holder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holder.test.ts
@@ -1,31 +1,94 @@
 import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
+import {ok} from 'neverthrow';
 import {describe, expect, it} from 'vitest';
 import {DEFAULT_OPTIONS} from '../options.js';
 import type {ExchangeInput} from '../peers/peerContract.js';
 import {Holder} from '../placement/holder.js';
 import {LoadRate} from '../placement/loadRate.js';
-import type {LeaseSource, RunnerControl} from '../types.js';
+import type {
+  FleetConfig,
+  LeaseSource,
+  RunnerControl,
+  RunnerRegistration,
+} from '../types.js';
 import {FleetView} from '../view/fleetView.js';
 
 const OWN = 'own:7';
 const LARGE = 1.3;
 const SMALL = 0.25;
 
+const REGISTRATION: RunnerRegistration = {
+  runnerId: 'r1',
+  bornMs: 100,
+  service: 'drafting',
+  address: '127.0.0.1:1',
+  failureDomain: 'hall-a',
+  slots: 8,
+  leaving: false,
+  models: [],
+  heartbeatNumber: 1,
+};
+
+const EMPTY_REPORT = {
+  models: [],
+  pendingAdapters: [],
+  busy: false,
+  orderNumber: 0,
+  inMemory: [],
+  onDisk: [],
+};
+
+const CONFIG: FleetConfig = {
+  version: 1,
+  routes: [],
+  services: new Map([
+    [
+      'drafting',
+      {
+        name: 'drafting',
+        engine: {
+          slots: 8,
+          kvCapacityTokens: 1_000,
+          weightsMb: 100,
+          adapterSlots: 2,
+          loadsPerSecond: 1,
+          models: new Map(),
+        },
+      },
+    ],
+  ]),
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+};
+
 function holderAt(clock: VirtualClock): Holder {
+  return holderWith(clock, {} as RunnerControl).holder;
+}
+
+function holderWith(
+  clock: VirtualClock,
+  control: RunnerControl,
+): {holder: Holder; view: FleetView} {
   const logger = new MemoryLogger();
+  const view = new FleetView(clock, logger);
   const lease = {current: () => ({isHolder: true, fencingToken: 1, term: 1})};
-  return new Holder({
+  const holder = new Holder({
     clock,
     logger,
     metrics: new Metrics(),
     lease: lease as unknown as LeaseSource,
-    control: {} as RunnerControl,
-    view: new FleetView(clock, logger),
+    control,
+    view,
     options: DEFAULT_OPTIONS,
     holder: OWN,
     loadRate: new LoadRate(1_000, 0),
     isLeaving: () => false,
   });
+  return {holder, view};
 }
 
 function inputOf(entry: string, processorShare: number): ExchangeInput {
@@ -51,6 +114,39 @@
   return output.kind === 'told' && output.isStandby;
 }
 
+describe('Holder', () => {
+  it('takes a runner whose report tells of a new life for an empty one', async () => {
+    // Callers would be sent to models that aren't there: the runner crashed and
+    // started again under its id, and its report says so before a heartbeat does.
+    // A late report of the life before must not bring its copies back.
+    const clock = new VirtualClock();
+    const former = {
+      bornMs: 100,
+      models: [{name: 'm1', version: 1, adapters: []}],
+    };
+    const current = {bornMs: 200, models: []};
+    let said: object = former;
+    const control = {
+      report: async () => ok({...EMPTY_REPORT, ...said}),
+    } as unknown as RunnerControl;
+    const {holder, view} = holderWith(clock, control);
+    view.onConfig(CONFIG);
+    holder.start();
+    view.onRegistration(REGISTRATION);
+    const told = async (next: object) => {
+      said = next;
+      await clock.advance(DEFAULT_OPTIONS.reportIntervalMs);
+      const output = holder.exchange(inputOf(OWN, LARGE));
+      if (output.kind !== 'told') throw new Error('not told');
+      return output.copies.runners.map(({models}) => models);
+    };
+    expect(await told(former)).toEqual([['m1']]);
+    expect(await told(current)).toEqual([[]]);
+    expect(await told(former)).toEqual([[]]);
+    holder.stop();
+  });
+});
+
 describe('Holder.exchange', () => {
   it('lets an entry stand by that has just come', async () => {
     // No process joins and leaves the group by turns. An entry comes between two
--- a/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
@@ -111,6 +111,23 @@
     expect(numbers).toEqual([0, 0]);
   });
 
+  it('tell of a runner that leaves them unanswered, or that is another one by now', async () => {
+    // Callers would wait for a load at a runner that is about to go, or that is
+    // gone while its registration lasts and another one answers at its address.
+    controller.noteReport(report(), 0);
+    const load = {kind: 'load', model: 'm2', reason: 'x'} as const;
+    answers = ['lost', 'other-runner'];
+    await controller.orderModel(load, 100);
+    expect(controller.isSilent).toBe(true);
+    expect(controller.isReachable).toBe(true);
+    await controller.orderModel(load, 100);
+    controller.noteReport(report(), clock.nowMs());
+    expect(controller.isReachable).toBe(false);
+    await clock.advance(5_000);
+    expect(controller.isReachable).toBe(true);
+    expect(controller.isSilent).toBe(false);
+  });
+
   it('are kept when a report from before them comes', async () => {
     controller.noteReport(report(), 0);
     await controller.ensureAdapter('m1', 'a1', SLOTS);
