--- a/packages/banyanfold-decisions/src/index.ts
+++ b/packages/banyanfold-decisions/src/index.ts
@@ -12,3 +12,4 @@
 export * from './decideSend.js';
 export * from './decideWait.js';
 export * from './decideWindow.js';
+export * from './urgencyOf.js';
--- a/packages/banyanfold-gateway/src/placement/demandMeter.ts
+++ b/packages/banyanfold-gateway/src/placement/demandMeter.ts
@@ -1,6 +1,7 @@
 /** What was asked of one model since the last exchange. */
 export interface ModelDemand {
   model: string;
+  /** Requests, each counted by its urgency. */
   arrivals: number;
   /** Tokens that the arrivals have to read and to generate, at most. */
   promptTokens: number;
@@ -11,6 +12,16 @@
   adapters: Record<string, number>;
 }
 
+/** One request for a model. */
+export interface Arrival {
+  model: string;
+  adapter?: string;
+  promptTokens: number;
+  maxOutputTokens: number;
+  /** What it counts for placement; 1 for the least urgent. */
+  urgency: number;
+}
+
 /** Counts demand by model between two exchanges with the holder. */
 export class DemandMeter {
   private byModel = new Map<string, ModelDemand>();
@@ -18,16 +29,12 @@
   /** Called when a request begins to wait for a copy. */
   onWaiting: () => void = () => {};
 
-  noteArrival(
-    model: string,
-    adapter: string | undefined,
-    promptTokens: number,
-    outputTokens: number,
-  ): void {
+  noteArrival(arrival: Arrival): void {
+    const {model, adapter, urgency} = arrival;
     const demand = this.of(model);
-    demand.arrivals += 1;
-    demand.promptTokens += promptTokens;
-    demand.outputTokens += outputTokens;
+    demand.arrivals += urgency;
+    demand.promptTokens += arrival.promptTokens;
+    demand.outputTokens += arrival.maxOutputTokens;
     if (adapter === undefined) return;
     demand.adapters[adapter] = (demand.adapters[adapter] ?? 0) + 1;
   }
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -1,5 +1,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {decideRetry, type RetryDecision} from '@banyanfold/decisions';
+import {
+  decideRetry,
+  urgencyOf,
+  type RetryDecision,
+} from '@banyanfold/decisions';
 import type {Timer} from '@banyanfold/core';
 import type {GatewayContext} from '../context.js';
 import {adapterKey} from '../runners/heldCopies.js';
@@ -147,7 +151,10 @@
     const {context, decoded, startedMs} = this.options;
     const {model, adapter, promptTokens, maxOutputTokens} = decoded.request;
     if (model !== undefined) {
-      context.demand.noteArrival(model, adapter, promptTokens, maxOutputTokens);
+      const {leastUrgent} = context.view;
+      const urgency = urgencyOf(this.options.route.priority, leastUrgent);
+      const tokens = {promptTokens, maxOutputTokens};
+      context.demand.noteArrival({model, adapter, urgency, ...tokens});
     }
     context.retryBudgetOf(this.service).noteAttempt();
     if (this.refusals.isTooLate) return this.refuse('leaving');
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -26,6 +26,8 @@
   private readonly listeners = new Set<() => void>();
   private readonly newLifeListeners = new Set<(runnerId: string) => void>();
   private caughtUp = false;
+  /** Of all routes; 0 is the most urgent, and before one is known. */
+  leastUrgent = 0;
   /** When the configuration and the runners were last heard of. */
   configAtMs = 0;
   runnersAtMs = 0;
@@ -76,6 +78,8 @@
     if (this.config && config.version <= this.config.version) return;
     this.config = config;
     this.routeTable = new RouteTable(config.routes);
+    const priorities = config.routes.map(({priority}) => priority);
+    this.leastUrgent = Math.max(0, ...priorities);
     this.logger.info('config', {
       version: config.version,
       routes: config.routes.length,
