--- a/packages/banyanfold-decisions/src/copies/copyMoves.ts
+++ b/packages/banyanfold-decisions/src/copies/copyMoves.ts
@@ -102,9 +102,9 @@
       (to.runner.isSilent ? this.options.silentMs : 0);
     const needsRoom = victims.models.length > 0;
     const {saved, reason} = this.savedBy(model, to, {readyMs, needsRoom});
-    const {minGainOverLoss, storeLoadCost, blockedPerSecond} = this.options;
+    const {minGainOverLoss, blockedPerSecond} = this.options;
     const blocked = (victims.waitMs * blockedPerSecond) / MS_PER_SECOND;
-    const price = blocked + (isNear ? 0 : storeLoadCost);
+    const price = blocked + (isNear ? 0 : this.storeLoadCost(reason));
     const gain = saved + this.domainGain(model, to) - price - victims.loss;
     const minGain = this.minGainFor(model, needsRoom);
     if (saved - price - victims.loss < minGain) return undefined;
@@ -120,6 +120,11 @@
     };
   }
 
+  private storeLoadCost(reason: CopyMove['reason']): number {
+    const {storeLoadCost, storeReliefCost} = this.options;
+    return reason === 'relieve' ? storeReliefCost : storeLoadCost;
+  }
+
   private minGainFor({name}: CopyModel, needsRoom: boolean): number {
     const {minGain, minGainOverComing} = this.options;
     const isComing = this.fleet.comingCopies(name) > 0;
--- a/packages/banyanfold-decisions/src/copies/types.ts
+++ b/packages/banyanfold-decisions/src/copies/types.ts
@@ -115,6 +115,8 @@
   minGainOverLoss: number;
   /** Callers that a load from the weight store must save besides. */
   storeLoadCost: number;
+  /** The same for a load that only relieves runners: loads have a price. */
+  storeReliefCost: number;
   /** Callers that a copy in another failure domain is worth: it outlives one. */
   otherDomainGain: number;
   /**
@@ -152,6 +154,7 @@
   minGain: 0.4,
   minGainOverLoss: 1.3,
   storeLoadCost: 0.1,
+  storeReliefCost: 4,
   otherDomainGain: 0.3,
   waitingPerCopy: 4,
   keptCopies: 3,
