--- a/packages/banyanfold-decisions/src/copies/types.ts
+++ b/packages/banyanfold-decisions/src/copies/types.ts
@@ -66,8 +66,9 @@
 /** What a plan weighs with; callers are counted over the horizon. */
 export interface PlanCopiesOptions {
   /**
-   * Demand of today is taken to last so long, in ms. Observed shifts of demand
-   * last five to seven seconds; a load takes half a second to four.
+   * Demand is taken to last so long, in ms. Longer than an unload that waits for
+   * runs and a load together, up to 8 s, or a copy that takes as long would be
+   * worth nothing. Not measured alone.
    */
   horizonMs: number;
   /**
--- /dev/null
+++ b/packages/banyanfold-gateway/src/placement/copyRunnerOf.ts
@@ -0,0 +1,28 @@
+import type {CopyRunner} from '@banyanfold/decisions';
+import type {EngineSpec} from '../types.js';
+import type {RunnerController} from './runnerController.js';
+
+/** A runner as the plan of copies sees it, but for the requests under way. */
+export function copyRunnerOf(
+  controller: RunnerController,
+  engine: EngineSpec,
+): Omit<CopyRunner, 'inUse'> {
+  const adapterMb = Math.max(
+    0,
+    ...[...engine.models.values()].map(model => model.adapterMb),
+  );
+  return {
+    runnerId: controller.registration.runnerId,
+    failureDomain: controller.registration.failureDomain,
+    weightsMb: engine.weightsMb,
+    reservedMb: engine.adapterSlots * adapterMb,
+    models: [...controller.models],
+    isBusy: controller.isBusy || !controller.isKnown,
+    isSilent: controller.isSilent,
+    inMemory: controller.inMemory,
+    onDisk: controller.onDisk,
+    intendedModel: controller.intendedModel,
+    loadingModel: controller.loading,
+    loadingLeftMs: controller.leftMs,
+  };
+}
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -17,7 +17,6 @@
 import type {
   EngineSpec,
   LeaseSource,
-  ModelSpec,
   RunnerControl,
   RunnerRegistration,
   RunnerReport,
@@ -30,6 +29,8 @@
 import type {FleetView} from '../view/fleetView.js';
 import {repeatEvery} from '../repeatEvery.js';
 import {CopyRevisions} from './copyRevisions.js';
+import {copyInMs, loadMsOf} from './copyTimes.js';
+import {copyRunnerOf} from './copyRunnerOf.js';
 import {DemandView} from './demandView.js';
 import {LoadRate} from './loadRate.js';
 import {RunnerController} from './runnerController.js';
@@ -37,11 +38,6 @@
 
 /** Who asks for a model is told when it comes for this long after. */
 const ASKED_LATELY_MS = 5_000;
-/** From the end of a load until entries hear of it: a report and an exchange. */
-const TOLD_MS = 250;
-/** Until there is room: idle copies go in 0.3 s, runs under way take seconds. */
-const ROOM_MS = 1_200;
-const ROOM_BEGUN_MS = 600;
 /**
  * No copy makes way before: in the first moments whoever asks first has all of
  * the demand. Most of the time over which rates are smoothed.
@@ -351,7 +347,9 @@
     if (order.isFromStore) this.deps.loadRate.note(this.deps.clock.nowMs());
     const {kind, model, reason, roomFor} = order;
     const expectedMs =
-      kind === 'load' ? loadMsOf(order, controller, engine) : UNLOAD_MS;
+      kind === 'load'
+        ? loadMsOf(engine.models.get(model), controller)
+        : UNLOAD_MS;
     const outcome = await controller.orderModel(
       {kind, model, reason},
       expectedMs,
@@ -360,54 +358,3 @@
     controller.intendedModel = roomFor;
   }
 }
-
-/** Until a model serves somewhere; one that nobody loads yet needs room first. */
-function copyInMs(spec: ModelSpec, controllers: RunnerController[]): number {
-  const loading = controllers.filter(({loading}) => loading === spec.name);
-  if (loading.length > 0) {
-    return Math.min(...loading.map(({leftMs}) => leftMs)) + TOLD_MS;
-  }
-  const isNear = controllers.some(
-    ({inMemory, onDisk}) =>
-      inMemory.includes(spec.name) || onDisk.includes(spec.name),
-  );
-  const loadMs = isNear ? spec.diskLoadMs : spec.storeLoadMs;
-  const isIntended = controllers.some(c => c.intendedModel === spec.name);
-  return loadMs + TOLD_MS + (isIntended ? ROOM_BEGUN_MS : ROOM_MS);
-}
-
-/** How long a load takes from where the weights are. */
-function loadMsOf(
-  {model}: CopyOrder,
-  controller: RunnerController,
-  engine: EngineSpec,
-): number {
-  const spec = engine.models.get(model);
-  if (!spec) return 0;
-  if (controller.inMemory.includes(model)) return spec.memoryLoadMs;
-  return controller.onDisk.includes(model) ? spec.diskLoadMs : spec.storeLoadMs;
-}
-
-function copyRunnerOf(
-  controller: RunnerController,
-  engine: EngineSpec,
-): Omit<CopyRunner, 'inUse'> {
-  const adapterMb = Math.max(
-    0,
-    ...[...engine.models.values()].map(model => model.adapterMb),
-  );
-  return {
-    runnerId: controller.registration.runnerId,
-    failureDomain: controller.registration.failureDomain,
-    weightsMb: engine.weightsMb,
-    reservedMb: engine.adapterSlots * adapterMb,
-    models: [...controller.models],
-    isBusy: controller.isBusy || !controller.isKnown,
-    isSilent: controller.isSilent,
-    inMemory: controller.inMemory,
-    onDisk: controller.onDisk,
-    intendedModel: controller.intendedModel,
-    loadingModel: controller.loading,
-    loadingLeftMs: controller.leftMs,
-  };
-}
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -14,6 +14,7 @@
 import {FINAL_STATUS, sendFinalAnswer} from './finalAnswer.js';
 import {OwnRefusals} from './ownRefusals.js';
 import {pickService} from './pickService.js';
+import {chooseRetryAfterMs, MIN_RETRY_AFTER_MS} from './retryAfter.js';
 import {RequestLog, type TryCounts} from './requestLog.js';
 import {TargetChooser, type Target} from './targetChooser.js';
 import {workOf} from './workOf.js';
@@ -32,22 +33,11 @@
 const REJECTION_PAUSE_CAP_MS = 200;
 /** Without a copy or a place, look again after this if nothing changes. */
 const PARK_POLL_MS = 100;
-/** A stop of this many ms is no place to begin a wait. */
-const MIN_RETRY_AFTER_MS = 300;
 /**
  * Of the time to its target a prompt waits for its turn up to this share; then it
  * goes all the same, and the runner's own order decides.
  */
 const TURN_WAIT_SHARE = 0.25;
-/**
- * Callers heed a time to come back up to a third of what they have left, and come
- * back once. A runner that is full or a model without a copy takes seconds to
- * change; of those who were sent back for 0.6 s most were refused for good.
- */
-const RETRY_AFTER_SHARE = 0.32;
-/** The time of an unload, a load and the first prompts. */
-const RETRY_AFTER_CAP_MS = 3_000;
-
 export interface RequestRunOptions {
   context: GatewayContext;
   request: IncomingMessage;
@@ -465,12 +455,8 @@
 
   private refuse(reason: string): void {
     const leftMs = this.deadlineMs - this.options.context.clock.nowMs();
-    // Half is sure; the rest keeps those that are refused together apart.
-    const share = (1 + this.options.context.random()) / 2;
-    const retryAfterMs = Math.max(
-      MIN_RETRY_AFTER_MS,
-      Math.min(leftMs * RETRY_AFTER_SHARE, RETRY_AFTER_CAP_MS) * share,
-    );
+    const {random} = this.options.context;
+    const retryAfterMs = chooseRetryAfterMs(leftMs, random);
     this.answer(FINAL_STATUS.notRun, reason, retryAfterMs);
   }
 
--- a/packages/banyanfold-gateway/src/runners/promptGate.ts
+++ b/packages/banyanfold-gateway/src/runners/promptGate.ts
@@ -27,7 +27,7 @@
   giveBack(): void;
 }
 
-/** A prompt is read within 0.1 s where nothing queues, and 0.3 s in nine of ten. */
+/** In ms; half of the prompts at busy runners are read within 0.1 s, few after 1 s. */
 const STALLED_MS = 800;
 /** Before any stream has told of its pauses; a window grows and shrinks fast. */
 const FIRST_WINDOW = 4;
