Fill runners to one level by what all entries will send; take a vacant lease in turn

Cause 2: a process that had held the lease passed on its own former word, by which all others left the lease's group; and asking a process in moved the lease each time (3 s without orders where runners check no tokens). A vacant lease is now taken by one process after the other, in the order of the standbys.

--- a/packages/banyanfold-decisions/src/__tests__/chooseRunner.load.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/chooseRunner.load.test.ts
@@ -57,7 +57,13 @@
       isSuspect: false,
     }));
     const affinity = {key: group, sharedWork: SHARED_WORK};
-    const {runnerId} = chooseRunner(choices, affinity, 'hall-a', options)!;
+    const {runnerId} = chooseRunner(
+      choices,
+      affinity,
+      'hall-a',
+      undefined,
+      options,
+    )!;
     const runner = runners.get(runnerId)!;
     const isCached = runner.cached.has(group);
     runner.cached.add(group);
--- a/packages/banyanfold-decisions/src/chooseRunner.ts
+++ b/packages/banyanfold-decisions/src/chooseRunner.ts
@@ -20,6 +20,14 @@
   sharedWork: number;
 }
 
+/** What comes before the entries hear of each other's requests. */
+export interface ComingFlow {
+  /** Work for the same runners, of all entries. */
+  work: number;
+  /** Uniform in [0, 1). */
+  random(): number;
+}
+
 /** All in the unit of open work; a plain call, or 1,000 prompt tokens, is 1. */
 export interface ChooseRunnerOptions {
   /**
@@ -46,19 +54,28 @@
   reason: 'affinity' | 'least-work';
 }
 
+const NO_FLOW: ComingFlow = {work: 0, random: () => 0};
+
 /**
  * Chooses a runner by prefix affinity with bounded load. All entries rank the
  * runners alike by a hash of the key, so that requests that share a prompt meet
  * where it is cached without anything being told. A runner is passed over once
- * the work that waits there exceeds the least loaded one's by more than reading
- * the shared part again would cost; without a key the least loaded is taken.
- * Runners of the entry's own failure domain go first: a prompt is then cached
- * once a domain, and its bytes stay within it.
+ * the work that waits there exceeds the level by more than reading the shared part
+ * again would cost; without a key the least loaded is taken. Runners of the entry's
+ * own failure domain go first: a prompt is then cached once a domain, and its
+ * bytes stay within it.
+ *
+ * The level is where the least loaded runners would be filled to by what comes
+ * before the entries hear of each other. A runner that has little room up to it is
+ * passed over by a share of the requests only, or all entries would leave it for
+ * the one that seems idle: 37 entries sent 56 of a model's 76 prompts of one second
+ * to a copy that had just come, and 4 each to the five others.
  *
  * Answers the load of many short prompts that share long prefixes while one
- * group of them bursts.
+ * group of them bursts, from few entries or many.
  *
  * @param affinity what the request shares with others; undefined for none.
+ * @param flow what comes besides; without it this entry is taken to be alone.
  * @example
  * chooseRunner(choices, {key: 'm1/5c1e', sharedWork: 6.3}, 'hall-a')?.runnerId
  */
@@ -66,21 +83,33 @@
   choices: readonly RunnerChoice[],
   affinity: Affinity | undefined,
   failureDomain: string,
+  flow: ComingFlow = NO_FLOW,
   options: ChooseRunnerOptions = DEFAULT_CHOOSE_RUNNER_OPTIONS,
 ): ChosenRunner | undefined {
   const sound = choices.filter(choice => !choice.isSuspect);
   const candidates = sound.length > 0 ? sound : choices;
   if (candidates.length === 0) return undefined;
   if (affinity) {
-    const costs = candidates.map(choice => costOf(choice, options));
-    const bound = Math.min(...costs) + affinity.sharedWork + options.slackWork;
-    const within = candidates
-      .filter((_choice, i) => costs[i]! <= bound)
-      .map(choice => ({choice, rank: rankOf(affinity.key, choice.runnerId)}))
-      .sort((a, b) => (a.rank < b.rank ? 1 : -1));
+    const ranked = candidates
+      .map(choice => ({
+        choice,
+        rank: rankOf(affinity.key, choice.runnerId),
+        isOwnDomain: choice.failureDomain === failureDomain,
+        cost: costOf(choice, options),
+      }))
+      .sort((a, b) =>
+        a.isOwnDomain === b.isOwnDomain
+          ? a.rank < b.rank
+            ? 1
+            : -1
+          : Number(b.isOwnDomain) - Number(a.isOwnDomain),
+      );
+    const costs = ranked.map(({cost}) => cost);
+    const bound =
+      levelOf(costs, flow.work) + affinity.sharedWork + options.slackWork;
     const first =
-      within.find(({choice}) => choice.failureDomain === failureDomain) ??
-      within[0]!;
+      ranked.find(({cost}) => isTaken(bound - cost, costs.length, flow)) ??
+      ranked.reduce((least, each) => (each.cost < least.cost ? each : least));
     return {runnerId: first.choice.runnerId, reason: 'affinity'};
   }
   const cost = (choice: RunnerChoice) =>
@@ -93,6 +122,29 @@
   return {runnerId: best.runnerId, reason: 'least-work'};
 }
 
+/** Whether a runner with so much room takes its share of the flow, or part of it. */
+function isTaken(room: number, runners: number, flow: ComingFlow): boolean {
+  if (room < 0) return false;
+  const share = flow.work / runners;
+  return room >= share || flow.random() * share < room;
+}
+
+/**
+ * The load to which work fills the least loaded of several, all to one height.
+ *
+ * @example levelOf([0, 10, 50], 20) // 15
+ */
+export function levelOf(loads: readonly number[], work: number): number {
+  const sorted = [...loads].sort((a, b) => a - b);
+  let filled = work;
+  for (const [i, load] of sorted.entries()) {
+    filled += load;
+    const level = filled / (i + 1);
+    if (i + 1 === sorted.length || level <= sorted[i + 1]!) return level;
+  }
+  return 0;
+}
+
 function costOf(choice: RunnerChoice, options: ChooseRunnerOptions): number {
   return choice.openWork + (choice.hasAdapter ? 0 : options.adapterFetchWork);
 }
--- a/packages/banyanfold-gateway/src/__tests__/holder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holder.test.ts
@@ -96,14 +96,7 @@
 function inputOf(entry: string, processorShare: number): ExchangeInput {
   return {
     entry,
-    members: [
-      {
-        address: entry,
-        failureDomain: 'hall-a',
-        processorShare,
-        isInGroup: true,
-      },
-    ],
+    members: [{address: entry, failureDomain: 'hall-a', processorShare}],
     configVersion: 1,
     runnersChange: 0,
     openWork: {},
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -1,5 +1,6 @@
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import type {RetryBudget} from '@banyanfold/log';
+import type {ComingWork} from './requests/comingWork.js';
 import type {DemandMeter} from './placement/demandMeter.js';
 import type {GatewayOptions} from './options.js';
 import type {HeldCopies} from './runners/heldCopies.js';
@@ -30,6 +31,9 @@
   gate: PromptGate;
   held: HeldCopies;
   demand: DemandMeter;
+  coming: ComingWork;
+  /** Entries that are at work, this one included. */
+  entries(): number;
   retryBudgetOf(service: string): RetryBudget;
   ensureAdapter: EnsureAdapter;
   random(): number;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import {HeldCopies} from './runners/heldCopies.js';
 import {PromptGate} from './runners/promptGate.js';
 import {RunnerConnections} from './runners/runnerConnections.js';
+import {ComingWork} from './requests/comingWork.js';
 import {RunnerStates} from './runners/runnerStates.js';
 import type {
   FleetSource,
@@ -148,6 +149,7 @@
       },
       runnersChange: () => parts.fleet.runnersChange,
       onRunnersChange: position => parts.fleet.refreshRunners(position),
+      random: parts.random ?? Math.random,
       onEntries: count => {
         this.entries = count;
       },
@@ -165,6 +167,8 @@
       gate: new PromptGate(clock),
       held,
       demand,
+      coming: new ComingWork(() => clock.nowMs()),
+      entries: () => this.entries,
       retryBudgetOf: service => this.budgetOf(service),
       ensureAdapter: this.link.ensureAdapter,
       random: parts.random ?? Math.random,
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -1,10 +1,10 @@
-import {relayOf} from '@banyanfold/decisions';
+import {relayOf, type RelayCandidate} from '@banyanfold/decisions';
 import type {Clock, Logger, Metrics, Timer} from '@banyanfold/core';
 import type {EnsureAdapter} from '../context.js';
 import type {DemandMeter} from '../placement/demandMeter.js';
 import type {LoadRate} from '../placement/loadRate.js';
 import type {KnownRevision} from '../placement/copyRevisions.js';
-import type {EntryLoad, EntryMember} from '../placement/entryLoads.js';
+import type {EntryLoad} from '../placement/entryLoads.js';
 import type {HeldCopies} from '../runners/heldCopies.js';
 import type {RunnerStates} from '../runners/runnerStates.js';
 import type {GatewayOptions} from '../options.js';
@@ -31,7 +31,7 @@
   /** This process's own holder, for when it has the lease. */
   own: HolderHandlers;
   /** This process, as its peers see it. */
-  self: Omit<EntryMember, 'isInGroup'>;
+  self: RelayCandidate;
   demand: DemandMeter;
   states: RunnerStates;
   held: HeldCopies;
@@ -43,17 +43,23 @@
   runnersChange(): number;
   /** A peer has read the runners up to this change. */
   onRunnersChange(runnersChange: number): void;
+  random(): number;
 }
 
 /** Three exchanges; after that this process reads for itself again. */
 const RELAY_FRESH_MS = 800;
 /**
- * Longer than the store takes to give the lease of a dead holder to another that
- * is in the group, so that others join only when none of those is left: first
- * those that are to stand by, then the rest.
+ * After four exchanges without a word of a holder that orders, the store is asked
+ * who has the lease; by then it has dropped a holder that is dead.
  */
-const STANDBY_JOINS_MS = 1_200;
-const OTHER_JOINS_MS = 2_500;
+const SILENT_HOLDER_MS = 1_000;
+/**
+ * Between two processes that take a vacant lease: the first one has joined, and
+ * the next one has heard so from the store.
+ */
+const JOIN_STEP_MS = 300;
+/** Places in the order of those that are no standbys, or know of none. */
+const OTHER_PLACES = 4;
 /**
  * The holder reads the runners once a second; its word is an exchange older at a
  * relay. A runner that leaves must get nothing more after two seconds.
@@ -76,7 +82,9 @@
   private lastWord: {atMs: number; readAgeMs: number} | undefined;
   private lastMs = 0;
   private heardMs = 0;
-  private isStandby = true;
+  /** As the holder last said, in the order in which they take the lease. */
+  private standbys: readonly string[] = [];
+  private vacantSinceMs: number | undefined;
   private entries = 1;
   /** In this failure domain, as the holder last said. */
   private relays: readonly string[] = [];
@@ -170,21 +178,33 @@
   }
 
   /**
-   * Comes back into the group when nobody in it is left to hold the lease. While
-   * the store names a holder this process stays out, however slowly that one
-   * answers: each that joins has the store deal the lease anew. On a busy fleet
-   * of 17 entries a holder that had missed one renewal was followed by eight
-   * others within 16 s, none of which ordered for long, as all the rest joined.
+   * Takes the lease when nobody has it, one process after the other. While the
+   * store names a holder this process stays out, however slowly that one answers:
+   * each that joins has the store deal the lease anew. On a busy fleet of 17
+   * entries a holder that had missed one renewal was followed by eight others
+   * within 16 s, none of which ordered for long, as all the rest joined.
    */
   private joinIfVacant(): void {
     const {lease, clock} = this.deps;
-    const silentMs = clock.nowMs() - this.heardMs;
-    const joinsMs = this.isStandby ? STANDBY_JOINS_MS : OTHER_JOINS_MS;
-    if (silentMs <= joinsMs) return;
-    if (lease.current().isVacant) lease.setStandby(true);
+    const nowMs = clock.nowMs();
+    const isSilent = nowMs - this.heardMs > SILENT_HOLDER_MS;
+    const isVacant = isSilent && lease.current().isVacant;
+    this.vacantSinceMs = isVacant ? (this.vacantSinceMs ?? nowMs) : undefined;
+    if (!isSilent) return;
+    if (this.vacantSinceMs === undefined) return lease.refreshHolder();
+    const waitedMs = nowMs - this.vacantSinceMs;
+    if (waitedMs >= this.placeInLine() * JOIN_STEP_MS) lease.setStandby(true);
     else lease.refreshHolder();
   }
 
+  /** How many take the lease before this process. */
+  private placeInLine(): number {
+    const {self, random} = this.deps;
+    const place = this.standbys.indexOf(self.address);
+    if (place >= 0) return place;
+    return this.standbys.length + Math.floor(random() * OTHER_PLACES);
+  }
+
   /** A caller that waits for a copy need not wait for the next exchange too. */
   private exchangeSoon(): void {
     const {clock, options} = this.deps;
@@ -200,15 +220,10 @@
     this.timer = this.deps.clock.setTimer(delayMs, () => void this.run());
   }
 
-  private member(): EntryMember {
-    const {self, lease} = this.deps;
-    return {...self, isInGroup: lease.current().isInGroup};
-  }
-
   private ownLoad(): EntryLoad {
-    const {states, demand} = this.deps;
+    const {self, states, demand} = this.deps;
     return {
-      members: [this.member()],
+      members: [self],
       openWork: states.ownOpenWork(),
       adaptersInUse: states.ownAdaptersInUse(),
       modelsInUse: states.ownModelsInUse(),
@@ -222,7 +237,7 @@
       configVersion: configVersion(),
       runnersChange: runnersChange(),
     };
-    const load = this.relay.load(this.member());
+    const load = this.relay.load(self);
     return {
       ...load,
       ...this.relay.newest(own),
@@ -236,9 +251,9 @@
   }
 
   private async exchange(): Promise<void> {
-    const {own, lease} = this.deps;
+    const {own, lease, self} = this.deps;
     if (lease.current().owns) {
-      this.adopt(own.exchange(this.input()));
+      this.adopt(own.exchange(this.input()), self.address);
       return;
     }
     const relay = this.relayNow();
@@ -249,7 +264,7 @@
     }
     try {
       const output = await this.clients.to(address).exchange(this.input());
-      this.adopt(output, relay);
+      this.adopt(output, address);
     } catch (thrown) {
       this.clients.drop(address);
       if (relay === undefined) this.lost(address, thrown);
@@ -271,21 +286,23 @@
     logger.info('relay-lost', {relay, error});
   }
 
-  /** @param relay that passed the word on; undefined for the holder's own. */
-  private adopt(output: ExchangeOutput | NotHolder, relay?: string): void {
-    const {lease} = this.deps;
-    const isPassedOn = relay !== undefined;
+  /** @param teller the process that answered, a relay or the holder itself. */
+  private adopt(output: ExchangeOutput | NotHolder, teller: string): void {
+    const {lease, self} = this.deps;
     if (output.kind === 'not-holder') {
       lease.noteHolder(output.holderAddress);
       lease.refreshHolder();
-      if (isPassedOn) this.relayLost(relay, 'it has no word of the holder');
+      if (this.relays.includes(teller)) {
+        this.relayLost(teller, 'it has no word of the holder');
+      }
       return;
     }
     this.unanswered.noteAnswered();
     if (!this.wasHeard) this.deps.logger.info('holder-heard');
     this.wasHeard = true;
+    const isPassedOn = output.holder !== teller;
     if (isPassedOn) lease.noteHolder(output.holder);
-    else this.relay.noteWord(output);
+    else if (teller !== self.address) this.relay.noteWord(output);
     this.adoptVersions(output);
     this.adoptLoads(output, isPassedOn);
     this.adoptRoles(output);
@@ -328,12 +345,11 @@
     onEntries(output.entries);
   }
 
-  private adoptRoles({standbys, joins, relays}: ExchangeOutput): void {
+  private adoptRoles({standbys, relays}: ExchangeOutput): void {
     const {lease, self} = this.deps;
     this.relays = relays;
-    this.isStandby = standbys.includes(self.address);
-    if (joins === self.address) lease.setStandby(true);
-    else if (!this.isStandby) lease.setStandby(false);
+    this.standbys = standbys;
+    if (!standbys.includes(self.address)) lease.setStandby(false);
   }
 
   private lost(holder: string, thrown: unknown): void {
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -21,8 +21,6 @@
   failureDomain: z.string(),
   /** Cores' worth of processor that it may use. */
   processorShare: z.number(),
-  /** It is in the group that the lease is dealt to. */
-  isInGroup: z.boolean(),
 });
 
 /** What was asked for since the batch before; sent again until it is answered. */
@@ -84,10 +82,8 @@
   runnersReadAgeMs: z.number(),
   /** Entries heard of within the last seconds, this one included. */
   entries: z.number(),
-  /** Entries that may stay in the lease's group; the others leave it. */
+  /** Entries that stand by for the lease, in the order in which they take it. */
   standbys: z.array(z.string()),
-  /** The entry that is to join the group, where too few are left in it. */
-  joins: z.string().optional(),
   /** Relays in the failure domain of who asks; empty where all ask the holder. */
   relays: z.array(z.string()),
   /** Since each load from the weight store that still counts, in ms. */
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -1,11 +1,8 @@
+import type {RelayCandidate} from '@banyanfold/decisions';
 import type {Clock} from '@banyanfold/core';
 import {CopyRevisions} from '../placement/copyRevisions.js';
 import type {DemandMeter} from '../placement/demandMeter.js';
-import {
-  EntryLoads,
-  type EntryLoad,
-  type EntryMember,
-} from '../placement/entryLoads.js';
+import {EntryLoads, type EntryLoad} from '../placement/entryLoads.js';
 import {SeenBatches} from '../placement/seenBatches.js';
 import type {
   ExchangeInput,
@@ -59,7 +56,11 @@
     this.revisions = new CopyRevisions(`${address}#${clock.wallMs()}`);
   }
 
-  /** The holder itself has spoken; a word that was passed on isn't kept. */
+  /**
+   * Another process has spoken as the holder; a word that was passed on isn't
+   * kept. Its own word of when it was the holder itself must not be either: it
+   * told all others to leave the group of the lease, which another had by then.
+   */
   noteWord(word: ExchangeOutput): void {
     const {isWhole, runners, gone} = word.copies;
     if (isWhole) this.runners.clear();
@@ -70,7 +71,7 @@
   }
 
   /** What this process tells the holder: its own, with that of its group. */
-  load(own: EntryMember): EntryLoad {
+  load(own: RelayCandidate): EntryLoad {
     const {clock, address, ownLoad} = this.options;
     const nowMs = clock.nowMs();
     this.loads.note(address, ownLoad(), nowMs);
--- a/packages/banyanfold-gateway/src/placement/entryLoads.ts
+++ b/packages/banyanfold-gateway/src/placement/entryLoads.ts
@@ -5,16 +5,10 @@
 /** Work is told to a tenth: fewer digits, and nobody decides by less. */
 const ROUNDING = 10;
 
-/** An entry, as those that choose among entries see it. */
-export interface EntryMember extends RelayCandidate {
-  /** It is in the group that the lease is dealt to. */
-  isInGroup: boolean;
-}
-
 /** What an entry, and those it relays for, have open at the runners. */
 export interface EntryLoad {
   /** The entry itself, and those that it relays for. */
-  members: readonly EntryMember[];
+  members: readonly RelayCandidate[];
   openWork: Readonly<Record<string, number>>;
   adaptersInUse: Readonly<Record<string, readonly string[]>>;
   /** Requests under way, by runner and model. */
@@ -59,7 +53,7 @@
   }
 
   /** Entries heard of lately, the last heard first. */
-  members(nowMs: number): EntryMember[] {
+  members(nowMs: number): RelayCandidate[] {
     return [...this.heard(nowMs)]
       .sort((a, b) => b.heardMs - a.heardMs)
       .flatMap(({members}) => members);
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -148,7 +148,7 @@
       runnersChange: this.newestRunnersChange,
       runnersReadAgeMs: nowMs - this.deps.view.runnersAtMs,
       entries: this.loads.count(nowMs),
-      ...this.standbys.current(input.members, term, nowMs),
+      standbys: this.standbys.current(input.members, term, nowMs),
       relays: this.relaysFor(input, nowMs),
       loadAgesMs: this.deps.loadRate.agesMs(nowMs),
       copies: this.revisions.since(input.known),
--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -93,7 +93,7 @@
 
   /**
    * Where another process has the lease, this one stays out of the group until
-   * that one asks it in: the store deals the lease anew with each that joins. Seven processes that started on a
+   * that one is gone: the store deals the lease anew with each that joins. Seven processes that started on a
    * busy day took it from its holder, and nobody ordered for 4 s.
    */
   private async begin(): Promise<void> {
@@ -113,7 +113,6 @@
       isHolder,
       owns: this.ownsIt,
       isVacant: this.isVacant,
-      isInGroup: this.isStandby,
       fencingToken: this.generation * HANDOVERS + this.handedOver,
       term: this.term,
       holderAddress: this.holderAddress,
--- a/packages/banyanfold-gateway/src/placement/standbyRoster.ts
+++ b/packages/banyanfold-gateway/src/placement/standbyRoster.ts
@@ -1,5 +1,4 @@
 import {chooseStandbys, type StandbyCandidate} from '@banyanfold/decisions';
-import type {EntryMember} from './entryLoads.js';
 
 /** Who stands by is chosen anew at this interval. */
 const CHOOSE_INTERVAL_MS = 500;
@@ -9,24 +8,9 @@
  */
 const SETTLE_MS = 1_000;
 
-/**
- * With none left beside the holder one is asked to join, though the lease may go
- * to it then: the store gives the lease of a dead holder to whoever is in the
- * group, and while that was nobody, callers got no adapter for 3 s longer.
- */
-const MIN_STANDBYS = 1;
-
-/** Who is to be in the lease's group. */
-export interface StandbyRoles {
-  /** They may stay in it. */
-  standbys: string[];
-  /** Undefined where enough are in it. */
-  joins?: string;
-}
-
 /** The entries that stand by for the lease, as their holder chooses them. */
 export class StandbyRoster {
-  private roles: StandbyRoles = {standbys: []};
+  private standbys: readonly string[] = [];
   /** Among whom they were chosen. */
   private ranked: ReadonlySet<string> = new Set();
   private chosenMs = Number.NEGATIVE_INFINITY;
@@ -34,11 +18,11 @@
 
   constructor(
     private readonly holder: string,
-    private readonly entriesHeard: (nowMs: number) => EntryMember[],
+    private readonly entriesHeard: (nowMs: number) => StandbyCandidate[],
   ) {}
 
   /**
-   * The entries that may stay in the group, and one that is to join it.
+   * The entries that stand by, in the order in which they take the lease.
    *
    * @param asking the entries for which it is asked.
    * @param term of the lease; a holder of a new one keeps it for a while.
@@ -47,28 +31,20 @@
     asking: readonly StandbyCandidate[],
     term: number,
     nowMs: number,
-  ): StandbyRoles {
+  ): string[] {
     if (this.held?.term !== term) this.held = {term, sinceMs: nowMs};
     const isDue = nowMs - this.chosenMs >= CHOOSE_INTERVAL_MS;
     // An entry that has just come would be told to leave, and to come back.
     const isNewcomer = asking.some(({address}) => !this.ranked.has(address));
     if (isDue || isNewcomer) this.choose(nowMs);
     const isNew = nowMs - this.held.sinceMs < SETTLE_MS;
-    if (!isNew) return this.roles;
-    return {standbys: [...this.roles.standbys, this.holder]};
+    return isNew ? [...this.standbys, this.holder] : [...this.standbys];
   }
 
   private choose(nowMs: number): void {
     const heard = this.entriesHeard(nowMs);
     this.chosenMs = nowMs;
     this.ranked = new Set(heard.map(({address}) => address));
-    const standbys = [...chooseStandbys(heard, this.holder)];
-    const others = heard.filter(({address}) => address !== this.holder);
-    const inGroup = others.filter(({isInGroup}) => isInGroup).length;
-    const outside = standbys.filter(address =>
-      others.some(each => each.address === address && !each.isInGroup),
-    );
-    const joins = inGroup < MIN_STANDBYS ? outside[0] : undefined;
-    this.roles = {standbys, joins};
+    this.standbys = [...chooseStandbys(heard, this.holder)];
   }
 }
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -145,6 +145,7 @@
       const urgency = urgencyOf(this.options.route.priority, leastUrgent);
       const tokens = {promptTokens, maxOutputTokens};
       context.demand.noteArrival({model, adapter, urgency, ...tokens});
+      context.coming.note(model, this.started.work.read);
     }
     context.retryBudgetOf(this.service).noteAttempt();
     if (this.refusals.isTooLate) return this.refuse('leaving');
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -51,6 +51,7 @@
       choices,
       this.affinity(),
       context.failureDomain,
+      {work: this.comingWork(), random: context.random},
     );
     const runner = chosen && context.view.runner(chosen.runnerId);
     if (!chosen || !runner) return undefined;
@@ -114,6 +115,17 @@
     return context.held.holdsAdapter(runnerId, model, adapter);
   }
 
+  /** What all entries will send until this one hears of it. */
+  private comingWork(): number {
+    const {context, request} = this.options;
+    const {model} = request;
+    if (model === undefined) return 0;
+    const {ageMs} = context.held;
+    if (!Number.isFinite(ageMs)) return 0;
+    const unheardMs = ageMs + context.options.exchangeIntervalMs;
+    return context.coming.within(model, context.entries(), unheardMs);
+  }
+
   /** What the request shares with others; undefined for a plain call. */
   private affinity(): Affinity | undefined {
     const {model, adapter, promptParts} = this.options.request;
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -252,8 +252,6 @@
   owns: boolean;
   /** The store last said that nobody has it. */
   isVacant: boolean;
-  /** This process is in the group that the lease is dealt to. */
-  isInGroup: boolean;
   /** Rises with each change of holder. */
   fencingToken: number;
   /** Rises when another process may have ordered since this one last did. */
