--- a/packages/banyanfold-decisions/src/__tests__/planCopies.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/planCopies.test.ts
@@ -131,6 +131,55 @@
     expect(brief(orders)).toEqual(['load hot at r2: relieve']);
   });
 
+  it('relieves a runner that has more than it can read, and does so again', () => {
+    // Load: a model heats up twentyfold and asks for four times what a runner
+    // reads. By late answers alone one copy more seemed to save hardly anybody,
+    // since those of both runners would still be late; callers were refused.
+    const hot = model('hot', {workPerSecond: 320, requestsPerSecond: 35});
+    const runners = [
+      runner({runnerId: 'r1', models: ['hot']}),
+      ...['r2', 'r3', 'r4', 'r5', 'r6'].map(runnerId => runner({runnerId})),
+    ];
+    const orders = planCopies({runners, models: [hot], storeLoadsLeft: 5});
+    expect(orders.length).toBeGreaterThanOrEqual(3);
+    expect(orders.every(order => order.reason === 'relieve')).toBe(true);
+  });
+
+  it('relieves a runner whose places are all taken', () => {
+    // Load: streams of 3 s fill the 32 places of a runner while it reads little.
+    // Whoever comes next waits for a place; other runners stand idle.
+    const long = model('long', {workPerSecond: 6, requestsPerSecond: 20});
+    const full = runner({
+      runnerId: 'r1',
+      slots: 32,
+      models: ['long'],
+      inUse: {long: 60},
+    });
+    const idle = runner({runnerId: 'r2', slots: 32});
+    const relief = (runners: CopyRunner[]) =>
+      brief(planCopies({runners, models: [long], storeLoadsLeft: 1}));
+    expect(relief([full, idle])).toEqual(['load long at r2: relieve']);
+    expect(relief([{...full, inUse: {long: 12}}, idle])).toEqual([]);
+  });
+
+  it('gives the last copy of one rare model of many up for relief', () => {
+    // Load: memory holds one copy each of 40 rare models; one of them is asked
+    // for by all. Each last copy was insured as if all demand could move to its
+    // model, and no room was made.
+    const rare = Array.from({length: 40}, (_, i) => model(`m${i}`));
+    rare[0] = model('m0', {
+      workPerSecond: 160,
+      requestsPerSecond: 18,
+      idleMs: 0,
+    });
+    const runners = Array.from({length: 20}, (_, i) =>
+      runner({runnerId: `r${i}`, models: [`m${2 * i}`, `m${2 * i + 1}`]}),
+    );
+    const orders = planCopies({runners, models: rare, storeLoadsLeft: 4});
+    expect(orders.length).toBeGreaterThan(0);
+    expect(orders.every(order => order.roomFor === 'm0')).toBe(true);
+  });
+
   it('relieves a runner far over its load before it serves a rare model', () => {
     // Load: one runner has the only copy of the model that most callers ask
     // for, and one caller waits for a rare model. The idle runner is used for
