Have a small fleet's processes stand by again after they start; wait less for adapters

Change, by reading: where all entries stand by, one that has started joins with the holder's first word, so that a holder which goes never leaves the group empty; an adapter is waited for 0.4 s again, not 1 s, for a holder may be frozen.

--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -45,6 +45,11 @@
    * is heard.
    */
   peerTimeoutMs: durationMs.default(1_000),
+  /**
+   * A caller waits for its adapter no longer than this for each try: behind a
+   * holder that is frozen it would lose the time to go elsewhere.
+   */
+  adapterTimeoutMs: durationMs.default(400),
   /** The balancer notices within two checks a second apart. */
   noticeMs: durationMs.default(2_600),
   /** Left of the grace period when what still runs is ended. */
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -85,6 +85,7 @@
   /** As the holder last said, in the order in which they take the lease. */
   private standbys: readonly string[] = [];
   private vacantSinceMs: number | undefined;
+  private isFirstWord = true;
   private entries = 1;
   /** In this failure domain, as the holder last said. */
   private relays: readonly string[] = [];
@@ -99,7 +100,10 @@
       ownLoad: () => this.ownLoad(),
       holderAddress: () => lease.current().holderAddress,
     });
-    this.clients = new PeerClients(options.peerTimeoutMs);
+    this.clients = new PeerClients(
+      options.peerTimeoutMs,
+      options.adapterTimeoutMs,
+    );
     const lifeId = `${self.address}#${clock.wallMs()}`;
     this.unanswered = new UnansweredDemand(demand, lifeId);
   }
@@ -345,10 +349,15 @@
     onEntries(output.entries);
   }
 
-  private adoptRoles({standbys, relays}: ExchangeOutput): void {
+  private adoptRoles({standbys, relays, entries}: ExchangeOutput): void {
     const {lease, self} = this.deps;
     this.relays = relays;
     this.standbys = standbys;
+    // Where all entries stand by, one that has started is missing among them: a
+    // holder that goes would otherwise leave the group empty.
+    const doAllStandBy = entries <= standbys.length;
+    if (this.isFirstWord && doAllStandBy) lease.setStandby(true);
+    this.isFirstWord = false;
     if (!standbys.includes(self.address)) lease.setStandby(false);
   }
 
--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -27,11 +27,13 @@
  * of a processor here and 0.37 at the peer; as a request of HTTP for each it took
  * 0.68 and 1.13, and small VMs had no time for it four times a second.
  *
- * @param timeoutMs for each answer, and for the connection to come about.
+ * @param timeoutMs for an exchange, and for the connection to come about.
+ * @param adapterTimeoutMs for an adapter to be there.
  */
 export function createPeerClient(
   address: string,
   timeoutMs: number,
+  adapterTimeoutMs: number,
 ): PeerClient {
   class PeerSocket extends WebSocket {
     constructor(url: string) {
@@ -51,7 +53,7 @@
   return {
     exchange: input => within(timeoutMs, client.exchange.mutate(input)),
     ensureAdapter: input =>
-      within(timeoutMs, client.ensureAdapter.mutate(input)),
+      within(adapterTimeoutMs, client.ensureAdapter.mutate(input)),
     close: () => void socket.close(),
   };
 }
--- a/packages/banyanfold-gateway/src/peers/peerClients.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClients.ts
@@ -7,12 +7,16 @@
 export class PeerClients {
   private readonly clients = new Map<string, PeerClient>();
 
-  constructor(private readonly timeoutMs: number) {}
+  constructor(
+    private readonly timeoutMs: number,
+    private readonly adapterTimeoutMs: number,
+  ) {}
 
   /** The one that was not used for longest makes way. */
   to(address: string): PeerClient {
     const client =
-      this.clients.get(address) ?? createPeerClient(address, this.timeoutMs);
+      this.clients.get(address) ??
+      createPeerClient(address, this.timeoutMs, this.adapterTimeoutMs);
     this.clients.delete(address);
     this.clients.set(address, client);
     const [oldest] = this.clients.keys();
