Split reports, the turn for the lease and what makes way from files that held two jobs

No change of behaviour: ReportAsker out of the holder, LeaseTurn out of its link, CopyVictims and loadMsOf out of the moves, ListenAddress among the types.

--- a/packages/banyanfold-decisions/src/planCopies.ts
+++ b/packages/banyanfold-decisions/src/planCopies.ts
@@ -1,5 +1,6 @@
-import {CopyMoves, loadMsOf, type CopyMove} from './copies/copyMoves.js';
+import {CopyMoves, type CopyMove} from './copies/copyMoves.js';
 import {FleetCopies, type PlannedRunner} from './copies/fleetCopies.js';
+import {loadMsOf} from './copies/loadMsOf.js';
 import {
   DEFAULT_PLAN_COPIES_OPTIONS,
   type CopyModel,
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -21,17 +21,12 @@
 import type {
   FleetSource,
   LeaseSource,
+  ListenAddress,
   RequestCodec,
   RunnerControl,
 } from './types.js';
 import {FleetView} from './view/fleetView.js';
 
-/** Host and port of a listener. */
-export interface ListenAddress {
-  host: string;
-  port: number;
-}
-
 /** Bounds that the deployment sets on the system. */
 export interface DeploymentBounds {
   graceMs: number;
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -10,6 +10,7 @@
 import type {GatewayOptions} from '../options.js';
 import type {LeaseSource} from '../types.js';
 import {added, Relay} from './relay.js';
+import {LeaseTurn, placeInLine} from './leaseTurn.js';
 import {PeerClients} from './peerClients.js';
 import {UnansweredDemand} from './unansweredDemand.js';
 import {urgentIntervalMs} from './urgentIntervalMs.js';
@@ -48,18 +49,6 @@
 
 /** Three exchanges; after that this process reads for itself again. */
 const RELAY_FRESH_MS = 800;
-/**
- * After four exchanges without a word of a holder that orders, the store is asked
- * who has the lease; by then it has dropped a holder that is dead.
- */
-const SILENT_HOLDER_MS = 1_000;
-/**
- * Between two processes that take a vacant lease: the first one has joined, and
- * the next one has heard so from the store.
- */
-const JOIN_STEP_MS = 300;
-/** Places in the order of those that are no standbys, or know of none. */
-const OTHER_PLACES = 4;
 /**
  * The holder reads the runners once a second; its word is an exchange older at a
  * relay. A runner that leaves must get nothing more after two seconds.
@@ -84,7 +73,7 @@
   private heardMs = 0;
   /** As the holder last said, in the order in which they take the lease. */
   private standbys: readonly string[] = [];
-  private vacantSinceMs: number | undefined;
+  private readonly turn = new LeaseTurn();
   private isFirstWord = true;
   private entries = 1;
   /** In this failure domain, as the holder last said. */
@@ -177,36 +166,21 @@
     this.timer = undefined;
     this.lastMs = clock.nowMs();
     await this.exchange();
-    this.joinIfVacant();
+    this.watchLease();
     this.schedule(options.exchangeIntervalMs);
   }
 
-  /**
-   * Takes the lease when nobody has it, one process after the other. While the
-   * store names a holder this process stays out, however slowly that one answers:
-   * each that joins has the store deal the lease anew. On a busy fleet of 17
-   * entries a holder that had missed one renewal was followed by eight others
-   * within 16 s, none of which ordered for long, as all the rest joined.
-   */
-  private joinIfVacant(): void {
-    const {lease, clock} = this.deps;
-    const nowMs = clock.nowMs();
-    const isSilent = nowMs - this.heardMs > SILENT_HOLDER_MS;
-    const isVacant = isSilent && lease.current().isVacant;
-    this.vacantSinceMs = isVacant ? (this.vacantSinceMs ?? nowMs) : undefined;
-    if (!isSilent) return;
-    if (this.vacantSinceMs === undefined) return lease.refreshHolder();
-    const waitedMs = nowMs - this.vacantSinceMs;
-    if (waitedMs >= this.placeInLine() * JOIN_STEP_MS) lease.setStandby(true);
-    else lease.refreshHolder();
-  }
-
-  /** How many take the lease before this process. */
-  private placeInLine(): number {
-    const {self, random} = this.deps;
-    const place = this.standbys.indexOf(self.address);
-    if (place >= 0) return place;
-    return this.standbys.length + Math.floor(random() * OTHER_PLACES);
+  /** Looks after the lease while no holder is heard. */
+  private watchLease(): void {
+    const {lease, clock, self, random} = this.deps;
+    const step = this.turn.next({
+      nowMs: clock.nowMs(),
+      silentMs: clock.nowMs() - this.heardMs,
+      isVacant: lease.current().isVacant,
+      place: placeInLine(self.address, this.standbys, random),
+    });
+    if (step === 'join') lease.setStandby(true);
+    if (step === 'ask') lease.refreshHolder();
   }
 
   /** A caller that waits for a copy need not wait for the next exchange too. */
--- a/packages/banyanfold-gateway/src/peers/peerServer.ts
+++ b/packages/banyanfold-gateway/src/peers/peerServer.ts
@@ -2,7 +2,7 @@
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
 import {WebSocketServer} from 'ws';
-import type {ListenAddress} from '../gateway.js';
+import type {ListenAddress} from '../types.js';
 import {createPeerRouter, type HolderHandlers} from './peerContract.js';
 
 /** Answers the other entries: lasting connections, and single calls over HTTP. */
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -32,12 +32,12 @@
 import {repeatEvery} from '../repeatEvery.js';
 import {CopyRevisions} from './copyRevisions.js';
 import {copyInMs, loadMsOf} from './copyTimes.js';
-import {dueReports} from './dueReports.js';
 import {copyRunnerOf} from './copyRunnerOf.js';
 import type {ModelDemand} from './demandMeter.js';
 import {DemandView} from './demandView.js';
 import {EntryLoads} from './entryLoads.js';
 import {LoadRate} from './loadRate.js';
+import {REPORT_TICK_MS, ReportAsker} from './reportAsker.js';
 import {RunnerController} from './runnerController.js';
 import {SeenBatches} from './seenBatches.js';
 import {StandbyRoster} from './standbyRoster.js';
@@ -56,8 +56,6 @@
  * ms: a renewal came late, and what runners hold hardly changes without orders.
  */
 const LAPSED_WORD_MS = 1_500;
-/** Reports are asked for so often, a few at a time. */
-const REPORT_TICK_MS = 50;
 /**
  * After a plan the holder does other things for at least so many times as long:
  * on a small VM a plan for 26 runners and 76 models took up to 40 ms, seven times
@@ -100,13 +98,17 @@
   private planTookMs = 0;
   /** When this process last could give orders. */
   private orderedMs = Number.NEGATIVE_INFINITY;
-  private readonly reportsOpen = new Set<string>();
-  private readonly reportAskedMs = new WeakMap<RunnerController, number>();
+  private readonly reports: ReportAsker;
   private readonly standbys: StandbyRoster;
   private readonly startedMs: number;
 
   constructor(private readonly deps: HolderOptions) {
     this.startedMs = deps.clock.nowMs();
+    this.reports = new ReportAsker({
+      ...deps,
+      onReport: (asked, report, askedMs) =>
+        this.lifeOf(asked, report)?.noteReport(report, askedMs),
+    });
     const epoch = `${deps.holder}#${deps.clock.wallMs()}`;
     this.revisions = new CopyRevisions(epoch);
     this.standbys = new StandbyRoster(deps.holder, nowMs =>
@@ -118,7 +120,7 @@
     const {options, clock} = this.deps;
     this.repeated.push(
       repeatEvery(clock, options.planIntervalMs, () => this.plan()),
-      repeatEvery(clock, REPORT_TICK_MS, () => this.askDueReports()),
+      repeatEvery(clock, REPORT_TICK_MS, () => this.askReports()),
     );
     this.deps.view.onChange(() => this.syncControllers());
   }
@@ -323,47 +325,9 @@
     return this.deps.view.current?.services.get(service)?.engine;
   }
 
-  /** Asks those whose report is due, the longest unasked first. */
-  private askDueReports(): void {
-    const {lease, clock, options, processorShare} = this.deps;
-    if (!lease.current().isHolder) return;
-    const due = dueReports(
-      [...this.controllers.values()].map(controller => ({
-        key: controller,
-        askedMs: this.reportAskedMs.get(controller),
-        isAwaited:
-          controller.awaitsReport ||
-          (!controller.isKnown && controller.isReachable),
-      })),
-      clock.nowMs(),
-      {
-        tickMs: REPORT_TICK_MS,
-        intervalMs: options.reportIntervalMs,
-        awaitedIntervalMs: options.busyReportIntervalMs,
-        perSecond: options.reportsPerCoreSecond * processorShare,
-      },
-    );
-    for (const controller of due) void this.askReport(controller);
-  }
-
-  private async askReport(controller: RunnerController): Promise<void> {
-    const {control, logger, clock} = this.deps;
-    const {runnerId, address} = controller.registration;
-    if (this.reportsOpen.has(runnerId)) return;
-    this.reportsOpen.add(runnerId);
-    const askedMs = clock.nowMs();
-    this.reportAskedMs.set(controller, askedMs);
-    const answer = await control.report(runnerId, address);
-    this.reportsOpen.delete(runnerId);
-    if (answer.isOk()) {
-      this.lifeOf(controller, answer.value)?.noteReport(answer.value, askedMs);
-      return;
-    }
-    controller.noteReportFailed();
-    logger.warn('report-failed', {
-      runner: runnerId,
-      error: answer.error.message,
-    });
+  private askReports(): void {
+    if (!this.deps.lease.current().isHolder) return;
+    this.reports.askDue([...this.controllers.values()]);
   }
 
   /** The controller of the life that reports; undefined for a life before. */
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -7,6 +7,12 @@
  * fills the ports; nothing here depends on how a deployment spells its wire.
  */
 
+/** Host and port of a listener. */
+export interface ListenAddress {
+  host: string;
+  port: number;
+}
+
 /** What may be repeated, by kind of route. */
 export type RouteKind = 'idempotent' | 'non-idempotent' | 'streaming';
 
