--- a/bench/src/plan/index.ts
+++ b/bench/src/plan/index.ts
@@ -7,6 +7,7 @@
   {runners: 6, models: 13},
   {runners: 27, models: 54},
   {runners: 100, models: 200},
+  {runners: 2000, models: 1200},
 ] as const;
 const ROUNDS = 60;
 const WARM_UP_ROUNDS = 20;
