End a plan whose gains are no numbers

Found by random plans outside the tests, which did not come to an end: with 0 slots in a configuration and nothing under way, 0 divided by 0 made a gain that is no number, and the plan put the move back for ever.

--- a/packages/banyanfold-decisions/src/__tests__/planCopies.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/planCopies.test.ts
@@ -162,6 +162,22 @@
     expect(relief([{...full, inUse: {long: 12}}, idle])).toEqual([]);
   });
 
+  it('comes to an end where a configuration gives runners no places', () => {
+    // The holder's loop stood still for good: 0 requests under way at 0 places
+    // make no number, and a move worth no number was put back again and again.
+    const models = [
+      model('a', {workPerSecond: 50}),
+      model('b', {workPerSecond: 50}),
+    ];
+    const runners = [
+      runner({runnerId: 'r1', slots: 0, models: ['a', 'b'], inUse: {}}),
+      runner({runnerId: 'r2', slots: 0}),
+      runner({runnerId: 'r3', slots: 0}),
+    ];
+    const orders = planCopies({runners, models, storeLoadsLeft: 4});
+    expect(orders.length).toBeGreaterThan(0);
+  });
+
   it('gives the last copy of one rare model of many up for relief', () => {
     // Load: memory holds one copy each of 40 rare models; one of them is asked
     // for by all. Each last copy was insured as if all demand could move to its
--- a/packages/banyanfold-decisions/src/copies/fleetCopies.ts
+++ b/packages/banyanfold-decisions/src/copies/fleetCopies.ts
@@ -114,7 +114,8 @@
     const {runnerWork, fullWork, lateWeight} = this.options;
     const square = (work / runnerWork) ** 2;
     const late = (lateWeight * square) / (1 + square);
-    const excess = Math.max(1, work / fullWork, running / slots);
+    const places = Math.max(1, slots);
+    const excess = Math.max(1, work / fullWork, running / places);
     const unserved = 1 - 1 / excess;
     return requests * (unserved + (1 - unserved) * late);
   }
--- a/packages/banyanfold-decisions/src/planCopies.ts
+++ b/packages/banyanfold-decisions/src/planCopies.ts
@@ -91,7 +91,8 @@
       const move = this.moves.moveTo(seeming.to, seeming.model, this.loadsLeft);
       if (!move) continue;
       const next = moves[0];
-      if (!next || move.gain >= next.gain) this.take(move);
+      // A gain that is no number would be put back for ever.
+      if (!next || !(move.gain < next.gain)) this.take(move);
       else insertByGain(moves, move);
     }
   }
