--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -74,7 +74,6 @@
   /** As the holder last said, in the order in which they take the lease. */
   private standbys: readonly string[] = [];
   private readonly turn = new LeaseTurn();
-  private isFirstWord = true;
   private entries = 1;
   /** In this failure domain, as the holder last said. */
   private relays: readonly string[] = [];
@@ -323,15 +322,10 @@
     onEntries(output.entries);
   }
 
-  private adoptRoles({standbys, relays, entries}: ExchangeOutput): void {
+  private adoptRoles({standbys, relays}: ExchangeOutput): void {
     const {lease, self} = this.deps;
     this.relays = relays;
     this.standbys = standbys;
-    // Where all entries stand by, one that has started is missing among them: a
-    // holder that goes would otherwise leave the group empty.
-    const doAllStandBy = entries <= standbys.length;
-    if (this.isFirstWord && doAllStandBy) lease.setStandby(true);
-    this.isFirstWord = false;
     if (!standbys.includes(self.address)) lease.setStandby(false);
   }
 
