Log which requests are the same one again, and which a crashed runner cut off

The incident's logs couldn't tell one request that ends its runners from a bad model: no line said that two requests are the same, and the end of a runner showed only as a refused connection, or by the registry 3 s later.

--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -1,5 +1,6 @@
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import type {RetryBudget} from '@banyanfold/log';
+import type {CrashWatch} from './crashes/crashWatch.js';
 import type {ComingWork} from './requests/comingWork.js';
 import type {DemandMeter} from './placement/demandMeter.js';
 import type {GatewayOptions} from './options.js';
@@ -29,6 +30,7 @@
   connections: RunnerConnections;
   states: RunnerStates;
   gate: PromptGate;
+  crashWatch: CrashWatch;
   held: HeldCopies;
   demand: DemandMeter;
   coming: ComingWork;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -2,6 +2,8 @@
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import {RetryBudget} from '@banyanfold/log';
 import type {GatewayContext} from './context.js';
+import {CrashWatch} from './crashes/crashWatch.js';
+import {probeListener} from './crashes/probeListener.js';
 import {GatewayServer} from './gatewayServer.js';
 import {DEFAULT_OPTIONS, type GatewayOptions} from './options.js';
 import {HolderLink} from './peers/holderLink.js';
@@ -160,6 +162,14 @@
       connections: new RunnerConnections(clock, options),
       states,
       gate: new PromptGate(clock),
+      crashWatch: new CrashWatch({
+        clock,
+        logger,
+        metrics,
+        view: this.view,
+        probe: at => probeListener(at, options.connectTimeoutMs),
+        onCrash: () => {},
+      }),
       held,
       demand,
       coming: new ComingWork(() => clock.nowMs()),
--- a/packages/banyanfold-gateway/src/requests/answerRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/answerRelay.ts
@@ -39,7 +39,12 @@
   /** No connection was established. */
   | {kind: 'unreached'; error: string}
   /** It may have run, and no whole answer came. */
-  | {kind: 'broken'; error: string};
+  | {
+      kind: 'broken';
+      error: string;
+      /** The runner's side ended the connection; it may have crashed. */
+      isCutOff: boolean;
+    };
 
 /** Who is asked, and who wants to know of the answer's begin. */
 export interface AttemptTracking {
@@ -101,7 +106,7 @@
       };
       const observer = this.observe(connection, settle, tracking);
       const attempt = new Attempt(connection, observer);
-      const abandon = () => settle({kind: 'broken', error: 'given up'});
+      const abandon = () => settle(brokenBy('given up'));
       this.current = {attempt, abandon};
       attempt.send(message);
     });
@@ -135,7 +140,7 @@
     let incoming: Incoming | undefined;
     const fail = (error: string) => {
       this.current?.attempt.cancel();
-      settle({kind: 'broken', error});
+      settle(brokenBy(error));
     };
     return {
       onHead: head => {
@@ -166,12 +171,12 @@
         void connection.endedInOrder().then(isWhole => {
           if (!this.current) return;
           if (isWhole) settle(this.conclude(ended, splitter));
-          else fail('reset before the end');
+          else settle(cutOffBy('reset before the end'));
         });
       },
       onError: error => {
         if (connection.established) {
-          settle({kind: 'broken', error: error.message});
+          settle(cutOffBy(error.message));
         } else {
           settle({kind: 'unreached', error: error.message});
         }
@@ -251,7 +256,7 @@
     const canReuse = this.canReuse(incoming);
     if (isStreamed) {
       if (splitter.pending.length > 0) {
-        return {kind: 'broken', error: 'ended inside an event'};
+        return cutOffBy('ended inside an event');
       }
       this.options.response.end();
       return {
@@ -264,7 +269,7 @@
     }
     const body = Buffer.concat(chunks);
     if (status < 300) {
-      if (!facts.signed) return {kind: 'broken', error: 'answer is unsigned'};
+      if (!facts.signed) return brokenBy('answer is unsigned');
       this.firstByteMs = Math.round(firstByteMs);
       this.sendWhole(status, headers, body);
       return {
@@ -280,7 +285,7 @@
       return {kind: 'rejected', status, canReuse, fromOtherRunner};
     }
     if (facts.signed) return {kind: 'failed', status, headers, body};
-    return {kind: 'broken', error: `unsigned answer ${status}`};
+    return brokenBy(`unsigned answer ${status}`);
   }
 
   private canReuse({head, framing}: Incoming): boolean {
@@ -303,3 +308,12 @@
     response.end(body);
   }
 }
+
+/** An answer that this process gave up, or can't take for the runner's. */
+function brokenBy(error: string): AttemptResult {
+  return {kind: 'broken', error, isCutOff: false};
+}
+
+function cutOffBy(error: string): AttemptResult {
+  return {kind: 'broken', error, isCutOff: true};
+}
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -7,6 +7,8 @@
 export interface RequestLogOptions {
   context: GatewayContext;
   decoded: DecodedRequest;
+  /** The same when the caller sends the request again. */
+  fingerprint: string;
   route: RoutePolicy;
   startedMs: number;
   deadlineMs: number;
@@ -36,6 +38,7 @@
     const {model, adapter} = this.options.decoded.request;
     this.line('route', {
       route: route.name,
+      fingerprint: this.options.fingerprint,
       model,
       adapter,
       runner: runner.runnerId,
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -14,6 +14,7 @@
 import {FINAL_STATUS, sendFinalAnswer} from './finalAnswer.js';
 import {OwnRefusals} from './ownRefusals.js';
 import {pickService} from './pickService.js';
+import {fingerprintOf} from './requestFingerprint.js';
 import {chooseRetryAfterMs, MIN_RETRY_AFTER_MS} from './retryAfter.js';
 import {RequestLog, type TryCounts} from './requestLog.js';
 import {TargetChooser, type Target} from './targetChooser.js';
@@ -63,6 +64,7 @@
   private readonly relay: AnswerRelay;
   private readonly targets: TargetChooser;
   private readonly log: RequestLog;
+  private readonly fingerprint: string;
   private readonly refusals: OwnRefusals;
   private timer: Timer | undefined;
   private wake: (() => void) | undefined;
@@ -76,7 +78,8 @@
   private turn: PromptTurn | undefined;
 
   constructor(private readonly options: RequestRunOptions) {
-    const {context, route, decoded, startedMs, response} = options;
+    const {context, request, route, decoded, body, startedMs, response} =
+      options;
     const waitMs = Math.min(
       route.timeoutMs,
       decoded.request.deadlineMs ?? route.timeoutMs,
@@ -102,9 +105,17 @@
       request: decoded.request,
       service: this.service,
     });
+    this.fingerprint = fingerprintOf({
+      method: request.method ?? 'GET',
+      host: request.headers.host ?? '',
+      target: request.url ?? '/',
+      caller: request.socket.remoteAddress ?? '',
+      body,
+    });
     this.log = new RequestLog({
       context,
       decoded,
+      fingerprint: this.fingerprint,
       route,
       startedMs,
       deadlineMs: this.deadlineMs,
@@ -318,6 +329,9 @@
     );
     this.turn?.giveBack();
     context.states.noteEnd(runner.runnerId, this.started, wasRead);
+    if (result.kind === 'broken' && result.isCutOff) {
+      context.crashWatch.noteCutOff(runner, this.fingerprint);
+    }
     if (result.kind === 'delivered' || result.kind === 'rejected') {
       if (result.canReuse) {
         context.connections.release(runner.address, connection);
