Stop sending a request on that crashes the runners that run it

Callers saw runners end one after the other, with all that ran at them: one request crashes each runner that begins to run it, was sent to the next one as any stream that broke off, and came again from its caller, to any entry. Cause: nothing remembered a request from one sending to the next, nor from one entry to another; a class of fault in which a retry carries the failure on.

A runner that crashed is noticed within a round trip, and all entries tell the holder which requests were at it. Requests that two runners crashed under run by themselves, as far as suspects go, by the holder's leave; one is to blame only if no other was at all the runners that crashed under it, and then isn't run any more, on any entry, also after all processes have ended: the quarantine lies in the store. Those that only ran beside it are free with the verdict. What is remembered is bounded in rows and in time. It is told with the exchange, through the relays, as changes only.

Ruled out: counting crashes alone. Refusing from the holder's word alone: the second sending comes 20 ms after the first.

--- a/packages/banyanfold-decisions/src/index.ts
+++ b/packages/banyanfold-decisions/src/index.ts
@@ -14,3 +14,5 @@
 export * from './decideWait.js';
 export * from './decideWindow.js';
 export * from './urgencyOf.js';
+export * from './crashes/decideTrial.js';
+export * from './crashes/judgeCrashes.js';
--- a/packages/banyanfold-gateway/src/__tests__/holder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holder.test.ts
@@ -1,6 +1,7 @@
 import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {ok} from 'neverthrow';
 import {describe, expect, it} from 'vitest';
+import {CrashLedger} from '../crashes/crashLedger.js';
 import {DEFAULT_OPTIONS} from '../options.js';
 import type {ExchangeInput} from '../peers/peerContract.js';
 import {Holder} from '../placement/holder.js';
@@ -87,6 +88,12 @@
     options: DEFAULT_OPTIONS,
     holder: OWN,
     loadRate: new LoadRate(1_000, 0),
+    crashes: new CrashLedger({
+      clock,
+      logger,
+      metrics: new Metrics(),
+      epoch: OWN,
+    }),
     processorShare: LARGE,
     isLeaving: () => false,
   });
--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -1,5 +1,6 @@
 import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {CrashSuspects} from '../crashes/crashSuspects.js';
 import {DEFAULT_OPTIONS} from '../options.js';
 import {HolderLink} from '../peers/holderLink.js';
 import type {
@@ -66,6 +67,7 @@
     own,
     self: SELF,
     demand,
+    suspects: new CrashSuspects(clock),
     states: new RunnerStates(clock, logger, DEFAULT_OPTIONS),
     held: new HeldCopies(view, () => clock.nowMs(), 1_500),
     loadRate: new LoadRate(1_000, 0),
--- a/packages/banyanfold-gateway/src/__tests__/ownRefusals.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/ownRefusals.test.ts
@@ -109,6 +109,7 @@
     const log = new RequestLog({
       context,
       decoded: {request: request('m1'), passedHeaders: []},
+      fingerprint: 'f1',
       route,
       startedMs: clock.nowMs(),
       deadlineMs: clock.nowMs() + DEADLINE_MS,
--- a/packages/banyanfold-gateway/src/__tests__/relay.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/relay.test.ts
@@ -1,5 +1,6 @@
 import {VirtualClock} from '@banyanfold/core';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {CrashSuspects} from '../crashes/crashSuspects.js';
 import type {ExchangeInput, ExchangeOutput} from '../peers/peerContract.js';
 import {Relay} from '../peers/relay.js';
 import {UnansweredDemand} from '../peers/unansweredDemand.js';
@@ -80,6 +81,7 @@
     clock,
     address: OWN.address,
     demand,
+    suspects: new CrashSuspects(clock),
     ownLoad: () => ({
       members: [OWN],
       openWork: {r1: ownWork},
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -1,5 +1,7 @@
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import type {RetryBudget} from '@banyanfold/log';
+import type {TrialInput} from './crashes/crashContract.js';
+import type {CrashSuspects} from './crashes/crashSuspects.js';
 import type {CrashWatch} from './crashes/crashWatch.js';
 import type {ComingWork} from './requests/comingWork.js';
 import type {DemandMeter} from './placement/demandMeter.js';
@@ -18,6 +20,9 @@
   adapter: string;
 }) => Promise<boolean>;
 
+/** At which runner a suspect may run now; undefined while it has to wait. */
+export type PermitTrial = (wanted: TrialInput) => Promise<string | undefined>;
+
 /** What handling a request needs. */
 export interface GatewayContext {
   clock: Clock;
@@ -31,6 +36,7 @@
   states: RunnerStates;
   gate: PromptGate;
   crashWatch: CrashWatch;
+  suspects: CrashSuspects;
   held: HeldCopies;
   demand: DemandMeter;
   coming: ComingWork;
@@ -38,6 +44,7 @@
   entries(): number;
   retryBudgetOf(service: string): RetryBudget;
   ensureAdapter: EnsureAdapter;
+  permitTrial: PermitTrial;
   random(): number;
   /** True once this process is leaving. */
   isLeaving(): boolean;
--- /dev/null
+++ b/packages/banyanfold-gateway/src/crashes/crashLedger.ts
@@ -0,0 +1,300 @@
+import type {Clock, Logger, Metrics} from '@banyanfold/core';
+import {
+  decideTrial,
+  JUDGE_CRASHES_OPTIONS,
+  judgeCrashes,
+  type CrashRow,
+  type CrashVerdict,
+} from '@banyanfold/decisions';
+import type {
+  CrashNews,
+  KnownSuspects,
+  ToldSuspects,
+  TrialInput,
+  TrialOutput,
+} from './crashContract.js';
+
+export interface CrashLedgerOptions {
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  /** Differs between holders, and between lives of one. */
+  epoch: string;
+  /** Called when a request is put into quarantine. */
+  onQuarantine?: (fingerprint: string) => void;
+}
+
+interface LedgerRow extends CrashRow {
+  crashes: Set<string>;
+  /** When it was last heard of. */
+  atMs: number;
+  quarantinedAtMs?: number;
+}
+
+interface Trial {
+  runnerId: string;
+  untilMs: number;
+}
+
+/** Quarantine ends then, with one more trial: a new version may have come. */
+export const QUARANTINE_MS = 3_600_000;
+/** A request that runners crashed under once or twice is forgotten by then. */
+const EVIDENCE_MS = 600_000;
+const FORGET_INTERVAL_MS = 1_000;
+/** Rows that are kept at most, some 200 bytes each. */
+const MAX_ROWS = 4_000;
+/** More say nothing new of a request. */
+const MAX_CRASHES_KEPT = 16;
+/** All entries have told of a crash by then: two exchanges and a relay's. */
+const SETTLE_MS = 700;
+/** A suspect that hasn't asked for a run for so long gives way to others. */
+const ASKING_MS = 500;
+
+/**
+ * What all entries have told of crashes, at the holder. It says which requests
+ * are suspects and where one may be tried.
+ */
+export class CrashLedger {
+  private readonly rows = new Map<string, LedgerRow>();
+  private readonly firstToldMs = new Map<string, number>();
+  private readonly trials = new Map<string, Trial>();
+  private readonly askedMs = new Map<string, number>();
+  private verdicts: ReadonlyMap<string, CrashVerdict> = new Map();
+  private revision = 0;
+  private isChanged = false;
+  private forgotMs = Number.NEGATIVE_INFINITY;
+  private settlesAtMs = Number.POSITIVE_INFINITY;
+
+  constructor(private readonly options: CrashLedgerOptions) {}
+
+  /** Takes in what an entry tells; told twice, it counts once. */
+  note(news: CrashNews): void {
+    for (const {life, fingerprints} of news.crashes) {
+      for (const fingerprint of fingerprints) {
+        this.noteCrash(life, fingerprint);
+      }
+    }
+    for (const fingerprint of news.served) this.noteServed(fingerprint);
+    for (const {fingerprint, ran} of news.trialsOver) {
+      this.noteTrialOver(fingerprint, ran);
+    }
+    this.noteQuarantined(news.quarantined);
+  }
+
+  /** Known to be guilty by an entry, or by the store. */
+  noteQuarantined(fingerprints: readonly string[]): void {
+    for (const fingerprint of fingerprints) {
+      const row = this.rowOf(fingerprint);
+      if (row.isKnownGuilty) continue;
+      row.isKnownGuilty = true;
+      row.quarantinedAtMs ??= this.options.clock.nowMs();
+      this.isChanged = true;
+    }
+  }
+
+  /** The list of suspects, for one that has heard of it up to `known`. */
+  tell(known: KnownSuspects | undefined): ToldSuspects {
+    this.judge();
+    const {epoch, clock} = this.options;
+    const {revision} = this;
+    if (known?.epoch === epoch && known.revision === revision) {
+      return {epoch, revision};
+    }
+    const nowMs = clock.nowMs();
+    const suspects = [...this.verdicts.keys()].map(fingerprint => {
+      const {quarantinedAtMs} = this.rows.get(fingerprint) ?? {};
+      if (quarantinedAtMs === undefined) return {fingerprint};
+      const leftMs = quarantinedAtMs + QUARANTINE_MS - nowMs;
+      return {fingerprint, quarantinedMs: Math.max(0, Math.round(leftMs))};
+    });
+    return {epoch, revision, suspects};
+  }
+
+  permitTrial({fingerprint, runnerIds, forMs}: TrialInput): TrialOutput {
+    const nowMs = this.options.clock.nowMs();
+    this.forgetTrials(nowMs);
+    this.judge();
+    const verdict = this.verdicts.get(fingerprint);
+    if (verdict === 'quarantined') return {reason: 'quarantined'};
+    this.askedMs.set(fingerprint, nowMs);
+    const crashes = this.rows.get(fingerprint)?.crashes ?? new Set();
+    const decision = decideTrial({
+      fingerprint,
+      crashes: crashes.size,
+      isBeingJudged: this.isBeingJudged(crashes, nowMs),
+      runnerIds,
+      underWay: new Map(
+        [...this.trials].map(([id, {runnerId}]) => [id, runnerId]),
+      ),
+      othersCrashes: this.othersCrashes(fingerprint, nowMs),
+    });
+    if (decision.kind === 'wait') return {reason: decision.reason};
+    const {runnerId} = decision;
+    this.trials.set(fingerprint, {runnerId, untilMs: nowMs + forMs});
+    this.askedMs.delete(fingerprint);
+    this.options.logger.info('trial', {fingerprint, runner: runnerId});
+    return {runnerId, reason: 'alone'};
+  }
+
+  private noteCrash(life: string, fingerprint: string): void {
+    const row = this.rowOf(fingerprint);
+    row.atMs = this.options.clock.nowMs();
+    if (row.crashes.has(life) || row.crashes.size >= MAX_CRASHES_KEPT) return;
+    row.crashes.add(life);
+    if (!this.firstToldMs.has(life)) this.firstToldMs.set(life, row.atMs);
+    this.trials.delete(fingerprint);
+    this.isChanged = true;
+  }
+
+  /** What runs to its end crashes nothing. */
+  private noteServed(fingerprint: string): void {
+    this.trials.delete(fingerprint);
+    this.askedMs.delete(fingerprint);
+    const row = this.rows.get(fingerprint);
+    if (!row || row.isKnownGuilty) return;
+    this.rows.delete(fingerprint);
+    this.isChanged = true;
+  }
+
+  private noteTrialOver(fingerprint: string, ran: boolean): void {
+    if (!this.trials.delete(fingerprint)) return;
+    const row = this.rows.get(fingerprint);
+    if (!row || !ran) return;
+    row.unresolvedTrials += 1;
+    this.isChanged = true;
+  }
+
+  /** Suspects that wait for a trial, by the crashes under them. */
+  private othersCrashes(fingerprint: string, nowMs: number): number[] {
+    const crashes: number[] = [];
+    for (const [other, atMs] of this.askedMs) {
+      if (nowMs - atMs > ASKING_MS) this.askedMs.delete(other);
+      else if (other !== fingerprint && !this.trials.has(other)) {
+        crashes.push(this.rows.get(other)?.crashes.size ?? 0);
+      }
+    }
+    return crashes;
+  }
+
+  private judge(): void {
+    const nowMs = this.options.clock.nowMs();
+    this.forgetOld(nowMs);
+    if (!this.isChanged && nowMs < this.settlesAtMs) return;
+    this.isChanged = false;
+    const before = this.verdicts;
+    this.verdicts = judgeCrashes(this.rows.values(), life =>
+      this.isSettled(life, nowMs),
+    );
+    this.settlesAtMs = this.nextSettleMs(nowMs);
+    if (isSame(before, this.verdicts)) return;
+    this.revision += 1;
+    this.notePutIn(nowMs);
+  }
+
+  private notePutIn(nowMs: number): void {
+    const {logger, metrics, onQuarantine} = this.options;
+    for (const [fingerprint, row] of this.rows) {
+      const isIn = this.verdicts.get(fingerprint) === 'quarantined';
+      if (!isIn) row.quarantinedAtMs = undefined;
+      if (!isIn || row.quarantinedAtMs !== undefined) continue;
+      row.quarantinedAtMs = nowMs;
+      metrics.count('requests_quarantined_total');
+      logger.warn('request-quarantined', {
+        fingerprint,
+        crashes: [...row.crashes].join(','),
+        unresolvedTrials: row.unresolvedTrials,
+      });
+      onQuarantine?.(fingerprint);
+    }
+  }
+
+  private isBeingJudged(crashes: ReadonlySet<string>, nowMs: number): boolean {
+    const {quarantineCrashes} = JUDGE_CRASHES_OPTIONS;
+    if (crashes.size < quarantineCrashes) return false;
+    return [...crashes].some(life => !this.isSettled(life, nowMs));
+  }
+
+  private isSettled(life: string, nowMs: number): boolean {
+    const toldMs = this.firstToldMs.get(life) ?? Number.NEGATIVE_INFINITY;
+    return nowMs - toldMs >= SETTLE_MS;
+  }
+
+  private nextSettleMs(nowMs: number): number {
+    let nextMs = Number.POSITIVE_INFINITY;
+    for (const toldMs of this.firstToldMs.values()) {
+      const atMs = toldMs + SETTLE_MS;
+      if (atMs > nowMs) nextMs = Math.min(nextMs, atMs);
+    }
+    return nextMs;
+  }
+
+  private rowOf(fingerprint: string): LedgerRow {
+    let row = this.rows.get(fingerprint);
+    if (!row) {
+      row = {
+        fingerprint,
+        crashes: new Set(),
+        unresolvedTrials: 0,
+        isKnownGuilty: false,
+        atMs: this.options.clock.nowMs(),
+      };
+      this.rows.set(fingerprint, row);
+      this.keepBounded();
+    }
+    return row;
+  }
+
+  private forgetTrials(nowMs: number): void {
+    for (const [fingerprint, {untilMs}] of this.trials) {
+      if (nowMs > untilMs) this.noteTrialOver(fingerprint, true);
+    }
+  }
+
+  private forgetOld(nowMs: number): void {
+    if (nowMs - this.forgotMs < FORGET_INTERVAL_MS) return;
+    this.forgotMs = nowMs;
+    for (const row of this.rows.values()) {
+      const {quarantinedAtMs} = row;
+      if (quarantinedAtMs !== undefined) {
+        if (nowMs - quarantinedAtMs >= QUARANTINE_MS) this.release(row);
+      } else if (nowMs - row.atMs >= EVIDENCE_MS) {
+        this.rows.delete(row.fingerprint);
+        this.isChanged = true;
+      }
+    }
+    for (const [life, toldMs] of this.firstToldMs) {
+      if (nowMs - toldMs >= EVIDENCE_MS) this.firstToldMs.delete(life);
+    }
+  }
+
+  /** Two crashes stay on the record: it is a suspect, and tried once more. */
+  private release(row: LedgerRow): void {
+    const {fingerprint} = row;
+    row.crashes = new Set([`${fingerprint}#1`, `${fingerprint}#2`]);
+    row.unresolvedTrials = 0;
+    row.isKnownGuilty = false;
+    row.quarantinedAtMs = undefined;
+    row.atMs = this.options.clock.nowMs();
+    this.isChanged = true;
+  }
+
+  /** Drops what says least: the oldest of those with the fewest crashes. */
+  private keepBounded(): void {
+    if (this.rows.size <= MAX_ROWS) return;
+    const rank = ({crashes, isKnownGuilty}: LedgerRow) =>
+      isKnownGuilty ? MAX_CRASHES_KEPT : crashes.size;
+    const [least] = [...this.rows.values()]
+      .slice(0, -1)
+      .sort((a, b) => rank(a) - rank(b) || a.atMs - b.atMs);
+    this.rows.delete(least!.fingerprint);
+    this.isChanged = true;
+  }
+}
+
+function isSame(
+  one: ReadonlyMap<string, CrashVerdict>,
+  other: ReadonlyMap<string, CrashVerdict>,
+): boolean {
+  if (one.size !== other.size) return false;
+  return [...one].every(([key, verdict]) => other.get(key) === verdict);
+}
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -2,8 +2,11 @@
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import {RetryBudget} from '@banyanfold/log';
 import type {GatewayContext} from './context.js';
+import {CrashLedger} from './crashes/crashLedger.js';
+import {CrashSuspects} from './crashes/crashSuspects.js';
 import {CrashWatch} from './crashes/crashWatch.js';
 import {probeListener} from './crashes/probeListener.js';
+import {QuarantineKeeper} from './crashes/quarantineKeeper.js';
 import {GatewayServer} from './gatewayServer.js';
 import {DEFAULT_OPTIONS, type GatewayOptions} from './options.js';
 import {HolderLink} from './peers/holderLink.js';
@@ -24,6 +27,7 @@
   FleetSource,
   LeaseSource,
   ListenAddress,
+  QuarantineStore,
   RequestCodec,
   RunnerControl,
 } from './types.js';
@@ -62,6 +66,7 @@
   fleet: FleetSource;
   lease: LeaseSource;
   control: RunnerControl;
+  quarantine: QuarantineStore;
   random?: () => number;
 }
 
@@ -85,6 +90,7 @@
   private readonly peers: PeerServer;
   private readonly holder: Holder;
   private readonly link: HolderLink;
+  private readonly quarantine: QuarantineKeeper;
   private readonly budgets = new Map<string, RetryBudget>();
   private stopTidying: () => void = () => {};
   private entries = ASSUMED_ENTRIES;
@@ -104,6 +110,21 @@
       held.noteNewLife(runnerId);
     });
     const demand = new DemandMeter();
+    const suspects = new CrashSuspects(clock);
+    const crashes = new CrashLedger({
+      clock,
+      logger,
+      metrics,
+      epoch: `${address}#${clock.wallMs()}`,
+      onQuarantine: fingerprint => this.quarantine.note(fingerprint),
+    });
+    this.quarantine = new QuarantineKeeper({
+      clock,
+      logger,
+      store: parts.quarantine,
+      lease,
+      suspects,
+    });
     const loadRate = new LoadRate(
       settings.bounds.loadWindowMs,
       settings.isFirstStart
@@ -120,6 +141,7 @@
       options,
       holder: address,
       loadRate,
+      crashes,
       processorShare: settings.processorShare,
       isLeaving: () => this.isLeaving,
     });
@@ -136,6 +158,7 @@
         processorShare: settings.processorShare,
       },
       demand,
+      suspects,
       states,
       held,
       loadRate,
@@ -168,14 +191,16 @@
         metrics,
         view: this.view,
         probe: at => probeListener(at, options.connectTimeoutMs),
-        onCrash: () => {},
+        onCrash: crash => suspects.noteCrash(crash),
       }),
+      suspects,
       held,
       demand,
       coming: new ComingWork(() => clock.nowMs()),
       entries: () => this.entries,
       retryBudgetOf: service => this.budgetOf(service),
       ensureAdapter: this.link.ensureAdapter,
+      permitTrial: this.link.permitTrial,
       random: parts.random ?? Math.random,
       isLeaving: () => this.isLeaving,
       cutOffMs: () => this.cutOffMs,
@@ -230,6 +255,7 @@
     lease.start();
     this.holder.start();
     this.link.start();
+    this.quarantine.start();
     this.tidiedMs = clock.nowMs();
     this.stopTidying = repeatEvery(clock, JUDGE_INTERVAL_MS, () => this.tidy());
     logger.info('started', {
@@ -273,6 +299,7 @@
     this.parts.fleet.stop();
     this.holder.stop();
     this.link.stop();
+    this.quarantine.stop();
     this.stopTidying();
     this.callers.stopAccepting();
     this.readiness.close();
@@ -297,6 +324,7 @@
     return {
       exchange: link.answer,
       ensureAdapter: input => holder.ensureAdapter(input),
+      permitTrial: input => holder.permitTrial(input),
       lastOrder: input => holder.lastOrder(input),
       takeOver: handover => holder.takeOver(handover),
     };
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -1,6 +1,8 @@
 import {relayOf, type RelayCandidate} from '@banyanfold/decisions';
 import type {Clock, Logger, Metrics, Timer} from '@banyanfold/core';
-import type {EnsureAdapter} from '../context.js';
+import type {EnsureAdapter, PermitTrial} from '../context.js';
+import type {TrialInput, TrialOutput} from '../crashes/crashContract.js';
+import type {CrashSuspects} from '../crashes/crashSuspects.js';
 import type {DemandMeter} from '../placement/demandMeter.js';
 import type {LoadRate} from '../placement/loadRate.js';
 import type {KnownRevision} from '../placement/copyRevisions.js';
@@ -34,6 +36,7 @@
   /** This process, as its peers see it. */
   self: RelayCandidate;
   demand: DemandMeter;
+  suspects: CrashSuspects;
   states: RunnerStates;
   held: HeldCopies;
   loadRate: LoadRate;
@@ -80,11 +83,12 @@
   private relayPausedUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly deps: HolderLinkOptions) {
-    const {clock, self, demand, lease, options} = deps;
+    const {clock, self, demand, suspects, lease, options} = deps;
     this.relay = new Relay({
       clock,
       address: self.address,
       demand,
+      suspects,
       ownLoad: () => this.ownLoad(),
       holderAddress: () => lease.current().holderAddress,
     });
@@ -98,6 +102,7 @@
 
   start(): void {
     this.deps.demand.onWaiting = () => this.exchangeSoon();
+    this.deps.suspects.onNews = () => this.exchangeSoon();
     void this.run();
   }
 
@@ -143,6 +148,34 @@
     return true;
   };
 
+  /** Undefined while a suspect has to wait, also for want of a holder. */
+  readonly permitTrial: PermitTrial = async wanted => {
+    const {lease, logger} = this.deps;
+    const answer = await this.askForTrial(wanted);
+    if (!answer) return undefined;
+    const {runnerId, reason} = answer;
+    if (runnerId !== undefined) return runnerId;
+    logger.info('trial-waits', {fingerprint: wanted.fingerprint, reason});
+    if (reason === 'not-holder') lease.refreshHolder();
+    return undefined;
+  };
+
+  /** Undefined when the holder gave no answer. */
+  private async askForTrial(
+    wanted: TrialInput,
+  ): Promise<TrialOutput | undefined> {
+    const {own, lease} = this.deps;
+    if (lease.current().isHolder) return own.permitTrial(wanted);
+    const holder = this.holderAddress();
+    if (holder === undefined) return {reason: 'no-holder'};
+    try {
+      return await this.clients.to(holder).permitTrial(wanted);
+    } catch (thrown) {
+      this.lost(holder, thrown);
+      return undefined;
+    }
+  }
+
   /** Undefined when the holder gave no answer. */
   private async askForAdapter(
     wanted: EnsureInput,
@@ -224,6 +257,8 @@
       modelsInUse: load.modelsInUse as ExchangeInput['modelsInUse'],
       known: this.known,
       batch: this.unanswered.next(),
+      crashes: this.deps.suspects.news(),
+      knownSuspects: this.deps.suspects.known,
     };
   }
 
@@ -275,6 +310,8 @@
       return;
     }
     this.unanswered.noteAnswered();
+    this.deps.suspects.noteAnswered();
+    this.deps.suspects.adopt(output.suspects);
     if (!this.wasHeard) this.deps.logger.info('holder-heard');
     this.wasHeard = true;
     const isPassedOn = output.holder !== teller;
--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -1,6 +1,7 @@
 import {createTRPCClient, createWSClient, httpLink, wsLink} from '@trpc/client';
 import {Pool, type Dispatcher} from 'undici';
 import {WebSocket} from 'ws';
+import type {TrialInput, TrialOutput} from '../crashes/crashContract.js';
 import type {
   ExchangeInput,
   ExchangeOutput,
@@ -19,6 +20,8 @@
   exchange(input: ExchangeInput): Promise<ExchangeOutput | NotHolder>;
   /** @throws likewise. */
   ensureAdapter(input: EnsureInput): Promise<EnsureOutput>;
+  /** @throws likewise. */
+  permitTrial(input: TrialInput): Promise<TrialOutput>;
   close(): void;
 }
 
@@ -54,6 +57,7 @@
     exchange: input => within(timeoutMs, client.exchange.mutate(input)),
     ensureAdapter: input =>
       within(adapterTimeoutMs, client.ensureAdapter.mutate(input)),
+    permitTrial: input => within(timeoutMs, client.permitTrial.mutate(input)),
     close: () => void socket.close(),
   };
 }
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -1,5 +1,13 @@
 import {initTRPC} from '@trpc/server';
 import {z} from 'zod';
+import {
+  crashNewsSchema,
+  knownSuspectsSchema,
+  toldSuspectsSchema,
+  trialInputSchema,
+  type TrialInput,
+  type TrialOutput,
+} from '../crashes/crashContract.js';
 
 /** What one runner holds. */
 const toldRunnerSchema = z.object({
@@ -63,6 +71,10 @@
   /** Requests that wait now for a copy, by model. */
   waiting: countsSchema,
   batch: demandBatchSchema,
+  /** Left out by a process of a version that doesn't tell of them. */
+  crashes: crashNewsSchema.optional(),
+  /** Up to where it has heard of the suspects. */
+  knownSuspects: knownSuspectsSchema.optional(),
 });
 
 /** What the holder, or a relay, tells back. */
@@ -102,6 +114,8 @@
   peersWork: countsSchema,
   /** Requests that the other entries have open there, likewise. */
   peersRequests: countsSchema,
+  /** Requests that may crash runners; left out as in what entries tell. */
+  suspects: toldSuspectsSchema.optional(),
 });
 
 export const ensureInputSchema = z.object({
@@ -158,6 +172,7 @@
 export interface HolderHandlers {
   exchange(input: ExchangeInput): ExchangeOutput | NotHolder;
   ensureAdapter(input: EnsureInput): Promise<EnsureOutput>;
+  permitTrial(input: TrialInput): TrialOutput;
   lastOrder(input: LaterHolder): LastOrder;
   takeOver(handover: LeaseHandover): boolean;
 }
@@ -172,6 +187,9 @@
     ensureAdapter: trpc.procedure
       .input(ensureInputSchema)
       .mutation(({input}) => handlers.ensureAdapter(input)),
+    permitTrial: trpc.procedure
+      .input(trialInputSchema)
+      .mutation(({input}) => handlers.permitTrial(input)),
     takeOver: trpc.procedure
       .input(leaseHandoverSchema)
       .mutation(({input}) => handlers.takeOver(input)),
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -1,5 +1,6 @@
 import type {RelayCandidate} from '@banyanfold/decisions';
 import type {Clock} from '@banyanfold/core';
+import type {CrashSuspects} from '../crashes/crashSuspects.js';
 import {CopyRevisions} from '../placement/copyRevisions.js';
 import type {DemandMeter} from '../placement/demandMeter.js';
 import {EntryLoads, type EntryLoad} from '../placement/entryLoads.js';
@@ -17,6 +18,7 @@
   address: string;
   /** Where this process counts its own demand; that of its group adds to it. */
   demand: DemandMeter;
+  suspects: CrashSuspects;
   /** What this process itself has open. */
   ownLoad(): EntryLoad;
   holderAddress(): string | undefined;
@@ -98,7 +100,8 @@
   }
 
   exchange(input: ExchangeInput): ExchangeOutput | NotHolder {
-    const {clock, demand, address, ownLoad, holderAddress} = this.options;
+    const {clock, demand, suspects, address, ownLoad, holderAddress} =
+      this.options;
     const nowMs = clock.nowMs();
     const {heard} = this;
     if (!heard || nowMs - heard.atMs > WORD_FRESH_MS) {
@@ -108,6 +111,7 @@
     this.loads.note(entry, input, nowMs);
     this.loads.note(address, ownLoad(), nowMs);
     if (this.batches.isNew(entry, batch.batchId)) demand.add(batch.demand);
+    suspects.relay(input.crashes);
     if (Object.keys(input.waiting).length > 0) demand.onWaiting();
     this.newestConfig = Math.max(this.newestConfig, configVersion);
     this.newestRunnersChange = Math.max(
@@ -124,6 +128,7 @@
       copies: this.revisions.since(input.known),
       peersWork: added(word.peersWork, group.work),
       peersRequests: added(word.peersRequests, group.requests),
+      suspects: suspects.tell(input.knownSuspects),
     };
   }
 }
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -6,6 +6,8 @@
   type CopyRunner,
   type Relays,
 } from '@banyanfold/decisions';
+import type {TrialInput, TrialOutput} from '../crashes/crashContract.js';
+import type {CrashLedger} from '../crashes/crashLedger.js';
 import type {GatewayOptions} from '../options.js';
 import type {
   EnsureInput,
@@ -76,6 +78,7 @@
   /** Address of this process, by which runners know who orders. */
   holder: string;
   loadRate: LoadRate;
+  crashes: CrashLedger;
   /** Cores' worth of processor that the process may use. */
   processorShare: number;
   isLeaving: () => boolean;
@@ -157,12 +160,14 @@
       copiesInMs: this.copiesInMs(nowMs),
       peersWork: this.loads.workWithout(entry, nowMs),
       peersRequests: this.loads.requestsWithout(entry, nowMs),
+      suspects: this.deps.crashes.tell(input.knownSuspects),
     };
   }
 
   private noteInput(input: ExchangeInput, nowMs: number): void {
-    const {entry, batch, waiting} = input;
+    const {entry, batch, waiting, crashes} = input;
     this.loads.note(entry, input, nowMs);
+    if (crashes) this.deps.crashes.note(crashes);
     if (this.batches.isNew(entry, batch.batchId)) {
       this.demand.note(batch.demand, nowMs);
       this.noteAdapterUse(batch.demand);
@@ -260,6 +265,12 @@
     return {isThere, reason: isThere ? 'there' : 'not-fetched'};
   }
 
+  permitTrial(input: TrialInput): TrialOutput {
+    const {lease, crashes} = this.deps;
+    if (!lease.current().isHolder) return {reason: 'not-holder'};
+    return crashes.permitTrial(input);
+  }
+
   takeOver(handover: LeaseHandover): boolean {
     return !this.deps.isLeaving() && this.deps.lease.takeOver(handover);
   }
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -104,6 +104,14 @@
     });
   }
 
+  refuseQuarantined(fingerprint: string, forMs: number): void {
+    this.line('refuse', {
+      reason: 'quarantined',
+      fingerprint,
+      retryAfterMs: Math.round(forMs),
+    });
+  }
+
   retry(
     runnerId: string,
     result: AttemptResult,
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -15,6 +15,7 @@
 import {OwnRefusals} from './ownRefusals.js';
 import {pickService} from './pickService.js';
 import {fingerprintOf} from './requestFingerprint.js';
+import {Suspicion} from './suspicion.js';
 import {chooseRetryAfterMs, MIN_RETRY_AFTER_MS} from './retryAfter.js';
 import {RequestLog, type TryCounts} from './requestLog.js';
 import {TargetChooser, type Target} from './targetChooser.js';
@@ -34,6 +35,8 @@
 const REJECTION_PAUSE_CAP_MS = 200;
 /** Without a copy or a place, look again after this if nothing changes. */
 const PARK_POLL_MS = 100;
+/** A suspect asks again after this whether it may run; trials take longer. */
+const TRIAL_POLL_MS = 150;
 /**
  * Of the time to its target a prompt waits for its turn up to this share; then it
  * goes all the same, and the runner's own order decides.
@@ -65,6 +68,7 @@
   private readonly targets: TargetChooser;
   private readonly log: RequestLog;
   private readonly fingerprint: string;
+  private readonly suspicion: Suspicion;
   private readonly refusals: OwnRefusals;
   private timer: Timer | undefined;
   private wake: (() => void) | undefined;
@@ -112,6 +116,7 @@
       caller: request.socket.remoteAddress ?? '',
       body,
     });
+    this.suspicion = new Suspicion(context, this.fingerprint);
     this.log = new RequestLog({
       context,
       decoded,
@@ -151,6 +156,8 @@
   async run(): Promise<void> {
     const {context, decoded, startedMs} = this.options;
     const {model, adapter, promptTokens, maxOutputTokens} = decoded.request;
+    // Ahead of the demand: copies would be made for what isn't run.
+    if (this.suspicion.verdict === 'quarantined') return this.endQuarantined();
     if (model !== undefined) {
       const {leastUrgent} = context.view;
       const urgency = urgencyOf(this.options.route.priority, leastUrgent);
@@ -178,13 +185,63 @@
     if (this.nextPauseMs > 0) await this.pause(this.nextPauseMs);
     this.nextPauseMs = 0;
     if (this.isOver) return;
+    const {verdict} = this.suspicion;
+    if (verdict === 'quarantined') return this.endQuarantined();
+    if (verdict === 'suspect') return this.stepAlone();
     const target = this.targets.choose();
     if (!target) return this.park();
-    if (target.needsAdapter && !(await this.fetchAdapter(target))) return;
-    if (this.isOver || !this.targets.isStillUsable(target.runner)) return;
-    if (this.isTurnedAway(target)) return;
+    await this.tryAt(target);
+  }
+
+  /** Undefined when it was not sent. */
+  private async tryAt(target: Target): Promise<AttemptResult | undefined> {
+    if (target.needsAdapter && !(await this.fetchAdapter(target))) {
+      return undefined;
+    }
+    if (this.isOver || !this.targets.isStillUsable(target.runner)) {
+      return undefined;
+    }
+    if (this.isTurnedAway(target)) return undefined;
     const result = await this.attempt(target);
     if (result && !this.isOver) this.settle(target, result);
+    return result;
+  }
+
+  /**
+   * Runs a suspect where no other one runs, or has it wait. Sent on like any
+   * other it would crash a runner at each entry before anyone could tell which
+   * of those at the runner did it.
+   */
+  private async stepAlone(): Promise<void> {
+    const {context} = this.options;
+    const runnerIds = this.targets.byOpenWork();
+    if (runnerIds.length === 0) return this.park();
+    const runnerId = await context.permitTrial({
+      fingerprint: this.fingerprint,
+      runnerIds,
+      forMs: this.deadlineMs - context.clock.nowMs(),
+    });
+    if (runnerId === undefined) {
+      if (!this.isOver) await this.pause(TRIAL_POLL_MS);
+      return;
+    }
+    const target = this.isOver ? undefined : this.targets.choose(runnerId);
+    const result = target && (await this.tryAt(target));
+    this.suspicion.noteTrialEnd(result);
+  }
+
+  /** Refuses at once what has crashed runner after runner. */
+  private endQuarantined(): void {
+    const {quarantinedForMs} = this.suspicion;
+    this.log.refuseQuarantined(this.fingerprint, quarantinedForMs);
+    if (this.relay.hasBegun) {
+      this.options.response.destroy();
+      this.finish('cut', 0);
+    } else if (this.mayHaveRun) {
+      this.answer(FINAL_STATUS.unknown, 'quarantined');
+    } else {
+      this.answer(FINAL_STATUS.notRun, 'quarantined', quarantinedForMs);
+    }
   }
 
   /** Refuses what a full queue would hold until its caller gives up. */
@@ -347,6 +404,7 @@
     const {runnerId} = target.runner;
     switch (result.kind) {
       case 'delivered':
+        this.suspicion.noteAnswered();
         this.notePace(runnerId);
         context.states.noteOutcome(
           runnerId,
@@ -369,6 +427,7 @@
         return;
       case 'failed':
       case 'broken':
+        if (result.kind === 'failed') this.suspicion.noteAnswered();
         this.attemptsMade += 1;
         this.mayHaveRun = true;
         context.states.noteOutcome(runnerId, false);
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -30,12 +30,15 @@
 
   constructor(private readonly options: TargetChooserOptions) {}
 
-  /** Undefined while no runner can take the request. */
-  choose(): Target | undefined {
+  /**
+   * Undefined while no runner can take the request.
+   *
+   * @param only the one runner that it may go to.
+   */
+  choose(only?: string): Target | undefined {
     const {context} = this.options;
-    const serving = this.reachable(this.holding(this.staying())).filter(
-      ({runnerId}) =>
-        this.hasAdapter(runnerId) || context.held.canFetch(runnerId),
+    const serving = this.serving().filter(
+      ({runnerId}) => only === undefined || runnerId === only,
     );
     const fresh = serving.filter(r => !this.rejectedBy.has(r.runnerId));
     const choices = (fresh.length > 0 ? fresh : serving).map(runner => ({
@@ -62,6 +65,13 @@
     };
   }
 
+  /** Runners that can take the request, the one with the least work first. */
+  byOpenWork(): string[] {
+    const {states} = this.options.context;
+    const runnerIds = this.serving().map(({runnerId}) => runnerId);
+    return runnerIds.sort((a, b) => states.openWork(a) - states.openWork(b));
+  }
+
   /** Others go before a runner that turned the request away. */
   noteRejected(runnerId: string): void {
     this.rejectedBy.add(runnerId);
@@ -89,6 +99,13 @@
     };
   }
 
+  private serving(): RunnerRegistration[] {
+    const {held} = this.options.context;
+    return this.reachable(this.holding(this.staying())).filter(
+      ({runnerId}) => this.hasAdapter(runnerId) || held.canFetch(runnerId),
+    );
+  }
+
   private staying(): RunnerRegistration[] {
     const {context, service} = this.options;
     return context.view.runnersOf(service).filter(({leaving}) => !leaving);
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -301,3 +301,20 @@
   setStandby(isStandby: boolean): void;
   release(): Promise<void>;
 }
+
+/** A request in quarantine, as it is kept. */
+export interface QuarantineRecord {
+  fingerprint: string;
+  /** When it was put in, Unix time. */
+  atMs: number;
+}
+
+/** Keeps what must outlast all processes. */
+export interface QuarantineStore {
+  load(): Promise<Result<QuarantineRecord[], BanyanfoldError>>;
+  /** Writes and drops in one call; done twice it changes nothing. */
+  update(
+    put: readonly QuarantineRecord[],
+    dropped: readonly string[],
+  ): Promise<Result<void, BanyanfoldError>>;
+}
