Name a request by what reaches the runner, not by its caller's address

Runners went on ending in turn, each time that the crashing request came from another address. Cause: the address was part of the name under which entries tell of crashes, so that each address made another request of it.

--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -113,7 +113,6 @@
       method: request.method ?? 'GET',
       host: request.headers.host ?? '',
       target: request.url ?? '/',
-      caller: request.socket.remoteAddress ?? '',
       body,
     });
     this.suspicion = new Suspicion(context, this.fingerprint);
