Have an error in the handling of a request end that request, not the process

Found by looking for the incident's cause elsewhere: a failure that a request carries from one process to the next. Here the processes are the entries themselves: an error that nobody foresaw in handling a request was an unhandled rejection, the process ended with all that it carried, and the caller's next sending met the next entry. No request is known that does it; the test throws in the decoding of its headers.

--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -24,6 +24,8 @@
 const START_WAIT_MS = 600;
 /** A caller that is refused for want of a configuration may come back. */
 const NOT_READY_RETRY_MS = 500;
+/** Of a stack: the error, and where it came from. */
+const ERROR_LINES = 6;
 
 /** Takes callers' requests and carries each to its answer. */
 export class GatewayServer {
@@ -35,7 +37,11 @@
   constructor(private readonly context: GatewayContext) {
     this.server = http.createServer(
       {maxHeaderSize: PARSER_HEADER_BYTES, requestTimeout: 0},
-      (request, response) => void this.handle(request, response),
+      (request, response) => {
+        this.handle(request, response).catch((thrown: unknown) =>
+          this.endFailed(response, thrown),
+        );
+      },
     );
     this.server.on('connection', socket => {
       socket.setNoDelay(true);
@@ -123,8 +129,31 @@
       startedMs,
     });
     this.runs.add(run);
-    await run.run();
-    this.runs.delete(run);
+    try {
+      await run.run();
+    } finally {
+      this.runs.delete(run);
+    }
+  }
+
+  /**
+   * An error that nobody foresaw ends one request, not the process: its caller
+   * sends it again, and the next entry would end by it as this one did. A runner
+   * may have run it, so that nothing is promised.
+   */
+  private endFailed(response: ServerResponse, thrown: unknown): void {
+    const {metrics, logger, isLeaving} = this.context;
+    metrics.count('requests_failed_inside_total');
+    const stack = thrown instanceof Error ? thrown.stack : String(thrown);
+    logger.error('request-failed', {
+      error: (stack ?? '').split('\n').slice(0, ERROR_LINES).join(' | '),
+    });
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    const answer = {status: FINAL_STATUS.unknown, reason: 'internal-error'};
+    sendFinalAnswer(response, answer, isLeaving());
   }
 
   /**
