Blame a request only for a crash in a run by itself

Callers of one popular lookup would have got 503 for an hour: three runners crash at once for another reason, such as a rack without power, and nothing else was at all three of them. Three crashes make a suspect now; only a crash while it runs where no other suspect does puts it into quarantine.

--- a/packages/banyanfold-decisions/src/__tests__/judgeCrashes.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/judgeCrashes.test.ts
@@ -10,6 +10,7 @@
   return {
     fingerprint,
     crashes: new Set(crashes),
+    hasCrashedAlone: true,
     unresolvedTrials: 0,
     isKnownGuilty: false,
     ...fields,
@@ -74,6 +75,13 @@
     expect(verdicts(known)).toEqual({guilty: 'quarantined'});
   });
 
+  it('blames none that has not crashed a runner by itself', () => {
+    // A rack loses power, and with it three runners that had the same popular
+    // request; nothing else was at all three of them.
+    const popular = row('popular', ['1', '2', '3'], {hasCrashedAlone: false});
+    expect(verdicts([popular])).toEqual({popular: 'suspect'});
+  });
+
   it('takes two trials without a result for a proof', () => {
     // Its callers leave before it begins, each time; without an end to it, it
     // would reach runners for ever.
--- a/packages/banyanfold-decisions/src/crashes/judgeCrashes.ts
+++ b/packages/banyanfold-decisions/src/crashes/judgeCrashes.ts
@@ -3,6 +3,8 @@
   fingerprint: string;
   /** The lives of runners that crashed while they had it. */
   crashes: ReadonlySet<string>;
+  /** One of them crashed when it ran there by itself. */
+  hasCrashedAlone: boolean;
   /** Runs by itself of which nothing is known: neither answered nor crashed. */
   unresolvedTrials: number;
   /** Found guilty before; the crashes that proved it may be forgotten. */
@@ -39,9 +41,10 @@
  * Whether a request crashes its runners, or only was at them when others did.
  * Dozens of requests are at a runner that crashes, and those that are sent on
  * together meet again at the next one: a count alone would put them into
- * quarantine with the one that did it. So a request is to blame only if no
- * other one was at all the runners that crashed under it, and what it is to
- * blame for doesn't count against the others.
+ * quarantine with the one that did it, or with what crashed several runners at
+ * once, such as a rack without power. So a request is to blame only if a runner
+ * crashed when it ran there by itself, and no other one was at all the runners
+ * that crashed under it. What it is to blame for doesn't count against the others.
  *
  * Answers the load of one request that comes again and again, among many that
  * share its model and so its runners.
@@ -50,7 +53,8 @@
  * @returns by fingerprint; those that run like all others are left out.
  * @example
  * judgeCrashes([{fingerprint: 'a', crashes: new Set(['r1', 'r2', 'r3']),
- *   unresolvedTrials: 0, isKnownGuilty: false}], () => true)
+ *   hasCrashedAlone: true, unresolvedTrials: 0, isKnownGuilty: false}],
+ *   () => true)
  * // Map {'a' => 'quarantined'}
  */
 export function judgeCrashes(
@@ -85,6 +89,7 @@
 ): boolean {
   if (crashes.length < quarantineCrashes) return false;
   if (row.unresolvedTrials >= maxUnresolvedTrials) return true;
+  if (!row.hasCrashedAlone) return false;
   return !rows.some(
     other => other !== row && crashes.every(life => other.crashes.has(life)),
   );
--- a/packages/banyanfold-gateway/src/crashes/crashLedger.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashLedger.ts
@@ -117,11 +117,11 @@
     const verdict = this.verdicts.get(fingerprint);
     if (verdict === 'quarantined') return {reason: 'quarantined'};
     this.askedMs.set(fingerprint, nowMs);
-    const crashes = this.rows.get(fingerprint)?.crashes ?? new Set();
+    const row = this.rows.get(fingerprint);
     const decision = decideTrial({
       fingerprint,
-      crashes: crashes.size,
-      isBeingJudged: this.isBeingJudged(crashes, nowMs),
+      crashes: row?.crashes.size ?? 0,
+      isBeingJudged: row !== undefined && this.isBeingJudged(row, nowMs),
       runnerIds,
       underWay: new Map(
         [...this.trials].map(([id, {runnerId}]) => [id, runnerId]),
@@ -141,8 +141,10 @@
     row.atMs = this.options.clock.nowMs();
     if (row.crashes.has(life) || row.crashes.size >= MAX_CRASHES_KEPT) return;
     row.crashes.add(life);
+    const trial = this.trials.get(fingerprint);
+    if (trial && isLifeOf(life, trial.runnerId)) row.hasCrashedAlone = true;
     if (!this.firstToldMs.has(life)) this.firstToldMs.set(life, row.atMs);
-    this.trials.delete(fingerprint);
+    if (row.hasCrashedAlone) this.trials.delete(fingerprint);
     this.isChanged = true;
   }
 
@@ -208,9 +210,13 @@
     }
   }
 
-  private isBeingJudged(crashes: ReadonlySet<string>, nowMs: number): boolean {
+  /** It has crashed a runner by itself, and not all have told of it yet. */
+  private isBeingJudged(
+    {crashes, hasCrashedAlone}: LedgerRow,
+    nowMs: number,
+  ): boolean {
     const {quarantineCrashes} = JUDGE_CRASHES_OPTIONS;
-    if (crashes.size < quarantineCrashes) return false;
+    if (!hasCrashedAlone || crashes.size < quarantineCrashes) return false;
     return [...crashes].some(life => !this.isSettled(life, nowMs));
   }
 
@@ -234,6 +240,7 @@
       row = {
         fingerprint,
         crashes: new Set(),
+        hasCrashedAlone: false,
         unresolvedTrials: 0,
         isKnownGuilty: false,
         atMs: this.options.clock.nowMs(),
@@ -271,6 +278,7 @@
   private release(row: LedgerRow): void {
     const {fingerprint} = row;
     row.crashes = new Set([`${fingerprint}#1`, `${fingerprint}#2`]);
+    row.hasCrashedAlone = false;
     row.unresolvedTrials = 0;
     row.isKnownGuilty = false;
     row.quarantinedAtMs = undefined;
@@ -291,6 +299,11 @@
   }
 }
 
+/** A life is named by its runner and its start. */
+function isLifeOf(life: string, runnerId: string): boolean {
+  return life.startsWith(`${runnerId}@`);
+}
+
 function isSame(
   one: ReadonlyMap<string, CrashVerdict>,
   other: ReadonlyMap<string, CrashVerdict>,
