Soak: a request that crashes the runners that run it, on each second seed

Even seeds have one more caller, whose request crashes each runner that runs it, at any entry, beside all other faults.

--- a/soak/src/__tests__/judge.test.ts
+++ b/soak/src/__tests__/judge.test.ts
@@ -4,6 +4,7 @@
 
 const QUIET: SoakRecord = {
   calls: [],
+  crashing: [],
   seen: new Map(),
   orders: [],
   overfilled: [],
@@ -38,6 +39,26 @@
   return new Map([['c1', Array.from({length: times}, () => one)]]);
 }
 
+/** Ten seconds apart, each cut by the crash that it caused. */
+function sendings(count: number): Call[] {
+  return Array.from({length: count}, (_, i) => ({
+    ...callOf('letter', {isCut: true}),
+    id: `crash-${i}`,
+    startedMs: 1_000 + i * 10_000,
+    endedMs: 1_100 + i * 10_000,
+  }));
+}
+
+function ranEach(count: number): SoakRecord['seen'] {
+  const [run] = ran(1).get('c1')!;
+  return new Map(
+    Array.from({length: count}, (_, i) => [
+      `crash-${i}`,
+      [{...run!, requestId: `crash-${i}`}],
+    ]),
+  );
+}
+
 const ORDER = {operation: 'load', model: 'm1', fencing_token: 7};
 const PROBE = {
   entry: 'entry-0',
@@ -98,6 +119,27 @@
     {calls: [callOf('lodge', {isCut: true})], seen: ran(1)},
     ['no answer is cut but by a fault'],
   ],
+  [
+    'a request that crashes runners, sent on',
+    {crashing: sendings(8), seen: ranEach(8)},
+    ['what crashes runners is not sent on'],
+  ],
+  [
+    'a request that crashes runners, sent three times more',
+    {crashing: sendings(6), seen: ranEach(6)},
+    [],
+  ],
+  [
+    'the same by an entry that has just started',
+    {
+      crashing: sendings(8),
+      seen: ranEach(8),
+      faults: [
+        {kind: 'entry-kill', fromMs: 1_000, toMs: 80_000, entry: 'entry-0'},
+      ],
+    },
+    [],
+  ],
   [
     'a cut by a kill',
     {
--- a/soak/src/__tests__/runSeed.test.ts
+++ b/soak/src/__tests__/runSeed.test.ts
@@ -9,7 +9,8 @@
 const LENGTH_MS = 5_000;
 
 describe('a short soak', () => {
-  const seeds = [1, ...REGRESSIONS.slice(-3).map(({seed}) => seed)];
+  // An even seed has a request that crashes the runners that run it.
+  const seeds = [1, 2, ...REGRESSIONS.slice(-3).map(({seed}) => seed)];
 
   it.each(seeds)('breaks no rule with seed %i', async seed => {
     const folder = mkdtempSync(join(tmpdir(), 'soak-'));
--- a/soak/src/judge.ts
+++ b/soak/src/judge.ts
@@ -30,6 +30,8 @@
 /** What callers, runners and the supervisor saw of one run. */
 export interface SoakRecord {
   calls: readonly Call[];
+  /** Sendings of the one request that crashes each runner that runs it. */
+  crashing: readonly Call[];
   /** All that reached a runner, by request id. */
   seen: ReadonlyMap<string, readonly SeenRequest[]>;
   orders: readonly AcceptedOrder[];
@@ -67,6 +69,11 @@
   'store-forgets',
 ]);
 
+/** Runners that a request may crash before its sendings count. */
+const FREE_CRASHES = 3;
+/** Sendings that are allowed once all entries can know of the last of them. */
+const SENDINGS_AFTER = 3;
+
 type Rule = (record: SoakRecord) => string[];
 
 /** What must hold, whatever is disturbed. */
@@ -94,6 +101,7 @@
     record.calls
       .filter(call => isCutWithoutCause(call, record))
       .map(call => describe(call, record.seen)),
+  'what crashes runners is not sent on': record => sentOn(record),
   'one holder has a fencing token': ({orders}) => sharedTokens(orders),
   'no runner is ordered to hold more than fits': ({overfilled}) =>
     overfilled.map(order => JSON.stringify(order)),
@@ -168,6 +176,33 @@
   return fromMs <= endedMs && toMs + AFTER_EFFECT_MS >= startedMs;
 }
 
+/** Sendings long after the third crash, by entries that nothing disturbed. */
+function sentOn({crashing, seen, faults}: SoakRecord): string[] {
+  let crashes = 0;
+  let knownMs = Number.POSITIVE_INFINITY;
+  const late: Call[] = [];
+  for (const call of crashing) {
+    const runs = runsOf(seen, call.id).length;
+    if (runs === 0) continue;
+    if (call.startedMs > knownMs && !isDisturbed(call, faults)) {
+      for (let i = 0; i < runs; i++) late.push(call);
+    }
+    crashes += runs;
+    if (crashes >= FREE_CRASHES) {
+      knownMs = Math.min(knownMs, call.endedMs + AFTER_EFFECT_MS);
+    }
+  }
+  if (late.length <= SENDINGS_AFTER) return [];
+  return [late.map(call => describe(call, seen)).join('; ')];
+}
+
+/** Entries or the store were struck, at the time or shortly before. */
+function isDisturbed(call: Call, faults: readonly PlayedFault[]): boolean {
+  return faults
+    .filter(({kind}) => STORE_FAULTS.has(kind) || kind.startsWith('entry-'))
+    .some(fault => overlaps(fault, call));
+}
+
 function sharedTokens(orders: readonly AcceptedOrder[]): string[] {
   const holders = new Map<number, Set<string>>();
   for (const {fencing_token: token, holder} of orders) {
--- a/soak/src/runSeed.ts
+++ b/soak/src/runSeed.ts
@@ -1,5 +1,6 @@
 import type {SeenRequest} from '@banyanfold/platform/standins';
 import {Caller} from './callers.js';
+import {CrashingCaller} from './crashingCaller.js';
 import {ConfigProber} from './configProber.js';
 import {FAULT_HANDLERS, type FaultContext} from './faults.js';
 import {
@@ -36,6 +37,9 @@
 const CALLERS = 8;
 /** Seeds of callers are kept apart from those of the plan. */
 const CALLER_SEEDS = 1_000_000;
+const CRASHING_SEEDS = 2_000_000;
+/** One in so many seeds has a request that crashes the runners that run it. */
+const CRASHING_ONE_IN = 2;
 /** All is served again so soon after the last fault. */
 const RECOVERY_MS = 20_000;
 const START_MS = 20_000;
@@ -67,6 +71,8 @@
 ): Promise<SoakRecord> {
   const callers = makeCallers(system, seed);
   const running = callers.map(caller => caller.run());
+  const crashing = makeCrashingCaller(system, seed);
+  const crashingRun = crashing?.run();
   const context: FaultContext = {system, addedRoutes: []};
   const prober = new ConfigProber(context);
   prober.start();
@@ -74,13 +80,15 @@
   const notRecovered = await untilServed(system, RECOVERY_MS);
   await prober.stop();
   for (const caller of callers) caller.stop();
-  await Promise.all(running);
+  crashing?.stop();
+  await Promise.all([...running, crashingRun]);
   return {
+    crashing: crashing?.calls ?? [],
     calls: callers.flatMap(({calls}) => calls),
     seen: seenById(system),
     orders: system.runners.flatMap(({orders}) => orders),
     overfilled: system.runners.flatMap(({overfilled}) => overfilled),
-    faults,
+    faults: [...faults, ...system.crashesMs.map(crashAt)],
     probes: prober.probes,
     ownEnds: system.entries.flatMap(({process: {name, ownEnds}}) =>
       ownEnds.map(end => `${name}: ${end}`),
@@ -97,6 +105,22 @@
   });
 }
 
+function makeCrashingCaller(
+  {entries}: SoakSystem,
+  seed: number,
+): CrashingCaller | undefined {
+  if (seed % CRASHING_ONE_IN !== 0) return undefined;
+  const draw = createDraw(seed + CRASHING_SEEDS);
+  return new CrashingCaller({
+    entries: entries.map(({process}) => process),
+    draw,
+  });
+}
+
+function crashAt(atMs: number): PlayedFault {
+  return {kind: 'runner-crash', fromMs: atMs, toMs: atMs};
+}
+
 function verdictOf(
   record: SoakRecord,
   {seed, isTimed}: RunSeedOptions,
--- a/soak/src/soakSystem.ts
+++ b/soak/src/soakSystem.ts
@@ -4,6 +4,7 @@
   type RunnerFault,
   type RunnerStandin,
 } from '@banyanfold/platform/standins';
+import {CRASHING_BODY} from './crashingCaller.js';
 import {EntryProcess} from './entryProcess.js';
 import {FaultProxy} from './faultProxy.js';
 
@@ -36,6 +37,8 @@
   /** All runners that ever were, for what they saw. */
   readonly runners: RunnerStandin[] = [];
   readonly faults: Record<string, RunnerFault[]> = {drafting: [], desk: []};
+  /** When runners crashed under the request that crashes them. */
+  readonly crashesMs: number[] = [];
   private runnersMade = 0;
 
   /** @param folder for settings and logs. */
@@ -78,6 +81,12 @@
     this.runnerPlaces[at] = await this.makeRunner(place.service);
   }
 
+  private async replaceCrashed(crashed: RunnerStandin): Promise<void> {
+    this.crashesMs.push(performance.now());
+    const place = this.runnerPlaces.find(({runner}) => runner === crashed);
+    if (place) await this.replaceRunner(place);
+  }
+
   async stop(): Promise<void> {
     await Promise.all(this.entries.map(({process}) => process.stop()));
     for (const {storeLink} of this.entries) storeLink.close();
@@ -101,6 +110,8 @@
         events: STREAM_EVENTS,
         eventPauseMs: EVENT_PAUSE_MS,
         faults: this.faults[service],
+        crashesOn: body => body === CRASHING_BODY,
+        onCrash: crashed => void this.replaceCrashed(crashed),
         ...(isModelRunner && CAPACITY),
       },
       async address => {
