Read the quarantine from the store while no holder is heard

An entry that is cut off from its peers, but neither from the store nor from the runners, heard nothing of a request that crashes them until it was back. Found by reading the design against cuts; test in quarantineKeeper.test.ts, failed before.

--- a/packages/banyanfold-gateway/src/__tests__/quarantineKeeper.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/quarantineKeeper.test.ts
@@ -11,6 +11,7 @@
 let isStoreLost: boolean;
 let lease: {owns: boolean; term: number};
 let calls: number;
+let isHeard: boolean;
 
 beforeEach(() => {
   clock = new VirtualClock();
@@ -18,6 +19,7 @@
   isStoreLost = false;
   lease = {owns: true, term: 1};
   calls = 0;
+  isHeard = true;
 });
 
 const store: QuarantineStore = {
@@ -58,6 +60,7 @@
     store,
     lease: {current: () => lease} as unknown as LeaseSource,
     suspects,
+    isHolderHeard: () => isHeard,
   });
   keeper.start();
   return {keeper, suspects};
@@ -81,6 +84,27 @@
     keeper.stop();
   });
 
+  it('reads for itself while no holder is heard, once runners have crashed', async () => {
+    // An entry is cut off from all others, but not from the store nor from the
+    // runners. What the others have found would reach it only when it is back, and
+    // the request crashes runners from here meanwhile.
+    lease.owns = false;
+    const {keeper, suspects} = startKeeper();
+    await clock.advance(10_000);
+    expect(calls).toBe(1);
+    isHeard = false;
+    await clock.advance(10_000);
+    expect(calls).toBe(1);
+    suspects.noteCrash({life: 'r1@1', fingerprints: ['a']});
+    kept.set('a', clock.wallMs());
+    await clock.advance(2_500);
+    expect(suspects.verdictOf('a')).toBe('quarantined');
+    await clock.advance(20_000);
+    expect(suspects.verdictOf('a')).toBe('quarantined');
+    expect(calls).toBeLessThan(15);
+    keeper.stop();
+  });
+
   it('keeps a verdict when the store is back', async () => {
     // The verdict falls while the store is out; kept nowhere, it would be
     // forgotten with the process.
--- a/packages/banyanfold-gateway/src/crashes/crashSuspects.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashSuspects.ts
@@ -16,6 +16,8 @@
 const WORD_BACK_MS = 1_000;
 /** A new holder has heard by then what its former one and the store know. */
 const HOLDER_LEARNS_MS = 2 * WORD_BACK_MS;
+/** The store's word holds so long; it is read every two seconds if need be. */
+const STORED_HOLDS_MS = 5_000;
 /** Crashes are told anew to a new holder for so long, in ms. */
 const EVIDENCE_MS = 600_000;
 /** Requests whose crashes are kept at most, some 200 bytes each. */
@@ -68,6 +70,7 @@
     for (const [fingerprint, leftMs] of forMs) {
       this.kept.set(fingerprint, nowMs + leftMs);
     }
+    this.keptUntilMs = Math.max(this.keptUntilMs, nowMs + STORED_HOLDS_MS);
     const quarantined = [...forMs.keys()];
     if (quarantined.length > 0) this.relay({...emptyNews(), quarantined});
   }
@@ -119,6 +122,11 @@
     this.unanswered = emptyNews();
   }
 
+  /** Whether anything was heard or seen of crashes. */
+  get hasAny(): boolean {
+    return this.told.size > 0 || this.own.size > 0;
+  }
+
   get known(): KnownSuspects | undefined {
     return this.toldKnown;
   }
@@ -155,13 +163,14 @@
     return {epoch, revision, suspects};
   }
 
+  /** Of the two words about it the one that has it in quarantine. */
   private knownOf(fingerprint: string): {untilMs?: number} | undefined {
-    if (this.told.has(fingerprint)) {
-      return {untilMs: this.told.get(fingerprint)};
-    }
-    const isKept = this.clock.nowMs() < this.keptUntilMs;
-    if (!isKept || !this.kept.has(fingerprint)) return undefined;
-    return {untilMs: this.kept.get(fingerprint)};
+    const isKept =
+      this.clock.nowMs() < this.keptUntilMs && this.kept.has(fingerprint);
+    const isTold = this.told.has(fingerprint);
+    if (!isKept && !isTold) return undefined;
+    const keptUntilMs = isKept ? this.kept.get(fingerprint) : undefined;
+    return {untilMs: this.told.get(fingerprint) ?? keptUntilMs};
   }
 
   /**
--- a/packages/banyanfold-gateway/src/crashes/quarantineKeeper.ts
+++ b/packages/banyanfold-gateway/src/crashes/quarantineKeeper.ts
@@ -10,10 +10,14 @@
   store: QuarantineStore;
   lease: LeaseSource;
   suspects: CrashSuspects;
+  /** Whether a holder's word was heard lately. */
+  isHolderHeard(): boolean;
 }
 
 /** One that could not be read or written is tried again so soon. */
 const TRY_INTERVAL_MS = 500;
+/** While no holder tells, the store is read this often. */
+const UNTOLD_INTERVAL_MS = 2_000;
 /** Records that are kept at most; the oldest make way. */
 const MAX_RECORDS = 500;
 
@@ -26,6 +30,7 @@
   /** By fingerprint, when it was put in; as in the store. */
   private records = new Map<string, number>();
   private readonly unsaved = new Map<string, number>();
+  private askedMs = Number.NEGATIVE_INFINITY;
   private loadedTerm: number | undefined;
   private isBusy = false;
   private isLost = false;
@@ -52,13 +57,27 @@
   private sync(): void {
     const {owns, term} = this.options.lease.current();
     if (this.isBusy) return;
+    if (this.isUntold) return this.begin(this.load(term));
     // One that comes to hold the lease knows what others have written since.
     const isLoaded = owns
       ? this.loadedTerm === term
       : this.loadedTerm !== undefined;
     if (isLoaded && (!owns || this.unsaved.size === 0)) return;
+    this.begin(isLoaded ? this.save() : this.load(term));
+  }
+
+  /**
+   * Cut off from its peers, an entry may still reach the store and the runners. It
+   * reads then what the others have found, if it knows of crashes at all.
+   */
+  private get isUntold(): boolean {
+    const {clock, suspects, isHolderHeard} = this.options;
+    if (isHolderHeard() || !suspects.hasAny) return false;
+    return clock.nowMs() - this.askedMs >= UNTOLD_INTERVAL_MS;
+  }
+
+  private begin(work: Promise<void>): void {
     this.isBusy = true;
-    const work = isLoaded ? this.save() : this.load(term);
     void work.finally(() => {
       this.isBusy = false;
     });
@@ -66,6 +85,7 @@
 
   private async load(term: number): Promise<void> {
     const {store, suspects, logger, clock} = this.options;
+    this.askedMs = clock.nowMs();
     const loaded = await store.load();
     if (loaded.isErr()) return this.lost(loaded.error);
     this.isLost = false;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -124,6 +124,7 @@
       store: parts.quarantine,
       lease,
       suspects,
+      isHolderHeard: () => this.link.isHolderHeard,
     });
     const loadRate = new LoadRate(
       settings.bounds.loadWindowMs,
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -57,6 +57,8 @@
  * relay. A runner that leaves must get nothing more after two seconds.
  */
 const RELAY_READ_AGE_MS = 1_700;
+/** Six exchanges; a lease that changes hands takes less, as a rule. */
+const WORD_LOST_MS = 1_500;
 /**
  * A relay that gave no word is left alone for so long; the holder hears no more
  * of one that is gone for two seconds, and names another.
@@ -132,6 +134,13 @@
     return ageMs < RELAY_FRESH_MS && readAgeMs < RELAY_READ_AGE_MS;
   }
 
+  /** Whether any word of a holder has come within a few exchanges. */
+  get isHolderHeard(): boolean {
+    const {clock} = this.deps;
+    const atMs = this.lastWord?.atMs ?? Number.NEGATIVE_INFINITY;
+    return clock.nowMs() - atMs < WORD_LOST_MS;
+  }
+
   readonly ensureAdapter: EnsureAdapter = async wanted => {
     const {lease, held, logger, options, clock} = this.deps;
     const answer = await this.askForAdapter(wanted);
