--- a/packages/banyanfold-gateway/src/crashes/crashLedger.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashLedger.ts
@@ -1,6 +1,5 @@
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import {
-  decideTrial,
   JUDGE_CRASHES_OPTIONS,
   judgeCrashes,
   type CrashRow,
@@ -13,6 +12,7 @@
   TrialInput,
   TrialOutput,
 } from './crashContract.js';
+import {CrashTrials} from './crashTrials.js';
 
 export interface CrashLedgerOptions {
   clock: Clock;
@@ -31,11 +31,6 @@
   quarantinedAtMs?: number;
 }
 
-interface Trial {
-  runnerId: string;
-  untilMs: number;
-}
-
 /** Quarantine ends then, with one more trial: a new version may have come. */
 export const QUARANTINE_MS = 3_600_000;
 /** A request that runners crashed under once or twice is forgotten by then. */
@@ -47,8 +42,6 @@
 const MAX_CRASHES_KEPT = 16;
 /** All entries have told of a crash by then: two exchanges and a relay's. */
 const SETTLE_MS = 700;
-/** A suspect that hasn't asked for a run for so long gives way to others. */
-const ASKING_MS = 500;
 
 /**
  * What all entries have told of crashes, at the holder. It says which requests
@@ -57,15 +50,16 @@
 export class CrashLedger {
   private readonly rows = new Map<string, LedgerRow>();
   private readonly firstToldMs = new Map<string, number>();
-  private readonly trials = new Map<string, Trial>();
-  private readonly askedMs = new Map<string, number>();
+  private readonly trials: CrashTrials;
   private verdicts: ReadonlyMap<string, CrashVerdict> = new Map();
   private revision = 0;
   private isChanged = false;
   private forgotMs = Number.NEGATIVE_INFINITY;
   private settlesAtMs = Number.POSITIVE_INFINITY;
 
-  constructor(private readonly options: CrashLedgerOptions) {}
+  constructor(private readonly options: CrashLedgerOptions) {
+    this.trials = new CrashTrials(options.clock);
+  }
 
   /** Takes in what an entry tells; told twice, it counts once. */
   note(news: CrashNews): void {
@@ -110,28 +104,22 @@
     return {epoch, revision, suspects};
   }
 
-  permitTrial({fingerprint, runnerIds, forMs}: TrialInput): TrialOutput {
-    const nowMs = this.options.clock.nowMs();
-    this.forgetTrials(nowMs);
+  permitTrial(input: TrialInput): TrialOutput {
+    const {fingerprint} = input;
+    for (const overdue of this.trials.endOverdue())
+      {this.noteUnresolved(overdue);}
     this.judge();
-    const verdict = this.verdicts.get(fingerprint);
-    if (verdict === 'quarantined') return {reason: 'quarantined'};
-    this.askedMs.set(fingerprint, nowMs);
-    const row = this.rows.get(fingerprint);
-    const decision = decideTrial({
-      fingerprint,
-      crashes: row?.crashes.size ?? 0,
-      isBeingJudged: row !== undefined && this.isBeingJudged(row, nowMs),
-      runnerIds,
-      underWay: new Map(
-        [...this.trials].map(([id, {runnerId}]) => [id, runnerId]),
-      ),
-      othersCrashes: this.othersCrashes(fingerprint, nowMs),
-    });
+    if (this.verdicts.get(fingerprint) === 'quarantined') {
+      return {reason: 'quarantined'};
+    }
+    const crashesOf = (id: string) => this.rows.get(id)?.crashes.size ?? 0;
+    const facts = {
+      crashes: crashesOf(fingerprint),
+      isBeingJudged: this.isBeingJudged(fingerprint),
+    };
+    const decision = this.trials.permit(input, facts, crashesOf);
     if (decision.kind === 'wait') return {reason: decision.reason};
     const {runnerId} = decision;
-    this.trials.set(fingerprint, {runnerId, untilMs: nowMs + forMs});
-    this.askedMs.delete(fingerprint);
     this.options.logger.info('trial', {fingerprint, runner: runnerId});
     return {runnerId, reason: 'alone'};
   }
@@ -141,17 +129,15 @@
     row.atMs = this.options.clock.nowMs();
     if (row.crashes.has(life) || row.crashes.size >= MAX_CRASHES_KEPT) return;
     row.crashes.add(life);
-    const trial = this.trials.get(fingerprint);
-    if (trial && isLifeOf(life, trial.runnerId)) row.hasCrashedAlone = true;
+    if (this.trials.isTriedAt(fingerprint, life)) row.hasCrashedAlone = true;
     if (!this.firstToldMs.has(life)) this.firstToldMs.set(life, row.atMs);
-    if (row.hasCrashedAlone) this.trials.delete(fingerprint);
+    if (row.hasCrashedAlone) this.trials.end(fingerprint);
     this.isChanged = true;
   }
 
   /** What runs to its end crashes nothing. */
   private noteServed(fingerprint: string): void {
-    this.trials.delete(fingerprint);
-    this.askedMs.delete(fingerprint);
+    this.trials.end(fingerprint);
     const row = this.rows.get(fingerprint);
     if (!row || row.isKnownGuilty) return;
     this.rows.delete(fingerprint);
@@ -159,25 +145,16 @@
   }
 
   private noteTrialOver(fingerprint: string, ran: boolean): void {
-    if (!this.trials.delete(fingerprint)) return;
+    if (this.trials.end(fingerprint) && ran) this.noteUnresolved(fingerprint);
+  }
+
+  private noteUnresolved(fingerprint: string): void {
     const row = this.rows.get(fingerprint);
-    if (!row || !ran) return;
+    if (!row) return;
     row.unresolvedTrials += 1;
     this.isChanged = true;
   }
 
-  /** Suspects that wait for a trial, by the crashes under them. */
-  private othersCrashes(fingerprint: string, nowMs: number): number[] {
-    const crashes: number[] = [];
-    for (const [other, atMs] of this.askedMs) {
-      if (nowMs - atMs > ASKING_MS) this.askedMs.delete(other);
-      else if (other !== fingerprint && !this.trials.has(other)) {
-        crashes.push(this.rows.get(other)?.crashes.size ?? 0);
-      }
-    }
-    return crashes;
-  }
-
   private judge(): void {
     const nowMs = this.options.clock.nowMs();
     this.forgetOld(nowMs);
@@ -211,13 +188,14 @@
   }
 
   /** It has crashed a runner by itself, and not all have told of it yet. */
-  private isBeingJudged(
-    {crashes, hasCrashedAlone}: LedgerRow,
-    nowMs: number,
-  ): boolean {
+  private isBeingJudged(fingerprint: string): boolean {
+    const row = this.rows.get(fingerprint);
     const {quarantineCrashes} = JUDGE_CRASHES_OPTIONS;
-    if (!hasCrashedAlone || crashes.size < quarantineCrashes) return false;
-    return [...crashes].some(life => !this.isSettled(life, nowMs));
+    if (!row?.hasCrashedAlone || row.crashes.size < quarantineCrashes) {
+      return false;
+    }
+    const nowMs = this.options.clock.nowMs();
+    return [...row.crashes].some(life => !this.isSettled(life, nowMs));
   }
 
   private isSettled(life: string, nowMs: number): boolean {
@@ -251,12 +229,6 @@
     return row;
   }
 
-  private forgetTrials(nowMs: number): void {
-    for (const [fingerprint, {untilMs}] of this.trials) {
-      if (nowMs > untilMs) this.noteTrialOver(fingerprint, true);
-    }
-  }
-
   private forgetOld(nowMs: number): void {
     if (nowMs - this.forgotMs < FORGET_INTERVAL_MS) return;
     this.forgotMs = nowMs;
@@ -299,11 +271,6 @@
   }
 }
 
-/** A life is named by its runner and its start. */
-function isLifeOf(life: string, runnerId: string): boolean {
-  return life.startsWith(`${runnerId}@`);
-}
-
 function isSame(
   one: ReadonlyMap<string, CrashVerdict>,
   other: ReadonlyMap<string, CrashVerdict>,
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -1,9 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {
-  decideRetry,
-  urgencyOf,
-  type RetryDecision,
-} from '@banyanfold/decisions';
+import {urgencyOf} from '@banyanfold/decisions';
 import type {Timer} from '@banyanfold/core';
 import type {GatewayContext} from '../context.js';
 import {adapterKey} from '../runners/heldCopies.js';
@@ -11,6 +7,7 @@
 import type {StartedWork} from '../runners/runnerStates.js';
 import type {DecodedRequest, RoutePolicy} from '../types.js';
 import {AnswerRelay, type AttemptResult} from './answerRelay.js';
+import {decideNextTry} from './decideNextTry.js';
 import {FINAL_STATUS, sendFinalAnswer} from './finalAnswer.js';
 import {OwnRefusals} from './ownRefusals.js';
 import {pickService} from './pickService.js';
@@ -19,12 +16,11 @@
 import {chooseRetryAfterMs, MIN_RETRY_AFTER_MS} from './retryAfter.js';
 import {RequestLog, type TryCounts} from './requestLog.js';
 import {TargetChooser, type Target} from './targetChooser.js';
+import {WakeablePause} from './wakeablePause.js';
 import {workOf} from './workOf.js';
 
 /** The runner doesn't hold what the request needs. */
 const MISDIRECTED = 421;
-/** Tries of one request that runners turned away without running it. */
-const MAX_REJECTIONS = 6;
 /** A runner that is full or fetches an adapter is asked again after this. */
 const REJECTION_PAUSE_MS = 25;
 /**
@@ -71,7 +67,7 @@
   private readonly suspicion: Suspicion;
   private readonly refusals: OwnRefusals;
   private timer: Timer | undefined;
-  private wake: (() => void) | undefined;
+  private readonly pause: WakeablePause;
   private isOver = false;
   private attemptsMade = 0;
   private rejections = 0;
@@ -93,6 +89,7 @@
     const beginsWithinMs = Math.min(waitMs, patienceMs);
     this.leavesMs =
       startedMs + beginsWithinMs - context.options.deadlineMarginMs;
+    this.pause = new WakeablePause(context.clock);
     this.service = pickService(route.services, context.random);
     const {model, adapter, promptTokens, maxOutputTokens} = decoded.request;
     this.started = {
@@ -181,7 +178,7 @@
   }
 
   private async step(): Promise<void> {
-    if (this.nextPauseMs > 0) await this.pause(this.nextPauseMs);
+    if (this.nextPauseMs > 0) await this.pause.wait(this.nextPauseMs);
     this.nextPauseMs = 0;
     if (this.isOver) return;
     const {verdict} = this.suspicion;
@@ -221,7 +218,7 @@
       forMs: this.deadlineMs - context.clock.nowMs(),
     });
     if (runnerId === undefined) {
-      if (!this.isOver) await this.pause(TRIAL_POLL_MS);
+      if (!this.isOver) await this.pause.wait(TRIAL_POLL_MS);
       return;
     }
     const target = this.isOver ? undefined : this.targets.choose(runnerId);
@@ -262,8 +259,8 @@
     this.hasWaited = true;
     if (this.isWaitInVain()) return;
     this.noteWaiting();
-    const unsubscribe = context.view.onChange(() => this.wake?.());
-    await this.pause(PARK_POLL_MS);
+    const unsubscribe = context.view.onChange(() => this.pause.wake());
+    await this.pause.wait(PARK_POLL_MS);
     unsubscribe();
   }
 
@@ -291,17 +288,6 @@
     this.endWaiting = undefined;
   }
 
-  private pause(delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-      const timer = this.options.context.clock.setTimer(delayMs, resolve);
-      this.wake = () => {
-        timer.cancel();
-        this.wake = undefined;
-        resolve();
-      };
-    });
-  }
-
   private async fetchAdapter({runner}: Target): Promise<boolean> {
     const {context, decoded} = this.options;
     const {model, adapter} = decoded.request;
@@ -314,7 +300,7 @@
     if (isThere || this.isOver) return isThere;
     this.targets.noteRejected(runnerId);
     this.noteWaiting();
-    await this.pause(REJECTION_PAUSE_MS);
+    await this.pause.wait(REJECTION_PAUSE_MS);
     return false;
   }
 
@@ -466,30 +452,15 @@
     if (wasTurnedAway) this.rejections += 1;
     this.targets.noteRejected(runner.runnerId);
     const budget = context.retryBudgetOf(this.service);
-    const decision: RetryDecision = decideRetry(
-      {
-        attemptsMade: this.attemptsMade,
-        budgetTokens: result.kind === 'unreached' ? 1 : budget.available,
-        firstByteSent: this.relay.hasBegun && !route.resumable,
-        allNeverStarted: !this.mayHaveRun,
-        repeatable: route.kind === 'idempotent' || route.resumable,
-        remainingBudgetMs: this.deadlineMs - context.clock.nowMs(),
-      },
-      context.clock.nowMs(),
-      {
-        maxAttempts: route.maxAttempts,
-        baseDelayMs: 0,
-        maxDelayMs: 0,
-        minRemainingMs: context.options.minAttemptMs,
-      },
-      context.random,
-    );
-    const isExhausted = this.rejections > MAX_REJECTIONS;
-    const said = isExhausted
-      ? {kind: 'stop', reason: 'turned-away-too-often'}
-      : decision;
-    this.log.retry(runner.runnerId, result, said, this.mayHaveRun);
-    if (decision.kind === 'stop' || isExhausted) {
+    const {goesOn, decision} = decideNextTry(context, route, {
+      result,
+      ...this.counts,
+      hasBegun: this.relay.hasBegun,
+      deadlineMs: this.deadlineMs,
+      budgetTokens: budget.available,
+    });
+    this.log.retry(runner.runnerId, result, decision, this.mayHaveRun);
+    if (!goesOn) {
       this.fail(result);
       return;
     }
@@ -581,7 +552,7 @@
     this.isOver = true;
     this.noteNotWaiting();
     this.turn?.giveBack();
-    this.wake?.();
+    this.pause.wake();
     const {context, route} = this.options;
     context.metrics.count('requests_total', {kind: route.kind, outcome});
     const {firstByteMs, longestPauseMs} = this.relay;
