--- a/packages/banyanfold-gateway/src/crashes/crashLedger.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashLedger.ts
@@ -106,8 +106,9 @@
 
   permitTrial(input: TrialInput): TrialOutput {
     const {fingerprint} = input;
-    for (const overdue of this.trials.endOverdue())
-      {this.noteUnresolved(overdue);}
+    for (const overdue of this.trials.endOverdue()) {
+      this.noteUnresolved(overdue);
+    }
     this.judge();
     if (this.verdicts.get(fingerprint) === 'quarantined') {
       return {reason: 'quarantined'};
