Judge a request under which more runners crashed than are kept

Its crash in a run by itself was left out once 16 crashes were known, so that it would have been tried for ever. Found by reading; test in crashLedger.test.ts, failed before. Rows over the bound are dropped 400 at once: one at a time each meant a sort of 4,000.

--- a/packages/banyanfold-gateway/src/__tests__/crashLedger.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/crashLedger.test.ts
@@ -101,6 +101,14 @@
     expect(suspects()).toEqual([]);
   });
 
+  it('judges one under which very many runners crashed', async () => {
+    // Sent by all entries in the same moment it crashes twenty runners before any
+    // of them hears of another; it must not be tried for ever after.
+    for (let i = 0; i < 20; i++) await crash(`l${i}`, 'a');
+    await crashAlone('a');
+    expect(suspects()).toEqual(['a!']);
+  });
+
   it('clears all that ran beside it with the verdict', async () => {
     for (const life of ['l1', 'l2']) await crash(life, 'a', 'b', 'c');
     expect(suspects()).toEqual(['a', 'b', 'c']);
--- a/packages/banyanfold-gateway/src/crashes/crashLedger.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashLedger.ts
@@ -38,7 +38,9 @@
 const FORGET_INTERVAL_MS = 1_000;
 /** Rows that are kept at most, some 200 bytes each. */
 const MAX_ROWS = 4_000;
-/** More say nothing new of a request. */
+/** Dropped at once when there are more, so that they are sorted seldom. */
+const DROPPED_ROWS = 400;
+/** More say nothing new of a request, but for those of its trials. */
 const MAX_CRASHES_KEPT = 16;
 /** All entries have told of a crash by then: two exchanges and a relay's. */
 const SETTLE_MS = 700;
@@ -128,9 +130,11 @@
   private noteCrash(life: string, fingerprint: string): void {
     const row = this.rowOf(fingerprint);
     row.atMs = this.options.clock.nowMs();
-    if (row.crashes.has(life) || row.crashes.size >= MAX_CRASHES_KEPT) return;
+    if (row.crashes.has(life)) return;
+    const isTrial = this.trials.isTriedAt(fingerprint, life);
+    if (!isTrial && row.crashes.size >= MAX_CRASHES_KEPT) return;
     row.crashes.add(life);
-    if (this.trials.isTriedAt(fingerprint, life)) row.hasCrashedAlone = true;
+    if (isTrial) row.hasCrashedAlone = true;
     if (!this.firstToldMs.has(life)) this.firstToldMs.set(life, row.atMs);
     if (row.hasCrashedAlone) this.trials.end(fingerprint);
     this.isChanged = true;
@@ -264,10 +268,11 @@
     if (this.rows.size <= MAX_ROWS) return;
     const rank = ({crashes, isKnownGuilty}: LedgerRow) =>
       isKnownGuilty ? MAX_CRASHES_KEPT : crashes.size;
-    const [least] = [...this.rows.values()]
+    const least = [...this.rows.values()]
       .slice(0, -1)
-      .sort((a, b) => rank(a) - rank(b) || a.atMs - b.atMs);
-    this.rows.delete(least!.fingerprint);
+      .sort((a, b) => rank(a) - rank(b) || a.atMs - b.atMs)
+      .slice(0, DROPPED_ROWS);
+    for (const {fingerprint} of least) this.rows.delete(fingerprint);
     this.isChanged = true;
   }
 }
