--- a/packages/banyanfold-gateway/src/requests/requestFingerprint.ts
+++ b/packages/banyanfold-gateway/src/requests/requestFingerprint.ts
@@ -15,7 +15,7 @@
 /**
  * Names a request by what stays the same when its caller sends it again; each
  * sending has another request id. The caller's address is no part of it: a
- * runner never gets it, so it can't be why one crashes, and one caller shows
+ * runner never gets it, so it can't be why one crashes, and a caller may show
  * several. With it, each sending from another address passed for a new request.
  *
  * @example
