Leave the lease to the holder at work when the store is reached again

Callers of adapters were refused for seconds after an entry's link to the store had healed: it joined the group in the ordinary way, the store dealt the lease anew, and the new holder had to wait until its orders were a lease apart from the last one's. Cause: only a suspended process asked first who holds the lease; one whose renewals had failed did not (wasSuspended needs no failed renewal). Ruled out: starting processes, which ask already. Now each membership that has lapsed asks first.

--- a/packages/banyanfold-gateway/src/__tests__/leaseKeeper.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseKeeper.model.test.ts
@@ -230,6 +230,26 @@
     expect(first!.keeper.current().holderAddress).toBe(second!.name);
   });
 
+  // Guards against a process taking the lease back when its link to the store heals.
+  it.each([true, false])(
+    'stays with the one at work when a process that was cut off comes back (fenced: %s)',
+    async fenced => {
+      const world = new World(fenced);
+      await world.run(LEASE_MS + 500);
+      const [first] = world.holders();
+      world.store.cutOff.add(first!.name);
+      await world.run(LEASE_MS * 2 + TTL_MS);
+      const second = world.holders().find(p => p !== first);
+      expect(second).toBeDefined();
+      world.store.cutOff.delete(first!.name);
+      await world.run(LEASE_MS * 2, () =>
+        expect(world.holders()).toContain(second),
+      );
+      expect(world.holders()).toEqual([second]);
+      expect(first!.keeper.current().holderAddress).toBe(second!.name);
+    },
+  );
+
   it('stays with the last holder while the store is out, where tokens are checked', async () => {
     const fenced = new World(true);
     await fenced.run(LEASE_MS + 500);
--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -1,6 +1,12 @@
-import type {Clock, Logger, Timer} from '@banyanfold/core';
+import type {BanyanfoldError, Clock, Logger, Timer} from '@banyanfold/core';
+import {err, type Result} from 'neverthrow';
 import type {LastOrder, LeaseHandover} from '../peers/peerContract.js';
-import type {LeaseSource, LeaseState, LeaseStore} from '../types.js';
+import type {
+  LeaseAnswer,
+  LeaseSource,
+  LeaseState,
+  LeaseStore,
+} from '../types.js';
 
 export interface LeaseKeeperOptions {
   clock: Clock;
@@ -99,7 +105,10 @@
    */
   private async begin(): Promise<void> {
     const {isFirstStart} = this.options;
-    if (!isFirstStart && (await this.leavesItToAnother())) return;
+    if (!isFirstStart) {
+      const owner = await this.options.store.owner();
+      if (this.leavesItTo(owner.unwrapOr(undefined))) return;
+    }
     if (this.isStopped) return;
     await this.renew();
   }
@@ -251,11 +260,11 @@
   }
 
   private async renew(): Promise<void> {
-    const {store, ttlMs, logger, clock} = this.options;
+    const {ttlMs, logger, clock} = this.options;
     this.timer?.cancel();
-    if (this.wasSuspended() && (await this.leavesItToAnother())) return;
     const sentAt = this.now();
-    const joined = await store.join(this.generation);
+    const joined = await this.joinUnlessHeld();
+    if (joined === 'left-to-another') return;
     if (this.isStopped || !this.isStandby) return;
     if (joined.isOk()) {
       const {generation, owns} = joined.value;
@@ -291,6 +300,24 @@
     this.timer = clock.setTimer(delayMs, () => void this.renew());
   }
 
+  /**
+   * Joins the group, or renews the membership. One whose membership has lapsed, by
+   * a suspension or because the store was out of its reach, asks first who holds
+   * the lease: the store may deal it anew when a member comes back.
+   */
+  private async joinUnlessHeld(): Promise<
+    Result<LeaseAnswer, BanyanfoldError> | 'left-to-another'
+  > {
+    const {store} = this.options;
+    if (this.renewedAt && this.hasLapsed()) {
+      const owner = await store.owner();
+      // An unanswered question is a failed renewal; a call more would take as long.
+      if (owner.isErr()) return err(owner.error);
+      if (this.leavesItTo(owner.value)) return 'left-to-another';
+    }
+    return store.join(this.generation);
+  }
+
   /**
    * Orders of two holders that both work must be `leaseMs` apart. The one
    * before says when it ordered last; where runners check tokens, one that is
@@ -342,23 +369,16 @@
     return this.elapsedMs(this.failedAt) < FAILURE_FRESH_MS;
   }
 
-  /** No renewal for longer than the lease, and none that failed. */
-  private wasSuspended(): boolean {
-    if (!this.renewedAt || !this.hasLapsed()) return false;
-    const {failedAt} = this;
-    return !failedAt || this.elapsedMs(failedAt) >= FAILURE_FRESH_MS;
-  }
-
   /**
-   * A process that wakes up, or starts, finds another one at work. The store may
-   * deal the lease anew when a member comes back, and the new holder must wait until its
-   * orders are a lease apart from the last one's: callers of adapters got none
-   * for 2.9 s. It stands aside instead, until it hears from no holder.
+   * A process that starts, wakes up or reaches the store again finds another one at
+   * work. Were the lease dealt anew, the new holder would have to wait until its
+   * orders are a lease apart from the last one's, and callers would get no adapters
+   * meanwhile. It stands aside instead, until it hears from no holder.
+   *
+   * @param other the address that the store names as the holder.
    */
-  private async leavesItToAnother(): Promise<boolean> {
-    const {store, address, logger} = this.options;
-    const owner = await store.owner();
-    const other = owner.isOk() ? owner.value : undefined;
+  private leavesItTo(other: string | undefined): boolean {
+    const {address, logger} = this.options;
     if (other === undefined || other === address) return false;
     this.isStandby = false;
     this.ownsIt = false;
