Admit callers by their keys, and name their organisation to runners

A request on a route that isn't public now needs one key that the newest configuration known gives to an organisation, or gets 401; the key is known by its digest alone; the name of the organisation is set for each attempt, whatever the caller sent, and the key is looked up again right before it. The organisation's priority goes before the route's. Where the settings say that keys end with an unconfirmed configuration, requests are refused (503) once it is older than they allow.

--- a/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
@@ -107,6 +107,7 @@
     services: [],
     maxAttempts: 1,
     resumable: false,
+    isPublic: false,
   });
   const table = new RouteTable([
     route('all', '/'),
--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -74,6 +74,7 @@
     onEntries: () => {},
     configVersion: () => 1,
     onNewerConfig: () => {},
+    onConfigCurrent: () => {},
     runnersChange: () => 0,
     onRunnersChange: () => {},
     random: () => 0.5,
--- /dev/null
+++ b/packages/banyanfold-gateway/src/callers/callerIdentity.ts
@@ -0,0 +1,28 @@
+import type {Clock} from '@banyanfold/core';
+import type {FleetView} from '../view/fleetView.js';
+import {decideCaller, type CallerDecision} from './decideCaller.js';
+
+export interface CallerIdentityOptions {
+  clock: Clock;
+  view: FleetView;
+  isPublic: boolean;
+  keyDigest: string | undefined;
+  /** Keys are accepted so long after the configuration was last confirmed. */
+  keysTrustedMs: number | undefined;
+}
+
+/** Who sent a request, by the configuration in force when it is asked. */
+export class CallerIdentity {
+  constructor(private readonly options: CallerIdentityOptions) {}
+
+  decide(): CallerDecision {
+    const {clock, view, isPublic, keyDigest, keysTrustedMs} = this.options;
+    const ageMs = clock.nowMs() - view.configAtMs;
+    return decideCaller({
+      directory: view.organisations,
+      isPublic,
+      keyDigest,
+      isConfigStale: keysTrustedMs !== undefined && ageMs > keysTrustedMs,
+    });
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/callers/organisationDirectory.ts
@@ -0,0 +1,19 @@
+import type {Organisation} from '../types.js';
+
+/** Finds the organisation that holds a key. */
+export class OrganisationDirectory {
+  private readonly byDigest = new Map<string, Organisation>();
+
+  constructor(readonly organisations: readonly Organisation[]) {
+    for (const organisation of organisations) {
+      for (const digest of organisation.keyDigests) {
+        this.byDigest.set(digest, organisation);
+      }
+    }
+  }
+
+  /** @example directory.holderOf(keyDigestOf(key))?.name // 'claims-desk' */
+  holderOf(keyDigest: string): Organisation | undefined {
+    return this.byDigest.get(keyDigest);
+  }
+}
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -40,6 +40,11 @@
   held: HeldCopies;
   demand: DemandMeter;
   coming: ComingWork;
+  /**
+   * Keys are accepted so long after the configuration was last confirmed, in ms;
+   * undefined for however long.
+   */
+  keysTrustedMs: number | undefined;
   /** Entries that are at work, this one included. */
   entries(): number;
   retryBudgetOf(service: string): RetryBudget;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -40,6 +40,8 @@
   retrySlack: number;
   retryWindowMs: number;
   loadWindowMs: number;
+  /** Undefined where keys are accepted from an outdated configuration too. */
+  keysTrustedMs?: number;
 }
 
 export interface GatewaySettings {
@@ -171,6 +173,7 @@
         parts.fleet.refreshConfig();
       },
       runnersChange: () => parts.fleet.runnersChange,
+      onConfigCurrent: atMs => this.view.onConfigCurrent(atMs),
       onRunnersChange: position => parts.fleet.refreshRunners(position),
       random: parts.random ?? Math.random,
       onEntries: count => {
@@ -200,6 +203,7 @@
       held,
       demand,
       coming: new ComingWork(() => clock.nowMs()),
+      keysTrustedMs: settings.bounds.keysTrustedMs,
       entries: () => this.entries,
       retryBudgetOf: service => this.budgetOf(service),
       ensureAdapter: this.link.ensureAdapter,
@@ -250,6 +254,7 @@
     await this.peers.listen(peers);
     fleet.start({
       onConfig: config => this.view.onConfig(config),
+      onConfigCurrent: () => this.view.onConfigCurrent(),
       onRegistration: registration => this.view.onRegistration(registration),
       onRemoval: runnerId => this.view.onRemoval(runnerId),
       onCaughtUp: () => this.view.onCaughtUp(),
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -7,7 +7,10 @@
 import {FINAL_STATUS, sendFinalAnswer} from './requests/finalAnswer.js';
 import {readBody} from './requests/readBody.js';
 import {RequestRun} from './requests/requestRun.js';
-import type {CallerLimits} from './types.js';
+import {CallerIdentity} from './callers/callerIdentity.js';
+import type {CallerDecision} from './callers/decideCaller.js';
+import {shortDigest} from './callers/keyDigest.js';
+import type {CallerLimits, DecodedRequest} from './types.js';
 
 /** Before a configuration is known; callers are refused then anyway. */
 const LIMITS_BEFORE_CONFIG: CallerLimits = {
@@ -119,12 +122,27 @@
       return;
     }
     const decoded = context.codec.decodeRequest(request.rawHeaders);
+    const identity = new CallerIdentity({
+      clock: context.clock,
+      view: context.view,
+      isPublic: route.isPublic,
+      keyDigest: decoded.keyDigest,
+      keysTrustedMs: context.keysTrustedMs,
+    });
+    const caller = identity.decide();
+    if (caller.kind !== 'admitted') {
+      this.turnAwayCaller(request, response, decoded, caller);
+      return;
+    }
+    const {organisation} = caller;
     const run = new RequestRun({
       context,
       request,
       response,
       decoded,
-      route,
+      route: {...route, priority: organisation?.priority ?? route.priority},
+      identity,
+      organisation,
       body,
       startedMs,
     });
@@ -202,6 +220,31 @@
     return undefined;
   }
 
+  /** Refuses a caller that may not use the route, or may not be known to. */
+  private turnAwayCaller(
+    request: IncomingMessage,
+    response: ServerResponse,
+    {keyDigest, request: {requestId}}: DecodedRequest,
+    caller: Exclude<CallerDecision, {kind: 'admitted'}>,
+  ): void {
+    if (caller.kind === 'undecided') {
+      this.turnAway(request, response, FINAL_STATUS.notRun, false);
+      return;
+    }
+    const {metrics, logger, view, isLeaving} = this.context;
+    const {reason} = caller;
+    metrics.count('callers_unauthorized_total', {reason});
+    logger.info('unauthorized', {
+      request: requestId,
+      reason,
+      key: keyDigest && shortDigest(keyDigest),
+      target: request.url,
+      config: view.current?.version,
+    });
+    const status = FINAL_STATUS.unauthorized;
+    sendFinalAnswer(response, {status, reason}, isLeaving());
+  }
+
   private turnAway(
     request: IncomingMessage,
     response: ServerResponse,
--- a/packages/banyanfold-gateway/src/index.ts
+++ b/packages/banyanfold-gateway/src/index.ts
@@ -1,3 +1,4 @@
+export * from './callers/keyDigest.js';
 export * from './gateway.js';
 export * from './options.js';
 export * from './placement/leaseKeeper.js';
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -44,6 +44,8 @@
   configVersion(): number;
   /** A peer has this configuration, and this process an older one. */
   onNewerConfig(version: number): void;
+  /** The configuration in force here was the newest one at that time, in ms. */
+  onConfigCurrent(atMs: number): void;
   runnersChange(): number;
   /** A peer has read the runners up to this change. */
   onRunnersChange(runnersChange: number): void;
@@ -333,12 +335,14 @@
 
   private adoptVersions(output: ExchangeOutput): void {
     const {clock, held, metrics} = this.deps;
+    const nowMs = clock.nowMs();
+    const readAgeMs = output.runnersReadAgeMs + output.ageMs;
     if (output.configVersion > this.deps.configVersion()) {
       this.deps.onNewerConfig(output.configVersion);
+    } else {
+      this.deps.onConfigCurrent(nowMs - readAgeMs);
     }
     this.deps.onRunnersChange(output.runnersChange);
-    const nowMs = clock.nowMs();
-    const readAgeMs = output.runnersReadAgeMs + output.ageMs;
     this.lastWord = {atMs: nowMs, readAgeMs};
     if (output.isOrdering) this.heardMs = nowMs;
     metrics.observeMs('holder_word_age_ms', output.ageMs);
--- a/packages/banyanfold-gateway/src/requests/finalAnswer.ts
+++ b/packages/banyanfold-gateway/src/requests/finalAnswer.ts
@@ -10,6 +10,7 @@
   unknown: 502,
   /** Time ran out; it may have run. */
   timeout: 504,
+  unauthorized: 401,
   noRoute: 404,
   tooLarge: 413,
   headTooLarge: 431,
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -5,7 +5,8 @@
 import {adapterKey} from '../runners/heldCopies.js';
 import type {PromptTurn} from '../runners/promptGate.js';
 import type {StartedWork} from '../runners/runnerStates.js';
-import type {DecodedRequest, RoutePolicy} from '../types.js';
+import type {CallerIdentity} from '../callers/callerIdentity.js';
+import type {DecodedRequest, Organisation, RoutePolicy} from '../types.js';
 import {AnswerRelay, type AttemptResult} from './answerRelay.js';
 import {decideNextTry} from './decideNextTry.js';
 import {FINAL_STATUS, sendFinalAnswer} from './finalAnswer.js';
@@ -43,7 +44,11 @@
   request: IncomingMessage;
   response: ServerResponse;
   decoded: DecodedRequest;
+  /** With the priority of the caller's organisation, where it has one. */
   route: RoutePolicy;
+  identity: CallerIdentity;
+  /** When the request came; undefined without one. */
+  organisation: Organisation | undefined;
   body: Buffer;
   /** When the first byte of the request was seen. */
   startedMs: number;
@@ -144,6 +149,12 @@
     return this.relay.isSent || this.relay.hasBegun || this.mayHaveRun;
   }
 
+  /** A key may have moved to another one since the request came. */
+  private get organisationNow(): Organisation | undefined {
+    const caller = this.options.identity.decide();
+    return caller.kind === 'admitted' ? caller.organisation : undefined;
+  }
+
   private get counts(): TryCounts {
     const {attemptsMade, rejections, mayHaveRun} = this;
     return {attemptsMade, rejections, mayHaveRun};
@@ -181,6 +192,7 @@
     if (this.nextPauseMs > 0) await this.pause.wait(this.nextPauseMs);
     this.nextPauseMs = 0;
     if (this.isOver) return;
+    if (this.isShutOut()) return;
     const {verdict} = this.suspicion;
     if (verdict === 'quarantined') return this.endQuarantined();
     if (verdict === 'suspect') return this.stepAlone();
@@ -226,6 +238,23 @@
     this.suspicion.noteTrialEnd(result);
   }
 
+  /** Ends the request if its caller's key has been taken away since it came. */
+  private isShutOut(): boolean {
+    const caller = this.options.identity.decide();
+    if (caller.kind === 'admitted') return false;
+    if (this.relay.hasBegun) {
+      this.options.response.destroy();
+      this.finish('cut', 0);
+    } else if (caller.kind === 'unauthorized') {
+      this.answer(FINAL_STATUS.unauthorized, caller.reason);
+    } else if (this.mayHaveRun) {
+      this.answer(FINAL_STATUS.unknown, 'config-stale');
+    } else {
+      this.refuse('config-stale');
+    }
+    return true;
+  }
+
   /** Refuses at once what has crashed runner after runner. */
   private endQuarantined(): void {
     const {quarantinedForMs} = this.suspicion;
@@ -323,7 +352,8 @@
     const waited = context.clock.setTimer(waitMs, () => this.turn?.goAhead());
     const mayGo = (await this.turn?.come) ?? true;
     waited.cancel();
-    if (!mayGo || this.isOver || !this.targets.isStillUsable(runner)) {
+    const isUsable = mayGo && !this.isOver && !this.isShutOut();
+    if (!isUsable || !this.targets.isStillUsable(runner)) {
       this.turn?.giveBack();
       context.states.noteEnd(runner.runnerId, this.started, false);
       return undefined;
@@ -346,6 +376,7 @@
       priority:
         decoded.request.model === undefined ? undefined : route.priority,
       lastEventId: this.relay.lastEventId,
+      organisation: this.organisationNow?.name,
     });
     let wasRead = false;
     const result = await this.relay.relay(
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -38,6 +38,8 @@
   maxAttempts: number;
   /** A stream may go on at another runner. */
   resumable: boolean;
+  /** Callers need no key. */
+  isPublic: boolean;
   /** The longest pause between events; undefined where nothing streams. */
   pauseTargetMs?: number;
   /**
@@ -82,11 +84,33 @@
   idleTimeoutMs: number;
 }
 
+/** How much an organisation may have run, over all entries together. */
+export interface UsageCap {
+  unit: 'requests' | 'tokens';
+  ratePerSecond: number;
+  burst: number;
+  /** What a request without token counts amounts to, where tokens are counted. */
+  plainTokens: number;
+}
+
+/** Callers that are told apart, have a priority and are capped together. */
+export interface Organisation {
+  name: string;
+  /** Digests of the keys that its callers carry. */
+  keyDigests: readonly string[];
+  /** Goes before the priority of a route. */
+  priority?: number;
+  /** Undefined for one without a limit. */
+  usageCap?: UsageCap;
+}
+
 export interface FleetConfig {
   version: number;
   routes: readonly RoutePolicy[];
   services: ReadonlyMap<string, ServiceSpec>;
   limits: CallerLimits;
+  /** Undefined where callers carry no keys. */
+  organisations?: readonly Organisation[];
 }
 
 export interface HeldModel {
@@ -171,6 +195,8 @@
   request: InferenceRequest;
   /** Name and value by turns: what goes on to the runner unchanged. */
   passedHeaders: string[];
+  /** Digest of the caller's key; undefined without one that is well-formed. */
+  keyDigest?: string;
 }
 
 /** What the gateway adds to one attempt. */
@@ -179,6 +205,8 @@
   remainingMs: number;
   priority?: number;
   lastEventId?: string;
+  /** Name of the caller's organisation. */
+  organisation?: string;
 }
 
 /** What an answer's head says. */
@@ -240,6 +268,8 @@
 
 export interface FleetHandlers {
   onConfig(config: FleetConfig): void;
+  /** The source has nothing newer than what it gave last. */
+  onConfigCurrent(): void;
   onRegistration(registration: RunnerRegistration): void;
   onRemoval(runnerId: string): void;
   /** The source has been read to its end once. */
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -5,6 +5,7 @@
   RoutePolicy,
   RunnerRegistration,
 } from '../types.js';
+import {OrganisationDirectory} from '../callers/organisationDirectory.js';
 import {RouteTable} from './routeTable.js';
 
 /** How long the last heartbeat number of a removed runner is kept. */
@@ -21,6 +22,8 @@
 export class FleetView implements Omit<FleetHandlers, 'isRelayed'> {
   private config: FleetConfig | undefined;
   private routeTable = new RouteTable([]);
+  /** Undefined where callers carry no keys. */
+  organisations: OrganisationDirectory | undefined;
   private readonly runners = new Map<string, RunnerRegistration>();
   private readonly removed = new Map<string, RemovedRunner>();
   private readonly listeners = new Set<() => void>();
@@ -28,7 +31,7 @@
   private caughtUp = false;
   /** Of all routes; 0 is the most urgent, and before one is known. */
   leastUrgent = 0;
-  /** When the configuration and the runners were last heard of. */
+  /** When the configuration was last confirmed, and the runners heard of. */
   configAtMs = 0;
   runnersAtMs = 0;
 
@@ -78,11 +81,17 @@
     if (this.config && config.version <= this.config.version) return;
     this.config = config;
     this.routeTable = new RouteTable(config.routes);
-    const priorities = config.routes.map(({priority}) => priority);
+    const {organisations} = config;
+    this.organisations =
+      organisations && new OrganisationDirectory(organisations);
+    const priorities = [...config.routes, ...(organisations ?? [])].map(
+      ({priority}) => priority ?? 0,
+    );
     this.leastUrgent = Math.max(0, ...priorities);
     this.logger.info('config', {
       version: config.version,
       routes: config.routes.length,
+      organisations: organisations?.length,
     });
     this.changed();
   }
@@ -146,6 +155,12 @@
     this.changed();
   }
 
+  /** The configuration in force was the newest one, now or at that time, in ms. */
+  onConfigCurrent(atMs = this.clock.nowMs()): void {
+    if (!this.config) return;
+    this.configAtMs = Math.max(this.configAtMs, atMs);
+  }
+
   private changed(): void {
     for (const listener of this.listeners) listener();
   }
