Hold usage caps over all entries, three ways to share them behind one interface

Each entry counts what it admits; the reports go to the holder with the batches of demand, through relays and once each, and what is left comes back with each exchange. No call to the store. What was refused unrun is given back. Refused at once with 429 and when the bucket has what the request needs.

--- /dev/null
+++ b/packages/banyanfold-decisions/src/__tests__/usageFleet.ts
@@ -0,0 +1,135 @@
+import {FleetUsage, type UsageReport} from '../usage/fleetUsage.js';
+import {
+  OrganisationUsage,
+  type UsageSharing,
+} from '../usage/organisationUsage.js';
+import type {BucketLimits} from '../usage/usageBucket.js';
+
+const ORGANISATION = 'claims';
+const STEP_MS = 10;
+const EXCHANGE_MS = 250;
+
+export interface FleetOptions {
+  sharing: UsageSharing;
+  entries: number;
+  limits: BucketLimits;
+  /** Mean tokens of a request; the largest are four times as many. */
+  meanTokens: number;
+  askedPerSecond: number;
+  forMs: number;
+  random: () => number;
+  /** Whether an entry is cut off from the holder. */
+  isCut?: (entry: number, nowMs: number) => boolean;
+  /** Whether an entry starts anew at this step. */
+  restarts?: (entry: number, nowMs: number) => boolean;
+  /** Share of the requests that go to the first entry. */
+  skew?: number;
+}
+
+export interface FleetOutcome {
+  asked: number;
+  admitted: number;
+  /** Refused while the bucket of the whole fleet had something left. */
+  falselyRefused: number;
+  /** The most tokens in a window beyond its cap, as a share of the cap. */
+  overshoot: number;
+}
+
+interface Entry {
+  usage: OrganisationUsage;
+  asked: number;
+  used: number;
+}
+
+const WINDOW_MS = 8_000;
+
+/** Plays one organisation's load at entries that report to one holder. */
+export function playFleet(options: FleetOptions): FleetOutcome {
+  const {sharing, entries: count, limits, forMs, random, skew = 0} = options;
+  const {isCut = () => false, restarts = () => false} = options;
+  const fleet = new FleetUsage(-Infinity, () => limits);
+  const start = (sinceMs: number): Entry => ({
+    usage: new OrganisationUsage(sharing, sinceMs),
+    asked: 0,
+    used: 0,
+  });
+  const entries = Array.from({length: count}, () => start(-Infinity));
+  let left = limits.burst;
+  let falselyRefused = 0;
+  let asked = 0;
+  const admitted: Array<{atMs: number; tokens: number}> = [];
+  const perStep =
+    (options.askedPerSecond * STEP_MS) / 1_000 / options.meanTokens;
+  for (let nowMs = 0; nowMs < forMs; nowMs += STEP_MS) {
+    left = Math.min(
+      limits.burst,
+      left + (limits.ratePerSecond * STEP_MS) / 1e3,
+    );
+    for (let i = 0; i < count; i++) {
+      if (restarts(i, nowMs)) entries[i] = start(nowMs);
+      if (isCut(i, nowMs)) continue;
+      if ((nowMs + i * STEP_MS) % EXCHANGE_MS !== 0) continue;
+      const entry = entries[i]!;
+      const report: UsageReport = {
+        organisation: ORGANISATION,
+        asked: entry.asked,
+        used: entry.used,
+      };
+      fleet.note([report], nowMs);
+      entry.asked = 0;
+      entry.used = 0;
+      const told = fleet.tell(nowMs)[ORGANISATION];
+      if (told) entry.usage.tell(told, nowMs, 0);
+    }
+    let due = perStep;
+    while (due > 0 && random() < due) {
+      due -= 1;
+      const at = random() < skew ? 0 : Math.floor(random() ** 1.5 * count);
+      const tokens = Math.round(
+        Math.min(4, -Math.log(1 - random())) * options.meanTokens,
+      );
+      const entry = entries[at]!;
+      asked += tokens;
+      entry.asked += tokens;
+      const decision = entry.usage.decide(tokens, {
+        limits,
+        entries: count,
+        nowMs,
+        random,
+      });
+      if (decision.kind === 'admit') {
+        entry.used += tokens;
+        left -= tokens;
+        admitted.push({atMs: nowMs, tokens});
+      } else if (left > 0) {
+        falselyRefused += tokens;
+      }
+    }
+  }
+  const total = admitted.reduce((sum, {tokens}) => sum + tokens, 0);
+  return {
+    asked,
+    admitted: total,
+    falselyRefused: falselyRefused / Math.max(asked, 1),
+    overshoot: overshootOf(admitted, limits),
+  };
+}
+
+function overshootOf(
+  admitted: ReadonlyArray<{atMs: number; tokens: number}>,
+  {ratePerSecond, burst}: BucketLimits,
+): number {
+  const cap = (ratePerSecond * WINDOW_MS) / 1_000 + burst;
+  let most = 0;
+  let sum = 0;
+  let first = 0;
+  for (const {atMs, tokens} of admitted) {
+    sum += tokens;
+    while (admitted[first]!.atMs <= atMs - WINDOW_MS) {
+      sum -= admitted[first]!.tokens;
+      first += 1;
+    }
+    most = Math.max(most, sum);
+  }
+  return most / cap - 1;
+}
--- a/packages/banyanfold-gateway/src/__tests__/holder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holder.test.ts
@@ -95,6 +95,7 @@
       epoch: OWN,
     }),
     processorShare: LARGE,
+    isFirstStart: true,
     isLeaving: () => false,
   });
   return {holder, view};
--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -1,5 +1,6 @@
 import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {UsageAccounts} from '../callers/usageAccounts.js';
 import {CrashSuspects} from '../crashes/crashSuspects.js';
 import {DEFAULT_OPTIONS} from '../options.js';
 import {HolderLink} from '../peers/holderLink.js';
@@ -67,6 +68,14 @@
     own,
     self: SELF,
     demand,
+    usage: new UsageAccounts({
+      clock,
+      sharing: DEFAULT_OPTIONS.usageSharing,
+      isFirstStart: true,
+      entries: () => 3,
+      random: () => 0.5,
+      isKnown: () => true,
+    }),
     suspects: new CrashSuspects(clock),
     states: new RunnerStates(clock, logger, DEFAULT_OPTIONS),
     held: new HeldCopies(view, () => clock.nowMs(), 1_500),
--- a/packages/banyanfold-gateway/src/__tests__/relay.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/relay.test.ts
@@ -1,5 +1,6 @@
 import {VirtualClock} from '@banyanfold/core';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {UsageMeter} from '../callers/usageMeter.js';
 import {CrashSuspects} from '../crashes/crashSuspects.js';
 import type {ExchangeInput, ExchangeOutput} from '../peers/peerContract.js';
 import {Relay} from '../peers/relay.js';
@@ -83,6 +84,7 @@
     clock,
     address: OWN.address,
     demand,
+    usage: new UsageMeter(),
     suspects,
     ownLoad: () => ({
       members: [OWN],
@@ -186,7 +188,7 @@
   it('sends the same batch until it is answered, and loses nothing', () => {
     // Copies come for what callers ask: an exchange gets no answer, and what it
     // carried is sent again while new demand waits for the next one.
-    const unanswered = new UnansweredDemand(demand, 'e1#0');
+    const unanswered = new UnansweredDemand(demand, () => [], 'e1#0');
     demand.add([ASKED]);
     const first = unanswered.next();
     demand.add([{...ASKED, model: 'm2'}]);
--- a/packages/banyanfold-gateway/src/callers/organisationDirectory.ts
+++ b/packages/banyanfold-gateway/src/callers/organisationDirectory.ts
@@ -3,9 +3,11 @@
 /** Finds the organisation that holds a key. */
 export class OrganisationDirectory {
   private readonly byDigest = new Map<string, Organisation>();
+  private readonly byName = new Map<string, Organisation>();
 
   constructor(readonly organisations: readonly Organisation[]) {
     for (const organisation of organisations) {
+      this.byName.set(organisation.name, organisation);
       for (const digest of organisation.keyDigests) {
         this.byDigest.set(digest, organisation);
       }
@@ -16,4 +18,8 @@
   holderOf(keyDigest: string): Organisation | undefined {
     return this.byDigest.get(keyDigest);
   }
+
+  named(name: string): Organisation | undefined {
+    return this.byName.get(name);
+  }
 }
--- /dev/null
+++ b/packages/banyanfold-gateway/src/callers/usageAccounts.ts
@@ -0,0 +1,142 @@
+import {
+  OrganisationUsage,
+  type FleetUsageTold,
+  type UsageDecision,
+  type UsageReport,
+  type UsageSharing,
+} from '@banyanfold/decisions';
+import type {Clock} from '@banyanfold/core';
+import type {InferenceRequest, Organisation, UsageCap} from '../types.js';
+import {UsageMeter} from './usageMeter.js';
+
+export interface UsageAccountsOptions {
+  clock: Clock;
+  sharing: UsageSharing;
+  /** The whole system starts for the first time; nothing has been used. */
+  isFirstStart: boolean;
+  entries(): number;
+  random(): number;
+  /** Whether the configuration still names an organisation. */
+  isKnown(organisation: string): boolean;
+}
+
+/** Nobody has asked for an organisation lately that isn't told of. */
+const UNUSED: FleetUsageTold = {left: Infinity, askedPerSecond: 0};
+
+interface Account {
+  usage: OrganisationUsage;
+  /** Admitted here since the last report was made. */
+  unreported: number;
+  /** Admitted here and in the report that is under way or was answered last. */
+  reported: number;
+}
+
+interface ToldUsage {
+  usage: Readonly<Record<string, FleetUsageTold>>;
+  /** When it was known to the holder. */
+  atMs: number;
+}
+
+/** How much of its cap each organisation has used, as this entry knows it. */
+export class UsageAccounts {
+  /** Also holds what entries that this one relays for have counted. */
+  readonly meter = new UsageMeter();
+  private readonly accounts = new Map<string, Account>();
+  private readonly sinceMs: number;
+  private told: ToldUsage | undefined;
+
+  constructor(private readonly options: UsageAccountsOptions) {
+    const {isFirstStart, clock} = options;
+    this.sinceMs = isFirstStart ? -Infinity : clock.nowMs();
+  }
+
+  /** @example accounts.decide(organisation, cap, 9_190).kind // 'admit' */
+  decide({name}: Organisation, cap: UsageCap, amount: number): UsageDecision {
+    const {clock, entries, random} = this.options;
+    const account = this.of(name);
+    const decision = account.usage.decide(amount, {
+      limits: cap,
+      entries: entries(),
+      nowMs: clock.nowMs(),
+      random,
+    });
+    const used = decision.kind === 'admit' ? amount : 0;
+    account.unreported += used;
+    this.meter.note(name, amount, used);
+    return decision;
+  }
+
+  /** What was admitted was not run after all. */
+  giveBack(organisation: string, amount: number): void {
+    const account = this.of(organisation);
+    account.usage.giveBack(amount);
+    account.unreported -= amount;
+    this.meter.note(organisation, 0, -amount);
+  }
+
+  /** Takes the report for the next exchange. */
+  takeReports(): UsageReport[] {
+    for (const [name, account] of this.accounts) {
+      if (!this.options.isKnown(name)) this.accounts.delete(name);
+      account.reported = account.unreported;
+      account.unreported = 0;
+    }
+    return this.meter.take();
+  }
+
+  /**
+   * Takes in what the holder has told.
+   *
+   * @param ageMs since it was known.
+   * @param isPassedOn a relay told, whose word may not hold the last report yet.
+   */
+  tell(
+    told: Readonly<Record<string, FleetUsageTold>>,
+    ageMs: number,
+    isPassedOn: boolean,
+  ): void {
+    this.told = {usage: told, atMs: this.options.clock.nowMs() - ageMs};
+    for (const [name, account] of this.accounts) {
+      const {unreported, reported} = account;
+      this.tellOf(name, account, unreported + (isPassedOn ? reported : 0));
+    }
+  }
+
+  private tellOf(name: string, {usage}: Account, untold: number): void {
+    if (!this.told) return;
+    usage.tell(this.told.usage[name] ?? UNUSED, this.told.atMs, untold);
+  }
+
+  /** Age of what this entry decides by, in ms; undefined before it was told. */
+  get toldAgeMs(): number | undefined {
+    if (!this.told) return undefined;
+    return Math.round(this.options.clock.nowMs() - this.told.atMs);
+  }
+
+  private of(name: string): Account {
+    let account = this.accounts.get(name);
+    if (!account) {
+      const usage = new OrganisationUsage(this.options.sharing, this.sinceMs);
+      account = {usage, unreported: 0, reported: 0};
+      this.accounts.set(name, account);
+      this.tellOf(name, account, 0);
+    }
+    return account;
+  }
+}
+
+/**
+ * What a request counts against a cap.
+ *
+ * @example usageOf({promptTokens: 9_190, maxOutputTokens: 52}, cap) // 9242
+ */
+export function usageOf(
+  {
+    promptTokens,
+    maxOutputTokens,
+  }: Pick<InferenceRequest, 'promptTokens' | 'maxOutputTokens'>,
+  {unit, plainTokens}: UsageCap,
+): number {
+  if (unit === 'requests') return 1;
+  return promptTokens + maxOutputTokens || plainTokens;
+}
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -1,5 +1,6 @@
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import type {RetryBudget} from '@banyanfold/log';
+import type {UsageAccounts} from './callers/usageAccounts.js';
 import type {TrialInput} from './crashes/crashContract.js';
 import type {CrashSuspects} from './crashes/crashSuspects.js';
 import type {CrashWatch} from './crashes/crashWatch.js';
@@ -39,6 +40,7 @@
   suspects: CrashSuspects;
   held: HeldCopies;
   demand: DemandMeter;
+  usage: UsageAccounts;
   coming: ComingWork;
   /**
    * Keys are accepted so long after the configuration was last confirmed, in ms;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import {RetryBudget} from '@banyanfold/log';
 import type {GatewayContext} from './context.js';
+import {UsageAccounts} from './callers/usageAccounts.js';
 import {CrashLedger} from './crashes/crashLedger.js';
 import {CrashSuspects} from './crashes/crashSuspects.js';
 import {CrashWatch} from './crashes/crashWatch.js';
@@ -114,6 +115,15 @@
       held.noteNewLife(runnerId);
     });
     const demand = new DemandMeter();
+    const random = parts.random ?? Math.random;
+    const usage = new UsageAccounts({
+      clock,
+      sharing: options.usageSharing,
+      isFirstStart: settings.isFirstStart,
+      entries: () => this.entries,
+      random,
+      isKnown: name => this.view.organisations?.named(name) !== undefined,
+    });
     const suspects = new CrashSuspects(clock);
     const crashes = new CrashLedger({
       clock,
@@ -148,6 +158,7 @@
       loadRate,
       crashes,
       processorShare: settings.processorShare,
+      isFirstStart: settings.isFirstStart,
       isLeaving: () => this.isLeaving,
     });
     this.link = new HolderLink({
@@ -163,6 +174,7 @@
         processorShare: settings.processorShare,
       },
       demand,
+      usage,
       suspects,
       states,
       held,
@@ -175,7 +187,7 @@
       runnersChange: () => parts.fleet.runnersChange,
       onConfigCurrent: atMs => this.view.onConfigCurrent(atMs),
       onRunnersChange: position => parts.fleet.refreshRunners(position),
-      random: parts.random ?? Math.random,
+      random,
       onEntries: count => {
         this.entries = count;
       },
@@ -202,13 +214,14 @@
       suspects,
       held,
       demand,
+      usage,
       coming: new ComingWork(() => clock.nowMs()),
       keysTrustedMs: settings.bounds.keysTrustedMs,
       entries: () => this.entries,
       retryBudgetOf: service => this.budgetOf(service),
       ensureAdapter: this.link.ensureAdapter,
       permitTrial: this.link.permitTrial,
-      random: parts.random ?? Math.random,
+      random,
       isLeaving: () => this.isLeaving,
       cutOffMs: () => this.cutOffMs,
     };
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -3,6 +3,7 @@
 import type {EnsureAdapter, PermitTrial} from '../context.js';
 import type {TrialInput, TrialOutput} from '../crashes/crashContract.js';
 import type {CrashSuspects} from '../crashes/crashSuspects.js';
+import type {UsageAccounts} from '../callers/usageAccounts.js';
 import type {DemandMeter} from '../placement/demandMeter.js';
 import type {LoadRate} from '../placement/loadRate.js';
 import type {KnownRevision} from '../placement/copyRevisions.js';
@@ -36,6 +37,7 @@
   /** This process, as its peers see it. */
   self: RelayCandidate;
   demand: DemandMeter;
+  usage: UsageAccounts;
   suspects: CrashSuspects;
   states: RunnerStates;
   held: HeldCopies;
@@ -87,11 +89,12 @@
   private relayPausedUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly deps: HolderLinkOptions) {
-    const {clock, self, demand, suspects, lease, options} = deps;
+    const {clock, self, demand, usage, suspects, lease, options} = deps;
     this.relay = new Relay({
       clock,
       address: self.address,
       demand,
+      usage: usage.meter,
       suspects,
       ownLoad: () => this.ownLoad(),
       holderAddress: () => lease.current().holderAddress,
@@ -101,7 +104,11 @@
       options.adapterTimeoutMs,
     );
     const lifeId = `${self.address}#${clock.wallMs()}`;
-    this.unanswered = new UnansweredDemand(demand, lifeId);
+    this.unanswered = new UnansweredDemand(
+      demand,
+      () => usage.takeReports(),
+      lifeId,
+    );
   }
 
   start(): void {
@@ -328,6 +335,7 @@
     const isPassedOn = output.holder !== teller;
     if (isPassedOn) lease.noteHolder(output.holder);
     else if (teller !== self.address) this.relay.noteWord(output);
+    this.deps.usage.tell(output.usage ?? {}, output.ageMs, isPassedOn);
     this.adoptVersions(output);
     this.adoptLoads(output, isPassedOn);
     this.adoptRoles(output);
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -44,6 +44,16 @@
       adapters: countsSchema,
     }),
   ),
+  /** Use of the caps; left out by a process of a version without them. */
+  usage: z
+    .array(
+      z.object({
+        organisation: z.string(),
+        asked: z.number(),
+        used: z.number(),
+      }),
+    )
+    .optional(),
 });
 
 export type DemandBatch = z.infer<typeof demandBatchSchema>;
@@ -114,6 +124,13 @@
   peersWork: countsSchema,
   /** Requests that the other entries have open there, likewise. */
   peersRequests: countsSchema,
+  /** What is left of the caps, of organisations that were asked for lately. */
+  usage: z
+    .record(
+      z.string(),
+      z.object({left: z.number(), askedPerSecond: z.number()}),
+    )
+    .optional(),
   /** Requests that may crash runners; left out as in what entries tell. */
   suspects: toldSuspectsSchema.optional(),
 });
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -1,5 +1,6 @@
 import type {RelayCandidate} from '@banyanfold/decisions';
 import type {Clock} from '@banyanfold/core';
+import type {UsageMeter} from '../callers/usageMeter.js';
 import type {CrashSuspects} from '../crashes/crashSuspects.js';
 import {CopyRevisions} from '../placement/copyRevisions.js';
 import type {DemandMeter} from '../placement/demandMeter.js';
@@ -18,6 +19,7 @@
   address: string;
   /** Where this process counts its own demand; that of its group adds to it. */
   demand: DemandMeter;
+  usage: UsageMeter;
   suspects: CrashSuspects;
   /** What this process itself has open. */
   ownLoad(): EntryLoad;
@@ -100,7 +102,7 @@
   }
 
   exchange(input: ExchangeInput): ExchangeOutput | NotHolder {
-    const {clock, demand, suspects, address, ownLoad, holderAddress} =
+    const {clock, demand, usage, suspects, address, ownLoad, holderAddress} =
       this.options;
     const nowMs = clock.nowMs();
     const {heard} = this;
@@ -110,7 +112,10 @@
     const {entry, batch, configVersion, runnersChange} = input;
     this.loads.note(entry, input, nowMs);
     this.loads.note(address, ownLoad(), nowMs);
-    if (this.batches.isNew(entry, batch.batchId)) demand.add(batch.demand);
+    if (this.batches.isNew(entry, batch.batchId)) {
+      demand.add(batch.demand);
+      usage.add(batch.usage ?? []);
+    }
     suspects.relay(input.crashes);
     if (Object.keys(input.waiting).length > 0) demand.onWaiting();
     this.newestConfig = Math.max(this.newestConfig, configVersion);
--- a/packages/banyanfold-gateway/src/peers/unansweredDemand.ts
+++ b/packages/banyanfold-gateway/src/peers/unansweredDemand.ts
@@ -1,3 +1,4 @@
+import type {UsageReport} from '@banyanfold/decisions';
 import type {DemandMeter} from '../placement/demandMeter.js';
 import type {DemandBatch} from './peerContract.js';
 
@@ -14,6 +15,7 @@
   /** @param lifeId differs between lives of a process at one address. */
   constructor(
     private readonly meter: DemandMeter,
+    private readonly takeUsage: () => UsageReport[],
     private readonly lifeId: string,
   ) {}
 
@@ -23,6 +25,7 @@
     this.batch ??= {
       batchId: `${this.lifeId}#${this.batches}`,
       demand: this.meter.take(),
+      usage: this.takeUsage(),
     };
     return this.batch;
   }
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -4,6 +4,7 @@
   planCopies,
   type CopyOrder,
   type CopyRunner,
+  FleetUsage,
   type Relays,
 } from '@banyanfold/decisions';
 import type {TrialInput, TrialOutput} from '../crashes/crashContract.js';
@@ -81,6 +82,8 @@
   crashes: CrashLedger;
   /** Cores' worth of processor that the process may use. */
   processorShare: number;
+  /** The whole system starts for the first time. */
+  isFirstStart: boolean;
   isLeaving: () => boolean;
 }
 
@@ -90,6 +93,9 @@
   private readonly demand = new DemandView();
   private readonly loads = new EntryLoads();
   private readonly batches = new SeenBatches();
+  private fleetUsage: FleetUsage;
+  /** Of the lease, in which all use was reported here. */
+  private usageTerm: number | undefined;
   private relays: Relays = new Map();
   private relaysChosenMs = Number.NEGATIVE_INFINITY;
   private copiesNotedMs = Number.NEGATIVE_INFINITY;
@@ -107,6 +113,9 @@
 
   constructor(private readonly deps: HolderOptions) {
     this.startedMs = deps.clock.nowMs();
+    this.fleetUsage = this.countUsage(
+      deps.isFirstStart ? -Infinity : this.startedMs,
+    );
     this.reports = new ReportAsker({
       ...deps,
       onReport: (asked, report, askedMs) =>
@@ -141,6 +150,7 @@
     if (!owns || ageMs > LAPSED_WORD_MS) {
       return {kind: 'not-holder', holderAddress};
     }
+    this.noteTerm(term, nowMs);
     this.noteInput(input, nowMs);
     this.noteCopies(nowMs);
     const {entry} = input;
@@ -160,10 +170,26 @@
       copiesInMs: this.copiesInMs(nowMs),
       peersWork: this.loads.workWithout(entry, nowMs),
       peersRequests: this.loads.requestsWithout(entry, nowMs),
+      usage: this.fleetUsage.tell(nowMs),
       suspects: this.deps.crashes.tell(input.knownSuspects),
     };
   }
 
+  /** While another process held the lease, use was reported there. */
+  private noteTerm(term: number, nowMs: number): void {
+    if (term === this.usageTerm) return;
+    const isFirst = this.usageTerm === undefined && this.deps.isFirstStart;
+    this.usageTerm = term;
+    if (!isFirst) this.fleetUsage = this.countUsage(nowMs);
+  }
+
+  private countUsage(sinceMs: number): FleetUsage {
+    return new FleetUsage(sinceMs, name => {
+      const {organisations} = this.deps.view;
+      return organisations?.named(name)?.usageCap;
+    });
+  }
+
   private noteInput(input: ExchangeInput, nowMs: number): void {
     const {entry, batch, waiting, crashes} = input;
     this.loads.note(entry, input, nowMs);
@@ -171,6 +197,7 @@
     if (this.batches.isNew(entry, batch.batchId)) {
       this.demand.note(batch.demand, nowMs);
       this.noteAdapterUse(batch.demand);
+      this.fleetUsage.note(batch.usage ?? [], nowMs);
     }
     this.newestConfig = Math.max(this.newestConfig, input.configVersion);
     this.newestRunnersChange = Math.max(
--- a/packages/banyanfold-gateway/src/requests/finalAnswer.ts
+++ b/packages/banyanfold-gateway/src/requests/finalAnswer.ts
@@ -14,6 +14,8 @@
   noRoute: 404,
   tooLarge: 413,
   headTooLarge: 431,
+  /** Over the usage cap; has not run and never will. */
+  overCap: 429,
 } as const;
 
 export interface FinalAnswer {
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -1,3 +1,4 @@
+import type {UsageDecision} from '@banyanfold/decisions';
 import type {GatewayContext} from '../context.js';
 import type {DecodedRequest, RoutePolicy} from '../types.js';
 import type {AttemptResult} from './answerRelay.js';
@@ -104,6 +105,23 @@
     });
   }
 
+  refuseOverCap(
+    organisation: string,
+    asked: number,
+    {left, retryAfterMs}: Extract<UsageDecision, {kind: 'refuse'}>,
+  ): void {
+    const {context} = this.options;
+    this.line('refuse', {
+      reason: 'usage-cap',
+      organisation,
+      asked,
+      left: Math.round(left),
+      toldAgeMs: context.usage.toldAgeMs,
+      config: context.view.current?.version,
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+  }
+
   refuseQuarantined(fingerprint: string, forMs: number): void {
     this.line('refuse', {
       reason: 'quarantined',
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -6,6 +6,7 @@
 import type {PromptTurn} from '../runners/promptGate.js';
 import type {StartedWork} from '../runners/runnerStates.js';
 import type {CallerIdentity} from '../callers/callerIdentity.js';
+import {usageOf} from '../callers/usageAccounts.js';
 import type {DecodedRequest, Organisation, RoutePolicy} from '../types.js';
 import {AnswerRelay, type AttemptResult} from './answerRelay.js';
 import {decideNextTry} from './decideNextTry.js';
@@ -75,6 +76,9 @@
   private readonly pause: WakeablePause;
   private isOver = false;
   private attemptsMade = 0;
+  private sendings = 0;
+  /** Counted against the cap of its organisation. */
+  private usage: {organisation: string; amount: number} | undefined;
   private rejections = 0;
   private mayHaveRun = false;
   private hasWaited = false;
@@ -165,6 +169,7 @@
     const {model, adapter, promptTokens, maxOutputTokens} = decoded.request;
     // Ahead of the demand: copies would be made for what isn't run.
     if (this.suspicion.verdict === 'quarantined') return this.endQuarantined();
+    if (this.isOverCap()) return;
     if (model !== undefined) {
       const {leastUrgent} = context.view;
       const urgency = urgencyOf(this.options.route.priority, leastUrgent);
@@ -238,6 +243,30 @@
     this.suspicion.noteTrialEnd(result);
   }
 
+  /** Refuses what goes beyond the usage cap of its organisation. */
+  private isOverCap(): boolean {
+    const {context, organisation, decoded} = this.options;
+    const cap = organisation?.usageCap;
+    if (!cap) return false;
+    const amount = usageOf(decoded.request, cap);
+    const decision = context.usage.decide(organisation, cap, amount);
+    if (decision.kind === 'admit') {
+      this.usage = {organisation: organisation.name, amount};
+      return false;
+    }
+    this.log.refuseOverCap(organisation.name, amount, decision);
+    context.metrics.count('over_cap_total', {organisation: organisation.name});
+    this.answer(FINAL_STATUS.overCap, 'usage-cap', decision.retryAfterMs);
+    return true;
+  }
+
+  /** A runner that turned it away, or was not reached, did not use the cap. */
+  private giveBackUsage(): void {
+    if (!this.usage || this.sendings > this.rejections) return;
+    const {organisation, amount} = this.usage;
+    this.options.context.usage.giveBack(organisation, amount);
+  }
+
   /** Ends the request if its caller's key has been taken away since it came. */
   private isShutOut(): boolean {
     const caller = this.options.identity.decide();
@@ -378,6 +407,7 @@
       lastEventId: this.relay.lastEventId,
       organisation: this.organisationNow?.name,
     });
+    this.sendings += 1;
     let wasRead = false;
     const result = await this.relay.relay(
       connection,
@@ -581,6 +611,7 @@
   private finish(outcome: string, status: number): void {
     if (this.isOver) return;
     this.isOver = true;
+    this.giveBackUsage();
     this.noteNotWaiting();
     this.turn?.giveBack();
     this.pause.wake();
