Write the quarantine again, and play a restored store in the soak

What the holder has written since the store's copy it writes again, once; others only read. The soak restores the store from an older copy in one in five seeds, planned apart so that the faults of kept seeds stay as they are.

--- a/packages/banyanfold-gateway/src/__tests__/quarantineKeeper.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/quarantineKeeper.test.ts
@@ -22,7 +22,12 @@
   isHeard = true;
 });
 
+let reset: () => void;
+
 const store: QuarantineStore = {
+  onReset: listener => {
+    reset = listener;
+  },
   load: async () => {
     calls += 1;
     if (isStoreLost) {
@@ -84,6 +89,26 @@
     keeper.stop();
   });
 
+  // Guards against a request that is free again once the store has lost it.
+  it('writes what it knows again when the store comes back older', async () => {
+    const {keeper} = startKeeper();
+    await clock.advance(1_000);
+    keeper.note('a');
+    await clock.advance(1_000);
+    const written = new Map(kept);
+    kept.clear();
+    reset();
+    await clock.advance(1_000);
+    expect(kept).toEqual(written);
+    const callsBefore = calls;
+    lease.owns = false;
+    kept.clear();
+    reset();
+    await clock.advance(1_000);
+    expect(calls).toBe(callsBefore);
+    keeper.stop();
+  });
+
   it('reads for itself while no holder is heard, once runners have crashed', async () => {
     // An entry is cut off from all others, but not from the store nor from the
     // runners. What the others have found would reach it only when it is back, and
--- a/packages/banyanfold-gateway/src/crashes/quarantineKeeper.ts
+++ b/packages/banyanfold-gateway/src/crashes/quarantineKeeper.ts
@@ -39,7 +39,8 @@
   constructor(private readonly options: QuarantineKeeperOptions) {}
 
   start(): void {
-    const {clock} = this.options;
+    const {clock, store} = this.options;
+    store.onReset(() => this.writeAgain());
     this.stopTrying = repeatEvery(clock, TRY_INTERVAL_MS, () => this.sync());
     this.sync();
   }
@@ -54,6 +55,15 @@
     this.sync();
   }
 
+  /** What one process has written, it writes again; the others only read. */
+  private writeAgain(): void {
+    if (!this.options.lease.current().owns) return;
+    for (const [fingerprint, atMs] of this.records) {
+      this.unsaved.set(fingerprint, atMs);
+    }
+    this.sync();
+  }
+
   private sync(): void {
     const {owns, term} = this.options.lease.current();
     if (this.isBusy) return;
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -341,6 +341,8 @@
 
 /** Keeps what must outlast all processes. */
 export interface QuarantineStore {
+  /** Called when what was written lately may be gone from the store. */
+  onReset(listener: () => void): void;
   load(): Promise<Result<QuarantineRecord[], BanyanfoldError>>;
   /** Writes and drops in one call; done twice it changes nothing. */
   update(
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -89,6 +89,14 @@
   'store-forgets': async ({system}, fault) => {
     system.platform.store.forgetHistory(at(TOPICS, fault.variant));
   },
+  'store-restore': async ({system, addedRoutes}, fault) => {
+    const {platform} = system;
+    const copy = platform.store.copy();
+    await pause(fault.forMs);
+    platform.store.restore(copy);
+    // The operator writes again what it had written.
+    platform.publish(addedRoutes.map(({name}) => exampleRoute(name)));
+  },
   'runner-link': async (context, fault) => {
     const {proxy} = runnerOf(context, fault);
     proxy.set(at(LINK_MODES, fault.variant));
--- a/soak/src/soakPlan.ts
+++ b/soak/src/soakPlan.ts
@@ -16,7 +16,10 @@
   'config-change',
 ] as const;
 
-export type FaultKind = (typeof FAULT_KINDS)[number];
+/** Planned by itself, so that the other faults of a seed stay what they are. */
+const STORE_RESTORE = 'store-restore';
+
+export type FaultKind = (typeof FAULT_KINDS)[number] | typeof STORE_RESTORE;
 
 export interface PlannedFault {
   kind: FaultKind;
@@ -39,6 +42,8 @@
 const MAX_GAP_MS = 1_300;
 const MIN_FOR_MS = 300;
 const MAX_FOR_MS = 3_500;
+/** In one in so many seeds the store comes back from an older copy. */
+const RESTORE_SEED_ONE_IN = 5;
 /** One in so many comes in a series: the same again, soon after. */
 const SERIES_ONE_IN = 4;
 const MANY = 1_000;
@@ -70,5 +75,18 @@
     }
     atMs += draw.int(MIN_GAP_MS, MAX_GAP_MS);
   }
-  return faults;
+  return [...faults, ...planRestores({seed, lengthMs})];
+}
+
+/** The store goes back by the length of the fault, twice in a run. */
+function planRestores({seed, lengthMs}: SoakPlanOptions): PlannedFault[] {
+  if (seed % RESTORE_SEED_ONE_IN !== 1) return [];
+  const draw = createDraw(seed + 1);
+  return [0, lengthMs / 2].map(fromMs => ({
+    kind: STORE_RESTORE,
+    atMs: fromMs + draw.int(MIN_GAP_MS, MAX_GAP_MS),
+    forMs: draw.int(MIN_FOR_MS, MAX_FOR_MS),
+    target: 0,
+    variant: 0,
+  }));
 }
