Keep to a usage cap over its window, and drop the ways that lost

The cap is now rate x window + burst over the sliding window that the deployment's settings name, with 0.3 of the tolerance that they grant; the rest is for what entries have not heard of each other. Entries hear what is left, what is asked and what comes free; ample: admit; close to the limit: by chance, so that all together admit what is left. A lowered cap counts earlier use by its share of the higher one. Equal and demand are removed, with their setting.

--- a/packages/banyanfold-decisions/src/__tests__/usageFleet.ts
+++ b/packages/banyanfold-decisions/src/__tests__/usageFleet.ts
@@ -1,18 +1,16 @@
 import {FleetUsage, type UsageReport} from '../usage/fleetUsage.js';
-import {
-  OrganisationUsage,
-  type UsageSharing,
-} from '../usage/organisationUsage.js';
-import type {BucketLimits} from '../usage/usageBucket.js';
+import {OrganisationUsage} from '../usage/organisationUsage.js';
+import type {UsageLimit} from '../usage/usageLimit.js';
+import {UsageWindow} from '../usage/usageWindow.js';
 
 const ORGANISATION = 'claims';
 const STEP_MS = 10;
-const EXCHANGE_MS = 250;
+/** Between two reports of an entry. */
+export const EXCHANGE_MS = 250;
 
 export interface FleetOptions {
-  sharing: UsageSharing;
   entries: number;
-  limits: BucketLimits;
+  limit: UsageLimit;
   /** Mean tokens of a request; the largest are four times as many. */
   meanTokens: number;
   askedPerSecond: number;
@@ -29,9 +27,9 @@
 export interface FleetOutcome {
   asked: number;
   admitted: number;
-  /** Refused while the bucket of the whole fleet had something left. */
+  /** Refused while the whole fleet had something left. */
   falselyRefused: number;
-  /** The most tokens in a window beyond its cap, as a share of the cap. */
+  /** The most tokens in a window beyond its cap, as a share of it. */
   overshoot: number;
 }
 
@@ -45,28 +43,29 @@
 
 /** Plays one organisation's load at entries that report to one holder. */
 export function playFleet(options: FleetOptions): FleetOutcome {
-  const {sharing, entries: count, limits, forMs, random, skew = 0} = options;
+  const {entries: count, limit, forMs, random, skew = 0} = options;
   const {isCut = () => false, restarts = () => false} = options;
-  const fleet = new FleetUsage(-Infinity, () => limits);
-  const start = (sinceMs: number): Entry => ({
-    usage: new OrganisationUsage(sharing, sinceMs),
+  const fleet = new FleetUsage({
+    windowMs: WINDOW_MS,
+    sinceMs: 0,
+    limitOf: () => limit,
+    usedBefore: () => 0,
+  });
+  const start = (isUnused: boolean): Entry => ({
+    usage: new OrganisationUsage(isUnused),
     asked: 0,
     used: 0,
   });
-  const entries = Array.from({length: count}, () => start(-Infinity));
-  let left = limits.burst;
+  const entries = Array.from({length: count}, () => start(true));
+  const used = new UsageWindow(WINDOW_MS);
   let falselyRefused = 0;
   let asked = 0;
   const admitted: Array<{atMs: number; tokens: number}> = [];
   const perStep =
     (options.askedPerSecond * STEP_MS) / 1_000 / options.meanTokens;
   for (let nowMs = 0; nowMs < forMs; nowMs += STEP_MS) {
-    left = Math.min(
-      limits.burst,
-      left + (limits.ratePerSecond * STEP_MS) / 1e3,
-    );
     for (let i = 0; i < count; i++) {
-      if (restarts(i, nowMs)) entries[i] = start(nowMs);
+      if (restarts(i, nowMs)) entries[i] = start(false);
       if (isCut(i, nowMs)) continue;
       if ((nowMs + i * STEP_MS) % EXCHANGE_MS !== 0) continue;
       const entry = entries[i]!;
@@ -92,16 +91,15 @@
       asked += tokens;
       entry.asked += tokens;
       const decision = entry.usage.decide(tokens, {
-        limits,
-        entries: count,
+        limit,
         nowMs,
         random,
       });
       if (decision.kind === 'admit') {
         entry.used += tokens;
-        left -= tokens;
+        used.add(tokens, nowMs);
         admitted.push({atMs: nowMs, tokens});
-      } else if (left > 0) {
+      } else if (used.sum(nowMs) < limit.perWindow) {
         falselyRefused += tokens;
       }
     }
@@ -111,15 +109,14 @@
     asked,
     admitted: total,
     falselyRefused: falselyRefused / Math.max(asked, 1),
-    overshoot: overshootOf(admitted, limits),
+    overshoot: overshootOf(admitted, limit),
   };
 }
 
 function overshootOf(
   admitted: ReadonlyArray<{atMs: number; tokens: number}>,
-  {ratePerSecond, burst}: BucketLimits,
+  {perWindow: cap}: UsageLimit,
 ): number {
-  const cap = (ratePerSecond * WINDOW_MS) / 1_000 + burst;
   let most = 0;
   let sum = 0;
   let first = 0;
--- a/packages/banyanfold-decisions/src/index.ts
+++ b/packages/banyanfold-decisions/src/index.ts
@@ -17,6 +17,7 @@
 export * from './usage/decayingRate.js';
 export * from './usage/fleetUsage.js';
 export * from './usage/organisationUsage.js';
-export * from './usage/usageBucket.js';
+export * from './usage/usageLimit.js';
+export * from './usage/usageWindow.js';
 export * from './crashes/decideTrial.js';
 export * from './crashes/judgeCrashes.js';
--- a/packages/banyanfold-decisions/src/usage/fleetUsage.ts
+++ b/packages/banyanfold-decisions/src/usage/fleetUsage.ts
@@ -1,10 +1,9 @@
 import {DecayingRate} from './decayingRate.js';
 import type {FleetUsageTold} from './organisationUsage.js';
-import {UsageBucket, type BucketLimits} from './usageBucket.js';
+import type {UsageLimit} from './usageLimit.js';
+import {UsageWindow} from './usageWindow.js';
 
 const SMOOTHING_MS = 1_500;
-/** An organisation that nobody asked for so long is not told of. */
-const FORGOTTEN_MS = 10_000;
 
 /** What entries have asked for and admitted, for one organisation. */
 export interface UsageReport {
@@ -16,67 +15,88 @@
 }
 
 interface Account {
-  bucket: UsageBucket;
+  used: UsageWindow;
   asked: DecayingRate;
   askedMs: number;
+  /** Of the limit by which it was last counted. */
+  perWindow: number;
 }
 
-/** The buckets of the whole fleet, at the holder of orders. */
+export interface FleetUsageOptions {
+  windowMs: number;
+  /** Undefined for an organisation without a cap. */
+  limitOf(organisation: string): UsageLimit | undefined;
+  /** Since when all use is reported here. */
+  sinceMs: number;
+  /**
+   * What had been used of the limit by then, in a window; all of it where that
+   * isn't known.
+   */
+  usedBefore(organisation: string, limit: UsageLimit): number;
+}
+
+/** Use of the whole fleet, as the holder of orders hears of it. */
 export class FleetUsage {
   private readonly accounts = new Map<string, Account>();
 
-  /**
-   * @param sinceMs since when all use has been heard; -Infinity for always. What
-   *   was used before isn't known, so that buckets fill from empty then.
-   * @param limitsOf undefined for an organisation without a cap.
-   */
-  constructor(
-    private readonly sinceMs: number,
-    private readonly limitsOf: (
-      organisation: string,
-    ) => BucketLimits | undefined,
-  ) {}
+  constructor(private readonly options: FleetUsageOptions) {}
 
   note(reports: readonly UsageReport[], nowMs: number): void {
     for (const {organisation, asked, used} of reports) {
-      const limits = this.limitsOf(organisation);
-      if (!limits) continue;
-      const account = this.of(organisation);
-      account.bucket.fill(limits, nowMs);
-      account.bucket.left -= used;
+      const limit = this.options.limitOf(organisation);
+      if (!limit) continue;
+      const account = this.of(organisation, limit);
+      scaleToLower(account, limit);
+      account.used.add(used, nowMs);
       account.asked.add(asked, nowMs);
       account.askedMs = nowMs;
     }
   }
 
-  /** What is left to organisations that were asked for lately. */
+  /** What is left to organisations that were asked for within a window. */
   tell(nowMs: number): Record<string, FleetUsageTold> {
+    const {limitOf, windowMs} = this.options;
     const told: Record<string, FleetUsageTold> = {};
     for (const [organisation, account] of this.accounts) {
-      const limits = this.limitsOf(organisation);
-      if (!limits || nowMs - account.askedMs > FORGOTTEN_MS) {
+      const limit = limitOf(organisation);
+      if (!limit || nowMs - account.askedMs > windowMs) {
         this.accounts.delete(organisation);
         continue;
       }
-      account.bucket.fill(limits, nowMs);
+      scaleToLower(account, limit);
       told[organisation] = {
-        left: Math.round(account.bucket.left),
+        left: Math.round(limit.perWindow - account.used.sum(nowMs)),
+        freedPerSecond: Math.round(account.used.expiringPerSecond(nowMs)),
         askedPerSecond: Math.round(account.asked.perSecond(nowMs)),
       };
     }
     return told;
   }
 
-  private of(name: string): Account {
+  private of(name: string, limit: UsageLimit): Account {
     let account = this.accounts.get(name);
     if (!account) {
+      const {windowMs, sinceMs, usedBefore} = this.options;
+      const used = new UsageWindow(windowMs);
+      used.spread(usedBefore(name, limit), sinceMs);
       account = {
-        bucket: new UsageBucket(this.sinceMs),
+        used,
         asked: new DecayingRate(SMOOTHING_MS),
-        askedMs: 0,
+        askedMs: sinceMs,
+        perWindow: limit.perWindow,
       };
       this.accounts.set(name, account);
     }
     return account;
   }
 }
+
+/**
+ * What was used under a higher limit counts by its share of that one: a limit that
+ * is lowered far would have all refused until none of it is left in the window.
+ */
+function scaleToLower(account: Account, {perWindow}: UsageLimit): void {
+  const factor = perWindow / account.perWindow;
+  account.perWindow = perWindow;
+  if (factor < 1) account.used.scale(factor);
+}
--- a/packages/banyanfold-decisions/src/usage/organisationUsage.ts
+++ b/packages/banyanfold-decisions/src/usage/organisationUsage.ts
@@ -1,114 +1,86 @@
 import {DecayingRate} from './decayingRate.js';
-import {UsageBucket, type BucketLimits} from './usageBucket.js';
+import type {UsageLimit} from './usageLimit.js';
 
 /** What the fleet has used of a cap, as the holder of orders tells it. */
 export interface FleetUsageTold {
-  /** Left in the bucket of the whole fleet; negative when it is overdrawn. */
+  /** Left of the limit; negative when more has been used. */
   left: number;
+  /** What comes free a second as earlier use leaves the window. */
+  freedPerSecond: number;
   /** What callers ask for at all entries, refused or not. */
   askedPerSecond: number;
 }
 
 /** What an entry decides by. */
 export interface UsageView {
-  limits: BucketLimits;
-  /** Entries at work, this one included. */
-  entries: number;
+  limit: UsageLimit;
   nowMs: number;
   /** Uniform in [0, 1). */
   random(): number;
 }
 
 export type UsageDecision =
-  /** @property left of the cap, as far as this entry knows. */
+  /** @property left of the limit, as far as this entry knows. */
   | {kind: 'admit'; left: number}
-  /** @property retryAfterMs until the bucket has what the request needs. */
+  /** @property retryAfterMs until as much as the request needs is left. */
   | {kind: 'refuse'; left: number; retryAfterMs: number};
 
-/** How the entries share one cap without asking anyone for each request. */
-export type UsageSharing = 'equal' | 'demand' | 'fleet';
-
 const SMOOTHING_MS = 1_500;
-/** The fleet's bucket counts for so long after it was told. */
+/** What the holder told counts this long. */
 const TOLD_FRESH_MS = 1_500;
-/** A share outlives its last renewal by so much; then the floor is left. */
-const SHARE_HELD_MS = 5_000;
-/** Of the cap, dealt to all entries alike; no more is left to one cut off. */
-const FLOOR_SHARE = 0.1;
-/** Until what an entry admits is known to the others. */
-const UNTOLD_MS = 250;
+/** What was left when last told is spent evenly over this long. */
+const SPENT_MS = 4_000;
+/** Until the others know of what an entry admits: an exchange with the holder. */
+const UNHEARD_MS = 250;
 const MS_PER_SECOND = 1000;
 
-type Rule = (
-  usage: OrganisationUsage,
-  amount: number,
-  view: UsageView,
-) => UsageDecision;
-
-const RULES: Record<UsageSharing, Rule> = {
-  equal: (usage, amount, view) =>
-    usage.decideByShare(amount, 1 / view.entries, view),
-  demand: (usage, amount, view) =>
-    usage.decideByShare(amount, usage.demandShare(view), view),
-  fleet: (usage, amount, view) => usage.decideByFleet(amount, view),
-};
-
+/**
+ * One organisation's use of its cap, as one entry accounts for it.
+ *
+ * While more is left than all entries can admit until they hear of each other, each
+ * admits whatever comes. Close to the limit each admits by chance, so that all of
+ * them together admit what is left and what comes free meanwhile. An entry that is
+ * told nothing admits the share of the rate that its callers had of all.
+ *
+ * Answers the load of an organisation far over its cap beside others under theirs,
+ * at entries that hear of each other some hundred ms late, or not at all.
+ *
+ * @example
+ * const usage = new OrganisationUsage(true);
+ * usage.decide(9_190, {limit, nowMs, random}).kind // 'admit'
+ */
 export class OrganisationUsage {
-  private readonly own: UsageBucket;
   private readonly asked = new DecayingRate(SMOOTHING_MS);
   private told:
     (FleetUsageTold & {atMs: number; ownPerSecond: number}) | undefined;
   /** Admitted here and not in what was told. */
   private untold = 0;
+  private perWindow = 0;
 
-  /** @param sinceMs since when the entry has had a share; -Infinity for always. */
-  constructor(
-    private readonly sharing: UsageSharing,
-    sinceMs: number,
-  ) {
-    this.own = new UsageBucket(sinceMs);
-  }
+  /** @param isUnused nobody had used anything when this entry started. */
+  constructor(private readonly isUnused: boolean) {}
 
   decide(amount: number, view: UsageView): UsageDecision {
-    this.asked.add(amount, view.nowMs);
-    return RULES[this.sharing](this, amount, view);
-  }
-
-  decideByShare(
-    amount: number,
-    share: number,
-    {limits, nowMs}: UsageView,
-  ): UsageDecision {
-    this.own.fill(scaled(limits, share), nowMs);
-    const {left} = this.own;
-    if (left > 0) {
-      this.take(amount);
-      return {kind: 'admit', left};
-    }
-    const perSecond = Math.max(limits.ratePerSecond * share, 1);
-    const retryAfterMs = (-left * MS_PER_SECOND) / perSecond;
-    return {kind: 'refuse', left, retryAfterMs};
-  }
-
-  decideByFleet(amount: number, view: UsageView): UsageDecision {
-    const {limits, nowMs, random} = view;
-    const asked = this.fleetAskedPerSecond(nowMs);
-    const left = this.fleetLeft(view, asked);
-    const unheardSeconds = UNTOLD_MS / MS_PER_SECOND;
-    const due = asked * unheardSeconds;
-    const available = left + limits.ratePerSecond * unheardSeconds;
-    if (left >= due || random() * due < available) {
-      this.take(amount);
+    const {limit, nowMs, random} = view;
+    this.asked.add(amount, nowMs);
+    this.noteLimit(limit);
+    const askedPerSecond = this.fleetAskedPerSecond(nowMs);
+    const {left, perSecond} = this.available(view, askedPerSecond);
+    const unheardSeconds = UNHEARD_MS / MS_PER_SECOND;
+    const isAmple = left >= askedPerSecond * unheardSeconds;
+    const share = (left / unheardSeconds + perSecond) / askedPerSecond;
+    if (isAmple || random() < share) {
+      this.untold += amount;
       return {kind: 'admit', left};
     }
-    const missing = Math.max(amount, 0) - left;
-    const retryAfterMs = (missing * MS_PER_SECOND) / limits.ratePerSecond;
+    const missing = amount - left;
+    const retryAfterMs = (missing * MS_PER_SECOND) / limit.ratePerSecond;
     return {kind: 'refuse', left, retryAfterMs};
   }
 
   /** What was admitted was not run after all. */
   giveBack(amount: number): void {
-    this.take(-amount);
+    this.untold -= amount;
   }
 
   /**
@@ -123,23 +95,6 @@
     this.untold = untold;
   }
 
-  /** Of the cap; all entries' shares add up to 1 while all are told. */
-  demandShare({entries, nowMs}: UsageView): number {
-    const floor = FLOOR_SHARE / entries;
-    if (!this.told || nowMs - this.told.atMs > SHARE_HELD_MS) {
-      return this.told ? floor : 1 / entries;
-    }
-    const own = this.asked.perSecond(nowMs);
-    if (own === 0) return floor;
-    const all = Math.max(this.told.askedPerSecond, own);
-    return floor + ((1 - FLOOR_SHARE) * own) / all;
-  }
-
-  private take(amount: number): void {
-    this.own.left -= amount;
-    this.untold += amount;
-  }
-
   /** As last told, with what has changed here since. */
   private fleetAskedPerSecond(nowMs: number): number {
     const own = this.asked.perSecond(nowMs);
@@ -148,21 +103,38 @@
     return Math.max(0, others) + own;
   }
 
-  private fleetLeft({limits, nowMs}: UsageView, asked: number): number {
-    const {told} = this;
-    if (!told) {
-      this.own.fill(limits, nowMs);
-      return this.own.left;
-    }
-    const seconds = (nowMs - told.atMs) / MS_PER_SECOND;
-    const usedPerSecond = Math.min(asked, limits.ratePerSecond);
-    const gained = (limits.ratePerSecond - usedPerSecond) * seconds;
-    if (nowMs - told.atMs > TOLD_FRESH_MS) return 0;
-    return Math.min(limits.burst, told.left + gained) - this.untold;
+  /** What is known was counted by a higher limit, until the holder tells again. */
+  private noteLimit({perWindow}: UsageLimit): void {
+    const factor = perWindow / this.perWindow;
+    this.perWindow = perWindow;
+    if (factor >= 1) return;
+    this.untold *= factor;
+    if (this.told) this.told.left *= factor;
   }
-}
 
-function scaled(limits: BucketLimits, share: number): BucketLimits {
-  const {ratePerSecond, burst} = limits;
-  return {ratePerSecond: ratePerSecond * share, burst: burst * share};
+  /** What all entries together may admit now, and a second from now on. */
+  private available(
+    {limit, nowMs}: UsageView,
+    askedPerSecond: number,
+  ): {left: number; perSecond: number} {
+    const {told, isUnused, untold} = this;
+    const {ratePerSecond, perWindow} = limit;
+    if (!told && isUnused) {
+      return {left: perWindow - untold, perSecond: ratePerSecond};
+    }
+    if (!told) return {left: 0, perSecond: ratePerSecond};
+    const freed = Math.min(told.freedPerSecond, ratePerSecond);
+    const sinceMs = nowMs - told.atMs;
+    if (sinceMs > TOLD_FRESH_MS) {
+      const unspent = sinceMs < SPENT_MS ? Math.max(0, told.left) : 0;
+      const spend = (Math.min(unspent, perWindow) * MS_PER_SECOND) / SPENT_MS;
+      return {left: 0, perSecond: freed + spend};
+    }
+    const change =
+      ((told.freedPerSecond - askedPerSecond) * sinceMs) / MS_PER_SECOND;
+    // The others stop at the limit as well.
+    const lowest = Math.min(told.left, 0);
+    const left = Math.min(perWindow, Math.max(lowest, told.left + change));
+    return {left: left - untold, perSecond: freed};
+  }
 }
--- /dev/null
+++ b/packages/banyanfold-decisions/src/usage/usageWindow.ts
@@ -0,0 +1,69 @@
+/** Slots of a window; what is counted expires up to one slot late. */
+const SLOTS = 32;
+/** Of which the rate of expiry is taken: 2 s of a window of 8 s. */
+const EXPIRING_SLOTS = 8;
+const MS_PER_SECOND = 1000;
+
+/**
+ * Amounts of a sliding window.
+ *
+ * @example
+ * const window = new UsageWindow(8_000);
+ * window.add(9_000, nowMs);
+ * window.sum(nowMs + 9_000) // 0
+ */
+export class UsageWindow {
+  private readonly slotMs: number;
+  private readonly amounts = new Array<number>(SLOTS + 1).fill(0);
+  private newestSlot = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly windowMs: number) {
+    this.slotMs = windowMs / SLOTS;
+  }
+
+  add(amount: number, nowMs: number): void {
+    this.advance(nowMs);
+    this.amounts[this.indexOf(this.newestSlot)]! += amount;
+  }
+
+  /** As if an amount had been added evenly over the window before. */
+  spread(amount: number, nowMs: number): void {
+    this.advance(nowMs);
+    for (let i = 0; i < SLOTS; i++) {
+      this.amounts[this.indexOf(this.newestSlot - i)]! += amount / SLOTS;
+    }
+  }
+
+  /** Counts what was added before as so many times as much. */
+  scale(factor: number): void {
+    for (const i of this.amounts.keys()) this.amounts[i]! *= factor;
+  }
+
+  sum(nowMs: number): number {
+    this.advance(nowMs);
+    return this.amounts.reduce((sum, amount) => sum + amount, 0);
+  }
+
+  /** What expires a second, from now on for some slots. */
+  expiringPerSecond(nowMs: number): number {
+    this.advance(nowMs);
+    let sum = 0;
+    for (let i = 0; i < EXPIRING_SLOTS; i++) {
+      sum += this.amounts[this.indexOf(this.newestSlot - SLOTS + i)]!;
+    }
+    return (sum * MS_PER_SECOND) / (EXPIRING_SLOTS * this.slotMs);
+  }
+
+  private advance(nowMs: number): void {
+    const slot = Math.floor(nowMs / this.slotMs);
+    if (slot <= this.newestSlot) return;
+    const passed = Math.min(slot - this.newestSlot, this.amounts.length);
+    for (let i = 0; i < passed; i++) this.amounts[this.indexOf(slot - i)] = 0;
+    this.newestSlot = slot;
+  }
+
+  private indexOf(slot: number): number {
+    const {length} = this.amounts;
+    return ((slot % length) + length) % length;
+  }
+}
--- a/packages/banyanfold-gateway/src/__tests__/holder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holder.test.ts
@@ -1,6 +1,7 @@
 import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {ok} from 'neverthrow';
 import {describe, expect, it} from 'vitest';
+import {UsageAccounts} from '../callers/usageAccounts.js';
 import {CrashLedger} from '../crashes/crashLedger.js';
 import {DEFAULT_OPTIONS} from '../options.js';
 import type {ExchangeInput} from '../peers/peerContract.js';
@@ -95,7 +96,13 @@
       epoch: OWN,
     }),
     processorShare: LARGE,
-    isFirstStart: true,
+    usage: new UsageAccounts({
+      clock,
+      counting: {windowMs: 8_000, tolerance: {share: 0, amount: 0}},
+      isFirstStart: true,
+      random: () => 0.5,
+      isKnown: () => true,
+    }),
     isLeaving: () => false,
   });
   return {holder, view};
--- a/packages/banyanfold-gateway/src/callers/usageAccounts.ts
+++ b/packages/banyanfold-gateway/src/callers/usageAccounts.ts
@@ -2,8 +2,10 @@
   OrganisationUsage,
   type FleetUsageTold,
   type UsageDecision,
+  type UsageLimit,
+  type UsageCounting,
   type UsageReport,
-  type UsageSharing,
+  usageLimitOf,
 } from '@banyanfold/decisions';
 import type {Clock} from '@banyanfold/core';
 import type {InferenceRequest, Organisation, UsageCap} from '../types.js';
@@ -11,17 +13,20 @@
 
 export interface UsageAccountsOptions {
   clock: Clock;
-  sharing: UsageSharing;
+  counting: UsageCounting;
   /** The whole system starts for the first time; nothing has been used. */
   isFirstStart: boolean;
-  entries(): number;
   random(): number;
   /** Whether the configuration still names an organisation. */
   isKnown(organisation: string): boolean;
 }
 
 /** Nobody has asked for an organisation lately that isn't told of. */
-const UNUSED: FleetUsageTold = {left: Infinity, askedPerSecond: 0};
+const UNUSED: FleetUsageTold = {
+  left: Infinity,
+  freedPerSecond: 0,
+  askedPerSecond: 0,
+};
 
 interface Account {
   usage: OrganisationUsage;
@@ -42,21 +47,31 @@
   /** Also holds what entries that this one relays for have counted. */
   readonly meter = new UsageMeter();
   private readonly accounts = new Map<string, Account>();
-  private readonly sinceMs: number;
   private told: ToldUsage | undefined;
 
-  constructor(private readonly options: UsageAccountsOptions) {
-    const {isFirstStart, clock} = options;
-    this.sinceMs = isFirstStart ? -Infinity : clock.nowMs();
+  constructor(private readonly options: UsageAccountsOptions) {}
+
+  /** The limit that holds for an organisation, over all entries. */
+  limitOf(cap: UsageCap): UsageLimit {
+    return usageLimitOf(cap, this.options.counting);
+  }
+
+  get windowMs(): number {
+    return this.options.counting.windowMs;
+  }
+
+  /** What this entry last heard to be left; undefined where it heard nothing. */
+  leftOf(organisation: string): number | undefined {
+    if (!this.told) return this.options.isFirstStart ? Infinity : undefined;
+    return (this.told.usage[organisation] ?? UNUSED).left;
   }
 
   /** @example accounts.decide(organisation, cap, 9_190).kind // 'admit' */
   decide({name}: Organisation, cap: UsageCap, amount: number): UsageDecision {
-    const {clock, entries, random} = this.options;
+    const {clock, random} = this.options;
     const account = this.of(name);
     const decision = account.usage.decide(amount, {
-      limits: cap,
-      entries: entries(),
+      limit: this.limitOf(cap),
       nowMs: clock.nowMs(),
       random,
     });
@@ -116,7 +131,7 @@
   private of(name: string): Account {
     let account = this.accounts.get(name);
     if (!account) {
-      const usage = new OrganisationUsage(this.options.sharing, this.sinceMs);
+      const usage = new OrganisationUsage(this.options.isFirstStart);
       account = {usage, unreported: 0, reported: 0};
       this.accounts.set(name, account);
       this.tellOf(name, account, 0);
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import type {Server} from 'node:http';
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
+import type {UsageCounting} from '@banyanfold/decisions';
 import {RetryBudget} from '@banyanfold/log';
 import type {GatewayContext} from './context.js';
 import {UsageAccounts} from './callers/usageAccounts.js';
@@ -43,6 +44,8 @@
   loadWindowMs: number;
   /** Undefined where keys are accepted from an outdated configuration too. */
   keysTrustedMs?: number;
+  /** How usage caps are counted. */
+  usage: UsageCounting;
 }
 
 export interface GatewaySettings {
@@ -118,9 +121,8 @@
     const random = parts.random ?? Math.random;
     const usage = new UsageAccounts({
       clock,
-      sharing: options.usageSharing,
+      counting: settings.bounds.usage,
       isFirstStart: settings.isFirstStart,
-      entries: () => this.entries,
       random,
       isKnown: name => this.view.organisations?.named(name) !== undefined,
     });
@@ -158,7 +160,7 @@
       loadRate,
       crashes,
       processorShare: settings.processorShare,
-      isFirstStart: settings.isFirstStart,
+      usage,
       isLeaving: () => this.isLeaving,
     });
     this.link = new HolderLink({
--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -60,8 +60,6 @@
   /** Share of the allowed repeats that is used, so that a count that differs
    * by some requests does not pass the bound. */
   retryBudgetShare: z.number().min(0).max(1).default(0.85),
-  /** How the entries share a usage cap. */
-  usageSharing: z.enum(['equal', 'demand', 'fleet']).default('fleet'),
 });
 
 export type GatewayOptions = z.infer<typeof gatewayOptionsSchema>;
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -128,7 +128,11 @@
   usage: z
     .record(
       z.string(),
-      z.object({left: z.number(), askedPerSecond: z.number()}),
+      z.object({
+        left: z.number(),
+        freedPerSecond: z.number(),
+        askedPerSecond: z.number(),
+      }),
     )
     .optional(),
   /** Requests that may crash runners; left out as in what entries tell. */
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -8,6 +8,7 @@
   type Relays,
 } from '@banyanfold/decisions';
 import type {TrialInput, TrialOutput} from '../crashes/crashContract.js';
+import type {UsageAccounts} from '../callers/usageAccounts.js';
 import type {CrashLedger} from '../crashes/crashLedger.js';
 import type {GatewayOptions} from '../options.js';
 import type {
@@ -82,8 +83,7 @@
   crashes: CrashLedger;
   /** Cores' worth of processor that the process may use. */
   processorShare: number;
-  /** The whole system starts for the first time. */
-  isFirstStart: boolean;
+  usage: UsageAccounts;
   isLeaving: () => boolean;
 }
 
@@ -113,9 +113,7 @@
 
   constructor(private readonly deps: HolderOptions) {
     this.startedMs = deps.clock.nowMs();
-    this.fleetUsage = this.countUsage(
-      deps.isFirstStart ? -Infinity : this.startedMs,
-    );
+    this.fleetUsage = this.countUsage(this.startedMs);
     this.reports = new ReportAsker({
       ...deps,
       onReport: (asked, report, askedMs) =>
@@ -178,15 +176,22 @@
   /** While another process held the lease, use was reported there. */
   private noteTerm(term: number, nowMs: number): void {
     if (term === this.usageTerm) return;
-    const isFirst = this.usageTerm === undefined && this.deps.isFirstStart;
     this.usageTerm = term;
-    if (!isFirst) this.fleetUsage = this.countUsage(nowMs);
+    this.fleetUsage = this.countUsage(nowMs);
   }
 
+  /** Goes on from what this process last heard as an entry. */
   private countUsage(sinceMs: number): FleetUsage {
-    return new FleetUsage(sinceMs, name => {
-      const {organisations} = this.deps.view;
-      return organisations?.named(name)?.usageCap;
+    const {usage, view} = this.deps;
+    return new FleetUsage({
+      windowMs: usage.windowMs,
+      sinceMs,
+      limitOf: name => {
+        const cap = view.organisations?.named(name)?.usageCap;
+        return cap && usage.limitOf(cap);
+      },
+      usedBefore: (name, {perWindow}) =>
+        Math.max(0, perWindow - (usage.leftOf(name) ?? 0)),
     });
   }
 
