--- a/packages/banyanfold-gateway/src/__tests__/holder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holder.test.ts
@@ -96,6 +96,7 @@
       epoch: OWN,
     }),
     processorShare: LARGE,
+    onNewerConfig: () => {},
     usage: new UsageAccounts({
       clock,
       counting: {windowMs: 8_000, tolerance: {share: 0, amount: 0}},
--- a/packages/banyanfold-gateway/src/__tests__/relay.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/relay.test.ts
@@ -85,6 +85,8 @@
     address: OWN.address,
     demand,
     usage: new UsageMeter(),
+    configVersion: () => 9,
+    onNewerConfig: () => {},
     suspects,
     ownLoad: () => ({
       members: [OWN],
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -11,9 +11,10 @@
 import {QuarantineKeeper} from './crashes/quarantineKeeper.js';
 import {GatewayServer} from './gatewayServer.js';
 import {DEFAULT_OPTIONS, type GatewayOptions} from './options.js';
+import {ConfigFetcher, toldConfigOf} from './peers/configFetcher.js';
 import {HolderLink} from './peers/holderLink.js';
-import {offerLease} from './peers/peerClient.js';
-import type {HolderHandlers, LeaseHandover} from './peers/peerContract.js';
+import {askConfig, offerLease} from './peers/peerClient.js';
+import type {LeaseHandover, PeerHandlers} from './peers/peerContract.js';
 import {PeerServer} from './peers/peerServer.js';
 import {DemandMeter} from './placement/demandMeter.js';
 import {Holder} from './placement/holder.js';
@@ -99,6 +100,7 @@
   private readonly holder: Holder;
   private readonly link: HolderLink;
   private readonly quarantine: QuarantineKeeper;
+  private readonly configs: ConfigFetcher;
   private readonly budgets = new Map<string, RetryBudget>();
   private stopTidying: () => void = () => {};
   private entries = ASSUMED_ENTRIES;
@@ -148,6 +150,18 @@
         ? clock.nowMs()
         : clock.nowMs() + settings.bounds.loadWindowMs,
     );
+    this.configs = new ConfigFetcher({
+      clock,
+      logger,
+      version: () => this.view.current?.version ?? 0,
+      ask: peer => askConfig(peer, options.peerTimeoutMs),
+      take: record => parts.fleet.takeConfig(record),
+    });
+    const onNewerConfig = (version: number, peer: string) => {
+      logger.info('config-behind', {version, peer});
+      parts.fleet.refreshConfig();
+      this.configs.noteNewer(version, peer);
+    };
     this.holder = new Holder({
       clock,
       logger,
@@ -161,6 +175,7 @@
       crashes,
       processorShare: settings.processorShare,
       usage,
+      onNewerConfig,
       isLeaving: () => this.isLeaving,
     });
     this.link = new HolderLink({
@@ -182,10 +197,7 @@
       held,
       loadRate,
       configVersion: () => this.view.current?.version ?? 0,
-      onNewerConfig: version => {
-        logger.info('config-behind', {version});
-        parts.fleet.refreshConfig();
-      },
+      onNewerConfig,
       runnersChange: () => parts.fleet.runnersChange,
       onConfigCurrent: atMs => this.view.onConfigCurrent(atMs),
       onRunnersChange: position => parts.fleet.refreshRunners(position),
@@ -330,6 +342,7 @@
     this.holder.stop();
     this.link.stop();
     this.quarantine.stop();
+    this.configs.stop();
     this.stopTidying();
     this.callers.stopAccepting();
     this.readiness.close();
@@ -349,9 +362,11 @@
     }
   }
 
-  private peerHandlers(): HolderHandlers {
+  private peerHandlers(): PeerHandlers {
     const {holder, link} = this;
+    const {fleet} = this.parts;
     return {
+      config: () => fleet.configRecord && toldConfigOf(fleet.configRecord),
       exchange: link.answer,
       ensureAdapter: input => holder.ensureAdapter(input),
       permitTrial: input => holder.permitTrial(input),
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -45,7 +45,7 @@
   onEntries(count: number): void;
   configVersion(): number;
   /** A peer has this configuration, and this process an older one. */
-  onNewerConfig(version: number): void;
+  onNewerConfig(version: number, peer: string): void;
   /** The configuration in force here was the newest one at that time, in ms. */
   onConfigCurrent(atMs: number): void;
   runnersChange(): number;
@@ -97,6 +97,8 @@
       usage: usage.meter,
       suspects,
       ownLoad: () => this.ownLoad(),
+      configVersion: () => deps.configVersion(),
+      onNewerConfig: (version, peer) => deps.onNewerConfig(version, peer),
       holderAddress: () => lease.current().holderAddress,
     });
     this.clients = new PeerClients(
@@ -336,17 +338,17 @@
     if (isPassedOn) lease.noteHolder(output.holder);
     else if (teller !== self.address) this.relay.noteWord(output);
     this.deps.usage.tell(output.usage ?? {}, output.ageMs, isPassedOn);
-    this.adoptVersions(output);
+    this.adoptVersions(output, teller);
     this.adoptLoads(output, isPassedOn);
     this.adoptRoles(output);
   }
 
-  private adoptVersions(output: ExchangeOutput): void {
+  private adoptVersions(output: ExchangeOutput, teller: string): void {
     const {clock, held, metrics} = this.deps;
     const nowMs = clock.nowMs();
     const readAgeMs = output.runnersReadAgeMs + output.ageMs;
     if (output.configVersion > this.deps.configVersion()) {
-      this.deps.onNewerConfig(output.configVersion);
+      this.deps.onNewerConfig(output.configVersion, teller);
     } else {
       this.deps.onConfigCurrent(nowMs - readAgeMs);
     }
--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -12,6 +12,7 @@
   LeaseHandover,
   NotHolder,
   PeerRouter,
+  ToldConfig,
 } from './peerContract.js';
 
 /** A peer that this process speaks with some times a second. */
@@ -132,6 +133,22 @@
   }
 }
 
+/** Asks a peer for its configuration; undefined without an answer. */
+export async function askConfig(
+  address: string,
+  timeoutMs: number,
+): Promise<ToldConfig | undefined> {
+  const peer = createCallClient(address, timeoutMs);
+  try {
+    return await peer.client.config.query();
+  } catch {
+    // Whoever tells of the version next is asked next.
+    return undefined;
+  } finally {
+    peer.close();
+  }
+}
+
 /** Offers the lease to a peer; false when it doesn't take it. */
 export async function offerLease(
   address: string,
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -189,6 +189,23 @@
 export type EnsureInput = z.infer<typeof ensureInputSchema>;
 export type EnsureOutput = z.infer<typeof ensureOutputSchema>;
 
+/** A configuration, for a peer that can't read it from the store. */
+export const toldConfigSchema = z.object({
+  version: z.number(),
+  /** SHA-256 of the bytes, in hexadecimal. */
+  checksum: z.string(),
+  /** In base64. */
+  bytes: z.string(),
+});
+
+export type ToldConfig = z.infer<typeof toldConfigSchema>;
+
+/** What each entry answers to its peers. */
+export interface PeerHandlers extends HolderHandlers {
+  /** Undefined before it has one. */
+  config(): ToldConfig | undefined;
+}
+
 /** What the holder of orders answers to the entries. */
 export interface HolderHandlers {
   exchange(input: ExchangeInput): ExchangeOutput | NotHolder;
@@ -200,7 +217,7 @@
 
 const trpc = initTRPC.create();
 
-export function createPeerRouter(handlers: HolderHandlers) {
+export function createPeerRouter(handlers: PeerHandlers) {
   return trpc.router({
     exchange: trpc.procedure
       .input(exchangeInputSchema)
@@ -214,6 +231,9 @@
     takeOver: trpc.procedure
       .input(leaseHandoverSchema)
       .mutation(({input}) => handlers.takeOver(input)),
+    config: trpc.procedure
+      .output(toldConfigSchema.optional())
+      .query(() => handlers.config()),
     lastOrder: trpc.procedure
       .input(laterHolderSchema)
       .query(({input}) => handlers.lastOrder(input)),
--- a/packages/banyanfold-gateway/src/peers/peerServer.ts
+++ b/packages/banyanfold-gateway/src/peers/peerServer.ts
@@ -3,14 +3,14 @@
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
 import {WebSocketServer} from 'ws';
 import type {ListenAddress} from '../types.js';
-import {createPeerRouter, type HolderHandlers} from './peerContract.js';
+import {createPeerRouter, type PeerHandlers} from './peerContract.js';
 
 /** Answers the other entries: lasting connections, and single calls over HTTP. */
 export class PeerServer {
   private readonly server: http.Server;
   private readonly sockets: WebSocketServer;
 
-  constructor(handlers: HolderHandlers) {
+  constructor(handlers: PeerHandlers) {
     const router = createPeerRouter(handlers);
     const serve = createHTTPHandler({router, basePath: '/trpc/'});
     this.server = http.createServer((req, res) => serve(req, res));
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -24,6 +24,10 @@
   /** What this process itself has open. */
   ownLoad(): EntryLoad;
   holderAddress(): string | undefined;
+  /** Version in force here; 0 for none. */
+  configVersion(): number;
+  /** An entry of the group has this version, and this process an older one. */
+  onNewerConfig(version: number, peer: string): void;
 }
 
 /** The holder's last word, as this process itself heard it. */
@@ -118,6 +122,9 @@
     }
     suspects.relay(input.crashes);
     if (Object.keys(input.waiting).length > 0) demand.onWaiting();
+    if (configVersion > this.options.configVersion()) {
+      this.options.onNewerConfig(configVersion, entry);
+    }
     this.newestConfig = Math.max(this.newestConfig, configVersion);
     this.newestRunnersChange = Math.max(
       this.newestRunnersChange,
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -84,6 +84,8 @@
   /** Cores' worth of processor that the process may use. */
   processorShare: number;
   usage: UsageAccounts;
+  /** An entry has this version, and this process an older one. */
+  onNewerConfig(version: number, peer: string): void;
   isLeaving: () => boolean;
 }
 
@@ -204,6 +206,11 @@
       this.noteAdapterUse(batch.demand);
       this.fleetUsage.note(batch.usage ?? [], nowMs);
     }
+    const {view, holder, onNewerConfig} = this.deps;
+    const version = view.current?.version ?? 0;
+    if (input.configVersion > version && entry !== holder) {
+      onNewerConfig(input.configVersion, entry);
+    }
     this.newestConfig = Math.max(this.newestConfig, input.configVersion);
     this.newestRunnersChange = Math.max(
       this.newestRunnersChange,
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -251,9 +251,19 @@
   ): Promise<Result<RunnerReport, BanyanfoldError>>;
 }
 
+/** A configuration as its source spells it; it holds callers' keys. */
+export interface ConfigRecord {
+  version: number;
+  bytes: Buffer;
+}
+
 /** Where a configuration or a registration comes from. */
 export interface FleetSource {
   start(handlers: FleetHandlers): void;
+  /** The configuration that was given last. */
+  readonly configRecord: ConfigRecord | undefined;
+  /** Gives a configuration that a peer has read. */
+  takeConfig(record: ConfigRecord): void;
   /** Reads the configuration anew, because a peer has a newer one. */
   refreshConfig(): void;
   /**
