Keep the use of organisations near their limits in the store

Cause: after all processes were killed nobody knew what had been used. The holder now writes, once a second while any is near its limit, what those have left; a process that starts reads it, and takes any other organisation to have 0.4 of its limit left. While nothing is told entries spend what was left over 4 s and then keep to the rate.

--- a/packages/banyanfold-decisions/src/usage/organisationUsage.ts
+++ b/packages/banyanfold-decisions/src/usage/organisationUsage.ts
@@ -28,7 +28,15 @@
 const SMOOTHING_MS = 1_500;
 /** What the holder told counts this long. */
 const TOLD_FRESH_MS = 1_500;
-/** What was left when last told is spent evenly over this long. */
+const UNASKED: FleetUsageTold = {
+  left: 0,
+  freedPerSecond: 0,
+  askedPerSecond: 0,
+};
+/**
+ * What was left when last told is spent evenly over this long; by then half of what
+ * had been used before has left the window.
+ */
 const SPENT_MS = 4_000;
 /** Until the others know of what an entry admits: an exchange with the holder. */
 const UNHEARD_MS = 250;
@@ -56,6 +64,8 @@
   /** Admitted here and not in what was told. */
   private untold = 0;
   private perWindow = 0;
+  /** Left of the limit, where that was told and no amount. */
+  private leftShare: number | undefined;
 
   /** @param isUnused nobody had used anything when this entry started. */
   constructor(private readonly isUnused: boolean) {}
@@ -86,12 +96,15 @@
   /**
    * Takes in what the fleet has used.
    *
+   * @param told what is left, or which share of the limit, of whatever is asked.
    * @param atMs when that was known.
    * @param untold admitted here and not in it.
    */
-  tell(told: FleetUsageTold, atMs: number, untold: number): void {
+  tell(told: FleetUsageTold | number, atMs: number, untold: number): void {
     const ownPerSecond = this.asked.perSecond(atMs);
-    this.told = {...told, atMs, ownPerSecond};
+    const usage = typeof told === 'number' ? UNASKED : told;
+    this.told = {...usage, atMs, ownPerSecond};
+    this.leftShare = typeof told === 'number' ? told : undefined;
     this.untold = untold;
   }
 
@@ -103,10 +116,17 @@
     return Math.max(0, others) + own;
   }
 
-  /** What is known was counted by a higher limit, until the holder tells again. */
+  /**
+   * What is known may have been counted by a higher limit, until the holder tells
+   * again.
+   */
   private noteLimit({perWindow}: UsageLimit): void {
     const factor = perWindow / this.perWindow;
     this.perWindow = perWindow;
+    if (this.told && this.leftShare !== undefined) {
+      this.told.left = this.leftShare * perWindow;
+      return;
+    }
     if (factor >= 1) return;
     this.untold *= factor;
     if (this.told) this.told.left *= factor;
@@ -125,10 +145,10 @@
     if (!told) return {left: 0, perSecond: ratePerSecond};
     const freed = Math.min(told.freedPerSecond, ratePerSecond);
     const sinceMs = nowMs - told.atMs;
+    if (sinceMs > SPENT_MS) return {left: 0, perSecond: ratePerSecond};
     if (sinceMs > TOLD_FRESH_MS) {
-      const unspent = sinceMs < SPENT_MS ? Math.max(0, told.left) : 0;
-      const spend = (Math.min(unspent, perWindow) * MS_PER_SECOND) / SPENT_MS;
-      return {left: 0, perSecond: freed + spend};
+      const spend = (Math.max(0, told.left) * MS_PER_SECOND) / SPENT_MS;
+      return {left: 0, perSecond: Math.min(ratePerSecond, freed + spend)};
     }
     const change =
       ((told.freedPerSecond - askedPerSecond) * sinceMs) / MS_PER_SECOND;
--- a/packages/banyanfold-gateway/src/callers/usageAccounts.ts
+++ b/packages/banyanfold-gateway/src/callers/usageAccounts.ts
@@ -21,12 +21,13 @@
   isKnown(organisation: string): boolean;
 }
 
-/** Nobody has asked for an organisation lately that isn't told of. */
-const UNUSED: FleetUsageTold = {
-  left: Infinity,
-  freedPerSecond: 0,
-  askedPerSecond: 0,
-};
+/**
+ * Of its limit, what one that is kept in the store has left at most; any other one
+ * may have used all but so much.
+ */
+const KEPT_LEFT_SHARE = 0.4;
+/** An organisation that the holder doesn't tell of has used nothing lately. */
+const UNUSED_SHARE = 1;
 
 interface Account {
   usage: OrganisationUsage;
@@ -40,6 +41,8 @@
   usage: Readonly<Record<string, FleetUsageTold>>;
   /** When it was known to the holder. */
   atMs: number;
+  /** Left to one that isn't told of, as a share of its limit. */
+  unlistedShare: number;
 }
 
 /** How much of its cap each organisation has used, as this entry knows it. */
@@ -61,9 +64,32 @@
   }
 
   /** What this entry last heard to be left; undefined where it heard nothing. */
-  leftOf(organisation: string): number | undefined {
-    if (!this.told) return this.options.isFirstStart ? Infinity : undefined;
-    return (this.told.usage[organisation] ?? UNUSED).left;
+  leftOf(organisation: string, {perWindow}: UsageLimit): number | undefined {
+    const {told} = this;
+    if (!told) return this.options.isFirstStart ? perWindow : undefined;
+    const left = told.usage[organisation]?.left;
+    return left ?? perWindow * told.unlistedShare;
+  }
+
+  /** Of what is told by the holder, those that may soon have nothing left. */
+  nearLimit(
+    told: Readonly<Record<string, FleetUsageTold>>,
+    limitOf: (organisation: string) => UsageLimit | undefined,
+  ): Record<string, FleetUsageTold> {
+    const near = Object.entries(told).filter(([name, {left}]) => {
+      const perWindow = limitOf(name)?.perWindow ?? Infinity;
+      return left < perWindow * KEPT_LEFT_SHARE;
+    });
+    return Object.fromEntries(near);
+  }
+
+  /** Takes in what was kept in the store, until the holder tells. */
+  tellStored(
+    usage: Readonly<Record<string, FleetUsageTold>>,
+    ageMs: number,
+  ): void {
+    if (this.told) return;
+    this.tellAll(usage, ageMs, KEPT_LEFT_SHARE, false);
   }
 
   /** @example accounts.decide(organisation, cap, 9_190).kind // 'admit' */
@@ -110,7 +136,17 @@
     ageMs: number,
     isPassedOn: boolean,
   ): void {
-    this.told = {usage: told, atMs: this.options.clock.nowMs() - ageMs};
+    this.tellAll(told, ageMs, UNUSED_SHARE, isPassedOn);
+  }
+
+  private tellAll(
+    usage: Readonly<Record<string, FleetUsageTold>>,
+    ageMs: number,
+    unlistedShare: number,
+    isPassedOn: boolean,
+  ): void {
+    const atMs = this.options.clock.nowMs() - ageMs;
+    this.told = {usage, atMs, unlistedShare};
     for (const [name, account] of this.accounts) {
       const {unreported, reported} = account;
       this.tellOf(name, account, unreported + (isPassedOn ? reported : 0));
@@ -118,8 +154,9 @@
   }
 
   private tellOf(name: string, {usage}: Account, untold: number): void {
-    if (!this.told) return;
-    usage.tell(this.told.usage[name] ?? UNUSED, this.told.atMs, untold);
+    const {told} = this;
+    if (!told) return;
+    usage.tell(told.usage[name] ?? told.unlistedShare, told.atMs, untold);
   }
 
   /** Age of what this entry decides by, in ms; undefined before it was told. */
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import {RetryBudget} from '@banyanfold/log';
 import type {GatewayContext} from './context.js';
 import {UsageAccounts} from './callers/usageAccounts.js';
+import {UsageKeeper} from './callers/usageKeeper.js';
 import {CrashLedger} from './crashes/crashLedger.js';
 import {CrashSuspects} from './crashes/crashSuspects.js';
 import {CrashWatch} from './crashes/crashWatch.js';
@@ -34,6 +35,7 @@
   QuarantineStore,
   RequestCodec,
   RunnerControl,
+  UsageStore,
 } from './types.js';
 import {FleetView} from './view/fleetView.js';
 
@@ -75,6 +77,7 @@
   lease: LeaseSource;
   control: RunnerControl;
   quarantine: QuarantineStore;
+  usage: UsageStore;
   random?: () => number;
 }
 
@@ -102,6 +105,7 @@
   private readonly link: HolderLink;
   private readonly quarantine: QuarantineKeeper;
   private readonly configs: ConfigFetcher;
+  private readonly usage: UsageKeeper;
   private readonly budgets = new Map<string, RetryBudget>();
   private stopTidying: () => void = () => {};
   private entries = ASSUMED_ENTRIES;
@@ -181,6 +185,15 @@
       onNewerConfig,
       isLeaving: () => this.isLeaving,
     });
+    this.usage = new UsageKeeper({
+      clock,
+      logger,
+      store: parts.usage,
+      lease,
+      accounts: usage,
+      isFirstStart: settings.isFirstStart,
+      nearLimit: () => this.holder.usageNearLimit(),
+    });
     this.link = new HolderLink({
       clock,
       logger,
@@ -295,6 +308,7 @@
     this.holder.start();
     this.link.start();
     this.quarantine.start();
+    this.usage.start();
     this.tidiedMs = clock.nowMs();
     this.stopTidying = repeatEvery(clock, JUDGE_INTERVAL_MS, () => this.tidy());
     logger.info('started', {
@@ -346,6 +360,7 @@
     this.holder.stop();
     this.link.stop();
     this.quarantine.stop();
+    this.usage.stop();
     this.configs.stop();
     this.stopTidying();
     this.callers.stopAccepting();
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -5,6 +5,8 @@
   type CopyOrder,
   type CopyRunner,
   FleetUsage,
+  type FleetUsageTold,
+  type UsageLimit,
   type Relays,
 } from '@banyanfold/decisions';
 import type {TrialInput, TrialOutput} from '../crashes/crashContract.js';
@@ -184,19 +186,28 @@
 
   /** Goes on from what this process last heard as an entry. */
   private countUsage(sinceMs: number): FleetUsage {
-    const {usage, view} = this.deps;
+    const {usage} = this.deps;
     return new FleetUsage({
       windowMs: usage.windowMs,
       sinceMs,
-      limitOf: name => {
-        const cap = view.organisations?.named(name)?.usageCap;
-        return cap && usage.limitOf(cap);
-      },
-      usedBefore: (name, {perWindow}) =>
-        Math.max(0, perWindow - (usage.leftOf(name) ?? 0)),
+      limitOf: name => this.limitOf(name),
+      usedBefore: (name, limit) =>
+        Math.max(0, limit.perWindow - (usage.leftOf(name, limit) ?? 0)),
     });
   }
 
+  /** What organisations that are near their limits have left. */
+  usageNearLimit(): Record<string, FleetUsageTold> {
+    const told = this.fleetUsage.tell(this.deps.clock.nowMs());
+    return this.deps.usage.nearLimit(told, name => this.limitOf(name));
+  }
+
+  private limitOf(organisation: string): UsageLimit | undefined {
+    const {usage, view} = this.deps;
+    const cap = view.organisations?.named(organisation)?.usageCap;
+    return cap && usage.limitOf(cap);
+  }
+
   private noteInput(input: ExchangeInput, nowMs: number): void {
     const {entry, batch, waiting, crashes} = input;
     this.loads.note(entry, input, nowMs);
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -79,8 +79,9 @@
   /** The prompt has been sent there; its shared part will be cached. */
   noteSent(runnerId: string): void {
     const affinity = this.affinity();
-    if (affinity)
+    if (affinity) {
       this.options.context.prefixes.noteSent(runnerId, affinity.key);
+    }
   }
 
   /** Runners that can take the request, the one with the least work first. */
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -1,4 +1,5 @@
 import type {BanyanfoldError} from '@banyanfold/core';
+import type {FleetUsageTold} from '@banyanfold/decisions';
 import type {Result} from 'neverthrow';
 import type {LeaseHandover} from './peers/peerContract.js';
 
@@ -342,6 +343,20 @@
   release(): Promise<void>;
 }
 
+/** What organisations near their limits have left, as it is kept. */
+export interface UsageRecord {
+  /** Unix time. */
+  atMs: number;
+  organisations: Record<string, FleetUsageTold>;
+}
+
+/** Keeps what has been used while no process may. */
+export interface UsageStore {
+  /** Undefined where nothing has been kept. */
+  load(): Promise<Result<UsageRecord | undefined, BanyanfoldError>>;
+  save(record: UsageRecord): Promise<Result<void, BanyanfoldError>>;
+}
+
 /** A request in quarantine, as it is kept. */
 export interface QuarantineRecord {
   fingerprint: string;
