--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -63,6 +63,11 @@
   prefersOwnDomain: z.boolean().default(true),
   /** Whether the work of a prompt leaves out what is cached where it goes. */
   countsCached: z.boolean().default(false),
+  /**
+   * Of the longest pause that a route allows, how much reading may be open at a
+   * runner before a cached part no longer draws prompts there; 0 for no bound.
+   */
+  openPauseShare: z.number().nonnegative().default(0),
   retryBudgetShare: z.number().min(0).max(1).default(0.85),
 });
 
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -114,6 +114,7 @@
       context,
       request: decoded.request,
       service: this.service,
+      pauseTargetMs: route.pauseTargetMs,
     });
     this.fingerprint = fingerprintOf({
       method: request.method ?? 'GET',
