Judge runners by the answers that all entries got of them

Entries now report outcomes by runner with their demand; the holder compares the runners of a service over 3 s and tells which to avoid, for 2 s, never more than 0.4 of them.

--- a/packages/banyanfold-gateway/src/__tests__/relay.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/relay.test.ts
@@ -4,6 +4,7 @@
 import {CrashSuspects} from '../crashes/crashSuspects.js';
 import type {ExchangeInput, ExchangeOutput} from '../peers/peerContract.js';
 import {Relay} from '../peers/relay.js';
+import {OutcomeMeter} from '../runners/outcomeMeter.js';
 import {UnansweredDemand} from '../peers/unansweredDemand.js';
 import {DemandMeter} from '../placement/demandMeter.js';
 
@@ -85,6 +86,7 @@
     address: OWN.address,
     demand,
     usage: new UsageMeter(),
+    outcomes: new OutcomeMeter(),
     configVersion: () => 9,
     onNewerConfig: () => {},
     suspects,
@@ -190,7 +192,12 @@
   it('sends the same batch until it is answered, and loses nothing', () => {
     // Copies come for what callers ask: an exchange gets no answer, and what it
     // carried is sent again while new demand waits for the next one.
-    const unanswered = new UnansweredDemand(demand, () => [], 'e1#0');
+    const unanswered = new UnansweredDemand(
+      demand,
+      () => [],
+      new OutcomeMeter(),
+      'e1#0',
+    );
     demand.add([ASKED]);
     const first = unanswered.next();
     demand.add([{...ASKED, model: 'm2'}]);
--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -68,6 +68,8 @@
    * runner before a cached part no longer draws prompts there; 0 for no bound.
    */
   openPauseShare: z.number().nonnegative().default(0),
+  /** Whether runners are judged by the answers that all entries got of them. */
+  sharesOutcomes: z.boolean().default(true),
   retryBudgetShare: z.number().min(0).max(1).default(0.85),
 });
 
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -95,6 +95,7 @@
       address: self.address,
       demand,
       usage: usage.meter,
+      outcomes: deps.states.outcomes,
       suspects,
       ownLoad: () => this.ownLoad(),
       configVersion: () => deps.configVersion(),
@@ -109,6 +110,7 @@
     this.unanswered = new UnansweredDemand(
       demand,
       () => usage.takeReports(),
+      deps.states.outcomes,
       lifeId,
     );
   }
@@ -338,6 +340,7 @@
     if (isPassedOn) lease.noteHolder(output.holder);
     else if (teller !== self.address) this.relay.noteWord(output);
     this.deps.usage.tell(output.usage ?? {}, output.ageMs, isPassedOn);
+    this.deps.states.noteEjected(output.ejectedForMs ?? {}, output.ageMs);
     this.adoptVersions(output, teller);
     this.adoptLoads(output, isPassedOn);
     this.adoptRoles(output);
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -44,6 +44,16 @@
       adapters: countsSchema,
     }),
   ),
+  /** Answers by runner; left out by a process of a version without them. */
+  outcomes: z
+    .array(
+      z.object({
+        runnerId: z.string(),
+        successes: z.number(),
+        failures: z.number(),
+      }),
+    )
+    .optional(),
   /** Use of the caps; left out by a process of a version without them. */
   usage: z
     .array(
@@ -124,6 +134,8 @@
   peersWork: countsSchema,
   /** Requests that the other entries have open there, likewise. */
   peersRequests: countsSchema,
+  /** Runners that fail more than their peers, and for how long to avoid each. */
+  ejectedForMs: countsSchema.optional(),
   /** What is left of the caps, of organisations that were asked for lately. */
   usage: z
     .record(
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -6,6 +6,7 @@
 import type {DemandMeter} from '../placement/demandMeter.js';
 import {EntryLoads, type EntryLoad} from '../placement/entryLoads.js';
 import {SeenBatches} from '../placement/seenBatches.js';
+import type {OutcomeMeter} from '../runners/outcomeMeter.js';
 import type {
   ExchangeInput,
   ExchangeOutput,
@@ -20,6 +21,7 @@
   /** Where this process counts its own demand; that of its group adds to it. */
   demand: DemandMeter;
   usage: UsageMeter;
+  outcomes: OutcomeMeter;
   suspects: CrashSuspects;
   /** What this process itself has open. */
   ownLoad(): EntryLoad;
@@ -119,6 +121,7 @@
     if (this.batches.isNew(entry, batch.batchId)) {
       demand.add(batch.demand);
       usage.add(batch.usage ?? []);
+      this.options.outcomes.add(batch.outcomes ?? []);
     }
     suspects.relay(input.crashes);
     if (Object.keys(input.waiting).length > 0) demand.onWaiting();
--- a/packages/banyanfold-gateway/src/peers/unansweredDemand.ts
+++ b/packages/banyanfold-gateway/src/peers/unansweredDemand.ts
@@ -1,5 +1,6 @@
 import type {UsageReport} from '@banyanfold/decisions';
 import type {DemandMeter} from '../placement/demandMeter.js';
+import type {OutcomeMeter} from '../runners/outcomeMeter.js';
 import type {DemandBatch} from './peerContract.js';
 
 /**
@@ -16,6 +17,7 @@
   constructor(
     private readonly meter: DemandMeter,
     private readonly takeUsage: () => UsageReport[],
+    private readonly outcomes: OutcomeMeter,
     private readonly lifeId: string,
   ) {}
 
@@ -26,6 +28,7 @@
       batchId: `${this.lifeId}#${this.batches}`,
       demand: this.meter.take(),
       usage: this.takeUsage(),
+      outcomes: this.outcomes.take(),
     };
     return this.batch;
   }
--- /dev/null
+++ b/packages/banyanfold-gateway/src/placement/fleetOutcomes.ts
@@ -0,0 +1,103 @@
+import type {Clock, Logger} from '@banyanfold/core';
+import {
+  decideEjections,
+  UsageWindow,
+  type EjectionOptions,
+} from '@banyanfold/decisions';
+import type {RunnerOutcome} from '../runners/outcomeMeter.js';
+import type {FleetView} from '../view/fleetView.js';
+
+/** Outcomes older than this say nothing of a runner's state now. */
+const WINDOW_MS = 3_000;
+const JUDGE_INTERVAL_MS = 250;
+/** A fault of a runner lasts some seconds; then it is tried again. */
+const EJECTION_MS = 2_000;
+const OPTIONS: EjectionOptions = {
+  minOutcomes: 6,
+  minPeers: 3,
+  failureMargin: 0.25,
+  // Entries don't tell how long answers took.
+  slowFactor: Number.POSITIVE_INFINITY,
+  slowMarginMs: Number.POSITIVE_INFINITY,
+  maxEjectedShare: 0.4,
+  ejectionMs: EJECTION_MS,
+};
+
+interface Account {
+  successes: UsageWindow;
+  failures: UsageWindow;
+  ejectedUntilMs: number;
+}
+
+/**
+ * Answers of each runner at all entries. Where entries are many each sees so few
+ * answers of one runner that it can't tell a failing one from its peers; together
+ * they can within a second.
+ */
+export class FleetOutcomes {
+  private readonly accounts = new Map<string, Account>();
+  private judgedMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly deps: {clock: Clock; logger: Logger; view: FleetView},
+  ) {}
+
+  note(outcomes: readonly RunnerOutcome[]): void {
+    const nowMs = this.deps.clock.nowMs();
+    for (const {runnerId, successes, failures} of outcomes) {
+      const account = this.of(runnerId);
+      account.successes.add(successes, nowMs);
+      account.failures.add(failures, nowMs);
+    }
+  }
+
+  /** Runners that stand out by their failures, each with how long it is left out. */
+  tell(): Record<string, number> {
+    const nowMs = this.deps.clock.nowMs();
+    if (nowMs - this.judgedMs >= JUDGE_INTERVAL_MS) this.judge(nowMs);
+    const told: Record<string, number> = {};
+    for (const [runnerId, {ejectedUntilMs}] of this.accounts) {
+      const leftMs = Math.round(ejectedUntilMs - nowMs);
+      if (leftMs > 0) told[runnerId] = leftMs;
+    }
+    return told;
+  }
+
+  private judge(nowMs: number): void {
+    const {view, logger} = this.deps;
+    this.judgedMs = nowMs;
+    for (const runnerId of this.accounts.keys()) {
+      if (!view.runner(runnerId)) this.accounts.delete(runnerId);
+    }
+    const outcomes = [...this.accounts].map(([vmId, account]) => ({
+      vmId,
+      successes: account.successes.sum(nowMs),
+      failures: account.failures.sum(nowMs),
+      firstTokenMs: 0,
+      ejectedUntilMs: account.ejectedUntilMs,
+      peerGroup: view.runner(vmId)?.service,
+    }));
+    const {ejected} = decideEjections(outcomes, nowMs, OPTIONS);
+    for (const {vmId, untilMs, reason} of ejected) {
+      this.accounts.set(vmId, {...this.created(), ejectedUntilMs: untilMs});
+      logger.warn('runner-ejected', {runner: vmId, reason, by: 'fleet'});
+    }
+  }
+
+  private of(runnerId: string): Account {
+    let account = this.accounts.get(runnerId);
+    if (!account) {
+      account = this.created();
+      this.accounts.set(runnerId, account);
+    }
+    return account;
+  }
+
+  private created(): Account {
+    return {
+      successes: new UsageWindow(WINDOW_MS),
+      failures: new UsageWindow(WINDOW_MS),
+      ejectedUntilMs: 0,
+    };
+  }
+}
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -42,6 +42,7 @@
 import type {ModelDemand} from './demandMeter.js';
 import {DemandView} from './demandView.js';
 import {EntryLoads} from './entryLoads.js';
+import {FleetOutcomes} from './fleetOutcomes.js';
 import {LoadRate} from './loadRate.js';
 import {REPORT_TICK_MS, ReportAsker} from './reportAsker.js';
 import {RunnerController} from './runnerController.js';
@@ -97,6 +98,7 @@
   private readonly demand = new DemandView();
   private readonly loads = new EntryLoads();
   private readonly batches = new SeenBatches();
+  private readonly outcomes: FleetOutcomes;
   private fleetUsage: FleetUsage;
   /** Of the lease, in which all use was reported here. */
   private usageTerm: number | undefined;
@@ -118,6 +120,7 @@
   constructor(private readonly deps: HolderOptions) {
     this.startedMs = deps.clock.nowMs();
     this.fleetUsage = this.countUsage(this.startedMs);
+    this.outcomes = new FleetOutcomes(deps);
     this.reports = new ReportAsker({
       ...deps,
       onReport: (asked, report, askedMs) =>
@@ -144,7 +147,7 @@
   }
 
   exchange(input: ExchangeInput): ExchangeOutput | NotHolder {
-    const {lease, clock} = this.deps;
+    const {lease, clock, options} = this.deps;
     const nowMs = clock.nowMs();
     const {isHolder, owns, holderAddress, term} = lease.current();
     if (isHolder) this.orderedMs = nowMs;
@@ -172,6 +175,7 @@
       copiesInMs: this.copiesInMs(nowMs),
       peersWork: this.loads.workWithout(entry, nowMs),
       peersRequests: this.loads.requestsWithout(entry, nowMs),
+      ejectedForMs: options.sharesOutcomes ? this.outcomes.tell() : {},
       usage: this.fleetUsage.tell(nowMs),
       suspects: this.deps.crashes.tell(input.knownSuspects),
     };
@@ -215,6 +219,7 @@
     if (this.batches.isNew(entry, batch.batchId)) {
       this.demand.note(batch.demand, nowMs);
       this.noteAdapterUse(batch.demand);
+      this.outcomes.note(batch.outcomes ?? []);
       this.fleetUsage.note(batch.usage ?? [], nowMs);
     }
     const {view, holder, onNewerConfig} = this.deps;
--- /dev/null
+++ b/packages/banyanfold-gateway/src/runners/outcomeMeter.ts
@@ -0,0 +1,42 @@
+/** Answers of one runner, whole ones and others. */
+export interface RunnerOutcome {
+  runnerId: string;
+  successes: number;
+  failures: number;
+}
+
+/** Counts answers by runner between two exchanges with the holder. */
+export class OutcomeMeter {
+  private byRunner = new Map<string, RunnerOutcome>();
+
+  note(runnerId: string, isSuccess: boolean): void {
+    const outcome = this.of(runnerId);
+    if (isSuccess) outcome.successes += 1;
+    else outcome.failures += 1;
+  }
+
+  /** Adds what another entry has counted. */
+  add(outcomes: readonly RunnerOutcome[]): void {
+    for (const {runnerId, successes, failures} of outcomes) {
+      const outcome = this.of(runnerId);
+      outcome.successes += successes;
+      outcome.failures += failures;
+    }
+  }
+
+  /** Takes what was counted, and begins anew. */
+  take(): RunnerOutcome[] {
+    const taken = [...this.byRunner.values()];
+    this.byRunner = new Map();
+    return taken;
+  }
+
+  private of(runnerId: string): RunnerOutcome {
+    let outcome = this.byRunner.get(runnerId);
+    if (!outcome) {
+      outcome = {runnerId, successes: 0, failures: 0};
+      this.byRunner.set(runnerId, outcome);
+    }
+    return outcome;
+  }
+}
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -2,6 +2,7 @@
 import {decideEjections, type RunnerOutcomes} from '@banyanfold/decisions';
 import type {GatewayOptions} from '../options.js';
 import type {Work} from '../requests/workOf.js';
+import {OutcomeMeter} from './outcomeMeter.js';
 import {UrgencyMix} from './urgencyMix.js';
 
 /** Outcomes older than this say nothing of a runner's state now. */
@@ -62,6 +63,8 @@
 export class RunnerStates {
   private readonly states = new Map<string, RunnerState>();
   private readonly urgency = new UrgencyMix();
+  /** What runners answered here, for the holder to judge them by. */
+  readonly outcomes = new OutcomeMeter();
 
   constructor(
     private readonly clock: Clock,
@@ -208,6 +211,7 @@
   noteOutcome(runnerId: string, isSuccess: boolean, firstTokenMs = 0): void {
     const state = this.states.get(runnerId);
     if (!state) return;
+    this.outcomes.note(runnerId, isSuccess);
     const atMs = this.clock.nowMs();
     state.outcomes.push({atMs, isSuccess, firstTokenMs});
     if (!isSuccess) return;
@@ -225,6 +229,19 @@
     state.outcomes = [];
   }
 
+  /**
+   * The holder has found runners that fail more than their peers.
+   *
+   * @param ageMs since it told.
+   */
+  noteEjected(forMs: Readonly<Record<string, number>>, ageMs: number): void {
+    const toldAtMs = this.clock.nowMs() - ageMs;
+    for (const [runnerId, leftMs] of Object.entries(forMs)) {
+      const state = this.of(runnerId, '');
+      state.ejectedUntilMs = Math.max(state.ejectedUntilMs, toldAtMs + leftMs);
+    }
+  }
+
   /** Compares runners of a service and sets aside those that stand out. */
   judge(): void {
     const nowMs = this.clock.nowMs();
