Send prompts past runners whose streams are late, as a trial

Entries report streams and late ones by runner, the holder tells the shares, and a runner counts as having so much more work open.

--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -70,6 +70,8 @@
   openPauseShare: z.number().nonnegative().default(0),
   /** Whether runners are judged by the answers that all entries got of them. */
   sharesOutcomes: z.boolean().default(true),
+  /** Work that a runner counts as having open if all its streams are late. */
+  lateStreamsWork: z.number().nonnegative().default(20),
   retryBudgetShare: z.number().min(0).max(1).default(0.85),
 });
 
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -340,6 +340,7 @@
     if (isPassedOn) lease.noteHolder(output.holder);
     else if (teller !== self.address) this.relay.noteWord(output);
     this.deps.usage.tell(output.usage ?? {}, output.ageMs, isPassedOn);
+    this.deps.states.noteLateShares(output.lateShares ?? {});
     this.deps.states.noteEjected(output.ejectedForMs ?? {}, output.ageMs);
     this.adoptVersions(output, teller);
     this.adoptLoads(output, isPassedOn);
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -176,6 +176,7 @@
       peersWork: this.loads.workWithout(entry, nowMs),
       peersRequests: this.loads.requestsWithout(entry, nowMs),
       ejectedForMs: options.sharesOutcomes ? this.outcomes.tell() : {},
+      lateShares: this.outcomes.lateShares(),
       usage: this.fleetUsage.tell(nowMs),
       suspects: this.deps.crashes.tell(input.knownSuspects),
     };
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -52,7 +52,10 @@
     const choices = (fresh.length > 0 ? fresh : serving).map(runner => ({
       runnerId: runner.runnerId,
       failureDomain: runner.failureDomain,
-      openWork: context.states.openWork(runner.runnerId),
+      openWork:
+        context.states.openWork(runner.runnerId) +
+        context.states.lateShare(runner.runnerId) *
+          context.options.lateStreamsWork,
       isCached:
         affinity !== undefined &&
         context.prefixes.isCached(runner.runnerId, affinity.key),
