--- a/packages/banyanfold-decisions/src/chooseRunner.ts
+++ b/packages/banyanfold-decisions/src/chooseRunner.ts
@@ -8,8 +8,6 @@
   openWork: number;
   /** The request's adapter is there, or none is asked for. */
   hasAdapter: boolean;
-  /** What the request shares with others was sent there lately. */
-  isCached?: boolean;
   /** It failed lately; taken only where all did. */
   isSuspect: boolean;
 }
@@ -59,8 +57,6 @@
 export interface ChosenRunner {
   runnerId: string;
   reason: 'affinity' | 'least-work';
-  /** What the request shares with others is taken to be cached there. */
-  isCached: boolean;
 }
 
 const NO_FLOW: ComingFlow = {work: 0, random: () => 0};
@@ -122,12 +118,7 @@
     const first =
       ranked.find(({cost}) => isTaken(bound - cost, costs.length, flow)) ??
       ranked.reduce((least, each) => (each.cost < least.cost ? each : least));
-    const {runnerId, isCached = false} = first.choice;
-    return {
-      runnerId,
-      reason: 'affinity',
-      isCached: isCached || first === ranked[0],
-    };
+    return {runnerId: first.choice.runnerId, reason: 'affinity'};
   }
   const cost = (choice: RunnerChoice) =>
     costOf(choice, options) +
@@ -136,7 +127,7 @@
   for (const choice of candidates) {
     if (cost(choice) < cost(best)) best = choice;
   }
-  return {runnerId: best.runnerId, reason: 'least-work', isCached: false};
+  return {runnerId: best.runnerId, reason: 'least-work'};
 }
 
 /** Whether a runner with so much room takes its share of the flow, or part of it. */
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -9,7 +9,6 @@
 import type {GatewayOptions} from './options.js';
 import type {HeldCopies} from './runners/heldCopies.js';
 import type {PromptGate} from './runners/promptGate.js';
-import type {RecentPrefixes} from './runners/recentPrefixes.js';
 import type {RunnerConnections} from './runners/runnerConnections.js';
 import type {RunnerStates} from './runners/runnerStates.js';
 import type {RequestCodec} from './types.js';
@@ -37,7 +36,6 @@
   connections: RunnerConnections;
   states: RunnerStates;
   gate: PromptGate;
-  prefixes: RecentPrefixes;
   crashWatch: CrashWatch;
   suspects: CrashSuspects;
   held: HeldCopies;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -24,7 +24,6 @@
 import {createMetricsServer, createReadinessServer} from './readinessServer.js';
 import {HeldCopies} from './runners/heldCopies.js';
 import {PromptGate} from './runners/promptGate.js';
-import {RecentPrefixes} from './runners/recentPrefixes.js';
 import {RunnerConnections} from './runners/runnerConnections.js';
 import {ComingWork} from './requests/comingWork.js';
 import {RunnerStates} from './runners/runnerStates.js';
@@ -120,11 +119,9 @@
     this.view = new FleetView(clock, logger);
     const states = new RunnerStates(clock, logger, options);
     const held = new HeldCopies(this.view, () => clock.nowMs(), TOLD_FRESH_MS);
-    const prefixes = new RecentPrefixes(() => clock.nowMs());
     this.view.onNewLife(runnerId => {
       states.noteNewLife(runnerId);
       held.noteNewLife(runnerId);
-      prefixes.forget(runnerId);
     });
     const demand = new DemandMeter();
     const random = parts.random ?? Math.random;
@@ -233,7 +230,6 @@
       connections: new RunnerConnections(clock, options),
       states,
       gate: new PromptGate(clock),
-      prefixes,
       crashWatch: new CrashWatch({
         clock,
         logger,
@@ -441,7 +437,6 @@
 
     this.context.states.judge();
     this.context.states.keepOnly(id => this.view.runner(id) !== undefined);
-    this.context.prefixes.keepOnly(id => this.view.runner(id) !== undefined);
     this.context.gate.keepOnly(id => this.view.runner(id) !== undefined);
     this.context.connections.closeIdle();
   }
--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -59,10 +59,6 @@
   maxGatheredBytes: z.number().int().positive().default(8_388_608),
   /** Share of the allowed repeats that is used, so that a count that differs
    * by some requests does not pass the bound. */
-  /** Whether prompts go to runners of the entry's own failure domain first. */
-  prefersOwnDomain: z.boolean().default(true),
-  /** Whether the work of a prompt leaves out what is cached where it goes. */
-  countsCached: z.boolean().default(false),
   /**
    * Of the longest pause that a route allows, how much reading may be open at a
    * runner before a cached part no longer draws prompts there; 0 for no bound.
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -65,7 +65,7 @@
    */
   private readonly leavesMs: number;
   private readonly service: string;
-  private started: StartedWork;
+  private readonly started: StartedWork;
   private readonly relay: AnswerRelay;
   private readonly targets: TargetChooser;
   private readonly log: RequestLog;
@@ -368,7 +368,6 @@
     const {context, route, decoded} = this.options;
     const {runner} = target;
     this.noteNotWaiting();
-    this.countCached(target);
     const aheadWork = context.states.workAhead(runner.runnerId, route.priority);
     context.states.noteStart(runner.runnerId, this.service, this.started);
     const isPrompt = decoded.request.model !== undefined;
@@ -392,18 +391,6 @@
     return this.send(target, aheadWork);
   }
 
-  /** What the runner has cached of the prompt it doesn't read again. */
-  private countCached({cachedWork}: Target): void {
-    const {promptTokens, maxOutputTokens} = this.options.decoded.request;
-    const {read, generate} = workOf({
-      requests: 1,
-      promptTokens,
-      outputTokens: maxOutputTokens,
-    });
-    const work = {read: Math.max(0, read - cachedWork), generate};
-    this.started = {...this.started, work};
-  }
-
   private async send(
     target: Target,
     aheadWork: number,
@@ -413,7 +400,6 @@
     const nowMs = context.clock.nowMs();
     const connection = context.connections.acquire(runner.address);
     this.log.route(target, this.counts, connection.used);
-    this.targets.noteSent(runner.runnerId);
     const headers = context.codec.encodeAttempt(decoded, {
       runnerId: runner.runnerId,
       remainingMs: this.deadlineMs - nowMs,
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -8,8 +8,6 @@
   runner: RunnerRegistration;
   needsAdapter: boolean;
   reason: string;
-  /** Work that is saved there, because a part of the prompt is cached. */
-  cachedWork: number;
 }
 
 /** Why there is no target: how many runners are left at each condition. */
@@ -56,42 +54,24 @@
         context.states.openWork(runner.runnerId) +
         context.states.lateShare(runner.runnerId) *
           context.options.lateStreamsWork,
-      isCached:
-        affinity !== undefined &&
-        context.prefixes.isCached(runner.runnerId, affinity.key),
       hasAdapter: this.hasAdapter(runner.runnerId),
       isSuspect:
         context.states.isSuspect(runner.runnerId) ||
         context.gate.isStalled(runner.runnerId),
     }));
-    const prefersOwn = !affinity || context.options.prefersOwnDomain;
-    const chosen = chooseRunner(
-      choices,
-      affinity,
-      prefersOwn ? context.failureDomain : '',
-      {work: this.comingWork(), random: context.random},
-    );
+    const chosen = chooseRunner(choices, affinity, context.failureDomain, {
+      work: this.comingWork(),
+      random: context.random,
+    });
     const runner = chosen && context.view.runner(chosen.runnerId);
     if (!chosen || !runner) return undefined;
     return {
       runner,
       needsAdapter: !this.hasAdapter(runner.runnerId),
       reason: chosen.reason,
-      cachedWork:
-        context.options.countsCached && chosen.isCached
-          ? (affinity?.sharedWork ?? 0)
-          : 0,
     };
   }
 
-  /** The prompt has been sent there; its shared part will be cached. */
-  noteSent(runnerId: string): void {
-    const affinity = this.affinity();
-    if (affinity) {
-      this.options.context.prefixes.noteSent(runnerId, affinity.key);
-    }
-  }
-
   /** Runners that can take the request, the one with the least work first. */
   byOpenWork(): string[] {
     const {states} = this.options.context;
