--- a/packages/banyanfold-decisions/src/chooseRunner.ts
+++ b/packages/banyanfold-decisions/src/chooseRunner.ts
@@ -18,11 +18,6 @@
   key: string;
   /** Work that is saved where the shared part is cached. */
   sharedWork: number;
-  /**
-   * With more open work than this a runner holds its streams up for longer than
-   * their routes allow, so that a cached part is no reason to add to it.
-   */
-  maxOpenWork?: number;
 }
 
 /** What comes before the entries hear of each other's requests. */
@@ -110,11 +105,8 @@
           : Number(b.isOwnDomain) - Number(a.isOwnDomain),
       );
     const costs = ranked.map(({cost}) => cost);
-    const level = levelOf(costs, flow.work);
-    const bound = Math.min(
-      level + affinity.sharedWork + options.slackWork,
-      Math.max(level, affinity.maxOpenWork ?? Infinity),
-    );
+    const bound =
+      levelOf(costs, flow.work) + affinity.sharedWork + options.slackWork;
     const first =
       ranked.find(({cost}) => isTaken(bound - cost, costs.length, flow)) ??
       ranked.reduce((least, each) => (each.cost < least.cost ? each : least));
--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -59,11 +59,6 @@
   maxGatheredBytes: z.number().int().positive().default(8_388_608),
   /** Share of the allowed repeats that is used, so that a count that differs
    * by some requests does not pass the bound. */
-  /**
-   * Of the longest pause that a route allows, how much reading may be open at a
-   * runner before a cached part no longer draws prompts there; 0 for no bound.
-   */
-  openPauseShare: z.number().nonnegative().default(0),
   /** Whether runners are judged by the answers that all entries got of them. */
   sharesOutcomes: z.boolean().default(true),
   /** Work that a runner counts as having open if all its streams are late. */
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -114,7 +114,6 @@
       context,
       request: decoded.request,
       service: this.service,
-      pauseTargetMs: route.pauseTargetMs,
     });
     this.fingerprint = fingerprintOf({
       method: request.method ?? 'GET',
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -22,13 +22,8 @@
   context: GatewayContext;
   request: InferenceRequest;
   service: string;
-  /** The longest pause that the route allows between events. */
-  pauseTargetMs: number | undefined;
 }
 
-/** Engines of today read 38 to 41 thousand prompt tokens a second. */
-const ASSUMED_WORK_PER_MS = 0.04;
-
 /** Chooses runners for one request, from what the view says at the time. */
 export class TargetChooser {
   private readonly rejectedBy = new Set<string>();
@@ -164,22 +159,6 @@
     });
     // An adapter's places are fewer than the prompts that are read with it.
     const what = adapter ?? shared.map(({partId}) => partId).join(',');
-    return {
-      key: `${model}/${what}`,
-      sharedWork: sharedTokens > 0 ? read : 0,
-      maxOpenWork: this.maxOpenWork(),
-    };
-  }
-
-  private maxOpenWork(): number | undefined {
-    const {context, request, pauseTargetMs} = this.options;
-    const {openPauseShare} = context.options;
-    if (openPauseShare === 0 || pauseTargetMs === undefined) return undefined;
-    const {read} = workOf({
-      requests: 1,
-      promptTokens: request.promptTokens,
-      outputTokens: 0,
-    });
-    return pauseTargetMs * openPauseShare * ASSUMED_WORK_PER_MS - read;
+    return {key: `${model}/${what}`, sharedWork: sharedTokens > 0 ? read : 0};
   }
 }
