--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -59,10 +59,6 @@
   maxGatheredBytes: z.number().int().positive().default(8_388_608),
   /** Share of the allowed repeats that is used, so that a count that differs
    * by some requests does not pass the bound. */
-  /** Whether runners are judged by the answers that all entries got of them. */
-  sharesOutcomes: z.boolean().default(true),
-  /** Work that a runner counts as having open if all its streams are late. */
-  lateStreamsWork: z.number().nonnegative().default(20),
   retryBudgetShare: z.number().min(0).max(1).default(0.85),
 });
 
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -340,7 +340,6 @@
     if (isPassedOn) lease.noteHolder(output.holder);
     else if (teller !== self.address) this.relay.noteWord(output);
     this.deps.usage.tell(output.usage ?? {}, output.ageMs, isPassedOn);
-    this.deps.states.noteLateShares(output.lateShares ?? {});
     this.deps.states.noteEjected(output.ejectedForMs ?? {}, output.ageMs);
     this.adoptVersions(output, teller);
     this.adoptLoads(output, isPassedOn);
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -51,8 +51,6 @@
         runnerId: z.string(),
         successes: z.number(),
         failures: z.number(),
-        streams: z.number().default(0),
-        lateStreams: z.number().default(0),
       }),
     )
     .optional(),
@@ -138,8 +136,6 @@
   peersRequests: countsSchema,
   /** Runners that fail more than their peers, and for how long to avoid each. */
   ejectedForMs: countsSchema.optional(),
-  /** By runner, the share of its streams that were late; none where left out. */
-  lateShares: countsSchema.optional(),
   /** What is left of the caps, of organisations that were asked for lately. */
   usage: z
     .record(
--- a/packages/banyanfold-gateway/src/placement/fleetOutcomes.ts
+++ b/packages/banyanfold-gateway/src/placement/fleetOutcomes.ts
@@ -23,17 +23,9 @@
   ejectionMs: EJECTION_MS,
 };
 
-/** Streams that are taken to have been in time before any ended. */
-const ASSUMED_STREAMS = 3;
-/** Lower shares aren't told. */
-const LEAST_LATE_SHARE = 0.05;
-const ROUNDING = 100;
-
 interface Account {
   successes: UsageWindow;
   failures: UsageWindow;
-  streams: UsageWindow;
-  lateStreams: UsageWindow;
   ejectedUntilMs: number;
 }
 
@@ -52,26 +44,11 @@
 
   note(outcomes: readonly RunnerOutcome[]): void {
     const nowMs = this.deps.clock.nowMs();
-    for (const {runnerId, ...counts} of outcomes) {
+    for (const {runnerId, successes, failures} of outcomes) {
       const account = this.of(runnerId);
-      account.successes.add(counts.successes, nowMs);
-      account.failures.add(counts.failures, nowMs);
-      account.streams.add(counts.streams, nowMs);
-      account.lateStreams.add(counts.lateStreams, nowMs);
-    }
-  }
-
-  /** By runner, the share of its streams with a longer pause than allowed. */
-  lateShares(): Record<string, number> {
-    const nowMs = this.deps.clock.nowMs();
-    const shares: Record<string, number> = {};
-    for (const [runnerId, {streams, lateStreams}] of this.accounts) {
-      const late = lateStreams.sum(nowMs);
-      const share = late / (streams.sum(nowMs) + ASSUMED_STREAMS);
-      if (share < LEAST_LATE_SHARE) continue;
-      shares[runnerId] = Math.round(share * ROUNDING) / ROUNDING;
+      account.successes.add(successes, nowMs);
+      account.failures.add(failures, nowMs);
     }
-    return shares;
   }
 
   /** Runners that stand out by their failures, each with how long it is left out. */
@@ -102,13 +79,7 @@
     }));
     const {ejected} = decideEjections(outcomes, nowMs, OPTIONS);
     for (const {vmId, untilMs, reason} of ejected) {
-      const {streams, lateStreams} = this.accounts.get(vmId)!;
-      this.accounts.set(vmId, {
-        ...this.created(),
-        streams,
-        lateStreams,
-        ejectedUntilMs: untilMs,
-      });
+      this.accounts.set(vmId, {...this.created(), ejectedUntilMs: untilMs});
       logger.warn('runner-ejected', {runner: vmId, reason, by: 'fleet'});
     }
   }
@@ -126,8 +97,6 @@
     return {
       successes: new UsageWindow(WINDOW_MS),
       failures: new UsageWindow(WINDOW_MS),
-      streams: new UsageWindow(WINDOW_MS),
-      lateStreams: new UsageWindow(WINDOW_MS),
       ejectedUntilMs: 0,
     };
   }
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -147,7 +147,7 @@
   }
 
   exchange(input: ExchangeInput): ExchangeOutput | NotHolder {
-    const {lease, clock, options} = this.deps;
+    const {lease, clock} = this.deps;
     const nowMs = clock.nowMs();
     const {isHolder, owns, holderAddress, term} = lease.current();
     if (isHolder) this.orderedMs = nowMs;
@@ -175,8 +175,7 @@
       copiesInMs: this.copiesInMs(nowMs),
       peersWork: this.loads.workWithout(entry, nowMs),
       peersRequests: this.loads.requestsWithout(entry, nowMs),
-      ejectedForMs: options.sharesOutcomes ? this.outcomes.tell() : {},
-      lateShares: this.outcomes.lateShares(),
+      ejectedForMs: this.outcomes.tell(),
       usage: this.fleetUsage.tell(nowMs),
       suspects: this.deps.crashes.tell(input.knownSuspects),
     };
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -489,8 +489,6 @@
     const {longestPauseMs} = this.relay;
     const {pauseTargetMs} = route;
     if (longestPauseMs === undefined || pauseTargetMs === undefined) return;
-    const isLate = longestPauseMs > pauseTargetMs;
-    context.states.outcomes.noteStream(runnerId, isLate);
     context.gate.notePace(runnerId, {longestPauseMs, pauseTargetMs});
   }
 
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -41,23 +41,21 @@
       ({runnerId}) => only === undefined || runnerId === only,
     );
     const fresh = serving.filter(r => !this.rejectedBy.has(r.runnerId));
-    const affinity = this.affinity();
     const choices = (fresh.length > 0 ? fresh : serving).map(runner => ({
       runnerId: runner.runnerId,
       failureDomain: runner.failureDomain,
-      openWork:
-        context.states.openWork(runner.runnerId) +
-        context.states.lateShare(runner.runnerId) *
-          context.options.lateStreamsWork,
+      openWork: context.states.openWork(runner.runnerId),
       hasAdapter: this.hasAdapter(runner.runnerId),
       isSuspect:
         context.states.isSuspect(runner.runnerId) ||
         context.gate.isStalled(runner.runnerId),
     }));
-    const chosen = chooseRunner(choices, affinity, context.failureDomain, {
-      work: this.comingWork(),
-      random: context.random,
-    });
+    const chosen = chooseRunner(
+      choices,
+      this.affinity(),
+      context.failureDomain,
+      {work: this.comingWork(), random: context.random},
+    );
     const runner = chosen && context.view.runner(chosen.runnerId);
     if (!chosen || !runner) return undefined;
     return {
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -62,7 +62,6 @@
 /** What this process has seen of each runner's load and health. */
 export class RunnerStates {
   private readonly states = new Map<string, RunnerState>();
-  private lateShares: Readonly<Record<string, number>> = {};
   private readonly urgency = new UrgencyMix();
   /** What runners answered here, for the holder to judge them by. */
   readonly outcomes = new OutcomeMeter();
@@ -87,15 +86,6 @@
     return open;
   }
 
-  /** Share of its streams, at all entries, with a longer pause than allowed. */
-  lateShare(runnerId: string): number {
-    return this.lateShares[runnerId] ?? 0;
-  }
-
-  noteLateShares(shares: Readonly<Record<string, number>>): void {
-    this.lateShares = shares;
-  }
-
   /** It stood out by its failures; taken only where all others did too. */
   isSuspect(runnerId: string): boolean {
     const ejectedUntilMs = this.states.get(runnerId)?.ejectedUntilMs ?? 0;
