--- a/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
@@ -2,7 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {OrganisationUsage} from '../usage/organisationUsage.js';
 import {usageLimitOf, type UsageCounting} from '../usage/usageLimit.js';
-import {UsageWindow} from '../usage/usageWindow.js';
+import {SlidingWindow} from '../usage/slidingWindow.js';
 import {EXCHANGE_MS, playFleet, type FleetOptions} from './usageFleet.js';
 
 const FOR_MS = 20_000;
@@ -161,9 +161,9 @@
   });
 });
 
-describe('UsageWindow', () => {
+describe('SlidingWindow', () => {
   it('forgets amounts, whole or spread, once its length has passed', () => {
-    const window = new UsageWindow(8_000);
+    const window = new SlidingWindow(8_000);
     window.spread(3_200, 0);
     window.add(500, 1_000);
     const sums = [1_000, 4_000, 8_000, 9_000, 9_500, 60_000].map(nowMs =>
--- a/packages/banyanfold-decisions/src/__tests__/usageFleet.ts
+++ b/packages/banyanfold-decisions/src/__tests__/usageFleet.ts
@@ -1,7 +1,7 @@
 import {FleetUsage, type UsageReport} from '../usage/fleetUsage.js';
 import {OrganisationUsage} from '../usage/organisationUsage.js';
 import type {UsageLimit} from '../usage/usageLimit.js';
-import {UsageWindow} from '../usage/usageWindow.js';
+import {SlidingWindow} from '../usage/slidingWindow.js';
 
 const ORGANISATION = 'claims';
 const STEP_MS = 10;
@@ -57,7 +57,7 @@
     used: 0,
   });
   const entries = Array.from({length: count}, () => start(true));
-  const used = new UsageWindow(WINDOW_MS);
+  const used = new SlidingWindow(WINDOW_MS);
   let falselyRefused = 0;
   let asked = 0;
   const admitted: Array<{atMs: number; tokens: number}> = [];
--- a/packages/banyanfold-decisions/src/index.ts
+++ b/packages/banyanfold-decisions/src/index.ts
@@ -18,6 +18,6 @@
 export * from './usage/fleetUsage.js';
 export * from './usage/organisationUsage.js';
 export * from './usage/usageLimit.js';
-export * from './usage/usageWindow.js';
+export * from './usage/slidingWindow.js';
 export * from './crashes/decideTrial.js';
 export * from './crashes/judgeCrashes.js';
--- a/packages/banyanfold-decisions/src/usage/fleetUsage.ts
+++ b/packages/banyanfold-decisions/src/usage/fleetUsage.ts
@@ -1,7 +1,7 @@
 import {DecayingRate} from './decayingRate.js';
 import type {FleetUsageTold} from './organisationUsage.js';
 import type {UsageLimit} from './usageLimit.js';
-import {UsageWindow} from './usageWindow.js';
+import {SlidingWindow} from './slidingWindow.js';
 
 const SMOOTHING_MS = 1_500;
 
@@ -15,7 +15,7 @@
 }
 
 interface Account {
-  used: UsageWindow;
+  used: SlidingWindow;
   asked: DecayingRate;
   askedMs: number;
   /** Of the limit by which it was last counted. */
@@ -77,7 +77,7 @@
     let account = this.accounts.get(name);
     if (!account) {
       const {windowMs, sinceMs, usedBefore} = this.options;
-      const used = new UsageWindow(windowMs);
+      const used = new SlidingWindow(windowMs);
       used.spread(usedBefore(name, limit), sinceMs);
       account = {
         used,
--- a/packages/banyanfold-decisions/src/usage/usageWindow.ts
+++ b/packages/banyanfold-decisions/src/usage/slidingWindow.ts
@@ -8,11 +8,11 @@
  * Amounts of a sliding window.
  *
  * @example
- * const window = new UsageWindow(8_000);
+ * const window = new SlidingWindow(8_000);
  * window.add(9_000, nowMs);
  * window.sum(nowMs + 9_000) // 0
  */
-export class UsageWindow {
+export class SlidingWindow {
   private readonly slotMs: number;
   private readonly amounts = new Array<number>(SLOTS + 1).fill(0);
   private newestSlot = Number.NEGATIVE_INFINITY;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -1,7 +1,6 @@
 import type {Server} from 'node:http';
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import type {UsageCounting} from '@banyanfold/decisions';
-import {RetryBudget} from '@banyanfold/log';
 import type {GatewayContext} from './context.js';
 import {UsageAccounts} from './callers/usageAccounts.js';
 import {UsageKeeper} from './callers/usageKeeper.js';
@@ -26,6 +25,7 @@
 import {PromptGate} from './runners/promptGate.js';
 import {RunnerConnections} from './runners/runnerConnections.js';
 import {ComingWork} from './requests/comingWork.js';
+import {ServiceBudgets} from './requests/serviceBudgets.js';
 import {RunnerStates} from './runners/runnerStates.js';
 import type {
   FleetSource,
@@ -88,9 +88,6 @@
 const DRAIN_POLL_MS = 50;
 /** To leave the group, or to offer the lease to peers while the store is out. */
 const RELEASE_MS = 2_000;
-/** Of the slack, what comes back over a window; the rest is there at once. */
-const REFILLED_SLACK = 0.3;
-const MS_PER_SECOND = 1000;
 
 /** The process on an entry VM. */
 export class Gateway {
@@ -105,7 +102,6 @@
   private readonly quarantine: QuarantineKeeper;
   private readonly configs: ConfigFetcher;
   private readonly usage: UsageKeeper;
-  private readonly budgets = new Map<string, RetryBudget>();
   private stopTidying: () => void = () => {};
   private entries = ASSUMED_ENTRIES;
   private tidiedMs = 0;
@@ -219,6 +215,16 @@
         this.entries = count;
       },
     });
+    const {retryRatio, retrySlack, retryWindowMs} = settings.bounds;
+    const budgets = new ServiceBudgets({
+      clock,
+      metrics,
+      retryRatio,
+      retrySlack,
+      retryWindowMs,
+      usedShare: options.retryBudgetShare,
+      entries: () => this.entries,
+    });
     this.context = {
       clock,
       logger,
@@ -245,7 +251,7 @@
       coming: new ComingWork(() => clock.nowMs()),
       keysTrustedMs: settings.bounds.keysTrustedMs,
       entries: () => this.entries,
-      retryBudgetOf: service => this.budgetOf(service),
+      retryBudgetOf: service => budgets.of(service),
       ensureAdapter: this.link.ensureAdapter,
       permitTrial: this.link.permitTrial,
       random,
@@ -407,28 +413,6 @@
     metrics.gauge('entries_heard', () => this.entries);
   }
 
-  private budgetOf(service: string): RetryBudget {
-    let budget = this.budgets.get(service);
-    if (!budget) {
-      const {bounds} = this.parts.settings;
-      const share = this.context.options.retryBudgetShare;
-      const slack = (bounds.retrySlack * share) / this.entries;
-      const windowSeconds = bounds.retryWindowMs / MS_PER_SECOND;
-      budget = new RetryBudget({
-        clock: this.parts.clock,
-        tokensPerAttempt: bounds.retryRatio * share,
-        tokensPerSecond: (slack * REFILLED_SLACK) / windowSeconds,
-        capacity: Math.max(2, slack * (1 - REFILLED_SLACK)),
-      });
-      this.budgets.set(service, budget);
-      const made = budget;
-      this.parts.metrics.gauge('retry_budget_left', () => made.available, {
-        service,
-      });
-    }
-    return budget;
-  }
-
   private tidy(): void {
     const nowMs = this.parts.clock.nowMs();
     const lateMs = nowMs - this.tidiedMs - JUDGE_INTERVAL_MS;
--- a/packages/banyanfold-gateway/src/placement/fleetOutcomes.ts
+++ b/packages/banyanfold-gateway/src/placement/fleetOutcomes.ts
@@ -1,7 +1,7 @@
 import type {Clock, Logger} from '@banyanfold/core';
 import {
   decideEjections,
-  UsageWindow,
+  SlidingWindow,
   type EjectionOptions,
 } from '@banyanfold/decisions';
 import type {RunnerOutcome} from '../runners/outcomeMeter.js';
@@ -24,8 +24,8 @@
 };
 
 interface Account {
-  successes: UsageWindow;
-  failures: UsageWindow;
+  successes: SlidingWindow;
+  failures: SlidingWindow;
   ejectedUntilMs: number;
 }
 
@@ -95,8 +95,8 @@
 
   private created(): Account {
     return {
-      successes: new UsageWindow(WINDOW_MS),
-      failures: new UsageWindow(WINDOW_MS),
+      successes: new SlidingWindow(WINDOW_MS),
+      failures: new SlidingWindow(WINDOW_MS),
       ejectedUntilMs: 0,
     };
   }
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -6,7 +6,6 @@
 import type {PromptTurn} from '../runners/promptGate.js';
 import type {StartedWork} from '../runners/runnerStates.js';
 import type {CallerIdentity} from '../callers/callerIdentity.js';
-import {usageOf} from '../callers/usageAccounts.js';
 import type {DecodedRequest, Organisation, RoutePolicy} from '../types.js';
 import {AnswerRelay, type AttemptResult} from './answerRelay.js';
 import {decideNextTry} from './decideNextTry.js';
@@ -18,6 +17,7 @@
 import {chooseRetryAfterMs, MIN_RETRY_AFTER_MS} from './retryAfter.js';
 import {RequestLog, type TryCounts} from './requestLog.js';
 import {TargetChooser, type Target} from './targetChooser.js';
+import {UsageCharge} from './usageCharge.js';
 import {WakeablePause} from './wakeablePause.js';
 import {workOf} from './workOf.js';
 
@@ -72,13 +72,12 @@
   private readonly fingerprint: string;
   private readonly suspicion: Suspicion;
   private readonly refusals: OwnRefusals;
+  private readonly charge: UsageCharge;
   private timer: Timer | undefined;
   private readonly pause: WakeablePause;
   private isOver = false;
   private attemptsMade = 0;
   private sendings = 0;
-  /** Counted against the cap of its organisation. */
-  private usage: {organisation: string; amount: number} | undefined;
   private rejections = 0;
   private mayHaveRun = false;
   private hasWaited = false;
@@ -130,6 +129,12 @@
       startedMs,
       deadlineMs: this.deadlineMs,
     });
+    this.charge = new UsageCharge({
+      context,
+      request: decoded.request,
+      organisation: options.organisation,
+      log: this.log,
+    });
     this.refusals = new OwnRefusals({
       context,
       request: decoded.request,
@@ -245,28 +250,12 @@
 
   /** Refuses what goes beyond the usage cap of its organisation. */
   private isOverCap(): boolean {
-    const {context, organisation, decoded} = this.options;
-    const cap = organisation?.usageCap;
-    if (!cap) return false;
-    const amount = usageOf(decoded.request, cap);
-    const decision = context.usage.decide(organisation, cap, amount);
-    if (decision.kind === 'admit') {
-      this.usage = {organisation: organisation.name, amount};
-      return false;
-    }
-    this.log.refuseOverCap(organisation.name, amount, decision);
-    context.metrics.count('over_cap_total', {organisation: organisation.name});
-    this.answer(FINAL_STATUS.overCap, 'usage-cap', decision.retryAfterMs);
+    const retryAfterMs = this.charge.take();
+    if (retryAfterMs === undefined) return false;
+    this.answer(FINAL_STATUS.overCap, 'usage-cap', retryAfterMs);
     return true;
   }
 
-  /** A runner that turned it away, or was not reached, did not use the cap. */
-  private giveBackUsage(): void {
-    if (!this.usage || this.sendings > this.rejections) return;
-    const {organisation, amount} = this.usage;
-    this.options.context.usage.giveBack(organisation, amount);
-  }
-
   /** Ends the request if its caller's key has been taken away since it came. */
   private isShutOut(): boolean {
     const caller = this.options.identity.decide();
@@ -611,7 +600,8 @@
   private finish(outcome: string, status: number): void {
     if (this.isOver) return;
     this.isOver = true;
-    this.giveBackUsage();
+    // Each sending was turned away, or reached nobody.
+    if (this.sendings <= this.rejections) this.charge.giveBack();
     this.noteNotWaiting();
     this.turn?.giveBack();
     this.pause.wake();
