Ask for no requests at an agent until it knows its engine's memory

A restarted agent answered reports while its engine plug-in was still starting (some 100 ms), showed its copies as held, and refused what came, code=no-kv-memory: the use by its predecessor's requests isn't known yet, so that the account of memory counts them twice. The other agent was leaving by then, and the caller got 503 agent_refused. A report says leaving until that use is known. Ruled out: the entries' view (explain showed the candidate as its report did).

--- a/packages/banyanfold-agent/src/__tests__/loadReporter.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/loadReporter.test.ts
@@ -1,5 +1,5 @@
 import {afterEach, describe, expect, it} from 'vitest';
-import {startTestAgent} from './testAgent.js';
+import {startTestAgent, until} from './testAgent.js';
 
 describe('LoadReporter', () => {
   const stops: Array<() => Promise<void>> = [];
@@ -12,4 +12,14 @@
     stops.push(stop);
     expect((await client.report.query()).maxRunning).toBe(3);
   });
+
+  // Guards against callers refused by an agent that started a moment ago.
+  it('asks for no requests until it knows the memory of its engine', async () => {
+    // The engine's reports are older than the agent, and than its wait for one.
+    const {client, stop} = await startTestAgent({engine: {reportLagMs: 2_400}});
+    stops.push(stop);
+    const first = await client.report.query();
+    expect(first).toMatchObject({leaving: true});
+    await until(async () => !(await client.report.query()).leaving);
+  });
 });
--- a/packages/banyanfold-agent/src/control/loadReporter.ts
+++ b/packages/banyanfold-agent/src/control/loadReporter.ts
@@ -49,7 +49,9 @@
       kvUsedBytes: ledger.budget.kvUsedBytes(),
       kvCapacityBytes: ledger.budget.kvCapacityBytes(),
       queueDelayMs: queue.queueDelayMs(),
-      leaving: isLeaving(),
+      // Until the use by a predecessor's requests is known, none is admitted: an
+      // entry that sent some here would have them refused for want of memory.
+      leaving: isLeaving() || !ledger.isFresh(),
     };
   }
 
