Count an entry's own use exactly, and guard against the others' only

What this entry admits is known to it at once; only what is asked elsewhere is guarded against. A request needs what it asks for to be left, or half of the limit if it is larger.

--- a/packages/banyanfold-decisions/src/usage/organisationUsage.ts
+++ b/packages/banyanfold-decisions/src/usage/organisationUsage.ts
@@ -40,12 +40,14 @@
 const SPENT_MS = 4_000;
 /** Until the others know of what an entry admits: an exchange, or two by a relay. */
 const UNHEARD_MS = 700;
+/** Of the limit, what must be left for a request, however large it is. */
+const LARGEST_NEED = 0.5;
 const MS_PER_SECOND = 1000;
 
 /**
  * One organisation's use of its cap, as one entry accounts for it.
  *
- * While more is left than all entries can admit until they hear of each other, each
+ * While more is left than the other entries can admit until this one hears of it, it
  * admits whatever comes. Close to the limit each admits by chance, so that all of
  * them together admit what is left and what comes free meanwhile. An entry that is
  * told nothing admits the share of the rate that its callers had of all.
@@ -74,10 +76,12 @@
     const {limit, nowMs, random} = view;
     this.asked.add(amount, nowMs);
     this.noteLimit(limit);
-    const askedPerSecond = this.fleetAskedPerSecond(nowMs);
+    const othersPerSecond = this.othersAskedPerSecond();
+    const askedPerSecond = othersPerSecond + this.asked.perSecond(nowMs);
     const {left, perSecond} = this.available(view, askedPerSecond);
     const unheardSeconds = UNHEARD_MS / MS_PER_SECOND;
-    const isAmple = left >= askedPerSecond * unheardSeconds;
+    const needed = Math.min(amount, limit.perWindow * LARGEST_NEED);
+    const isAmple = left >= needed + othersPerSecond * unheardSeconds;
     const share = (left / unheardSeconds + perSecond) / askedPerSecond;
     if (isAmple || random() < share) {
       this.untold += amount;
@@ -108,12 +112,10 @@
     this.untold = untold;
   }
 
-  /** As last told, with what has changed here since. */
-  private fleetAskedPerSecond(nowMs: number): number {
-    const own = this.asked.perSecond(nowMs);
-    if (!this.told) return own;
-    const others = this.told.askedPerSecond - this.told.ownPerSecond;
-    return Math.max(0, others) + own;
+  /** What callers ask for at the other entries, as last told. */
+  private othersAskedPerSecond(): number {
+    if (!this.told) return 0;
+    return Math.max(0, this.told.askedPerSecond - this.told.ownPerSecond);
   }
 
   /**
