--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -1,5 +1,5 @@
 import type {BanyanfoldError, Clock, Logger, Timer} from '@banyanfold/core';
-import {err, type Result} from 'neverthrow';
+import type {Result} from 'neverthrow';
 import type {LastOrder, LeaseHandover} from '../peers/peerContract.js';
 import type {
   LeaseAnswer,
@@ -311,9 +311,9 @@
     const {store} = this.options;
     if (this.renewedAt && this.hasLapsed()) {
       const owner = await store.owner();
-      // An unanswered question is a failed renewal; a call more would take as long.
-      if (owner.isErr()) return err(owner.error);
-      if (this.leavesItTo(owner.value)) return 'left-to-another';
+      // A store that turns most calls away may take a renewal, which counts less.
+      if (owner.isErr()) this.failedAt = this.now();
+      if (this.leavesItTo(owner.unwrapOr(undefined))) return 'left-to-another';
     }
     return store.join(this.generation);
   }
