--- a/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseKeeper.ts
@@ -43,6 +43,8 @@
 
 /** Renewals a lease lasts for, so that one lost answer doesn't end it. */
 const RENEWALS_PER_TTL = 4;
+/** Lifetimes of the lease after which another process has it, if any takes it. */
+const SUCCEEDED_TTLS = 2;
 /** Not used of the lease at its end: for an order on its way, and clocks. */
 const LEASE_MARGIN_MS = 150;
 /** Renewals end after 1.5 s without an answer, and begin anew. */
@@ -300,6 +302,21 @@
     this.timer = clock.setTimer(delayMs, () => void this.renew());
   }
 
+  /**
+   * Another process may hold the lease by now. Of one whose renewals fail the store
+   * is asked only after a while: where it turns most calls away, as when hundreds of
+   * processes start, a question takes the place of the renewal.
+   */
+  private mayBeSucceeded(): boolean {
+    const {renewedAt, failedAt} = this;
+    if (!renewedAt || !this.hasLapsed()) return false;
+    const isFailing =
+      failedAt !== undefined && this.elapsedMs(failedAt) < FAILURE_FRESH_MS;
+    const isLong =
+      this.elapsedMs(renewedAt) >= this.options.ttlMs * SUCCEEDED_TTLS;
+    return !isFailing || isLong;
+  }
+
   /**
    * Joins the group, or renews the membership. One whose membership has lapsed, by
    * a suspension or because the store was out of its reach, asks first who holds
@@ -309,7 +326,7 @@
     Result<LeaseAnswer, BanyanfoldError> | 'left-to-another'
   > {
     const {store} = this.options;
-    if (this.renewedAt && this.hasLapsed()) {
+    if (this.mayBeSucceeded()) {
       const owner = await store.owner();
       // A store that turns most calls away may take a renewal, which counts less.
       if (owner.isErr()) this.failedAt = this.now();
