--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -251,12 +251,14 @@
     status: number,
     closeConnection: boolean,
   ): void {
-    this.context.metrics.count('turned_away_total', {status: String(status)});
-    this.context.logger.info('turned-away', {
+    const {metrics, logger, view, clock} = this.context;
+    metrics.count('turned_away_total', {status: String(status)});
+    logger.info('turned-away', {
       status,
       host: request.headers.host,
       target: request.url,
-      config: this.context.view.current?.version,
+      config: view.current?.version,
+      configAgeMs: Math.round(clock.nowMs() - view.configAtMs),
     });
     sendFinalAnswer(
       response,
