Confirm the configuration by when the holder read it, not by its reading of runners

A caller could be refused on a route that had been added, or admitted with a key that had been taken away, and metrics showed a configuration confirmed moments ago.

Cause: each word of the holder confirmed the version in force at an entry by the age of what the holder last read of the runners. A holder whose poll for the configuration hangs, while that for the runners goes on, vouched for an old version; and the entries kept their polls at 10 s on the strength of it. The class: freshness of one piece of knowledge claimed for another.

Evidence: with a configuration that the holder read 4 s ago the link confirmed it as of now (5,000 in place of at most 1,000), and stayed relayed; both tests failed before and pass now. What the holder tells gets configReadAgeMs; a process of a version without it confirms nothing.

--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -26,6 +26,7 @@
   configVersion: 1,
   runnersChange: 0,
   runnersReadAgeMs: 0,
+  configReadAgeMs: 0,
   entries: 3,
   standbys: ['e1:7', SELF.address, 'e3:7'],
   relays: [],
@@ -38,9 +39,11 @@
 
 let clock: VirtualClock;
 let answer: ExchangeOutput | NotHolder;
+let isHolder: boolean;
 let isVacant: boolean;
 let standbyCalls: boolean[];
 let inputs: ExchangeInput[];
+let confirmedAtMs: number[];
 let demand: DemandMeter;
 
 /** A link whose own process has the lease, so that nothing goes over a network. */
@@ -48,7 +51,7 @@
   const logger = new MemoryLogger();
   const view = new FleetView(clock, logger);
   const lease = {
-    current: () => ({isHolder: true, owns: true, isVacant, fencingToken: 1}),
+    current: () => ({isHolder, owns: true, isVacant, fencingToken: 1}),
     setStandby: (isStandby: boolean) => standbyCalls.push(isStandby),
     refreshHolder: () => {},
     noteHolder: () => {},
@@ -82,7 +85,7 @@
     onEntries: () => {},
     configVersion: () => 1,
     onNewerConfig: () => {},
-    onConfigCurrent: () => {},
+    onConfigCurrent: atMs => confirmedAtMs.push(atMs),
     runnersChange: () => 0,
     onRunnersChange: () => {},
     random: () => 0.5,
@@ -94,9 +97,11 @@
 beforeEach(() => {
   clock = new VirtualClock();
   answer = TOLD;
+  isHolder = true;
   isVacant = false;
   standbyCalls = [];
   inputs = [];
+  confirmedAtMs = [];
   demand = new DemandMeter();
 });
 
@@ -131,6 +136,27 @@
     link.stop();
   });
 
+  // Guards against a version that counts as the newest because runners were read.
+  it('confirms the configuration only by when the holder read it', async () => {
+    answer = {...TOLD, configReadAgeMs: 4_000};
+    const link = startLink();
+    await clock.advance(5_000);
+    expect(Math.max(...confirmedAtMs)).toBeLessThanOrEqual(1_000);
+    link.stop();
+  });
+
+  // Guards against long polls while the holder itself reads no configuration.
+  it('relies on no holder that has not read the configuration lately', async () => {
+    isHolder = false;
+    const link = startLink();
+    await clock.advance(500);
+    expect(link.isRelayed).toBe(true);
+    answer = {...TOLD, configReadAgeMs: 4_000};
+    await clock.advance(500);
+    expect(link.isRelayed).toBe(false);
+    link.stop();
+  });
+
   it('sends again what no holder has taken', async () => {
     const link = startLink();
     await clock.advance(300);
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -349,17 +349,18 @@
   private adoptVersions(output: ExchangeOutput, teller: string): void {
     const {clock, held, metrics} = this.deps;
     const nowMs = clock.nowMs();
-    const readAgeMs = output.runnersReadAgeMs + output.ageMs;
+    const {ageMs, runnersReadAgeMs, configReadAgeMs} = output;
+    const readAgeMs = Math.max(runnersReadAgeMs, configReadAgeMs ?? 0) + ageMs;
     if (output.configVersion > this.deps.configVersion()) {
       this.deps.onNewerConfig(output.configVersion, teller);
-    } else {
-      this.deps.onConfigCurrent(nowMs - readAgeMs);
+    } else if (configReadAgeMs !== undefined) {
+      this.deps.onConfigCurrent(nowMs - configReadAgeMs - ageMs);
     }
     this.deps.onRunnersChange(output.runnersChange);
     this.lastWord = {atMs: nowMs, readAgeMs};
     if (output.isOrdering) this.heardMs = nowMs;
-    metrics.observeMs('holder_word_age_ms', output.ageMs);
-    held.tell(output.copies, output.ageMs);
+    metrics.observeMs('holder_word_age_ms', ageMs);
+    held.tell(output.copies, ageMs);
     held.tellCopiesInMs(output.copiesInMs);
     const {epoch, revision} = output.copies;
     this.known = {epoch, revision};
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -112,6 +112,11 @@
   runnersChange: z.number(),
   /** Since the holder itself last read the runners, in ms. */
   runnersReadAgeMs: z.number(),
+  /**
+   * Since the holder itself last confirmed its configuration, in ms; left out by
+   * a process of a version without it, which confirms nothing.
+   */
+  configReadAgeMs: z.number().optional(),
   /** Entries heard of within the last seconds, this one included. */
   entries: z.number(),
   /** Entries that stand by for the lease, in the order in which they take it. */
