Refuse for good only by a configuration that is known to be the newest

Callers got 404 on a route that had been added, and with it no second chance: a caller doesn't come back after a 404.

Cause: an entry answered no route, and no such key, from whatever version was in force, however long ago the store had last confirmed it. Whatever made it fall behind (an unanswered poll, a lost peer, a cut) became a final answer. The class: a negative answer from knowledge that may be out of date.

Evidence: with a configuration that was not confirmed within the bound the server answered 404 where the test asks for 503; it failed before and passes now.

Why this holds: an entry says 404 or 401 only if its version was the newest within config_apply_ms, so that no version acknowledged longer ago can have what it denies. Else it answers 503 with a time to return and asks the store at once. Callers on routes and with keys that it knows are served as before, also while the store is out.

--- a/packages/banyanfold-gateway/src/__tests__/decideCaller.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/decideCaller.test.ts
@@ -9,6 +9,7 @@
   isPublic: false,
   keyDigest: keyDigestOf('k1'),
   isConfigStale: false,
+  isConfigConfirmed: true,
 };
 
 describe('decideCaller', () => {
@@ -20,6 +21,11 @@
     ['an unknown key on a public route', {keyDigest: 'x', isPublic: true}],
     ['no key where none are asked for', {directory: undefined}],
     ['a key by an outdated configuration', {isConfigStale: true}],
+    [
+      'an unknown key by an unconfirmed configuration',
+      {keyDigest: keyDigestOf('k2'), isConfigConfirmed: false},
+    ],
+    ['a known key by an unconfirmed configuration', {isConfigConfirmed: false}],
     [
       'a public route by an outdated configuration',
       {isConfigStale: true, isPublic: true},
--- a/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
@@ -8,12 +8,18 @@
 let server: GatewayServer;
 let logger: MemoryLogger;
 let thrown: unknown[];
+let isConfigConfirmed: boolean;
+let hasRoute: boolean;
+let refreshes: number;
 
 const noteThrown = (error: unknown) => thrown.push(error);
 
 beforeEach(async () => {
   logger = new MemoryLogger();
   thrown = [];
+  isConfigConfirmed = true;
+  hasRoute = true;
+  refreshes = 0;
   process.on('unhandledRejection', noteThrown);
   server = new GatewayServer({
     clock: systemClock,
@@ -22,7 +28,12 @@
     view: {
       isReady: true,
       onChange: () => () => {},
-      route: () => ({name: 'letter'}),
+      route: () => (hasRoute ? {name: 'letter'} : undefined),
+      isConfigConfirmed: () => isConfigConfirmed,
+      configAtMs: 0,
+    },
+    refreshConfig: () => {
+      refreshes += 1;
     },
     codec: {
       decodeRequest: () => {
@@ -66,4 +77,17 @@
     expect(told).toHaveLength(2);
     expect(told[0]).toContain('what nobody foresaw');
   });
+
+  it('tells a caller that there is no route', async () => {
+    hasRoute = false;
+    expect(await ask()).toBe(404);
+  });
+
+  // Guards against a caller that is sent away for good from a route just added.
+  it('asks a caller to come back while it cannot know of new routes', async () => {
+    hasRoute = false;
+    isConfigConfirmed = false;
+    expect(await ask()).toBe(503);
+    expect(refreshes).toBe(1);
+  });
 });
--- a/packages/banyanfold-gateway/src/callers/callerIdentity.ts
+++ b/packages/banyanfold-gateway/src/callers/callerIdentity.ts
@@ -9,6 +9,8 @@
   keyDigest: string | undefined;
   /** Keys are accepted so long after the configuration was last confirmed. */
   keysTrustedMs: number | undefined;
+  /** So long after its acknowledgement a configuration is in force everywhere. */
+  configApplyMs: number;
 }
 
 /** Who sent a request, by the configuration in force when it is asked. */
@@ -16,13 +18,15 @@
   constructor(private readonly options: CallerIdentityOptions) {}
 
   decide(): CallerDecision {
-    const {clock, view, isPublic, keyDigest, keysTrustedMs} = this.options;
+    const {clock, view, isPublic, keyDigest, keysTrustedMs, configApplyMs} =
+      this.options;
     const ageMs = clock.nowMs() - view.configAtMs;
     return decideCaller({
       directory: view.organisations,
       isPublic,
       keyDigest,
       isConfigStale: keysTrustedMs !== undefined && ageMs > keysTrustedMs,
+      isConfigConfirmed: view.isConfigConfirmed(configApplyMs),
     });
   }
 }
--- a/packages/banyanfold-gateway/src/callers/decideCaller.ts
+++ b/packages/banyanfold-gateway/src/callers/decideCaller.ts
@@ -14,6 +14,8 @@
    * keys are not accepted then.
    */
   isConfigStale: boolean;
+  /** No newer configuration can be in force that would admit the caller. */
+  isConfigConfirmed: boolean;
 }
 
 export type CallerDecision =
@@ -27,14 +29,18 @@
  * Whether a caller may use a route, by the newest configuration known.
  *
  * @example decideCaller({directory, isPublic: false, keyDigest: undefined,
- *   isConfigStale: false}) // {kind: 'unauthorized', reason: 'no-key'}
+ *   isConfigStale: false, isConfigConfirmed: true})
+ * // {kind: 'unauthorized', reason: 'no-key'}
  */
 export function decideCaller(view: CallerView): CallerDecision {
-  const {directory, isPublic, keyDigest, isConfigStale} = view;
+  const {directory, isPublic, keyDigest, isConfigStale, isConfigConfirmed} =
+    view;
   if (!directory || isPublic) return {kind: 'admitted'};
   if (isConfigStale) return {kind: 'undecided'};
-  if (keyDigest === undefined) return {kind: 'unauthorized', reason: 'no-key'};
-  const organisation = directory.holderOf(keyDigest);
-  if (!organisation) return {kind: 'unauthorized', reason: 'unknown-key'};
-  return {kind: 'admitted', organisation};
+  const organisation =
+    keyDigest === undefined ? undefined : directory.holderOf(keyDigest);
+  if (organisation) return {kind: 'admitted', organisation};
+  if (!isConfigConfirmed) return {kind: 'undecided'};
+  const reason = keyDigest === undefined ? 'no-key' : 'unknown-key';
+  return {kind: 'unauthorized', reason};
 }
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -47,6 +47,10 @@
    * undefined for however long.
    */
   keysTrustedMs: number | undefined;
+  /** So long after its acknowledgement a configuration is in force everywhere. */
+  configApplyMs: number;
+  /** Reads the configuration anew. */
+  refreshConfig(): void;
   /** Entries that are at work, this one included. */
   entries(): number;
   retryBudgetOf(service: string): RetryBudget;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -44,6 +44,8 @@
   retrySlack: number;
   retryWindowMs: number;
   loadWindowMs: number;
+  /** So long after its acknowledgement a configuration is in force everywhere. */
+  configApplyMs: number;
   /** Undefined where keys are accepted from an outdated configuration too. */
   keysTrustedMs?: number;
   /** The span over which usage caps are summed up. */
@@ -249,6 +251,8 @@
       usage,
       coming: new ComingWork(() => clock.nowMs()),
       keysTrustedMs: settings.bounds.keysTrustedMs,
+      configApplyMs: settings.bounds.configApplyMs,
+      refreshConfig: () => parts.fleet.refreshConfig(),
       entries: () => this.entries,
       retryBudgetOf: service => budgets.of(service),
       ensureAdapter: this.link.ensureAdapter,
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -118,7 +118,7 @@
     const host = request.headers.host ?? '';
     const route = context.view.route(host, request.url ?? '/');
     if (!route) {
-      this.turnAway(request, response, FINAL_STATUS.noRoute, false);
+      this.turnAwayUnrouted(request, response);
       return;
     }
     const decoded = context.codec.decodeRequest(request.rawHeaders);
@@ -128,6 +128,7 @@
       isPublic: route.isPublic,
       keyDigest: decoded.keyDigest,
       keysTrustedMs: context.keysTrustedMs,
+      configApplyMs: context.configApplyMs,
     });
     const caller = identity.decide();
     if (caller.kind !== 'admitted') {
@@ -220,6 +221,23 @@
     return undefined;
   }
 
+  /**
+   * No route is a final answer, which only the newest configuration can give: the
+   * route may be in one that has not been heard of here.
+   */
+  private turnAwayUnrouted(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const {view, configApplyMs, refreshConfig} = this.context;
+    if (view.isConfigConfirmed(configApplyMs)) {
+      this.turnAway(request, response, FINAL_STATUS.noRoute, false);
+      return;
+    }
+    refreshConfig();
+    this.turnAway(request, response, FINAL_STATUS.notRun, false);
+  }
+
   /** Refuses a caller that may not use the route, or may not be known to. */
   private turnAwayCaller(
     request: IncomingMessage,
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -161,6 +161,11 @@
     this.configAtMs = Math.max(this.configAtMs, atMs);
   }
 
+  /** The version in force was known to be the newest within that time. */
+  isConfigConfirmed(withinMs: number): boolean {
+    return this.clock.nowMs() - this.configAtMs <= withinMs;
+  }
+
   private changed(): void {
     for (const listener of this.listeners) listener();
   }
