Take no configuration for confirmed because it was heard of

A version that a peer passed on, or an older record that was read again, counted as the newest one known from that moment. An entry cut off from the store could refuse for good by it. Only a read that brought nothing newer, and a holder's word of when it made one, confirm now; before the first an entry confirms nothing.

Evidence: the view called a version confirmed that it had only been given; the test failed before and passes now. Same class as the holder's word: freshness claimed without a read.

--- a/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
@@ -4,8 +4,8 @@
 import {FleetView} from '../view/fleetView.js';
 import {RouteTable} from '../view/routeTable.js';
 
-function createView() {
-  return new FleetView(new VirtualClock(), new MemoryLogger());
+function createView(clock = new VirtualClock()) {
+  return new FleetView(clock, new MemoryLogger());
 }
 
 function config(version: number): FleetConfig {
@@ -47,6 +47,17 @@
     expect(view.current?.version).toBe(7);
   });
 
+  // Guards against a version of a peer that counts as the newest one.
+  it('takes no version for confirmed because it was heard of', async () => {
+    const clock = new VirtualClock();
+    const view = createView(clock);
+    await clock.advance(5_000);
+    view.onConfig(config(7));
+    expect(view.isConfigConfirmed(2_000)).toBe(false);
+    view.onConfigCurrent();
+    expect(view.isConfigConfirmed(2_000)).toBe(true);
+  });
+
   it('keeps a leaving runner leaving when an older heartbeat comes late', () => {
     const view = createView();
     view.onRegistration(registration(4));
--- a/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
@@ -30,7 +30,6 @@
       onChange: () => () => {},
       route: () => (hasRoute ? {name: 'letter'} : undefined),
       isConfigConfirmed: () => isConfigConfirmed,
-      configAtMs: 0,
     },
     refreshConfig: () => {
       refreshes += 1;
--- a/packages/banyanfold-gateway/src/callers/callerIdentity.ts
+++ b/packages/banyanfold-gateway/src/callers/callerIdentity.ts
@@ -1,9 +1,7 @@
-import type {Clock} from '@banyanfold/core';
 import type {FleetView} from '../view/fleetView.js';
 import {decideCaller, type CallerDecision} from './decideCaller.js';
 
 export interface CallerIdentityOptions {
-  clock: Clock;
   view: FleetView;
   isPublic: boolean;
   keyDigest: string | undefined;
@@ -18,14 +16,15 @@
   constructor(private readonly options: CallerIdentityOptions) {}
 
   decide(): CallerDecision {
-    const {clock, view, isPublic, keyDigest, keysTrustedMs, configApplyMs} =
+    const {view, isPublic, keyDigest, keysTrustedMs, configApplyMs} =
       this.options;
-    const ageMs = clock.nowMs() - view.configAtMs;
+    const isTrusted =
+      keysTrustedMs === undefined || view.isConfigConfirmed(keysTrustedMs);
     return decideCaller({
       directory: view.organisations,
       isPublic,
       keyDigest,
-      isConfigStale: keysTrustedMs !== undefined && ageMs > keysTrustedMs,
+      isConfigStale: !isTrusted,
       isConfigConfirmed: view.isConfigConfirmed(configApplyMs),
     });
   }
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -404,7 +404,9 @@
     const {clock, metrics, lease} = this.parts;
     const sinceMs = (atMs: number) => Math.round(clock.nowMs() - atMs);
     metrics.gauge('config_version', () => this.view.current?.version ?? 0);
-    metrics.gauge('config_heard_age_ms', () => sinceMs(this.view.configAtMs));
+    metrics.gauge('config_heard_age_ms', () =>
+      Math.round(this.view.configAgeMs ?? sinceMs(0)),
+    );
     metrics.gauge('runners_heard_age_ms', () => sinceMs(this.view.runnersAtMs));
     metrics.gauge('runners_known', () => [...this.view.allRunners()].length);
     metrics.gauge('open_requests', () => this.callers.openRequests);
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -123,7 +123,6 @@
     }
     const decoded = context.codec.decodeRequest(request.rawHeaders);
     const identity = new CallerIdentity({
-      clock: context.clock,
       view: context.view,
       isPublic: route.isPublic,
       keyDigest: decoded.keyDigest,
@@ -269,14 +268,14 @@
     status: number,
     closeConnection: boolean,
   ): void {
-    const {metrics, logger, view, clock} = this.context;
+    const {metrics, logger, view} = this.context;
     metrics.count('turned_away_total', {status: String(status)});
     logger.info('turned-away', {
       status,
       host: request.headers.host,
       target: request.url,
       config: view.current?.version,
-      configAgeMs: Math.round(clock.nowMs() - view.configAtMs),
+      configAgeMs: view.configAgeMs && Math.round(view.configAgeMs),
     });
     sendFinalAnswer(
       response,
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -167,7 +167,7 @@
       configVersion: this.newestConfig,
       runnersChange: this.newestRunnersChange,
       runnersReadAgeMs: nowMs - this.deps.view.runnersAtMs,
-      configReadAgeMs: nowMs - this.deps.view.configAtMs,
+      configReadAgeMs: this.deps.view.configAgeMs,
       entries: this.loads.count(nowMs),
       standbys: this.standbys.current(input.members, term, nowMs),
       relays: this.relaysFor(input, nowMs),
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -31,8 +31,9 @@
   private caughtUp = false;
   /** Of all routes; 0 is the most urgent, and before one is known. */
   leastUrgent = 0;
-  /** When the configuration was last confirmed, and the runners heard of. */
-  configAtMs = 0;
+  /** When the version in force was last known to be the newest. */
+  private configAtMs: number | undefined;
+  /** When the runners were last heard of. */
   runnersAtMs = 0;
 
   constructor(
@@ -44,6 +45,12 @@
     return this.config;
   }
 
+  /** Since the version in force was last known to be the newest, in ms. */
+  get configAgeMs(): number | undefined {
+    if (this.configAtMs === undefined) return undefined;
+    return this.clock.nowMs() - this.configAtMs;
+  }
+
   get isReady(): boolean {
     return this.config !== undefined && this.caughtUp;
   }
@@ -77,7 +84,6 @@
    * callers would be routed by it; only a higher version is taken.
    */
   onConfig(config: FleetConfig): void {
-    this.configAtMs = this.clock.nowMs();
     if (this.config && config.version <= this.config.version) return;
     this.config = config;
     this.routeTable = new RouteTable(config.routes);
@@ -158,12 +164,12 @@
   /** The configuration in force was the newest one, now or at that time, in ms. */
   onConfigCurrent(atMs = this.clock.nowMs()): void {
     if (!this.config) return;
-    this.configAtMs = Math.max(this.configAtMs, atMs);
+    this.configAtMs = Math.max(this.configAtMs ?? atMs, atMs);
   }
 
   /** The version in force was known to be the newest within that time. */
   isConfigConfirmed(withinMs: number): boolean {
-    return this.clock.nowMs() - this.configAtMs <= withinMs;
+    return this.configAgeMs !== undefined && this.configAgeMs <= withinMs;
   }
 
   private changed(): void {
