Read the limit that a runner names, and log when it changes

The histories of the incident could not show whether an answer named a limit on requests: no source read the header. It is decoded with the other facts of an answer, and runner-limit tells of each change at each entry. No decision changes.

--- a/packages/banyanfold-gateway/src/requests/answerRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/answerRelay.ts
@@ -50,6 +50,8 @@
 export interface AttemptTracking {
   runnerId: string;
   onFirstByte(): void;
+  /** The head of an answer, which the runner vouches for or not. */
+  onFacts(facts: AnswerFacts): void;
 }
 
 export interface AnswerRelayOptions {
@@ -145,6 +147,7 @@
     return {
       onHead: head => {
         incoming = this.judgeHead(head, sentMs, tracking.runnerId);
+        tracking.onFacts(incoming.facts);
         if (!incoming.facts.notExecuted) tracking.onFirstByte();
         const flaw = this.flawOf(incoming.facts);
         if (flaw !== undefined) return fail(flaw);
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -408,6 +408,7 @@
       },
       {
         runnerId: runner.runnerId,
+        onFacts: facts => context.limits.noteAnswer(runner.runnerId, facts),
         onFirstByte: () => {
           wasRead = true;
           this.turn?.giveBack();
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -221,6 +221,11 @@
   fromOtherRunner: boolean;
   /** The body was recoded on the way, so it isn't the runner's. */
   encoded: boolean;
+  /**
+   * What the runner takes from all VMs together, for as long as its answers say
+   * so; undefined without a limit.
+   */
+  requestsPerSecond?: number;
 }
 
 export type AnswerHeaders = Record<string, string | string[] | undefined>;
--- a/soak/src/__tests__/judge.test.ts
+++ b/soak/src/__tests__/judge.test.ts
@@ -32,6 +32,7 @@
   const one = {
     requestId: 'c1',
     target: '/x',
+    atMs: 0,
     rawHeaders: [],
     ran: true,
     cancelled: false,
