Keep to the limit that a runner names, over all entries together

Cause: no source read the limit, so that routing went on as before; affinity even favours such a runner, whose queue is short. The class: a bound of the whole fleet that each process would have to know and none is told.

Why this holds: the latest answer counts at all entries; each admits by chance the share that the limit is of all demand, so that small limits need no part an entry, and the window of what was sent corrects the rate. Without a word each keeps to a part of it. What is not admitted goes elsewhere or is refused at once with a time. Ruled out: equal parts, token buckets and the window of the usage caps, see docs/design/runner-limits.md.

--- a/packages/banyanfold-decisions/src/index.ts
+++ b/packages/banyanfold-decisions/src/index.ts
@@ -14,6 +14,7 @@
 export * from './decideWait.js';
 export * from './decideWindow.js';
 export * from './urgencyOf.js';
+export * from './limits/decideRateLimit.js';
 export * from './usage/decayingRate.js';
 export * from './usage/fleetUsage.js';
 export * from './usage/organisationUsage.js';
--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -13,6 +13,7 @@
 import {DemandMeter} from '../placement/demandMeter.js';
 import {LoadRate} from '../placement/loadRate.js';
 import {HeldCopies} from '../runners/heldCopies.js';
+import {RunnerRateLimits} from '../runners/runnerRateLimits.js';
 import {RunnerStates} from '../runners/runnerStates.js';
 import type {LeaseSource} from '../types.js';
 import {FleetView} from '../view/fleetView.js';
@@ -80,6 +81,13 @@
     }),
     suspects: new CrashSuspects(clock),
     states: new RunnerStates(clock, logger, DEFAULT_OPTIONS),
+    rateLimits: new RunnerRateLimits({
+      clock,
+      logger,
+      metrics: new Metrics(),
+      random: () => 0.5,
+      entries: () => 3,
+    }),
     held: new HeldCopies(view, () => clock.nowMs(), 1_500),
     loadRate: new LoadRate(1_000, 0),
     onEntries: () => {},
--- a/packages/banyanfold-gateway/src/__tests__/relay.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/relay.test.ts
@@ -1,9 +1,10 @@
-import {VirtualClock} from '@banyanfold/core';
+import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {UsageMeter} from '../callers/usageMeter.js';
 import {CrashSuspects} from '../crashes/crashSuspects.js';
 import type {ExchangeInput, ExchangeOutput} from '../peers/peerContract.js';
 import {Relay} from '../peers/relay.js';
+import {RunnerRateLimits} from '../runners/runnerRateLimits.js';
 import {OutcomeMeter} from '../runners/outcomeMeter.js';
 import {UnansweredDemand} from '../peers/unansweredDemand.js';
 import {DemandMeter} from '../placement/demandMeter.js';
@@ -14,6 +15,7 @@
 let clock: VirtualClock;
 let demand: DemandMeter;
 let relay: Relay;
+let rateLimits: RunnerRateLimits;
 let suspects: CrashSuspects;
 let ownWork: number;
 
@@ -81,12 +83,20 @@
   demand = new DemandMeter();
   suspects = new CrashSuspects(clock);
   ownWork = 0;
+  rateLimits = new RunnerRateLimits({
+    clock,
+    logger: new MemoryLogger(),
+    metrics: new Metrics(),
+    random: () => 0.5,
+    entries: () => 3,
+  });
   relay = new Relay({
     clock,
     address: OWN.address,
     demand,
     usage: new UsageMeter(),
     outcomes: new OutcomeMeter(),
+    rateLimits,
     configVersion: () => 9,
     onNewerConfig: () => {},
     suspects,
@@ -195,6 +205,7 @@
     const unanswered = new UnansweredDemand(
       demand,
       () => [],
+      () => [],
       new OutcomeMeter(),
       'e1#0',
     );
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -10,7 +10,7 @@
 import type {HeldCopies} from './runners/heldCopies.js';
 import type {PromptGate} from './runners/promptGate.js';
 import type {RunnerConnections} from './runners/runnerConnections.js';
-import type {RunnerLimits} from './runners/runnerLimits.js';
+import type {RunnerRateLimits} from './runners/runnerRateLimits.js';
 import type {RunnerStates} from './runners/runnerStates.js';
 import type {RequestCodec} from './types.js';
 import type {FleetView} from './view/fleetView.js';
@@ -37,7 +37,7 @@
   connections: RunnerConnections;
   states: RunnerStates;
   gate: PromptGate;
-  limits: RunnerLimits;
+  rateLimits: RunnerRateLimits;
   crashWatch: CrashWatch;
   suspects: CrashSuspects;
   held: HeldCopies;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -22,7 +22,7 @@
 import {createMetricsServer, createReadinessServer} from './readinessServer.js';
 import {HeldCopies} from './runners/heldCopies.js';
 import {PromptGate} from './runners/promptGate.js';
-import {RunnerLimits} from './runners/runnerLimits.js';
+import {RunnerRateLimits} from './runners/runnerRateLimits.js';
 import {RunnerConnections} from './runners/runnerConnections.js';
 import {ComingWork} from './requests/comingWork.js';
 import {ServiceBudgets} from './requests/serviceBudgets.js';
@@ -116,15 +116,21 @@
     const address = `${settings.peers.host}:${settings.peers.port}`;
     this.view = new FleetView(clock, logger);
     const states = new RunnerStates(clock, logger, options);
-    const limits = new RunnerLimits({logger});
     const held = new HeldCopies(this.view, () => clock.nowMs(), TOLD_FRESH_MS);
+    const demand = new DemandMeter();
+    const random = parts.random ?? Math.random;
+    const rateLimits = new RunnerRateLimits({
+      clock,
+      logger,
+      metrics,
+      random,
+      entries: () => this.entries,
+    });
     this.view.onNewLife(runnerId => {
       states.noteNewLife(runnerId);
       held.noteNewLife(runnerId);
-      limits.noteNewLife(runnerId);
+      rateLimits.noteNewLife(runnerId);
     });
-    const demand = new DemandMeter();
-    const random = parts.random ?? Math.random;
     const usage = new UsageAccounts({
       clock,
       windowMs: settings.bounds.usageWindowMs,
@@ -207,6 +213,7 @@
       usage,
       suspects,
       states,
+      rateLimits,
       held,
       loadRate,
       configVersion: () => this.view.current?.version ?? 0,
@@ -240,7 +247,7 @@
       connections: new RunnerConnections(clock, options),
       states,
       gate: new PromptGate(clock),
-      limits,
+      rateLimits,
       crashWatch: new CrashWatch({
         clock,
         logger,
@@ -430,7 +437,7 @@
 
     this.context.states.judge();
     this.context.states.keepOnly(id => this.view.runner(id) !== undefined);
-    this.context.limits.keepOnly(id => this.view.runner(id) !== undefined);
+    this.context.rateLimits.keepOnly(id => this.view.runner(id) !== undefined);
     this.context.gate.keepOnly(id => this.view.runner(id) !== undefined);
     this.context.connections.closeIdle();
   }
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -9,6 +9,7 @@
 import type {KnownRevision} from '../placement/copyRevisions.js';
 import type {EntryLoad} from '../placement/entryLoads.js';
 import type {HeldCopies} from '../runners/heldCopies.js';
+import type {RunnerRateLimits} from '../runners/runnerRateLimits.js';
 import type {RunnerStates} from '../runners/runnerStates.js';
 import type {GatewayOptions} from '../options.js';
 import type {LeaseSource} from '../types.js';
@@ -40,6 +41,7 @@
   usage: UsageAccounts;
   suspects: CrashSuspects;
   states: RunnerStates;
+  rateLimits: RunnerRateLimits;
   held: HeldCopies;
   loadRate: LoadRate;
   onEntries(count: number): void;
@@ -96,6 +98,7 @@
       demand,
       usage: usage.meter,
       outcomes: deps.states.outcomes,
+      rateLimits: deps.rateLimits,
       suspects,
       ownLoad: () => this.ownLoad(),
       configVersion: () => deps.configVersion(),
@@ -110,6 +113,7 @@
     this.unanswered = new UnansweredDemand(
       demand,
       () => usage.takeReports(),
+      () => deps.rateLimits.takeReports(),
       deps.states.outcomes,
       lifeId,
     );
@@ -279,6 +283,7 @@
       modelsInUse: load.modelsInUse as ExchangeInput['modelsInUse'],
       known: this.known,
       batch: this.unanswered.next(),
+      rateLimits: this.deps.rateLimits.toldLimits(),
       crashes: this.deps.suspects.news(),
       knownSuspects: this.deps.suspects.known,
     };
@@ -340,6 +345,11 @@
     if (isPassedOn) lease.noteHolder(output.holder);
     else if (teller !== self.address) this.relay.noteWord(output);
     this.deps.usage.tell(output.usage ?? {}, output.ageMs, isPassedOn);
+    this.deps.rateLimits.tell(
+      output.rateLimits ?? {},
+      output.ageMs,
+      isPassedOn,
+    );
     this.deps.states.noteEjected(output.ejectedForMs ?? {}, output.ageMs);
     this.adoptVersions(output, teller);
     this.adoptLoads(output, isPassedOn);
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -64,6 +64,12 @@
       }),
     )
     .optional(),
+  /** Use of rate-limited runners; left out likewise. */
+  rateUse: z
+    .array(
+      z.object({runnerId: z.string(), asked: z.number(), used: z.number()}),
+    )
+    .optional(),
 });
 
 export type DemandBatch = z.infer<typeof demandBatchSchema>;
@@ -93,6 +99,16 @@
   batch: demandBatchSchema,
   /** Left out by a process of a version that doesn't tell of them. */
   crashes: crashNewsSchema.optional(),
+  /** Limits that runners have named, or have ceased to name; left out likewise. */
+  rateLimits: z
+    .array(
+      z.object({
+        runnerId: z.string(),
+        perSecond: z.number().optional(),
+        ageMs: z.number(),
+      }),
+    )
+    .optional(),
   /** Up to where it has heard of the suspects. */
   knownSuspects: knownSuspectsSchema.optional(),
 });
@@ -152,6 +168,18 @@
       }),
     )
     .optional(),
+  /** The same limits, by runner, with what the fleet made of them. */
+  rateLimits: z
+    .record(
+      z.string(),
+      z.object({
+        perSecond: z.number().optional(),
+        ageMs: z.number(),
+        used: z.number(),
+        askedPerSecond: z.number(),
+      }),
+    )
+    .optional(),
   /** Requests that may crash runners; left out as in what entries tell. */
   suspects: toldSuspectsSchema.optional(),
 });
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -6,8 +6,10 @@
 import type {DemandMeter} from '../placement/demandMeter.js';
 import {EntryLoads, type EntryLoad} from '../placement/entryLoads.js';
 import {SeenBatches} from '../placement/seenBatches.js';
+import type {RunnerRateLimits} from '../runners/runnerRateLimits.js';
 import type {OutcomeMeter} from '../runners/outcomeMeter.js';
 import type {
+  DemandBatch,
   ExchangeInput,
   ExchangeOutput,
   NotHolder,
@@ -22,6 +24,7 @@
   demand: DemandMeter;
   usage: UsageMeter;
   outcomes: OutcomeMeter;
+  rateLimits: RunnerRateLimits;
   suspects: CrashSuspects;
   /** What this process itself has open. */
   ownLoad(): EntryLoad;
@@ -107,9 +110,21 @@
     };
   }
 
+  private addBatch(batch: DemandBatch): void {
+    const {demand, usage, outcomes, rateLimits} = this.options;
+    demand.add(batch.demand);
+    usage.add(batch.usage ?? []);
+    outcomes.add(batch.outcomes ?? []);
+    rateLimits.meter.add(batch.rateUse ?? []);
+  }
+
+  /** This process tells them on as its own. */
+  private noteRateLimits({rateLimits = []}: ExchangeInput): void {
+    for (const limit of rateLimits) this.options.rateLimits.noteTold(limit);
+  }
+
   exchange(input: ExchangeInput): ExchangeOutput | NotHolder {
-    const {clock, demand, usage, suspects, address, ownLoad, holderAddress} =
-      this.options;
+    const {clock, suspects, address, ownLoad, holderAddress} = this.options;
     const nowMs = clock.nowMs();
     const {heard} = this;
     if (!heard || nowMs - heard.atMs > WORD_FRESH_MS) {
@@ -118,13 +133,10 @@
     const {entry, batch, configVersion, runnersChange} = input;
     this.loads.note(entry, input, nowMs);
     this.loads.note(address, ownLoad(), nowMs);
-    if (this.batches.isNew(entry, batch.batchId)) {
-      demand.add(batch.demand);
-      usage.add(batch.usage ?? []);
-      this.options.outcomes.add(batch.outcomes ?? []);
-    }
+    if (this.batches.isNew(entry, batch.batchId)) this.addBatch(batch);
+    this.noteRateLimits(input);
     suspects.relay(input.crashes);
-    if (Object.keys(input.waiting).length > 0) demand.onWaiting();
+    if (Object.keys(input.waiting).length > 0) this.options.demand.onWaiting();
     if (configVersion > this.options.configVersion()) {
       this.options.onNewerConfig(configVersion, entry);
     }
--- a/packages/banyanfold-gateway/src/peers/unansweredDemand.ts
+++ b/packages/banyanfold-gateway/src/peers/unansweredDemand.ts
@@ -1,6 +1,7 @@
 import type {UsageReport} from '@banyanfold/decisions';
 import type {DemandMeter} from '../placement/demandMeter.js';
 import type {OutcomeMeter} from '../runners/outcomeMeter.js';
+import type {RateUse} from '../runners/rateUseMeter.js';
 import type {DemandBatch} from './peerContract.js';
 
 /**
@@ -17,6 +18,7 @@
   constructor(
     private readonly meter: DemandMeter,
     private readonly takeUsage: () => UsageReport[],
+    private readonly takeRateUse: () => RateUse[],
     private readonly outcomes: OutcomeMeter,
     private readonly lifeId: string,
   ) {}
@@ -28,6 +30,7 @@
       batchId: `${this.lifeId}#${this.batches}`,
       demand: this.meter.take(),
       usage: this.takeUsage(),
+      rateUse: this.takeRateUse(),
       outcomes: this.outcomes.take(),
     };
     return this.batch;
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -43,6 +43,7 @@
 import {DemandView} from './demandView.js';
 import {EntryLoads} from './entryLoads.js';
 import {FleetOutcomes} from './fleetOutcomes.js';
+import {FleetRateLimits} from './fleetRateLimits.js';
 import {LoadRate} from './loadRate.js';
 import {REPORT_TICK_MS, ReportAsker} from './reportAsker.js';
 import {RunnerController} from './runnerController.js';
@@ -99,6 +100,7 @@
   private readonly loads = new EntryLoads();
   private readonly batches = new SeenBatches();
   private readonly outcomes: FleetOutcomes;
+  private rateLimits: FleetRateLimits;
   private fleetUsage: FleetUsage;
   /** Of the lease, in which all use was reported here. */
   private usageTerm: number | undefined;
@@ -121,6 +123,7 @@
     this.startedMs = deps.clock.nowMs();
     this.fleetUsage = this.countUsage(this.startedMs);
     this.outcomes = new FleetOutcomes(deps);
+    this.rateLimits = new FleetRateLimits(deps.clock);
     this.reports = new ReportAsker({
       ...deps,
       onReport: (asked, report, askedMs) =>
@@ -178,6 +181,7 @@
       peersRequests: this.loads.requestsWithout(entry, nowMs),
       ejectedForMs: this.outcomes.tell(),
       usage: this.fleetUsage.tell(nowMs),
+      rateLimits: this.rateLimits.tell(),
       suspects: this.deps.crashes.tell(input.knownSuspects),
     };
   }
@@ -187,6 +191,7 @@
     if (term === this.usageTerm) return;
     this.usageTerm = term;
     this.fleetUsage = this.countUsage(nowMs);
+    this.rateLimits = new FleetRateLimits(this.deps.clock);
   }
 
   /** Goes on from what this process last heard as an entry. */
@@ -214,14 +219,16 @@
   }
 
   private noteInput(input: ExchangeInput, nowMs: number): void {
-    const {entry, batch, waiting, crashes} = input;
+    const {entry, batch, waiting, crashes, rateLimits = []} = input;
     this.loads.note(entry, input, nowMs);
+    this.rateLimits.noteLimits(rateLimits);
     if (crashes) this.deps.crashes.note(crashes);
     if (this.batches.isNew(entry, batch.batchId)) {
       this.demand.note(batch.demand, nowMs);
       this.noteAdapterUse(batch.demand);
       this.outcomes.note(batch.outcomes ?? []);
       this.fleetUsage.note(batch.usage ?? [], nowMs);
+      this.rateLimits.noteUse(batch.rateUse ?? []);
     }
     const {view, holder, onNewerConfig} = this.deps;
     const version = view.current?.version ?? 0;
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -122,6 +122,16 @@
     });
   }
 
+  refuseByRateLimit(service: string, retryAfterMs: number): void {
+    this.line('refuse', {
+      reason: 'runner-limit',
+      service,
+      model: this.options.decoded.request.model,
+      leftMs: this.leftMs(),
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+  }
+
   refuseQuarantined(fingerprint: string, forMs: number): void {
     this.line('refuse', {
       reason: 'quarantined',
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -207,12 +207,27 @@
     if (verdict === 'quarantined') return this.endQuarantined();
     if (verdict === 'suspect') return this.stepAlone();
     const target = this.targets.choose();
-    if (!target) return this.park();
-    await this.tryAt(target);
+    if (target) await this.tryAt(target);
+    else await this.waitForRunner();
   }
 
   /** Undefined when it was not sent. */
   private async tryAt(target: Target): Promise<AttemptResult | undefined> {
+    const {runnerId} = target.runner;
+    const {rateLimits} = this.options.context;
+    const permit = rateLimits.take(runnerId);
+    if (permit.kind === 'refuse') {
+      this.targets.noteRateLimited(runnerId, permit.retryAfterMs);
+      return undefined;
+    }
+    const result = await this.sendTo(target);
+    const isSent = result !== undefined && result.kind !== 'unreached';
+    if (permit.kind === 'admit' && !isSent) rateLimits.giveBack(runnerId);
+    if (result && !this.isOver) this.settle(target, result);
+    return result;
+  }
+
+  private async sendTo(target: Target): Promise<AttemptResult | undefined> {
     if (target.needsAdapter && !(await this.fetchAdapter(target))) {
       return undefined;
     }
@@ -220,9 +235,18 @@
       return undefined;
     }
     if (this.isTurnedAway(target)) return undefined;
-    const result = await this.attempt(target);
-    if (result && !this.isOver) this.settle(target, result);
-    return result;
+    return this.attempt(target);
+  }
+
+  private async waitForRunner(): Promise<void> {
+    const freeInMs = this.targets.rateLimitedForMs();
+    if (freeInMs === undefined) return this.park();
+    // What another runner may have begun can't be refused any more.
+    if (this.relay.hasBegun || this.mayHaveRun)
+      {return this.pause.wait(freeInMs);}
+    const retryAfterMs = Math.max(freeInMs, MIN_RETRY_AFTER_MS);
+    this.log.refuseByRateLimit(this.service, retryAfterMs);
+    this.answer(FINAL_STATUS.notRun, 'runner-limit', retryAfterMs);
   }
 
   /**
@@ -233,7 +257,7 @@
   private async stepAlone(): Promise<void> {
     const {context} = this.options;
     const runnerIds = this.targets.byOpenWork();
-    if (runnerIds.length === 0) return this.park();
+    if (runnerIds.length === 0) return this.waitForRunner();
     const runnerId = await context.permitTrial({
       fingerprint: this.fingerprint,
       runnerIds,
@@ -408,7 +432,7 @@
       },
       {
         runnerId: runner.runnerId,
-        onFacts: facts => context.limits.noteAnswer(runner.runnerId, facts),
+        onFacts: facts => context.rateLimits.noteAnswer(runner.runnerId, facts),
         onFirstByte: () => {
           wasRead = true;
           this.turn?.giveBack();
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -27,6 +27,8 @@
 /** Chooses runners for one request, from what the view says at the time. */
 export class TargetChooser {
   private readonly rejectedBy = new Set<string>();
+  /** Runners whose limits leave no room for the request, and until when. */
+  private readonly rateLimitedUntilMs = new Map<string, number>();
 
   constructor(private readonly options: TargetChooserOptions) {}
 
@@ -38,7 +40,9 @@
   choose(only?: string): Target | undefined {
     const {context} = this.options;
     const serving = this.serving().filter(
-      ({runnerId}) => only === undefined || runnerId === only,
+      ({runnerId}) =>
+        (only === undefined || runnerId === only) &&
+        !this.isRateLimited(runnerId),
     );
     const fresh = serving.filter(r => !this.rejectedBy.has(r.runnerId));
     const choices = (fresh.length > 0 ? fresh : serving).map(runner => ({
@@ -68,7 +72,9 @@
   /** Runners that can take the request, the one with the least work first. */
   byOpenWork(): string[] {
     const {states} = this.options.context;
-    const runnerIds = this.serving().map(({runnerId}) => runnerId);
+    const runnerIds = this.serving()
+      .map(({runnerId}) => runnerId)
+      .filter(runnerId => !this.isRateLimited(runnerId));
     return runnerIds.sort((a, b) => states.openWork(a) - states.openWork(b));
   }
 
@@ -77,6 +83,30 @@
     this.rejectedBy.add(runnerId);
   }
 
+  /** The runner's limit leaves no room for the request for so long. */
+  noteRateLimited(runnerId: string, forMs: number): void {
+    const {clock} = this.options.context;
+    this.rateLimitedUntilMs.set(runnerId, clock.nowMs() + forMs);
+  }
+
+  /**
+   * Until the first of the runners that could take the request has room for it;
+   * undefined where limits aren't what it waits for.
+   */
+  rateLimitedForMs(): number | undefined {
+    const nowMs = this.options.context.clock.nowMs();
+    const waits = this.serving()
+      .filter(({runnerId}) => this.isRateLimited(runnerId))
+      .map(({runnerId}) => this.rateLimitedUntilMs.get(runnerId)! - nowMs);
+    return waits.length > 0 ? Math.min(...waits) : undefined;
+  }
+
+  private isRateLimited(runnerId: string): boolean {
+    const untilMs = this.rateLimitedUntilMs.get(runnerId);
+    if (untilMs === undefined) return false;
+    return untilMs > this.options.context.clock.nowMs();
+  }
+
   hasRejected({runnerId}: RunnerRegistration): boolean {
     return this.rejectedBy.has(runnerId);
   }
