Spread plain calls over runners of equal cost

Six equal runners of a plain service got 45, 20, 0, 0, 0 and 0 requests a second, played from outside with five entries: the first ones queue while the others idle.

Cause: without a shared prompt chooseRunner takes the least cost, and the first in the list where several have it. All entries list the runners alike and see little or nothing of each other's calls, which are over sooner than they are told of.

--- a/packages/banyanfold-decisions/src/chooseRunner.ts
+++ b/packages/banyanfold-decisions/src/chooseRunner.ts
@@ -61,7 +61,8 @@
  * runners alike by a hash of the key, so that requests that share a prompt meet
  * where it is cached without anything being told. A runner is passed over once
  * the work that waits there exceeds the level by more than reading the shared part
- * again would cost; without a key the least loaded is taken. Runners of the entry's
+ * again would cost; without a key the least loaded is taken, any one of several:
+ * all entries would send to the first in the list. Runners of the entry's
  * own failure domain go first: a prompt is then cached once a domain, and its
  * bytes stay within it.
  *
@@ -112,14 +113,24 @@
       ranked.reduce((least, each) => (each.cost < least.cost ? each : least));
     return {runnerId: first.choice.runnerId, reason: 'affinity'};
   }
-  const cost = (choice: RunnerChoice) =>
-    costOf(choice, options) +
-    (choice.failureDomain === failureDomain ? 0 : options.otherDomainWork);
-  let best = candidates[0]!;
-  for (const choice of candidates) {
-    if (cost(choice) < cost(best)) best = choice;
-  }
-  return {runnerId: best.runnerId, reason: 'least-work'};
+  const least = leastOf(candidates, failureDomain, options);
+  const chosen = least[Math.floor(flow.random() * least.length)]!;
+  return {runnerId: chosen.runnerId, reason: 'least-work'};
+}
+
+/** The candidates of least cost, which may be several. */
+function leastOf(
+  candidates: readonly RunnerChoice[],
+  failureDomain: string,
+  options: ChooseRunnerOptions,
+): RunnerChoice[] {
+  const costs = candidates.map(
+    choice =>
+      costOf(choice, options) +
+      (choice.failureDomain === failureDomain ? 0 : options.otherDomainWork),
+  );
+  const leastCost = Math.min(...costs);
+  return candidates.filter((_choice, i) => costs[i] === leastCost);
 }
 
 /** Whether a runner with so much room takes its share of the flow, or part of it. */
