Admit what is left of a cap where nobody else asks

A caller of an organisation with a cap of two requests was refused its second one.

Cause: an entry takes its own demand off what the holder tells of all. The holder counts demand when it is reported, up to an exchange after it came, and its rate fades from then on; the entry's own had faded for longer. What was left over passed for demand of others, and what they might admit was kept back. An exchange between two requests was enough. Besides, the entry's own demand was taken off what was left, though what it admits is counted exactly. The class: two rates compared that are not measured at the same time.

--- a/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
+import {FleetUsage} from '../usage/fleetUsage.js';
 import {OrganisationUsage} from '../usage/organisationUsage.js';
 import {usageLimitOf} from '../usage/usageLimit.js';
 import {SlidingWindow} from '../usage/slidingWindow.js';
@@ -152,6 +153,26 @@
     });
   });
 
+  // Guards against a caller that is refused below the cap for its own demand.
+  it('admits all that is left where nobody else asks', () => {
+    const atLimit = {ratePerSecond: 1e-6, perWindow: 2};
+    const fleet = new FleetUsage({
+      windowMs: WINDOW_MS,
+      sinceMs: 0,
+      limitOf: () => atLimit,
+      usedBefore: () => 0,
+    });
+    const usage = new OrganisationUsage(true);
+    const decide = (nowMs: number) =>
+      usage.decide(1, {limit: atLimit, nowMs, random: () => 0.99}).kind;
+    expect(decide(0)).toBe('admit');
+    usage.noteReported(200);
+    fleet.note([{organisation: 'claims', asked: 1, used: 1}], 203);
+    usage.tell(fleet.tell(203)['claims']!, 203, 0);
+    expect(decide(210)).toBe('admit');
+    expect(decide(220)).toBe('refuse');
+  });
+
   it('takes back what was not run', () => {
     const usage = new OrganisationUsage(true);
     usage.tell({left: 100_000, freedPerSecond: 0, askedPerSecond: 0}, 0, 0);
--- a/packages/banyanfold-decisions/src/__tests__/usageFleet.ts
+++ b/packages/banyanfold-decisions/src/__tests__/usageFleet.ts
@@ -95,6 +95,7 @@
       const untold = isRelayed ? entry.used : 0;
       entry.asked = 0;
       entry.used = 0;
+      entry.usage.noteReported(nowMs);
       const wordMs = isRelayed ? nowMs - EXCHANGE_MS : nowMs;
       words.push({atMs: nowMs, told: fleet.tell(nowMs)[ORGANISATION]});
       while (words.length > 1 && words[1]!.atMs <= wordMs) words.shift();
--- a/packages/banyanfold-decisions/src/usage/fleetUsage.ts
+++ b/packages/banyanfold-decisions/src/usage/fleetUsage.ts
@@ -66,8 +66,8 @@
       scaleToLower(account, limit);
       told[organisation] = {
         left: Math.round(limit.perWindow - account.used.sum(nowMs)),
-        freedPerSecond: Math.round(account.used.expiringPerSecond(nowMs)),
-        askedPerSecond: Math.round(account.asked.perSecond(nowMs)),
+        freedPerSecond: account.used.expiringPerSecond(nowMs),
+        askedPerSecond: account.asked.perSecond(nowMs),
       };
     }
     return told;
--- a/packages/banyanfold-decisions/src/usage/organisationUsage.ts
+++ b/packages/banyanfold-decisions/src/usage/organisationUsage.ts
@@ -40,6 +40,11 @@
 const SPENT_MS = 4_000;
 /** Until the others know of what an entry admits: an exchange, or two by a relay. */
 const UNHEARD_MS = 700;
+/**
+ * With a smaller share of what is asked for the others count as none: a report
+ * reaches the holder some ms after it was made, and fades there that much later.
+ */
+const LEAST_OTHERS_SHARE = 0.05;
 /** Of the limit, what must be left for a request, however large it is. */
 const LARGEST_NEED = 0.5;
 const MS_PER_SECOND = 1000;
@@ -61,6 +66,9 @@
  */
 export class OrganisationUsage {
   private readonly asked = new DecayingRate(SMOOTHING_MS);
+  /** The same as the holder counts it, which is when it is reported. */
+  private readonly reported = new DecayingRate(SMOOTHING_MS);
+  private unreported = 0;
   private told:
     (FleetUsageTold & {atMs: number; ownPerSecond: number}) | undefined;
   /** Admitted here and not in what was told. */
@@ -75,10 +83,11 @@
   decide(amount: number, view: UsageView): UsageDecision {
     const {limit, nowMs, random} = view;
     this.asked.add(amount, nowMs);
+    this.unreported += amount;
     this.noteLimit(limit);
     const othersPerSecond = this.othersAskedPerSecond();
     const askedPerSecond = othersPerSecond + this.asked.perSecond(nowMs);
-    const {left, perSecond} = this.available(view, askedPerSecond);
+    const {left, perSecond} = this.available(view, othersPerSecond);
     const unheardSeconds = UNHEARD_MS / MS_PER_SECOND;
     const needed = Math.min(amount, limit.perWindow * LARGEST_NEED);
     const isAmple = left >= needed + othersPerSecond * unheardSeconds;
@@ -92,6 +101,12 @@
     return {kind: 'refuse', left, retryAfterMs};
   }
 
+  /** What was asked for here up to now is on its way to the holder. */
+  noteReported(nowMs: number): void {
+    this.reported.add(this.unreported, nowMs);
+    this.unreported = 0;
+  }
+
   /** What was admitted was not run after all. */
   giveBack(amount: number): void {
     this.untold -= amount;
@@ -105,7 +120,7 @@
    * @param untold admitted here and not in it.
    */
   tell(told: FleetUsageTold | number, atMs: number, untold: number): void {
-    const ownPerSecond = this.asked.perSecond(atMs);
+    const ownPerSecond = this.reported.perSecond(atMs);
     const usage = typeof told === 'number' ? UNASKED : told;
     this.told = {...usage, atMs, ownPerSecond};
     this.leftShare = typeof told === 'number' ? told : undefined;
@@ -115,7 +130,9 @@
   /** What callers ask for at the other entries, as last told. */
   private othersAskedPerSecond(): number {
     if (!this.told) return 0;
-    return Math.max(0, this.told.askedPerSecond - this.told.ownPerSecond);
+    const {askedPerSecond, ownPerSecond} = this.told;
+    const others = askedPerSecond - ownPerSecond;
+    return others > askedPerSecond * LEAST_OTHERS_SHARE ? others : 0;
   }
 
   /**
@@ -137,7 +154,7 @@
   /** What all entries together may admit now, and a second from now on. */
   private available(
     {limit, nowMs}: UsageView,
-    askedPerSecond: number,
+    othersPerSecond: number,
   ): {left: number; perSecond: number} {
     const {told, isUnused, untold} = this;
     const {ratePerSecond, perWindow} = limit;
@@ -153,7 +170,7 @@
       return {left: 0, perSecond: Math.min(ratePerSecond, freed + spend)};
     }
     const change =
-      ((told.freedPerSecond - askedPerSecond) * sinceMs) / MS_PER_SECOND;
+      ((told.freedPerSecond - othersPerSecond) * sinceMs) / MS_PER_SECOND;
     // The others stop at the limit as well.
     const lowest = Math.min(told.left, 0);
     const left = Math.min(perWindow, Math.max(lowest, told.left + change));
--- a/packages/banyanfold-gateway/src/callers/usageAccounts.ts
+++ b/packages/banyanfold-gateway/src/callers/usageAccounts.ts
@@ -121,6 +121,7 @@
       if (!this.options.isKnown(name)) this.accounts.delete(name);
       account.reported = account.unreported;
       account.unreported = 0;
+      account.usage.noteReported(this.options.clock.nowMs());
     }
     return this.meter.take();
   }
