Compare demand for limited runners with what the holder has counted of it

The same cause as with usage caps: an entry took its own demand, as it came, off the holder's count, which begins to fade when it is reported.

--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -242,8 +242,9 @@
     const freeInMs = this.targets.rateLimitedForMs();
     if (freeInMs === undefined) return this.park();
     // What another runner may have begun can't be refused any more.
-    if (this.relay.hasBegun || this.mayHaveRun)
-      {return this.pause.wait(freeInMs);}
+    if (this.relay.hasBegun || this.mayHaveRun) {
+      return this.pause.wait(freeInMs);
+    }
     const retryAfterMs = Math.max(freeInMs, MIN_RETRY_AFTER_MS);
     this.log.refuseByRateLimit(this.service, retryAfterMs);
     this.answer(FINAL_STATUS.notRun, 'runner-limit', retryAfterMs);
--- a/packages/banyanfold-gateway/src/runners/rateUseMeter.ts
+++ b/packages/banyanfold-gateway/src/runners/rateUseMeter.ts
@@ -21,8 +21,9 @@
 
   /** Adds what another entry has counted. */
   add(uses: readonly RateUse[]): void {
-    for (const {runnerId, asked, used} of uses)
-      {this.note(runnerId, asked, used);}
+    for (const {runnerId, asked, used} of uses) {
+      this.note(runnerId, asked, used);
+    }
   }
 
   /** Takes what was counted, and begins anew. */
--- a/packages/banyanfold-gateway/src/runners/runnerRateLimits.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerRateLimits.ts
@@ -52,6 +52,9 @@
   /** When the answer that named it came. */
   heardMs: number;
   asked: DecayingRate;
+  /** The same as the holder counts it, which is when it is reported. */
+  reportedAsked: DecayingRate;
+  unreportedAsked: number;
   /** Sent since the last report was made. */
   unreported: number;
   /** Sent and in the report that is under way or was answered last. */
@@ -100,6 +103,7 @@
     const {clock, entries, random, metrics} = this.options;
     const nowMs = clock.nowMs();
     limited.asked.add(1, nowMs);
+    limited.unreportedAsked += 1;
     const decision = decideRateLimit({
       limitPerSecond: Math.max(limited.perSecond, MIN_PER_SECOND),
       ownAskedPerSecond: limited.asked.perSecond(nowMs),
@@ -134,9 +138,12 @@
 
   /** Takes the report for the next exchange. */
   takeReports(): RateUse[] {
+    const nowMs = this.options.clock.nowMs();
     for (const limited of this.limited.values()) {
       limited.reported = limited.unreported;
       limited.unreported = 0;
+      limited.reportedAsked.add(limited.unreportedAsked, nowMs);
+      limited.unreportedAsked = 0;
     }
     return this.meter.take();
   }
@@ -159,7 +166,7 @@
       const limited = this.limited.get(runnerId);
       if (!limited) continue;
       if (!isPassedOn) limited.reported = 0;
-      const ownAskedPerSecond = limited.asked.perSecond(atMs);
+      const ownAskedPerSecond = limited.reportedAsked.perSecond(atMs);
       limited.told = {
         used: limit.used,
         othersAskedPerSecond: Math.max(
@@ -218,6 +225,8 @@
     perSecond: undefined,
     heardMs: Number.NEGATIVE_INFINITY,
     asked: new DecayingRate(SMOOTHING_MS),
+    reportedAsked: new DecayingRate(SMOOTHING_MS),
+    unreportedAsked: 0,
     unreported: 0,
     reported: 0,
     told: undefined,
