Lift a limit only by the answer to a later request, and tell first-hand limits only

Two ways in which a runner in need would get more than it named for up to a second. An entry that stands still reads an answer seconds late; without a limit, as from before the runner named one, it lifted the limit at all entries. And what the holder told went back to it younger by the time of an exchange, so that an old limit could outlive the answer that lifted it.

--- a/packages/banyanfold-gateway/src/__tests__/rateLimitFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/rateLimitFleet.ts
@@ -115,13 +115,14 @@
     if (entry.limits.take(RUNNER).kind === 'refuse') return;
     sent.push({atMs: nowMs, isCounted});
     const isLimited = nowMs < limitedUntilMs;
-    entry.limits.noteAnswer(RUNNER, {
+    const facts = {
       signed: true,
       notExecuted: false,
       fromOtherRunner: false,
       encoded: false,
       requestsPerSecond: isLimited ? play.limitPerSecond : undefined,
-    });
+    };
+    entry.limits.noteAnswer(RUNNER, facts, nowMs);
   };
 
   for (let nowMs = 0; nowMs < forMs; nowMs += STEP_MS) {
--- a/packages/banyanfold-gateway/src/__tests__/runnerRateLimits.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerRateLimits.test.ts
@@ -1,4 +1,6 @@
+import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {describe, expect, it} from 'vitest';
+import {RunnerRateLimits} from '../runners/runnerRateLimits.js';
 import {playRateLimit, type RateLimitPlay} from './rateLimitFleet.js';
 
 const WINDOW_S = 4;
@@ -104,3 +106,51 @@
     }
   });
 });
+
+describe('RunnerRateLimits', () => {
+  const answer = (requestsPerSecond?: number) => ({
+    signed: true,
+    notExecuted: false,
+    fromOtherRunner: false,
+    encoded: false,
+    requestsPerSecond,
+  });
+
+  function createLimits(clock: VirtualClock) {
+    return new RunnerRateLimits({
+      clock,
+      logger: new MemoryLogger(),
+      metrics: new Metrics(),
+      random: () => 0.5,
+      entries: () => 3,
+    });
+  }
+
+  // Guards against a limit lifted for all by an answer that lay unread meanwhile.
+  it('lifts no limit by the answer to an older request', async () => {
+    const clock = new VirtualClock();
+    const limits = createLimits(clock);
+    await clock.advance(1_000);
+    limits.noteAnswer('r1', answer(1), 900);
+    await clock.advance(1_000);
+    limits.noteAnswer('r1', answer(), 800);
+    expect(limits.take('r1').kind).not.toBe('unlimited');
+    limits.noteAnswer('r1', answer(), 1_900);
+    expect(limits.take('r1').kind).toBe('unlimited');
+  });
+
+  // Guards against a limit that grows younger each time that it is told.
+  it('tells only of limits that its own requests met', async () => {
+    const clock = new VirtualClock();
+    const limits = createLimits(clock);
+    await clock.advance(1_000);
+    const use = {used: 0, askedPerSecond: 0};
+    limits.tell({r1: {perSecond: 1, ageMs: 20, ...use}}, 0, false);
+    expect(limits.take('r1').kind).not.toBe('unlimited');
+    expect(limits.toldLimits()).toEqual([]);
+    limits.noteAnswer('r1', answer(1), 900);
+    expect(limits.toldLimits()).toEqual([
+      {runnerId: 'r1', perSecond: 1, ageMs: 0},
+    ]);
+  });
+});
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -433,7 +433,8 @@
       },
       {
         runnerId: runner.runnerId,
-        onFacts: facts => context.rateLimits.noteAnswer(runner.runnerId, facts),
+        onFacts: facts =>
+          context.rateLimits.noteAnswer(runner.runnerId, facts, nowMs),
         onFirstByte: () => {
           wasRead = true;
           this.turn?.giveBack();
--- a/packages/banyanfold-gateway/src/runners/runnerRateLimits.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerRateLimits.ts
@@ -51,6 +51,8 @@
   perSecond: number | undefined;
   /** When the answer that named it came. */
   heardMs: number;
+  /** The answer came here, or to an entry that this one relays for. */
+  isFirstHand: boolean;
   asked: DecayingRate;
   /** The same as the holder counts it, which is when it is reported. */
   reportedAsked: DecayingRate;
@@ -80,16 +82,23 @@
 
   constructor(private readonly options: RunnerRateLimitsOptions) {}
 
-  /** Takes in what the head of an answer says, or no longer says. */
-  noteAnswer(runnerId: string, facts: AnswerFacts): void {
+  /**
+   * Takes in what the head of an answer says, or no longer says. An answer may lie
+   * unread for seconds while this process stands still, so that one without a limit
+   * tells of no later time than when its request was sent.
+   */
+  noteAnswer(runnerId: string, facts: AnswerFacts, sentMs: number): void {
     const {requestsPerSecond, signed, notExecuted, fromOtherRunner} = facts;
     if (fromOtherRunner || !(signed || notExecuted)) return;
-    this.note(runnerId, requestsPerSecond, this.options.clock.nowMs());
+    const isNamed = requestsPerSecond !== undefined;
+    const heardMs = isNamed ? this.options.clock.nowMs() : sentMs;
+    this.note(runnerId, {perSecond: requestsPerSecond, heardMs}, true);
   }
 
-  /** Takes in what another entry has heard. */
+  /** Takes in what an entry that this one relays for has heard. */
   noteTold({runnerId, perSecond, ageMs}: ToldRateLimit): void {
-    this.note(runnerId, perSecond, this.options.clock.nowMs() - ageMs);
+    const heardMs = this.options.clock.nowMs() - ageMs;
+    this.note(runnerId, {perSecond, heardMs}, true);
   }
 
   /**
@@ -126,14 +135,19 @@
     this.meter.note(runnerId, 0, -1);
   }
 
-  /** What this entry tells the holder of the limits that it knows. */
+  /**
+   * What this entry tells the holder of the limits that it knows. Told back, what the
+   * holder told would be younger by the time of an exchange.
+   */
   toldLimits(): ToldRateLimit[] {
     const nowMs = this.options.clock.nowMs();
-    return [...this.limited].map(([runnerId, {perSecond, heardMs}]) => ({
-      runnerId,
-      perSecond,
-      ageMs: nowMs - heardMs,
-    }));
+    return [...this.limited]
+      .filter(([, {isFirstHand}]) => isFirstHand)
+      .map(([runnerId, {perSecond, heardMs}]) => ({
+        runnerId,
+        perSecond,
+        ageMs: nowMs - heardMs,
+      }));
   }
 
   /** Takes the report for the next exchange. */
@@ -162,7 +176,9 @@
     const {clock} = this.options;
     const atMs = clock.nowMs() - ageMs;
     for (const [runnerId, limit] of Object.entries(limits)) {
-      this.note(runnerId, limit.perSecond, atMs - limit.ageMs);
+      const {perSecond} = limit;
+      const heardMs = atMs - limit.ageMs;
+      this.note(runnerId, {perSecond, heardMs}, false);
       const limited = this.limited.get(runnerId);
       if (!limited) continue;
       if (!isPassedOn) limited.reported = 0;
@@ -196,14 +212,15 @@
   /** The latest answer counts, whoever got it. */
   private note(
     runnerId: string,
-    perSecond: number | undefined,
-    heardMs: number,
+    {perSecond, heardMs}: Pick<RateLimited, 'perSecond' | 'heardMs'>,
+    isFirstHand: boolean,
   ): void {
     const known = this.limited.get(runnerId);
     if (known ? heardMs <= known.heardMs : perSecond === undefined) return;
     if (this.options.clock.nowMs() - heardMs > LIMIT_TRUSTED_MS) return;
     const limited = known ?? created();
     limited.heardMs = heardMs;
+    limited.isFirstHand = isFirstHand;
     this.limited.set(runnerId, limited);
     if (limited.perSecond === perSecond) return;
     limited.perSecond = perSecond;
@@ -224,6 +241,7 @@
   return {
     perSecond: undefined,
     heardMs: Number.NEGATIVE_INFINITY,
+    isFirstHand: false,
     asked: new DecayingRate(SMOOTHING_MS),
     reportedAsked: new DecayingRate(SMOOTHING_MS),
     unreportedAsked: 0,
