Keep telling of a limit heard first-hand, and tell longer that one was lifted

An entry told the holder of a limit, heard it back some ms younger, and took it for the holder's: a new holder would have heard of it from nobody until the runner's next answer. And a lifting that an answer of 5 s told of was forgotten before it was told, so that the limit came back. Both tests failed before. Found by reading.

--- a/packages/banyanfold-gateway/src/__tests__/runnerRateLimits.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerRateLimits.test.ts
@@ -153,4 +153,33 @@
       {runnerId: 'r1', perSecond: 1, ageMs: 0},
     ]);
   });
+
+  // Guards against a limit that a new holder hears of from nobody.
+  it('goes on telling of its own limits after the holder has told them', async () => {
+    const clock = new VirtualClock();
+    const limits = createLimits(clock);
+    await clock.advance(1_000);
+    limits.noteAnswer('r1', answer(1), 900);
+    await clock.advance(50);
+    // The way there and back took 10 ms.
+    const use = {used: 0, askedPerSecond: 0};
+    limits.tell({r1: {perSecond: 1, ageMs: 40, ...use}}, 0, false);
+    expect(limits.toldLimits()).toEqual([
+      {runnerId: 'r1', perSecond: 1, ageMs: 50},
+    ]);
+  });
+
+  // Guards against a limit that comes back as its lifting is forgotten too soon.
+  it('tells of a limit that a slow answer has lifted', async () => {
+    const clock = new VirtualClock();
+    const limits = createLimits(clock);
+    await clock.advance(1_000);
+    limits.noteAnswer('r1', answer(1), 900);
+    await clock.advance(6_000);
+    limits.noteAnswer('r1', answer(), 2_000);
+    limits.keepOnly(() => true);
+    expect(limits.toldLimits()).toEqual([
+      {runnerId: 'r1', perSecond: undefined, ageMs: 5_000},
+    ]);
+  });
 });
--- a/packages/banyanfold-gateway/src/runners/runnerRateLimits.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerRateLimits.ts
@@ -37,7 +37,9 @@
 /** With less, nobody would find out that a runner takes more again. */
 const MIN_PER_SECOND = 0.25;
 /** That a runner names no limit any more is told to the others for so long. */
-const LIFTED_TOLD_MS = 3_000;
+const LIFTED_TOLD_MS = 10_000;
+/** Told back by the holder, what this entry told it seems up to so much younger. */
+const ECHO_MS = 1_000;
 /** A limit that no answer has named for so long is not kept to any more. */
 const LIMIT_TRUSTED_MS = 30_000;
 /**
@@ -217,6 +219,9 @@
   ): void {
     const known = this.limited.get(runnerId);
     if (known ? heardMs <= known.heardMs : perSecond === undefined) return;
+    const isSame = known?.perSecond === perSecond;
+    const sinceMs = heardMs - (known?.heardMs ?? 0);
+    if (isSame && !isFirstHand && sinceMs < ECHO_MS) return;
     if (this.options.clock.nowMs() - heardMs > LIMIT_TRUSTED_MS) return;
     const limited = known ?? created();
     limited.heardMs = heardMs;
