--- a/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
@@ -83,7 +83,7 @@
     // the former life must not bring that back either.
     const view = createView();
     const restarted: string[] = [];
-    view.onNewLife(runnerId => restarted.push(runnerId));
+    view.onRestart(runnerId => restarted.push(runnerId));
     view.onRegistration(registration(40, {bornMs: 100, leaving: true}));
     view.onRegistration(registration(1, {bornMs: 200}));
     expect(view.runner('r1')).toMatchObject({bornMs: 200, leaving: false});
--- a/packages/banyanfold-gateway/src/__tests__/ownRefusals.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/ownRefusals.test.ts
@@ -48,7 +48,7 @@
 
 function refusalsOf(
   model: string | undefined,
-  patienceMs = DEADLINE_MS,
+  callerIdleTimeoutMs = DEADLINE_MS,
 ): OwnRefusals {
   return new OwnRefusals({
     context,
@@ -56,7 +56,7 @@
     route,
     startedMs: clock.nowMs(),
     deadlineMs: clock.nowMs() + DEADLINE_MS,
-    leavesMs: clock.nowMs() + patienceMs,
+    leavesMs: clock.nowMs() + callerIdleTimeoutMs,
   });
 }
 
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -126,10 +126,10 @@
       random,
       entries: () => this.entries,
     });
-    this.view.onNewLife(runnerId => {
-      states.noteNewLife(runnerId);
-      held.noteNewLife(runnerId);
-      rateLimits.noteNewLife(runnerId);
+    this.view.onRestart(runnerId => {
+      states.noteRestart(runnerId);
+      held.noteRestart(runnerId);
+      rateLimits.noteRestart(runnerId);
     });
     const usage = new UsageAccounts({
       clock,
--- a/packages/banyanfold-gateway/src/requests/requestRun.ts
+++ b/packages/banyanfold-gateway/src/requests/requestRun.ts
@@ -93,8 +93,8 @@
       decoded.request.deadlineMs ?? route.timeoutMs,
     );
     this.deadlineMs = startedMs + waitMs - context.options.deadlineMarginMs;
-    const {patienceMs = waitMs} = route;
-    const beginsWithinMs = Math.min(waitMs, patienceMs);
+    const {callerIdleTimeoutMs = waitMs} = route;
+    const beginsWithinMs = Math.min(waitMs, callerIdleTimeoutMs);
     this.leavesMs =
       startedMs + beginsWithinMs - context.options.deadlineMarginMs;
     this.pause = new WakeablePause(context.clock);
--- a/packages/banyanfold-gateway/src/runners/heldCopies.ts
+++ b/packages/banyanfold-gateway/src/runners/heldCopies.ts
@@ -106,7 +106,7 @@
   }
 
   /** It has started again and holds what it registers, nothing of before. */
-  noteNewLife(runnerId: string): void {
+  noteRestart(runnerId: string): void {
     this.told.delete(runnerId);
   }
 
--- a/packages/banyanfold-gateway/src/runners/runnerRateLimits.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerRateLimits.ts
@@ -198,7 +198,7 @@
   }
 
   /** A runner that has started again has named nothing yet. */
-  noteNewLife(runnerId: string): void {
+  noteRestart(runnerId: string): void {
     this.limited.delete(runnerId);
   }
 
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -220,7 +220,7 @@
   }
 
   /** It has started again: what it was set aside for is over. */
-  noteNewLife(runnerId: string): void {
+  noteRestart(runnerId: string): void {
     const state = this.states.get(runnerId);
     if (!state) return;
     state.pauseMs = 0;
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -47,7 +47,7 @@
    * Callers leave a stream after so long without an event, also before its
    * first one; undefined where they wait for the whole answer.
    */
-  patienceMs?: number;
+  callerIdleTimeoutMs?: number;
 }
 
 export interface ModelSpec {
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -27,7 +27,7 @@
   private readonly runners = new Map<string, RunnerRegistration>();
   private readonly removed = new Map<string, RemovedRunner>();
   private readonly listeners = new Set<() => void>();
-  private readonly newLifeListeners = new Set<(runnerId: string) => void>();
+  private readonly restartListeners = new Set<(runnerId: string) => void>();
   private caughtUp = false;
   /** Of all routes; 0 is the most urgent, and before one is known. */
   leastUrgent = 0;
@@ -103,8 +103,8 @@
   }
 
   /** Called when a runner has started again under its id. */
-  onNewLife(listener: (runnerId: string) => void): void {
-    this.newLifeListeners.add(listener);
+  onRestart(listener: (runnerId: string) => void): void {
+    this.restartListeners.add(listener);
   }
 
   /**
@@ -120,14 +120,14 @@
     const known = this.runners.get(runnerId);
     const last = known ?? this.removed.get(runnerId);
     if (last && !isLater(registration, last)) return;
-    const isNewLife = last !== undefined && bornMs !== last.bornMs;
+    const hasRestarted = last !== undefined && bornMs !== last.bornMs;
     // What is leaving never comes back within the same life of a runner.
-    const wasLeaving = !isNewLife && (known?.leaving ?? false);
+    const wasLeaving = !hasRestarted && (known?.leaving ?? false);
     const leaving = registration.leaving || wasLeaving;
     this.runners.set(runnerId, {...registration, leaving});
     this.removed.delete(runnerId);
-    if (isNewLife) for (const told of this.newLifeListeners) told(runnerId);
-    if (!known || isNewLife || known.leaving !== leaving) {
+    if (hasRestarted) for (const told of this.restartListeners) told(runnerId);
+    if (!known || hasRestarted || known.leaving !== leaving) {
       this.logger.info('runner', {
         runner: runnerId,
         bornMs,
