Take a report as evidence only from after an order's answer

What callers see: an artifact is loaded twice, or its memory is promised to another one, because the reservation of a load under way was given up.

Cause: the ledger compared reports with receivedAtMs, the moment at which the engine received the order. An engine that stalls between receiving an order and carrying it out makes reports that are later and lack the copy. The answer leaves only after that, so its time on the engine's clock is the moment that counts. The same comparison ended quarantines and doubts too early and repeated unload orders.

Ruled out: orders that never left, and doubts that end (both take four transmissions or a new fencing number, far longer than the test's two calls); load of the processor alone (6 runs of the package beside 24 busy processes: none failed).

The three cases of orderEvidence.test.ts failed before and pass.

Logs: the order's line has visibleAfterMs, the ledger's takenAtMs.

--- a/packages/banyanfold-agent/src/__tests__/engineTruth.ts
+++ b/packages/banyanfold-agent/src/__tests__/engineTruth.ts
@@ -97,7 +97,9 @@
 
   private apply(order: EngineOrder): OrderAnswer {
     const earlier = this.accepted.get(order.orderId);
-    if (earlier !== undefined) return {kind: 'accepted', receivedAtMs: earlier};
+    if (earlier !== undefined) {
+      return {kind: 'accepted', visibleAfterMs: earlier};
+    }
     const receivedAtMs = this.nowMs();
     if (this.options.checksFencing) {
       const {highestFencing} = this;
@@ -113,7 +115,7 @@
     }
     this.accepted.set(order.orderId, receivedAtMs);
     this.changed();
-    return {kind: 'accepted', receivedAtMs};
+    return {kind: 'accepted', visibleAfterMs: receivedAtMs};
   }
 
   private readonly handlers: Record<
--- /dev/null
+++ b/packages/banyanfold-agent/src/__tests__/orderEvidence.test.ts
@@ -0,0 +1,113 @@
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
+import {afterEach, describe, expect, it} from 'vitest';
+import {EngineClient} from '../engine/engineClient.js';
+import {OrderSender} from '../engine/orderSender.js';
+import {MemoryLedger} from '../memory/memoryLedger.js';
+
+const ARTIFACT = 'a@1';
+/** Engine clock: the order is received, and its answer leaves after a stall. */
+const RECEIVED_AT_MS = 10;
+const ANSWERED_AT_MS = 40;
+
+let server: Server | undefined;
+let engine: EngineClient | undefined;
+afterEach(async () => {
+  await engine?.close();
+  await new Promise(resolve => server?.close(resolve));
+});
+
+/** An engine that stalls between receiving an order and carrying it out. */
+async function startStallingEngine(): Promise<string> {
+  server = createServer((request, response) => {
+    request.resume().on('end', () => {
+      response.writeHead(202, {
+        'content-type': 'application/json',
+        'x-engine-now-ms': String(ANSWERED_AT_MS),
+      });
+      const answer = {orderId: 'o1', receivedAtMs: RECEIVED_AT_MS};
+      response.end(JSON.stringify(answer));
+    });
+  });
+  await new Promise<void>(resolve => server?.listen(0, '127.0.0.1', resolve));
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+async function createAgentParts() {
+  const clock = new VirtualClock();
+  const ledger = new MemoryLedger({
+    clock,
+    checksFencing: true,
+    orderLateBoundMs: 1_000,
+    kvPool: 'shared',
+    kvFloorShare: 0.1,
+    inheritedBoundMs: 1_000,
+    nameCopy: artifact => artifact,
+  });
+  engine = new EngineClient({
+    url: await startStallingEngine(),
+    clock,
+    requestTimeoutMs: 10_000,
+    streamIdleTimeoutMs: 10_000,
+    wholeAnswerTimeoutMs: 10_000,
+  });
+  const orders = new OrderSender({
+    engine,
+    ledger,
+    clock,
+    logger: new MemoryLogger(),
+    metrics: new Metrics(),
+    random: () => 0.5,
+    fencing: () => 7,
+    onSuperseded: () => {},
+  });
+  const observe = (takenAtMs: number, models: Listed[]) =>
+    ledger.observe(
+      {
+        takenAtMs,
+        kvUsedBytes: 0,
+        kvCapacityBytes: 50,
+        memoryCapacityBytes: 100,
+        models,
+      },
+      {askedAtMs: 0, engineNowMs: ANSWERED_AT_MS + takenAtMs},
+    );
+  ledger.barrierPassed(1, []);
+  observe(2, []);
+  return {ledger, orders, observe};
+}
+
+type Listed = Parameters<MemoryLedger['observe']>[0]['models'][number];
+
+// Guards against reports from within an engine's stall: the order was received
+// by then, but not yet carried out, so that what they show is no evidence.
+describe('a report from between an order and its answer', () => {
+  it('frees no bytes of a load that is under way', async () => {
+    const {ledger, orders, observe} = await createAgentParts();
+    const order = {artifact: ARTIFACT, bytes: 50, orderId: 'o1'};
+    ledger.reserveLoad(order);
+    await orders.load(ARTIFACT, order.bytes, order.orderId);
+    observe(RECEIVED_AT_MS + 10, []);
+    expect(ledger.get(ARTIFACT)?.state).toBe('reserved');
+    observe(ANSWERED_AT_MS + 1, []);
+    expect(ledger.get(ARTIFACT)).toBeUndefined();
+  });
+
+  it('repeats no unload order', async () => {
+    const {orders, observe} = await createAgentParts();
+    const loaded: Listed = {artifact: ARTIFACT, bytes: 50, state: 'loaded'};
+    observe(3, [loaded]);
+    await orders.unload(ARTIFACT, () => 'o1');
+    const kinds = (takenAtMs: number) =>
+      observe(takenAtMs, [loaded]).map(({kind}) => kind);
+    expect(kinds(RECEIVED_AT_MS + 10)).toEqual([]);
+    expect(kinds(ANSWERED_AT_MS + 1)).toEqual(['unload-ignored']);
+  });
+
+  it('ends no quarantine', async () => {
+    const {orders} = await createAgentParts();
+    const visibleAfterMs = await orders.setRole('desk', 'o1');
+    expect(visibleAfterMs).toBe(ANSWERED_AT_MS);
+  });
+});
--- a/packages/banyanfold-agent/src/__tests__/orderSender.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/orderSender.test.ts
@@ -49,7 +49,7 @@
 
 const lost: OrderAnswer = {kind: 'answer-lost'};
 const notSent: OrderAnswer = {kind: 'not-sent'};
-const accepted: OrderAnswer = {kind: 'accepted', receivedAtMs: 9};
+const accepted: OrderAnswer = {kind: 'accepted', visibleAfterMs: 9};
 const refused: OrderAnswer = {
   kind: 'refused',
   code: 'out-of-memory',
--- a/packages/banyanfold-agent/src/control/engineWatch.ts
+++ b/packages/banyanfold-agent/src/control/engineWatch.ts
@@ -73,15 +73,16 @@
     }
     this.isOut = false;
     const {report, timing} = answer.value;
-    for (const event of ledger.observe(report, timing)) this.note(event);
+    const events = ledger.observe(report, timing);
+    for (const event of events) this.note(event, report.takenAtMs);
     onReport(report);
   }
 
-  private note(event: LedgerEvent): void {
+  private note(event: LedgerEvent, takenAtMs: number): void {
     const {logger, metrics, orders, nextOrderId} = this.options;
     const {kind, artifact, copyId} = event;
     metrics.count('agent_ledger_events_total', {kind});
-    logger.info('ledger', {kind, artifact, copy: copyId});
+    logger.info('ledger', {kind, artifact, copy: copyId, takenAtMs});
     if (kind !== 'unload-ignored') return;
     void orders.unload(artifact, () => nextOrderId(artifact));
   }
@@ -98,17 +99,17 @@
     if (clock.nowMs() < this.barrierNotBeforeMs) return;
     this.barrierOpen = true;
     const doubtful = ledger.doubts().map(({copyId}) => copyId);
-    const receivedAtMs = await this.sendBarrier(doubtful.length > 0);
+    const visibleAfterMs = await this.sendBarrier(doubtful.length > 0);
     this.barrierOpen = false;
-    if (receivedAtMs !== undefined) {
-      ledger.barrierPassed(receivedAtMs, doubtful);
+    if (visibleAfterMs !== undefined) {
+      ledger.barrierPassed(visibleAfterMs, doubtful);
       this.backoff.reset();
       return;
     }
     this.barrierNotBeforeMs = clock.nowMs() + this.backoff.nextDelayMs();
   }
 
-  /** @returns when the engine took it, on its clock, or undefined. */
+  /** @returns when reports show it, on the engine's clock, or undefined. */
   private async sendBarrier(hasDoubts: boolean): Promise<number | undefined> {
     const {fence, orders, runnerRole, nextOrderId} = this.options;
     const needsNumber = hasDoubts && this.barrierFencing === fence.current();
--- a/packages/banyanfold-agent/src/engine/engineClient.ts
+++ b/packages/banyanfold-agent/src/engine/engineClient.ts
@@ -259,11 +259,25 @@
   return Number(response.headers[ENGINE_NOW_HEADER] ?? Number.NaN);
 }
 
+/**
+ * An engine may stall between receiving an order and carrying it out, and a
+ * report from within the stall lacks a copy that is about to be loaded. Its
+ * answer leaves only after that.
+ */
+function visibleAfter(receivedAtMs: number, engineNowMs: number): number {
+  if (!Number.isFinite(engineNowMs)) return receivedAtMs;
+  return Math.max(receivedAtMs, engineNowMs);
+}
+
 function readOrderAnswer(response: EngineResponse, body: unknown): OrderAnswer {
   const engineNowMs = engineNow(response);
   const accepted = orderAcceptedSchema.safeParse(body);
   if (response.statusCode < 300 && accepted.success) {
-    return {kind: 'accepted', receivedAtMs: accepted.data.receivedAtMs};
+    const {receivedAtMs} = accepted.data;
+    return {
+      kind: 'accepted',
+      visibleAfterMs: visibleAfter(receivedAtMs, engineNowMs),
+    };
   }
   const {code, highestFencing = 0} = orderRefusedSchema
     .catch({code: 'bad-answer'})
--- a/packages/banyanfold-agent/src/engine/engineSchemas.ts
+++ b/packages/banyanfold-agent/src/engine/engineSchemas.ts
@@ -62,7 +62,8 @@
 
 /** What became of one transmission of an order. */
 export type OrderAnswer =
-  | {kind: 'accepted'; receivedAtMs: number}
+  /** Engine clock: a report taken later shows what the order did. */
+  | {kind: 'accepted'; visibleAfterMs: number}
   | {kind: 'stale-fencing'; highestFencing: number; engineNowMs: number}
   | {kind: 'refused'; code: string; engineNowMs: number}
   /** Nothing left this process. */
--- a/packages/banyanfold-agent/src/engine/orderSender.ts
+++ b/packages/banyanfold-agent/src/engine/orderSender.ts
@@ -66,7 +66,7 @@
       beforeSend: () => ledger.loadSent(orderId),
     });
     if (sent.answer?.kind === 'accepted') {
-      ledger.loadReceived(orderId, sent.answer.receivedAtMs);
+      ledger.loadReceived(orderId, sent.answer.visibleAfterMs);
       return;
     }
     if (sent.left) ledger.loadInDoubt(orderId);
@@ -96,7 +96,7 @@
         isWanted,
       });
       if (sent.answer?.kind === 'accepted') {
-        ledger.unloadReceived(orderId, sent.answer.receivedAtMs);
+        ledger.unloadReceived(orderId, sent.answer.visibleAfterMs);
         return;
       }
       await sleep(clock, RESEND_CAP_MS);
@@ -108,14 +108,14 @@
    * Asks the engine to take a role. With the role that it has, the order
    * changes nothing but ends all orders under lower fencing numbers.
    *
-   * @returns when the engine took it, on its clock; undefined when it did not
-   *     confirm.
+   * @returns the time on the engine's clock after which reports show it;
+   *     undefined when the engine did not confirm.
    */
   async setRole(role: string, orderId: string): Promise<number | undefined> {
     const order = this.newOrder({orderId, kind: 'set-role', role});
     const sent = await this.transmit(order, MAX_ROLE_TRANSMISSIONS);
     if (sent.answer?.kind !== 'accepted') return undefined;
-    return sent.answer.receivedAtMs;
+    return sent.answer.visibleAfterMs;
   }
 
   private newOrder(
@@ -159,6 +159,8 @@
       fencing: order.fencing,
       transmission: count,
       answer: answer.kind === 'refused' ? answer.code : answer.kind,
+      visibleAfterMs:
+        answer.kind === 'accepted' ? answer.visibleAfterMs : undefined,
     });
   }
 
--- a/packages/banyanfold-agent/src/memory/allocation.ts
+++ b/packages/banyanfold-agent/src/memory/allocation.ts
@@ -18,7 +18,7 @@
   provenAfterMs?: number;
   /** Whether some report has listed it. */
   seen: boolean;
-  /** Engine clock: when the engine took the unload order. */
+  /** Engine clock: a later report shows that the engine took the unload. */
   unloadReceivedMs?: number;
   unloadOrderId?: string;
   /** Own clock: when the unload order was first sent. */
--- a/packages/banyanfold-agent/src/memory/memoryLedger.ts
+++ b/packages/banyanfold-agent/src/memory/memoryLedger.ts
@@ -101,13 +101,15 @@
   /**
    * The engine took an order under a fencing number that is higher than that
    * of all orders in doubt: it refuses those from now on.
+   *
+   * @param visibleAfterMs engine clock: later reports show all earlier orders.
    */
-  barrierPassed(receivedAtMs: number, doubtful: readonly string[]): void {
+  barrierPassed(visibleAfterMs: number, doubtful: readonly string[]): void {
     if (!this.options.checksFencing) return;
-    this.quarantine.barrierPassed(receivedAtMs);
+    this.quarantine.barrierPassed(visibleAfterMs);
     for (const allocation of this.doubts()) {
       if (!doubtful.includes(allocation.copyId)) continue;
-      allocation.provenAfterMs = receivedAtMs;
+      allocation.provenAfterMs = visibleAfterMs;
     }
   }
 
@@ -154,12 +156,16 @@
     if (allocation) allocation.loadSentMs = this.options.clock.nowMs();
   }
 
-  /** The engine said when it took the order; copies of it do no more. */
-  loadReceived(copyId: string, receivedAtMs: number): void {
+  /**
+   * The engine took the order; copies of it do no more.
+   *
+   * @param visibleAfterMs engine clock: a later report shows the copy.
+   */
+  loadReceived(copyId: string, visibleAfterMs: number): void {
     const allocation = this.table.byCopy(copyId);
     if (!allocation || allocation.state === 'held') return;
     allocation.state = 'reserved';
-    allocation.provenAfterMs ??= receivedAtMs;
+    allocation.provenAfterMs ??= visibleAfterMs;
   }
 
   /** The order's answer was lost, or it was refused and may be repeated. */
@@ -188,9 +194,10 @@
     allocation.unloadSentByMs = undefined;
   }
 
-  unloadReceived(orderId: string, receivedAtMs: number): void {
+  /** @param visibleAfterMs engine clock: a later report shows the unload. */
+  unloadReceived(orderId: string, visibleAfterMs: number): void {
     const allocation = this.table.byUnloadOrder(orderId);
-    if (allocation) allocation.unloadReceivedMs = receivedAtMs;
+    if (allocation) allocation.unloadReceivedMs = visibleAfterMs;
   }
 
   /** Takes a report as evidence, if it is newer than all before it. */
--- a/packages/banyanfold-agent/src/memory/quarantine.ts
+++ b/packages/banyanfold-agent/src/memory/quarantine.ts
@@ -48,9 +48,13 @@
     return this.options.checksFencing && this.certainAfterMs === undefined;
   }
 
-  /** The engine took an order under the new number, at this time of its clock. */
-  barrierPassed(receivedAtMs: number): void {
-    this.certainAfterMs ??= receivedAtMs;
+  /**
+   * The engine took an order under the new number.
+   *
+   * @param visibleAfterMs engine clock: later reports show all earlier orders.
+   */
+  barrierPassed(visibleAfterMs: number): void {
+    this.certainAfterMs ??= visibleAfterMs;
   }
 
   /** Begins again: the engine is a new one. */
