Judge a call of a service by the time for its whole answer

What callers see: a call that may not be repeated is answered 503 not-run although a second server is idle.

Cause: routing leaves out servers whose wait is longer than what is left until the first-token target, 310 ms by default. After a first attempt that took longer, nothing is left, and a server without any wait is left out as well. The answer of a service has no first token.

Ruled out: late reports, suspected before: three in a row would have to take over a second each, and a stall of 0.3 s is enough.

Left: the agents' admission refuses requests for models after their first-token target on purpose.

--- a/packages/banyanfold-decisions/src/types.ts
+++ b/packages/banyanfold-decisions/src/types.ts
@@ -59,6 +59,7 @@
   prefixHash: string;
   promptTokens: number;
   maxTokens: number;
+  /** For its first token, or for the whole answer of a service. */
   firstTokenBudgetMs: number;
   /** Runners that this request has tried already. */
   triedVmIds: readonly string[];
--- a/packages/banyanfold-entry/src/control/entryHandlers.ts
+++ b/packages/banyanfold-entry/src/control/entryHandlers.ts
@@ -85,7 +85,8 @@
   const resolved = configWatch.current?.resolve(input);
   if (!resolved) return unresolved('no configuration is known here');
   if (resolved.isErr()) return unresolved(resolved.error.message);
-  const {selector, artifact, modelArtifact} = resolved.value;
+  const {kind, selector, artifact, modelArtifact} = resolved.value;
+  const {firstTokenMs, wholeAnswerMs} = selector.targets;
   const decision = decideRoute(
     view.routingView(),
     {
@@ -96,7 +97,7 @@
       prefixHash: '',
       promptTokens: 0,
       maxTokens: 0,
-      firstTokenBudgetMs: selector.targets.firstTokenMs,
+      firstTokenBudgetMs: kind === 'service' ? wholeAnswerMs : firstTokenMs,
       triedVmIds: [],
     },
     clock.nowMs(),
--- a/packages/banyanfold-entry/src/routing/routeAttempt.ts
+++ b/packages/banyanfold-entry/src/routing/routeAttempt.ts
@@ -49,11 +49,22 @@
     prefixHash: job.prefixHash,
     promptTokens: facts.promptTokens,
     maxTokens: facts.maxTokens,
-    firstTokenBudgetMs: job.firstTokenDeadlineMs - nowMs,
+    firstTokenBudgetMs: waitBudgetMs(job, nowMs),
     triedVmIds,
   };
 }
 
+/**
+ * How long a request may wait for its turn at a server. The answer of a service
+ * has no first token: judged by that target, a call was refused after a slow
+ * first attempt although another server was idle.
+ */
+function waitBudgetMs(job: RequestJob, nowMs: number): number {
+  const isService = job.target.kind === 'service';
+  const deadlineMs = isService ? job.wholeDeadlineMs : job.firstTokenDeadlineMs;
+  return deadlineMs - nowMs;
+}
+
 function hasEjected(reasons: readonly CandidateReason[]): boolean {
   return reasons.some(({reason}) => reason === 'ejected');
 }
