Take no stream for silent because this process stood still

What callers see: after a stall of the entry its streams are given up and asked for again all at once; where the agent has no more of one, its caller is cut off.

Cause: after a stall the event loop runs its timers before it reads its sockets, so that the idle timer fired on a stream whose bytes had come meanwhile. The watch now waits a tenth of the idle time once more before it calls back.

--- a/packages/banyanfold-entry/src/attempts/idleWatch.ts
+++ b/packages/banyanfold-entry/src/attempts/idleWatch.ts
@@ -1,5 +1,8 @@
 import type {Clock, Timer} from '@banyanfold/core';
 
+/** Share of the idle time that is waited once more before it calls back. */
+const CONFIRM_SHARE = 0.1;
+
 /**
  * Calls back once nothing was noted for a while. It has one timer whatever the
  * number of events, as a timer for each chunk would cost more than the chunk.
@@ -34,10 +37,27 @@
 
   private arm(delayMs: number): void {
     this.timer = this.clock.setTimer(delayMs, () => {
-      if (this.paused) this.lastMs = this.clock.nowMs();
-      const leftMs = this.lastMs + this.idleMs - this.clock.nowMs();
+      const leftMs = this.leftMs();
+      if (leftMs > 0) this.arm(leftMs);
+      else this.confirm();
+    });
+  }
+
+  /**
+   * After a stall of this process its timers run before it reads what has come
+   * in the meantime, and a stream that goes on would count as silent.
+   */
+  private confirm(): void {
+    this.timer = this.clock.setTimer(this.idleMs * CONFIRM_SHARE, () => {
+      const leftMs = this.leftMs();
       if (leftMs > 0) this.arm(leftMs);
       else this.onIdle();
     });
   }
+
+  private leftMs(): number {
+    const nowMs = this.clock.nowMs();
+    if (this.paused) this.lastMs = nowMs;
+    return this.lastMs + this.idleMs - nowMs;
+  }
 }
