Look at one runner for the heartbeat of one

Cause: each heartbeat had the holder's part of every entry compare all controllers with all runners. With 3,000 runners, 2,500 heartbeats a second, that alone takes more than the half core of an entry: whoever reads the store for itself, the holder first of all, has no time to answer or to renew the lease.

The view tells what has changed. holder.test.ts has a case that failed before: a heartbeat walked all runners twice.

--- a/packages/banyanfold-gateway/src/__tests__/holder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holder.test.ts
@@ -1,6 +1,6 @@
 import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {ok} from 'neverthrow';
-import {describe, expect, it} from 'vitest';
+import {describe, expect, it, vi} from 'vitest';
 import {UsageAccounts} from '../callers/usageAccounts.js';
 import {CrashLedger} from '../crashes/crashLedger.js';
 import {DEFAULT_OPTIONS} from '../options.js';
@@ -166,6 +166,22 @@
   });
 });
 
+// Guards against a holder that has no time left to answer: with thousands of
+// runners each heartbeat of one took as long as all others together.
+describe('Holder, of a heartbeat', () => {
+  it('looks at the runner alone that it comes from', () => {
+    const {holder, view} = holderWith(new VirtualClock(), {} as RunnerControl);
+    view.onConfig(CONFIG);
+    holder.start();
+    view.onRegistration(REGISTRATION);
+    const allRunners = vi.spyOn(view, 'allRunners');
+    view.onRegistration({...REGISTRATION, heartbeatNumber: 2});
+    view.onRegistration({...REGISTRATION, runnerId: 'r2'});
+    expect(allRunners).not.toHaveBeenCalled();
+    holder.stop();
+  });
+});
+
 describe('Holder.exchange', () => {
   it('lets an entry stand by that has just come', async () => {
     // No process joins and leaves the group by turns. An entry comes between two
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -34,7 +34,7 @@
   LaterHolder,
   LeaseHandover,
 } from '../peers/peerContract.js';
-import type {FleetView} from '../view/fleetView.js';
+import type {FleetView, ViewChange} from '../view/fleetView.js';
 import {repeatEvery} from '../repeatEvery.js';
 import {CopyRevisions} from './copyRevisions.js';
 import {copyInMs, loadMsOf} from './copyTimes.js';
@@ -142,7 +142,7 @@
       repeatEvery(clock, options.planIntervalMs, () => this.plan()),
       repeatEvery(clock, REPORT_TICK_MS, () => this.askReports()),
     );
-    this.deps.view.onChange(() => this.syncControllers());
+    this.deps.view.onChange(change => this.noteViewChange(change));
   }
 
   stop(): void {
@@ -359,20 +359,35 @@
     };
   }
 
-  /** One controller for each model runner that is known. */
+  private readonly viewHandlers: {
+    [K in ViewChange['kind']]: (change: Extract<ViewChange, {kind: K}>) => void;
+  } = {
+    config: () => this.syncControllers(),
+    'caught-up': () => {},
+    runner: ({runnerId}) => this.syncController(runnerId),
+    'runner-removed': ({runnerId}) => this.controllers.delete(runnerId),
+  };
+
+  private noteViewChange(change: ViewChange): void {
+    this.viewHandlers[change.kind](change as never);
+  }
+
+  /** A new configuration may say of other services that they serve models. */
   private syncControllers(): void {
-    const {view} = this.deps;
-    for (const runnerId of this.controllers.keys()) {
-      if (!view.runner(runnerId)) this.controllers.delete(runnerId);
-    }
-    for (const registration of view.allRunners()) {
-      if (!this.engineOf(registration)) continue;
-      const {runnerId, bornMs} = registration;
-      const known = this.controllers.get(runnerId);
-      if (known && known.registration.bornMs >= bornMs) continue;
-      this.control(registration);
+    for (const {runnerId} of this.deps.view.allRunners()) {
+      this.syncController(runnerId);
     }
   }
+
+  /** One controller for each model runner that is known. */
+  private syncController(runnerId: string): void {
+    const registration = this.deps.view.runner(runnerId);
+    if (!registration || !this.engineOf(registration)) return;
+    const known = this.controllers.get(runnerId);
+    if (known && known.registration.bornMs >= registration.bornMs) return;
+    this.control(registration);
+  }
+
   /**
    * Orders, copies and doubts of a former life of the runner end with it: a
    * runner that starts again holds nothing, and by what was known of before its
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -11,6 +11,14 @@
 /** How long the last heartbeat number of a removed runner is kept. */
 const REMOVED_MEMORY_MS = 600_000;
 
+/** What has changed; a listener of one kind need not look at all runners. */
+export type ViewChange =
+  | {kind: 'config'}
+  | {kind: 'caught-up'}
+  | {kind: 'runner' | 'runner-removed'; runnerId: string};
+
+type ChangeListener = (change: ViewChange) => void;
+
 /** A heartbeat of one life of a runner. */
 type Heartbeat = Pick<RunnerRegistration, 'bornMs' | 'heartbeatNumber'>;
 
@@ -26,7 +34,7 @@
   organisations: OrganisationDirectory | undefined;
   private readonly runners = new Map<string, RunnerRegistration>();
   private readonly removed = new Map<string, RemovedRunner>();
-  private readonly listeners = new Set<() => void>();
+  private readonly listeners = new Set<ChangeListener>();
   private readonly restartListeners = new Set<(runnerId: string) => void>();
   private caughtUp = false;
   /** Of all routes; 0 is the most urgent, and before one is known. */
@@ -74,7 +82,7 @@
   }
 
   /** Called after each change of the view. */
-  onChange(listener: () => void): () => void {
+  onChange(listener: ChangeListener): () => void {
     this.listeners.add(listener);
     return () => this.listeners.delete(listener);
   }
@@ -99,7 +107,7 @@
       routes: config.routes.length,
       organisations: organisations?.length,
     });
-    this.changed();
+    this.changed({kind: 'config'});
   }
 
   /** Called when a runner has started again under its id. */
@@ -138,7 +146,7 @@
         heartbeat: heartbeatNumber,
       });
     }
-    this.changed();
+    this.changed({kind: 'runner', runnerId});
   }
 
   onRemoval(runnerId: string): void {
@@ -151,14 +159,14 @@
     const {bornMs, heartbeatNumber} = known;
     this.removed.set(runnerId, {bornMs, heartbeatNumber, atMs: nowMs});
     this.logger.info('runner-removed', {runner: runnerId});
-    this.changed();
+    this.changed({kind: 'runner-removed', runnerId});
   }
 
   onCaughtUp(): void {
     if (this.caughtUp) return;
     this.caughtUp = true;
     this.logger.info('runners-known', {runners: this.runners.size});
-    this.changed();
+    this.changed({kind: 'caught-up'});
   }
 
   /** The configuration in force was the newest one, now or at that time, in ms. */
@@ -172,8 +180,8 @@
     return this.configAgeMs !== undefined && this.configAgeMs <= withinMs;
   }
 
-  private changed(): void {
-    for (const listener of this.listeners) listener();
+  private changed(change: ViewChange): void {
+    for (const listener of this.listeners) listener(change);
   }
 
   private forgetOldRemovals(nowMs: number): void {
