Rank each entry once where standbys and relays are chosen

Cause: the order among equal entries hashed both addresses at each comparison, and who stands by is chosen anew for each entry that has just come. With 298 entries that come to a new holder, each of their exchanges took some 5 ms for that alone.

The choices are the same.

--- a/packages/banyanfold-decisions/src/chooseRelays.ts
+++ b/packages/banyanfold-decisions/src/chooseRelays.ts
@@ -1,4 +1,4 @@
-import {createHash} from 'node:crypto';
+import {rankOf, spreadOrder} from './spreadOrder.js';
 
 /** An entry that could pass the holder's word on to others. */
 export interface RelayCandidate {
@@ -62,11 +62,7 @@
     if (others.length < 2) continue;
     const count = Math.ceil(others.length / options.groupSize);
     const kept = new Set(before.get(domain));
-    const ranked = [...others].sort(
-      (a, b) =>
-        weightOf(b, kept, options) - weightOf(a, kept, options) ||
-        (rankOf(a.address) < rankOf(b.address) ? 1 : -1),
-    );
+    const ranked = spreadOrder(others, entry => weightOf(entry, kept, options));
     relays.set(
       domain,
       ranked.slice(0, count).map(({address}) => address),
@@ -115,7 +111,3 @@
   }
   return domains;
 }
-
-function rankOf(text: string): string {
-  return createHash('sha1').update(text).digest('hex');
-}
--- a/packages/banyanfold-decisions/src/chooseStandbys.ts
+++ b/packages/banyanfold-decisions/src/chooseStandbys.ts
@@ -1,4 +1,4 @@
-import {createHash} from 'node:crypto';
+import {spreadOrder} from './spreadOrder.js';
 
 /** An entry that could give orders. */
 export interface StandbyCandidate {
@@ -45,11 +45,7 @@
   holder: string,
   options: ChooseStandbysOptions = DEFAULT_CHOOSE_STANDBYS_OPTIONS,
 ): ReadonlySet<string> {
-  const ranked = [...entries].sort(
-    (a, b) =>
-      b.processorShare - a.processorShare ||
-      (rankOf(a.address) < rankOf(b.address) ? 1 : -1),
-  );
+  const ranked = spreadOrder(entries, ({processorShare}) => processorShare);
   const largest = ranked[0]?.processorShare ?? 0;
   const own = entries.find(({address}) => address === holder);
   const keeps =
@@ -60,7 +56,3 @@
   if (keeps) standbys.add(holder);
   return standbys;
 }
-
-function rankOf(address: string): string {
-  return createHash('sha1').update(address).digest('hex');
-}
