Tell the planner's epoch to all agents in tests that propose moves

Cause, a disturbance and no fault of the product: the planner loads a copy at the third agent when both holders give no reports, as it should. Stack.propose says that the planner holds still; only the agents that got a proposal refused it.

Evidence: with both holders frozen for 4 s before the proposals the same failure in each run, with move kind=load reason=orphan in the planner's log and the retired copy released. Freezing engines, platform or entries, or the holders after the proposals, does nothing. The check is as it was; the test prints its programs' logs when it fails.

--- a/packages/banyanfold-testing/src/Stack.ts
+++ b/packages/banyanfold-testing/src/Stack.ts
@@ -42,6 +42,9 @@
   reliesOnCopyIds?: string[];
 }
 
+/** Changes nothing, but tells an agent of the planner's epoch. */
+const NO_MOVE: ProposedMove = {kind: 'retire', artifact: 'none@0'};
+
 /**
  * The whole path as processes on loopback. Entries and agents are the
  * command line's own daemons; only the platform and the engines are stand-ins.
@@ -73,9 +76,9 @@
       await stack.ready();
       return stack;
     } catch (error) {
-      const states = [...stack.processes.values()].map(p => p.describe());
+      const states = stack.describe();
       await stack.end();
-      throw new Error(`${String(error)}\n${states.join('\n')}`);
+      throw new Error(`${String(error)}\n${states}`);
     }
   }
 
@@ -140,9 +143,21 @@
 
   /**
    * Proposes a move to an agent as a planner would whose epoch is above all.
-   * The entry that plans is refused there from then on, and holds still.
+   * The entry that plans is refused by all agents from then on, and holds still.
    */
   async propose(index: number, move: ProposedMove): Promise<ProposalResult> {
+    const others = [...this.agents.keys()].filter(other => other !== index);
+    // An agent that was lost takes no moves from any planner.
+    await Promise.allSettled(
+      others.map(other => this.sendProposal(other, NO_MOVE)),
+    );
+    return this.sendProposal(index, move);
+  }
+
+  private sendProposal(
+    index: number,
+    move: ProposedMove,
+  ): Promise<ProposalResult> {
     const proposalId = `test-${this.proposals++}`;
     const plannerEpoch = Number.MAX_SAFE_INTEGER;
     const viewedAtMs = Date.now();
@@ -150,6 +165,11 @@
     return this.agentClient(index).propose.mutate(proposal);
   }
 
+  /** The last log lines of every process, for a test that failed. */
+  describe(): string {
+    return [...this.processes.values()].map(p => p.describe()).join('\n');
+  }
+
   /** How an entry would route a request for a model, and why. */
   async explain(index: number, requestedName: string): Promise<ExplainResult> {
     return this.entryClient(index).explain.query({
--- a/packages/banyanfold-testing/src/__tests__/reachable.test.ts
+++ b/packages/banyanfold-testing/src/__tests__/reachable.test.ts
@@ -31,7 +31,8 @@
   await everyModelAnswers();
 });
 
-afterEach(async () => {
+afterEach(async ({task}) => {
+  if (task.result?.state === 'fail') console.error(stack.describe());
   await client.close();
   await stack.end();
 });
