End the programs of tests with the process that started them

What was seen: a vitest run that was interrupted left the programs of its tests running, two agents, two entries and two stand-ins, which take processor from every test after them.

--- a/packages/banyanfold-testing/src/ManagedProcess.ts
+++ b/packages/banyanfold-testing/src/ManagedProcess.ts
@@ -5,6 +5,32 @@
 /** How many lines of a process's output are kept for failed tests. */
 const KEPT_LINES = 2000;
 
+/** Those that run now. */
+const running = new Set<ChildProcess>();
+const ENDING_SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
+let isWatching = false;
+
+/**
+ * Ends all of them with this process. A test runner that is interrupted ends its
+ * workers by a signal, or is gone itself, and what they started would go on.
+ */
+function endWithThisProcess(): void {
+  if (isWatching) return;
+  isWatching = true;
+  const endAll = () => {
+    for (const child of running) child.kill('SIGKILL');
+  };
+  process.once('exit', endAll);
+  process.once('disconnect', endAll);
+  for (const signal of ENDING_SIGNALS) {
+    process.once(signal, () => {
+      endAll();
+      // With no listener left the signal has its usual effect.
+      process.kill(process.pid, signal);
+    });
+  }
+}
+
 /** A child process whose log lines are kept. */
 export class ManagedProcess {
   readonly lines: string[] = [];
@@ -24,14 +50,17 @@
   }
 
   start(): void {
+    endWithThisProcess();
     const child = spawn(process.execPath, this.args(), {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.child = child;
+    running.add(child);
     for (const stream of [child.stdout, child.stderr]) {
       createInterface({input: stream}).on('line', line => this.keep(line));
     }
     child.on('exit', (code, signal) => {
+      running.delete(child);
       this.keep(`exited code=${code} signal=${signal}`);
       if (this.child === child) this.child = undefined;
     });
