Count only runners that are asked as unknown against their bound

A runner whose order is to be over is asked in any case. Where nothing was known of it either, as after a change of holder, it was also counted against the bound of unknown runners, which then fell below zero, and the slice took nearly all of them.

--- a/packages/banyanfold-gateway/src/__tests__/reportAsker.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/reportAsker.test.ts
@@ -12,7 +12,7 @@
 const FEW = 32;
 
 /** Asks runners of which nothing is known, as a process that just got the lease. */
-function createPlay(runners: number) {
+function createPlay(runners: number, {awaited = 0} = {}) {
   const clock = new VirtualClock();
   const known = new Set<string>();
   const asked: number[] = [];
@@ -36,7 +36,7 @@
     return {
       registration: {runnerId, address: 'runner'},
       isReachable: true,
-      awaitsReport: false,
+      awaitsReport: index < awaited,
       get isKnown() {
         return known.has(runnerId);
       },
@@ -61,6 +61,14 @@
     expect(known.size).toBe(FEW);
   });
 
+  it('asks no more of them after many whose orders are over', async () => {
+    const {asked, runFor} = createPlay(3_000, {awaited: 2 * FEW});
+    await runFor(REPORT_TICK_MS);
+    const first = asked.length;
+    await runFor(REPORT_TICK_MS);
+    expect(asked.length - first).toBeLessThanOrEqual(FEW);
+  });
+
   it('asks thousands at the rate that its processor has room for', async () => {
     const {known, asked, runFor} = createPlay(3_000);
     await runFor(1_000);
--- a/packages/banyanfold-gateway/src/placement/reportAsker.ts
+++ b/packages/banyanfold-gateway/src/placement/reportAsker.ts
@@ -89,7 +89,11 @@
   }
 }
 
-/** One that doesn't answer is asked no more often than those that are known. */
-function isUnknown({isKnown, isReachable}: RunnerController): boolean {
-  return !isKnown && isReachable;
+/**
+ * One that doesn't answer is asked no more often than those that are known, and
+ * one whose order is to be over is awaited in any case.
+ */
+function isUnknown(controller: RunnerController): boolean {
+  const {isKnown, isReachable, awaitsReport} = controller;
+  return !isKnown && isReachable && !awaitsReport;
 }
