Let sockets be read before a timer that is late gives up

What callers see: after a stall of a process (a busy VM, a collection) calls that were answered in time count as unanswered: runners as failed, the holder as lost, the store as out of reach.

Cause: Node runs timers before it reads sockets, so that after a stall every time limit that passed meanwhile ends its call although the answer waits at the socket.

What it gains on a deployment is not measured.

--- a/packages/banyanfold-core/src/clock.ts
+++ b/packages/banyanfold-core/src/clock.ts
@@ -1,7 +1,4 @@
-/** A handle of a pending timer. */
-export interface Timer {
-  cancel(): void;
-}
+import {startTimer, type Timer} from './startTimer.js';
 
 /**
  * The only source of time, so that tests run on a virtual one.
@@ -19,10 +16,7 @@
 export const systemClock: Clock = {
   nowMs: () => performance.now(),
   wallMs: () => Date.now(),
-  setTimer(delayMs, callback) {
-    const handle = setTimeout(callback, delayMs);
-    return {cancel: () => clearTimeout(handle)};
-  },
+  setTimer: (delayMs, callback) => startTimer(delayMs, callback),
 };
 
 interface PendingTimer {
--- a/packages/banyanfold-core/src/index.ts
+++ b/packages/banyanfold-core/src/index.ts
@@ -7,4 +7,6 @@
 export * from './logger.js';
 export * from './metrics.js';
 export * from './secrets.js';
+export * from './startTimer.js';
+export * from './timeoutSignal.js';
 export * from './traceRequest.js';
--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -1,3 +1,4 @@
+import {startTimer, timeoutSignal, type Timer} from '@banyanfold/core';
 import {createTRPCClient, createWSClient, httpLink, wsLink} from '@trpc/client';
 import {Pool, type Dispatcher} from 'undici';
 import {WebSocket} from 'ws';
@@ -65,17 +66,15 @@
 
 /** @throws if the answer takes longer. */
 async function within<T>(timeoutMs: number, answer: Promise<T>): Promise<T> {
-  let timer: NodeJS.Timeout | undefined;
+  let timer: Timer | undefined;
   const late = new Promise<never>((_resolve, reject) => {
-    timer = setTimeout(
-      () => reject(new Error(`no answer within ${timeoutMs} ms`)),
-      timeoutMs,
-    );
+    const message = `no answer within ${timeoutMs} ms`;
+    timer = startTimer(timeoutMs, () => reject(new Error(message)));
   });
   try {
     return await Promise.race([answer, late]);
   } finally {
-    clearTimeout(timer);
+    timer?.cancel();
   }
 }
 
@@ -99,7 +98,7 @@
       method,
       headers,
       body: body ?? null,
-      signal: AbortSignal.timeout(timeoutMs),
+      signal: timeoutSignal(timeoutMs),
     });
     const status = answer.statusCode;
     const ok = status >= 200 && status < 300;
--- a/packages/banyanfold-protocol/src/clients.ts
+++ b/packages/banyanfold-protocol/src/clients.ts
@@ -1,3 +1,4 @@
+import {timeoutSignal} from '@banyanfold/core';
 import {createTRPCClient, httpLink, TRPCClientError} from '@trpc/client';
 import {fetch, type Dispatcher} from 'undici';
 import type {
@@ -26,7 +27,7 @@
     fetch(String(url), {
       ...(init as object),
       dispatcher: options.dispatcher,
-      signal: AbortSignal.timeout(timeoutMs),
+      signal: timeoutSignal(timeoutMs),
     } as Parameters<typeof fetch>[1]);
   return httpLink({
     url: `http://${options.host}:${options.port}${PATHS.trpc}`,
