Bound the holder's rest after work that a freeze made long

Cause: after it went through its runners, and after a plan, the holder does other things for eight times as long as that took. Frozen for 4 s meanwhile it would tell of no change, or plan nothing, for 32 s. Seen by reading; the new case of holder.test.ts failed before: of a new copy nothing was told 2.5 s after.

The rest is bounded by 2 s.

--- a/packages/banyanfold-gateway/src/__tests__/holder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holder.test.ts
@@ -68,6 +68,18 @@
   },
 };
 
+const FROZEN_MS = 4_000;
+const LONG_AFTER_MS = 2_500;
+
+/** A clock of a process that stands still for a while. */
+class StallingClock extends VirtualClock {
+  stalledMs = 0;
+
+  override nowMs(): number {
+    return super.nowMs() + this.stalledMs;
+  }
+}
+
 function holderAt(clock: VirtualClock): Holder {
   return holderWith(clock, {} as RunnerControl).holder;
 }
@@ -207,6 +219,35 @@
     holder.stop();
   });
 
+  // Guards against a holder that was frozen while it went through its runners, and
+  // told of no change at them for many times as long.
+  it('tells of new copies soon after it stood still', async () => {
+    const clock = new StallingClock();
+    let models: object[] = [];
+    const {bornMs} = REGISTRATION;
+    const control = {
+      report: async () => ok({...EMPTY_REPORT, bornMs, models}),
+    } as unknown as RunnerControl;
+    const {holder, view} = holderWith(clock, control);
+    view.onConfig(CONFIG);
+    holder.start();
+    view.onRegistration(REGISTRATION);
+    await clock.advance(DEFAULT_OPTIONS.reportIntervalMs);
+    const stall = vi.spyOn(RunnerController.prototype, 'servingModels');
+    stall.mockImplementationOnce(() => {
+      clock.stalledMs = FROZEN_MS;
+      return [];
+    });
+    holder.exchange(inputOf(OWN, LARGE));
+    models = [{name: 'm1', version: 1, adapters: []}];
+    await clock.advance(LONG_AFTER_MS);
+    const output = holder.exchange(inputOf(OWN, LARGE));
+    stall.mockRestore();
+    holder.stop();
+    if (output.kind !== 'told') throw new Error('not told');
+    expect(output.copies.runners).toMatchObject([{models: ['m1']}]);
+  });
+
   it('lets an entry stand by that has just come', async () => {
     // No process joins and leaves the group by turns. An entry comes between two
     // choices of who stands by; told that it doesn't, it would leave the group,
--- a/packages/banyanfold-gateway/src/placement/holder.ts
+++ b/packages/banyanfold-gateway/src/placement/holder.ts
@@ -70,6 +70,8 @@
  * wait for it.
  */
 const REST_FACTOR = 8;
+/** What took long because the process was frozen doesn't put off the next time. */
+const LONGEST_REST_MS = 2_000;
 /** An unload waits for the runs under way, then is over at once. */
 const UNLOAD_MS = 100;
 
@@ -260,8 +262,7 @@
    * runners it takes longer than all else in an exchange.
    */
   private noteCopies(nowMs: number): void {
-    const restMs = this.copiesNoteTookMs * REST_FACTOR;
-    const pauseMs = Math.max(COPIES_NOTED_MS, restMs);
+    const pauseMs = Math.max(COPIES_NOTED_MS, restMsOf(this.copiesNoteTookMs));
     if (nowMs - this.copiesNotedMs < pauseMs) return;
     this.copiesNotedMs = nowMs;
     this.revisions.update(this.toldRunners());
@@ -447,7 +448,7 @@
   private plan(): void {
     const {lease, view, clock, metrics} = this.deps;
     const nowMs = clock.nowMs();
-    if (nowMs - this.plannedMs < this.planTookMs * REST_FACTOR) return;
+    if (nowMs - this.plannedMs < restMsOf(this.planTookMs)) return;
     this.plannedMs = nowMs;
     if (!lease.current().isHolder) return;
     for (const {name, engine} of view.current?.services.values() ?? []) {
@@ -508,3 +509,7 @@
     controller.intendedModel = roomFor;
   }
 }
+
+function restMsOf(tookMs: number): number {
+  return Math.min(tookMs * REST_FACTOR, LONGEST_REST_MS);
+}
