--- a/packages/banyanfold-decisions/src/chooseRunner.ts
+++ b/packages/banyanfold-decisions/src/chooseRunner.ts
@@ -1,4 +1,4 @@
-import {createHash} from 'node:crypto';
+import {rankOf} from './spreadOrder.js';
 
 /** One runner that could take a request. */
 export interface RunnerChoice {
@@ -94,7 +94,7 @@
     const ranked = candidates
       .map(choice => ({
         choice,
-        rank: rankOf(affinity.key, choice.runnerId),
+        rank: rankOf(`${affinity.key}\n${choice.runnerId}`),
         isOwnDomain: choice.failureDomain === failureDomain,
         cost: costOf(choice, options),
       }))
@@ -159,7 +159,3 @@
 function costOf(choice: RunnerChoice, options: ChooseRunnerOptions): number {
   return choice.openWork + (choice.hasAdapter ? 0 : options.adapterFetchWork);
 }
-
-function rankOf(key: string, runnerId: string): string {
-  return createHash('sha1').update(`${key}\n${runnerId}`).digest('hex');
-}
--- a/packages/banyanfold-decisions/src/spreadOrder.ts
+++ b/packages/banyanfold-decisions/src/spreadOrder.ts
@@ -19,7 +19,7 @@
   return ranked.map(({entry}) => entry);
 }
 
-/** A number-like text that differs from one key to the next at random. */
+/** Sorts texts in an order that looks random and is the same in every process. */
 export function rankOf(text: string): string {
   return createHash('sha1').update(text).digest('hex');
 }
