Test of late timers: wait until both ends of the connection stand

Seen by reading: the server's end may be told first, and the receiver would read only one turn of the event loop later.

--- a/packages/banyanfold-core/src/__tests__/clock.test.ts
+++ b/packages/banyanfold-core/src/__tests__/clock.test.ts
@@ -16,7 +16,9 @@
   await once(server, 'listening');
   const accepted = once(server, 'connection') as Promise<[Socket]>;
   receiver = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  const connected = once(receiver, 'connect');
   [sender] = await accepted;
+  await connected;
   server.close();
 });
 
