Soak: send no SIGHUP before the program's first line, also on a busy machine

Cause: the launcher listens to SIGHUP in its first statements and never stops, so that only a process that has not reached them can end by it. The soak waits 400 ms for that; with 20 processes waiting for 8 cores the runtime takes longer. It uses 86 to 119 ms of a processor until the first line there (six starts), so that the soak now also waits until the process has used 150 ms of one. On a quiet machine it signals as early as before, or as soon as that is used; the rule itself is as it was.

--- a/soak/src/entryProcess.ts
+++ b/soak/src/entryProcess.ts
@@ -3,6 +3,7 @@
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {entrySettings, type EntryPorts} from '@banyanfold/platform/standins';
+import {processorMsOf} from './processorMsOf.js';
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url));
 const PROGRAM = 'target/main.cjs';
@@ -10,9 +11,11 @@
 const RESTART_MS = 300;
 /**
  * Until the runtime runs the program's first line, SIGHUP ends it, whatever the
- * program does; it takes some 30 ms, more on a busy machine.
+ * program does. On a busy machine it waits for a processor long after this time.
  */
 const BOOT_MS = 400;
+/** What it uses of one until then, and half as much again. */
+const BOOT_PROCESSOR_MS = 150;
 
 export interface EntryProcessOptions {
   name: string;
@@ -72,11 +75,16 @@
   }
 
   signal(signal: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
-    const runsMs = performance.now() - this.startedMs;
-    if (signal === 'SIGHUP' && runsMs < BOOT_MS) return;
+    if (signal === 'SIGHUP' && !this.hasBooted()) return;
     this.child?.kill(signal);
   }
 
+  private hasBooted(): boolean {
+    const runsMs = performance.now() - this.startedMs;
+    const processorMs = processorMsOf(this.child?.pid ?? 0) ?? Infinity;
+    return runsMs >= BOOT_MS && processorMs >= BOOT_PROCESSOR_MS;
+  }
+
   async stop(): Promise<void> {
     this.isOver = true;
     const {child} = this;
