Decode and log that a runner says it is leaving

The header is decoded and logged once for each start of a runner (runner-leaving); nothing else uses it yet.

--- a/packages/banyanfold-gateway/src/__tests__/rateLimitFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/rateLimitFleet.ts
@@ -128,6 +128,7 @@
       signed: true,
       notExecuted: false,
       fromOtherRunner: false,
+      isLeaving: false,
       encoded: false,
       requestsPerSecond: isLimited ? scenario.limitPerSecond : undefined,
     };
--- a/packages/banyanfold-gateway/src/__tests__/runnerRateLimits.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerRateLimits.test.ts
@@ -113,6 +113,7 @@
     signed: true,
     notExecuted: false,
     fromOtherRunner: false,
+    isLeaving: false,
     encoded: false,
     requestsPerSecond,
   });
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -6,7 +6,13 @@
 import type {PromptPermit} from '../runners/promptGate.js';
 import type {StartedWork} from '../runners/runnerStates.js';
 import type {CallerIdentity} from '../callers/callerIdentity.js';
-import type {DecodedRequest, Organisation, RoutePolicy} from '../types.js';
+import type {
+  DecodedRequest,
+  Organisation,
+  ResponseInfo,
+  RoutePolicy,
+  RunnerRegistration,
+} from '../types.js';
 import {ResponseRelay, type AttemptResult} from './responseRelay.js';
 import {decideRequestRetry} from './decideRequestRetry.js';
 import {ERROR_STATUS, sendErrorResponse} from './errorResponse.js';
@@ -454,8 +460,7 @@
       },
       {
         runnerId: runner.runnerId,
-        onResponseInfo: info =>
-          context.rateLimits.recordAnswer(runner.runnerId, info, nowMs),
+        onResponseInfo: info => this.recordResponseInfo(runner, info, nowMs),
         onFirstByte: () => {
           isPromptRead = true;
           this.promptTurn?.release();
@@ -490,6 +495,17 @@
     return result;
   }
 
+  private recordResponseInfo(
+    runner: RunnerRegistration,
+    info: ResponseInfo,
+    sentMs: number,
+  ): void {
+    const {rateLimits, view} = this.options.context;
+    rateLimits.recordAnswer(runner.runnerId, info, sentMs);
+    if (!isOwnResponse(info)) return;
+    if (info.isLeaving) view.noteLeaving(runner);
+  }
+
   private handleResult(target: Target, result: AttemptResult): void {
     const {context} = this.options;
     const {runnerId} = target.runner;
@@ -674,3 +690,8 @@
     this.log.end(outcome, status, this.counts, {firstByteMs, longestPauseMs});
   }
 }
+
+/** Whether the runner that the request was sent to vouches for the response. */
+function isOwnResponse(info: ResponseInfo): boolean {
+  return !info.fromOtherRunner && (info.signed || info.notExecuted);
+}
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -232,6 +232,8 @@
    * its responses state it; undefined if not limited.
    */
   requestsPerSecond?: number;
+  /** The runner is leaving and must receive no more requests. */
+  isLeaving: boolean;
 }
 
 export type ResponseHeaders = Record<string, string | string[] | undefined>;
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -36,6 +36,8 @@
   organisations: OrganisationDirectory | undefined;
   private readonly runners = new Map<string, RunnerRegistration>();
   private readonly removed = new Map<string, RemovedRunner>();
+  /** When the runners started whose responses said that they leave. */
+  private readonly leavingByResponse = new Map<string, number>();
   private readonly listeners = new Set<ChangeListener>();
   private readonly restartListeners = new Set<(runnerId: string) => void>();
   private isCaughtUp = false;
@@ -162,6 +164,19 @@
     this.notifyListeners({kind: 'runner', runnerId});
   }
 
+  /** Logs once for each start of a runner that its responses say it leaves. */
+  noteLeaving({runnerId, bornMs}: RunnerRegistration): void {
+    if (this.leavingByResponse.get(runnerId) === bornMs) return;
+    this.leavingByResponse.set(runnerId, bornMs);
+    const registeredLeaving = this.runners.get(runnerId)?.leaving ?? false;
+    this.logger.info('runner-leaving', {
+      runner: runnerId,
+      bornMs,
+      source: 'response',
+      registeredLeaving,
+    });
+  }
+
   onRemoval(runnerId: string): void {
     const nowMs = this.clock.nowMs();
     this.runnersReadMs = nowMs;
