--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -9,6 +9,7 @@
 import type {GatewayOptions} from './options.js';
 import type {HeldCopies} from './runners/heldCopies.js';
 import type {PromptGate} from './runners/promptGate.js';
+import type {RunnerBackoffs} from './runners/runnerBackoffs.js';
 import type {RunnerConnections} from './runners/runnerConnections.js';
 import type {RunnerRateLimits} from './runners/runnerRateLimits.js';
 import type {RunnerStates} from './runners/runnerStates.js';
@@ -38,6 +39,7 @@
   runnerStates: RunnerStates;
   promptGate: PromptGate;
   rateLimits: RunnerRateLimits;
+  runnerBackoffs: RunnerBackoffs;
   crashWatch: CrashDetector;
   suspects: CrashSuspects;
   heldCopies: HeldCopies;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import {HeldCopies} from './runners/heldCopies.js';
 import {PromptGate} from './runners/promptGate.js';
 import {RunnerRateLimits} from './runners/runnerRateLimits.js';
+import {RunnerBackoffs} from './runners/runnerBackoffs.js';
 import {RunnerConnections} from './runners/runnerConnections.js';
 import {WorkForecast} from './requests/workForecast.js';
 import {RetryBudgets} from './requests/retryBudgets.js';
@@ -137,7 +138,9 @@
       random,
       entries: () => this.entryCount,
     });
+    const runnerBackoffs = new RunnerBackoffs({clock, logger});
     this.view.onRestart(runnerId => {
+      runnerBackoffs.handleRestart(runnerId);
       runnerStates.handleRestart(runnerId);
       heldCopies.handleRestart(runnerId);
       rateLimits.handleRestart(runnerId);
@@ -259,6 +262,7 @@
       runnerStates,
       promptGate: new PromptGate(clock),
       rateLimits,
+      runnerBackoffs,
       crashWatch: new CrashDetector({
         clock,
         logger,
@@ -460,6 +464,7 @@
     this.context.runnerStates.ejectOutliers();
     this.context.runnerStates.prune(id => this.view.runner(id) !== undefined);
     this.context.rateLimits.prune(id => this.view.runner(id) !== undefined);
+    this.context.runnerBackoffs.prune();
     this.context.promptGate.prune(id => this.view.runner(id) !== undefined);
     this.context.connections.closeIdle();
   }
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -500,10 +500,12 @@
     info: ResponseInfo,
     sentMs: number,
   ): void {
-    const {rateLimits, view} = this.options.context;
+    const {rateLimits, view, runnerBackoffs} = this.options.context;
+    const {isLeaving, retryAfterMs = 0} = info;
     rateLimits.recordAnswer(runner.runnerId, info, sentMs);
     if (!isOwnResponse(info)) return;
-    if (info.isLeaving) view.noteLeaving(runner);
+    if (isLeaving) view.noteLeaving(runner);
+    if (retryAfterMs > 0) runnerBackoffs.record(runner, retryAfterMs);
   }
 
   private handleResult(target: Target, result: AttemptResult): void {
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -234,6 +234,11 @@
   requestsPerSecond?: number;
   /** The runner is leaving and must receive no more requests. */
   isLeaving: boolean;
+  /**
+   * How long the runner, which has rejected the request, wants no requests from
+   * this process, in ms; undefined if it names no time.
+   */
+  retryAfterMs?: number;
 }
 
 export type ResponseHeaders = Record<string, string | string[] | undefined>;
