Leave a runner alone once it has said that it is leaving

Cause: Server-Leaving was read nowhere, and the store, which alone was believed, was down. Ruled out: a later word of the store, requests that had waited since before the answer.

The view takes a runner's own word like that of its registration, so that every way to a runner goes by it: first attempts, retries, resumed streams, trials, and requests that waited for an adapter or their turn. It counts for one start of the runner. A registration that says ready doesn't take it back, nor one that had expired and came back; the latter was possible for the store's word, too (leaving was forgotten with the registration).

--- a/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
@@ -67,6 +67,42 @@
     expect(view.runner('r1')?.leaving).toBe(true);
   });
 
+  // Guards against a ready registration that takes back a runner's own word.
+  it('keeps a runner leaving by its own word until it restarts', () => {
+    const view = createView();
+    view.onRegistration(registration(4));
+    view.noteLeaving({runnerId: 'r1', bornMs: 1}, 'response');
+    view.onRegistration(registration(5));
+    expect(view.runner('r1')?.leaving).toBe(true);
+    view.onRemoval('r1');
+    view.onRegistration(registration(6));
+    expect(view.runner('r1')?.leaving).toBe(true);
+    expect(view.announcedLeaving()).toEqual([{runnerId: 'r1', bornMs: 1}]);
+    view.onRegistration(registration(1, {bornMs: 2}));
+    expect(view.runner('r1')?.leaving).toBe(false);
+    expect(view.announcedLeaving()).toEqual([]);
+  });
+
+  // Guards against a statement on a former start that shuts out the new one.
+  it('ignores that another start of a runner was leaving', () => {
+    const view = createView();
+    view.onRegistration(registration(1, {bornMs: 2}));
+    view.noteLeaving({runnerId: 'r1', bornMs: 1}, 'peer');
+    view.noteLeaving({runnerId: 'r2', bornMs: 1}, 'peer');
+    expect(view.runner('r1')?.leaving).toBe(false);
+    expect(view.announcedLeaving()).toEqual([]);
+  });
+
+  // Guards against a statement that arrives while the registration is gone.
+  it('notes that a removed runner is leaving', () => {
+    const view = createView();
+    view.onRegistration(registration(4));
+    view.onRemoval('r1');
+    view.noteLeaving({runnerId: 'r1', bornMs: 1}, 'response');
+    view.onRegistration(registration(5));
+    expect(view.runner('r1')?.leaving).toBe(true);
+  });
+
   it('restores a removed runner only by a newer heartbeat', () => {
     const view = createView();
     view.onRegistration(registration(4));
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -504,7 +504,7 @@
     const {isLeaving, retryAfterMs = 0} = info;
     rateLimits.recordAnswer(runner.runnerId, info, sentMs);
     if (!isOwnResponse(info)) return;
-    if (isLeaving) view.noteLeaving(runner);
+    if (isLeaving) view.noteLeaving(runner, 'response');
     if (retryAfterMs > 0) runnerBackoffs.record(runner, retryAfterMs);
   }
 
--- a/packages/banyanfold-gateway/src/runners/runnerBackoffs.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerBackoffs.ts
@@ -1,12 +1,8 @@
 import type {Clock, Logger} from '@banyanfold/core';
-
-/** A start of a runner; a restarted runner has asked for nothing yet. */
-interface RunnerStart {
-  runnerId: string;
-  bornMs: number;
-}
+import type {RunnerStart} from '../types.js';
 
 interface Backoff {
+  /** Identifies the start of the runner that asked for it. */
   bornMs: number;
   untilMs: number;
 }
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -144,6 +144,9 @@
   heartbeatNumber: number;
 }
 
+/** Identifies one start of a runner. */
+export type RunnerStart = Pick<RunnerRegistration, 'runnerId' | 'bornMs'>;
+
 /** What a runner reports about its load, some hundred ms old on arrival. */
 export interface RunnerReport {
   /** Unix time at which the reporting incarnation started. */
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -4,6 +4,7 @@
   FleetHandlers,
   RoutePolicy,
   RunnerRegistration,
+  RunnerStart,
 } from '../types.js';
 import {OrganisationDirectory} from '../callers/organisationDirectory.js';
 import {RouteTable} from './routeTable.js';
@@ -25,9 +26,13 @@
 type Heartbeat = Pick<RunnerRegistration, 'bornMs' | 'heartbeatNumber'>;
 
 interface RemovedRunner extends Heartbeat {
+  leaving: boolean;
   removedMs: number;
 }
 
+/** Who has stated that a runner is leaving, other than its registration. */
+export type LeavingSource = 'response' | 'report' | 'peer';
+
 /** The configuration and the runners as this process knows them. */
 export class FleetView implements Omit<FleetHandlers, 'isRelayed'> {
   private config: FleetConfig | undefined;
@@ -36,8 +41,10 @@
   organisations: OrganisationDirectory | undefined;
   private readonly runners = new Map<string, RunnerRegistration>();
   private readonly removed = new Map<string, RemovedRunner>();
-  /** When the runners started whose responses said that they leave. */
-  private readonly leavingByResponse = new Map<string, number>();
+  /**
+   * Start times of the runners that announced themselves that they are leaving.
+   */
+  private readonly announced = new Map<string, number>();
   private readonly listeners = new Set<ChangeListener>();
   private readonly restartListeners = new Set<(runnerId: string) => void>();
   private isCaughtUp = false;
@@ -144,11 +151,13 @@
     const last = known ?? this.removed.get(runnerId);
     if (last && !isNewer(registration, last)) return;
     const isRestart = last !== undefined && bornMs !== last.bornMs;
-    // A runner that is leaving never returns without a restart.
-    const wasLeaving = !isRestart && (known?.leaving ?? false);
+    // A runner that is leaving never returns without a restart, even if its
+    // registration had expired meanwhile.
+    const wasLeaving = !isRestart && (last?.leaving ?? false);
     const leaving = registration.leaving || wasLeaving;
     this.runners.set(runnerId, {...registration, leaving});
     this.removed.delete(runnerId);
+    if (isRestart) this.announced.delete(runnerId);
     if (isRestart) for (const notify of this.restartListeners) notify(runnerId);
     if (!known || isRestart || known.leaving !== leaving) {
       this.logger.info('runner', {
@@ -164,17 +173,40 @@
     this.notifyListeners({kind: 'runner', runnerId});
   }
 
-  /** Logs once for each start of a runner that its responses say it leaves. */
-  noteLeaving({runnerId, bornMs}: RunnerRegistration): void {
-    if (this.leavingByResponse.get(runnerId) === bornMs) return;
-    this.leavingByResponse.set(runnerId, bornMs);
-    const registeredLeaving = this.runners.get(runnerId)?.leaving ?? false;
+  /**
+   * Marks a runner as leaving because it said so itself. That counts until it
+   * restarts: while the store is unavailable, the registration still says that
+   * the runner is ready, and requests would go on to it until it stops.
+   *
+   * @param ageMs how old the statement is at least.
+   * @example view.noteLeaving({runnerId: 'i-1', bornMs: 0}, 'response')
+   */
+  noteLeaving(
+    {runnerId, bornMs}: RunnerStart,
+    source: LeavingSource,
+    ageMs = 0,
+  ): void {
+    const known = this.runners.get(runnerId);
+    const removed = this.removed.get(runnerId);
+    const last = known ?? removed;
+    if (!last || last.bornMs !== bornMs || last.leaving) return;
+    this.announced.set(runnerId, bornMs);
+    if (known) this.runners.set(runnerId, {...known, leaving: true});
+    else if (removed) removed.leaving = true;
     this.logger.info('runner-leaving', {
       runner: runnerId,
       bornMs,
-      source: 'response',
-      registeredLeaving,
+      source,
+      ageMs: Math.round(ageMs),
     });
+    if (known) this.notifyListeners({kind: 'runner', runnerId});
+  }
+
+  /** The runners that announced that they are leaving, for the other entries. */
+  announcedLeaving(): RunnerStart[] {
+    return [...this.announced]
+      .filter(([runnerId]) => this.runners.has(runnerId))
+      .map(([runnerId, bornMs]) => ({runnerId, bornMs}));
   }
 
   onRemoval(runnerId: string): void {
@@ -184,8 +216,13 @@
     if (!known) return;
     this.runners.delete(runnerId);
     this.pruneRemovals(nowMs);
-    const {bornMs, heartbeatNumber} = known;
-    this.removed.set(runnerId, {bornMs, heartbeatNumber, removedMs: nowMs});
+    const {bornMs, heartbeatNumber, leaving} = known;
+    this.removed.set(runnerId, {
+      bornMs,
+      heartbeatNumber,
+      leaving,
+      removedMs: nowMs,
+    });
     this.logger.info('runner-removed', {runner: runnerId});
     this.notifyListeners({kind: 'runner-removed', runnerId});
   }
@@ -217,7 +254,9 @@
 
   private pruneRemovals(nowMs: number): void {
     for (const [runnerId, {removedMs}] of this.removed) {
-      if (nowMs - removedMs > REMOVED_TTL_MS) this.removed.delete(runnerId);
+      if (nowMs - removedMs <= REMOVED_TTL_MS) continue;
+      this.removed.delete(runnerId);
+      this.announced.delete(runnerId);
     }
   }
 }
