Go by what a response says of its runner only if it is this request's

Headers were read before the checks of a response: one that belonged to another request, or was re-encoded in transit, could have named a limit, or its runner as leaving, which would shut that runner out until it restarts.

--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -50,7 +50,10 @@
 export interface AttemptHooks {
   runnerId: string;
   onFirstByte(): void;
-  /** Called with the decoded response head, whether or not it is signed. */
+  /**
+   * Called with the decoded head of a response to this request that was not
+   * changed in transit, whether or not it is signed.
+   */
   onResponseInfo(info: ResponseInfo): void;
 }
 
@@ -152,10 +155,10 @@
     return {
       onHead: head => {
         incoming = this.decodeHead(head, sentMs, hooks.runnerId);
-        hooks.onResponseInfo(incoming.info);
         if (!incoming.info.notExecuted) hooks.onFirstByte();
         const integrityError = this.integrityErrorOf(incoming.info);
         if (integrityError !== undefined) return fail(integrityError);
+        hooks.onResponseInfo(incoming.info);
         // Only after the checks: the head can't be replaced when another runner
         // resumes the stream, so it must belong to this request.
         if (incoming.isStreamed) this.startResponse(head);
