Tell the other entries that a runner is leaving by its own word

Each entry had to send a request to find out, and one that heard it alone kept it to itself, the holder's plan of copies included: a runner that left with the only copy of a model left without a successor until the store knew.

Entries send the holder, directly or through a relay, the runners that announced that they leave, and are told those of all. State and traffic are bounded by the registered runners: a statement counts for a known start of a runner only. Old and new releases leave the field out or ignore it. Log: runner-leaving source=peer with the least age.

--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -89,6 +89,7 @@
       entries: () => 3,
     }),
     heldCopies: new HeldCopies(view, () => clock.nowMs(), 1_500),
+    view,
     loadRate: new LoadRate(1_000, 0),
     onEntryCount: () => {},
     configVersion: () => 1,
--- a/packages/banyanfold-gateway/src/__tests__/relay.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/relay.test.ts
@@ -8,6 +8,7 @@
 import {OutcomeMeter} from '../runners/outcomeMeter.js';
 import {PendingDemand} from '../peers/pendingDemand.js';
 import {DemandMeter} from '../placement/demandMeter.js';
+import {FleetView} from '../view/fleetView.js';
 
 const OWN = {address: 'relay:7', failureDomain: 'a', processorShare: 1};
 const HOLDER = 'holder:7';
@@ -17,6 +18,7 @@
 let relay: Relay;
 let rateLimits: RunnerRateLimits;
 let suspects: CrashSuspects;
+let view: FleetView;
 let ownWork: number;
 
 function stateOf(fields: Partial<ExchangeOutput> = {}): ExchangeOutput {
@@ -82,6 +84,7 @@
   clock = new VirtualClock();
   demand = new DemandMeter();
   suspects = new CrashSuspects(clock);
+  view = new FleetView(clock, new MemoryLogger());
   ownWork = 0;
   rateLimits = new RunnerRateLimits({
     clock,
@@ -100,6 +103,7 @@
     configVersion: () => 9,
     onNewerConfig: () => {},
     suspects,
+    view,
     ownLoad: () => ({
       members: [OWN],
       openWork: {r1: ownWork},
@@ -112,6 +116,25 @@
 });
 
 describe('Relay', () => {
+  // Guards against entries behind a relay that go on using a leaving runner.
+  it('forwards that a runner is leaving to its group and to the holder', () => {
+    const start = {runnerId: 'r1', bornMs: 5};
+    view.onRegistration({
+      ...start,
+      service: 's',
+      address: '127.0.0.1:1',
+      failureDomain: 'a',
+      slots: 8,
+      leaving: false,
+      heartbeatNumber: 1,
+    });
+    relay.noteHolderState(stateOf());
+    exchange(inputOf('e1:7', {leavingRunners: [start]}));
+    const output = exchange(inputOf('e2:7'));
+    expect(output.leavingRunners).toEqual([start]);
+    expect(view.announcedLeaving()).toEqual([start]);
+  });
+
   it('forwards the state with its age and the open work of other entries', async () => {
     // An entry must count the work of each other entry once: the work in the
     // holder's state, of the relay itself, and of the group without the entry.
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -229,6 +229,7 @@
       states: runnerStates,
       rateLimits,
       heldCopies,
+      view: this.view,
       loadRate,
       configVersion: () => this.view.currentConfig?.version ?? 0,
       onNewerConfig,
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -13,7 +13,7 @@
 import type {RunnerStates} from '../runners/runnerStates.js';
 import type {GatewayOptions} from '../options.js';
 import type {LeaseSource} from '../types.js';
-import {sumByKey, Relay} from './relay.js';
+import {sumByKey, Relay, type LeavingRunners} from './relay.js';
 import {LeaseAcquisition, acquisitionRank} from './leaseAcquisition.js';
 import {PeerClients} from './peerClients.js';
 import {PendingDemand} from './pendingDemand.js';
@@ -43,6 +43,7 @@
   states: RunnerStates;
   rateLimits: RunnerRateLimits;
   heldCopies: HeldCopies;
+  view: LeavingRunners;
   loadRate: LoadRate;
   onEntryCount(count: number): void;
   configVersion(): number;
@@ -104,6 +105,7 @@
       outcomes: deps.states.outcomes,
       rateLimits: deps.rateLimits,
       suspects,
+      view: deps.view,
       ownLoad: () => this.ownLoad(),
       configVersion: () => deps.configVersion(),
       onNewerConfig: (version, peer) => deps.onNewerConfig(version, peer),
@@ -293,6 +295,7 @@
       known: this.knownCopies,
       batch: this.pendingDemand.nextBatch(),
       rateLimits: this.deps.rateLimits.reportedLimits(),
+      leavingRunners: this.deps.view.announcedLeaving(),
       crashes: this.deps.suspects.pendingReport(),
       knownSuspects: this.deps.suspects.knownVersion,
     };
@@ -376,6 +379,9 @@
       output.ageMs,
       isForwarded,
     );
+    for (const runner of output.leavingRunners ?? []) {
+      this.deps.view.noteLeaving(runner, 'peer', output.ageMs);
+    }
     this.deps.states.applyEjections(output.ejectedForMs ?? {}, output.ageMs);
     this.applyVersions(output, sender);
     this.applyLoads(output, isForwarded);
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -21,6 +21,12 @@
 
 export type RunnerCopies = z.infer<typeof runnerCopiesSchema>;
 
+/** A start of a runner that announced itself that it is leaving. */
+const leavingRunnerSchema = z.object({
+  runnerId: z.string(),
+  bornMs: z.number(),
+});
+
 const countsSchema = z.record(z.string(), z.number());
 
 /** An entry, with the properties by which standbys and relays are chosen. */
@@ -114,6 +120,11 @@
       }),
     )
     .optional(),
+  /**
+   * Runners that announced that they are leaving, as far as known there;
+   * omitted by releases that don't send them.
+   */
+  leavingRunners: z.array(leavingRunnerSchema).optional(),
   /** Last version of the list of suspects that it has received. */
   knownSuspects: suspectListVersionSchema.optional(),
 });
@@ -193,6 +204,11 @@
       }),
     )
     .optional(),
+  /**
+   * Runners that announced to any entry that they are leaving; omitted by
+   * releases that don't send them.
+   */
+  leavingRunners: z.array(leavingRunnerSchema).optional(),
   /**
    * Requests that may crash runners; omitted by releases that don't send them.
    */
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -8,6 +8,7 @@
 import {SeenBatches} from '../placement/seenBatches.js';
 import type {RunnerRateLimits} from '../runners/runnerRateLimits.js';
 import type {OutcomeMeter} from '../runners/outcomeMeter.js';
+import type {FleetView} from '../view/fleetView.js';
 import type {
   DemandBatch,
   ExchangeInput,
@@ -26,6 +27,7 @@
   outcomes: OutcomeMeter;
   rateLimits: RunnerRateLimits;
   suspects: CrashSuspects;
+  view: LeavingRunners;
   /** Load of this process, without its group. */
   ownLoad(): EntryLoad;
   holderAddress(): string | undefined;
@@ -37,6 +39,12 @@
   onNewerConfig(version: number, peer: string): void;
 }
 
+/** Runners that announced that they are leaving. */
+export type LeavingRunners = Pick<
+  FleetView,
+  'noteLeaving' | 'announcedLeaving'
+>;
+
 /** The last state received from the holder, and when it was received. */
 interface HolderState {
   output: ExchangeOutput;
@@ -131,7 +139,8 @@
 
   /** Handles an entry's exchange; without recent state it names the holder. */
   exchange(input: ExchangeInput): ExchangeOutput | NotHolder {
-    const {clock, suspects, address, ownLoad, holderAddress} = this.options;
+    const {clock, suspects, address, ownLoad, holderAddress, view} =
+      this.options;
     const nowMs = clock.nowMs();
     const {holderState} = this;
     if (!holderState || nowMs - holderState.atMs > MAX_STATE_AGE_MS) {
@@ -142,6 +151,9 @@
     this.loads.record(address, ownLoad(), nowMs);
     if (this.batches.addIfNew(entry, batch.batchId)) this.addBatch(batch);
     this.noteRateLimits(input);
+    for (const runner of input.leavingRunners ?? []) {
+      view.noteLeaving(runner, 'peer');
+    }
     suspects.forward(input.crashes);
     if (Object.keys(input.waiting).length > 0) this.options.demand.onWaiting();
     if (configVersion > this.options.configVersion()) {
@@ -162,6 +174,7 @@
       copies: this.revisions.since(input.known),
       peersWork: sumByKey(output.peersWork, group.work),
       peersRequests: sumByKey(output.peersRequests, group.requests),
+      leavingRunners: view.announcedLeaving(),
       suspects: suspects.suspectListFor(input.knownSuspects),
     };
   }
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -196,6 +196,7 @@
       ejectedForMs: this.outcomes.ejections(),
       usage: this.fleetUsage.snapshot(nowMs),
       rateLimits: this.rateLimits.snapshot(),
+      leavingRunners: this.deps.view.announcedLeaving(),
       suspects: this.deps.crashes.suspectListFor(input.knownSuspects),
     };
   }
@@ -238,9 +239,13 @@
   }
 
   private recordInput(input: ExchangeInput, nowMs: number): void {
-    const {entry, batch, waiting, crashes, rateLimits = []} = input;
+    const {entry, batch, waiting, crashes} = input;
+    const {rateLimits = [], leavingRunners = []} = input;
     this.entryLoads.record(entry, input, nowMs);
     this.rateLimits.recordLimits(rateLimits);
+    for (const runner of leavingRunners) {
+      this.deps.view.noteLeaving(runner, 'peer');
+    }
     if (crashes) this.deps.crashes.addReport(crashes);
     if (this.batches.addIfNew(entry, batch.batchId)) {
       this.demand.record(batch.demand, nowMs);
