--- a/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
@@ -39,6 +39,7 @@
   orderNumber: 0,
   inMemory: [],
   onDisk: [],
+  isLeaving: false,
 };
 
 const CONFIG: FleetConfig = {
--- a/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerController.test.ts
@@ -83,6 +83,7 @@
     kvTotalTokens: 0,
     inMemory: [],
     onDisk: [],
+    isLeaving: false,
     ...fields,
   };
 }
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -140,8 +140,12 @@
     this.rateLimits = new FleetRateLimits(deps.clock);
     this.reportPoller = new ReportPoller({
       ...deps,
-      onReport: (queried, report, requestedMs) =>
-        this.controllerFor(queried, report)?.applyReport(report, requestedMs),
+      onReport: (queried, report, requestedMs) => {
+        const {runnerId} = queried.registration;
+        const {bornMs, isLeaving} = report;
+        if (isLeaving) deps.view.noteLeaving({runnerId, bornMs}, 'report');
+        this.controllerFor(queried, report)?.applyReport(report, requestedMs);
+      },
     });
     const epoch = `${deps.holder}#${deps.clock.wallMs()}`;
     this.revisions = new CopyRevisions(epoch);
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -163,6 +163,8 @@
   kvTotalTokens: number;
   inMemory: readonly string[];
   onDisk: readonly string[];
+  /** The runner is leaving and must receive no more requests. */
+  isLeaving: boolean;
 }
 
 export type OrderKind = 'load' | 'unload';
