Send a runner nothing during the pause that it asked for

Cause: Retry-After of a 503 was read nowhere; a request only remembered for itself which runners had rejected it. Ruled out: retries of the same request alone, and that only all entries together pass the bound.

An entry keeps the pause that itself was told, for one start of the runner; the pause that ends last counts. Every way to a runner goes by it, also a request that waited for an adapter or its turn meanwhile. If all that could serve are paused, the caller is refused at once with the time until the first of them takes requests; one that may have run waits for it or ends, without the promise of a 503.

--- /dev/null
+++ b/packages/banyanfold-gateway/src/__tests__/targetChooser.test.ts
@@ -0,0 +1,102 @@
+import {MemoryLogger, VirtualClock} from '@banyanfold/core';
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {GatewayContext} from '../context.js';
+import {DEFAULT_OPTIONS} from '../options.js';
+import {TargetChooser} from '../requests/targetChooser.js';
+import {RunnerBackoffs} from '../runners/runnerBackoffs.js';
+import {RunnerStates} from '../runners/runnerStates.js';
+import {FleetView} from '../view/fleetView.js';
+
+const RUNNERS = ['r1', 'r2', 'r3'];
+const BORN_MS = 5;
+
+let clock: VirtualClock;
+let view: FleetView;
+let runnerBackoffs: RunnerBackoffs;
+let chooser: TargetChooser;
+
+beforeEach(() => {
+  clock = new VirtualClock();
+  const logger = new MemoryLogger();
+  view = new FleetView(clock, logger);
+  runnerBackoffs = new RunnerBackoffs({clock, logger});
+  const context = {
+    clock,
+    view,
+    runnerBackoffs,
+    runnerStates: new RunnerStates(clock, logger, DEFAULT_OPTIONS),
+    promptGate: {isStalled: () => false},
+    heldCopies: {canFetch: () => true},
+    failureDomain: 'hall-a',
+    random: () => 0.5,
+  };
+  chooser = new TargetChooser({
+    context: context as unknown as GatewayContext,
+    request: {promptTokens: 0, maxOutputTokens: 0, promptParts: []},
+    service: 'desk',
+  });
+  for (const runnerId of RUNNERS) {
+    view.onRegistration({
+      runnerId,
+      bornMs: BORN_MS,
+      service: 'desk',
+      address: '127.0.0.1:1',
+      failureDomain: 'hall-a',
+      slots: 8,
+      leaving: false,
+      heartbeatNumber: 1,
+    });
+  }
+});
+
+function pauseRunner(runnerId: string, forMs: number) {
+  runnerBackoffs.record({runnerId, bornMs: BORN_MS}, forMs);
+}
+
+function announceLeaving(runnerId: string) {
+  view.noteLeaving({runnerId, bornMs: BORN_MS}, 'response');
+}
+
+describe('TargetChooser', () => {
+  it('leaves out runners that are leaving or paused', () => {
+    announceLeaving('r1');
+    pauseRunner('r2', 1_000);
+    expect(chooser.choose()?.runner.runnerId).toBe('r3');
+    expect(chooser.choose('r2')).toBeUndefined();
+    expect(chooser.eligibleByOpenWork()).toEqual(['r3']);
+    expect(chooser.pausedState()).toBeUndefined();
+  });
+
+  // Guards against sending a request that waited while the runner spoke.
+  it('finds a chosen runner unusable once it is leaving or paused', () => {
+    const [first, second] = RUNNERS.map(id => view.runner(id)!);
+    expect(chooser.isStillUsable(first!)).toBe(true);
+    announceLeaving('r1');
+    pauseRunner('r2', 1_000);
+    expect(chooser.isStillUsable(first!)).toBe(false);
+    expect(chooser.isStillUsable(second!)).toBe(false);
+  });
+
+  // Guards against telling callers to return while no runner takes requests.
+  it('reports the pause that ends first, and of one runner the longer one', () => {
+    announceLeaving('r1');
+    pauseRunner('r2', 3_000);
+    pauseRunner('r3', 1_000);
+    expect(chooser.pausedState()).toEqual({
+      reason: 'runner-backoff',
+      forMs: 1_000,
+    });
+    chooser.noteRateLimited('r3', 2_000);
+    expect(chooser.pausedState()).toEqual({
+      reason: 'runner-limit',
+      forMs: 2_000,
+    });
+  });
+
+  it('uses a runner again after its pause', async () => {
+    for (const runnerId of RUNNERS) pauseRunner(runnerId, 1_000);
+    expect(chooser.choose()).toBeUndefined();
+    await clock.advance(1_000);
+    expect(chooser.choose()).toBeDefined();
+  });
+});
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -138,9 +138,7 @@
       random,
       entries: () => this.entryCount,
     });
-    const runnerBackoffs = new RunnerBackoffs({clock, logger});
     this.view.onRestart(runnerId => {
-      runnerBackoffs.handleRestart(runnerId);
       runnerStates.handleRestart(runnerId);
       heldCopies.handleRestart(runnerId);
       rateLimits.handleRestart(runnerId);
@@ -263,7 +261,7 @@
       runnerStates,
       promptGate: new PromptGate(clock),
       rateLimits,
-      runnerBackoffs,
+      runnerBackoffs: new RunnerBackoffs({clock, logger}),
       crashWatch: new CrashDetector({
         clock,
         logger,
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -20,9 +20,13 @@
 import {pickService} from './pickService.js';
 import {fingerprintOf} from './requestFingerprint.js';
 import {SuspectStatus} from './suspectStatus.js';
-import {chooseRetryAfterMs, MIN_RETRY_AFTER_MS} from './retryAfter.js';
+import {
+  chooseRetryAfterMs,
+  MIN_RETRY_AFTER_MS,
+  retryAfterPauseMs,
+} from './retryAfter.js';
 import {RequestLog, type AttemptCounts} from './requestLog.js';
-import {TargetChooser, type Target} from './targetChooser.js';
+import {TargetChooser, type PausedState, type Target} from './targetChooser.js';
 import {UsageCharge} from './usageCharge.js';
 import {WakeablePause} from './wakeablePause.js';
 import {workOf} from './workOf.js';
@@ -256,15 +260,31 @@
   }
 
   private async waitForRunner(): Promise<void> {
-    const freeInMs = this.targets.rateLimitedForMs();
-    if (freeInMs === undefined) return this.waitForCopy();
-    // A 503 promises that the request has not run, which no longer holds here.
+    const paused = this.targets.pausedState();
+    if (!paused) return this.waitForCopy();
+    if (this.endIfPaused(paused)) return;
+    await this.waitForChange(paused.forMs);
+  }
+
+  /**
+   * Ends the request if the runners that could take it are paused for longer
+   * than it can wait. A request that may have run waits, because a 503 promises
+   * that it has not.
+   */
+  private endIfPaused({reason, forMs}: PausedState): boolean {
+    const {context} = this.options;
     if (this.relay.hasStarted || this.mayHaveRun) {
-      return this.pause.wait(freeInMs);
+      const leftMs = this.deadlineMs - context.clock.nowMs();
+      if (forMs < leftMs) return false;
+      this.endWithoutAnswer();
+      return true;
     }
-    const retryAfterMs = Math.max(freeInMs, MIN_RETRY_AFTER_MS);
-    this.log.refuseByRateLimit(this.service, retryAfterMs);
-    this.respond(ERROR_STATUS.notRun, 'runner-limit', retryAfterMs);
+    const isShort = reason === 'runner-backoff' && forMs <= RUNNER_POLL_MS;
+    if (isShort) return false;
+    const retryAfterMs = retryAfterPauseMs(forMs, context.random);
+    this.log.refuseByPause(reason, this.service, retryAfterMs);
+    this.respond(ERROR_STATUS.notRun, reason, retryAfterMs);
+    return true;
   }
 
   /**
@@ -343,13 +363,17 @@
 
   /** Waits for a copy of the model, or for any runner of a plain service. */
   private async waitForCopy(): Promise<void> {
-    const {context} = this.options;
     if (!this.hasLoggedWait) this.log.wait(this.targets.candidateCounts());
     this.hasLoggedWait = true;
     if (this.refuseIfCopyTooLate()) return;
     this.markWaiting();
-    const unsubscribe = context.view.onChange(() => this.pause.wake());
-    await this.pause.wait(RUNNER_POLL_MS);
+    await this.waitForChange(RUNNER_POLL_MS);
+  }
+
+  private async waitForChange(maxMs: number): Promise<void> {
+    const {view} = this.options.context;
+    const unsubscribe = view.onChange(() => this.pause.wake());
+    await this.pause.wait(Math.min(maxMs, RUNNER_POLL_MS));
     unsubscribe();
   }
 
@@ -606,19 +630,27 @@
   }
 
   private fail(result: AttemptResult): void {
-    const {response} = this.options;
     if (result.kind === 'failed' && !this.relay.hasStarted) {
       this.relay.deliverFailure(result);
       this.finish('runner-failure', result.status);
       return;
     }
-    if (this.relay.hasStarted) {
-      response.destroy();
-      this.finish('cut', 0);
+    if (this.relay.hasStarted || this.mayHaveRun) {
+      this.endWithoutAnswer();
       return;
     }
-    if (this.mayHaveRun) this.respond(ERROR_STATUS.unknown, 'runner-failed');
-    else this.refuse('no-place');
+    const paused = this.targets.pausedState();
+    if (!paused || !this.endIfPaused(paused)) this.refuse('no-place');
+  }
+
+  /** Ends a request that may have run and can't be retried. */
+  private endWithoutAnswer(): void {
+    if (!this.relay.hasStarted) {
+      this.respond(ERROR_STATUS.unknown, 'runner-failed');
+      return;
+    }
+    this.options.response.destroy();
+    this.finish('cut', 0);
   }
 
   private refuse(reason: string): void {
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -122,9 +122,10 @@
     });
   }
 
-  refuseByRateLimit(service: string, retryAfterMs: number): void {
+  /** Logs that all runners which could take the request are paused. */
+  refuseByPause(reason: string, service: string, retryAfterMs: number): void {
     this.logEvent('refuse', {
-      reason: 'runner-limit',
+      reason,
       service,
       model: this.options.decoded.request.model,
       leftMs: this.leftMs(),
--- a/packages/banyanfold-gateway/src/requests/retryAfter.ts
+++ b/packages/banyanfold-gateway/src/requests/retryAfter.ts
@@ -1,5 +1,7 @@
 /** Shortest retry delay in ms; runners' state rarely changes in less time. */
 export const MIN_RETRY_AFTER_MS = 300;
+/** Time over which callers return that were refused during one pause. */
+const RETRY_SPREAD_MS = 300;
 /** Callers accept a retry delay of up to a third of their remaining time. */
 const MAX_WAIT_SHARE = 0.32;
 /** Time for an unload, a load and the first prompts of a new copy. */
@@ -22,3 +24,20 @@
   const maxMs = Math.min(leftMs * MAX_WAIT_SHARE, COPY_CHANGE_MS);
   return Math.max(MIN_RETRY_AFTER_MS, (maxMs * (1 + random())) / 2);
 }
+
+/**
+ * Returns the retry delay in ms for a caller whose runners are paused. It isn't
+ * shorter than the pause, and spreads the retries of callers that are refused
+ * during the same pause.
+ *
+ * @param pauseMs time until a runner takes requests again.
+ * @param random uniform in [0, 1).
+ * @example retryAfterPauseMs(3_000, () => 0.5) // 3150
+ */
+export function retryAfterPauseMs(
+  pauseMs: number,
+  random: () => number,
+): number {
+  const delayMs = Math.max(pauseMs, MIN_RETRY_AFTER_MS);
+  return delayMs + random() * RETRY_SPREAD_MS;
+}
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -18,6 +18,13 @@
   reached: number;
 }
 
+/** Why no runner that could take a request takes it now, and for how long. */
+export interface PausedState {
+  reason: 'runner-limit' | 'runner-backoff';
+  /** Time until the first of them takes it, in ms. */
+  forMs: number;
+}
+
 export interface TargetChooserOptions {
   context: GatewayContext;
   request: InferenceRequest;
@@ -40,9 +47,9 @@
   choose(onlyRunnerId?: string): Target | undefined {
     const {context} = this.options;
     const eligible = this.eligibleRunners().filter(
-      ({runnerId}) =>
-        (onlyRunnerId === undefined || runnerId === onlyRunnerId) &&
-        !this.isRateLimited(runnerId),
+      runner =>
+        (onlyRunnerId === undefined || runner.runnerId === onlyRunnerId) &&
+        this.pauseOf(runner) === undefined,
     );
     const untried = eligible.filter(r => !this.rejectedBy.has(r.runnerId));
     const candidates = (untried.length > 0 ? untried : eligible).map(
@@ -75,8 +82,8 @@
   eligibleByOpenWork(): string[] {
     const {runnerStates} = this.options.context;
     const runnerIds = this.eligibleRunners()
-      .map(({runnerId}) => runnerId)
-      .filter(runnerId => !this.isRateLimited(runnerId));
+      .filter(runner => this.pauseOf(runner) === undefined)
+      .map(({runnerId}) => runnerId);
     return runnerIds.sort(
       (a, b) => runnerStates.openWork(a) - runnerStates.openWork(b),
     );
@@ -94,31 +101,44 @@
   }
 
   /**
-   * Time until the first rate-limited runner admits the request, in ms;
-   * undefined if no runner that could take the request is rate limited.
+   * The pause that ends first; undefined if a runner that could take the
+   * request isn't paused, or there is none.
    */
-  rateLimitedForMs(): number | undefined {
-    const nowMs = this.options.context.clock.nowMs();
-    const waitsMs = this.eligibleRunners()
-      .filter(({runnerId}) => this.isRateLimited(runnerId))
-      .map(({runnerId}) => this.rateLimitedUntilMs.get(runnerId)! - nowMs);
-    return waitsMs.length > 0 ? Math.min(...waitsMs) : undefined;
-  }
-
-  private isRateLimited(runnerId: string): boolean {
-    const untilMs = this.rateLimitedUntilMs.get(runnerId);
-    if (untilMs === undefined) return false;
-    return untilMs > this.options.context.clock.nowMs();
+  pausedState(): PausedState | undefined {
+    let first: PausedState | undefined;
+    for (const runner of this.eligibleRunners()) {
+      const paused = this.pauseOf(runner);
+      if (!paused) return undefined;
+      if (!first || paused.forMs < first.forMs) first = paused;
+    }
+    return first;
+  }
+
+  /** The longer one of a runner's pauses; undefined if it has none. */
+  private pauseOf(runner: RunnerRegistration): PausedState | undefined {
+    const {clock, runnerBackoffs} = this.options.context;
+    const backoffMs = runnerBackoffs.remainingMs(runner);
+    const limitedUntilMs = this.rateLimitedUntilMs.get(runner.runnerId) ?? 0;
+    const limitedMs = Math.max(0, limitedUntilMs - clock.nowMs());
+    if (backoffMs === 0 && limitedMs === 0) return undefined;
+    return backoffMs >= limitedMs
+      ? {reason: 'runner-backoff', forMs: backoffMs}
+      : {reason: 'runner-limit', forMs: limitedMs};
   }
 
   hasRejected({runnerId}: RunnerRegistration): boolean {
     return this.rejectedBy.has(runnerId);
   }
 
-  /** Checks again, as the runner may have left during an adapter's fetch. */
+  /**
+   * Checks again, as the runner may have left or asked for a pause while the
+   * request waited for an adapter or its turn.
+   */
   isStillUsable({runnerId}: RunnerRegistration): boolean {
-    const runner = this.options.context.view.runner(runnerId);
-    return runner !== undefined && !runner.leaving;
+    const {view, runnerBackoffs} = this.options.context;
+    const runner = view.runner(runnerId);
+    const isStaying = runner !== undefined && !runner.leaving;
+    return isStaying && runnerBackoffs.remainingMs(runner) === 0;
   }
 
   candidateCounts(): CandidateCounts {
--- a/packages/banyanfold-gateway/src/runners/runnerBackoffs.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerBackoffs.ts
@@ -36,7 +36,9 @@
     }
     const nowMs = clock.nowMs();
     const last = this.backoffs.get(runnerId);
-    const isSameStart = last !== undefined && last.bornMs === bornMs;
+    // A response from before a restart may arrive after one from after it.
+    if (last && last.bornMs > bornMs) return;
+    const isSameStart = last?.bornMs === bornMs;
     const untilMs = nowMs + forMs;
     if (isSameStart && untilMs <= last.untilMs) return;
     this.backoffs.set(runnerId, {bornMs, untilMs});
@@ -48,15 +50,16 @@
     });
   }
 
-  /** Time until the runner takes requests again, in ms; 0 if it takes them. */
-  remainingMs(runnerId: string): number {
-    const {untilMs = 0} = this.backoffs.get(runnerId) ?? {};
-    return Math.max(0, untilMs - this.deps.clock.nowMs());
-  }
-
-  /** Drops the pause of a restarted runner. */
-  handleRestart(runnerId: string): void {
-    this.backoffs.delete(runnerId);
+  /**
+   * Time until the runner takes requests again, in ms; 0 if it takes them, also
+   * because it has restarted since it asked for a pause.
+   *
+   * @example backoffs.remainingMs({runnerId: 'i-1', bornMs: 0}) // 2900
+   */
+  remainingMs({runnerId, bornMs}: RunnerStart): number {
+    const backoff = this.backoffs.get(runnerId);
+    if (backoff?.bornMs !== bornMs) return 0;
+    return Math.max(0, backoff.untilMs - this.deps.clock.nowMs());
   }
 
   /** Drops pauses that are over. */
