Tell when a copy comes for models that only leaving runners hold

The holder counted the copies of leaving runners as serving, so that no entry knew when the next copy comes: callers waited until their time was over instead of being refused at once with a true time. Seen failing first (no estimate), passes with leaving runners left out.

--- a/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
@@ -69,6 +69,21 @@
   },
 };
 
+function configWithModel(name: string): FleetConfig {
+  const {services} = CONFIG;
+  const drafting = services.get('drafting')!;
+  const spec = {
+    name,
+    weightsMb: 10,
+    adapterMb: 1,
+    storeLoadMs: 300,
+    diskLoadMs: 200,
+    memoryLoadMs: 100,
+  };
+  const engine = {...drafting.engine!, models: new Map([[name, spec]])};
+  return {...CONFIG, services: new Map([['drafting', {...drafting, engine}]])};
+}
+
 const STALL_MS = 4_000;
 const AFTER_STALL_MS = 2_500;
 
@@ -253,6 +268,33 @@
     expect(output.copies.runners).toMatchObject([{models: ['m1']}]);
   });
 
+  // Guards against callers that wait for a copy which ends with its runner.
+  it('estimates the delay of a model that only leaving runners hold', async () => {
+    const clock = new VirtualClock();
+    const {bornMs, runnerId} = REGISTRATION;
+    const models = [{name: 'm1', version: 1, adapters: []}];
+    const control = {
+      report: async () => ok({...EMPTY_REPORT, bornMs, models}),
+    } as unknown as RunnerControl;
+    const {holder, view} = createHolderAndView(clock, control);
+    view.onConfig(configWithModel('m1'));
+    holder.start();
+    view.onRegistration(REGISTRATION);
+    const copiesInMs = async () => {
+      await clock.advance(DEFAULT_OPTIONS.reportIntervalMs);
+      const input = {...inputOf(OWN, LARGE), waiting: {m1: 1}};
+      const output = holder.exchange(input);
+      if (output.kind !== 'told') throw new Error('not told');
+      return output.copiesInMs;
+    };
+    await copiesInMs();
+    expect(await copiesInMs()).toEqual({});
+    view.noteLeaving({runnerId, bornMs}, 'peer');
+    const delaysMs = await copiesInMs();
+    holder.stop();
+    expect(delaysMs['m1']).toBeGreaterThan(0);
+  });
+
   it('selects an entry that has just appeared', async () => {
     // Guards against a process that joins and leaves the group repeatedly. An
     // entry that appears between two selections and is not selected would leave
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -321,11 +321,13 @@
 
   /**
    * Estimates for models that were requested recently and that no runner
-   * serves.
+   * serves. A leaving runner gets no more requests, so its copies don't count.
    */
   private estimateCopyDelays(nowMs: number): Record<string, number> {
     const delaysMs: Record<string, number> = {};
-    const controllers = [...this.controllers.values()];
+    const controllers = [...this.controllers.values()].filter(
+      ({registration: {runnerId}}) => !this.deps.view.runner(runnerId)?.leaving,
+    );
     const servedModels = new Set(
       controllers.flatMap(each => each.servingModels()),
     );
