Refuse a plain request at once if all runners are leaving

Callers of a service without models were held until their time was over, while no runner could take their request any more. Seen failing first: the answer came as no-copy-in-time at the deadline.

--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -261,9 +261,24 @@
 
   private async waitForRunner(): Promise<void> {
     const paused = this.targets.pausedState();
-    if (!paused) return this.waitForCopy();
-    if (this.endIfPaused(paused)) return;
-    await this.waitForChange(paused.forMs);
+    if (paused && this.endIfPaused(paused)) return;
+    if (paused) return this.waitForChange(paused.forMs);
+    if (this.refuseIfAllLeaving()) return;
+    await this.waitForCopy();
+  }
+
+  /**
+   * Refuses a request to a plain service whose runners are all leaving. For a
+   * model, the delay of its next copy decides.
+   */
+  private refuseIfAllLeaving(): boolean {
+    const isPlain = this.options.decoded.request.model === undefined;
+    if (!isPlain || this.relay.hasStarted || this.mayHaveRun) return false;
+    const counts = this.targets.candidateCounts();
+    if (counts.runners === 0 || counts.staying > 0) return false;
+    this.log.wait(counts);
+    this.refuse('no-place');
+    return true;
   }
 
   /**
