--- a/soak/src/__tests__/judge.test.ts
+++ b/soak/src/__tests__/judge.test.ts
@@ -35,6 +35,8 @@
     atMs: 0,
     rawHeaders: [],
     isExecuted: true,
+    runnerId: 'plain-1',
+    isLeaving: false,
     cancelled: false,
     fault,
   };
@@ -61,6 +63,36 @@
   );
 }
 
+/** Sendings to one runner, each that long after the first. */
+function sentAfter(delaysMs: readonly number[], said: object) {
+  const [run] = ran(1).get('c1')!;
+  const ids = delaysMs.map((_, i) => `sent-${i}`);
+  const calls = delaysMs.map((delayMs, i) => ({
+    ...callOf('status', {status: 200, text: 'answer of plain-1'}),
+    id: ids[i]!,
+    startedMs: delayMs,
+    endedMs: delayMs + 10,
+    seen: {
+      status: 200,
+      headers: {...SIGNED, 'request-id': ids[i]!},
+      text: 'answer of plain-1',
+      isTruncated: false,
+    },
+  }));
+  const seen: SoakRecord['seen'] = new Map(
+    delaysMs.map((delayMs, i) => [
+      ids[i]!,
+      [{...run!, ...said, requestId: ids[i]!, atMs: delayMs}],
+    ]),
+  );
+  return {calls, seen};
+}
+
+const IN_A_PAUSE = sentAfter([0, 600, 700, 800], {
+  isExecuted: false,
+  retryAfterS: 1,
+});
+
 const ORDER = {operation: 'load', model: 'm1', fencing_token: 7};
 const PROBE = {
   entry: 'entry-0',
@@ -142,6 +174,32 @@
     },
     [],
   ],
+  [
+    'a request to a runner that had said it is leaving',
+    sentAfter([0, 2_100], {isLeaving: true}),
+    ['a runner that says it is leaving is left alone'],
+  ],
+  ['the same within two seconds', sentAfter([0, 1_900], {isLeaving: true}), []],
+  [
+    'the same by an entry that was frozen',
+    {
+      ...sentAfter([0, 2_100], {isLeaving: true}),
+      faults: [
+        {kind: 'entry-pause', fromMs: 500, toMs: 2_000, entry: 'entry-0'},
+      ],
+    },
+    [],
+  ],
+  [
+    'three requests within a pause',
+    IN_A_PAUSE,
+    ['a runner has the pause that it asked for'],
+  ],
+  [
+    'two requests within a pause, and one right after it was asked for',
+    sentAfter([0, 300, 700, 800], {isExecuted: false, retryAfterS: 1}),
+    [],
+  ],
   [
     'a cut by a kill',
     {
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -56,6 +56,9 @@
 const TOPICS = ['keyed.op', 'keyed.servers'] as const;
 /** A runner serves on this long after it has said that it leaves. */
 const LEAVING_MS = 2_500;
+/** Longer than the bound within which entries have to leave it alone. */
+const SAYS_LEAVING_MS = 5_000;
+const PAUSE_S = 2;
 
 /** Begins a fault and resolves when it is over. */
 export const FAULT_HANDLERS: Record<FaultKind, FaultHandler> = {
@@ -115,6 +118,19 @@
     await pause(LEAVING_MS);
     await replaceOnce(context, place);
   },
+  // The store still calls it ready.
+  'runner-says-leaving': async (context, fault) => {
+    const place = runnerOf(context, fault);
+    place.runner.isLeaving = true;
+    await pause(SAYS_LEAVING_MS);
+    await replaceOnce(context, place);
+  },
+  'runner-asks-for-pause': async (context, fault) => {
+    const {runner} = runnerOf(context, fault);
+    runner.retryAfter = String(PAUSE_S);
+    runner.fullUntilMs = performance.now() + fault.forMs;
+    await pause(fault.forMs);
+  },
   'runner-crash': async (context, fault) => {
     await replaceOnce(context, runnerOf(context, fault));
   },
--- a/soak/src/judge.ts
+++ b/soak/src/judge.ts
@@ -4,6 +4,7 @@
   type ReceivedRequest,
 } from '@banyanfold/platform/standins';
 import {CALL_KINDS, type Call} from './callers.js';
+import {sentInPause, sentToLeaving} from './noticeRules.js';
 import type {FaultKind} from './soakPlan.js';
 import {STREAM_EVENTS} from './soakSystem.js';
 
@@ -61,6 +62,7 @@
 const RUNNER_FAULTS: ReadonlySet<FaultKind> = new Set([
   'runner-link',
   'runner-leaves',
+  'runner-says-leaving',
   'runner-crash',
 ]);
 const STORE_FAULTS: ReadonlySet<FaultKind> = new Set([
@@ -101,6 +103,7 @@
     record.calls
       .filter(call => isCutWithoutCause(call, record))
       .map(call => describe(call, record.seen)),
+  'a runner that says it is leaving is left alone': sentToLeaving,
   'what crashes runners is not sent on': record => sentOn(record),
   'one holder has a fencing token': ({orders}) => sharedTokens(orders),
   'no runner is ordered to hold more than fits': ({overfilled}) =>
@@ -112,6 +115,7 @@
 
 /** Rules with a bound in time, for machines that are not too busy for them. */
 const TIMED_RULES: Record<string, Rule> = {
+  'a runner has the pause that it asked for': sentInPause,
   'a change is in force in time': record =>
     record.probes
       .filter(probe => isLate(probe, record))
--- a/soak/src/soakPlan.ts
+++ b/soak/src/soakPlan.ts
@@ -19,7 +19,13 @@
 /** Planned by itself, so that the other faults of a seed stay what they are. */
 const STORE_RESTORE = 'store-restore';
 
-export type FaultKind = (typeof FAULT_KINDS)[number] | typeof STORE_RESTORE;
+/** What runners say of themselves in their responses; planned likewise. */
+const NOTICE_KINDS = ['runner-says-leaving', 'runner-asks-for-pause'] as const;
+
+export type FaultKind =
+  | (typeof FAULT_KINDS)[number]
+  | (typeof NOTICE_KINDS)[number]
+  | typeof STORE_RESTORE;
 
 export interface PlannedFault {
   kind: FaultKind;
@@ -75,7 +81,25 @@
     }
     atMs += draw.int(MIN_GAP_MS, MAX_GAP_MS);
   }
-  return [...faults, ...planRestores({seed, lengthMs})];
+  return [
+    ...faults,
+    ...planRestores({seed, lengthMs}),
+    ...planNotices({seed, lengthMs}),
+  ];
+}
+
+/** One notice of each kind in each half of a run. */
+function planNotices({seed, lengthMs}: SoakPlanOptions): PlannedFault[] {
+  const draw = createDraw(seed + 2);
+  return [0, lengthMs / 2].flatMap(fromMs =>
+    NOTICE_KINDS.map(kind => ({
+      kind,
+      atMs: fromMs + draw.int(MIN_GAP_MS, MAX_GAP_MS),
+      forMs: draw.int(MIN_FOR_MS, MAX_FOR_MS),
+      target: draw.int(0, MANY),
+      variant: 0,
+    })),
+  );
 }
 
 /** The store goes back by the length of the fault, twice in a run. */
