Failing test: a cap is passed when another holder takes over soon after a start

The logs show that refusals begin at 4.3 s and that the new holder then frees use of the first seconds as if it had been spread over the window before.

--- a/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
@@ -110,6 +110,29 @@
     );
   }, 120_000);
 
+  // Guards against use that a new holder takes to be older than it is.
+  it('stays within the cap when another holder takes over soon after a start', () => {
+    const spans = fc.record({
+      fromMs: fc.integer({min: 4, max: 40}),
+      forMs: fc.integer({min: 1, max: 40}),
+    });
+    fc.assert(
+      fc.property(anyLoad, spans, ({seed, ratePerSecond, ...at}, span) => {
+        const {demandRatio, ...rest} = at;
+        const fromMs = span.fromMs * 100;
+        const toMs = fromMs + span.forMs * 100;
+        const outcome = simulate(ratePerSecond, demandRatio, seed, {
+          ...rest,
+          takeover: {fromMs, toMs},
+        });
+        expect(outcome.overshoot).toBeLessThanOrEqual(
+          allowedOvershoot(ratePerSecond),
+        );
+      }),
+      {numRuns: 60, seed: 11},
+    );
+  }, 120_000);
+
   // Guards against a cap that starts anew with each process.
   it('exceeds the cap by no more than the unreported use if an entry restarts each second', () => {
     fc.assert(
--- a/packages/banyanfold-decisions/src/__tests__/simulateUsage.ts
+++ b/packages/banyanfold-decisions/src/__tests__/simulateUsage.ts
@@ -27,6 +27,11 @@
   isDisconnected?: (entry: number, nowMs: number) => boolean;
   /** Whether an entry restarts at this step. */
   restarts?: (entry: number, nowMs: number) => boolean;
+  /**
+   * The span in which no holder answers; afterwards the first entry is the
+   * holder.
+   */
+  takeover?: {fromMs: number; toMs: number};
   /** Share of the requests that go to the first entry. */
   skew?: number;
 }
@@ -52,18 +57,21 @@
 export function simulateFleet(options: FleetOptions): FleetOutcome {
   const {entries: count, limit, durationMs, random, skew = 0} = options;
   const {isDisconnected = () => false, restarts = () => false} = options;
-  const {burst, isRelayed = false} = options;
+  const {burst, isRelayed = false, takeover} = options;
   const delayedReports: Array<{atMs: number; report: UsageReport}> = [];
   const relayed: Array<{
     atMs: number;
     snapshot: FleetUsageSnapshot | undefined;
   }> = [];
-  const fleet = new FleetUsage({
-    windowMs: WINDOW_MS,
-    startMs: 0,
-    limitOf: () => limit,
-    initialUse: () => 0,
-  });
+  const startHolder = (startMs: number, initialUse: number) =>
+    new FleetUsage({
+      windowMs: WINDOW_MS,
+      startMs,
+      limitOf: () => limit,
+      initialUse: () => initialUse,
+    });
+  let fleet = startHolder(0, 0);
+  let lastLeft = limit.perWindow;
   const startEntry = (isFleetUnused: boolean): Entry => ({
     usage: new OrganisationUsage(isFleetUnused),
     asked: 0,
@@ -77,9 +85,15 @@
   const requestsPerStep =
     (options.askedPerSecond * STEP_MS) / 1_000 / options.meanTokens;
   for (let nowMs = 0; nowMs < durationMs; nowMs += STEP_MS) {
+    if (nowMs === takeover?.toMs) {
+      fleet = startHolder(nowMs, limit.perWindow - lastLeft);
+      relayed.length = 0;
+    }
+    const isSilent =
+      takeover && nowMs >= takeover.fromMs && nowMs < takeover.toMs;
     for (let i = 0; i < count; i++) {
       if (restarts(i, nowMs)) entries[i] = startEntry(false);
-      if (isDisconnected(i, nowMs)) continue;
+      if (isSilent || isDisconnected(i, nowMs)) continue;
       if ((nowMs + i * STEP_MS) % EXCHANGE_MS !== 0) continue;
       const entry = entries[i]!;
       const report: UsageReport = {
@@ -106,7 +120,9 @@
       });
       while (relayed.length > 1 && relayed[1]!.atMs <= knownMs) relayed.shift();
       const [{atMs, snapshot} = {atMs: nowMs, snapshot: undefined}] = relayed;
-      if (snapshot) entry.usage.update(snapshot, atMs, unaccounted);
+      if (!snapshot) continue;
+      entry.usage.update(snapshot, atMs, unaccounted);
+      if (i === 0) lastLeft = snapshot.left;
     }
     const factor = burst && nowMs >= burst.fromMs ? burst.factor : 1;
     let dueRequests = requestsPerStep * factor;
