Keep to a cap by when it was used while no holder tells what is left

An organisation far over its cap used more than tolerated when the holder of the first seconds froze (QUOTA; 1,743,319 tokens in 8 s, 1,483,278 allowed). Cause: entries knew how much was used, and not when. A new holder also forgot organisations that the first batches did not name.

A new holder begins with that record for all organisations at once. While nobody tells, all entries together keep to the highest rate that passes the limit in no window, by that record (silentRatePerSecond).

--- a/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
@@ -171,7 +171,11 @@
 });
 
 describe('OrganisationUsage', () => {
-  const limit = {ratePerSecond: 10_000, perWindow: 100_000};
+  const limit = {
+    ratePerSecond: 10_000,
+    perWindow: 100_000,
+    windowMs: WINDOW_MS,
+  };
   const view = {limit, nowMs: 0, random: () => 0.5};
 
   it('admits a request larger than the limit, and then refuses others', () => {
@@ -189,12 +193,17 @@
   // Guards against a caller that is refused below the cap because of its own
   // demand.
   it('admits all that is left if no other entry has demand', () => {
-    const tinyLimit = {ratePerSecond: 1e-6, perWindow: 2};
+    const tinyLimit = {
+      ratePerSecond: 1e-6,
+      perWindow: 2,
+      windowMs: WINDOW_MS,
+    };
     const fleet = new FleetUsage({
       windowMs: WINDOW_MS,
       startMs: 0,
       limitOf: () => tinyLimit,
-      initialUse: () => 0,
+      knownUse: new Map(),
+      assumedUse: () => 0,
     });
     const usage = new OrganisationUsage(true);
     const decide = (nowMs: number) =>
--- a/packages/banyanfold-decisions/src/__tests__/simulateUsage.ts
+++ b/packages/banyanfold-decisions/src/__tests__/simulateUsage.ts
@@ -5,6 +5,7 @@
 } from '../usage/organisationUsage.js';
 import type {UsageLimit} from '../usage/usageLimit.js';
 import {SlidingWindow} from '../usage/slidingWindow.js';
+import {UseHistory} from '../usage/useHistory.js';
 
 const ORGANISATION = 'claims';
 const STEP_MS = 10;
@@ -47,6 +48,7 @@
 
 interface Entry {
   usage: OrganisationUsage;
+  history: UseHistory;
   asked: number;
   used: number;
 }
@@ -63,21 +65,24 @@
     atMs: number;
     snapshot: FleetUsageSnapshot | undefined;
   }> = [];
-  const startHolder = (startMs: number, initialUse: number) =>
+  const startHolder = (startMs: number) =>
     new FleetUsage({
       windowMs: WINDOW_MS,
       startMs,
       limitOf: () => limit,
-      initialUse: () => initialUse,
+      knownUse: new Map(
+        startMs === 0 ? [] : [[ORGANISATION, entries[0]!.history.window]],
+      ),
+      assumedUse: () => 0,
     });
-  let fleet = startHolder(0, 0);
-  let lastLeft = limit.perWindow;
   const startEntry = (isFleetUnused: boolean): Entry => ({
     usage: new OrganisationUsage(isFleetUnused),
+    history: new UseHistory(WINDOW_MS, isFleetUnused),
     asked: 0,
     used: 0,
   });
   const entries = Array.from({length: count}, () => startEntry(true));
+  let fleet = startHolder(0);
   const used = new SlidingWindow(WINDOW_MS);
   let falselyRefused = 0;
   let asked = 0;
@@ -86,7 +91,7 @@
     (options.askedPerSecond * STEP_MS) / 1_000 / options.meanTokens;
   for (let nowMs = 0; nowMs < durationMs; nowMs += STEP_MS) {
     if (nowMs === takeover?.toMs) {
-      fleet = startHolder(nowMs, limit.perWindow - lastLeft);
+      fleet = startHolder(nowMs);
       relayed.length = 0;
     }
     const isSilent =
@@ -122,7 +127,7 @@
       const [{atMs, snapshot} = {atMs: nowMs, snapshot: undefined}] = relayed;
       if (!snapshot) continue;
       entry.usage.update(snapshot, atMs, unaccounted);
-      if (i === 0) lastLeft = snapshot.left;
+      entry.history.record(limit.perWindow - snapshot.left, atMs);
     }
     const factor = burst && nowMs >= burst.fromMs ? burst.factor : 1;
     let dueRequests = requestsPerStep * factor;
@@ -139,6 +144,7 @@
         limit,
         nowMs,
         random,
+        knownUse: entry.history.window,
       });
       if (decision.kind === 'admit') {
         entry.used += tokens;
--- a/packages/banyanfold-decisions/src/index.ts
+++ b/packages/banyanfold-decisions/src/index.ts
@@ -20,5 +20,6 @@
 export * from './usage/organisationUsage.js';
 export * from './usage/usageLimit.js';
 export * from './usage/slidingWindow.js';
+export * from './usage/useHistory.js';
 export * from './crashes/decideTrial.js';
 export * from './crashes/attributeCrashes.js';
--- a/packages/banyanfold-decisions/src/usage/fleetUsage.ts
+++ b/packages/banyanfold-decisions/src/usage/fleetUsage.ts
@@ -28,18 +28,22 @@
   limitOf(organisation: string): UsageLimit | undefined;
   /** Time since which all use is reported to this instance. */
   startMs: number;
-  /**
-   * Returns the use of the limit in the window before `startMs`; the whole
-   * limit if the use is unknown.
-   */
-  initialUse(organisation: string, limit: UsageLimit): number;
+  /** Use before `startMs` of the organisations of which it is known. */
+  knownUse: ReadonlyMap<string, SlidingWindow>;
+  /** Assumed use of the limit in the window before `startMs` of others. */
+  assumedUse(limit: UsageLimit): number;
 }
 
 /** Use of the caps by all entries, as counted by the lease holder. */
 export class FleetUsage {
   private readonly accounts = new Map<string, Account>();
 
-  constructor(private readonly options: FleetUsageOptions) {}
+  constructor(private readonly options: FleetUsageOptions) {
+    for (const [organisation, known] of options.knownUse) {
+      const limit = options.limitOf(organisation);
+      if (limit) this.createAccount(organisation, limit).addWindow(known);
+    }
+  }
 
   addReports(reports: readonly UsageReport[], nowMs: number): void {
     for (const {organisation, asked, used} of reports) {
@@ -74,20 +78,19 @@
   }
 
   private accountFor(name: string, limit: UsageLimit): Account {
-    let account = this.accounts.get(name);
-    if (!account) {
-      const {windowMs, startMs, initialUse} = this.options;
-      const used = new SlidingWindow(windowMs);
-      used.addEvenly(initialUse(name, limit), startMs);
-      account = {
-        used,
-        asked: new DecayingRate(SMOOTHING_MS),
-        lastAskedMs: startMs,
-        perWindow: limit.perWindow,
-      };
-      this.accounts.set(name, account);
-    }
-    return account;
+    const known = this.accounts.get(name);
+    if (known) return known;
+    const {startMs, assumedUse} = this.options;
+    this.createAccount(name, limit).addEvenly(assumedUse(limit), startMs);
+    return this.accounts.get(name)!;
+  }
+
+  private createAccount(name: string, {perWindow}: UsageLimit): SlidingWindow {
+    const {windowMs, startMs} = this.options;
+    const used = new SlidingWindow(windowMs);
+    const asked = new DecayingRate(SMOOTHING_MS);
+    this.accounts.set(name, {used, asked, lastAskedMs: startMs, perWindow});
+    return used;
   }
 }
 
--- a/packages/banyanfold-decisions/src/usage/organisationUsage.ts
+++ b/packages/banyanfold-decisions/src/usage/organisationUsage.ts
@@ -1,4 +1,6 @@
 import {DecayingRate} from './decayingRate.js';
+import {silentRatePerSecond} from './silentRatePerSecond.js';
+import type {SlidingWindow} from './slidingWindow.js';
 import type {UsageLimit} from './usageLimit.js';
 
 /** Use of a cap by all entries, as reported by the lease holder. */
@@ -17,6 +19,8 @@
   nowMs: number;
   /** Returns a uniform number in [0, 1). */
   random(): number;
+  /** Use by all entries up to the last snapshot, if that is known. */
+  knownUse?: SlidingWindow;
 }
 
 export type UsageDecision =
@@ -33,11 +37,6 @@
   freedPerSecond: 0,
   askedPerSecond: 0,
 };
-/**
- * The remaining amount of an older snapshot is spent evenly up to this age, by
- * which half of the earlier use has left the window.
- */
-const SNAPSHOT_SPEND_MS = 4_000;
 /** Time until others know of an admission: an exchange, or two via a relay. */
 const PROPAGATION_MS = 700;
 /**
@@ -76,6 +75,9 @@
   /** Amount admitted here that the snapshot does not include. */
   private unaccounted = 0;
   private perWindow = 0;
+  /** The rate since the snapshot of `atMs` has become too old. */
+  private silent:
+    {atMs: number; perWindow: number; perSecond: number} | undefined;
   /** Remaining share of the limit, if the update gave a share. */
   private leftShare: number | undefined;
 
@@ -159,9 +161,10 @@
 
   /** Amount that all entries may admit now, and the rate from now on. */
   private available(
-    {limit, nowMs}: UsageView,
+    view: UsageView,
     othersPerSecond: number,
   ): {left: number; perSecond: number} {
+    const {limit, nowMs} = view;
     const {fleet, isFleetUnused, unaccounted} = this;
     const {ratePerSecond, perWindow} = limit;
     if (!fleet && isFleetUnused) {
@@ -170,11 +173,8 @@
     if (!fleet) return {left: 0, perSecond: ratePerSecond};
     const freed = Math.min(fleet.freedPerSecond, ratePerSecond);
     const sinceMs = nowMs - fleet.atMs;
-    if (sinceMs > SNAPSHOT_SPEND_MS) return {left: 0, perSecond: ratePerSecond};
     if (sinceMs > SNAPSHOT_FRESH_MS) {
-      const spend =
-        (Math.max(0, fleet.left) * MS_PER_SECOND) / SNAPSHOT_SPEND_MS;
-      return {left: 0, perSecond: Math.min(ratePerSecond, freed + spend)};
+      return {left: 0, perSecond: this.silentRate(view, othersPerSecond)};
     }
     const change =
       ((fleet.freedPerSecond - othersPerSecond) * sinceMs) / MS_PER_SECOND;
@@ -183,4 +183,30 @@
     const left = Math.min(perWindow, Math.max(lowest, fleet.left + change));
     return {left: left - unaccounted, perSecond: freed};
   }
+
+  /** Rate at which all entries may go on while no snapshot arrives. */
+  private silentRate(
+    {limit, nowMs, knownUse}: UsageView,
+    othersPerSecond: number,
+  ): number {
+    const {atMs, left} = this.fleet!;
+    const {silent} = this;
+    // All use up to the end of the snapshot's validity has left the window.
+    const isAllExpired = nowMs - atMs > limit.windowMs + SNAPSHOT_FRESH_MS;
+    if (isAllExpired) return limit.ratePerSecond;
+    const isComputed =
+      silent?.atMs === atMs && silent.perWindow === limit.perWindow;
+    if (isComputed) return silent.perSecond;
+    const askedPerSecond = othersPerSecond + this.asked.perSecond(nowMs);
+    const spent = (askedPerSecond * SNAPSHOT_FRESH_MS) / MS_PER_SECOND;
+    const perSecond = silentRatePerSecond({
+      limit,
+      knownUse,
+      fromMs: atMs + SNAPSHOT_FRESH_MS,
+      left,
+      spent: Math.min(spent, Math.max(0, left)),
+    });
+    this.silent = {atMs, perWindow: limit.perWindow, perSecond};
+    return perSecond;
+  }
 }
--- a/packages/banyanfold-decisions/src/usage/slidingWindow.ts
+++ b/packages/banyanfold-decisions/src/usage/slidingWindow.ts
@@ -36,6 +36,17 @@
     }
   }
 
+  /** Adds the amounts of another window of the same length, slot by slot. */
+  addWindow(other: SlidingWindow): void {
+    if (!Number.isFinite(other.newestSlot)) return;
+    this.advance(other.newestSlot * this.slotMs);
+    for (let i = 0; i <= SLOTS; i++) {
+      const slot = other.newestSlot - i;
+      if (slot < this.newestSlot - SLOTS) return;
+      this.amounts[this.indexOf(slot)]! += other.amounts[other.indexOf(slot)]!;
+    }
+  }
+
   /** Multiplies all amounts added so far. */
   scale(factor: number): void {
     for (const i of this.amounts.keys()) this.amounts[i]! *= factor;
@@ -46,6 +57,18 @@
     return this.amounts.reduce((sum, amount) => sum + amount, 0);
   }
 
+  /** The part of the current amounts that has not expired at a later time. */
+  sumLeftAt(laterMs: number): number {
+    const firstSlot = Math.floor(laterMs / this.slotMs) - SLOTS;
+    let sum = 0;
+    for (let i = 0; i <= SLOTS; i++) {
+      const slot = this.newestSlot - i;
+      if (slot < firstSlot) break;
+      sum += this.amounts[this.indexOf(slot)]!;
+    }
+    return sum;
+  }
+
   /** Amount per second that expires during the next slots. */
   expiringPerSecond(nowMs: number): number {
     this.advance(nowMs);
--- a/packages/banyanfold-decisions/src/usage/usageLimit.ts
+++ b/packages/banyanfold-decisions/src/usage/usageLimit.ts
@@ -10,6 +10,7 @@
 export interface UsageLimit {
   ratePerSecond: number;
   perWindow: number;
+  windowMs: number;
 }
 
 /**
@@ -22,5 +23,5 @@
   windowMs: number,
 ): UsageLimit {
   const perWindow = (ratePerSecond * windowMs) / MS_PER_SECOND + burst;
-  return {ratePerSecond, perWindow};
+  return {ratePerSecond, perWindow, windowMs};
 }
--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -77,7 +77,7 @@
       windowMs: 8_000,
       isFirstStart: true,
       random: () => 0.5,
-      isKnown: () => true,
+      usageCapOf: () => undefined,
     }),
     suspects: new CrashSuspects(clock),
     states: new RunnerStates(clock, logger, DEFAULT_OPTIONS),
--- a/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
@@ -131,7 +131,7 @@
       windowMs: 8_000,
       isFirstStart: true,
       random: () => 0.5,
-      isKnown: () => true,
+      usageCapOf: () => undefined,
     }),
     isLeaving: () => false,
   });
--- a/packages/banyanfold-gateway/src/__tests__/usageKeeper.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/usageKeeper.test.ts
@@ -34,7 +34,7 @@
     windowMs: WINDOW_MS,
     isFirstStart,
     random: () => 0.5,
-    isKnown: () => true,
+    usageCapOf: () => CAP,
   });
   const keeper = new UsageKeeper({
     clock,
--- a/packages/banyanfold-gateway/src/callers/usageAccounts.ts
+++ b/packages/banyanfold-gateway/src/callers/usageAccounts.ts
@@ -5,6 +5,8 @@
   type UsageLimit,
   type UsageReport,
   usageLimitOf,
+  UseHistory,
+  type SlidingWindow,
 } from '@banyanfold/decisions';
 import type {Clock} from '@banyanfold/core';
 import type {InferenceRequest, Organisation, UsageCap} from '../types.js';
@@ -17,8 +19,8 @@
   /** The whole system starts for the first time, so nothing has been used. */
   isFirstStart: boolean;
   random(): number;
-  /** Whether the configuration still contains an organisation. */
-  isKnown(organisation: string): boolean;
+  /** The cap in force; undefined if there is none, or no such organisation. */
+  usageCapOf(organisation: string): UsageCap | undefined;
 }
 
 /**
@@ -52,6 +54,8 @@
   /** Also contains the counts of the entries that this one relays for. */
   readonly meter = new UsageMeter();
   private readonly accounts = new Map<string, Account>();
+  /** Use by all entries, of the organisations with use in the last window. */
+  private readonly histories = new Map<string, UseHistory>();
   private fleetUsage: FleetUsageState | undefined;
 
   constructor(private readonly options: UsageAccountsOptions) {}
@@ -65,12 +69,22 @@
     return this.options.windowMs;
   }
 
-  /** Amount left by the last update; undefined before the first one. */
-  leftOf(organisation: string, {perWindow}: UsageLimit): number | undefined {
-    const {fleetUsage} = this;
-    if (!fleetUsage) return this.options.isFirstStart ? perWindow : undefined;
-    const left = fleetUsage.usage[organisation]?.left;
-    return left ?? perWindow * fleetUsage.unlistedShare;
+  /** Use by all entries, as far as this entry has heard of it. */
+  knownUse(): Map<string, SlidingWindow> {
+    return new Map(
+      [...this.histories].map(([name, {window}]) => [name, window]),
+    );
+  }
+
+  /**
+   * Share of its limit that an organisation of which no use is known is assumed
+   * to have used; all of it before the first update, unless the whole system
+   * has just started.
+   */
+  get assumedUseShare(): number {
+    const {fleetUsage, options} = this;
+    if (fleetUsage) return 1 - fleetUsage.unlistedShare;
+    return options.isFirstStart ? 0 : 1;
   }
 
   /** Selects the organisations that may soon have used up their limit. */
@@ -102,6 +116,7 @@
       limit: this.limitOf(cap),
       nowMs: clock.nowMs(),
       random,
+      knownUse: this.histories.get(name)?.window,
     });
     const used = decision.kind === 'admit' ? amount : 0;
     account.unreported += used;
@@ -120,7 +135,7 @@
   /** Takes the reports for the next exchange with the holder. */
   takeReports(): UsageReport[] {
     for (const [name, account] of this.accounts) {
-      if (!this.options.isKnown(name)) this.accounts.delete(name);
+      if (!this.options.usageCapOf(name)) this.accounts.delete(name);
       account.reported = account.unreported;
       account.unreported = 0;
       account.usage.markReported(this.options.clock.nowMs());
@@ -149,6 +164,7 @@
     isRelayed: boolean,
   ): void {
     const atMs = this.options.clock.nowMs() - ageMs;
+    this.recordHistories(usage, atMs);
     this.fleetUsage = {usage, atMs, unlistedShare};
     for (const [name, account] of this.accounts) {
       const {unreported, reported} = account;
@@ -160,6 +176,25 @@
     }
   }
 
+  private recordHistories(
+    usage: Readonly<Record<string, FleetUsageSnapshot>>,
+    atMs: number,
+  ): void {
+    const isFirst = this.fleetUsage === undefined;
+    const isUnused = !isFirst || this.options.isFirstStart;
+    for (const [name, {left}] of Object.entries(usage)) {
+      const cap = this.options.usageCapOf(name);
+      if (!cap) continue;
+      const history =
+        this.histories.get(name) ?? new UseHistory(this.windowMs, isUnused);
+      history.record(this.limitOf(cap).perWindow - left, atMs);
+      this.histories.set(name, history);
+    }
+    for (const [name, {window}] of this.histories) {
+      if (window.sum(atMs) === 0) this.histories.delete(name);
+    }
+  }
+
   private applyToAccount(
     name: string,
     {usage}: Account,
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -148,7 +148,7 @@
       windowMs: settings.bounds.usageWindowMs,
       isFirstStart: settings.isFirstStart,
       random,
-      isKnown: name => this.view.organisations?.findByName(name) !== undefined,
+      usageCapOf: name => this.view.organisations?.findByName(name)?.usageCap,
     });
     const suspects = new CrashSuspects(clock);
     const crashLedger = new CrashLedger({
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -219,12 +219,13 @@
   /** Starts from the amounts that this process last received as an entry. */
   private createFleetUsage(sinceMs: number): FleetUsage {
     const {usage} = this.deps;
+    const assumedShare = usage.assumedUseShare;
     return new FleetUsage({
       windowMs: usage.windowMs,
       startMs: sinceMs,
       limitOf: name => this.limitOf(name),
-      initialUse: (name, limit) =>
-        Math.max(0, limit.perWindow - (usage.leftOf(name, limit) ?? 0)),
+      knownUse: usage.knownUse(),
+      assumedUse: ({perWindow}) => perWindow * assumedShare,
     });
   }
 
