Name a true time to return to callers over a usage cap

The time is now that in which the cap frees what the request needs, or what is asked for above the limit until all entries have heard of it, whichever is longer, and 0.3 s at least, as of other refusals. The header of each refusal is guarded where it is written: not below 0.3 s, not over an hour, no NaN.

A demand of four times the rate is told 2.0 s, -0.05 s before.

--- a/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {FleetUsage} from '../usage/fleetUsage.js';
+import {MIN_RETRY_AFTER_MS} from '../options.js';
 import {OrganisationUsage} from '../usage/organisationUsage.js';
 import {usageLimitOf} from '../usage/usageLimit.js';
 import {SlidingWindow} from '../usage/slidingWindow.js';
@@ -190,6 +191,52 @@
     });
   });
 
+  // Guards against telling callers to return at once, or before now.
+  it('names a time in which the cap frees what is contended for', () => {
+    const state = fc.record({
+      amount: fc.integer({min: 1, max: 200_000}),
+      left: fc.integer({min: -200_000, max: 100_000}),
+      freedPerSecond: fc.integer({min: 0, max: 20_000}),
+      askedPerSecond: fc.integer({min: 0, max: 400_000}),
+      ageMs: fc.integer({min: 0, max: 20_000}),
+    });
+    let refusals = 0;
+    fc.assert(
+      fc.property(state, ({amount, ageMs, ...snapshot}) => {
+        const usage = new OrganisationUsage(false);
+        usage.update(snapshot, 0, 0);
+        const decision = usage.decide(amount, {
+          limit,
+          nowMs: ageMs,
+          random: () => 0.999,
+        });
+        if (decision.kind === 'admit') return;
+        refusals += 1;
+        const missingMs =
+          ((amount - decision.left) * 1_000) / limit.ratePerSecond;
+        expect(decision.retryAfterMs).toBeGreaterThanOrEqual(
+          Math.max(missingMs, MIN_RETRY_AFTER_MS),
+        );
+        expect(Number.isFinite(decision.retryAfterMs)).toBe(true);
+      }),
+      {numRuns: 500, seed: 12},
+    );
+    expect(refusals).toBeGreaterThan(100);
+  });
+
+  it('names a longer time the more is asked for', () => {
+    const retryAfterMsAt = (askedPerSecond: number) => {
+      const usage = new OrganisationUsage(false);
+      const snapshot = {left: 1_000, freedPerSecond: 10_000, askedPerSecond};
+      usage.update(snapshot, 0, 0);
+      const decision = usage.decide(500, {...view, random: () => 0.999});
+      return decision.kind === 'refuse' ? decision.retryAfterMs : 0;
+    };
+    // 0.7 s of demand less what is left, freed at 10,000 a second.
+    expect(retryAfterMsAt(40_000)).toBeCloseTo(2_000);
+    expect(retryAfterMsAt(80_000)).toBeCloseTo(4_800);
+  });
+
   // Guards against a caller that is refused below the cap because of its own
   // demand.
   it('admits all that is left if no other entry has demand', () => {
--- a/packages/banyanfold-decisions/src/decideSend.ts
+++ b/packages/banyanfold-decisions/src/decideSend.ts
@@ -1,3 +1,5 @@
+import {MIN_RETRY_AFTER_MS} from './options.js';
+
 /** State of a runner's queue, and the time that a request has left. */
 export interface SendView {
   /** Work of all entries at the runner that is at least as urgent. */
@@ -36,7 +38,7 @@
   minQueuedWork: 20,
   maxWaitShare: 0.7,
   runDurationMs: 2_000,
-  minRetryAfterMs: 300,
+  minRetryAfterMs: MIN_RETRY_AFTER_MS,
   maxRetryAfterShare: 0.3,
 };
 
--- a/packages/banyanfold-decisions/src/decideWait.ts
+++ b/packages/banyanfold-decisions/src/decideWait.ts
@@ -1,3 +1,5 @@
+import {MIN_RETRY_AFTER_MS} from './options.js';
+
 /** A request that waits for a copy of its model. */
 export interface WaitView {
   /** Time until the caller disconnects. */
@@ -18,7 +20,7 @@
 
 export const DEFAULT_WAIT_OPTIONS: WaitOptions = {
   firstTokenMs: 100,
-  minRetryAfterMs: 300,
+  minRetryAfterMs: MIN_RETRY_AFTER_MS,
   maxRetryAfterShare: 0.33,
 };
 
--- a/packages/banyanfold-decisions/src/options.ts
+++ b/packages/banyanfold-decisions/src/options.ts
@@ -1,5 +1,8 @@
 import {z} from 'zod';
 
+/** Shortest retry delay in ms; runners' state rarely changes in less time. */
+export const MIN_RETRY_AFTER_MS = 300;
+
 const shareSchema = z.number().min(0).max(1);
 const durationMsSchema = z.number().nonnegative();
 
--- a/packages/banyanfold-decisions/src/usage/organisationUsage.ts
+++ b/packages/banyanfold-decisions/src/usage/organisationUsage.ts
@@ -1,3 +1,4 @@
+import {MIN_RETRY_AFTER_MS} from '../options.js';
 import {DecayingRate} from './decayingRate.js';
 import {silentRatePerSecond} from './silentRatePerSecond.js';
 import type {SlidingWindow} from './slidingWindow.js';
@@ -26,7 +27,10 @@
 export type UsageDecision =
   /** @property left remaining amount, as far as this entry knows. */
   | {kind: 'admit'; left: number}
-  /** @property retryAfterMs time until enough is left for the request. */
+  /**
+   * @property retryAfterMs time until the cap has freed what the request needs,
+   *   and what is asked for at once above the limit.
+   */
   | {kind: 'refuse'; left: number; retryAfterMs: number};
 
 const SMOOTHING_MS = 500;
@@ -100,8 +104,12 @@
       this.unaccounted += amount;
       return {kind: 'admit', left};
     }
-    const missing = amount - left;
-    const retryAfterMs = (missing * MS_PER_SECOND) / limit.ratePerSecond;
+    // Callers that return at once contend with all others that do.
+    const knownAsked = this.fleet?.askedPerSecond ?? 0;
+    const contended = (knownAsked - perSecond) * propagationSeconds - left;
+    const missing = Math.max(amount - left, contended);
+    const missingMs = (missing * MS_PER_SECOND) / limit.ratePerSecond;
+    const retryAfterMs = Math.max(missingMs, MIN_RETRY_AFTER_MS);
     return {kind: 'refuse', left, retryAfterMs};
   }
 
--- a/packages/banyanfold-gateway/src/__tests__/retryAfter.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/retryAfter.test.ts
@@ -1,8 +1,10 @@
+import {MIN_RETRY_AFTER_MS} from '@banyanfold/decisions';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {
   chooseRetryAfterMs,
-  MIN_RETRY_AFTER_MS,
+  formatRetryAfter,
+  retryAfterPauseMs,
 } from '../requests/retryAfter.js';
 
 describe('chooseRetryAfterMs', () => {
@@ -33,3 +35,24 @@
     expect(chooseRetryAfterMs(12_000, () => 1)).toBeCloseTo(early * 2);
   });
 });
+
+describe('retryAfterPauseMs', () => {
+  it('is never shorter than the pause', () => {
+    expect(retryAfterPauseMs(3_000, () => 0)).toBe(3_000);
+    expect(retryAfterPauseMs(3_000, () => 1)).toBe(3_300);
+    expect(retryAfterPauseMs(10, () => 0)).toBe(MIN_RETRY_AFTER_MS);
+  });
+});
+
+describe('formatRetryAfter', () => {
+  // Guards against a time before now on any way to a refusal.
+  it.each([
+    [2_870, '2.87'],
+    [-1_830, '0.30'],
+    [0, '0.30'],
+    [NaN, '0.30'],
+    [Infinity, '3600.00'],
+  ])('formats %d ms as %s s', (retryAfterMs, expected) => {
+    expect(formatRetryAfter(retryAfterMs)).toBe(expected);
+  });
+});
--- a/packages/banyanfold-gateway/src/requests/errorResponse.ts
+++ b/packages/banyanfold-gateway/src/requests/errorResponse.ts
@@ -1,6 +1,5 @@
 import type {ServerResponse} from 'node:http';
-
-const MS_PER_SECOND = 1000;
+import {formatRetryAfter} from './retryAfter.js';
 
 /** Status codes of the gateway's own responses, and what each guarantees. */
 export const ERROR_STATUS = {
@@ -37,7 +36,7 @@
     'content-length': Buffer.byteLength(body),
   };
   if (retryAfterMs !== undefined) {
-    headers['retry-after'] = (retryAfterMs / MS_PER_SECOND).toFixed(2);
+    headers['retry-after'] = formatRetryAfter(retryAfterMs);
   }
   if (closeConnection) headers['connection'] = 'close';
   response.writeHead(status, headers);
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {priorityWeight} from '@banyanfold/decisions';
+import {MIN_RETRY_AFTER_MS, priorityWeight} from '@banyanfold/decisions';
 import type {Timer} from '@banyanfold/core';
 import type {GatewayContext} from '../context.js';
 import {adapterKey} from '../runners/heldCopies.js';
@@ -20,11 +20,7 @@
 import {pickService} from './pickService.js';
 import {fingerprintOf} from './requestFingerprint.js';
 import {SuspectStatus} from './suspectStatus.js';
-import {
-  chooseRetryAfterMs,
-  MIN_RETRY_AFTER_MS,
-  retryAfterPauseMs,
-} from './retryAfter.js';
+import {chooseRetryAfterMs, retryAfterPauseMs} from './retryAfter.js';
 import {RequestLog, type AttemptCounts} from './requestLog.js';
 import {TargetChooser, type PausedState, type Target} from './targetChooser.js';
 import {UsageCharge} from './usageCharge.js';
--- a/packages/banyanfold-gateway/src/requests/retryAfter.ts
+++ b/packages/banyanfold-gateway/src/requests/retryAfter.ts
@@ -1,5 +1,8 @@
-/** Shortest retry delay in ms; runners' state rarely changes in less time. */
-export const MIN_RETRY_AFTER_MS = 300;
+import {MIN_RETRY_AFTER_MS} from '@banyanfold/decisions';
+
+/** No refusal is known to last longer than a quarantine. */
+const MAX_RETRY_AFTER_MS = 3_600_000;
+const MS_PER_SECOND = 1000;
 /** Time over which callers return that were refused during one pause. */
 const RETRY_SPREAD_MS = 300;
 /** Callers accept a retry delay of up to a third of their remaining time. */
@@ -41,3 +44,17 @@
   const delayMs = Math.max(pauseMs, MIN_RETRY_AFTER_MS);
   return delayMs + random() * RETRY_SPREAD_MS;
 }
+
+/**
+ * Formats a retry delay for the header of a response, in seconds. A delay that
+ * no refusal can mean is replaced by the nearest one that is possible, because
+ * a caller that is told to return before now returns at once.
+ *
+ * @example formatRetryAfter(2_870) // '2.87'
+ */
+export function formatRetryAfter(retryAfterMs: number): string {
+  const knownMs = Number.isNaN(retryAfterMs) ? 0 : retryAfterMs;
+  const atLeastMs = Math.max(knownMs, MIN_RETRY_AFTER_MS);
+  const delayMs = Math.min(atLeastMs, MAX_RETRY_AFTER_MS);
+  return (delayMs / MS_PER_SECOND).toFixed(2);
+}
