Ask what is left of a cap before judging by knowledge from before a freeze

If the last word of the holder is over 1.5 s old, a capped request waits up to 150 ms for the next one, which follows a stall within an exchange; it is then judged by that, so that the sum over all entries stays as it is, however many entries were frozen together. If none comes, later requests don't wait until there was one.

--- a/packages/banyanfold-gateway/src/callers/usageAccounts.ts
+++ b/packages/banyanfold-gateway/src/callers/usageAccounts.ts
@@ -29,6 +29,10 @@
  * have used up the rest, so this share is what it is assumed to have left.
  */
 const NEAR_LIMIT_SHARE = 0.4;
+/** What the holder reported is valid as it is up to this age. */
+const FRESH_MS = 1_500;
+/** Time for an exchange with the holder, which follows each stall at once. */
+const MAX_UPDATE_WAIT_MS = 150;
 /** An organisation that the holder doesn't report has used nothing lately. */
 const UNUSED_LEFT_SHARE = 1;
 
@@ -57,6 +61,9 @@
   /** Use by all entries, of the organisations with use in the last window. */
   private readonly histories = new Map<string, UseHistory>();
   private fleetUsage: FleetUsageState | undefined;
+  private readonly updateListeners = new Set<() => void>();
+  /** No update arrived within the wait since the last one. */
+  private isUpdateOverdue = false;
 
   constructor(private readonly options: UsageAccountsOptions) {}
 
@@ -108,6 +115,29 @@
     this.applySnapshot(usage, ageMs, NEAR_LIMIT_SHARE, false);
   }
 
+  /**
+   * Waits for the next update if the last one is old. A process that was frozen
+   * is told within an exchange what is left; by what it knew before, callers
+   * below the cap would be refused when all requests of the freeze are read at
+   * once. If the holder is silent, only the first requests wait.
+   */
+  async untilFresh(): Promise<void> {
+    const {fleetUsageAgeMs = 0, isUpdateOverdue, updateListeners} = this;
+    if (fleetUsageAgeMs <= FRESH_MS || isUpdateOverdue) return;
+    await new Promise<void>(resolve => {
+      const finish = () => {
+        timer.cancel();
+        updateListeners.delete(finish);
+        resolve();
+      };
+      const timer = this.options.clock.setTimer(MAX_UPDATE_WAIT_MS, () => {
+        this.isUpdateOverdue = true;
+        finish();
+      });
+      updateListeners.add(finish);
+    });
+  }
+
   /** @example accounts.decide(organisation, cap, 9_190).kind // 'admit' */
   decide({name}: Organisation, cap: UsageCap, amount: number): UsageDecision {
     const {clock, random} = this.options;
@@ -166,6 +196,7 @@
     const atMs = this.options.clock.nowMs() - ageMs;
     this.recordHistories(usage, atMs);
     this.fleetUsage = {usage, atMs, unlistedShare};
+    this.isUpdateOverdue = false;
     for (const [name, account] of this.accounts) {
       const {unreported, reported} = account;
       this.applyToAccount(
@@ -174,6 +205,7 @@
         unreported + (isRelayed ? reported : 0),
       );
     }
+    for (const notify of this.updateListeners) notify();
   }
 
   private recordHistories(
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -189,7 +189,7 @@
     // Before the demand is counted: it must not trigger loads of copies for
     // requests that are not run.
     if (this.suspect.verdict === 'quarantined') return this.endQuarantined();
-    if (this.refuseIfOverCap()) return;
+    if (await this.refuseIfOverCap()) return;
     if (model !== undefined) {
       const {lowestPriority: leastUrgent} = context.view;
       const urgency = priorityWeight(this.options.route.priority, leastUrgent);
@@ -322,8 +322,13 @@
   }
 
   /** Refuses a request that exceeds the usage cap of its organisation. */
-  private refuseIfOverCap(): boolean {
-    const retryAfterMs = this.usageCharge.charge();
+  private async refuseIfOverCap(): Promise<boolean> {
+    const retryAfterMs = await this.usageCharge.charge();
+    if (this.isFinished) {
+      // The caller left while the charge waited.
+      this.usageCharge.refund();
+      return true;
+    }
     if (retryAfterMs === undefined) return false;
     this.respond(ERROR_STATUS.overCap, 'usage-cap', retryAfterMs);
     return true;
--- a/packages/banyanfold-gateway/src/requests/usageCharge.ts
+++ b/packages/banyanfold-gateway/src/requests/usageCharge.ts
@@ -22,10 +22,11 @@
    *
    * @returns the retry delay in ms if the request exceeds the cap.
    */
-  charge(): number | undefined {
+  async charge(): Promise<number | undefined> {
     const {context, request, organisation, log} = this.options;
     const cap = organisation?.usageCap;
     if (!cap) return undefined;
+    await context.usage.untilFresh();
     const amount = usageOf(request, cap);
     const decision = context.usage.decide(organisation, cap, amount);
     const {name} = organisation;
