Count a crash once for two requests of one fingerprint

Two requests alike at a runner that crashed made their fingerprint a suspect after one crash: its callers waited for a trial. Seen failing first, with two in one report and with the same crash reported twice. The holder's ledger counts crashes by their ids and is not concerned.

--- a/packages/banyanfold-gateway/src/__tests__/crashSuspects.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/crashSuspects.test.ts
@@ -39,6 +39,13 @@
     expect(suspects.verdictOf('a')).toBeUndefined();
   });
 
+  // Guards against a request that is a suspect after a single crash.
+  it('counts a crash under two requests of one fingerprint once', () => {
+    suspects.noteCrash({crashId: 'l1', fingerprints: ['a', 'a']});
+    suspects.noteCrash({crashId: 'l1', fingerprints: ['a']});
+    expect(suspects.verdictOf('a')).toBeUndefined();
+  });
+
   it('uses the last list while no holder is reachable', async () => {
     suspects.applyList(suspectList(1, 'a!', 'b'));
     await clock.advance(30_000);
--- a/packages/banyanfold-gateway/src/crashes/crashSuspects.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashSuspects.ts
@@ -95,6 +95,7 @@
     const atMs = this.clock.nowMs();
     for (const fingerprint of fingerprints) {
       const crashes = this.localCrashes.get(fingerprint) ?? [];
+      if (crashes.some(known => known.crashId === crashId)) continue;
       crashes.push({crashId, atMs});
       this.localCrashes.delete(fingerprint);
       this.localCrashes.set(fingerprint, crashes);
