Keep the newer time of a quarantine that is set during a write

A request that was quarantined again while its record was being written kept the older time in the store: after a restart of all processes it would run again early. Seen failing first: the newer time was never written.

--- a/packages/banyanfold-gateway/src/__tests__/quarantineKeeper.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/quarantineKeeper.test.ts
@@ -1,6 +1,6 @@
 import {BanyanfoldError, MemoryLogger, VirtualClock} from '@banyanfold/core';
 import {err, ok} from 'neverthrow';
-import {beforeEach, describe, expect, it} from 'vitest';
+import {beforeEach, describe, expect, it, vi} from 'vitest';
 import {QUARANTINE_MS} from '../crashes/crashLedger.js';
 import {CrashSuspects} from '../crashes/crashSuspects.js';
 import {QuarantineKeeper} from '../crashes/quarantineKeeper.js';
@@ -89,6 +89,26 @@
     keeper.stop();
   });
 
+  // Guards against a quarantine that ends early after a restart of everything.
+  it('writes a newer time that was set during a write', async () => {
+    const {keeper} = startKeeper();
+    await clock.advance(1_000);
+    let finishWrite = () => {};
+    vi.spyOn(store, 'update').mockImplementationOnce(async () => {
+      await new Promise<void>(resolve => (finishWrite = resolve));
+      return ok();
+    });
+    keeper.add('a');
+    await clock.advance(1_000);
+    const newerMs = clock.wallMs();
+    keeper.add('a');
+    finishWrite();
+    await clock.advance(1_000);
+    expect(stored.get('a')).toBe(newerMs);
+    keeper.stop();
+    vi.restoreAllMocks();
+  });
+
   // Otherwise a request would run again after the store has lost its record.
   it('rewrites its records after the store lost recent writes', async () => {
     const {keeper} = startKeeper();
--- a/packages/banyanfold-gateway/src/crashes/quarantineKeeper.ts
+++ b/packages/banyanfold-gateway/src/crashes/quarantineKeeper.ts
@@ -123,6 +123,8 @@
     this.hasFailed = false;
     for (const {fingerprint, atMs} of added) {
       this.records.set(fingerprint, atMs);
+      // It may have been quarantined again while the write was under way.
+      if (this.unsaved.get(fingerprint) !== atMs) continue;
       this.unsaved.delete(fingerprint);
     }
     for (const fingerprint of dropped) this.records.delete(fingerprint);
