Count the bytes of retained stream frames, not their characters

The buffer of a stream for its resume compared UTF-16 units with a limit in bytes: text of three bytes a character took up to three times the memory. Seen failing first: of four frames with 150 bytes of text each none was dropped at a limit of 400 bytes.

--- a/packages/banyanfold-agent/src/attempts/streamBuffer.ts
+++ b/packages/banyanfold-agent/src/attempts/streamBuffer.ts
@@ -5,6 +5,7 @@
 interface Frame {
   seq: number;
   text: string;
+  bytes: number;
 }
 
 /** Options of a `StreamBuffer`. */
@@ -68,14 +69,15 @@
 
   append(seq: number, data: string): void {
     const text = `id: ${this.options.attemptId}/${seq}\ndata: ${data}\n\n`;
-    this.frames.push({seq, text});
-    this.retainedBytes += text.length;
+    const bytes = Buffer.byteLength(text);
+    this.frames.push({seq, text, bytes});
+    this.retainedBytes += bytes;
     if (seq > this.readerLastSeq) this.tracker.current?.write(text);
     while (
       this.retainedBytes > this.options.maxBytes &&
       this.frames.length > 1
     ) {
-      this.retainedBytes -= this.frames.shift()!.text.length;
+      this.retainedBytes -= this.frames.shift()!.bytes;
     }
   }
 
