--- a/packages/banyanfold-decisions/src/usage/organisationUsage.ts
+++ b/packages/banyanfold-decisions/src/usage/organisationUsage.ts
@@ -35,7 +35,7 @@
 
 const SMOOTHING_MS = 500;
 /** A snapshot is valid as it is up to this age. */
-const SNAPSHOT_FRESH_MS = 1_500;
+export const SNAPSHOT_FRESH_MS = 1_500;
 const NO_USAGE: FleetUsageSnapshot = {
   left: 0,
   freedPerSecond: 0,
--- a/packages/banyanfold-gateway/src/callers/usageAccounts.ts
+++ b/packages/banyanfold-gateway/src/callers/usageAccounts.ts
@@ -1,5 +1,6 @@
 import {
   OrganisationUsage,
+  SNAPSHOT_FRESH_MS,
   type FleetUsageSnapshot,
   type UsageDecision,
   type UsageLimit,
@@ -29,8 +30,6 @@
  * have used up the rest, so this share is what it is assumed to have left.
  */
 const NEAR_LIMIT_SHARE = 0.4;
-/** What the holder reported is valid as it is up to this age. */
-const FRESH_MS = 1_500;
 /** Time for an exchange with the holder, which follows each stall at once. */
 const MAX_UPDATE_WAIT_MS = 150;
 /** An organisation that the holder doesn't report has used nothing lately. */
@@ -123,7 +122,7 @@
    */
   async untilFresh(): Promise<void> {
     const {fleetUsageAgeMs = 0, isUpdateOverdue, updateListeners} = this;
-    if (fleetUsageAgeMs <= FRESH_MS || isUpdateOverdue) return;
+    if (fleetUsageAgeMs <= SNAPSHOT_FRESH_MS || isUpdateOverdue) return;
     await new Promise<void>(resolve => {
       const finish = () => {
         timer.cancel();
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -279,8 +279,8 @@
 
   /**
    * Ends the request if the runners that could take it are paused for longer
-   * than it can wait. A request that may have run waits, because a 503 promises
-   * that it has not.
+   * than it can wait. A request that may have run waits up to its deadline,
+   * because a 503 promises that it has not run.
    */
   private endIfPaused({reason, forMs}: PausedState): boolean {
     const {context} = this.options;
--- a/soak/src/noticeRules.ts
+++ b/soak/src/noticeRules.ts
@@ -89,7 +89,7 @@
     );
 }
 
-/** Links of runners were struck, so that a rejection may come late. */
+/** The link of any runner was disturbed, so a rejection may arrive late. */
 function isCutOff(
   fromMs: number,
   toMs: number,
