Count a service's call down when its attempt throws

An error inside the agent left the call counted as open: after as many as calls are allowed at once, all calls of services were refused for good. Seen failing first with two errors at a limit of two.

--- a/packages/banyanfold-agent/src/attempts/attemptServer.ts
+++ b/packages/banyanfold-agent/src/attempts/attemptServer.ts
@@ -170,14 +170,17 @@
     }
     registry.dispatch(headers.attemptId);
     this.serviceCalls++;
-    await runServiceAttempt(this.context, this.serviceDispatcher, {
-      url,
-      headers,
-      incoming: req.headers,
-      body,
-      res,
-    });
-    this.serviceCalls--;
+    try {
+      await runServiceAttempt(this.context, this.serviceDispatcher, {
+        url,
+        headers,
+        incoming: req.headers,
+        body,
+        res,
+      });
+    } finally {
+      this.serviceCalls--;
+    }
   }
 
   private requiredKvBytes(headers: AttemptHeaders): number {
