--- a/packages/banyanfold-agent/src/__tests__/serviceCallCount.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/attemptServer.test.ts
@@ -15,7 +15,10 @@
 
 const MAX_CALLS = 2;
 
+let logger: MemoryLogger;
+
 function createServer(): AttemptServer {
+  logger = new MemoryLogger();
   const registry = {
     isSealed: () => false,
     begin: () => 'new',
@@ -34,7 +37,7 @@
     },
     isOwnIncarnation: () => true,
     isLeaving: () => false,
-    logger: new MemoryLogger(),
+    logger,
     metrics: new Metrics(),
     loadHeader: () => '',
   };
@@ -44,14 +47,17 @@
   );
 }
 
-function callDesk(server: AttemptServer): Promise<void> {
-  const request = Object.assign(Readable.from([Buffer.from('{}')]), {
+function callDesk(
+  server: AttemptServer,
+  {body = '{}', complete = true} = {},
+): Promise<void> {
+  const request = Object.assign(Readable.from([Buffer.from(body)]), {
     headers: {
       [HEADERS.attemptId]: 'a1',
       [HEADERS.requestId]: 'r1',
       [HEADERS.incarnation]: '1',
     },
-    complete: true,
+    complete,
   });
   const response = {on: () => {}, writeHead: () => {}, end: () => {}};
   return server.handle(
@@ -73,4 +79,13 @@
     await callDesk(server);
     expect(runServiceAttempt).toHaveBeenCalledTimes(1);
   });
+
+  // Guards against an operator who looks for a large body that there was not.
+  it.each([
+    ['broke off', {complete: false}, 'bad-request'],
+    ['is too large', {body: 'x'.repeat(101)}, 'body-too-large'],
+  ])('names the reason if a body %s', async (_what, request, code) => {
+    await callDesk(createServer(), request);
+    expect(logger.lines.join()).toContain(`code=${code}`);
+  });
 });
--- a/packages/banyanfold-agent/src/attempts/attemptServer.ts
+++ b/packages/banyanfold-agent/src/attempts/attemptServer.ts
@@ -7,7 +7,7 @@
 } from './attemptHeaders.js';
 import type {AttemptContext} from './attemptContext.js';
 import {ModelAttempt} from './modelAttempt.js';
-import {readBody} from '../http/readBody.js';
+import {readBody, type BodyError} from '../http/readBody.js';
 import {sendRefusal, type Refusal, type RefusalCode} from './refusal.js';
 import {runServiceAttempt, serviceUrl} from './serviceAttempt.js';
 import {parseJsonObject} from './wholeResponse.js';
@@ -17,6 +17,11 @@
 const LEAVING_RETRY_AFTER_MS = 250;
 const NOT_HELD_RETRY_AFTER_MS = 1_000;
 
+const BODY_REFUSALS: Record<BodyError, Refusal> = {
+  'too-large': notRun('body-too-large', 'the body is too large'),
+  incomplete: notRun('bad-request', 'the body broke off'),
+};
+
 interface Attempt {
   path: string;
   headers: AttemptHeaders;
@@ -56,13 +61,13 @@
     const body = await readBody(req, this.context.settings.maxBodyBytes);
     // It may have been sealed or disconnected while its body was received.
     if (!this.context.registry.isWaiting(headers.attemptId)) return;
-    if (body === undefined) {
-      this.reject(attempt, notRun('body-too-large', 'the body is too large'));
+    if (body.isErr()) {
+      this.reject(attempt, BODY_REFUSALS[body.error]);
       return;
     }
     const service = parseServicePath(path);
-    if (service) await this.callService(attempt, service, body);
-    else this.enqueue(attempt, body);
+    if (service) await this.callService(attempt, service, body.value);
+    else this.enqueue(attempt, body.value);
   }
 
   /** Applies the checks in order; registers the attempt if all others pass. */
