--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -95,6 +95,7 @@
     configVersion: () => 1,
     onNewerConfig: () => {},
     onConfigCurrent: atMs => confirmedAtMs.push(atMs),
+    onRunnersCurrent: () => {},
     runnersChange: () => 0,
     onRunnersChange: () => {},
     random: () => 0.5,
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -233,6 +233,7 @@
       onNewerConfig,
       runnersChange: () => deps.fleet.runnersChange,
       onConfigCurrent: atMs => this.view.onConfigCurrent(atMs),
+      onRunnersCurrent: atMs => this.view.onRunnersCurrent(atMs),
       onRunnersChange: position => deps.fleet.refreshRunners(position),
       random,
       onEntryCount: count => {
@@ -335,6 +336,7 @@
       onConfigCurrent: () => this.view.onConfigCurrent(),
       onRegistration: registration => this.view.onRegistration(registration),
       onRemoval: runnerId => this.view.onRemoval(runnerId),
+      onRunnersCurrent: atMs => this.view.onRunnersCurrent(atMs),
       onCaughtUp: () => this.view.onCaughtUp(),
       isRelayed: () => this.holderLink.isRelayed,
     });
@@ -443,6 +445,9 @@
       Math.round(this.view.configAgeMs ?? ageMs(0)),
     );
     metrics.gauge('runners_heard_age_ms', () => ageMs(this.view.runnersReadMs));
+    metrics.gauge('runners_confirmed_age_ms', () =>
+      Math.round(this.view.runnersAgeMs ?? ageMs(0)),
+    );
     metrics.gauge('runners_known', () => [...this.view.allRunners()].length);
     metrics.gauge('open_requests', () => this.callerServer.openRequests);
     metrics.gauge('runner_connections_opened', () => {
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -52,6 +52,8 @@
   /** Called with a time at which the configuration here was current. */
   onConfigCurrent(atMs: number): void;
   runnersChange(): number;
+  /** Called with a time up to which this process knows the runners. */
+  onRunnersCurrent(atMs: number): void;
   /** Called when a peer has read the runners up to this change. */
   onRunnersChange(runnersChange: number): void;
   random(): number;
@@ -82,6 +84,7 @@
   private readonly clients: PeerClients;
   private readonly pendingDemand: PendingDemand;
   private timer: Timer | undefined;
+  private wasRelayed = false;
   private wasHolderReachable = true;
   private knownCopies: KnownRevision | undefined;
   private lastState: {atMs: number; readAgeMs: number} | undefined;
@@ -232,10 +235,24 @@
     this.timer = undefined;
     this.lastExchangeMs = clock.nowMs();
     await this.exchange();
+    this.logIfRelayChanged();
     this.checkLease();
     this.schedule(options.exchangeIntervalMs);
   }
 
+  /** Logs whether this process relies on the holder or reads the store itself. */
+  private logIfRelayChanged(): void {
+    const {isRelayed, lastState} = this;
+    if (isRelayed === this.wasRelayed) return;
+    this.wasRelayed = isRelayed;
+    const {clock, logger} = this.deps;
+    logger.info('fleet-source', {
+      source: isRelayed ? 'holder' : 'store',
+      stateAgeMs: lastState && Math.round(clock.nowMs() - lastState.atMs),
+      readAgeMs: lastState && Math.round(lastState.readAgeMs),
+    });
+  }
+
   /** While no holder responds, queries the lease or tries to acquire it. */
   private checkLease(): void {
     const {lease, clock, self, random} = this.deps;
@@ -398,6 +415,9 @@
     } else if (configReadAgeMs !== undefined) {
       this.deps.onConfigCurrent(nowMs - configReadAgeMs - ageMs);
     }
+    if (this.deps.runnersChange() >= output.runnersChange) {
+      this.deps.onRunnersCurrent(nowMs - runnersReadAgeMs - ageMs);
+    }
     this.deps.onRunnersChange(output.runnersChange);
     this.lastState = {atMs: nowMs, readAgeMs};
     if (output.isOrdering) this.lastContactMs = nowMs;
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -49,6 +49,7 @@
       openWork: context.runnerStates.openWork(runner.runnerId).toFixed(1),
       copiesAgeMs: this.copiesAgeMs(),
       heartbeat: runner.heartbeatNumber,
+      runnersAgeMs: this.runnersAgeMs(),
       config: context.view.currentConfig?.version,
       leftMs: this.leftMs(),
       waitedMs: Math.round(context.clock.nowMs() - startedMs),
@@ -81,6 +82,12 @@
     return Math.round(ageMs);
   }
 
+  /** Age of what is known of the runners; undefined before the first read. */
+  private runnersAgeMs(): number | undefined {
+    const {runnersAgeMs: ageMs} = this.options.context.view;
+    return ageMs === undefined ? undefined : Math.round(ageMs);
+  }
+
   refuseByQueue(runnerId: string, {view, decision}: QueueRefusal): void {
     this.logEvent('refuse', {
       reason: 'queue',
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -306,6 +306,10 @@
   onConfigCurrent(): void;
   onRegistration(registration: RunnerRegistration): void;
   onRemoval(runnerId: string): void;
+  /**
+   * All registrations and removals up to a time, in ms, have been passed on.
+   */
+  onRunnersCurrent(atMs: number): void;
   /** The source has been read to its end once. */
   onCaughtUp(): void;
   /** Whether peers report changes at once, so that the source can poll less. */
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -57,6 +57,8 @@
   private configConfirmedMs: number | undefined;
   /** When the last registration or removal of a runner was received. */
   runnersReadMs = 0;
+  /** All registrations and removals up to this time are known. */
+  private runnersConfirmedMs: number | undefined;
 
   constructor(
     private readonly clock: Clock,
@@ -75,6 +77,12 @@
     return this.clock.nowMs() - this.configConfirmedMs;
   }
 
+  /** Age of what is known of the runners; undefined before the first read. */
+  get runnersAgeMs(): number | undefined {
+    if (this.runnersConfirmedMs === undefined) return undefined;
+    return this.clock.nowMs() - this.runnersConfirmedMs;
+  }
+
   get isReady(): boolean {
     return this.config !== undefined && this.isCaughtUp;
   }
@@ -168,6 +176,7 @@
         leaving,
         remainingMs: registration.remainingMs,
         heartbeat: heartbeatNumber,
+        runnersAgeMs: this.roundedRunnersAgeMs,
       });
     }
     this.notifyListeners({kind: 'runner', runnerId});
@@ -223,10 +232,17 @@
       leaving,
       removedMs: nowMs,
     });
-    this.logger.info('runner-removed', {runner: runnerId});
+    this.logger.info('runner-removed', {
+      runner: runnerId,
+      runnersAgeMs: this.roundedRunnersAgeMs,
+    });
     this.notifyListeners({kind: 'runner-removed', runnerId});
   }
 
+  onRunnersCurrent(atMs: number): void {
+    this.runnersConfirmedMs = Math.max(this.runnersConfirmedMs ?? atMs, atMs);
+  }
+
   onCaughtUp(): void {
     if (this.isCaughtUp) return;
     this.isCaughtUp = true;
@@ -248,6 +264,11 @@
     return this.configAgeMs !== undefined && this.configAgeMs <= withinMs;
   }
 
+  private get roundedRunnersAgeMs(): number | undefined {
+    const {runnersAgeMs: ageMs} = this;
+    return ageMs === undefined ? undefined : Math.round(ageMs);
+  }
+
   private notifyListeners(change: ViewChange): void {
     for (const listener of this.listeners) listener(change);
   }
