Failing tests: a leaving runner that is known too late

A runner whose leaving the store has acknowledged must get no request 2 s later. On a virtual clock, with polls that hang, miss a record or are answered slowly, at 60 moments each: the leaving is known after up to 4.6 s on silent connections (1.6 s allowed, as an attempt may take 0.4 s to connect), after 2.7 s where a poll misses the record; a process that is told of it, or loses the holder, waits for its hung poll. The holder tells the age of the last change that it received in place of that of its last read.

The soak gets a fault for it, a runner that leaves as connections fall silent or polls miss records, and a rule.

--- a/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
@@ -216,6 +216,24 @@
 });
 
 describe('LeaseHolder.exchange', () => {
+  // Guards against peers that rely on a holder whose reads are not answered.
+  it('tells the age of its last read, not of the last change that it received', async () => {
+    const clock = new VirtualClock();
+    const {holder, view} = createHolderAndView(clock, {} as RunnerControl);
+    const readAgeMs = () => {
+      const output = holder.exchange(inputOf('e1:7', SMALL));
+      return output.kind === 'told' ? output.runnersReadAgeMs : undefined;
+    };
+    await clock.advance(10_000);
+    // The answer to a read that was sent 3 s ago waited in a socket.
+    view.onRegistration(REGISTRATION);
+    view.onRunnersCurrent(7_000);
+    expect(readAgeMs()).toBe(3_000);
+    // Nothing changes at the runners, and reads are answered.
+    view.onRunnersCurrent(9_900);
+    expect(readAgeMs()).toBe(100);
+  });
+
   // Guards against a holder that has no time left to renew its lease: each
   // exchange of hundreds of entries iterated over thousands of runners.
   it('iterates over the runners once for many entries', async () => {
--- a/soak/src/__tests__/judge.test.ts
+++ b/soak/src/__tests__/judge.test.ts
@@ -10,6 +10,7 @@
   overfilled: [],
   faults: [],
   probes: [],
+  leavings: [],
   ownEnds: [],
   notRecovered: [],
 };
@@ -94,6 +95,7 @@
 });
 
 const ORDER = {operation: 'load', model: 'm1', fencing_token: 7};
+const LEAVING = {runnerId: 'plain-1', atMs: 0};
 const PROBE = {
   entry: 'entry-0',
   entryStart: 1,
@@ -190,6 +192,34 @@
     },
     [],
   ],
+  [
+    'a request to a runner that the store calls leaving',
+    {...sentAfter([0, 2_600], {}), leavings: [LEAVING]},
+    ['a runner that the store calls leaving is left alone'],
+  ],
+  [
+    'the same while its leaving may not be known yet',
+    {...sentAfter([0, 2_400], {}), leavings: [LEAVING]},
+    [],
+  ],
+  [
+    'the same by an entry whose way to the store was cut',
+    {
+      ...sentAfter([0, 2_600], {}),
+      leavings: [LEAVING],
+      faults: [{kind: 'store-link', fromMs: 500, toMs: 900, entry: 'entry-0'}],
+    },
+    [],
+  ],
+  [
+    'the same by an entry while the way of another one was cut',
+    {
+      ...sentAfter([0, 2_600], {}),
+      leavings: [LEAVING],
+      faults: [{kind: 'store-link', fromMs: 500, toMs: 900, entry: 'entry-1'}],
+    },
+    ['a runner that the store calls leaving is left alone'],
+  ],
   [
     'three requests within a pause',
     IN_A_PAUSE,
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -60,6 +60,18 @@
 const SAYS_LEAVING_MS = 5_000;
 const PAUSE_S = 2;
 
+/** Ways in which entries hear nothing of the store's next record. */
+const DEAFENING: ReadonlyArray<(system: SoakSystem, forMs: number) => void> = [
+  // Connections that are open fall silent; new ones work.
+  ({entries}) => {
+    for (const {storeLink} of entries) {
+      storeLink.set('silent');
+      storeLink.set('pass');
+    }
+  },
+  ({platform}, forMs) => platform.store.missRecords(forMs),
+];
+
 /** Begins a fault and resolves when it is over. */
 export const FAULT_HANDLERS: Record<FaultKind, FaultHandler> = {
   'entry-term': async (context, fault) => {
@@ -114,10 +126,17 @@
   },
   'runner-leaves': async (context, fault) => {
     const place = runnerOf(context, fault);
-    context.system.platform.drainRunner(place.runner);
+    context.system.drainRunner(place);
     await pause(LEAVING_MS);
     await replaceOnce(context, place);
   },
+  'runner-leaves-unheard': async (context, fault) => {
+    const place = runnerOf(context, fault);
+    at(DEAFENING, fault.variant)(context.system, fault.forMs);
+    context.system.drainRunner(place);
+    await pause(SAYS_LEAVING_MS);
+    await replaceOnce(context, place);
+  },
   // The store still calls it ready.
   'runner-says-leaving': async (context, fault) => {
     const place = runnerOf(context, fault);
--- a/soak/src/judge.ts
+++ b/soak/src/judge.ts
@@ -4,9 +4,9 @@
   type ReceivedRequest,
 } from '@banyanfold/platform/standins';
 import {CALL_KINDS, type Call} from './callers.js';
-import {sentInPause, sentToLeaving} from './noticeRules.js';
+import {sentAfterLeaving, sentInPause, sentToLeaving} from './noticeRules.js';
 import type {FaultKind} from './soakPlan.js';
-import {STREAM_EVENTS} from './soakSystem.js';
+import {STREAM_EVENTS, type Leaving} from './soakSystem.js';
 
 /** A fault as it was played. */
 export interface PlayedFault {
@@ -39,6 +39,7 @@
   overfilled: readonly AcceptedOrder[];
   faults: readonly PlayedFault[];
   probes: readonly ConfigProbe[];
+  leavings: readonly Leaving[];
   /** Processes that ended by themselves. */
   ownEnds: readonly string[];
   /** What was not served again after the last fault. */
@@ -63,6 +64,7 @@
   'runner-link',
   'runner-leaves',
   'runner-says-leaving',
+  'runner-leaves-unheard',
   'runner-crash',
 ]);
 const STORE_FAULTS: ReadonlySet<FaultKind> = new Set([
@@ -115,6 +117,7 @@
 
 /** Rules with a bound in time, for machines that are not too busy for them. */
 const TIMED_RULES: Record<string, Rule> = {
+  'a runner that the store calls leaving is left alone': sentAfterLeaving,
   'a runner has the pause that it asked for': sentInPause,
   'a change is in force in time': record =>
     record.probes
--- a/soak/src/noticeRules.ts
+++ b/soak/src/noticeRules.ts
@@ -10,11 +10,25 @@
 
 /** Requests that callers send later than this after an answer count. */
 const LEAVING_BOUND_MS = 2_000;
+/** The bound on the store's word; the rest is for a busy machine. */
+const LEAVING_KNOWN_MS = 2_500;
+/** An entry is in touch again this long after a fault of it or of the store. */
+const CONTACT_MS = 3_000;
 /** Requests that were under way still arrive in this time. */
 const PAUSE_BEGIN_MS = 500;
 /** Requests that may arrive in the rest of a pause. */
 const IN_PAUSE = 2;
 const MS_PER_SECOND = 1000;
+/** Faults after which a process knows late of what the store acknowledged. */
+const CONTACT_KINDS: ReadonlySet<string> = new Set([
+  'entry-term',
+  'entry-kill',
+  'entry-pause',
+  'store-link',
+  'store-down',
+  'store-forgets',
+  'store-restore',
+]);
 
 /** Requests to runners that had told the same process that they leave. */
 export function sentToLeaving(record: SoakRecord): string[] {
@@ -34,6 +48,22 @@
   });
 }
 
+/** Requests to runners whose leaving the store has acknowledged long before. */
+export function sentAfterLeaving(record: SoakRecord): string[] {
+  const {leavings, faults} = record;
+  const passed = byRunnerAndProcess(record).flat();
+  return leavings.flatMap(({runnerId, atMs}) =>
+    passed
+      .filter(({received}) => received.runnerId === runnerId)
+      .filter(({received}) => received.atMs > atMs + LEAVING_KNOWN_MS)
+      .filter(({call}) => !isOutOfTouch(call, atMs, faults))
+      .map(({call, received}) => {
+        const lateMs = Math.round(received.atMs - atMs);
+        return `${call.id} by ${call.entry} to ${runnerId}, ${lateMs} ms late`;
+      }),
+  );
+}
+
 /** Pauses in which a process sent the runner more than it may. */
 export function sentInPause(record: SoakRecord): string[] {
   return byRunnerAndProcess(record).flatMap(passed =>
@@ -89,6 +119,20 @@
     );
 }
 
+/** The process or its way to the store was disturbed since shortly before. */
+function isOutOfTouch(
+  {entry, endedMs}: Call,
+  sinceMs: number,
+  faults: readonly PlayedFault[],
+): boolean {
+  return faults
+    .filter(fault => fault.entry === undefined || fault.entry === entry)
+    .filter(({kind}) => CONTACT_KINDS.has(kind))
+    .some(
+      ({fromMs, toMs}) => fromMs <= endedMs && toMs + CONTACT_MS >= sinceMs,
+    );
+}
+
 /** The link of any runner was disturbed, so a rejection may arrive late. */
 function isCutOff(
   fromMs: number,
--- a/soak/src/runSeed.ts
+++ b/soak/src/runSeed.ts
@@ -92,6 +92,7 @@
     ),
     faults: [...faults, ...system.crashesMs.map(crashAt)],
     probes: prober.probes,
+    leavings: system.leavings,
     ownEnds: system.entries.flatMap(({process: {name, ownEnds}}) =>
       ownEnds.map(end => `${name}: ${end}`),
     ),
--- a/soak/src/soakPlan.ts
+++ b/soak/src/soakPlan.ts
@@ -22,9 +22,13 @@
 /** What runners say of themselves in their responses; planned likewise. */
 const NOTICE_KINDS = ['runner-says-leaving', 'runner-asks-for-pause'] as const;
 
+/** A runner leaves as entries hear nothing from the store; planned likewise. */
+const UNHEARD_KIND = 'runner-leaves-unheard';
+
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | (typeof NOTICE_KINDS)[number]
+  | typeof UNHEARD_KIND
   | typeof STORE_RESTORE;
 
 export interface PlannedFault {
@@ -48,6 +52,8 @@
 const MAX_GAP_MS = 1_300;
 const MIN_FOR_MS = 300;
 const MAX_FOR_MS = 3_500;
+/** Polls miss records for a moment only. */
+const MAX_MISSED_MS = 1_000;
 /** In one in so many seeds the store comes back from an older copy. */
 const RESTORE_SEED_ONE_IN = 5;
 /** One in so many comes in a series: the same again, soon after. */
@@ -85,9 +91,22 @@
     ...faults,
     ...planRestores({seed, lengthMs}),
     ...planNotices({seed, lengthMs}),
+    ...planUnheard({seed, lengthMs}),
   ];
 }
 
+/** One in each half of a run; their variants take turns. */
+function planUnheard({seed, lengthMs}: SoakPlanOptions): PlannedFault[] {
+  const draw = createDraw(seed + 3);
+  return [0, 1].map(half => ({
+    kind: UNHEARD_KIND,
+    atMs: (half * lengthMs) / 2 + draw.int(MIN_GAP_MS, MAX_GAP_MS),
+    forMs: draw.int(MIN_FOR_MS, MAX_MISSED_MS),
+    target: draw.int(0, MANY),
+    variant: seed + half,
+  }));
+}
+
 /** One notice of each kind in each half of a run. */
 function planNotices({seed, lengthMs}: SoakPlanOptions): PlannedFault[] {
   const draw = createDraw(seed + 2);
--- a/soak/src/soakSystem.ts
+++ b/soak/src/soakSystem.ts
@@ -20,6 +20,12 @@
   storeLink: FaultProxy;
 }
 
+/** When the store acknowledged that a runner leaves. */
+export interface Leaving {
+  runnerId: string;
+  atMs: number;
+}
+
 export const STREAM_EVENTS = 6;
 const EVENT_PAUSE_MS = 12;
 const ENTRIES = 3;
@@ -39,6 +45,7 @@
   readonly faults: Record<string, RunnerFault[]> = {drafting: [], desk: []};
   /** When runners crashed under the request that crashes them. */
   readonly crashesMs: number[] = [];
+  readonly leavings: Leaving[] = [];
   private runnersMade = 0;
 
   /** @param folder for settings and logs. */
@@ -72,6 +79,13 @@
     }
   }
 
+  /** The store acknowledges that a runner leaves; it serves on. */
+  drainRunner({runner}: RunnerPlace): void {
+    this.platform.drainRunner(runner);
+    const {runnerId} = runner;
+    this.leavings.push({runnerId, atMs: performance.now()});
+  }
+
   /** The runner of a place is gone; an empty one of another id comes. */
   async replaceRunner(place: RunnerPlace): Promise<void> {
     const at = this.runnerPlaces.indexOf(place);
