Rely on the holder by the age of its reads, not of its last change

A follower leaves the reading of the runners to the holder while the holder has read them lately. The holder told the time since it had received the last registration or removal. Cause: freshness taken from the arrival of data. A runner writes only when more than its heartbeat number changes, so on a quiet fleet all followers stopped relying on a holder that reads well (the simultaneous `poll-overdue` lines of the users' record); and an answer that came late, or waited in a socket, counted as read now.

The age counts from when the last answered read was sent, which holds for polls that miss a record too. Followers rely on it for 1.45 s in place of 1.7 s, so that their own read, overdue after 0.25 s, still ends within the 2 s in which a leaving must be known. The gauge runners_heard_age_ms follows.

--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -170,6 +170,23 @@
     link.stop();
   });
 
+  // Guards against waiting for the word of a holder that reads nothing itself.
+  it('relies on a holder for no longer than a leaving may be unknown', async () => {
+    isHolder = false;
+    const link = startLink();
+    const leavingBoundMs = 2_000;
+    const ownReadMs = 500;
+    answer = {...OUTPUT, runnersReadAgeMs: leavingBoundMs - ownReadMs};
+    await clock.advance(500);
+    expect(link.isRelayed).toBe(false);
+    // A quiet fleet is read at least every 0.9 s, and a relay adds an exchange.
+    const exchangeMs = DEFAULT_OPTIONS.exchangeIntervalMs;
+    answer = {...OUTPUT, runnersReadAgeMs: 900 + exchangeMs};
+    await clock.advance(500);
+    expect(link.isRelayed).toBe(true);
+    link.stop();
+  });
+
   it('resends a batch that no holder has acknowledged', async () => {
     const link = startLink();
     await clock.advance(300);
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -444,8 +444,7 @@
     metrics.gauge('config_heard_age_ms', () =>
       Math.round(this.view.configAgeMs ?? ageMs(0)),
     );
-    metrics.gauge('runners_heard_age_ms', () => ageMs(this.view.runnersReadMs));
-    metrics.gauge('runners_confirmed_age_ms', () =>
+    metrics.gauge('runners_heard_age_ms', () =>
       Math.round(this.view.runnersAgeMs ?? ageMs(0)),
     );
     metrics.gauge('runners_known', () => [...this.view.allRunners()].length);
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -62,11 +62,12 @@
 /** Three exchanges; with older state this process reads the store itself. */
 const MAX_STATE_AGE_MS = 800;
 /**
- * Maximum time since the holder read the store. The holder reads the runners
- * once a second, and a relay adds the time of one exchange. A leaving runner
- * must receive no more requests after two seconds.
+ * Maximum time since the holder sent its last answered read. The holder reads
+ * at least every 0.9 s, and a relay adds the time of an exchange. A leaving
+ * runner must receive no more requests after two seconds, and this process
+ * still has to read the store itself.
  */
-const MAX_READ_AGE_MS = 1_700;
+const MAX_READ_AGE_MS = 1_450;
 /** Six exchanges. A change of holder usually takes less. */
 const HOLDER_TIMEOUT_MS = 1_500;
 /**
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -142,7 +142,7 @@
   configVersion: z.number(),
   /** Last position of a change to the runners that any entry has reported. */
   runnersChange: z.number(),
-  /** Time since the holder itself last read the runners, in ms. */
+  /** Time since the holder sent its last answered read of the runners, in ms. */
   runnersReadAgeMs: z.number(),
   /**
    * Time since the holder itself last confirmed that its configuration is
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -187,7 +187,7 @@
       ageMs,
       configVersion: this.newestConfigVersion,
       runnersChange: this.newestRunnersChange,
-      runnersReadAgeMs: nowMs - this.deps.view.runnersReadMs,
+      runnersReadAgeMs: this.deps.view.runnersAgeMs ?? nowMs,
       configReadAgeMs: this.deps.view.configAgeMs,
       entries: this.entryLoads.count(nowMs),
       standbys: this.standbyRoster.current(input.members, term, nowMs),
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -55,8 +55,6 @@
   lowestPriority = 0;
   /** When the configuration in force was last confirmed to be the newest. */
   private configConfirmedMs: number | undefined;
-  /** When the last registration or removal of a runner was received. */
-  runnersReadMs = 0;
   /** All registrations and removals up to this time are known. */
   private runnersConfirmedMs: number | undefined;
 
@@ -154,7 +152,6 @@
    */
   onRegistration(registration: RunnerRegistration): void {
     const {runnerId, bornMs, heartbeatNumber} = registration;
-    this.runnersReadMs = this.clock.nowMs();
     const known = this.runners.get(runnerId);
     const last = known ?? this.removed.get(runnerId);
     if (last && !isNewer(registration, last)) return;
@@ -220,7 +217,6 @@
 
   onRemoval(runnerId: string): void {
     const nowMs = this.clock.nowMs();
-    this.runnersReadMs = nowMs;
     const known = this.runners.get(runnerId);
     if (!known) return;
     this.runners.delete(runnerId);
