Confirm a configuration by when its read was sent

The same cause as for the runners, sought elsewhere: a poll of the configuration confirmed the version in force by when its answer came, up to 0.7 s or, begun while peers told of changes, 10 s after it was sent. A record that the poll missed, or an answer that waited in a socket, made an old version count as the newest, by which routes are refused for good.

It counts from when the read was sent now.

--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -333,7 +333,7 @@
     await this.peerServer.listen(peers);
     fleet.start({
       onConfig: config => this.view.onConfig(config),
-      onConfigCurrent: () => this.view.onConfigCurrent(),
+      onConfigCurrent: atMs => this.view.onConfigCurrent(atMs),
       onRegistration: registration => this.view.onRegistration(registration),
       onRemoval: runnerId => this.view.onRemoval(runnerId),
       onRunnersCurrent: atMs => this.view.onRunnersCurrent(atMs),
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -302,8 +302,8 @@
 
 export interface FleetHandlers {
   onConfig(config: FleetConfig): void;
-  /** The source has nothing newer than the last configuration. */
-  onConfigCurrent(): void;
+  /** The last configuration passed on was the newest one at a time, in ms. */
+  onConfigCurrent(atMs: number): void;
   onRegistration(registration: RunnerRegistration): void;
   onRemoval(runnerId: string): void;
   /**
