Tell peers of every runner that is known to be leaving

Entries told each other of runners that had said themselves that they leave, not of those that the store calls leaving: of these an entry learned by its own read alone, although each exchange with the holder could name them. One that is cut off from the store sent requests to them until they ended; a read that hangs delays the rest of the chain.

The list that entries exchange names all leaving runners. It is kept as they change, since it is sent with each exchange.

--- a/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
@@ -77,10 +77,21 @@
     view.onRemoval('r1');
     view.onRegistration(registration(6));
     expect(view.runner('r1')?.leaving).toBe(true);
-    expect(view.announcedLeaving()).toEqual([{runnerId: 'r1', bornMs: 1}]);
+    expect(view.leavingRunners()).toEqual([{runnerId: 'r1', bornMs: 1}]);
     view.onRegistration(registration(1, {bornMs: 2}));
     expect(view.runner('r1')?.leaving).toBe(false);
-    expect(view.announcedLeaving()).toEqual([]);
+    expect(view.leavingRunners()).toEqual([]);
+  });
+
+  // Guards against requests of an entry that can't read the store itself.
+  it('names the runners that the store calls leaving to the other entries', () => {
+    const view = createView();
+    view.onRegistration(registration(1));
+    expect(view.leavingRunners()).toEqual([]);
+    view.onRegistration(registration(2, {leaving: true}));
+    expect(view.leavingRunners()).toEqual([{runnerId: 'r1', bornMs: 1}]);
+    view.onRemoval('r1');
+    expect(view.leavingRunners()).toEqual([]);
   });
 
   // Guards against a statement on a former start that shuts out the new one.
@@ -90,7 +101,7 @@
     view.noteLeaving({runnerId: 'r1', bornMs: 1}, 'peer');
     view.noteLeaving({runnerId: 'r2', bornMs: 1}, 'peer');
     expect(view.runner('r1')?.leaving).toBe(false);
-    expect(view.announcedLeaving()).toEqual([]);
+    expect(view.leavingRunners()).toEqual([]);
   });
 
   // Guards against a statement that arrives while the registration is gone.
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -313,7 +313,7 @@
       known: this.knownCopies,
       batch: this.pendingDemand.nextBatch(),
       rateLimits: this.deps.rateLimits.reportedLimits(),
-      leavingRunners: this.deps.view.announcedLeaving(),
+      leavingRunners: this.deps.view.leavingRunners(),
       crashes: this.deps.suspects.pendingReport(),
       knownSuspects: this.deps.suspects.knownVersion,
     };
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -21,7 +21,7 @@
 
 export type RunnerCopies = z.infer<typeof runnerCopiesSchema>;
 
-/** A start of a runner that announced itself that it is leaving. */
+/** A start of a runner that is leaving. */
 const leavingRunnerSchema = z.object({
   runnerId: z.string(),
   bornMs: z.number(),
@@ -121,7 +121,7 @@
     )
     .optional(),
   /**
-   * Runners that announced that they are leaving, as far as known there;
+   * Runners that are leaving, as far as known there;
    * omitted by releases that don't send them.
    */
   leavingRunners: z.array(leavingRunnerSchema).optional(),
@@ -205,8 +205,8 @@
     )
     .optional(),
   /**
-   * Runners that announced to any entry that they are leaving; omitted by
-   * releases that don't send them.
+   * Runners that are leaving, as far as any entry knows; omitted by releases
+   * that don't send them.
    */
   leavingRunners: z.array(leavingRunnerSchema).optional(),
   /**
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -39,11 +39,8 @@
   onNewerConfig(version: number, peer: string): void;
 }
 
-/** Runners that announced that they are leaving. */
-export type LeavingRunners = Pick<
-  FleetView,
-  'noteLeaving' | 'announcedLeaving'
->;
+/** The runners that are leaving. */
+export type LeavingRunners = Pick<FleetView, 'noteLeaving' | 'leavingRunners'>;
 
 /** The last state received from the holder, and when it was received. */
 interface HolderState {
@@ -174,7 +171,7 @@
       copies: this.revisions.since(input.known),
       peersWork: sumByKey(output.peersWork, group.work),
       peersRequests: sumByKey(output.peersRequests, group.requests),
-      leavingRunners: view.announcedLeaving(),
+      leavingRunners: view.leavingRunners(),
       suspects: suspects.suspectListFor(input.knownSuspects),
     };
   }
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -200,7 +200,7 @@
       ejectedForMs: this.outcomes.ejections(),
       usage: this.fleetUsage.snapshot(nowMs),
       rateLimits: this.rateLimits.snapshot(),
-      leavingRunners: this.deps.view.announcedLeaving(),
+      leavingRunners: this.deps.view.leavingRunners(),
       suspects: this.deps.crashes.suspectListFor(input.knownSuspects),
     };
   }
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -41,10 +41,8 @@
   organisations: OrganisationDirectory | undefined;
   private readonly runners = new Map<string, RunnerRegistration>();
   private readonly removed = new Map<string, RemovedRunner>();
-  /**
-   * Start times of the runners that announced themselves that they are leaving.
-   */
-  private readonly announced = new Map<string, number>();
+  /** Start times of the runners that are leaving. */
+  private readonly leaving = new Map<string, number>();
   private readonly listeners = new Set<ChangeListener>();
   private readonly restartListeners = new Set<(runnerId: string) => void>();
   private isCaughtUp = false;
@@ -162,7 +160,8 @@
     const leaving = registration.leaving || wasLeaving;
     this.runners.set(runnerId, {...registration, leaving});
     this.removed.delete(runnerId);
-    if (isRestart) this.announced.delete(runnerId);
+    if (leaving) this.leaving.set(runnerId, bornMs);
+    else this.leaving.delete(runnerId);
     if (isRestart) for (const notify of this.restartListeners) notify(runnerId);
     if (!known || isRestart || known.leaving !== leaving) {
       this.logger.info('runner', {
@@ -196,9 +195,10 @@
     const removed = this.removed.get(runnerId);
     const last = known ?? removed;
     if (!last || last.bornMs !== bornMs || last.leaving) return;
-    this.announced.set(runnerId, bornMs);
-    if (known) this.runners.set(runnerId, {...known, leaving: true});
-    else if (removed) removed.leaving = true;
+    if (known) {
+      this.leaving.set(runnerId, bornMs);
+      this.runners.set(runnerId, {...known, leaving: true});
+    } else if (removed) removed.leaving = true;
     this.logger.info('runner-leaving', {
       runner: runnerId,
       bornMs,
@@ -208,11 +208,12 @@
     if (known) this.notifyListeners({kind: 'runner', runnerId});
   }
 
-  /** The runners that announced that they are leaving, for the other entries. */
-  announcedLeaving(): RunnerStart[] {
-    return [...this.announced]
-      .filter(([runnerId]) => this.runners.has(runnerId))
-      .map(([runnerId, bornMs]) => ({runnerId, bornMs}));
+  /**
+   * The runners that are leaving, whoever said so, for the other entries: one
+   * that can't reach the store doesn't read it there.
+   */
+  leavingRunners(): RunnerStart[] {
+    return [...this.leaving].map(([runnerId, bornMs]) => ({runnerId, bornMs}));
   }
 
   onRemoval(runnerId: string): void {
@@ -220,6 +221,7 @@
     const known = this.runners.get(runnerId);
     if (!known) return;
     this.runners.delete(runnerId);
+    this.leaving.delete(runnerId);
     this.pruneRemovals(nowMs);
     const {bornMs, heartbeatNumber, leaving} = known;
     this.removed.set(runnerId, {
@@ -273,7 +275,6 @@
     for (const [runnerId, {removedMs}] of this.removed) {
       if (nowMs - removedMs <= REMOVED_TTL_MS) continue;
       this.removed.delete(runnerId);
-      this.announced.delete(runnerId);
     }
   }
 }
