Soak: send SIGHUP only once the program's first line has begun

Cause: the soak took 0.4 s and 150 ms of processor time for a sign that the program had begun.

A small start module tells the supervisor over a pipe that the program's first line is next.

--- a/soak/src/entryProcess.ts
+++ b/soak/src/entryProcess.ts
@@ -6,16 +6,16 @@
 import {processorMsOf} from './processorMsOf.js';
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url));
-const PROGRAM = 'target/main.cjs';
+/** Tells over a pipe when the runtime begins to run the program. */
+const PROGRAM = 'soak/lib/startMarked.js';
+const MARK_FD = 3;
 /** A supervisor starts a process that has ended again after about this long. */
 const RESTART_MS = 300;
 /**
- * Until the runtime runs the program's first line, SIGHUP ends it, whatever the
- * program does. On a busy machine it waits for a processor long after this time.
+ * Processor time from the program's first line until it must survive SIGHUP. The
+ * kernel counts it in steps of 10 ms.
  */
-const BOOT_MS = 400;
-/** What it uses of one until then, and half as much again. */
-const BOOT_PROCESSOR_MS = 150;
+const FIRST_LINES_PROCESSOR_MS = 20;
 
 export interface EntryProcessOptions {
   name: string;
@@ -32,7 +32,8 @@
   readonly ownEnds: string[] = [];
   /** Rises with each start, so that one process is told from the next. */
   starts = 0;
-  private startedMs = 0;
+  /** What the process had used when its program began; undefined before. */
+  private bootProcessorMs: number | undefined;
   private child: ChildProcess | undefined;
   private readonly settingsPath: string;
   private readonly log: WriteStream;
@@ -51,16 +52,21 @@
   start(): void {
     if (this.isOver) return;
     this.starts += 1;
-    this.startedMs = performance.now();
+    this.bootProcessorMs = undefined;
     this.isEnding = false;
     const child = spawn(process.execPath, [PROGRAM, 'entry'], {
       cwd: ROOT,
       env: {...process.env, BANYANFOLD_BOOT: this.settingsPath},
-      stdio: ['ignore', 'pipe', 'pipe'],
+      stdio: ['ignore', 'pipe', 'pipe', 'pipe'],
     });
     this.child = child;
-    child.stdout.pipe(this.log, {end: false});
-    child.stderr.pipe(this.log, {end: false});
+    child.stdout?.pipe(this.log, {end: false});
+    child.stderr?.pipe(this.log, {end: false});
+    child.stdio[MARK_FD]?.once('data', () => {
+      if (this.child === child) {
+        this.bootProcessorMs = processorMsOf(child.pid ?? 0);
+      }
+    });
     child.once('exit', (code, signal) => {
       if (!this.isEnding) this.ownEnds.push(`${code ?? signal}`);
       this.writeSettings(false);
@@ -75,14 +81,18 @@
   }
 
   signal(signal: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
-    if (signal === 'SIGHUP' && !this.hasBooted()) return;
+    if (signal === 'SIGHUP' && !this.hasBegun()) return;
     this.child?.kill(signal);
   }
 
-  private hasBooted(): boolean {
-    const runsMs = performance.now() - this.startedMs;
-    const processorMs = processorMsOf(this.child?.pid ?? 0) ?? Infinity;
-    return runsMs >= BOOT_MS && processorMs >= BOOT_PROCESSOR_MS;
+  /**
+   * Before the program's first line SIGHUP ends the process, whatever the
+   * program does.
+   */
+  private hasBegun(): boolean {
+    if (this.bootProcessorMs === undefined) return false;
+    const processorMs = processorMsOf(this.child?.pid ?? 0) ?? 0;
+    return processorMs >= this.bootProcessorMs + FIRST_LINES_PROCESSOR_MS;
   }
 
   async stop(): Promise<void> {
