Agent: log an attempt as cut when it is cut

After the drain timeout the agent logged `drain-cut` for each attempt that was still open, but these end only when the agent stops; one whose caller got the whole answer until then was in the log as cut. The line is written when the agent stops; `drained` names the open ones (`open`, was `cut`).

The new test failed before; the other one stops the agent before it looks.

--- a/packages/banyanfold-agent/src/__tests__/attemptOutcome.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/attemptOutcome.test.ts
@@ -320,8 +320,22 @@
     const body = chatBody({max_tokens: 100_000});
     const {attemptId} = await sendAttempt(target, {body});
     await target.agent.drain();
+    await target.agent.stop();
     expect(target.logger.lines.join('\n')).toContain(
       `event=drain-cut attempt=${attemptId}`,
     );
   });
+
+  // Guards against a log that calls an answer cut which its caller got whole.
+  it('does not log an attempt that ends before the agent stops', async () => {
+    const target = await start({settings: {drainBoundMs: 30}});
+    const body = chatBody({max_tokens: 1_000});
+    const {response} = await sendAttempt(target, {body});
+    await target.agent.drain();
+    expect(target.logger.lines.join('\n')).toContain('event=drained open=1');
+    const {text, cut} = await readUntilCut(response.body);
+    expect([cut, readFrames(text).done]).toEqual([false, true]);
+    await target.agent.stop();
+    expect(target.logger.lines.join('\n')).not.toContain('drain-cut');
+  });
 });
--- a/packages/banyanfold-agent/src/agent.ts
+++ b/packages/banyanfold-agent/src/agent.ts
@@ -108,6 +108,7 @@
 
   async function stop(): Promise<void> {
     context.markLeaving();
+    logCutAttempts(context);
     await kernel.stop();
     await server.close();
     await context.close();
@@ -176,8 +177,12 @@
   while (registry.openCount() > 0 && clock.nowMs() < endMs) {
     await sleep(clock, DRAIN_POLL_MS);
   }
+  logger.info('drained', {open: registry.openCount()});
+}
+
+/** Attempts that the drain left open may end until the agent stops. */
+function logCutAttempts({logger, registry, settings}: AgentContext): void {
   for (const attempt of registry.dispatchedIds()) {
     logger.warn('drain-cut', {attempt, boundMs: settings.drainBoundMs});
   }
-  logger.info('drained', {cut: registry.openCount()});
 }
