Test: a resumed whole answer that is computed for long

It must not have it: an agent answers a resume of a whole answer when the answer is complete, not when it has found the attempt, so a limit would give up answers that are still being computed. The code is unchanged.

--- a/packages/banyanfold-entry/src/__tests__/wholeAnswerFaults.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/wholeAnswerFaults.test.ts
@@ -1,4 +1,5 @@
 import {HEADERS} from '@banyanfold/protocol';
+import {v7 as uuidV7} from 'uuid';
 import {afterAll, afterEach, beforeAll, describe, expect, it} from 'vitest';
 import {
   ANSWER_TEXT,
@@ -22,6 +23,7 @@
 });
 afterEach(() => {
   system.next.length = 0;
+  system.nextResumes.length = 0;
   system.takeCounts();
   for (const agent of system.agents) {
     agent.fallback = answerWhole;
@@ -118,6 +120,23 @@
     },
   );
 
+  // Guards against giving up an answer that is computed for longer than the
+  // resume of a stream may take.
+  it('waits for a resumed answer until the deadline of the request', async () => {
+    const resumeMs = 100;
+    system.next.push(runThenDropConnection);
+    for (let i = 0; i < 3; i++) {
+      system.nextResumes.push(call => {
+        setTimeout(() => answerJson(call, '{"receipt":17}'), resumeMs * 3);
+      });
+    }
+    const headers = {'idempotency-key': uuidV7()};
+    const path = '/services/lodging/claims';
+    const answer = await post(port, path, {headers, body: '{}'});
+    expect([answer.status, answer.text]).toEqual([200, '{"receipt":17}']);
+    expect(system.takeCounts()).toMatchObject({calls: 1, resumes: 1});
+  });
+
   // The agent accepts the request and hangs. The caller gets the final answer
   // at the deadline of its selector, and the attempt is stopped. The request
   // ran, so its outcome is unknown.
