Divide the retry budget by the number of entries as it is now

Retries of all entries together could exceed what the deployment allows: by up to 340 at 730 entries with 60 requests a second, by up to 59 at 26 entries with 120, in a play in which all requests fail. Causes, in one place: the share of an entry was fixed when its budget was made, mostly before the number of entries was known (8 were assumed); it was at least two retries, however many entries there are; and it was given in full at the start.

The share follows the number of entries. One below a retry is rounded to none or one by chance, so that entries don't save up for a whole one each; what a request earns fits beside it. What was taken before the number is known stays taken. decideRetry gets the rounded number.

--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -113,7 +113,8 @@
   private readonly configFetcher: ConfigFetcher;
   private readonly usageKeeper: UsageKeeper;
   private stopMaintenance: () => void = () => {};
-  private entryCount = ASSUMED_ENTRY_COUNT;
+  /** Undefined until the holder has reported it. */
+  private knownEntryCount: number | undefined;
   private lastMaintenanceMs = 0;
   private isDraining = false;
   private drainDeadlineMs: number | undefined;
@@ -237,7 +238,7 @@
       onRunnersChange: position => deps.fleet.refreshRunners(position),
       random,
       onEntryCount: count => {
-        this.entryCount = count;
+        this.knownEntryCount = count;
       },
     });
     const {retryRatio, retrySlack, retryWindowMs} = settings.bounds;
@@ -248,7 +249,8 @@
       retrySlack,
       retryWindowMs,
       usedShare: options.retryBudgetShare,
-      entryCount: () => this.entryCount,
+      entryCount: () => this.knownEntryCount,
+      random,
     });
     this.context = {
       clock,
@@ -304,6 +306,10 @@
     return this.drainDeadlineMs !== undefined;
   }
 
+  private get entryCount(): number {
+    return this.knownEntryCount ?? ASSUMED_ENTRY_COUNT;
+  }
+
   get callersPort(): number {
     return this.deps.settings.callers.port;
   }
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -621,7 +621,7 @@
       ...this.counts,
       hasStarted: this.relay.hasStarted,
       deadlineMs: this.deadlineMs,
-      budgetTokens: budget.available,
+      budgetTokens: budget.settle(),
     });
     this.log.retry(runner.runnerId, result, decision, this.mayHaveRun);
     if (!shouldRetry) {
--- a/packages/banyanfold-gateway/src/requests/retryBudgets.ts
+++ b/packages/banyanfold-gateway/src/requests/retryBudgets.ts
@@ -1,5 +1,5 @@
 import type {Clock, Metrics} from '@banyanfold/core';
-import {RetryBudget} from '@banyanfold/log';
+import {RetryBudget, type RetryBudgetLimits} from '@banyanfold/log';
 
 export interface RetryBudgetsOptions {
   clock: Clock;
@@ -11,23 +11,33 @@
   retryWindowMs: number;
   /** Share of the allowed retries that is used. */
   usedShare: number;
-  /** Number of active entries, including this one. */
-  entryCount(): number;
+  /**
+   * Number of active entries, including this one; undefined until it is known.
+   */
+  entryCount(): number | undefined;
+  random(): number;
 }
 
 /** Share of the slack that refills over a window; the rest is the burst. */
 const REFILLED_SLACK_SHARE = 0.3;
-const MIN_CAPACITY = 2;
+/** Number of entries assumed until the holder has reported it. */
+const ASSUMED_ENTRIES = 8;
 const MS_PER_SECOND = 1000;
 
-/** This entry's share of the retry budget of each service. */
+/**
+ * This entry's share of the retry budget of each service. Retries per request
+ * are earned here; the slack is divided by the number of entries, so that no
+ * entry needs to know the retries of the others.
+ */
 export class RetryBudgets {
   private readonly budgets = new Map<string, RetryBudget>();
+  private entries: number | undefined;
 
   constructor(private readonly options: RetryBudgetsOptions) {}
 
   /** @example budgets.of('drafting').tryTake() */
   of(service: string): RetryBudget {
+    this.followEntryCount();
     let budget = this.budgets.get(service);
     if (!budget) {
       budget = this.create();
@@ -41,21 +51,40 @@
   }
 
   private create(): RetryBudget {
-    const {
-      clock,
-      retryRatio,
-      retrySlack,
-      retryWindowMs,
-      usedShare,
-      entryCount,
-    } = this.options;
-    const slack = (retrySlack * usedShare) / entryCount();
-    const windowSeconds = retryWindowMs / MS_PER_SECOND;
+    const {clock, random} = this.options;
     return new RetryBudget({
       clock,
-      tokensPerAttempt: retryRatio * usedShare,
-      tokensPerSecond: (slack * REFILLED_SLACK_SHARE) / windowSeconds,
-      capacity: Math.max(MIN_CAPACITY, slack * (1 - REFILLED_SLACK_SHARE)),
+      random,
+      tokensPerAttempt: this.tokensPerAttempt,
+      ...this.limits(),
     });
   }
+
+  private followEntryCount(): void {
+    const entries = this.options.entryCount();
+    if (entries === this.entries) return;
+    const wasAssumed = this.entries === undefined;
+    const before = this.limits();
+    this.entries = entries;
+    const limits = this.limits();
+    const addedRetries = wasAssumed ? limits.capacity - before.capacity : 0;
+    for (const budget of this.budgets.values()) {
+      budget.resize(limits, Math.max(0, addedRetries));
+    }
+  }
+
+  private get tokensPerAttempt(): number {
+    return this.options.retryRatio * this.options.usedShare;
+  }
+
+  private limits(): RetryBudgetLimits {
+    const {retrySlack, retryWindowMs, usedShare} = this.options;
+    const slack = (retrySlack * usedShare) / (this.entries ?? ASSUMED_ENTRIES);
+    const windowSeconds = retryWindowMs / MS_PER_SECOND;
+    return {
+      tokensPerSecond: (slack * REFILLED_SLACK_SHARE) / windowSeconds,
+      // What one attempt earns must fit beside the burst.
+      capacity: slack * (1 - REFILLED_SLACK_SHARE) + this.tokensPerAttempt,
+    };
+  }
 }
