--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -60,8 +60,10 @@
 const SAYS_LEAVING_MS = 5_000;
 const PAUSE_S = 2;
 
-/** Ways in which entries hear nothing of the store's next record. */
-const DEAFENING: ReadonlyArray<(system: SoakSystem, forMs: number) => void> = [
+/** Ways in which entries don't read the store's next record in time. */
+const RECORD_LOSSES: ReadonlyArray<
+  (system: SoakSystem, forMs: number) => void
+> = [
   // Connections that are open fall silent; new ones work.
   ({entries}) => {
     for (const {storeLink} of entries) {
@@ -130,9 +132,9 @@
     await pause(LEAVING_MS);
     await replaceOnce(context, place);
   },
-  'runner-leaves-unheard': async (context, fault) => {
+  'runner-leaves-unnoticed': async (context, fault) => {
     const place = runnerOf(context, fault);
-    at(DEAFENING, fault.variant)(context.system, fault.forMs);
+    at(RECORD_LOSSES, fault.variant)(context.system, fault.forMs);
     context.system.drainRunner(place);
     await pause(SAYS_LEAVING_MS);
     await replaceOnce(context, place);
--- a/soak/src/judge.ts
+++ b/soak/src/judge.ts
@@ -64,7 +64,7 @@
   'runner-link',
   'runner-leaves',
   'runner-says-leaving',
-  'runner-leaves-unheard',
+  'runner-leaves-unnoticed',
   'runner-crash',
 ]);
 const STORE_FAULTS: ReadonlySet<FaultKind> = new Set([
--- a/soak/src/soakPlan.ts
+++ b/soak/src/soakPlan.ts
@@ -22,13 +22,13 @@
 /** What runners say of themselves in their responses; planned likewise. */
 const NOTICE_KINDS = ['runner-says-leaving', 'runner-asks-for-pause'] as const;
 
-/** A runner leaves as entries hear nothing from the store; planned likewise. */
-const UNHEARD_KIND = 'runner-leaves-unheard';
+/** A runner leaves while reads of the store fail; planned likewise. */
+const UNNOTICED_KIND = 'runner-leaves-unnoticed';
 
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | (typeof NOTICE_KINDS)[number]
-  | typeof UNHEARD_KIND
+  | typeof UNNOTICED_KIND
   | typeof STORE_RESTORE;
 
 export interface PlannedFault {
@@ -91,15 +91,15 @@
     ...faults,
     ...planRestores({seed, lengthMs}),
     ...planNotices({seed, lengthMs}),
-    ...planUnheard({seed, lengthMs}),
+    ...planUnnoticed({seed, lengthMs}),
   ];
 }
 
 /** One in each half of a run; their variants take turns. */
-function planUnheard({seed, lengthMs}: SoakPlanOptions): PlannedFault[] {
+function planUnnoticed({seed, lengthMs}: SoakPlanOptions): PlannedFault[] {
   const draw = createDraw(seed + 3);
   return [0, 1].map(half => ({
-    kind: UNHEARD_KIND,
+    kind: UNNOTICED_KIND,
     atMs: (half * lengthMs) / 2 + draw.int(MIN_GAP_MS, MAX_GAP_MS),
     forMs: draw.int(MIN_FOR_MS, MAX_MISSED_MS),
     target: draw.int(0, MANY),
