Soak: usage caps at six entries that freeze and are killed

A run of real processes: two organisations, one asking for four times its cap and one for a tenth of it, two entries frozen for 4 s, two killed. It judges the times that refusals name, that the small organisation is never refused, and the requests that ran in any 8 s against the cap and its tolerance.

--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -3,10 +3,12 @@
 import {parseArgs} from 'node:util';
 import {REGRESSIONS} from './regressions.js';
 import {runSeed, type SeedVerdict} from './runSeed.js';
+import {runUsageCaps} from './usageCapRun.js';
 
 const USAGE = `usage: npm run soak -- [options]
   --seeds N       how many seeds to play (default 10)
   --from S        the first seed; without it a fresh one
+  --usage-caps    six entries and two organisations, in place of random faults
   --regressions   the seeds that failed once, in place of others
   --seconds T     the span in which faults begin (default 12)
   --parallel P    how many runs at once (default 2; each has 3 processes)
@@ -22,6 +24,7 @@
   lengthMs: number;
   parallel: number;
   folder: string;
+  usageCaps: boolean;
 }
 
 function readArgs(): SoakArgs {
@@ -30,6 +33,7 @@
       seeds: {type: 'string', default: '10'},
       from: {type: 'string'},
       regressions: {type: 'boolean', default: false},
+      'usage-caps': {type: 'boolean', default: false},
       seconds: {type: 'string', default: '12'},
       parallel: {type: 'string', default: '2'},
       folder: {type: 'string', default: '.run/soak'},
@@ -50,6 +54,7 @@
     lengthMs: seconds * MS_PER_SECOND,
     parallel,
     folder: values.folder,
+    usageCaps: values['usage-caps'],
   };
 }
 
@@ -61,9 +66,23 @@
   for (const {rule, what} of violations) console.log(`  ${rule}: ${what}`);
 }
 
+async function playUsageCaps(seed: number, folder: string): Promise<boolean> {
+  const {violations, mostInWindow, refused} = await runUsageCaps({
+    seed,
+    folder,
+  });
+  const verdict = violations.length === 0 ? 'ok' : 'BROKEN';
+  console.log(
+    `seed ${seed}: ${verdict}, ${mostInWindow} in a window, ${refused} refused`,
+  );
+  for (const {rule, what} of violations) console.log(`  ${rule}: ${what}`);
+  return violations.length === 0;
+}
+
 async function playOne(seed: number, args: SoakArgs): Promise<boolean> {
   const folder = join(args.folder, String(seed));
   mkdirSync(folder, {recursive: true});
+  if (args.usageCaps) return playUsageCaps(seed, folder);
   const verdict = await runSeed({
     seed,
     lengthMs: args.lengthMs,
