Use no shared retry slack until the number of entries is known

Callers of a fleet of 730 entries that all started at once could have 298 retries more sent to failing runners than the deployment allows.

Cause: until an entry is told the number of entries it assumed 8, so each of 730 used 91 times its share of the slack in the first 0.3 s. Weighed: storing the number in the platform's store; it doesn't help an entry that is cut off from the store, and is wrong for a fleet that grew while down.

--- a/packages/banyanfold-gateway/src/requests/retryBudgets.ts
+++ b/packages/banyanfold-gateway/src/requests/retryBudgets.ts
@@ -20,14 +20,14 @@
 
 /** Share of the slack that refills over a window; the rest is the burst. */
 const REFILLED_SLACK_SHARE = 0.3;
-/** Number of entries assumed until the holder has reported it. */
-const ASSUMED_ENTRIES = 8;
 const MS_PER_SECOND = 1000;
 
 /**
  * This entry's share of the retry budget of each service. Retries per request
  * are earned here; the slack is divided by the number of entries, so that no
- * entry needs to know the retries of the others.
+ * entry needs to know the retries of the others. Until the number is known, an
+ * entry uses no slack: any assumed number is too low for a larger fleet whose
+ * processes all start at once.
  */
 export class RetryBudgets {
   private readonly budgets = new Map<string, RetryBudget>();
@@ -63,11 +63,11 @@
   private followEntryCount(): void {
     const entries = this.options.entryCount();
     if (entries === this.entries) return;
-    const wasAssumed = this.entries === undefined;
+    const wasUnknown = this.entries === undefined;
     const before = this.limits();
     this.entries = entries;
     const limits = this.limits();
-    const addedRetries = wasAssumed ? limits.capacity - before.capacity : 0;
+    const addedRetries = wasUnknown ? limits.capacity - before.capacity : 0;
     for (const budget of this.budgets.values()) {
       budget.resize(limits, Math.max(0, addedRetries));
     }
@@ -79,7 +79,8 @@
 
   private limits(): RetryBudgetLimits {
     const {retrySlack, retryWindowMs, usedShare} = this.options;
-    const slack = (retrySlack * usedShare) / (this.entries ?? ASSUMED_ENTRIES);
+    const allowedSlack = retrySlack * usedShare;
+    const slack = this.entries === undefined ? 0 : allowedSlack / this.entries;
     const windowSeconds = retryWindowMs / MS_PER_SECOND;
     return {
       tokensPerSecond: (slack * REFILLED_SLACK_SHARE) / windowSeconds,
