Split the request handler by the stages of a request

Results are recorded in the step in which they arrive, apart from the decision to retry, so that a wait may come between.

--- /dev/null
+++ b/packages/banyanfold-gateway/src/requests/attemptResults.ts
@@ -0,0 +1,161 @@
+import {decideRequestRetry} from './decideRequestRetry.js';
+import type {RequestAdmission} from './requestAdmission.js';
+import type {RequestEnding} from './requestEnding.js';
+import type {RequestState} from './requestState.js';
+import type {AttemptResult} from './responseRelay.js';
+import type {Target} from './targetChooser.js';
+
+/** The runner doesn't hold the model or the adapter of the request. */
+const MISDIRECTED_REQUEST = 421;
+/** First pause before a full runner is retried. */
+const REJECTION_BACKOFF_MS = 25;
+/**
+ * The pause doubles with each rejection up to this limit, so that a full queue
+ * can make progress between attempts. All attempts of a request then span at
+ * least 0.4 s; without pauses they were used up within 20 ms, and the request
+ * was refused because a single runner was full for a moment.
+ */
+const MAX_REJECTION_BACKOFF_MS = 200;
+
+type ResultOf<Kind extends AttemptResult['kind']> = Extract<
+  AttemptResult,
+  {kind: Kind}
+>;
+
+/** Records the results of attempts, and decides whether another one follows. */
+export class AttemptResults {
+  /** Pause before the next attempt, in ms. */
+  nextBackoffMs = 0;
+
+  constructor(
+    private readonly state: RequestState,
+    private readonly admission: RequestAdmission,
+    private readonly ending: RequestEnding,
+  ) {}
+
+  /**
+   * Records a result. It runs in the same step in which the result arrives,
+   * because a request that may have run must not be refused after that.
+   */
+  record(target: Target, result: AttemptResult): void {
+    const {state} = this;
+    switch (result.kind) {
+      case 'delivered':
+        return this.recordDelivered(target, result);
+      case 'unreached':
+        state.rejections += 1;
+        return this.markUnreachable(target);
+      case 'rejected':
+        state.rejections += 1;
+        if (result.fromOtherRunner) this.markUnreachable(target);
+        else this.noteRejection(target, result.status);
+        return;
+      case 'failed':
+      case 'broken':
+        return this.recordFailure(target, result);
+      default:
+        result satisfies never;
+    }
+  }
+
+  private recordDelivered(
+    {runner}: Target,
+    {isSuccess, firstByteMs, status}: ResultOf<'delivered'>,
+  ): void {
+    const {runnerStates} = this.state.options.context;
+    this.state.suspect.noteAnswered();
+    this.notePace(runner.runnerId);
+    runnerStates.recordOutcome(runner.runnerId, isSuccess, firstByteMs);
+    this.ending.finish('answered', status);
+  }
+
+  private recordFailure(
+    {runner}: Target,
+    {kind}: ResultOf<'failed' | 'broken'>,
+  ): void {
+    const {state} = this;
+    if (kind === 'failed') state.suspect.noteAnswered();
+    state.attemptsMade += 1;
+    state.mayHaveRun = true;
+    state.options.context.runnerStates.recordOutcome(runner.runnerId, false);
+  }
+
+  private markUnreachable({runner}: Target): void {
+    const {options, service} = this.state;
+    options.context.runnerStates.markUnreachable(runner.runnerId, service);
+  }
+
+  private notePace(runnerId: string): void {
+    const {context, route} = this.state.options;
+    const {longestPauseMs} = this.state.relay;
+    const {pauseTargetMs} = route;
+    if (longestPauseMs === undefined || pauseTargetMs === undefined) return;
+    context.promptGate.recordPace(runnerId, {longestPauseMs, pauseTargetMs});
+  }
+
+  private noteRejection({runner, needsAdapter}: Target, status: number): void {
+    const {context, decoded} = this.state.options;
+    const {model, adapter} = decoded.request;
+    const isAbsent = status === MISDIRECTED_REQUEST;
+    if (isAbsent && model !== undefined) {
+      context.heldCopies.markAbsent(
+        runner.runnerId,
+        model,
+        needsAdapter || adapter !== undefined ? adapter : undefined,
+      );
+    }
+  }
+
+  /** Schedules another attempt if the retry policy allows it, or fails. */
+  retryOrFail({runner}: Target, result: AttemptResult): void {
+    const {state} = this;
+    const {context, route} = state.options;
+    const wasRejected =
+      result.kind === 'rejected' || result.kind === 'unreached';
+    state.targets.noteRejected(runner.runnerId);
+    const budget = context.retryBudgetOf(state.service);
+    const {shouldRetry, decision} = decideRequestRetry(context, route, {
+      result,
+      ...state.counts,
+      hasStarted: state.relay.hasStarted,
+      deadlineMs: state.deadlineMs,
+      budgetTokens: budget.settle(),
+    });
+    state.log.retry(runner.runnerId, result, decision, state.mayHaveRun);
+    if (!shouldRetry) {
+      this.fail(result);
+      return;
+    }
+    if (result.kind !== 'unreached') budget.tryTake();
+    if (wasRejected) this.nextBackoffMs = this.rejectionBackoffMs();
+    context.metrics.count('retries_total', {after: result.kind});
+  }
+
+  /** Returns 0 while a runner is left that has not rejected the request. */
+  private rejectionBackoffMs(): number {
+    const {targets, rejections, options} = this.state;
+    const target = targets.choose();
+    if (!target || !targets.hasRejected(target.runner)) return 0;
+    const maxMs = Math.min(
+      REJECTION_BACKOFF_MS * 2 ** (rejections - 1),
+      MAX_REJECTION_BACKOFF_MS,
+    );
+    // Equal jitter spreads the retries of requests that were rejected together.
+    return (maxMs * (1 + options.context.random())) / 2;
+  }
+
+  private fail(result: AttemptResult): void {
+    const {state, ending, admission} = this;
+    if (result.kind === 'failed' && !state.relay.hasStarted) {
+      state.relay.deliverFailure(result);
+      ending.finish('runner-failure', result.status);
+      return;
+    }
+    if (state.relay.hasStarted || state.mayHaveRun) {
+      ending.endWithoutAnswer();
+      return;
+    }
+    const paused = state.targets.pausedState();
+    if (!paused || !admission.endIfPaused(paused)) ending.refuse('no-place');
+  }
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -0,0 +1,178 @@
+import type {ResponseInfo, RunnerRegistration} from '../types.js';
+import type {RequestAdmission} from './requestAdmission.js';
+import type {RequestState} from './requestState.js';
+import type {AttemptResult} from './responseRelay.js';
+import type {Target} from './targetChooser.js';
+
+/** Pause before another runner is tried for an adapter that isn't available. */
+const ADAPTER_BACKOFF_MS = 25;
+/**
+ * A prompt waits for its turn up to this share of the route's target time. Then
+ * it is sent anyway, and the runner's own queue decides the order.
+ */
+const MAX_TURN_WAIT_SHARE = 0.25;
+
+/** Sends attempts of one request to the chosen runners. */
+export class AttemptSender {
+  constructor(
+    private readonly state: RequestState,
+    private readonly admission: RequestAdmission,
+  ) {}
+
+  /** Returns undefined if the request was not sent. */
+  async trySend(target: Target): Promise<AttemptResult | undefined> {
+    const {runnerId} = target.runner;
+    const {targets, options} = this.state;
+    const {rateLimits} = options.context;
+    const permit = rateLimits.acquire(runnerId);
+    if (permit.kind === 'refuse') {
+      targets.noteRateLimited(runnerId, permit.retryAfterMs);
+      return undefined;
+    }
+    const result = await this.sendTo(target);
+    const isSent = result !== undefined && result.kind !== 'unreached';
+    if (permit.kind === 'admit' && !isSent) rateLimits.release(runnerId);
+    return result;
+  }
+
+  private async sendTo(target: Target): Promise<AttemptResult | undefined> {
+    const {state, admission} = this;
+    if (target.needsAdapter && !(await this.fetchAdapter(target))) {
+      return undefined;
+    }
+    if (state.isFinished || !state.targets.isStillUsable(target.runner)) {
+      return undefined;
+    }
+    if (admission.refuseIfQueueTooLong(target)) return undefined;
+    return this.sendInTurn(target);
+  }
+
+  private async fetchAdapter({runner}: Target): Promise<boolean> {
+    const {state} = this;
+    const {context, decoded} = state.options;
+    const {model, adapter} = decoded.request;
+    const {runnerId} = runner;
+    const isAvailable = await context.ensureAdapter({
+      runnerId,
+      model: model!,
+      adapter: adapter!,
+    });
+    if (isAvailable || state.isFinished) return isAvailable;
+    state.targets.noteRejected(runnerId);
+    state.markWaiting();
+    await state.pause.wait(ADAPTER_BACKOFF_MS);
+    return false;
+  }
+
+  /** Returns undefined if it was not sent because its turn came late. */
+  private async sendInTurn(target: Target): Promise<AttemptResult | undefined> {
+    const {state, admission} = this;
+    const {context, route} = state.options;
+    const {runnerId} = target.runner;
+    state.clearWaiting();
+    const aheadWork = context.runnerStates.workAhead(runnerId, route.priority);
+    context.runnerStates.recordStart(runnerId, state.service, state.work);
+    const isTurnGranted = await this.waitForTurn(runnerId);
+    const isUsable =
+      isTurnGranted && !state.isFinished && !admission.endIfAccessRevoked();
+    if (!isUsable || !state.targets.isStillUsable(target.runner)) {
+      state.promptTurn?.release();
+      context.runnerStates.recordEnd(runnerId, state.work, false);
+      return undefined;
+    }
+    return this.send(target, aheadWork);
+  }
+
+  /** Returns false if the turn was given up before it was granted. */
+  private async waitForTurn(runnerId: string): Promise<boolean> {
+    const {state} = this;
+    const {context, route, decoded, startedMs} = state.options;
+    const isPrompt = decoded.request.model !== undefined;
+    state.promptTurn = isPrompt
+      ? context.promptGate.acquire(runnerId, route.priority, startedMs)
+      : undefined;
+    const waitMs = route.targetMs * MAX_TURN_WAIT_SHARE;
+    const turnTimer = context.clock.setTimer(waitMs, () =>
+      state.promptTurn?.grantNow(),
+    );
+    const isGranted = (await state.promptTurn?.granted) ?? true;
+    turnTimer.cancel();
+    return isGranted;
+  }
+
+  private async send(
+    target: Target,
+    aheadWork: number,
+  ): Promise<AttemptResult> {
+    const {state} = this;
+    const {context, decoded, route, request, body} = state.options;
+    const {runner} = target;
+    const {runnerId} = runner;
+    const nowMs = context.clock.nowMs();
+    const connection = context.connections.acquire(runner.address);
+    state.log.route(target, state.counts, connection.isReused);
+    const headers = context.codec.encodeAttempt(decoded, {
+      runnerId,
+      remainingMs: state.deadlineMs - nowMs,
+      priority:
+        decoded.request.model === undefined ? undefined : route.priority,
+      lastEventId: state.relay.lastEventId,
+      organisation: state.currentOrganisation?.name,
+    });
+    state.sendCount += 1;
+    let isPromptRead = false;
+    const result = await state.relay.relay(
+      connection,
+      {
+        method: request.method ?? 'GET',
+        target: request.url ?? '/',
+        headers,
+        body,
+      },
+      {
+        runnerId,
+        onResponseInfo: info => this.recordResponseInfo(runner, info, nowMs),
+        onFirstByte: () => {
+          isPromptRead = true;
+          state.promptTurn?.release();
+          const tookMs = context.clock.nowMs() - nowMs;
+          context.runnerStates.recordPromptRead(runnerId, state.work, {
+            aheadWork,
+            tookMs,
+          });
+        },
+      },
+    );
+    state.promptTurn?.release();
+    context.runnerStates.recordEnd(runnerId, state.work, isPromptRead);
+    if (result.kind === 'broken' && result.isClosedByRunner) {
+      context.crashWatch.noteConnectionLost(runner, state.fingerprint);
+    }
+    if (result.kind === 'delivered' || result.kind === 'rejected') {
+      if (result.canReuse) {
+        context.connections.release(runner.address, connection);
+      } else {
+        connection.destroy();
+      }
+    }
+    return result;
+  }
+
+  private recordResponseInfo(
+    runner: RunnerRegistration,
+    info: ResponseInfo,
+    sentMs: number,
+  ): void {
+    const {rateLimits, view, runnerBackoffs} = this.state.options.context;
+    const {isLeaving, retryAfterMs = 0} = info;
+    rateLimits.recordAnswer(runner.runnerId, info, sentMs);
+    if (!isOwnResponse(info)) return;
+    if (isLeaving) view.noteLeaving(runner, 'response');
+    if (retryAfterMs > 0) runnerBackoffs.record(runner, retryAfterMs);
+  }
+}
+
+/** Whether the runner that the request was sent to vouches for the response. */
+function isOwnResponse(info: ResponseInfo): boolean {
+  return !info.fromOtherRunner && (info.signed || info.notExecuted);
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/requests/requestAdmission.ts
@@ -0,0 +1,145 @@
+import {AdmissionChecks} from './admissionChecks.js';
+import {ERROR_STATUS} from './errorResponse.js';
+import type {RequestEnding} from './requestEnding.js';
+import type {RequestState} from './requestState.js';
+import {retryAfterPauseMs} from './retryAfter.js';
+import type {PausedState, Target} from './targetChooser.js';
+
+/** A backoff of a runner up to this length is waited for; see `endIfPaused`. */
+export const RUNNER_POLL_MS = 100;
+
+/**
+ * Refuses or ends a request as soon as it is known that it can't be served.
+ * Each method returns true if it has ended the request.
+ */
+export class RequestAdmission {
+  private readonly checks: AdmissionChecks;
+
+  constructor(
+    private readonly state: RequestState,
+    private readonly ending: RequestEnding,
+  ) {
+    const {context, decoded, route, startedMs} = state.options;
+    this.checks = new AdmissionChecks({
+      context,
+      request: decoded.request,
+      route,
+      startedMs,
+      deadlineMs: state.deadlineMs,
+      responseStartDeadlineMs: state.responseStartDeadlineMs,
+    });
+  }
+
+  /** Refuses a request that could outlast this process, which is draining. */
+  refuseIfOutlastsDrain(): boolean {
+    if (!this.checks.outlastsDrain) return false;
+    this.ending.refuse('leaving');
+    return true;
+  }
+
+  /** Refuses a request that exceeds the usage cap of its organisation. */
+  async refuseIfOverCap(): Promise<boolean> {
+    const {state, ending} = this;
+    const retryAfterMs = await state.usageCharge.charge();
+    if (state.isFinished) {
+      // The caller left while the charge waited.
+      state.usageCharge.refund();
+      return true;
+    }
+    if (retryAfterMs === undefined) return false;
+    ending.respond(ERROR_STATUS.overCap, 'usage-cap', retryAfterMs);
+    return true;
+  }
+
+  /** Ends the request if its caller's key was revoked after it arrived. */
+  endIfAccessRevoked(): boolean {
+    const {state, ending} = this;
+    const caller = state.options.identity.decide();
+    if (caller.kind === 'admitted') return false;
+    if (state.relay.hasStarted) {
+      ending.cut('cut');
+    } else if (caller.kind === 'unauthorized') {
+      ending.respond(ERROR_STATUS.unauthorized, caller.reason);
+    } else if (state.mayHaveRun) {
+      ending.respond(ERROR_STATUS.unknown, 'config-stale');
+    } else {
+      ending.refuse('config-stale');
+    }
+    return true;
+  }
+
+  /** Ends a request that is in quarantine for crashing several runners. */
+  endQuarantined(): void {
+    const {state, ending} = this;
+    const {quarantinedForMs} = state.suspect;
+    state.log.refuseQuarantined(state.fingerprint, quarantinedForMs);
+    if (state.relay.hasStarted) {
+      ending.cut('cut');
+    } else if (state.mayHaveRun) {
+      ending.respond(ERROR_STATUS.unknown, 'quarantined');
+    } else {
+      ending.respond(ERROR_STATUS.notRun, 'quarantined', quarantinedForMs);
+    }
+  }
+
+  /**
+   * Refuses a request to a plain service whose runners are all leaving. For a
+   * model, the delay of its next copy decides.
+   */
+  refuseIfAllLeaving(): boolean {
+    const {state} = this;
+    const isPlain = state.options.decoded.request.model === undefined;
+    if (!isPlain || state.relay.hasStarted || state.mayHaveRun) return false;
+    const counts = state.targets.candidateCounts();
+    if (counts.runners === 0 || counts.staying > 0) return false;
+    state.log.wait(counts);
+    this.ending.refuse('no-place');
+    return true;
+  }
+
+  /**
+   * Ends the request if the runners that could take it are paused for longer
+   * than it can wait. A request that may have run waits up to its deadline,
+   * because a 503 promises that it has not run.
+   */
+  endIfPaused({reason, forMs}: PausedState): boolean {
+    const {state, ending} = this;
+    const {context} = state.options;
+    if (state.relay.hasStarted || state.mayHaveRun) {
+      if (forMs < state.leftMs) return false;
+      ending.endWithoutAnswer();
+      return true;
+    }
+    const isShort = reason === 'runner-backoff' && forMs <= RUNNER_POLL_MS;
+    if (isShort) return false;
+    const retryAfterMs = retryAfterPauseMs(forMs, context.random);
+    state.log.refuseByPause(reason, state.service, retryAfterMs);
+    ending.respond(ERROR_STATUS.notRun, reason, retryAfterMs);
+    return true;
+  }
+
+  /** Refuses a request that would queue until its caller disconnects. */
+  refuseIfQueueTooLong({runner}: Target): boolean {
+    const {state, ending} = this;
+    if (state.relay.hasStarted) return false;
+    const refusal = this.checks.checkQueue(runner.runnerId);
+    if (!refusal) return false;
+    const {retryAfterMs} = refusal.decision;
+    state.log.refuseByQueue(runner.runnerId, refusal);
+    if (state.mayHaveRun) ending.respond(ERROR_STATUS.unknown, 'runner-failed');
+    else ending.respond(ERROR_STATUS.notRun, 'queue', retryAfterMs);
+    return true;
+  }
+
+  /** Refuses a request whose copy would be ready only after its caller left. */
+  refuseIfCopyTooLate(): boolean {
+    const {state, ending} = this;
+    if (state.relay.hasStarted || state.mayHaveRun) return false;
+    const refusal = this.checks.checkCopyWait();
+    if (!refusal) return false;
+    state.log.refuseWithoutCopy(refusal);
+    const {retryAfterMs} = refusal.decision;
+    ending.respond(ERROR_STATUS.notRun, 'no-copy-in-time', retryAfterMs);
+    return true;
+  }
+}
