Let retries wait for the number of entries after a start

Without slack until the number of entries is known, callers of a process in its first 0.3 s were refused after one failure of a runner: 12 tests of single requests at a fresh entry failed (endToEnd, runnerBackoff) with 503. A retry now waits up to 0.5 s for the first exchange, as usage caps do; if nobody tells the number, only the first retries wait. After: 396 tests of gateway and platform pass, retryBudgets with its 730 entries included.

--- a/packages/banyanfold-gateway/src/__tests__/retryBudgets.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/retryBudgets.test.ts
@@ -121,4 +121,37 @@
     await clock.advance(WINDOW_MS);
     expect(available()).toBe(capacityOf(50) + (100 * 0.3) / 5);
   });
+
+  // Guards against refusing callers of a process that has just started, and
+  // against holding them up if nobody tells it the number of entries.
+  it('lets retries wait for the number of entries, but not for long', async () => {
+    const clock = new VirtualClock();
+    let entries: number | undefined;
+    const budgets = new RetryBudgets({
+      clock,
+      metrics: new Metrics(),
+      retryRatio: RETRY_RATIO,
+      retrySlack: 100,
+      retryWindowMs: WINDOW_MS,
+      usedShare: 1,
+      entryCount: () => entries,
+      random: () => 0.99,
+    });
+    let ended = 0;
+    const wait = () => void budgets.untilKnown().then(() => (ended += 1));
+    wait();
+    await clock.advance(100);
+    expect(ended).toBe(0);
+    entries = 2;
+    budgets.noteEntryCount();
+    await clock.advance(0);
+    expect(ended).toBe(1);
+    entries = undefined;
+    wait();
+    await clock.advance(1_000);
+    expect(ended).toBe(2);
+    wait();
+    await clock.advance(0);
+    expect(ended).toBe(3);
+  });
 });
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -58,6 +58,8 @@
   /** Number of active entries, including this one. */
   entryCount(): number;
   retryBudgetOf(service: string): RetryBudget;
+  /** Waits for the number of entries, by which the retry budget is divided. */
+  untilRetryBudgetKnown(): Promise<void>;
   ensureAdapter: EnsureAdapter;
   permitTrial: PermitTrial;
   /** Uniform in [0, 1). */
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -239,6 +239,7 @@
       random,
       onEntryCount: count => {
         this.knownEntryCount = count;
+        retryBudgets.noteEntryCount();
       },
     });
     const {retryRatio, retrySlack, retryWindowMs} = settings.bounds;
@@ -283,6 +284,7 @@
       refreshConfig: () => deps.fleet.refreshConfig(),
       entryCount: () => this.entryCount,
       retryBudgetOf: service => retryBudgets.of(service),
+      untilRetryBudgetKnown: () => retryBudgets.untilKnown(),
       ensureAdapter: this.holderLink.ensureAdapter,
       permitTrial: this.holderLink.permitTrial,
       random,
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -101,6 +101,7 @@
     if (!result || state.isFinished) return result;
     results.record(target, result);
     if (result.kind === 'delivered') return result;
+    await this.options.context.untilRetryBudgetKnown();
     if (!state.isFinished) results.retryOrFail(target, result);
     return result;
   }
--- a/packages/banyanfold-gateway/src/requests/retryBudgets.ts
+++ b/packages/banyanfold-gateway/src/requests/retryBudgets.ts
@@ -20,6 +20,12 @@
 
 /** Share of the slack that refills over a window; the rest is the burst. */
 const REFILLED_SLACK_SHARE = 0.3;
+/**
+ * Longest wait of a retry for the number of entries: a process that has just
+ * started is told within two exchanges. If it isn't, only the first retries
+ * wait.
+ */
+const MAX_KNOWN_WAIT_MS = 500;
 const MS_PER_SECOND = 1000;
 
 /**
@@ -32,6 +38,8 @@
 export class RetryBudgets {
   private readonly budgets = new Map<string, RetryBudget>();
   private entries: number | undefined;
+  private readonly waiting = new Set<() => void>();
+  private isWaitOver = false;
 
   constructor(private readonly options: RetryBudgetsOptions) {}
 
@@ -50,6 +58,32 @@
     return budget;
   }
 
+  /** Ends all waits of `untilKnown` once the number of entries is known. */
+  noteEntryCount(): void {
+    for (const finish of [...this.waiting]) finish();
+  }
+
+  /**
+   * Waits for the number of entries. Without this, callers of a process that
+   * has just started would be refused after the first failure of a runner.
+   */
+  async untilKnown(): Promise<void> {
+    const {clock, entryCount} = this.options;
+    if (entryCount() !== undefined || this.isWaitOver) return;
+    await new Promise<void>(resolve => {
+      const finish = () => {
+        timer.cancel();
+        this.waiting.delete(finish);
+        resolve();
+      };
+      const timer = clock.setTimer(MAX_KNOWN_WAIT_MS, () => {
+        this.isWaitOver = true;
+        finish();
+      });
+      this.waiting.add(finish);
+    });
+  }
+
   private create(): RetryBudget {
     const {clock, random} = this.options;
     return new RetryBudget({
