Split the caller's side off the response relay and the server

Writing to the caller is now responseWriter.ts, the results of attempts are attemptResult.ts, and refusals before a request is handled are headRefusals.ts.

--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -5,12 +5,11 @@
 } from 'node:http';
 import type {GatewayContext} from './context.js';
 import {ERROR_STATUS, sendErrorResponse} from './requests/errorResponse.js';
+import {HeadRefusals} from './requests/headRefusals.js';
 import {readBody} from './requests/readBody.js';
 import {RequestHandler} from './requests/requestHandler.js';
 import {CallerIdentity} from './callers/callerIdentity.js';
-import type {CallerDecision} from './callers/decideCaller.js';
-import {shortDigest} from './callers/keyDigest.js';
-import type {CallerLimits, DecodedRequest} from './types.js';
+import type {CallerLimits} from './types.js';
 
 /** Used until a configuration is known; callers are refused then anyway. */
 const LIMITS_BEFORE_CONFIG: CallerLimits = {
@@ -25,8 +24,6 @@
 const KEEP_ALIVE_MARGIN_MS = 1_500;
 /** Shorter than the 1 s after which callers abandon a silent connection. */
 const READY_WAIT_MS = 600;
-/** Retry delay for callers refused because of the configuration's state. */
-const NOT_READY_RETRY_AFTER_MS = 500;
 /** Lines of a stack trace that are logged: the error and its origin. */
 const MAX_STACK_LINES = 6;
 
@@ -34,10 +31,12 @@
 export class GatewayServer {
   readonly server: Server;
   private readonly activeRequests = new Set<RequestHandler>();
+  private readonly refusals: HeadRefusals;
   openRequests = 0;
   private pendingLoopTurns: Promise<void> | undefined;
 
   constructor(private readonly context: GatewayContext) {
+    this.refusals = new HeadRefusals(context);
     this.server = http.createServer(
       {maxHeaderSize: MAX_PARSED_HEADER_BYTES, requestTimeout: 0},
       (request, response) => {
@@ -99,26 +98,26 @@
     });
     const errorStatus = this.checkHead(request);
     if (errorStatus !== undefined) {
-      this.refuse(request, response, errorStatus, true);
+      this.refusals.refuse(request, response, errorStatus, true);
       return;
     }
     const body = await readBody(request, this.limits.maxBodyBytes);
     if (body === 'broken-off') return;
     if (body === 'too-large') {
-      this.refuse(request, response, ERROR_STATUS.tooLarge, true);
+      this.refusals.refuse(request, response, ERROR_STATUS.tooLarge, true);
       return;
     }
     if (!context.view.isReady) await this.waitUntilReady();
     await this.waitForUnreadCloses();
     if (response.closed || request.socket.readableEnded) return;
     if (!context.view.isReady) {
-      this.refuse(request, response, ERROR_STATUS.notRun, false);
+      this.refusals.refuse(request, response, ERROR_STATUS.notRun, false);
       return;
     }
     const host = request.headers.host ?? '';
     const route = context.view.findRoute(host, request.url ?? '/');
     if (!route) {
-      this.refuseUnrouted(request, response);
+      this.refusals.refuseUnrouted(request, response);
       return;
     }
     const decoded = context.codec.decodeRequest(request.rawHeaders);
@@ -131,7 +130,7 @@
     });
     const caller = identity.decide();
     if (caller.kind !== 'admitted') {
-      this.refuseCaller(request, response, decoded, caller);
+      this.refusals.refuseCaller(request, response, decoded, caller);
       return;
     }
     const {organisation} = caller;
@@ -227,74 +226,4 @@
     if (length > this.limits.maxBodyBytes) return ERROR_STATUS.tooLarge;
     return undefined;
   }
-
-  /**
-   * Refuses a request without a route. A 404 is final, so it requires a
-   * confirmed configuration: a newer one, not known here yet, may contain the
-   * route.
-   */
-  private refuseUnrouted(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): void {
-    const {view, configApplyMs, refreshConfig} = this.context;
-    if (view.isConfigConfirmed(configApplyMs)) {
-      this.refuse(request, response, ERROR_STATUS.noRoute, false);
-      return;
-    }
-    refreshConfig();
-    this.refuse(request, response, ERROR_STATUS.notRun, false);
-  }
-
-  /** Refuses a caller that is unauthorized or can't be authorized yet. */
-  private refuseCaller(
-    request: IncomingMessage,
-    response: ServerResponse,
-    {keyDigest, request: {requestId}}: DecodedRequest,
-    caller: Exclude<CallerDecision, {kind: 'admitted'}>,
-  ): void {
-    if (caller.kind === 'undecided') {
-      this.refuse(request, response, ERROR_STATUS.notRun, false);
-      return;
-    }
-    const {metrics, logger, view, isDraining} = this.context;
-    const {reason} = caller;
-    metrics.count('callers_unauthorized_total', {reason});
-    logger.info('unauthorized', {
-      request: requestId,
-      reason,
-      key: keyDigest && shortDigest(keyDigest),
-      target: request.url,
-      config: view.currentConfig?.version,
-    });
-    const status = ERROR_STATUS.unauthorized;
-    sendErrorResponse(response, {status, reason}, isDraining());
-  }
-
-  private refuse(
-    request: IncomingMessage,
-    response: ServerResponse,
-    status: number,
-    closeConnection: boolean,
-  ): void {
-    const {metrics, logger, view} = this.context;
-    metrics.count('turned_away_total', {status: String(status)});
-    logger.info('turned-away', {
-      status,
-      host: request.headers.host,
-      target: request.url,
-      config: view.currentConfig?.version,
-      configAgeMs: view.configAgeMs && Math.round(view.configAgeMs),
-    });
-    sendErrorResponse(
-      response,
-      {
-        status,
-        reason: http.STATUS_CODES[status] ?? 'refused',
-        retryAfterMs:
-          status === ERROR_STATUS.notRun ? NOT_READY_RETRY_AFTER_MS : undefined,
-      },
-      closeConnection || this.context.isDraining(),
-    );
-  }
 }
--- /dev/null
+++ b/packages/banyanfold-gateway/src/requests/attemptResult.ts
@@ -0,0 +1,39 @@
+import type {ResponseHeaders} from '../types.js';
+
+/** How one attempt to send a request to a runner ended. */
+export type AttemptResult =
+  | {
+      kind: 'delivered';
+      status: number;
+      isSuccess: boolean;
+      firstByteMs: number;
+      canReuse: boolean;
+    }
+  /** A complete error response of the runner, not yet sent to the caller. */
+  | {kind: 'failed'; status: number; headers: ResponseHeaders; body: Buffer}
+  /** The runner confirmed that it did not run the request. */
+  | {
+      kind: 'rejected';
+      status: number;
+      canReuse: boolean;
+      fromOtherRunner: boolean;
+    }
+  /** No connection to the runner was established. */
+  | {kind: 'unreached'; error: string}
+  /** The request may have run, and no complete response arrived. */
+  | {
+      kind: 'broken';
+      error: string;
+      /** The runner closed the connection; it may have crashed. */
+      isClosedByRunner: boolean;
+    };
+
+/** The result of an attempt that was cancelled or whose response is invalid. */
+export function brokenResult(error: string): AttemptResult {
+  return {kind: 'broken', error, isClosedByRunner: false};
+}
+
+/** The result of an attempt whose connection the runner closed early. */
+export function closedByRunnerResult(error: string): AttemptResult {
+  return {kind: 'broken', error, isClosedByRunner: true};
+}
--- /dev/null
+++ b/packages/banyanfold-gateway/src/requests/headRefusals.ts
@@ -0,0 +1,81 @@
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {CallerDecision} from '../callers/decideCaller.js';
+import {shortDigest} from '../callers/keyDigest.js';
+import type {GatewayContext} from '../context.js';
+import type {DecodedRequest} from '../types.js';
+import {ERROR_STATUS, sendErrorResponse} from './errorResponse.js';
+
+/** Retry delay for callers refused because of the configuration's state. */
+const NOT_READY_RETRY_AFTER_MS = 500;
+
+/** Refuses requests before they are handled; none of them has run. */
+export class HeadRefusals {
+  constructor(private readonly context: GatewayContext) {}
+
+  /**
+   * Refuses a request without a route. A 404 is final, so it requires a
+   * confirmed configuration: a newer one, not known here yet, may contain the
+   * route.
+   */
+  refuseUnrouted(request: IncomingMessage, response: ServerResponse): void {
+    const {view, configApplyMs, refreshConfig} = this.context;
+    if (view.isConfigConfirmed(configApplyMs)) {
+      this.refuse(request, response, ERROR_STATUS.noRoute, false);
+      return;
+    }
+    refreshConfig();
+    this.refuse(request, response, ERROR_STATUS.notRun, false);
+  }
+
+  /** Refuses a caller that is unauthorized or can't be authorized yet. */
+  refuseCaller(
+    request: IncomingMessage,
+    response: ServerResponse,
+    {keyDigest, request: {requestId}}: DecodedRequest,
+    caller: Exclude<CallerDecision, {kind: 'admitted'}>,
+  ): void {
+    if (caller.kind === 'undecided') {
+      this.refuse(request, response, ERROR_STATUS.notRun, false);
+      return;
+    }
+    const {metrics, logger, view, isDraining} = this.context;
+    const {reason} = caller;
+    metrics.count('callers_unauthorized_total', {reason});
+    logger.info('unauthorized', {
+      request: requestId,
+      reason,
+      key: keyDigest && shortDigest(keyDigest),
+      target: request.url,
+      config: view.currentConfig?.version,
+    });
+    const status = ERROR_STATUS.unauthorized;
+    sendErrorResponse(response, {status, reason}, isDraining());
+  }
+
+  refuse(
+    request: IncomingMessage,
+    response: ServerResponse,
+    status: number,
+    closeConnection: boolean,
+  ): void {
+    const {metrics, logger, view} = this.context;
+    metrics.count('turned_away_total', {status: String(status)});
+    logger.info('turned-away', {
+      status,
+      host: request.headers.host,
+      target: request.url,
+      config: view.currentConfig?.version,
+      configAgeMs: view.configAgeMs && Math.round(view.configAgeMs),
+    });
+    sendErrorResponse(
+      response,
+      {
+        status,
+        reason: http.STATUS_CODES[status] ?? 'refused',
+        retryAfterMs:
+          status === ERROR_STATUS.notRun ? NOT_READY_RETRY_AFTER_MS : undefined,
+      },
+      closeConnection || this.context.isDraining(),
+    );
+  }
+}
--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -13,38 +13,16 @@
   type AttemptRequest,
   type AttemptObserver,
 } from './attempt.js';
+import {
+  brokenResult,
+  closedByRunnerResult,
+  type AttemptResult,
+} from './attemptResult.js';
 import {EventSplitter} from './eventSplitter.js';
 import {framingOf, type Framing} from './responseFraming.js';
+import {ResponseWriter} from './responseWriter.js';
 
-const BODILESS_STATUSES = new Set([204, 304]);
-
-/** How one attempt to send a request to a runner ended. */
-export type AttemptResult =
-  | {
-      kind: 'delivered';
-      status: number;
-      isSuccess: boolean;
-      firstByteMs: number;
-      canReuse: boolean;
-    }
-  /** A complete error response of the runner, not yet sent to the caller. */
-  | {kind: 'failed'; status: number; headers: ResponseHeaders; body: Buffer}
-  /** The runner confirmed that it did not run the request. */
-  | {
-      kind: 'rejected';
-      status: number;
-      canReuse: boolean;
-      fromOtherRunner: boolean;
-    }
-  /** No connection to the runner was established. */
-  | {kind: 'unreached'; error: string}
-  /** The request may have run, and no complete response arrived. */
-  | {
-      kind: 'broken';
-      error: string;
-      /** The runner closed the connection; it may have crashed. */
-      isClosedByRunner: boolean;
-    };
+export type {AttemptResult} from './attemptResult.js';
 
 /** The runner of an attempt, and callbacks for the start of its response. */
 export interface AttemptHooks {
@@ -91,7 +69,11 @@
   private lastEventAtMs: number | undefined;
   private inFlight: {attempt: Attempt; abandon: () => void} | undefined;
 
-  constructor(private readonly options: ResponseRelayOptions) {}
+  private readonly writer: ResponseWriter;
+
+  constructor(private readonly options: ResponseRelayOptions) {
+    this.writer = new ResponseWriter(options);
+  }
 
   /** Whether a runner has the request or a part of a response was forwarded. */
   get isSent(): boolean {
@@ -137,7 +119,7 @@
     headers: ResponseHeaders;
     body: Buffer;
   }): void {
-    this.sendComplete(result.status, result.headers, result.body);
+    this.writer.sendComplete(result.status, result.headers, result.body);
   }
 
   private createObserver(
@@ -233,16 +215,12 @@
   }
 
   /** Sends the head once; it stays when another runner resumes the stream. */
-  private startResponse({status, headers}: ResponseHead): void {
+  private startResponse(head: ResponseHead): void {
     if (this.hasStarted) return;
     this.hasStarted = true;
-    const {response, context, startedMs} = this.options;
+    const {context, startedMs} = this.options;
     this.firstByteMs = Math.round(context.clock.nowMs() - startedMs);
-    const forwarded = context.codec.forwardedResponseHeaders(headers);
-    delete forwarded['content-length'];
-    if (context.isDraining()) forwarded['connection'] = 'close';
-    response.writeHead(status, forwarded);
-    response.flushHeaders();
+    this.writer.startStream(head);
   }
 
   private forwardEvents(splitter: EventSplitter, chunk: Buffer): boolean {
@@ -250,11 +228,10 @@
     if (!events) return true;
     if (events.lastEventId !== undefined) this.lastEventId = events.lastEventId;
     this.recordPause();
-    const {response} = this.options;
-    if (response.write(events.bytes)) return true;
     const {inFlight} = this;
-    response.once('drain', () => inFlight?.attempt.resume());
-    return false;
+    return this.writer.writeEvents(events.bytes, () =>
+      inFlight?.attempt.resume(),
+    );
   }
 
   private recordPause(): void {
@@ -275,7 +252,7 @@
       if (splitter.pending.length > 0) {
         return closedByRunnerResult('stream ended inside an event');
       }
-      this.options.response.end();
+      this.writer.endStream();
       return {
         kind: 'delivered',
         status,
@@ -288,7 +265,7 @@
     if (status < 300) {
       if (!info.signed) return brokenResult('response is unsigned');
       this.firstByteMs = Math.round(firstByteMs);
-      this.sendComplete(status, headers, body);
+      this.writer.sendComplete(status, headers, body);
       return {
         kind: 'delivered',
         status,
@@ -311,29 +288,4 @@
     ).toLowerCase();
     return framing !== 'until-close' && !connectionHeader.includes('close');
   }
-
-  private sendComplete(
-    status: number,
-    headers: ResponseHeaders,
-    body: Buffer,
-  ): void {
-    const {response, context} = this.options;
-    const forwarded = context.codec.forwardedResponseHeaders(headers);
-    if (!BODILESS_STATUSES.has(status)) {
-      forwarded['content-length'] = String(body.length);
-    }
-    if (context.isDraining()) forwarded['connection'] = 'close';
-    response.writeHead(status, forwarded);
-    response.end(body);
-  }
-}
-
-/** The result of an attempt that was cancelled or whose response is invalid. */
-function brokenResult(error: string): AttemptResult {
-  return {kind: 'broken', error, isClosedByRunner: false};
-}
-
-/** The result of an attempt whose connection the runner closed early. */
-function closedByRunnerResult(error: string): AttemptResult {
-  return {kind: 'broken', error, isClosedByRunner: true};
 }
