Bound the memory that a process holds for its callers

maxGatheredBytes bounds one response, but nothing bounded the sum: 26 responses of 8 MB to callers that read slowly exceed the 210 MB of the smallest machine, and the process is killed with all of its requests.

HeldBytes counts request bodies, gathered responses, incomplete events and bytes that callers have not taken, per request and in sum. Above the bound (a fifth of the memory), the transfer with the largest product of size and time without progress gives way, stalled ones first; its connection is closed and the runner's work cancelled. New requests are refused with 503 before their body is read, after stalled transfers have given way to them. The decision is a pure function.

Weighed: pausing runners (they cut off what remains unread), a deadline for writes (no bound on the sum), memoryUsage (counts garbage), reserving announced bodies (callers that send nothing would use up the memory), refusing while stalled callers hold the memory (they could keep everybody out).

The property test fails if the bound is not enforced (1,000,001 of 1,000,000 bytes) and if stalled transfers do not give way to new requests (refused at 520,600 of 800,000 bytes).

--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -13,6 +13,7 @@
 import type {RunnerConnections} from './runners/runnerConnections.js';
 import type {RunnerRateLimits} from './runners/runnerRateLimits.js';
 import type {RunnerStates} from './runners/runnerStates.js';
+import type {HeldBytes} from './resources/heldBytes.js';
 import type {RequestCodec} from './types.js';
 import type {FleetView} from './view/fleetView.js';
 
@@ -45,6 +46,8 @@
   heldCopies: HeldCopies;
   demand: DemandMeter;
   usage: UsageAccounts;
+  /** Undefined if the memory held for callers is not limited. */
+  heldBytes?: HeldBytes;
   workForecast: WorkForecast;
   /**
    * How long keys are accepted after the configuration was last confirmed, in
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -20,6 +20,8 @@
 import {LoadRate} from './placement/loadRate.js';
 import {repeatEvery} from './repeatEvery.js';
 import {createMetricsServer, createReadinessServer} from './readinessServer.js';
+import {createHeldBytes} from './resources/heldBytes.js';
+import type {ResourceSettings} from './resources/resourceSettings.js';
 import {HeldCopies} from './runners/heldCopies.js';
 import {PromptGate} from './runners/promptGate.js';
 import {RunnerRateLimits} from './runners/runnerRateLimits.js';
@@ -73,6 +75,8 @@
   bounds: DeploymentBounds;
   /** The whole system starts for the first time. */
   isFirstStart: boolean;
+  /** Undefined if the process need not limit what it uses of its machine. */
+  resources?: ResourceSettings;
 }
 
 export interface GatewayDependencies {
@@ -278,6 +282,12 @@
       heldCopies,
       demand,
       usage: usageAccounts,
+      heldBytes: createHeldBytes(settings.resources, {
+        clock,
+        logger,
+        metrics,
+        options,
+      }),
       workForecast: new WorkForecast(() => clock.nowMs()),
       keysTrustedMs: settings.bounds.keysTrustedMs,
       configApplyMs: settings.bounds.configApplyMs,
@@ -312,6 +322,11 @@
     return this.knownEntryCount ?? ASSUMED_ENTRY_COUNT;
   }
 
+  /** Memory held for callers, in bytes; undefined if it isn't limited. */
+  get heldBytes(): number | undefined {
+    return this.context.heldBytes?.heldBytes;
+  }
+
   get callersPort(): number {
     return this.deps.settings.callers.port;
   }
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -101,8 +101,27 @@
       this.refusals.refuse(request, response, errorStatus, true);
       return;
     }
-    const body = await readBody(request, this.limits.maxBodyBytes);
-    if (body === 'broken-off') return;
+    const {heldBytes} = context;
+    const holding = heldBytes?.admit(response, announcedBytes(request));
+    if (heldBytes && !holding) {
+      this.refusals.refuseForMemory(request, response);
+      return;
+    }
+    if (holding) {
+      // Closes the connection of a caller that has stopped sending its body.
+      holding.giveWay = () =>
+        this.refusals.refuseForMemory(request, response, true);
+    }
+    const body = await readBody(request, {
+      maxBytes: this.limits.maxBodyBytes,
+      addBytes: holding && (bytes => holding.addBody(bytes)),
+    });
+    if (body === 'broken-off' || response.headersSent) return;
+    holding?.endBody();
+    if (body === 'no-memory') {
+      this.refusals.refuseForMemory(request, response);
+      return;
+    }
     if (body === 'too-large') {
       this.refusals.refuse(request, response, ERROR_STATUS.tooLarge, true);
       return;
@@ -143,6 +162,7 @@
       identity,
       organisation,
       body,
+      holding,
       startedMs,
     });
     this.activeRequests.add(handler);
@@ -222,8 +242,12 @@
     let bytes = 0;
     for (const value of request.rawHeaders) bytes += value.length + 2;
     if (bytes > this.limits.maxHeaderBytes) return ERROR_STATUS.headTooLarge;
-    const length = Number(request.headers['content-length'] ?? 0);
-    if (length > this.limits.maxBodyBytes) return ERROR_STATUS.tooLarge;
-    return undefined;
+    const isTooLarge = announcedBytes(request) > this.limits.maxBodyBytes;
+    return isTooLarge ? ERROR_STATUS.tooLarge : undefined;
   }
 }
+
+/** Length of the request body that the head states; 0 if it states none. */
+function announcedBytes({headers}: IncomingMessage): number {
+  return Number(headers['content-length'] ?? 0);
+}
--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -65,6 +65,30 @@
   graceMarginMs: durationMs.default(500),
   /** Largest response that is buffered; streams are not limited. */
   maxGatheredBytes: z.number().int().positive().default(8_388_608),
+  /**
+   * Share of the process's memory that request bodies, gathered responses and
+   * bytes that callers have not taken may fill. Of the smallest machine, 210 MB,
+   * it is 42 MB. The process peaks at 61 to 101 MB without such data
+   * (docs/CAPACITY.md), and buffers that are no longer in use occupy as much
+   * again until they are collected.
+   */
+  heldMemoryShare: z.number().positive().max(0.5).default(0.2),
+  /**
+   * Share of that bound up to which new requests are admitted. The rest is for
+   * the responses to those that are open.
+   */
+  heldAdmittedShare: z.number().positive().max(1).default(0.8),
+  /**
+   * Share of that bound that is reached when responses give way. Each decision
+   * orders all responses, so it frees a tenth instead of a few bytes.
+   */
+  heldRelievedShare: z.number().positive().max(1).default(0.9),
+  /**
+   * Time without progress after which a transfer counts as stalled. A caller
+   * that reads takes bytes in each round trip; a lost packet is sent again
+   * after 0.2 s, and a second time 0.4 s later.
+   */
+  stalledAfterMs: durationMs.default(1_000),
   /**
    * Share of the allowed retries that is used, so that a deviation of a few
    * requests in the count does not exceed the limit.
--- a/packages/banyanfold-gateway/src/requests/attemptResult.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptResult.ts
@@ -10,7 +10,7 @@
       canReuse: boolean;
     }
   /** A complete error response of the runner, not yet sent to the caller. */
-  | {kind: 'failed'; status: number; headers: ResponseHeaders; body: Buffer}
+  | {kind: 'failed'; status: number; headers: ResponseHeaders; chunks: Buffer[]}
   /** The runner confirmed that it did not run the request. */
   | {
       kind: 'rejected';
--- a/packages/banyanfold-gateway/src/requests/headRefusals.ts
+++ b/packages/banyanfold-gateway/src/requests/headRefusals.ts
@@ -4,10 +4,17 @@
 import type {GatewayContext} from '../context.js';
 import type {DecodedRequest} from '../types.js';
 import {ERROR_STATUS, sendErrorResponse} from './errorResponse.js';
+import {retryAfterPauseMs} from './retryAfter.js';
 
 /** Retry delay for callers refused because of the configuration's state. */
 const NOT_READY_RETRY_AFTER_MS = 500;
 
+/**
+ * Retry delay for callers refused because of memory. A transfer without progress
+ * counts as stalled after 1 s and gives way to a new request.
+ */
+const MEMORY_RETRY_AFTER_MS = 1_000;
+
 /** Refuses requests before they are handled; none of them has run. */
 export class HeadRefusals {
   constructor(private readonly context: GatewayContext) {}
@@ -52,6 +59,28 @@
     sendErrorResponse(response, {status, reason}, isDraining());
   }
 
+  /** Refuses a request for which there is no memory, before its body is read. */
+  refuseForMemory(
+    request: IncomingMessage,
+    response: ServerResponse,
+    // The rest of a body of unknown length is not waited for.
+    closeConnection = request.headers['content-length'] === undefined,
+  ): void {
+    const {metrics, logger, random, isDraining} = this.context;
+    const retryAfterMs = retryAfterPauseMs(MEMORY_RETRY_AFTER_MS, random);
+    metrics.count('refused_for_memory_total');
+    logger.info('refuse', {
+      reason: 'memory',
+      target: request.url,
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+    sendErrorResponse(
+      response,
+      {status: ERROR_STATUS.notRun, reason: 'memory', retryAfterMs},
+      closeConnection || isDraining(),
+    );
+  }
+
   refuse(
     request: IncomingMessage,
     response: ServerResponse,
--- /dev/null
+++ b/packages/banyanfold-gateway/src/requests/incomingResponse.ts
@@ -0,0 +1,59 @@
+import type {GatewayContext} from '../context.js';
+import type {DecodedRequest, ResponseInfo, RoutePolicy} from '../types.js';
+import type {ResponseHead} from './attempt.js';
+import {framingOf, type Framing} from './responseFraming.js';
+
+/** A response that is being received from a runner. */
+export interface IncomingResponse {
+  head: ResponseHead;
+  info: ResponseInfo;
+  framing: Framing;
+  /** Forwarded event by event; otherwise buffered until it is complete. */
+  isStreamed: boolean;
+  chunks: Buffer[];
+  bufferedBytes: number;
+  firstByteMs: number;
+}
+
+export interface DecodeHeadOptions {
+  context: GatewayContext;
+  route: RoutePolicy;
+  runnerId: string;
+  /** When the request was sent, in ms of the clock. */
+  sentMs: number;
+}
+
+export function decodeHead(
+  head: ResponseHead,
+  {context, route, runnerId, sentMs}: DecodeHeadOptions,
+): IncomingResponse {
+  const {status, headers} = head;
+  const info = context.codec.decodeResponse(status, headers, runnerId);
+  const isSuccess = status < 300 && info.signed;
+  return {
+    head,
+    info,
+    framing: framingOf(headers),
+    isStreamed: route.kind === 'streaming' && isSuccess,
+    chunks: [],
+    bufferedBytes: 0,
+    firstByteMs: context.clock.nowMs() - sentMs,
+  };
+}
+
+/** Why a response can't be forwarded, by its head; undefined if it can. */
+export function integrityErrorOf(
+  {requestId, encoded}: ResponseInfo,
+  {request}: DecodedRequest,
+): string | undefined {
+  if (requestId !== undefined && requestId !== request.requestId) {
+    return 'response belongs to another request';
+  }
+  return encoded ? 'response body was re-encoded in transit' : undefined;
+}
+
+/** Whether its connection can carry another request. */
+export function isReusable({head, framing}: IncomingResponse): boolean {
+  const connection = String(head.headers['connection'] ?? '').toLowerCase();
+  return framing !== 'until-close' && !connection.includes('close');
+}
--- a/packages/banyanfold-gateway/src/requests/requestEnding.ts
+++ b/packages/banyanfold-gateway/src/requests/requestEnding.ts
@@ -38,6 +38,21 @@
     else this.respond(ERROR_STATUS.unknown, 'runner-failed');
   }
 
+  /**
+   * Ends the request so that the memory held for it is freed: a response that
+   * has begun is cut off, because it can't be replaced by an error.
+   */
+  endToFreeMemory(): void {
+    const {state} = this;
+    const wasSent = state.relay.cancel();
+    if (state.options.response.headersSent) this.cut('gave-way');
+    else if (wasSent || state.mayHaveRun) {
+      this.respond(ERROR_STATUS.unknown, 'memory');
+    } else {
+      this.refuse('memory');
+    }
+  }
+
   /** Closes the connection of a response that can't be completed. */
   cut(outcome: string): void {
     this.state.options.response.destroy();
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -32,6 +32,8 @@
     this.sender = new AttemptSender(this.state, this.admission);
     this.results = new AttemptResults(this.state, this.admission, this.ending);
     options.response.once('close', () => this.onCallerClosed());
+    const {holding} = options;
+    if (holding) holding.giveWay = () => this.ending.endToFreeMemory();
   }
 
   /** Handles the request; resolves once it is finished. */
--- a/packages/banyanfold-gateway/src/requests/requestState.ts
+++ b/packages/banyanfold-gateway/src/requests/requestState.ts
@@ -4,6 +4,7 @@
 import {adapterKey} from '../runners/heldCopies.js';
 import type {PromptPermit} from '../runners/promptGate.js';
 import type {StartedWork} from '../runners/runnerStates.js';
+import type {Holding} from '../resources/holding.js';
 import type {DecodedRequest, Organisation, RoutePolicy} from '../types.js';
 import {pickService} from './pickService.js';
 import {fingerprintOf} from './requestFingerprint.js';
@@ -26,6 +27,8 @@
   /** The caller's organisation on arrival; undefined if it has none. */
   organisation: Organisation | undefined;
   body: Buffer;
+  /** Undefined if the memory held for callers is not limited. */
+  holding?: Holding;
   /** When the head of the request was read, in ms of the clock. */
   startedMs: number;
 }
@@ -103,6 +106,7 @@
       context,
       route,
       response,
+      holding: options.holding,
       decoded,
       startedMs,
     });
--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -1,6 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import type {GatewayContext} from '../context.js';
 import type {RunnerConnection} from '../runners/runnerConnections.js';
+import type {Holding} from '../resources/holding.js';
 import type {
   ResponseInfo,
   ResponseHeaders,
@@ -19,7 +20,12 @@
   type AttemptResult,
 } from './attemptResult.js';
 import {EventSplitter} from './eventSplitter.js';
-import {framingOf, type Framing} from './responseFraming.js';
+import {
+  decodeHead,
+  integrityErrorOf,
+  isReusable,
+  type IncomingResponse,
+} from './incomingResponse.js';
 import {ResponseWriter} from './responseWriter.js';
 
 export type {AttemptResult} from './attemptResult.js';
@@ -41,18 +47,8 @@
   response: ServerResponse;
   decoded: DecodedRequest;
   startedMs: number;
-}
-
-/** A response that is being received from a runner. */
-interface IncomingResponse {
-  head: ResponseHead;
-  info: ResponseInfo;
-  framing: Framing;
-  /** Forwarded event by event; otherwise buffered until it is complete. */
-  isStreamed: boolean;
-  chunks: Buffer[];
-  bufferedBytes: number;
-  firstByteMs: number;
+  /** Undefined if the memory held for callers is not limited. */
+  holding?: Holding;
 }
 
 /**
@@ -67,12 +63,17 @@
   /** The longest time between two events that were forwarded to the caller. */
   longestPauseMs: number | undefined;
   private lastEventAtMs: number | undefined;
+  /** Bytes of the current attempt that the writer doesn't have yet. */
+  private readUnsentBytes = () => 0;
   private inFlight: {attempt: Attempt; abandon: () => void} | undefined;
-
   private readonly writer: ResponseWriter;
 
   constructor(private readonly options: ResponseRelayOptions) {
     this.writer = new ResponseWriter(options);
+    const {holding} = options;
+    if (!holding) return;
+    holding.gatheredBytes = () =>
+      this.readUnsentBytes() + this.writer.unsentBytes;
   }
 
   /** Whether a runner has the request or a part of a response was forwarded. */
@@ -90,6 +91,9 @@
       const settle = (result: AttemptResult) => {
         this.inFlight = undefined;
         if (result.kind === 'broken') connection.destroy();
+        // The body of a failure is kept, as it may be sent to the caller.
+        if (result.kind !== 'failed') this.readUnsentBytes = () => 0;
+        this.options.holding?.recount();
         resolve(result);
       };
       const observer = this.createObserver(connection, settle, hooks);
@@ -117,9 +121,19 @@
   deliverFailure(result: {
     status: number;
     headers: ResponseHeaders;
-    body: Buffer;
+    chunks: Buffer[];
   }): void {
-    this.writer.sendComplete(result.status, result.headers, result.body);
+    this.deliverComplete(result.status, result.headers, result.chunks);
+  }
+
+  private deliverComplete(
+    status: number,
+    headers: ResponseHeaders,
+    chunks: Buffer[],
+  ): void {
+    // From here on the writer counts them.
+    this.readUnsentBytes = () => 0;
+    this.writer.sendComplete(status, headers, chunks);
   }
 
   private createObserver(
@@ -128,17 +142,21 @@
     hooks: AttemptHooks,
   ): AttemptObserver {
     const splitter = new EventSplitter();
-    const sentMs = this.options.context.clock.nowMs();
+    const {runnerId} = hooks;
+    const {context, decoded, holding} = this.options;
+    const sentMs = context.clock.nowMs();
     let incoming: IncomingResponse | undefined;
+    this.readUnsentBytes = () =>
+      (incoming?.bufferedBytes ?? 0) + splitter.pending.length;
     const fail = (error: string) => {
       this.inFlight?.attempt.cancel();
       settle(brokenResult(error));
     };
     return {
       onHead: head => {
-        incoming = this.decodeHead(head, sentMs, hooks.runnerId);
+        incoming = decodeHead(head, {...this.options, sentMs, runnerId});
         if (!incoming.info.notExecuted) hooks.onFirstByte();
-        const integrityError = this.integrityErrorOf(incoming.info);
+        const integrityError = integrityErrorOf(incoming.info, decoded);
         if (integrityError !== undefined) return fail(integrityError);
         hooks.onResponseInfo(incoming.info);
         // Only after the checks: the head can't be replaced when another runner
@@ -150,7 +168,8 @@
         if (incoming.isStreamed) return this.forwardEvents(splitter, chunk);
         incoming.bufferedBytes += chunk.length;
         incoming.chunks.push(chunk);
-        const {maxGatheredBytes} = this.options.context.options;
+        holding?.noteReceived();
+        const {maxGatheredBytes} = context.options;
         if (incoming.bufferedBytes > maxGatheredBytes) fail('body too large');
         return true;
       },
@@ -177,43 +196,6 @@
     };
   }
 
-  private decodeHead(
-    head: ResponseHead,
-    sentMs: number,
-    runnerId: string,
-  ): IncomingResponse {
-    const {context, route} = this.options;
-    const info = context.codec.decodeResponse(
-      head.status,
-      head.headers,
-      runnerId,
-    );
-    const isSuccess = head.status < 300 && info.signed;
-    const nowMs = context.clock.nowMs();
-    const isStreamed = route.kind === 'streaming' && isSuccess;
-    return {
-      head,
-      info,
-      framing: framingOf(head.headers),
-      isStreamed,
-      chunks: [],
-      bufferedBytes: 0,
-      firstByteMs: nowMs - sentMs,
-    };
-  }
-
-  /** Why a response can't be forwarded, by its head; undefined if it can. */
-  private integrityErrorOf({
-    requestId,
-    encoded,
-  }: ResponseInfo): string | undefined {
-    const expected = this.options.decoded.request.requestId;
-    if (requestId !== undefined && requestId !== expected) {
-      return 'response belongs to another request';
-    }
-    return encoded ? 'response body was re-encoded in transit' : undefined;
-  }
-
   /** Sends the head once; it stays when another runner resumes the stream. */
   private startResponse(head: ResponseHead): void {
     if (this.hasStarted) return;
@@ -225,6 +207,7 @@
 
   private forwardEvents(splitter: EventSplitter, chunk: Buffer): boolean {
     const events = splitter.push(chunk);
+    this.options.holding?.noteReceived();
     if (!events) return true;
     if (events.lastEventId !== undefined) this.lastEventId = events.lastEventId;
     this.recordPause();
@@ -247,7 +230,7 @@
   ): AttemptResult {
     const {head, info, chunks, isStreamed, firstByteMs} = incoming;
     const {status, headers} = head;
-    const canReuse = this.canReuse(incoming);
+    const canReuse = isReusable(incoming);
     if (isStreamed) {
       if (splitter.pending.length > 0) {
         return closedByRunnerResult('stream ended inside an event');
@@ -261,11 +244,10 @@
         canReuse,
       };
     }
-    const body = Buffer.concat(chunks);
     if (status < 300) {
       if (!info.signed) return brokenResult('response is unsigned');
       this.firstByteMs = Math.round(firstByteMs);
-      this.writer.sendComplete(status, headers, body);
+      this.deliverComplete(status, headers, chunks);
       return {
         kind: 'delivered',
         status,
@@ -278,14 +260,7 @@
       const {fromOtherRunner} = info;
       return {kind: 'rejected', status, canReuse, fromOtherRunner};
     }
-    if (info.signed) return {kind: 'failed', status, headers, body};
+    if (info.signed) return {kind: 'failed', status, headers, chunks};
     return brokenResult(`unsigned response with status ${status}`);
   }
-
-  private canReuse({head, framing}: IncomingResponse): boolean {
-    const connectionHeader = String(
-      head.headers['connection'] ?? '',
-    ).toLowerCase();
-    return framing !== 'until-close' && !connectionHeader.includes('close');
-  }
 }
