--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -1,6 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import type {GatewayContext} from '../context.js';
 import type {RunnerConnection} from '../runners/runnerConnections.js';
+import type {Holding} from '../resources/holding.js';
 import type {
   ResponseInfo,
   ResponseHeaders,
@@ -13,38 +14,21 @@
   type AttemptRequest,
   type AttemptObserver,
 } from './attempt.js';
+import {
+  brokenResult,
+  closedByRunnerResult,
+  type AttemptResult,
+} from './attemptResult.js';
 import {EventSplitter} from './eventSplitter.js';
-import {framingOf, type Framing} from './responseFraming.js';
+import {
+  decodeHead,
+  integrityErrorOf,
+  isReusable,
+  type IncomingResponse,
+} from './incomingResponse.js';
+import {ResponseWriter} from './responseWriter.js';
 
-const BODILESS_STATUSES = new Set([204, 304]);
-
-/** How one attempt to send a request to a runner ended. */
-export type AttemptResult =
-  | {
-      kind: 'delivered';
-      status: number;
-      isSuccess: boolean;
-      firstByteMs: number;
-      canReuse: boolean;
-    }
-  /** A complete error response of the runner, not yet sent to the caller. */
-  | {kind: 'failed'; status: number; headers: ResponseHeaders; body: Buffer}
-  /** The runner confirmed that it did not run the request. */
-  | {
-      kind: 'rejected';
-      status: number;
-      canReuse: boolean;
-      fromOtherRunner: boolean;
-    }
-  /** No connection to the runner was established. */
-  | {kind: 'unreached'; error: string}
-  /** The request may have run, and no complete response arrived. */
-  | {
-      kind: 'broken';
-      error: string;
-      /** The runner closed the connection; it may have crashed. */
-      isClosedByRunner: boolean;
-    };
+export type {AttemptResult} from './attemptResult.js';
 
 /** The runner of an attempt, and callbacks for the start of its response. */
 export interface AttemptHooks {
@@ -63,18 +47,8 @@
   response: ServerResponse;
   decoded: DecodedRequest;
   startedMs: number;
-}
-
-/** A response that is being received from a runner. */
-interface IncomingResponse {
-  head: ResponseHead;
-  info: ResponseInfo;
-  framing: Framing;
-  /** Forwarded event by event; otherwise buffered until it is complete. */
-  isStreamed: boolean;
-  chunks: Buffer[];
-  bufferedBytes: number;
-  firstByteMs: number;
+  /** Undefined if the memory held for callers is not limited. */
+  holding?: Holding;
 }
 
 /**
@@ -89,9 +63,18 @@
   /** The longest time between two events that were forwarded to the caller. */
   longestPauseMs: number | undefined;
   private lastEventAtMs: number | undefined;
+  /** Bytes of the current attempt that the writer doesn't have yet. */
+  private readUnsentBytes = () => 0;
   private inFlight: {attempt: Attempt; abandon: () => void} | undefined;
+  private readonly writer: ResponseWriter;
 
-  constructor(private readonly options: ResponseRelayOptions) {}
+  constructor(private readonly options: ResponseRelayOptions) {
+    this.writer = new ResponseWriter(options);
+    const {holding} = options;
+    if (!holding) return;
+    holding.gatheredBytes = () =>
+      this.readUnsentBytes() + this.writer.unsentBytes;
+  }
 
   /** Whether a runner has the request or a part of a response was forwarded. */
   get isSent(): boolean {
@@ -108,6 +91,9 @@
       const settle = (result: AttemptResult) => {
         this.inFlight = undefined;
         if (result.kind === 'broken') connection.destroy();
+        // The body of a failure is kept, as it may be sent to the caller.
+        if (result.kind !== 'failed') this.readUnsentBytes = () => 0;
+        this.options.holding?.recount();
         resolve(result);
       };
       const observer = this.createObserver(connection, settle, hooks);
@@ -135,9 +121,19 @@
   deliverFailure(result: {
     status: number;
     headers: ResponseHeaders;
-    body: Buffer;
+    chunks: Buffer[];
   }): void {
-    this.sendComplete(result.status, result.headers, result.body);
+    this.deliverComplete(result.status, result.headers, result.chunks);
+  }
+
+  private deliverComplete(
+    status: number,
+    headers: ResponseHeaders,
+    chunks: Buffer[],
+  ): void {
+    // From here on the writer counts them.
+    this.readUnsentBytes = () => 0;
+    this.writer.sendComplete(status, headers, chunks);
   }
 
   private createObserver(
@@ -146,17 +142,21 @@
     hooks: AttemptHooks,
   ): AttemptObserver {
     const splitter = new EventSplitter();
-    const sentMs = this.options.context.clock.nowMs();
+    const {runnerId} = hooks;
+    const {context, decoded, holding} = this.options;
+    const sentMs = context.clock.nowMs();
     let incoming: IncomingResponse | undefined;
+    this.readUnsentBytes = () =>
+      (incoming?.bufferedBytes ?? 0) + splitter.pending.length;
     const fail = (error: string) => {
       this.inFlight?.attempt.cancel();
       settle(brokenResult(error));
     };
     return {
       onHead: head => {
-        incoming = this.decodeHead(head, sentMs, hooks.runnerId);
+        incoming = decodeHead(head, {...this.options, sentMs, runnerId});
         if (!incoming.info.notExecuted) hooks.onFirstByte();
-        const integrityError = this.integrityErrorOf(incoming.info);
+        const integrityError = integrityErrorOf(incoming.info, decoded);
         if (integrityError !== undefined) return fail(integrityError);
         hooks.onResponseInfo(incoming.info);
         // Only after the checks: the head can't be replaced when another runner
@@ -168,7 +168,8 @@
         if (incoming.isStreamed) return this.forwardEvents(splitter, chunk);
         incoming.bufferedBytes += chunk.length;
         incoming.chunks.push(chunk);
-        const {maxGatheredBytes} = this.options.context.options;
+        holding?.noteReceived();
+        const {maxGatheredBytes} = context.options;
         if (incoming.bufferedBytes > maxGatheredBytes) fail('body too large');
         return true;
       },
@@ -195,66 +196,25 @@
     };
   }
 
-  private decodeHead(
-    head: ResponseHead,
-    sentMs: number,
-    runnerId: string,
-  ): IncomingResponse {
-    const {context, route} = this.options;
-    const info = context.codec.decodeResponse(
-      head.status,
-      head.headers,
-      runnerId,
-    );
-    const isSuccess = head.status < 300 && info.signed;
-    const nowMs = context.clock.nowMs();
-    const isStreamed = route.kind === 'streaming' && isSuccess;
-    return {
-      head,
-      info,
-      framing: framingOf(head.headers),
-      isStreamed,
-      chunks: [],
-      bufferedBytes: 0,
-      firstByteMs: nowMs - sentMs,
-    };
-  }
-
-  /** Why a response can't be forwarded, by its head; undefined if it can. */
-  private integrityErrorOf({
-    requestId,
-    encoded,
-  }: ResponseInfo): string | undefined {
-    const expected = this.options.decoded.request.requestId;
-    if (requestId !== undefined && requestId !== expected) {
-      return 'response belongs to another request';
-    }
-    return encoded ? 'response body was re-encoded in transit' : undefined;
-  }
-
   /** Sends the head once; it stays when another runner resumes the stream. */
-  private startResponse({status, headers}: ResponseHead): void {
+  private startResponse(head: ResponseHead): void {
     if (this.hasStarted) return;
     this.hasStarted = true;
-    const {response, context, startedMs} = this.options;
+    const {context, startedMs} = this.options;
     this.firstByteMs = Math.round(context.clock.nowMs() - startedMs);
-    const forwarded = context.codec.forwardedResponseHeaders(headers);
-    delete forwarded['content-length'];
-    if (context.isDraining()) forwarded['connection'] = 'close';
-    response.writeHead(status, forwarded);
-    response.flushHeaders();
+    this.writer.startStream(head);
   }
 
   private forwardEvents(splitter: EventSplitter, chunk: Buffer): boolean {
     const events = splitter.push(chunk);
+    this.options.holding?.noteReceived();
     if (!events) return true;
     if (events.lastEventId !== undefined) this.lastEventId = events.lastEventId;
     this.recordPause();
-    const {response} = this.options;
-    if (response.write(events.bytes)) return true;
     const {inFlight} = this;
-    response.once('drain', () => inFlight?.attempt.resume());
-    return false;
+    return this.writer.writeEvents(events.bytes, () =>
+      inFlight?.attempt.resume(),
+    );
   }
 
   private recordPause(): void {
@@ -270,12 +230,12 @@
   ): AttemptResult {
     const {head, info, chunks, isStreamed, firstByteMs} = incoming;
     const {status, headers} = head;
-    const canReuse = this.canReuse(incoming);
+    const canReuse = isReusable(incoming);
     if (isStreamed) {
       if (splitter.pending.length > 0) {
         return closedByRunnerResult('stream ended inside an event');
       }
-      this.options.response.end();
+      this.writer.endStream();
       return {
         kind: 'delivered',
         status,
@@ -284,11 +244,10 @@
         canReuse,
       };
     }
-    const body = Buffer.concat(chunks);
     if (status < 300) {
       if (!info.signed) return brokenResult('response is unsigned');
       this.firstByteMs = Math.round(firstByteMs);
-      this.sendComplete(status, headers, body);
+      this.deliverComplete(status, headers, chunks);
       return {
         kind: 'delivered',
         status,
@@ -301,39 +260,7 @@
       const {fromOtherRunner} = info;
       return {kind: 'rejected', status, canReuse, fromOtherRunner};
     }
-    if (info.signed) return {kind: 'failed', status, headers, body};
+    if (info.signed) return {kind: 'failed', status, headers, chunks};
     return brokenResult(`unsigned response with status ${status}`);
   }
-
-  private canReuse({head, framing}: IncomingResponse): boolean {
-    const connectionHeader = String(
-      head.headers['connection'] ?? '',
-    ).toLowerCase();
-    return framing !== 'until-close' && !connectionHeader.includes('close');
-  }
-
-  private sendComplete(
-    status: number,
-    headers: ResponseHeaders,
-    body: Buffer,
-  ): void {
-    const {response, context} = this.options;
-    const forwarded = context.codec.forwardedResponseHeaders(headers);
-    if (!BODILESS_STATUSES.has(status)) {
-      forwarded['content-length'] = String(body.length);
-    }
-    if (context.isDraining()) forwarded['connection'] = 'close';
-    response.writeHead(status, forwarded);
-    response.end(body);
-  }
-}
-
-/** The result of an attempt that was cancelled or whose response is invalid. */
-function brokenResult(error: string): AttemptResult {
-  return {kind: 'broken', error, isClosedByRunner: false};
-}
-
-/** The result of an attempt whose connection the runner closed early. */
-function closedByRunnerResult(error: string): AttemptResult {
-  return {kind: 'broken', error, isClosedByRunner: true};
 }
