Take refunds from the time at which they were charged

A cap can be passed eight seconds after requests were refunded.

Cause: the holder took a refund from the slot of the window in which it arrived. The admitted amount left the window a window after its admission, the refund a window after its own time; in between the window held less than was used.

Ruled out: the surge itself (the loads without refunds pass), and relays (it fails directly).

Reports without it count as before.

--- a/packages/banyanfold-decisions/src/__tests__/organisationUsage.surge.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/organisationUsage.surge.test.ts
@@ -94,6 +94,23 @@
     );
   }, 120_000);
 
+  // Guards against use that is freed twice: when it is refunded, and again when
+  // its charge leaves the window before the refund does.
+  it('stays within the cap when runners refuse the first requests', () => {
+    const anyRefunds = fc.record({
+      share: fc.double({min: 0.3, max: 0.9, noNaN: true}),
+      afterMs: fc.integer({min: 500, max: 4_000}),
+      toMs: fc.constant(SURGE.fromMs + 3_000),
+    });
+    fc.assert(
+      fc.property(anyOrganisation, anyRefunds, (load, refunds) => {
+        const outcome = simulate(load, {burst: SURGE, refunds});
+        expectWithinTolerance(load, outcome);
+      }),
+      {numRuns: 60, seed: 15},
+    );
+  }, 120_000);
+
   // Guards against refusals because the demand of a moment looks like a surge.
   it('is rarely refused below the cap', () => {
     for (const relaying of [{}, {relays: 3}, {isRelayed: true}]) {
--- a/packages/banyanfold-decisions/src/__tests__/simulateUsage.ts
+++ b/packages/banyanfold-decisions/src/__tests__/simulateUsage.ts
@@ -25,6 +25,11 @@
   askedPerSecond: number;
   /** Multiplies the demand by `factor`, reached within `rampMs`. */
   burst?: {fromMs: number; factor: number; toMs?: number; rampMs?: number};
+  /**
+   * Share of the requests admitted up to `toMs` that no runner runs, and the
+   * time after which their charge is refunded.
+   */
+  refunds?: {share: number; afterMs: number; toMs: number};
   /** Reports and snapshots arrive one exchange later, as via a relay. */
   isRelayed?: boolean;
   /**
@@ -66,6 +71,8 @@
   history: UseHistory;
   asked: number;
   used: number;
+  /** Refunds since the last report. */
+  refunds: Array<{amount: number; chargedMs: number}>;
   updatedMs: number;
   /** Reports of the group of this relay since its last exchange. */
   group: UsageReport;
@@ -80,17 +87,25 @@
   dueMs: number;
 }
 
+interface Refund {
+  entry: Entry;
+  tokens: number;
+  chargedMs: number;
+}
+
 /** Simulates one organisation's load at entries that report to one holder. */
 export function simulateFleet(options: FleetOptions): FleetOutcome {
   const {entries: count, limit, durationMs, random, skew = 0} = options;
   const {isDisconnected = () => false, restarts = () => false} = options;
-  const {burst, takeover, tokensOf = exponential(options.meanTokens)} = options;
+  const {burst, takeover, refunds} = options;
+  const {tokensOf = exponential(options.meanTokens)} = options;
   const entries = Array.from({length: count}, () => startEntry(true));
   let fleet = startHolder(limit, 0);
   let exchange = exchangeOf(options, entries, fleet);
   const used = new SlidingWindow(WINDOW_MS);
   const admitted: Array<{atMs: number; tokens: number}> = [];
   let waiting: Request[] = [];
+  const refundsDue: Refund[] = [];
   let falselyRefused = 0;
   let asked = 0;
   const decide = (request: Request, nowMs: number) => {
@@ -100,6 +115,10 @@
     const {kind} = entry.usage.decide(tokens, view);
     if (kind === 'admit') {
       entry.used += tokens;
+      if (refunds && nowMs < refunds.toMs && random() < refunds.share) {
+        refundsDue.push({entry, tokens, chargedMs: nowMs});
+        return;
+      }
       used.add(tokens, nowMs);
       admitted.push({atMs: nowMs, tokens});
     } else if (kind === 'wait') {
@@ -123,6 +142,10 @@
       if (isSilent || isDisconnected(i, nowMs)) continue;
       if ((nowMs + i * STEP_MS) % EXCHANGE_MS === 0) exchange(i, nowMs);
     }
+    while (refunds && refundsDue[0]) {
+      if (refundsDue[0].chargedMs + refunds.afterMs > nowMs) break;
+      refund(refundsDue.shift()!);
+    }
     const isDue = ({entry, dueMs}: Request) =>
       entry.updatedMs === nowMs || dueMs <= nowMs;
     const due = waiting.filter(isDue);
@@ -154,6 +177,7 @@
     history: new UseHistory(WINDOW_MS, isFleetUnused),
     asked: 0,
     used: 0,
+    refunds: [],
     updatedMs: 0,
     group: {organisation: ORGANISATION, asked: 0, used: 0},
     received: undefined,
@@ -212,9 +236,18 @@
   };
 }
 
+function refund({entry, tokens, chargedMs}: Refund): void {
+  entry.usage.refund(tokens);
+  entry.used -= tokens;
+  entry.refunds.push({amount: tokens, chargedMs});
+}
+
 function takeReport(entry: Entry, nowMs: number): UsageReport {
   const {group, asked, used} = entry;
-  const report = {...group, asked, used};
+  const refunds = entry.refunds
+    .splice(0)
+    .map(({amount, chargedMs}) => ({amount, agoMs: nowMs - chargedMs}));
+  const report = {...group, asked, used, refunds};
   addReport(report, group);
   entry.asked = entry.used = group.asked = group.used = 0;
   entry.usage.markReported(nowMs);
--- a/packages/banyanfold-decisions/src/usage/fleetUsage.ts
+++ b/packages/banyanfold-decisions/src/usage/fleetUsage.ts
@@ -5,6 +5,13 @@
 
 const SMOOTHING_MS = 500;
 
+/** Amount of earlier requests that was not run. */
+export interface UsageRefund {
+  amount: number;
+  /** Time since those requests were charged. */
+  agoMs: number;
+}
+
 /** Demand and use that entries have counted for one organisation. */
 export interface UsageReport {
   organisation: string;
@@ -12,6 +19,8 @@
   asked: number;
   /** Admitted amount, less what was not run. */
   used: number;
+  /** The part of `used` that was refunded; omitted by earlier releases. */
+  refunds?: UsageRefund[] | undefined;
 }
 
 interface Account {
@@ -46,12 +55,16 @@
   }
 
   addReports(reports: readonly UsageReport[], nowMs: number): void {
-    for (const {organisation, asked, used} of reports) {
+    for (const {organisation, asked, used, refunds = []} of reports) {
       const limit = this.options.limitOf(organisation);
       if (!limit) continue;
       const account = this.accountFor(organisation, limit);
       scaleToLowerLimit(account, limit);
-      account.used.add(used, nowMs);
+      const refunded = refunds.reduce((sum, {amount}) => sum + amount, 0);
+      account.used.add(used + refunded, nowMs);
+      for (const {amount, agoMs} of refunds) {
+        account.used.subtractAt(amount, nowMs - agoMs);
+      }
       account.asked.add(asked, nowMs);
       account.lastAskedMs = nowMs;
     }
--- a/packages/banyanfold-decisions/src/usage/slidingWindow.ts
+++ b/packages/banyanfold-decisions/src/usage/slidingWindow.ts
@@ -30,6 +30,18 @@
     this.amounts[this.indexOf(this.newestSlot)]! += amount;
   }
 
+  /**
+   * Subtracts an amount that was added before. Subtracted at the current time,
+   * it would still reduce the sum after the added amount has expired, and as
+   * much use too much would be admitted until it expires itself.
+   */
+  subtractAt(amount: number, addedMs: number): void {
+    const slot = Math.floor(addedMs / this.slotMs);
+    if (slot < this.newestSlot - SLOTS) return;
+    const {newestSlot} = this;
+    this.amounts[this.indexOf(Math.min(slot, newestSlot))]! -= amount;
+  }
+
   /**
    * Adds an amount as if it had been added evenly over the preceding window.
    */
--- a/packages/banyanfold-gateway/src/callers/usageAccounts.ts
+++ b/packages/banyanfold-gateway/src/callers/usageAccounts.ts
@@ -178,12 +178,16 @@
     return decision;
   }
 
-  /** Refunds an admitted amount that was not run. */
-  refund(organisation: string, amount: number): void {
+  /**
+   * Refunds an admitted amount that was not run.
+   *
+   * @param chargedMs time of the decision to admit it.
+   */
+  refund(organisation: string, amount: number, chargedMs: number): void {
     const account = this.of(organisation);
     account.usage.refund(amount);
     account.unreported -= amount;
-    this.meter.note(organisation, 0, -amount);
+    this.meter.refund(organisation, amount, chargedMs);
   }
 
   /** Takes the reports for the next exchange with the holder. */
@@ -194,7 +198,7 @@
       account.unreported = 0;
       account.usage.markReported(this.options.clock.nowMs());
     }
-    return this.meter.take();
+    return this.meter.take(this.options.clock.nowMs());
   }
 
   /**
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -69,6 +69,10 @@
         organisation: z.string(),
         asked: z.number(),
         used: z.number(),
+        /** What was not run; omitted by releases that don't tell its time. */
+        refunds: z
+          .array(z.object({amount: z.number(), agoMs: z.number()}))
+          .optional(),
       }),
     )
     .optional(),
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -122,9 +122,9 @@
   }
 
   private addBatch(batch: DemandBatch): void {
-    const {demand, usage, outcomes, rateLimits} = this.options;
+    const {clock, demand, usage, outcomes, rateLimits} = this.options;
     demand.add(batch.demand);
-    usage.add(batch.usage ?? []);
+    usage.add(batch.usage ?? [], clock.nowMs());
     outcomes.add(batch.outcomes ?? []);
     rateLimits.meter.add(batch.rateUse ?? []);
   }
--- a/packages/banyanfold-gateway/src/requests/usageCharge.ts
+++ b/packages/banyanfold-gateway/src/requests/usageCharge.ts
@@ -13,7 +13,8 @@
 
 /** Charges one request to the usage cap of its organisation. */
 export class UsageCharge {
-  private charged: {organisation: string; amount: number} | undefined;
+  private charged:
+    {organisation: string; amount: number; atMs: number} | undefined;
 
   constructor(private readonly options: UsageChargeOptions) {}
 
@@ -36,7 +37,8 @@
       decision = context.usage.decide(organisation, cap, amount, waits);
     }
     if (decision.kind === 'admit') {
-      this.charged = {organisation: name, amount};
+      const atMs = context.clock.nowMs();
+      this.charged = {organisation: name, amount, atMs};
       return undefined;
     }
     log.refuseOverCap(name, amount, decision);
@@ -47,8 +49,8 @@
   /** Refunds the charge of a request that no runner ran. Idempotent. */
   refund(): void {
     if (!this.charged) return;
-    const {organisation, amount} = this.charged;
+    const {organisation, amount, atMs} = this.charged;
     this.charged = undefined;
-    this.options.context.usage.refund(organisation, amount);
+    this.options.context.usage.refund(organisation, amount, atMs);
   }
 }
