--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -5,6 +5,7 @@
   capacity: () => load('./capacity/index.js'),
   decisions: () => import('./decisions/index.js'),
   path: () => load('./path/index.js'),
+  'plain-calls': () => import('./plainCalls/index.js'),
   plan: () => import('./plan/index.js'),
 };
 
