Restore when a cap was used, not only how much

Where the cap is known, the stored use was spread over the window, and the use of a surge came free seconds too early. Ruled out: knowledge of entries that run on; their figures were right until the new holder told them.

Stored usage now says in which eighths of the window it was used, waits for the caps, and includes what may have been used until the next record. The three new tests of usageKeeper fail before (42,187.5 known instead of of 100,000; no distribution stored).

--- a/packages/banyanfold-decisions/src/usage/slidingWindow.ts
+++ b/packages/banyanfold-decisions/src/usage/slidingWindow.ts
@@ -63,6 +63,34 @@
     }
   }
 
+  /**
+   * The amounts of equal parts of the window, the newest first.
+   *
+   * @example window.amountsByAge(2, nowMs) // [9_000, 0]
+   */
+  amountsByAge(parts: number, nowMs: number): number[] {
+    this.advance(nowMs);
+    const amounts = new Array<number>(parts).fill(0);
+    for (let i = 0; i <= SLOTS; i++) {
+      const part = Math.min(parts - 1, Math.floor((i * parts) / SLOTS));
+      amounts[part]! += this.amounts[this.indexOf(this.newestSlot - i)]!;
+    }
+    return amounts;
+  }
+
+  /**
+   * Adds amounts of equal parts of the window that ends at `nowMs`, the newest
+   * first. Each counts as added at the end of its part, so that it doesn't
+   * expire early.
+   */
+  addByAge(amounts: readonly number[], nowMs: number): void {
+    this.advance(nowMs);
+    for (const [part, amount] of amounts.entries()) {
+      const age = Math.floor((part * SLOTS) / amounts.length);
+      this.amounts[this.indexOf(this.newestSlot - age)]! += amount;
+    }
+  }
+
   /** Multiplies all amounts added so far. */
   scale(factor: number): void {
     for (const i of this.amounts.keys()) this.amounts[i]! *= factor;
--- a/packages/banyanfold-decisions/src/usage/useHistory.ts
+++ b/packages/banyanfold-decisions/src/usage/useHistory.ts
@@ -28,13 +28,28 @@
     this.window = new SlidingWindow(windowMs);
   }
 
-  /** @param used amount used within the window that ends at `atMs`. */
-  record(used: number, atMs: number): void {
+  /**
+   * @param used amount used within the window that ends at `atMs`.
+   * @param usedByAge its distribution over that window, as far as it is known;
+   *   see {@link SlidingWindow.amountsByAge}. Counts for the first record only.
+   */
+  record(used: number, atMs: number, usedByAge?: readonly number[]): void {
     const known = this.window.sum(atMs);
     const total = Math.max(0, used);
-    if (this.isEmpty && !this.isUnused) this.window.addEvenly(total, atMs);
+    if (this.isEmpty && !this.isUnused) this.addFirst(total, atMs, usedByAge);
     else if (total >= known) this.window.add(total - known, atMs);
     else this.window.scale(total / known);
     this.isEmpty = false;
   }
+
+  private addFirst(
+    total: number,
+    atMs: number,
+    usedByAge: readonly number[] = [],
+  ): void {
+    const sum = usedByAge.reduce((part, amount) => part + amount, 0);
+    if (sum <= 0) return this.window.addEvenly(total, atMs);
+    const amounts = usedByAge.map(amount => (amount * total) / sum);
+    this.window.addByAge(amounts, atMs);
+  }
 }
--- a/packages/banyanfold-gateway/src/__tests__/usageKeeper.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/usageKeeper.test.ts
@@ -28,13 +28,13 @@
   near = {};
 });
 
-function startKeeper(isFirstStart: boolean) {
+function startKeeper(isFirstStart: boolean, isCapKnown = () => true) {
   const accounts = new UsageAccounts({
     clock,
     windowMs: WINDOW_MS,
     isFirstStart,
     random: () => 0.5,
-    usageCapOf: () => CAP,
+    usageCapOf: () => (isCapKnown() ? CAP : undefined),
   });
   const keeper = new UsageKeeper({
     clock,
@@ -84,6 +84,42 @@
     expect(accounts.decide(other, CAP, 9_000).kind).toBe('admit');
   });
 
+  // Guards against a new holder that frees the use of a surge before it has
+  // left the window, or forgets it because it read the caps after the usage.
+  it.each([
+    ['known caps', 0],
+    ['caps that are known later', 100],
+  ])('restores when a surge was used, with %s', async (_what, capsKnownMs) => {
+    const usedByAge = [0, 90_000, 0, 0, 0, 0, 0, 0];
+    const surge = {left: 10_000, freedPerSecond: 0, askedPerSecond: 40_000};
+    record = {
+      atMs: clock.wallMs(),
+      organisations: {claims: {...surge, usedByAge}},
+    };
+    await clock.advance(500);
+    const startedMs = clock.nowMs();
+    const {accounts} = startKeeper(
+      false,
+      () => clock.nowMs() >= startedMs + capsKnownMs,
+    );
+    await clock.advance(4_000);
+    const known = accounts.knownUse().get('claims');
+    // Also all that was left, which may have been used before the next record.
+    expect(known?.sum(clock.nowMs())).toBe(100_000);
+  });
+
+  it('stores when the usage near a limit was used', async () => {
+    const {accounts} = startKeeper(true);
+    await clock.advance(1_000);
+    const snapshot = {left: 10_000, freedPerSecond: 0, askedPerSecond: 0};
+    accounts.applyFleetUsage({claims: snapshot}, 0, false);
+    await clock.advance(2_000);
+    const limit = accounts.limitOf(CAP);
+    expect(accounts.nearLimit({claims: snapshot}, () => limit)).toEqual({
+      claims: {...snapshot, usedByAge: [0, 0, 90_000, 0, 0, 0, 0, 0]},
+    });
+  });
+
   it('ignores a stored record that is older than the window', async () => {
     record = {atMs: clock.wallMs(), organisations: {claims: SPENT}};
     await clock.advance(60_000);
--- a/packages/banyanfold-gateway/src/callers/usageAccounts.ts
+++ b/packages/banyanfold-gateway/src/callers/usageAccounts.ts
@@ -10,7 +10,7 @@
   type SlidingWindow,
 } from '@banyanfold/decisions';
 import type {Clock} from '@banyanfold/core';
-import type {Organisation, UsageCap} from '../types.js';
+import type {Organisation, StoredUsage, UsageCap} from '../types.js';
 import {UsageMeter} from './usageMeter.js';
 
 export interface UsageAccountsOptions {
@@ -30,6 +30,11 @@
  * have used up the rest, so this share is what it is assumed to have left.
  */
 const NEAR_LIMIT_SHARE = 0.4;
+/** Interval at which the usage near the limits is stored. */
+export const USAGE_SAVE_INTERVAL_MS = 1_000;
+const MS_PER_SECOND = 1000;
+/** Parts of the window in which use is stored. */
+const STORED_PARTS = 8;
 /** Time for an exchange with the holder, which follows each stall at once. */
 const MAX_UPDATE_WAIT_MS = 150;
 /** An exchange, of which there are four a second, and the time it takes. */
@@ -62,6 +67,14 @@
   private readonly accounts = new Map<string, Account>();
   /** Use by all entries, of the organisations with use in the last window. */
   private readonly histories = new Map<string, UseHistory>();
+  /**
+   * First known usage of organisations whose caps were not known yet: a process
+   * that starts may read the stored usage before the configuration.
+   */
+  private readonly restored = new Map<
+    string,
+    {snapshot: StoredUsage; atMs: number}
+  >();
   private fleetUsage: FleetUsageState | undefined;
   private readonly updateListeners = new Set<() => void>();
   /** No update arrived within the wait since the last one. */
@@ -80,6 +93,7 @@
 
   /** Use by all entries, as far as this entry has heard of it. */
   knownUse(): Map<string, SlidingWindow> {
+    this.recordRestored();
     return new Map(
       [...this.histories].map(([name, {window}]) => [name, window]),
     );
@@ -100,21 +114,30 @@
   nearLimit(
     usage: Readonly<Record<string, FleetUsageSnapshot>>,
     limitOf: (organisation: string) => UsageLimit | undefined,
-  ): Record<string, FleetUsageSnapshot> {
+  ): Record<string, StoredUsage> {
+    const nowMs = this.options.clock.nowMs();
     const near = Object.entries(usage).filter(([name, {left}]) => {
       const perWindow = limitOf(name)?.perWindow ?? Infinity;
       return left < perWindow * NEAR_LIMIT_SHARE;
     });
-    return Object.fromEntries(near);
+    return Object.fromEntries(
+      near.map(([name, snapshot]) => {
+        const window = this.histories.get(name)?.window;
+        const usedByAge = window?.amountsByAge(STORED_PARTS, nowMs);
+        return [name, {...snapshot, usedByAge: usedByAge?.map(Math.round)}];
+      }),
+    );
   }
 
   /** Applies stored usage, unless the holder has already sent its own. */
-  restore(
-    usage: Readonly<Record<string, FleetUsageSnapshot>>,
-    ageMs: number,
-  ): void {
+  restore(usage: Readonly<Record<string, StoredUsage>>, ageMs: number): void {
     if (this.fleetUsage) return;
-    this.applySnapshot(usage, ageMs, NEAR_LIMIT_SHARE, false);
+    const used = Object.entries(usage).map(([name, stored]) => [
+      name,
+      withUseUntilNextSave(stored),
+    ]);
+    const restored = Object.fromEntries(used) as Record<string, StoredUsage>;
+    this.applySnapshot(restored, ageMs, NEAR_LIMIT_SHARE, false);
   }
 
   /**
@@ -216,7 +239,7 @@
   }
 
   private applySnapshot(
-    usage: Readonly<Record<string, FleetUsageSnapshot>>,
+    usage: Readonly<Record<string, StoredUsage>>,
     ageMs: number,
     unlistedShare: number,
     isRelayed: boolean,
@@ -237,24 +260,46 @@
   }
 
   private recordHistories(
-    usage: Readonly<Record<string, FleetUsageSnapshot>>,
+    usage: Readonly<Record<string, StoredUsage>>,
     atMs: number,
   ): void {
     const isFirst = this.fleetUsage === undefined;
     const isUnused = !isFirst || this.options.isFirstStart;
-    for (const [name, {left}] of Object.entries(usage)) {
-      const cap = this.options.usageCapOf(name);
-      if (!cap) continue;
-      const history =
-        this.histories.get(name) ?? new UseHistory(this.windowMs, isUnused);
-      history.record(this.limitOf(cap).perWindow - left, atMs);
-      this.histories.set(name, history);
+    this.recordRestored();
+    for (const [name, snapshot] of Object.entries(usage)) {
+      const isRecorded = this.recordHistory(name, snapshot, {atMs, isUnused});
+      if (isFirst && !isRecorded) this.restored.set(name, {snapshot, atMs});
     }
     for (const [name, {window}] of this.histories) {
       if (window.sum(atMs) === 0) this.histories.delete(name);
     }
   }
 
+  /** Returns false if the cap isn't known. */
+  private recordHistory(
+    name: string,
+    {left, usedByAge}: StoredUsage,
+    {atMs, isUnused}: {atMs: number; isUnused: boolean},
+  ): boolean {
+    const cap = this.options.usageCapOf(name);
+    if (!cap) return false;
+    const history =
+      this.histories.get(name) ?? new UseHistory(this.windowMs, isUnused);
+    history.record(this.limitOf(cap).perWindow - left, atMs, usedByAge);
+    this.histories.set(name, history);
+    return true;
+  }
+
+  /** Records the restored usage of the organisations whose caps are known now. */
+  private recordRestored(): void {
+    const isUnused = this.options.isFirstStart;
+    for (const [name, {snapshot, atMs}] of this.restored) {
+      if (this.recordHistory(name, snapshot, {atMs, isUnused})) {
+        this.restored.delete(name);
+      }
+    }
+  }
+
   private applyToAccount(
     name: string,
     {usage}: Account,
@@ -287,3 +332,20 @@
     return account;
   }
 }
+
+/**
+ * Adds what may have been used until the next record would have been saved. The
+ * reports that reached the last holder in that time are lost.
+ */
+function withUseUntilNextSave(stored: StoredUsage): StoredUsage {
+  const {left, freedPerSecond, askedPerSecond, usedByAge} = stored;
+  const seconds = USAGE_SAVE_INTERVAL_MS / MS_PER_SECOND;
+  const available = Math.max(0, left) + freedPerSecond * seconds;
+  const used = Math.min(askedPerSecond * seconds, available);
+  const [newest = 0, ...older] = usedByAge ?? [];
+  return {
+    ...stored,
+    left: left - used,
+    usedByAge: usedByAge && [newest + used, ...older],
+  };
+}
--- a/packages/banyanfold-gateway/src/callers/usageKeeper.ts
+++ b/packages/banyanfold-gateway/src/callers/usageKeeper.ts
@@ -1,8 +1,7 @@
 import type {Clock, Logger} from '@banyanfold/core';
-import type {FleetUsageSnapshot} from '@banyanfold/decisions';
 import {repeatEvery} from '../repeatEvery.js';
-import type {LeaseSource, UsageStore} from '../types.js';
-import type {UsageAccounts} from './usageAccounts.js';
+import type {LeaseSource, StoredUsage, UsageStore} from '../types.js';
+import {USAGE_SAVE_INTERVAL_MS, type UsageAccounts} from './usageAccounts.js';
 
 export interface UsageKeeperOptions {
   clock: Clock;
@@ -13,11 +12,9 @@
   /** The whole system starts for the first time, so nothing has been used. */
   isFirstStart: boolean;
   /** Usage of the organisations that are near their limits. */
-  nearLimit(): Record<string, FleetUsageSnapshot>;
+  nearLimit(): Record<string, StoredUsage>;
 }
 
-const SAVE_INTERVAL_MS = 1_000;
-
 /**
  * Stores the usage of organisations that are near their limits. Without it, all
  * usage would be lost when all processes end at once, and the new processes
@@ -37,7 +34,9 @@
     const {clock, isFirstStart} = this.options;
     this.mayHaveStoredUsage = !isFirstStart;
     if (!isFirstStart) void this.load();
-    this.stopSaving = repeatEvery(clock, SAVE_INTERVAL_MS, () => this.save());
+    this.stopSaving = repeatEvery(clock, USAGE_SAVE_INTERVAL_MS, () =>
+      this.save(),
+    );
   }
 
   stop(): void {
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -383,11 +383,20 @@
   release(): Promise<void>;
 }
 
+/** Usage of one organisation, as it is stored. */
+export interface StoredUsage extends FleetUsageSnapshot {
+  /**
+   * Amounts used in equal parts of the window, the newest first; omitted by
+   * earlier releases.
+   */
+  usedByAge?: number[] | undefined;
+}
+
 /** Stored usage of the organisations that are near their limits. */
 export interface UsageRecord {
   /** Unix time. */
   atMs: number;
-  organisations: Record<string, FleetUsageSnapshot>;
+  organisations: Record<string, StoredUsage>;
 }
 
 /** Stores usage, so that it outlasts all processes. */
