Keep the connections of a process within its descriptors

Entries have 2,212 to 10,250 descriptors, and nothing counted connections: a process without descriptors neither accepts callers nor reaches a runner, and requests that it has accepted fail.

With resources.maxDescriptors, connections of callers and runners may take that number less 200. Idle connections to runners are closed first; then requests are refused with 503 before a runner has them, and new connections are kept to be refused on their first request, at most 100. What peers, orders and the store take beyond half of the reserve is measured twice a second and counted. The decision is a pure function.

Weighed: server.maxConnections (closes without a response), counting runner connections in use (an admitted request finds none later), closing callers' idle connections (resets requests that arrive at that moment), no longer accepting (callers wait in the kernel's queue).

--- a/packages/banyanfold-gateway/src/__tests__/runnerConnections.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerConnections.test.ts
@@ -1,8 +1,14 @@
 import {once} from 'node:events';
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {Worker} from 'node:worker_threads';
+import {VirtualClock} from '@banyanfold/core';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {DEFAULT_OPTIONS} from '../options.js';
-import {RunnerConnection} from '../runners/runnerConnections.js';
+import {
+  RunnerConnection,
+  RunnerConnections,
+} from '../runners/runnerConnections.js';
 
 /**
  * A runner whose responses have no length; that to `/reset` ends with a reset.
@@ -57,6 +63,55 @@
   while (performance.now() < endMs);
 }
 
+describe('RunnerConnections', () => {
+  it('closes the connection that has been idle longest', async () => {
+    // Guards against closing connections that are in use, and against counts
+    // that drift, so that callers are refused although descriptors are free.
+    const clock = new VirtualClock();
+    const connections = new RunnerConnections(clock, DEFAULT_OPTIONS);
+    const server = http.createServer((_, response) => void response.end());
+    await once(server.listen(0, '127.0.0.1'), 'listening');
+    const {port: at} = server.address() as AddressInfo;
+    const address = `127.0.0.1:${at}`;
+    const [first, second, third] = [0, 1, 2].map(() =>
+      connections.acquire(address),
+    );
+    await Promise.all([first, second, third].map(c => useOnce(c!)));
+    for (const connection of [first!, second!]) {
+      connections.release(address, connection);
+      await clock.advance(1);
+    }
+    expect([connections.openCount, connections.idleCount]).toEqual([3, 2]);
+    expect(connections.closeLongestIdle(1)).toBe(1);
+    expect([first, second, third].map(c => c!.closed)).toEqual([
+      true,
+      false,
+      false,
+    ]);
+    expect([connections.openCount, connections.idleCount]).toEqual([2, 1]);
+    expect(connections.closeLongestIdle(5)).toBe(1);
+    third!.destroy();
+    third!.destroy();
+    expect([connections.openCount, connections.idleCount]).toEqual([0, 0]);
+    server.close();
+  });
+});
+
+function useOnce(connection: RunnerConnection): Promise<void> {
+  return new Promise((resolve, reject) => {
+    connection.dispatch(
+      {method: 'GET', path: '/'},
+      {
+        onRequestStart: () => {},
+        onResponseStart: () => {},
+        onResponseData: () => {},
+        onResponseEnd: () => resolve(),
+        onResponseError: (_controller, error) => reject(error),
+      },
+    );
+  });
+}
+
 describe('RunnerConnection', () => {
   it('distinguishes a response that was reset from a complete one', async () => {
     // The last bytes and the reset are both ready when this thread reads. The
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import {LoadRate} from './placement/loadRate.js';
 import {repeatEvery} from './repeatEvery.js';
 import {createMetricsServer, createReadinessServer} from './readinessServer.js';
+import {DescriptorBudget} from './resources/descriptorBudget.js';
 import {createHeldBytes} from './resources/heldBytes.js';
 import type {ResourceSettings} from './resources/resourceSettings.js';
 import {HeldCopies} from './runners/heldCopies.js';
@@ -257,6 +258,8 @@
       entryCount: () => this.knownEntryCount,
       random,
     });
+    const connections = new RunnerConnections(clock, options);
+    const {maxDescriptors} = settings.resources ?? {};
     this.context = {
       clock,
       logger,
@@ -265,7 +268,7 @@
       failureDomain: settings.failureDomain,
       view: this.view,
       codec,
-      connections: new RunnerConnections(clock, options),
+      connections,
       runnerStates,
       promptGate: new PromptGate(clock),
       rateLimits,
@@ -288,6 +291,14 @@
         metrics,
         options,
       }),
+      descriptors:
+        maxDescriptors === undefined
+          ? undefined
+          : new DescriptorBudget({
+              metrics,
+              maxDescriptors,
+              connections,
+            }),
       workForecast: new WorkForecast(() => clock.nowMs()),
       keysTrustedMs: settings.bounds.keysTrustedMs,
       configApplyMs: settings.bounds.configApplyMs,
@@ -493,6 +504,7 @@
     this.context.runnerBackoffs.prune();
     this.context.promptGate.prune(id => this.view.runner(id) !== undefined);
     this.context.connections.closeIdle();
+    this.context.descriptors?.measure();
   }
 }
 
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -6,7 +6,7 @@
 import type {GatewayContext} from './context.js';
 import {ERROR_STATUS, sendErrorResponse} from './requests/errorResponse.js';
 import {HeadRefusals} from './requests/headRefusals.js';
-import {readBody} from './requests/readBody.js';
+import {announcedBytes, readBody} from './requests/readBody.js';
 import {RequestHandler} from './requests/requestHandler.js';
 import {CallerIdentity} from './callers/callerIdentity.js';
 import type {CallerLimits} from './types.js';
@@ -47,7 +47,9 @@
     );
     this.server.on('connection', socket => {
       socket.setNoDelay(true);
+      context.descriptors?.addCaller(socket);
     });
+    context.descriptors?.countRequestsBy(() => this.openRequests);
     this.applyLimits();
     context.view.onChange(() => this.applyLimits());
   }
@@ -101,7 +103,11 @@
       this.refusals.refuse(request, response, errorStatus, true);
       return;
     }
-    const {heldBytes} = context;
+    const {heldBytes, descriptors} = context;
+    if (descriptors && !descriptors.canServe(request.socket)) {
+      this.refusals.refuseForDescriptors(request, response);
+      return;
+    }
     const holding = heldBytes?.admit(response, announcedBytes(request));
     if (heldBytes && !holding) {
       this.refusals.refuseForMemory(request, response);
@@ -246,8 +252,3 @@
     return isTooLarge ? ERROR_STATUS.tooLarge : undefined;
   }
 }
-
-/** Length of the request body that the head states; 0 if it states none. */
-function announcedBytes({headers}: IncomingMessage): number {
-  return Number(headers['content-length'] ?? 0);
-}
--- a/packages/banyanfold-gateway/src/requests/headRefusals.ts
+++ b/packages/banyanfold-gateway/src/requests/headRefusals.ts
@@ -3,6 +3,7 @@
 import {shortDigest} from '../callers/keyDigest.js';
 import type {GatewayContext} from '../context.js';
 import type {DecodedRequest} from '../types.js';
+import {announcedBytes} from './readBody.js';
 import {ERROR_STATUS, sendErrorResponse} from './errorResponse.js';
 import {retryAfterPauseMs} from './retryAfter.js';
 
@@ -15,6 +16,12 @@
  */
 const MEMORY_RETRY_AFTER_MS = 1_000;
 
+/**
+ * Retry delay for callers refused because of descriptors. Requests take about
+ * that long, and each that ends frees two.
+ */
+const DESCRIPTORS_RETRY_AFTER_MS = 1_000;
+
 /** Refuses requests before they are handled; none of them has run. */
 export class HeadRefusals {
   constructor(private readonly context: GatewayContext) {}
@@ -81,6 +88,34 @@
     );
   }
 
+  /**
+   * Refuses a request for which there is no connection, and closes that of its
+   * caller. If the connection were closed while the body arrives, the caller
+   * would be told of a reset instead of the refusal.
+   */
+  refuseForDescriptors(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const {metrics, logger, random} = this.context;
+    const retryAfterMs = retryAfterPauseMs(DESCRIPTORS_RETRY_AFTER_MS, random);
+    metrics.count('refused_for_descriptors_total');
+    logger.info('refuse', {
+      reason: 'descriptors',
+      target: request.url,
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+    const send = () =>
+      sendErrorResponse(
+        response,
+        {status: ERROR_STATUS.notRun, reason: 'descriptors', retryAfterMs},
+        true,
+      );
+    if (announcedBytes(request) === 0) return send();
+    request.once('end', send);
+    request.resume();
+  }
+
   refuse(
     request: IncomingMessage,
     response: ServerResponse,
--- a/packages/banyanfold-gateway/src/requests/readBody.ts
+++ b/packages/banyanfold-gateway/src/requests/readBody.ts
@@ -39,3 +39,8 @@
     request.once('close', () => resolve('broken-off'));
   });
 }
+
+/** Length of the request body that the head states; 0 if it states none. */
+export function announcedBytes({headers}: IncomingMessage): number {
+  return Number(headers['content-length'] ?? 0);
+}
--- a/packages/banyanfold-gateway/src/runners/runnerConnections.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerConnections.ts
@@ -16,6 +16,8 @@
   isReused = false;
   closed = false;
   idleSinceMs = 0;
+  /** Called once, when it is closed. */
+  onClosed: () => void = () => {};
   private socket: Socket | undefined;
   private endProbe: Promise<boolean> | undefined;
 
@@ -41,9 +43,7 @@
         });
       },
     });
-    this.client.on('disconnect', () => {
-      this.closed = true;
-    });
+    this.client.on('disconnect', () => this.markClosed());
   }
 
   /**
@@ -78,17 +78,25 @@
 
   destroy(): void {
     if (this.closed) return;
-    this.closed = true;
+    this.markClosed();
     void this.client.destroy().catch(() => {
       // `destroy` fails only for a client that is already destroyed.
     });
   }
+
+  private markClosed(): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.onClosed();
+  }
 }
 
 /** Pool of keep-alive connections by runner address. */
 export class RunnerConnections {
   private readonly idle = new Map<string, RunnerConnection[]>();
   opened = 0;
+  /** Connections that are not closed, with or without a request. */
+  openCount = 0;
 
   constructor(
     private readonly clock: Clock,
@@ -115,7 +123,12 @@
       oldest.destroy();
     }
     this.opened += 1;
-    return new RunnerConnection(address, this.options);
+    this.openCount += 1;
+    const connection = new RunnerConnection(address, this.options);
+    connection.onClosed = () => {
+      this.openCount -= 1;
+    };
+    return connection;
   }
 
   /** Returns a connection to the pool after a complete response. */
@@ -143,6 +156,30 @@
     }
   }
 
+  /** Connections without a request. */
+  get idleCount(): number {
+    let count = 0;
+    for (const resting of this.idle.values()) {
+      for (const {closed} of resting) count += Number(!closed);
+    }
+    return count;
+  }
+
+  /**
+   * Closes the connections that have been idle longest.
+   *
+   * @returns how many were closed.
+   */
+  closeLongestIdle(count: number): number {
+    const chosen = [...this.idle.values()]
+      .flat()
+      .filter(({closed}) => !closed)
+      .sort((a, b) => a.idleSinceMs - b.idleSinceMs)
+      .slice(0, count);
+    for (const connection of chosen) connection.destroy();
+    return chosen.length;
+  }
+
   private idleMs(connection: RunnerConnection, nowMs: number): number {
     return nowMs - connection.idleSinceMs;
   }
