Refuse requests that the process itself delays beyond their target

One that is late because of its own processor or link accepted requests all the same, and their callers left before they were served.

With resources, the process measures the median delay of its event loop, its processor time and its bytes, and shows them as metrics. A request whose target is shorter than the delay that the process adds (two turns of the loop, and a full link's backlog) is refused with 503 before its body is read, until the delay is under half of the target. Over 1 s of median loop delay, when callers give up before even a refusal arrives, the process is not ready.

Weighed: the mean or largest delay (one freeze would refuse requests of a process without backlog), a limit on the share of the processor (says nothing of lateness), all held bytes as the link's backlog (callers that read nothing would keep others from being served), not being ready earlier (moves the load to others that may be as busy).

Not run: a process under a processor quota or on a slow link.

--- a/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
@@ -11,6 +11,7 @@
 let isConfigConfirmed: boolean;
 let hasRoute: boolean;
 let refreshes: number;
+let isLate: boolean;
 
 const recordThrown = (error: unknown) => thrown.push(error);
 
@@ -20,6 +21,7 @@
   isConfigConfirmed = true;
   hasRoute = true;
   refreshes = 0;
+  isLate = false;
   process.on('unhandledRejection', recordThrown);
   server = new GatewayServer({
     clock: systemClock,
@@ -39,6 +41,12 @@
         throw new Error('unexpected failure');
       },
     },
+    backlog: {
+      addCaller: () => {},
+      shouldRefuse: () => isLate,
+      ownDelayMs: 2_000,
+    },
+    random: () => 0,
     isDraining: () => false,
   } as unknown as GatewayContext);
   await server.listen(0, '127.0.0.1');
@@ -82,6 +90,18 @@
     expect(await sendRequest()).toBe(404);
   });
 
+  it('refuses a request that it would serve too late', async () => {
+    // Guards against a 503 for a request that goes on to a runner: one that is
+    // handled gets 502 here.
+    isLate = true;
+    expect(await sendRequest()).toBe(503);
+    const logged = logger.lines.filter(line => line.includes('event=refuse'));
+    expect(logged).toHaveLength(1);
+    expect(logged[0]).toContain('retryAfterMs=2000');
+    isLate = false;
+    expect(await sendRequest()).toBe(502);
+  });
+
   // Guards against a final refusal for a route that was just added.
   it('responds with 503 if a newer configuration may have the route', async () => {
     hasRoute = false;
--- a/packages/banyanfold-gateway/src/__tests__/heldBytes.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/heldBytes.test.ts
@@ -183,6 +183,19 @@
     );
   });
 
+  it('tells the bytes that callers take from those of stalled ones', async () => {
+    // Guards against callers that read nothing looking like a full link, for
+    // which new requests are refused.
+    const model = new CallerModel();
+    model.open(false, 1_000);
+    model.write(0, 70);
+    expect(model.held.movingBytes).toBe(70);
+    await model.clock.advance(stalledAfterMs);
+    model.write(0, 70);
+    expect(model.held.movingBytes).toBe(0);
+    expect(model.held.heldBytes).toBe(1_140);
+  });
+
   it('makes a caller give way that stalls while it sends its body', async () => {
     // Guards against callers that announce bodies, send most of them and stop:
     // with their memory held until they leave, nobody else would be admitted.
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -13,6 +13,7 @@
 import type {RunnerConnections} from './runners/runnerConnections.js';
 import type {RunnerRateLimits} from './runners/runnerRateLimits.js';
 import type {RunnerStates} from './runners/runnerStates.js';
+import type {BacklogWatch} from './resources/backlogWatch.js';
 import type {DescriptorBudget} from './resources/descriptorBudget.js';
 import type {HeldBytes} from './resources/heldBytes.js';
 import type {RequestCodec} from './types.js';
@@ -49,6 +50,8 @@
   usage: UsageAccounts;
   /** Undefined if the memory held for callers is not limited. */
   heldBytes?: HeldBytes;
+  /** Undefined if the process's own backlog is not watched. */
+  backlog?: BacklogWatch;
   /** Undefined if the connections of the process are not limited. */
   descriptors?: DescriptorBudget;
   workForecast: WorkForecast;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import {LoadRate} from './placement/loadRate.js';
 import {repeatEvery} from './repeatEvery.js';
 import {createMetricsServer, createReadinessServer} from './readinessServer.js';
+import {BacklogWatch} from './resources/backlogWatch.js';
 import {DescriptorBudget} from './resources/descriptorBudget.js';
 import {createHeldBytes} from './resources/heldBytes.js';
 import type {ResourceSettings} from './resources/resourceSettings.js';
@@ -118,6 +119,7 @@
   private readonly configFetcher: ConfigFetcher;
   private readonly usageKeeper: UsageKeeper;
   private stopMaintenance: () => void = () => {};
+  private stopBacklogWatch: (() => void) | undefined;
   /** Undefined until the holder has reported it. */
   private knownEntryCount: number | undefined;
   private lastMaintenanceMs = 0;
@@ -291,6 +293,15 @@
         metrics,
         options,
       }),
+      backlog:
+        settings.resources &&
+        new BacklogWatch({
+          clock,
+          logger,
+          metrics,
+          resources: settings.resources,
+          movingBytes: () => this.context.heldBytes?.movingBytes ?? 0,
+        }),
       descriptors:
         maxDescriptors === undefined
           ? undefined
@@ -321,7 +332,8 @@
 
   /** Whether the balancer may send callers to this process. */
   get isReady(): boolean {
-    return this.view.isReady && !this.isDraining;
+    const isLate = this.context.backlog?.isUnready ?? false;
+    return this.view.isReady && !this.isDraining && !isLate;
   }
 
   /** The process drains, and the balancer has stopped sending callers to it. */
@@ -383,6 +395,7 @@
     this.stopMaintenance = repeatEvery(clock, MAINTENANCE_INTERVAL_MS, () =>
       this.runMaintenance(),
     );
+    this.stopBacklogWatch = this.context.backlog?.start();
     logger.info('started', {
       callers: `${callers.host}:${callers.port}`,
       peers: `${peers.host}:${peers.port}`,
@@ -436,6 +449,7 @@
     this.usageKeeper.stop();
     this.configFetcher.stop();
     this.stopMaintenance();
+    this.stopBacklogWatch?.();
     this.callerServer.stopAccepting();
     this.readinessServer.close();
     this.metricsServer.close();
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -48,6 +48,7 @@
     this.server.on('connection', socket => {
       socket.setNoDelay(true);
       context.descriptors?.addCaller(socket);
+      context.backlog?.addCaller(socket);
     });
     context.descriptors?.countRequestsBy(() => this.openRequests);
     this.applyLimits();
@@ -103,6 +104,10 @@
       this.refusals.refuse(request, response, errorStatus, true);
       return;
     }
+    if (this.isTooLate(request)) {
+      this.refusals.refuseForBacklog(request, response);
+      return;
+    }
     const {heldBytes, descriptors} = context;
     if (descriptors && !descriptors.canServe(request.socket)) {
       this.refusals.refuseForDescriptors(request, response);
@@ -243,6 +248,17 @@
     return this.pendingLoopTurns;
   }
 
+  /** Whether this process is too late to serve the request in its time. */
+  private isTooLate(request: IncomingMessage): boolean {
+    const {backlog, view} = this.context;
+    if (!backlog || !view.isReady) return false;
+    const route = view.findRoute(
+      request.headers.host ?? '',
+      request.url ?? '/',
+    );
+    return route !== undefined && backlog.shouldRefuse(route);
+  }
+
   /** Returns the error status for a head that exceeds the limits, if any. */
   private checkHead(request: IncomingMessage): number | undefined {
     let bytes = 0;
--- a/packages/banyanfold-gateway/src/requests/headRefusals.ts
+++ b/packages/banyanfold-gateway/src/requests/headRefusals.ts
@@ -16,6 +16,8 @@
  */
 const MEMORY_RETRY_AFTER_MS = 1_000;
 
+/** Shortest retry delay for callers refused because of the process's backlog. */
+const BACKLOG_RETRY_AFTER_MS = 1_000;
 /**
  * Retry delay for callers refused because of descriptors. Requests take about
  * that long, and each that ends frees two.
@@ -88,6 +90,26 @@
     );
   }
 
+  /** Refuses a request that this process can't serve in time. */
+  refuseForBacklog(request: IncomingMessage, response: ServerResponse): void {
+    const {metrics, logger, random, isDraining, backlog} = this.context;
+    const delayMs = backlog?.ownDelayMs ?? 0;
+    const pauseMs = Math.max(delayMs, BACKLOG_RETRY_AFTER_MS);
+    const retryAfterMs = retryAfterPauseMs(pauseMs, random);
+    metrics.count('refused_for_backlog_total');
+    logger.info('refuse', {
+      reason: 'backlog',
+      target: request.url,
+      ownDelayMs: Math.round(delayMs),
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+    sendErrorResponse(
+      response,
+      {status: ERROR_STATUS.notRun, reason: 'backlog', retryAfterMs},
+      isDraining() || request.headers['content-length'] === undefined,
+    );
+  }
+
   /**
    * Refuses a request for which there is no connection, and closes that of its
    * caller. If the connection were closed while the body arrives, the caller
--- a/packages/banyanfold-gateway/src/resources/heldBytes.ts
+++ b/packages/banyanfold-gateway/src/resources/heldBytes.ts
@@ -65,6 +65,16 @@
     return this.sumBytes;
   }
 
+  /** Bytes of responses whose callers take them; looks at each request. */
+  get movingBytes(): number {
+    const {stalledAfterMs} = this.options.options;
+    let bytes = 0;
+    for (const holding of this.holdings.values()) {
+      bytes += holding.movingBytes(stalledAfterMs);
+    }
+    return bytes;
+  }
+
   /**
    * Starts to count a request.
    *
--- a/packages/banyanfold-gateway/src/resources/holding.ts
+++ b/packages/banyanfold-gateway/src/resources/holding.ts
@@ -88,6 +88,12 @@
     return {id, bytes: this.countedBytes, waitingMs};
   }
 
+  /** Bytes of the response, unless its transfer is stalled; else 0. */
+  movingBytes(stalledAfterMs: number): number {
+    const waitingMs = this.options.clock.nowMs() - this.lastProgressMs;
+    return waitingMs < stalledAfterMs ? this.responseBytes : 0;
+  }
+
   /** Stops counting the request, whose memory is free. */
   release(): void {
     if (this.isReleased) return;
