Read streams ahead for slow callers while there is memory

A stream was paused as soon as its caller was behind. A runner cuts off a response that remains unread for some seconds; its caller then lost the stream, and the runner counted as faulty.

With resources, a stream is read on up to maxGatheredBytes while the held sum is under 0.4 of its bound, and paused above that, as it always is without the setting. Tried first: 0.8 of the bound, the share up to which requests are admitted.

--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -78,6 +78,12 @@
    * the responses to those that are open.
    */
   heldAdmittedShare: z.number().positive().max(1).default(0.8),
+  /**
+   * Share of that bound up to which streams are read ahead of their callers:
+   * half of what new requests may fill, so that slow callers leave the other
+   * half to them.
+   */
+  heldReadAheadShare: z.number().positive().max(1).default(0.4),
   /**
    * Share of that bound that is reached when responses give way. Each decision
    * orders all responses, so it frees a tenth instead of a few bytes.
--- a/packages/banyanfold-gateway/src/requests/responseWriter.ts
+++ b/packages/banyanfold-gateway/src/requests/responseWriter.ts
@@ -38,24 +38,28 @@
   /**
    * Sends events of a stream.
    *
-   * @returns false if the caller has not taken them; `onDrain` is called when
+   * A runner cuts off a response that remains unread for some seconds. While
+   * there is memory, a stream is therefore read on for a caller that is slow.
+   *
+   * @returns false if the stream has to be paused; `onDrain` is called when
    * it has.
    */
   writeEvents(bytes: Buffer, onDrain: () => void): boolean {
-    const {response, holding} = this.options;
+    const {context, response, holding} = this.options;
     const isTaken = response.write(
       bytes,
       holding && (() => holding.noteTaken()),
     );
-    if (!isTaken) {
-      this.unsentBytes = READ_AHEAD_BYTES;
-      response.once('drain', () => {
-        this.unsentBytes = 0;
-        onDrain();
-      });
-    }
     holding?.recount();
-    return isTaken;
+    const {maxGatheredBytes} = context.options;
+    if (isTaken || holding?.mayReadAhead(maxGatheredBytes)) return true;
+    this.unsentBytes = READ_AHEAD_BYTES;
+    response.once('drain', () => {
+      this.unsentBytes = 0;
+      onDrain();
+    });
+    holding?.recount();
+    return false;
   }
 
   endStream(): void {
--- a/packages/banyanfold-gateway/src/resources/heldBytes.ts
+++ b/packages/banyanfold-gateway/src/resources/heldBytes.ts
@@ -18,7 +18,10 @@
 
 type HeldBytesSettings = Pick<
   GatewayOptions,
-  'heldAdmittedShare' | 'heldRelievedShare' | 'stalledAfterMs'
+  | 'heldAdmittedShare'
+  | 'heldReadAheadShare'
+  | 'heldRelievedShare'
+  | 'stalledAfterMs'
 >;
 
 interface HeldBytesDependencies {
@@ -89,6 +92,7 @@
       clock: this.options.clock,
       response,
       canAddBody: bytes => this.canAddBody(bytes),
+      hasRoom: () => this.hasRoom,
       onChange: changeBytes => this.handleChange(changeBytes),
     });
     this.holdings.set(holding.id, holding);
@@ -96,6 +100,11 @@
     return holding;
   }
 
+  private get hasRoom(): boolean {
+    const {boundBytes, options} = this.options;
+    return this.sumBytes <= boundBytes * options.heldReadAheadShare;
+  }
+
   /**
    * Whether a body of that size can be held. Stalled transfers give way to it:
    * otherwise callers that stopped reading would keep the process from serving
--- a/packages/banyanfold-gateway/src/resources/holding.ts
+++ b/packages/banyanfold-gateway/src/resources/holding.ts
@@ -11,6 +11,8 @@
   response: ServerResponse;
   /** Whether that many more bytes of a request body may be held. */
   canAddBody(bytes: number): boolean;
+  /** Whether memory is left for responses that are read ahead. */
+  hasRoom(): boolean;
   /** Called when the number of bytes changes. */
   onChange(changeBytes: number): void;
 }
@@ -88,6 +90,16 @@
     return {id, bytes: this.countedBytes, waitingMs};
   }
 
+  /**
+   * Whether more of the response may be read although its caller is behind.
+   *
+   * @param maxBytes largest response that is held.
+   */
+  mayReadAhead(maxBytes: number): boolean {
+    const {hasRoom} = this.options;
+    return !this.isReleased && this.responseBytes < maxBytes && hasRoom();
+  }
+
   /** Bytes of the response, unless its transfer is stalled; else 0. */
   movingBytes(stalledAfterMs: number): number {
     const waitingMs = this.options.clock.nowMs() - this.lastProgressMs;
