--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -20,6 +20,8 @@
 import {LoadRate} from './placement/loadRate.js';
 import {repeatEvery} from './repeatEvery.js';
 import {createMetricsServer, createReadinessServer} from './readinessServer.js';
+import {BacklogWatch} from './resources/backlogWatch.js';
+import {DescriptorBudget} from './resources/descriptorBudget.js';
 import {createHeldBytes} from './resources/heldBytes.js';
 import type {ResourceSettings} from './resources/resourceSettings.js';
 import {HeldCopies} from './runners/heldCopies.js';
@@ -117,6 +119,7 @@
   private readonly configFetcher: ConfigFetcher;
   private readonly usageKeeper: UsageKeeper;
   private stopMaintenance: () => void = () => {};
+  private stopBacklogWatch: (() => void) | undefined;
   /** Undefined until the holder has reported it. */
   private knownEntryCount: number | undefined;
   private lastMaintenanceMs = 0;
@@ -257,6 +260,8 @@
       entryCount: () => this.knownEntryCount,
       random,
     });
+    const connections = new RunnerConnections(clock, options);
+    const {maxDescriptors} = settings.resources ?? {};
     this.context = {
       clock,
       logger,
@@ -265,7 +270,7 @@
       failureDomain: settings.failureDomain,
       view: this.view,
       codec,
-      connections: new RunnerConnections(clock, options),
+      connections,
       runnerStates,
       promptGate: new PromptGate(clock),
       rateLimits,
@@ -288,6 +293,23 @@
         metrics,
         options,
       }),
+      backlog:
+        settings.resources &&
+        new BacklogWatch({
+          clock,
+          logger,
+          metrics,
+          resources: settings.resources,
+          movingBytes: () => this.context.heldBytes?.movingBytes ?? 0,
+        }),
+      descriptors:
+        maxDescriptors === undefined
+          ? undefined
+          : new DescriptorBudget({
+              metrics,
+              maxDescriptors,
+              connections,
+            }),
       workForecast: new WorkForecast(() => clock.nowMs()),
       keysTrustedMs: settings.bounds.keysTrustedMs,
       configApplyMs: settings.bounds.configApplyMs,
@@ -310,7 +332,8 @@
 
   /** Whether the balancer may send callers to this process. */
   get isReady(): boolean {
-    return this.view.isReady && !this.isDraining;
+    const isLate = this.context.backlog?.isUnready ?? false;
+    return this.view.isReady && !this.isDraining && !isLate;
   }
 
   /** The process drains, and the balancer has stopped sending callers to it. */
@@ -372,6 +395,7 @@
     this.stopMaintenance = repeatEvery(clock, MAINTENANCE_INTERVAL_MS, () =>
       this.runMaintenance(),
     );
+    this.stopBacklogWatch = this.context.backlog?.start();
     logger.info('started', {
       callers: `${callers.host}:${callers.port}`,
       peers: `${peers.host}:${peers.port}`,
@@ -425,6 +449,7 @@
     this.usageKeeper.stop();
     this.configFetcher.stop();
     this.stopMaintenance();
+    this.stopBacklogWatch?.();
     this.callerServer.stopAccepting();
     this.readinessServer.close();
     this.metricsServer.close();
@@ -493,6 +518,7 @@
     this.context.runnerBackoffs.prune();
     this.context.promptGate.prune(id => this.view.runner(id) !== undefined);
     this.context.connections.closeIdle();
+    this.context.descriptors?.measure();
   }
 }
 
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -6,7 +6,7 @@
 import type {GatewayContext} from './context.js';
 import {ERROR_STATUS, sendErrorResponse} from './requests/errorResponse.js';
 import {HeadRefusals} from './requests/headRefusals.js';
-import {readBody} from './requests/readBody.js';
+import {announcedBytes, readBody} from './requests/readBody.js';
 import {RequestHandler} from './requests/requestHandler.js';
 import {CallerIdentity} from './callers/callerIdentity.js';
 import type {CallerLimits} from './types.js';
@@ -47,7 +47,10 @@
     );
     this.server.on('connection', socket => {
       socket.setNoDelay(true);
+      context.descriptors?.addCaller(socket);
+      context.backlog?.addCaller(socket);
     });
+    context.descriptors?.countRequestsBy(() => this.openRequests);
     this.applyLimits();
     context.view.onChange(() => this.applyLimits());
   }
@@ -101,7 +104,15 @@
       this.refusals.refuse(request, response, errorStatus, true);
       return;
     }
-    const {heldBytes} = context;
+    if (this.isTooLate(request)) {
+      this.refusals.refuseForBacklog(request, response);
+      return;
+    }
+    const {heldBytes, descriptors} = context;
+    if (descriptors && !descriptors.canServe(request.socket)) {
+      this.refusals.refuseForDescriptors(request, response);
+      return;
+    }
     const holding = heldBytes?.admit(response, announcedBytes(request));
     if (heldBytes && !holding) {
       this.refusals.refuseForMemory(request, response);
@@ -237,6 +248,17 @@
     return this.pendingLoopTurns;
   }
 
+  /** Whether this process is too late to serve the request in its time. */
+  private isTooLate(request: IncomingMessage): boolean {
+    const {backlog, view} = this.context;
+    if (!backlog || !view.isReady) return false;
+    const route = view.findRoute(
+      request.headers.host ?? '',
+      request.url ?? '/',
+    );
+    return route !== undefined && backlog.shouldRefuse(route);
+  }
+
   /** Returns the error status for a head that exceeds the limits, if any. */
   private checkHead(request: IncomingMessage): number | undefined {
     let bytes = 0;
@@ -246,8 +268,3 @@
     return isTooLarge ? ERROR_STATUS.tooLarge : undefined;
   }
 }
-
-/** Length of the request body that the head states; 0 if it states none. */
-function announcedBytes({headers}: IncomingMessage): number {
-  return Number(headers['content-length'] ?? 0);
-}
