Decide fair shares of organisations under excess demand

Cause: once organisations are within their caps, nothing distinguishes them. One that sends eight times its usual load gets capacity in proportion to its demand, and all others wait behind it.

Change: divideByMaxMin (pure), FleetShares (lease holder) and OrganisationShare (entry). Nothing calls them yet. A pool, a service or a service and a model, is divided when demand exceeds what its runners complete and the backlog exceeds what can be read within the target time, both for two exchanges. What may be admitted a second is what is completed plus the deviation of the backlog from half of the target over 1.5 s. A backlog above it is reduced only at the expense of organisations above their share. Within an organisation the most urgent requests use the share first, so a limit is a priority and the share of its requests.

Weighed: division by service only (one model in demand hides behind an idle service); a correction time of 0.5 s (shorter than twice the delay of report, division and answer); one smoothing time for the demand (with 0.5 s a single large request counts as an excess, with 2 s capacity stays unused after a peak), so the lower of both is used; one share for all priorities of an organisation (its urgent requests would wait for its others).

--- a/packages/banyanfold-decisions/src/index.ts
+++ b/packages/banyanfold-decisions/src/index.ts
@@ -23,3 +23,8 @@
 export * from './usage/useHistory.js';
 export * from './crashes/decideTrial.js';
 export * from './crashes/attributeCrashes.js';
+export * from './shares/divideByMaxMin.js';
+export * from './shares/fleetShares.js';
+export * from './shares/organisationShare.js';
+export * from './shares/shareDemand.js';
+export type {PoolState} from './shares/poolShares.js';
