Admit requests by fair shares that the lease holder sends

Cause: an organisation that surges within its cap fills the queues of all others; admission does not look at the organisation.

Change: entries report what each organisation requests and what is admitted, the work that was completed or dropped, and the backlog (admitted work without a response), by pool, in the exchange; relays sum it. The holder answers with the limits of organisations above their share, and entries refuse the rest at once (503 `fair-share` with a time to return). All fields are optional.

Weighed: the backlog as the open work at runners (counts the decoding of streams that nobody waits for, and misses requests between two attempts), so it is the work from admission to the first byte, which over the completed work is the wait for the first token. Plain runners reject calls instead of queueing them, so their backlog stays short: work that found no place counts as an excess too. The check is after the demand for models is counted, because a model that is refused for lack of capacity needs more copies; and after the usage cap, whose refusals are no demand. Callers without an organisation share as one. Weights of caps in requests count a request as one unit of work.

--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -1,5 +1,6 @@
 import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {FairShares} from '../callers/fairShares.js';
 import {UsageAccounts} from '../callers/usageAccounts.js';
 import {CrashSuspects} from '../crashes/crashSuspects.js';
 import {DEFAULT_OPTIONS} from '../options.js';
@@ -46,6 +47,8 @@
 let inputs: ExchangeInput[];
 let confirmedAtMs: number[];
 let demand: DemandMeter;
+let fairShares: FairShares;
+let areSharesOn: boolean;
 
 /** A link in the process that owns the lease, so no network is used. */
 function startLink(): HolderLink {
@@ -79,6 +82,7 @@
       random: () => 0.5,
       usageCapOf: () => undefined,
     }),
+    fairShares,
     suspects: new CrashSuspects(clock),
     states: new RunnerStates(clock, logger, DEFAULT_OPTIONS),
     rateLimits: new RunnerRateLimits({
@@ -113,9 +117,66 @@
   inputs = [];
   confirmedAtMs = [];
   demand = new DemandMeter();
+  areSharesOn = true;
+  fairShares = new FairShares({
+    clock,
+    random: () => 0.5,
+    isEnabled: () => areSharesOn,
+  });
 });
 
 describe('HolderLink', () => {
+  const request = {
+    pool: 'drafting/m1',
+    organisation: 'claims',
+    priority: 1,
+    work: 4,
+    targetMs: 800,
+    leftMs: 5_000,
+  };
+
+  // Guards against a division by admitted demand only, which would grow the
+  // share of whoever is refused least.
+  it('reports the demand, refused or not, and the backlog, and applies limits', async () => {
+    const limit = {priority: 1, share: 0.1};
+    answer = {...OUTPUT, organisationShares: {[request.pool]: {claims: limit}}};
+    fairShares.decide(request);
+    const link = startLink();
+    expect(inputs[0]!.poolBacklogs).toEqual({
+      [request.pool]: {work: 4, workMs: 3_200},
+    });
+    expect(fairShares.decide(request)!.kind).toBe('refuse');
+    await clock.advance(300);
+    link.stop();
+    const reports = inputs.flatMap(({batch}) => batch.demandByOrganisation!);
+    const {pool, organisation, priority} = request;
+    const row = {pool, organisation, priority, asked: 4};
+    expect(reports).toEqual([
+      {...row, admitted: 4},
+      {...row, admitted: 0},
+    ]);
+  });
+
+  // Guards against an effect on deployments without the setting.
+  it('sends and applies nothing of shares unless they are switched on', async () => {
+    areSharesOn = false;
+    const limit = {priority: 0, share: 0};
+    answer = {...OUTPUT, organisationShares: {[request.pool]: {claims: limit}}};
+    const link = startLink();
+    expect(fairShares.decide(request)).toBeUndefined();
+    expect(fairShares.isOverShare(request.pool, 'claims')).toBe(false);
+    await clock.advance(300);
+    link.stop();
+    const sent = JSON.stringify(inputs);
+    for (const field of [
+      'demandByOrganisation',
+      'poolBacklogs',
+      'poolProgress',
+    ]) {
+      expect(sent).not.toContain(field);
+    }
+  });
+
   it('does not join the lease group after its start, in fleets of any size', async () => {
     // Adapters must stay available. A process that joined as soon as it learned
     // of a holder took the lease from one that had just started to give orders,
--- a/packages/banyanfold-gateway/src/__tests__/relay.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/relay.test.ts
@@ -1,5 +1,6 @@
 import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {ShareMeter} from '../callers/shareMeter.js';
 import {UsageMeter} from '../callers/usageMeter.js';
 import {CrashSuspects} from '../crashes/crashSuspects.js';
 import type {ExchangeInput, ExchangeOutput} from '../peers/peerContract.js';
@@ -15,6 +16,7 @@
 
 let clock: VirtualClock;
 let demand: DemandMeter;
+let shares: ShareMeter;
 let relay: Relay;
 let rateLimits: RunnerRateLimits;
 let suspects: CrashSuspects;
@@ -83,6 +85,7 @@
 beforeEach(() => {
   clock = new VirtualClock();
   demand = new DemandMeter();
+  shares = new ShareMeter();
   suspects = new CrashSuspects(clock);
   view = new FleetView(clock, new MemoryLogger());
   ownWork = 0;
@@ -98,6 +101,7 @@
     address: OWN.address,
     demand,
     usage: new UsageMeter(),
+    shares,
     outcomes: new OutcomeMeter(),
     rateLimits,
     configVersion: () => 9,
@@ -167,6 +171,27 @@
     expect(relay.groupLoad(OWN).openWork).toEqual({r1: 3});
   });
 
+  // Guards against organisations behind a relay whose demand is not divided.
+  it('sums the demand and the backlogs of its group', () => {
+    relay.noteHolderState(stateOf());
+    const row = {pool: 'p', organisation: 'claims', priority: 1, admitted: 1};
+    const progress = {pool: 'p', completed: 2, dropped: 0.5};
+    for (const entry of ['e1:7', 'e2:7']) {
+      const demandByOrganisation = [{...row, asked: 3}];
+      const shared = {demandByOrganisation, poolProgress: [progress]};
+      const batch = {batchId: `${entry}#1`, demand: [], ...shared};
+      const poolBacklogs = {p: {work: 2, workMs: 1_600}};
+      exchange(inputOf(entry, {batch, poolBacklogs}));
+    }
+    expect(shares.take()).toEqual({
+      demandByOrganisation: [{...row, asked: 6, admitted: 2}],
+      poolProgress: [{pool: 'p', completed: 4, dropped: 1}],
+    });
+    expect(relay.groupLoad(OWN).poolBacklogs).toEqual({
+      p: {work: 4, workMs: 3_200},
+    });
+  });
+
   it('counts a resent batch once', () => {
     // An answer is lost, and the entry sends its demand again. If it counted
     // twice, the holder would plan for a burst.
--- /dev/null
+++ b/packages/banyanfold-gateway/src/callers/shareMeter.ts
@@ -0,0 +1,74 @@
+import type {
+  PoolBacklog,
+  PoolProgress,
+  ShareDemand,
+} from '@banyanfold/decisions';
+
+/** Less than the smallest request; what remains is a rounding error. */
+const MIN_BACKLOG_WORK = 1e-6;
+
+/** Demand and progress since the previous report, as it is sent. */
+export interface ShareReport {
+  demandByOrganisation: ShareDemand[];
+  poolProgress: PoolProgress[];
+}
+
+/** Counts demand and progress of pools between two exchanges. */
+export class ShareMeter {
+  private demand = new Map<string, ShareDemand>();
+  private progress = new Map<string, PoolProgress>();
+  private readonly backlogs = new Map<string, PoolBacklog>();
+
+  addDemand(added: ShareDemand): void {
+    const {pool, organisation, priority} = added;
+    const key = JSON.stringify([pool, organisation, priority]);
+    const known = this.demand.get(key);
+    this.demand.set(key, {
+      pool,
+      organisation,
+      priority,
+      asked: (known?.asked ?? 0) + added.asked,
+      admitted: (known?.admitted ?? 0) + added.admitted,
+    });
+  }
+
+  addProgress({pool, completed, dropped}: PoolProgress): void {
+    const known = this.progress.get(pool);
+    this.progress.set(pool, {
+      pool,
+      completed: (known?.completed ?? 0) + completed,
+      dropped: (known?.dropped ?? 0) + dropped,
+    });
+  }
+
+  /** Adds the counts of another entry. */
+  add({demandByOrganisation = [], poolProgress = []}: Partial<ShareReport>) {
+    for (const demand of demandByOrganisation) this.addDemand(demand);
+    for (const progress of poolProgress) this.addProgress(progress);
+  }
+
+  /** @param sign 1 for a request that is admitted, -1 when it is over. */
+  changeBacklog(pool: string, {work, workMs}: PoolBacklog, sign: 1 | -1): void {
+    const known = this.backlogs.get(pool) ?? {work: 0, workMs: 0};
+    const changed = {
+      work: Math.max(0, known.work + sign * work),
+      workMs: Math.max(0, known.workMs + sign * workMs),
+    };
+    if (changed.work > MIN_BACKLOG_WORK) this.backlogs.set(pool, changed);
+    else this.backlogs.delete(pool);
+  }
+
+  /** The backlog of this process, without that of other entries. */
+  ownBacklogs(): Record<string, PoolBacklog> {
+    return Object.fromEntries(this.backlogs);
+  }
+
+  /** Returns the counts and resets them. */
+  take(): ShareReport {
+    const demandByOrganisation = [...this.demand.values()];
+    const poolProgress = [...this.progress.values()];
+    this.demand = new Map();
+    this.progress = new Map();
+    return {demandByOrganisation, poolProgress};
+  }
+}
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -1,5 +1,6 @@
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import type {RetryBudget} from '@banyanfold/log';
+import type {FairShares} from './callers/fairShares.js';
 import type {UsageAccounts} from './callers/usageAccounts.js';
 import type {TrialInput} from './crashes/crashContract.js';
 import type {CrashSuspects} from './crashes/crashSuspects.js';
@@ -45,6 +46,7 @@
   heldCopies: HeldCopies;
   demand: DemandMeter;
   usage: UsageAccounts;
+  fairShares: FairShares;
   workForecast: WorkForecast;
   /**
    * How long keys are accepted after the configuration was last confirmed, in
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 import type {Server} from 'node:http';
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import type {GatewayContext} from './context.js';
+import {FairShares} from './callers/fairShares.js';
 import {UsageAccounts} from './callers/usageAccounts.js';
 import {UsageKeeper} from './callers/usageKeeper.js';
 import {CrashLedger} from './crashes/crashLedger.js';
@@ -151,6 +152,12 @@
       random,
       usageCapOf: name => this.view.organisations?.findByName(name)?.usageCap,
     });
+    const fairShares = new FairShares({
+      clock,
+      random,
+      isEnabled: () =>
+        options.fairShares && this.view.organisations !== undefined,
+    });
     const suspects = new CrashSuspects(clock);
     const crashLedger = new CrashLedger({
       clock,
@@ -224,6 +231,7 @@
       },
       demand,
       usage: usageAccounts,
+      fairShares,
       suspects,
       states: runnerStates,
       rateLimits,
@@ -278,6 +286,7 @@
       heldCopies,
       demand,
       usage: usageAccounts,
+      fairShares,
       workForecast: new WorkForecast(() => clock.nowMs()),
       keysTrustedMs: settings.bounds.keysTrustedMs,
       configApplyMs: settings.bounds.configApplyMs,
@@ -462,6 +471,10 @@
     });
     metrics.gauge('is_holder', () => Number(lease.current().isHolder));
     metrics.gauge('order_token', () => lease.current().fencingToken);
+    metrics.gauge(
+      'organisations_limited',
+      () => this.context.fairShares.limitedCount,
+    );
     metrics.gauge('entries_heard', () => this.entryCount);
   }
 
--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -63,6 +63,12 @@
   noticeMs: durationMs.default(2_600),
   /** Time left of the grace period when open requests are ended. */
   graceMarginMs: durationMs.default(500),
+  /**
+   * Divides capacity between organisations while demand exceeds it. Off by
+   * default: without it, requests are served by priority and in order of
+   * arrival, as in releases before.
+   */
+  fairShares: z.boolean().default(false),
   /** Largest response that is buffered; streams are not limited. */
   maxGatheredBytes: z.number().int().positive().default(8_388_608),
   /**
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -3,6 +3,7 @@
 import type {EnsureAdapter, PermitTrial} from '../context.js';
 import type {TrialInput, TrialOutput} from '../crashes/crashContract.js';
 import type {CrashSuspects} from '../crashes/crashSuspects.js';
+import type {FairShares} from '../callers/fairShares.js';
 import type {UsageAccounts} from '../callers/usageAccounts.js';
 import type {DemandMeter} from '../placement/demandMeter.js';
 import type {LoadRate} from '../placement/loadRate.js';
@@ -39,6 +40,7 @@
   self: RelayCandidate;
   demand: DemandMeter;
   usage: UsageAccounts;
+  fairShares: FairShares;
   suspects: CrashSuspects;
   states: RunnerStates;
   rateLimits: RunnerRateLimits;
@@ -106,6 +108,7 @@
       address: self.address,
       demand,
       usage: usage.meter,
+      shares: deps.fairShares.meter,
       outcomes: deps.states.outcomes,
       rateLimits: deps.rateLimits,
       suspects,
@@ -126,6 +129,7 @@
       () => deps.rateLimits.takeReports(),
       deps.states.outcomes,
       processId,
+      () => deps.fairShares.takeReport(),
     );
   }
 
@@ -293,6 +297,7 @@
       adaptersInUse: states.ownAdaptersInUse(),
       modelsInUse: states.ownModelsInUse(),
       waiting: demand.waitingCounts(),
+      poolBacklogs: this.deps.fairShares.ownBacklogs(),
     };
   }
 
@@ -392,6 +397,7 @@
       output.ageMs,
       isForwarded,
     );
+    this.deps.fairShares.applyLimits(output.organisationShares, output.ageMs);
     this.deps.rateLimits.applyFleetLimits(
       output.rateLimits ?? {},
       output.ageMs,
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -27,6 +27,15 @@
   bornMs: z.number(),
 });
 
+/**
+ * Part of its requests that an organisation may send: all that are more urgent
+ * than `priority`, and a share of those with this priority.
+ */
+const shareLimitSchema = z.object({priority: z.number(), share: z.number()});
+
+/** Admitted work without a response, and the same times its target. */
+const poolBacklogSchema = z.object({work: z.number(), workMs: z.number()});
+
 const countsSchema = z.record(z.string(), z.number());
 
 /** An entry, with the properties by which standbys and relays are chosen. */
@@ -78,6 +87,28 @@
       z.object({runnerId: z.string(), asked: z.number(), used: z.number()}),
     )
     .optional(),
+  /** Work by organisation; omitted by entries without fair shares. */
+  demandByOrganisation: z
+    .array(
+      z.object({
+        pool: z.string(),
+        organisation: z.string(),
+        priority: z.number(),
+        asked: z.number(),
+        admitted: z.number(),
+      }),
+    )
+    .optional(),
+  /** Work that has ended; omitted by entries without fair shares. */
+  poolProgress: z
+    .array(
+      z.object({
+        pool: z.string(),
+        completed: z.number(),
+        dropped: z.number(),
+      }),
+    )
+    .optional(),
 });
 
 export type DemandBatch = z.infer<typeof demandBatchSchema>;
@@ -105,6 +136,8 @@
   /** Requests waiting for a copy, by model. */
   waiting: countsSchema,
   batch: demandBatchSchema,
+  /** Backlogs by pool; omitted by entries without fair shares. */
+  poolBacklogs: z.record(z.string(), poolBacklogSchema).optional(),
   /** Omitted by releases that don't report crashes. */
   crashes: crashReportSchema.optional(),
   /**
@@ -209,6 +242,13 @@
    * that don't send them.
    */
   leavingRunners: z.array(leavingRunnerSchema).optional(),
+  /**
+   * Limits by pool and organisation, for organisations that may not send all of
+   * their requests; omitted by holders without fair shares.
+   */
+  organisationShares: z
+    .record(z.string(), z.record(z.string(), shareLimitSchema))
+    .optional(),
   /**
    * Requests that may crash runners; omitted by releases that don't send them.
    */
--- a/packages/banyanfold-gateway/src/peers/pendingDemand.ts
+++ b/packages/banyanfold-gateway/src/peers/pendingDemand.ts
@@ -1,5 +1,6 @@
 import type {UsageReport} from '@banyanfold/decisions';
 import type {DemandMeter} from '../placement/demandMeter.js';
+import type {ShareReport} from '../callers/shareMeter.js';
 import type {OutcomeMeter} from '../runners/outcomeMeter.js';
 import type {RateUse} from '../runners/rateUseMeter.js';
 import type {DemandBatch} from './peerContract.js';
@@ -21,6 +22,7 @@
     private readonly takeRateUse: () => RateUse[],
     private readonly outcomes: OutcomeMeter,
     private readonly processId: string,
+    private readonly takeShares: () => Partial<ShareReport> = () => ({}),
   ) {}
 
   /** Returns the unacknowledged batch, or a new one if there is none. */
@@ -32,6 +34,7 @@
       usage: this.takeUsage(),
       rateUse: this.takeRateUse(),
       outcomes: this.outcomes.take(),
+      ...this.takeShares(),
     };
     return this.batch;
   }
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -1,5 +1,6 @@
 import type {RelayCandidate} from '@banyanfold/decisions';
 import type {Clock} from '@banyanfold/core';
+import type {ShareMeter} from '../callers/shareMeter.js';
 import type {UsageMeter} from '../callers/usageMeter.js';
 import type {CrashSuspects} from '../crashes/crashSuspects.js';
 import {CopyRevisions} from '../placement/copyRevisions.js';
@@ -24,6 +25,7 @@
   /** Counts the demand of this process; the group's demand is added to it. */
   demand: DemandMeter;
   usage: UsageMeter;
+  shares: ShareMeter;
   outcomes: OutcomeMeter;
   rateLimits: RunnerRateLimits;
   suspects: CrashSuspects;
@@ -122,9 +124,10 @@
   }
 
   private addBatch(batch: DemandBatch): void {
-    const {demand, usage, outcomes, rateLimits} = this.options;
+    const {demand, usage, shares, outcomes, rateLimits} = this.options;
     demand.add(batch.demand);
     usage.add(batch.usage ?? []);
+    shares.add(batch);
     outcomes.add(batch.outcomes ?? []);
     rateLimits.meter.add(batch.rateUse ?? []);
   }
--- a/packages/banyanfold-gateway/src/placement/entryLoads.ts
+++ b/packages/banyanfold-gateway/src/placement/entryLoads.ts
@@ -1,4 +1,4 @@
-import type {RelayCandidate} from '@banyanfold/decisions';
+import type {PoolBacklog, RelayCandidate} from '@banyanfold/decisions';
 
 /** An entry that has not reported for this long no longer counts. */
 const ENTRY_EXPIRY_MS = 2_000;
@@ -17,6 +17,8 @@
   modelsInUse: Readonly<Record<string, Readonly<Record<string, number>>>>;
   /** Requests that wait for a copy, by model. */
   waiting: Readonly<Record<string, number>>;
+  /** Undefined from entries without fair shares. */
+  poolBacklogs?: Readonly<Record<string, PoolBacklog>>;
 }
 
 interface ReceivedLoad extends EntryLoad {
@@ -130,7 +132,24 @@
       Object.entries(adapters).map(([id, names]) => [id, [...names]]),
     );
     const members = this.members(nowMs);
-    return {members, openWork, adaptersInUse, modelsInUse, waiting};
+    const poolBacklogs = this.poolBacklogs(nowMs);
+    const counts = {openWork, adaptersInUse, modelsInUse, waiting};
+    return {members, ...counts, poolBacklogs};
+  }
+
+  /** Backlogs of all entries by pool; undefined if none reports any. */
+  poolBacklogs(nowMs: number): Record<string, PoolBacklog> | undefined {
+    const total: Record<string, PoolBacklog> = {};
+    let isReported = false;
+    for (const {poolBacklogs} of this.recent(nowMs)) {
+      isReported ||= poolBacklogs !== undefined;
+      for (const [pool, {work, workMs}] of Object.entries(poolBacklogs ?? {})) {
+        const sum = (total[pool] ??= {work: 0, workMs: 0});
+        sum.work += work;
+        sum.workMs += workMs;
+      }
+    }
+    return isReported ? total : undefined;
   }
 
   private *recent(
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -44,6 +44,7 @@
 import {EntryLoads} from './entryLoads.js';
 import {FleetOutcomes} from './fleetOutcomes.js';
 import {FleetRateLimits} from './fleetRateLimits.js';
+import {HolderShares} from './holderShares.js';
 import {LoadRate} from './loadRate.js';
 import {REPORT_TICK_MS, ReportPoller} from './reportPoller.js';
 import {RunnerController} from './runnerController.js';
@@ -114,6 +115,7 @@
   private readonly outcomes: FleetOutcomes;
   private rateLimits: FleetRateLimits;
   private fleetUsage: FleetUsage;
+  private readonly shares: HolderShares;
   /** Term of the lease during which all use was reported to this process. */
   private usageTerm: number | undefined;
   private relays: RelaysByDomain = new Map();
@@ -138,6 +140,8 @@
     this.fleetUsage = this.createFleetUsage(this.startedMs);
     this.outcomes = new FleetOutcomes(deps);
     this.rateLimits = new FleetRateLimits(deps.clock);
+    const isSwitchedOn = deps.options.fairShares;
+    this.shares = new HolderShares({...deps, isSwitchedOn});
     this.reportPoller = new ReportPoller({
       ...deps,
       onReport: (queried, report, requestedMs) => {
@@ -200,6 +204,9 @@
       ejectedForMs: this.outcomes.ejections(),
       usage: this.fleetUsage.snapshot(nowMs),
       rateLimits: this.rateLimits.snapshot(),
+      organisationShares: this.shares.limits(
+        () => this.entryLoads.poolBacklogs(nowMs) ?? {},
+      ),
       leavingRunners: this.deps.view.leavingRunners(),
       suspects: this.deps.crashes.suspectListFor(input.knownSuspects),
     };
@@ -213,6 +220,7 @@
     if (term === this.usageTerm) return;
     this.usageTerm = term;
     this.fleetUsage = this.createFleetUsage(nowMs);
+    this.shares.reset();
     this.rateLimits = new FleetRateLimits(this.deps.clock);
   }
 
@@ -258,6 +266,7 @@
       this.outcomes.record(batch.outcomes ?? []);
       this.fleetUsage.addReports(batch.usage ?? [], nowMs);
       this.rateLimits.recordUse(batch.rateUse ?? []);
+      this.shares.record(batch);
     }
     const {view, holder, onNewerConfig} = this.deps;
     const version = view.currentConfig?.version ?? 0;
--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -135,6 +135,7 @@
         onFirstByte: () => {
           isPromptRead = true;
           state.promptTurn?.release();
+          state.admittedWork?.markStarted();
           const tookMs = context.clock.nowMs() - nowMs;
           context.runnerStates.recordPromptRead(runnerId, state.work, {
             aheadWork,
--- a/packages/banyanfold-gateway/src/requests/requestAdmission.ts
+++ b/packages/banyanfold-gateway/src/requests/requestAdmission.ts
@@ -51,6 +51,31 @@
     return true;
   }
 
+  /** Refuses a request above the share of its organisation. */
+  refuseIfOverShare(): boolean {
+    const {state, ending} = this;
+    const {context, route, organisation} = state.options;
+    const {prefill, decode} = state.work.work;
+    const request = {
+      pool: state.pool,
+      organisation: organisation?.name,
+      priority: route.priority,
+      work: prefill + decode,
+      targetMs: route.targetMs,
+      leftMs: state.leftMs,
+    };
+    const admission = context.fairShares.decide(request);
+    if (admission?.kind === 'admit') state.admittedWork = admission.admitted;
+    if (admission?.kind !== 'refuse') return false;
+    state.log.refuseOverShare(request, admission);
+    context.metrics.count('over_share_total', {
+      organisation: organisation?.name ?? '',
+    });
+    const {retryAfterMs} = admission;
+    ending.respond(ERROR_STATUS.notRun, 'fair-share', retryAfterMs);
+    return true;
+  }
+
   /** Ends the request if its caller's key was revoked after it arrived. */
   endIfAccessRevoked(): boolean {
     const {state, ending} = this;
--- a/packages/banyanfold-gateway/src/requests/requestEnding.ts
+++ b/packages/banyanfold-gateway/src/requests/requestEnding.ts
@@ -3,6 +3,13 @@
 import type {RequestState} from './requestState.js';
 import {chooseRetryAfterMs} from './retryAfter.js';
 
+/** Outcomes of requests that no runner had a place for. */
+const NO_PLACE_OUTCOMES: ReadonlySet<string> = new Set([
+  'queue',
+  'no-place',
+  'no-place-in-time',
+]);
+
 /** Ends a request: by an answer, a refusal or a closed connection. */
 export class RequestEnding {
   constructor(private readonly state: RequestState) {}
@@ -64,6 +71,7 @@
     if (state.sendCount <= state.rejections) state.usageCharge.refund();
     state.clearWaiting();
     state.promptTurn?.release();
+    state.admittedWork?.end(NO_PLACE_OUTCOMES.has(outcome));
     state.pause.wake();
     const {context, route} = state.options;
     const {kind} = route;
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -47,6 +47,9 @@
     this.recordDemand();
     context.retryBudgetOf(state.service).recordAttempt();
     if (admission.refuseIfOutlastsDrain()) return;
+    // After the demand is counted: a model whose demand is refused for lack of
+    // capacity needs more copies.
+    if (admission.refuseIfOverShare()) return;
     const deadlineTimer = context.clock.setTimer(state.leftMs, () =>
       ending.endAtDeadline(),
     );
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -1,4 +1,5 @@
-import type {UsageDecision} from '@banyanfold/decisions';
+import type {ShareDecision, UsageDecision} from '@banyanfold/decisions';
+import type {SharedRequest} from '../callers/fairShares.js';
 import type {GatewayContext} from '../context.js';
 import type {DecodedRequest, RoutePolicy} from '../types.js';
 import type {AttemptResult} from './responseRelay.js';
@@ -129,6 +130,22 @@
     });
   }
 
+  refuseOverShare(
+    {pool, organisation, priority, work}: SharedRequest,
+    {share, ageMs, retryAfterMs}: Extract<ShareDecision, {kind: 'refuse'}>,
+  ): void {
+    this.logEvent('refuse', {
+      reason: 'fair-share',
+      pool,
+      organisation,
+      priority,
+      work: work.toFixed(1),
+      share,
+      shareAgeMs: Math.round(ageMs),
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+  }
+
   /** Logs that all runners which could take the request are paused. */
   refuseByPause(reason: string, service: string, retryAfterMs: number): void {
     this.logEvent('refuse', {
--- a/packages/banyanfold-gateway/src/requests/requestState.ts
+++ b/packages/banyanfold-gateway/src/requests/requestState.ts
@@ -1,6 +1,8 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {AdmittedWork} from '../callers/admittedWork.js';
 import type {CallerIdentity} from '../callers/callerIdentity.js';
 import type {GatewayContext} from '../context.js';
+import {poolOf} from '../callers/poolOf.js';
 import {adapterKey} from '../runners/heldCopies.js';
 import type {PromptPermit} from '../runners/promptGate.js';
 import type {StartedWork} from '../runners/runnerStates.js';
@@ -57,6 +59,8 @@
   mayHaveRun = false;
   /** Turn of the prompt that waits or is being read. */
   promptTurn: PromptPermit | undefined;
+  /** Undefined without fair shares. */
+  admittedWork: AdmittedWork | undefined;
   private stopWaiting: (() => void) | undefined;
 
   constructor(readonly options: RequestHandlerOptions) {
@@ -118,6 +122,11 @@
     return this.deadlineMs - this.options.context.clock.nowMs();
   }
 
+  /** The pool whose capacity the request uses. */
+  get pool(): string {
+    return poolOf(this.service, this.options.decoded.request.model);
+  }
+
   /** The key may have moved to another organisation since the arrival. */
   get currentOrganisation(): Organisation | undefined {
     const caller = this.options.identity.decide();
