Send the limits of organisations as tuples

Cause: a limit goes to each entry four times a second for each organisation above its share, and its field names were more than half of its bytes.

Weighed: sending only changed limits (with shares that follow the demand most change in each division); fewer limits than organisations (the ones that are sent would be refused for the others).

--- a/packages/banyanfold-decisions/src/__tests__/organisationShare.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/organisationShare.test.ts
@@ -200,15 +200,15 @@
   it('gives the share of an organisation to its urgent requests first', () => {
     const shares = contendedShares({askedBy: [8, 87], untilMs: 3_000});
     const {large} = shares.limits(backlogs, 3_000)[POOL]!;
-    expect(large!.priority).toBe(1);
-    expect(large!.share).toBeLessThan(0.25);
+    expect(large![0]).toBe(1);
+    expect(large![1]).toBeLessThan(0.25);
   });
 
   // Guards against urgency that takes the share of another organisation.
   it('limits urgent requests that exceed the share', () => {
     const shares = contendedShares({askedBy: [95], untilMs: 3_000});
     const limits = shares.limits(backlogs, 3_000)[POOL]!;
-    expect(limits['large']!.priority).toBe(0);
+    expect(limits['large']![0]).toBe(0);
     expect(limits['small']).toBeUndefined();
   });
 
@@ -271,7 +271,7 @@
 
   function shareOf(share: number): OrganisationShare {
     const shares = new OrganisationShare();
-    shares.update({[POOL]: {claims: {priority: 1, share}}}, 0);
+    shares.update({[POOL]: {claims: [1, share]}}, 0);
     return shares;
   }
 
--- a/packages/banyanfold-decisions/src/shares/fleetShares.ts
+++ b/packages/banyanfold-decisions/src/shares/fleetShares.ts
@@ -44,7 +44,7 @@
  * @example
  * const shares = new FleetShares(nowMs, organisation => 1);
  * shares.addDemand(report.demand, nowMs);
- * shares.limits(backlogByPool, nowMs) // {draft: {claims: {priority: 1, share: 0.4}}}
+ * shares.limits(backlogByPool, nowMs) // {draft: {claims: [1, 0.4]}}
  */
 export class FleetShares {
   private readonly pools = new Map<string, PoolShares>();
@@ -125,7 +125,7 @@
     })),
   );
   if (rows.length <= maxLimits) return limits;
-  rows.sort((a, b) => a.limit.share - b.limit.share);
+  rows.sort((a, b) => a.limit[1] - b.limit[1]);
   const kept: Record<string, Record<string, ShareLimit>> = {};
   for (const {pool, organisation, limit} of rows.slice(0, maxLimits)) {
     (kept[pool] ??= {})[organisation] = limit;
--- a/packages/banyanfold-decisions/src/shares/organisationShare.ts
+++ b/packages/banyanfold-decisions/src/shares/organisationShare.ts
@@ -46,7 +46,7 @@
  *
  * @example
  * const share = new OrganisationShare();
- * share.update({draft: {claims: {priority: 1, share: 0.4}}}, nowMs);
+ * share.update({draft: {claims: [1, 0.4]}}, nowMs);
  * share.decide({pool: 'draft', organisation: 'claims', priority: 0, nowMs,
  *   leftMs: 8_000, random}).kind // 'admit'
  */
@@ -118,7 +118,10 @@
   return record && Object.hasOwn(record, key) ? record[key] : undefined;
 }
 
-function admittedShare(limit: ShareLimit, priority: number): number {
-  if (priority === limit.priority) return limit.share;
-  return priority < limit.priority ? 1 : 0;
+function admittedShare(
+  [limitedPriority, share]: ShareLimit,
+  priority: number,
+): number {
+  if (priority === limitedPriority) return share;
+  return priority < limitedPriority ? 1 : 0;
 }
--- a/packages/banyanfold-decisions/src/shares/poolShares.ts
+++ b/packages/banyanfold-decisions/src/shares/poolShares.ts
@@ -266,7 +266,7 @@
     const demand = byPriority.get(priority)!.perSecond(nowMs);
     if (demand > left * (1 + 1 / SHARE_STEPS)) {
       const share = Math.floor((left / demand) * SHARE_STEPS) / SHARE_STEPS;
-      return {priority, share};
+      return [priority, share];
     }
     left = Math.max(0, left - demand);
   }
--- a/packages/banyanfold-decisions/src/shares/shareDemand.ts
+++ b/packages/banyanfold-decisions/src/shares/shareDemand.ts
@@ -31,13 +31,10 @@
 
 /**
  * Part of its requests that an organisation may send: all that are more urgent
- * than `priority`, a share of those with this priority, and none of the others.
+ * than `priority`, a share from 0 to 1 of those with this priority, and none of
+ * the others. A tuple, because it is sent for each organisation to each entry.
  */
-export interface ShareLimit {
-  priority: number;
-  /** From 0 to 1. */
-  share: number;
-}
+export type ShareLimit = readonly [priority: number, share: number];
 
 /** Limits by pool and organisation; one that is missing may send everything. */
 export type ShareLimits = Readonly<
--- a/packages/banyanfold-gateway/src/__tests__/fairShares.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/fairShares.test.ts
@@ -56,7 +56,7 @@
   // Guards against limits of a holder that has ended or lost its shares.
   it('admits everything after an answer without limits, or 1.5 s without one', async () => {
     const shares = createShares();
-    const limits = {[POOL]: {'': {priority: 0, share: 0}}};
+    const limits = {[POOL]: {'': [0, 0] as const}};
     shares.applyLimits(limits, 0);
     expect(shares.limitedCount).toBe(1);
     expect(shares.decide(REQUEST)!.kind).toBe('refuse');
--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -138,7 +138,7 @@
   // Guards against a division by admitted demand only, which would grow the
   // share of whoever is refused least.
   it('reports the demand, refused or not, and the backlog, and applies limits', async () => {
-    const limit = {priority: 1, share: 0.1};
+    const limit: [number, number] = [1, 0.1];
     answer = {...OUTPUT, organisationShares: {[request.pool]: {claims: limit}}};
     fairShares.decide(request);
     const link = startLink();
@@ -160,7 +160,7 @@
   // Guards against an effect on deployments without the setting.
   it('sends and applies nothing of shares unless they are switched on', async () => {
     areSharesOn = false;
-    const limit = {priority: 0, share: 0};
+    const limit: [number, number] = [0, 0];
     answer = {...OUTPUT, organisationShares: {[request.pool]: {claims: limit}}};
     const link = startLink();
     expect(fairShares.decide(request)).toBeUndefined();
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -29,9 +29,9 @@
 
 /**
  * Part of its requests that an organisation may send: all that are more urgent
- * than `priority`, and a share of those with this priority.
+ * than a priority, and a share of those with this priority.
  */
-const shareLimitSchema = z.object({priority: z.number(), share: z.number()});
+const shareLimitSchema = z.tuple([z.number(), z.number()]).readonly();
 
 /** Admitted work without a response, and the same times its target. */
 const poolBacklogSchema = z.object({work: z.number(), workMs: z.number()});
