Grant prompt turns of organisations above their share last

Cause: admitted requests of an organisation that surges still wait for a turn before those of organisations within their share that arrive later.

--- a/packages/banyanfold-gateway/src/__tests__/promptGate.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/promptGate.test.ts
@@ -14,8 +14,13 @@
   granted = [];
 });
 
-function acquire(name: string, priority = 1, startedMs = 0): PromptPermit {
-  const turn = gate.acquire('r1', priority, startedMs);
+function acquire(
+  name: string,
+  priority = 1,
+  startedMs = 0,
+  isOverShare?: boolean,
+): PromptPermit {
+  const turn = gate.acquire('r1', {priority, startedMs, isOverShare});
   void turn.granted.then(mayGo => {
     if (mayGo) granted.push(name);
   });
@@ -40,6 +45,20 @@
     expect(granted.slice(FIRST_WINDOW)).toEqual(['urgent', 'early', 'late']);
   });
 
+  // Guards against requests that wait behind the excess of an organisation.
+  it('grants requests above a share after the others of their priority', async () => {
+    const [first, second, third] = fillWindow();
+    acquire('over', 1, 100, true);
+    acquire('within', 1, 200, false);
+    acquire('over-urgent', 0, 300, true);
+    for (const turn of [first!, second!, third!]) {
+      turn.release();
+      await clock.advance(1);
+    }
+    const order = ['over-urgent', 'within', 'over'];
+    expect(granted.slice(FIRST_WINDOW)).toEqual(order);
+  });
+
   it('releases a permit once, however often it is called', async () => {
     // A caller may disconnect at the moment at which its first event arrives,
     // and both release the permit. Counting the second release would let one
--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -89,7 +89,11 @@
     const {context, route, decoded, startedMs} = state.options;
     const isPrompt = decoded.request.model !== undefined;
     state.promptTurn = isPrompt
-      ? context.promptGate.acquire(runnerId, route.priority, startedMs)
+      ? context.promptGate.acquire(runnerId, {
+          priority: route.priority,
+          startedMs,
+          isOverShare: this.isOverShare,
+        })
       : undefined;
     const waitMs = route.targetMs * MAX_TURN_WAIT_SHARE;
     const turnTimer = context.clock.setTimer(waitMs, () =>
@@ -100,6 +104,12 @@
     return isGranted;
   }
 
+  private get isOverShare(): boolean {
+    const {pool, options} = this.state;
+    const {context, organisation} = options;
+    return context.fairShares.isOverShare(pool, organisation?.name);
+  }
+
   private async send(
     target: Target,
     aheadWork: number,
--- a/packages/banyanfold-gateway/src/runners/promptGate.ts
+++ b/packages/banyanfold-gateway/src/runners/promptGate.ts
@@ -1,10 +1,21 @@
 import type {Clock} from '@banyanfold/core';
 import {decidePromptWindow, type StreamPace} from '@banyanfold/decisions';
 
-/** A request that waits for a permit. */
-interface Waiter {
+/** What the order of the requests that wait for a permit depends on. */
+export interface PromptRank {
+  /** 0 is the most urgent. */
   priority: number;
+  /** Start of the request. Of two with the same priority the older goes first. */
   startedMs: number;
+  /**
+   * The organisation asks for more than its share. Within a priority, such
+   * requests go after all others, which would otherwise wait behind its excess.
+   */
+  isOverShare?: boolean;
+}
+
+/** A request that waits for a permit. */
+interface Waiter extends PromptRank {
   /**
    * Called with true when the permit is granted, with false when it is released
    * before.
@@ -18,7 +29,7 @@
    * Permits of the prompts that were sent and are not read yet, oldest first.
    */
   unread: Set<{sentMs: number}>;
-  /** By priority, then by start of the request. */
+  /** In the order of {@link PromptRank}. */
   waiters: Waiter[];
 }
 
@@ -55,10 +66,9 @@
   /**
    * Requests a permit at a runner.
    *
-   * @param startedMs start of the request. Of two requests with the same
-   *   priority the older one goes first.
+   * @example gate.acquire('i-7f3a', {priority: 1, startedMs: clock.nowMs()})
    */
-  acquire(runnerId: string, priority: number, startedMs: number): PromptPermit {
+  acquire(runnerId: string, rank: PromptRank): PromptPermit {
     const state = this.getOrCreate(runnerId);
     const sent = {sentMs: 0};
     let isReleased = false;
@@ -69,11 +79,9 @@
         if (isGranted) state.unread.add(sent);
         resolve(isGranted);
       };
-      waiter = {priority, startedMs, resolve: settle};
+      waiter = {...rank, resolve: settle};
       const laterIndex = state.waiters.findIndex(
-        other =>
-          other.priority > priority ||
-          (other.priority === priority && other.startedMs > startedMs),
+        other => compareRanks(other, rank) > 0,
       );
       const index = laterIndex < 0 ? state.waiters.length : laterIndex;
       state.waiters.splice(index, 0, waiter);
@@ -143,3 +151,14 @@
     return state;
   }
 }
+
+/** Returns a positive number if `a` goes after `b`. */
+function compareRanks(a: PromptRank, b: PromptRank): number {
+  const {isOverShare: isAOver = false} = a;
+  const {isOverShare: isBOver = false} = b;
+  return (
+    a.priority - b.priority ||
+    Number(isAOver) - Number(isBOver) ||
+    a.startedMs - b.startedMs
+  );
+}
