Tell a slow pool from one whose demand is in excess

Cause: the backlog over the completed work is the wait for a first byte. If runners take long although they have room, less admitted work means less completed work, and the backlog stays too long for it: the division does harm. With few requests, the variation of the backlog alone looked like an excess.

Change: a pool has a usual wait, averaged while demand is not in excess, above which its backlog is kept. An excess has to last as long as the accepted wait, because completions lag behind a rise of demand by it, and to exceed twice the standard deviation of the number of waiting requests, which entries now report. A division during which less than half of its highest rate is completed although more is asked for ends, and is not repeated for 10 s.

Tests: the files of shares are split by function; none is dropped.

--- a/packages/banyanfold-decisions/src/__tests__/simulateShares.ts
+++ b/packages/banyanfold-decisions/src/__tests__/simulateShares.ts
@@ -1,5 +1,6 @@
 import {FleetShares} from '../shares/fleetShares.js';
 import {OrganisationShare} from '../shares/organisationShare.js';
+import {poisson} from './randomOf.js';
 import type {
   PoolBacklog,
   ShareDemand,
@@ -71,6 +72,7 @@
   demand: ShareDemand[];
   completed: number;
   backlog: number;
+  waiting: number;
 }
 
 interface Entry {
@@ -78,6 +80,7 @@
   demand: Map<string, ShareDemand>;
   completed: number;
   backlog: number;
+  waiting: number;
   delayedReport?: Report;
   delayedLimits: ShareLimits;
 }
@@ -94,7 +97,10 @@
   /** In order of arrival, like the queue of a runner. */
   private readonly queue: Request[] = [];
   private holder: FleetShares;
-  private readonly reported = new Map<number, {atMs: number; work: number}>();
+  private readonly reported = new Map<
+    number,
+    {atMs: number; work: number; waiting: number}
+  >();
   private readonly outcome: SharesOutcome;
   private nowMs = 0;
   private unusedWork = 0;
@@ -173,6 +179,7 @@
     if (!hasShares || decision.kind === 'admit') {
       this.queue.push(request);
       entry.backlog += work;
+      entry.waiting += 1;
       return;
     }
     this.outcome.refused += 1;
@@ -203,6 +210,7 @@
     const {work, startedMs, arrivedMs, entry: index} = request;
     const entry = this.entries[index]!;
     entry.backlog = Math.max(0, entry.backlog - work);
+    entry.waiting -= 1;
     if (!isServed || this.isKilled(index)) return;
     entry.completed += work;
     if (!this.isCounted(arrivedMs)) return;
@@ -224,6 +232,7 @@
         demand: [...entry.demand.values()],
         completed: entry.completed,
         backlog: entry.backlog,
+        waiting: entry.waiting,
       };
       entry.demand.clear();
       entry.completed = 0;
@@ -239,18 +248,21 @@
   private receive(index: number, report: Report | undefined): void {
     if (!report) return;
     const {nowMs, holder} = this;
-    const {demand, completed, backlog} = report;
+    const {demand, completed, backlog, waiting} = report;
     holder.addDemand(demand, nowMs);
     holder.addProgress([{pool: POOL, completed, dropped: 0}], nowMs);
-    this.reported.set(index, {atMs: nowMs, work: backlog});
+    this.reported.set(index, {atMs: nowMs, work: backlog, waiting});
   }
 
   private backlogs(): Record<string, PoolBacklog> {
     let work = 0;
+    let requests = 0;
     for (const reported of this.reported.values()) {
-      if (this.nowMs - reported.atMs < 2_000) work += reported.work;
+      if (this.nowMs - reported.atMs >= 2_000) continue;
+      work += reported.work;
+      requests += reported.waiting;
     }
-    return {[POOL]: {work, workMs: work * TARGET_MS}};
+    return {[POOL]: {requests, work, workMs: work * TARGET_MS}};
   }
 
   private isCounted(atMs: number): boolean {
@@ -281,7 +293,14 @@
 function newEntry(): Entry {
   const share = new OrganisationShare();
   const demand = new Map<string, ShareDemand>();
-  return {share, demand, completed: 0, backlog: 0, delayedLimits: {}};
+  return {
+    share,
+    demand,
+    completed: 0,
+    backlog: 0,
+    waiting: 0,
+    delayedLimits: {},
+  };
 }
 
 /** Removes the elements for which `isTaken` holds, and returns them. */
@@ -291,11 +310,3 @@
   list.splice(0, list.length, ...list.filter(each => !isTaken(each)));
   return taken;
 }
-
-/** Number of events of a Poisson process with this mean. */
-function poisson(mean: number, random: () => number): number {
-  const limit = Math.exp(-mean);
-  let events = 0;
-  for (let product = random(); product > limit; product *= random()) events++;
-  return events;
-}
--- a/packages/banyanfold-decisions/src/shares/fleetShares.ts
+++ b/packages/banyanfold-decisions/src/shares/fleetShares.ts
@@ -1,9 +1,8 @@
+import {PoolShares, type PoolState} from './poolShares.js';
 import {
   DEFAULT_POOL_SHARES_OPTIONS,
-  PoolShares,
   type PoolSharesOptions,
-  type PoolState,
-} from './poolShares.js';
+} from './poolSharesOptions.js';
 import type {
   PoolBacklog,
   PoolProgress,
@@ -30,7 +29,7 @@
   maxLimits: 10_000,
 };
 
-const NO_BACKLOG: PoolBacklog = {work: 0, workMs: 0};
+const NO_BACKLOG: PoolBacklog = {requests: 0, work: 0, workMs: 0};
 
 /**
  * Limits of the organisations that ask for more than their share, as decided by
--- a/packages/banyanfold-decisions/src/shares/poolShares.ts
+++ b/packages/banyanfold-decisions/src/shares/poolShares.ts
@@ -1,6 +1,9 @@
 import {DecayingRate} from '../usage/decayingRate.js';
 import {AskedRate} from './askedRate.js';
 import {divideByMaxMin} from './divideByMaxMin.js';
+import {limitOf} from './limitOf.js';
+import type {PoolSharesOptions} from './poolSharesOptions.js';
+import {UsualWait} from './usualWait.js';
 import type {
   PoolBacklog,
   PoolProgress,
@@ -8,38 +11,6 @@
   ShareLimit,
 } from './shareDemand.js';
 
-export interface PoolSharesOptions {
-  /** Time that an excess must last, and that it must be over to end. */
-  confirmMs: number;
-  /** A shorter target counts as this. */
-  minTargetMs: number;
-  /** Share of the target time that the backlog is kept at. */
-  backlogShare: number;
-  /** Time over which a deviation of the backlog is corrected. */
-  correctionMs: number;
-  /** Without a completion for this long, nothing is divided. */
-  completionExpiryMs: number;
-  /** Dropped share of the completed work that shows an excess of demand. */
-  maxDroppedShare: number;
-}
-
-export const DEFAULT_POOL_SHARES_OPTIONS: PoolSharesOptions = {
-  // Two exchanges: the completed work lags behind a rise of demand by one.
-  confirmMs: 500,
-  // A report and its answer take two exchanges; a backlog that is read in less
-  // runs empty before it can be corrected.
-  minTargetMs: 500,
-  // The other half is for the variation of waits around their mean.
-  backlogShare: 0.5,
-  // More than twice the delay of the loop (report, division, answer: 0.7 s), so
-  // that the corrections don't oscillate.
-  correctionMs: 1_500,
-  // Runners that hang complete nothing, which says nothing about a share.
-  completionExpiryMs: 1_500,
-  // Plain runners reject calls instead of queueing them.
-  maxDroppedShare: 0.05,
-};
-
 /** What a division was based on, for logs. Work is per second. */
 export interface PoolState {
   pool: string;
@@ -62,20 +33,31 @@
 
 const MS_PER_SECOND = 1000;
 const COMPLETED_SMOOTHING_MS = 1_000;
+/** Follows a rise as quickly as the demand does. */
+const RECENTLY_COMPLETED_SMOOTHING_MS = 500;
 /** Demand of an organisation is forgotten after this time without a request. */
 const DEMAND_EXPIRY_MS = 5_000;
-const SHARE_STEPS = 1_000;
+/** Up to this factor over what is completed, the demand is not rising. */
+const CALM_FACTOR = 1.2;
 
 /** Divides what the runners of one pool complete between organisations. */
 export class PoolShares {
   private readonly asked = new Map<string, Map<number, AskedRate>>();
   private readonly admitted = new DecayingRate(COMPLETED_SMOOTHING_MS);
+  private readonly recentlyCompleted = new DecayingRate(
+    RECENTLY_COMPLETED_SMOOTHING_MS,
+  );
   private readonly completed = new DecayingRate(COMPLETED_SMOOTHING_MS);
   private readonly dropped = new DecayingRate(COMPLETED_SMOOTHING_MS);
+  private readonly usualWait = new UsualWait();
   private lastCompletedMs = Number.NEGATIVE_INFINITY;
   /** Since when the demand has been in excess, or has no longer been. */
   private changingSinceMs: number | undefined;
   private isContended = false;
+  /** Largest rate since the division began. */
+  private mostCompletedPerSecond = 0;
+  /** A division that did harm is not repeated before. */
+  private heldUntilMs = Number.NEGATIVE_INFINITY;
   private lastState: PoolState;
 
   constructor(
@@ -117,12 +99,13 @@
   addProgress({completed, dropped}: PoolProgress, nowMs: number): void {
     if (completed > 0) this.lastCompletedMs = nowMs;
     this.completed.add(completed, nowMs);
+    this.recentlyCompleted.add(completed, nowMs);
     this.dropped.add(dropped, nowMs);
   }
 
   /** Returns the limits by organisation; undefined if nobody has one. */
   divide(
-    {work, workMs}: PoolBacklog,
+    {requests, work, workMs}: PoolBacklog,
     nowMs: number,
   ): Record<string, ShareLimit> | undefined {
     const accounts = this.accounts(nowMs);
@@ -132,8 +115,10 @@
     );
     const askedPerSecond = accounts.reduce((sum, a) => sum + a.demand, 0);
     const completedPerSecond = this.completed.perSecond(nowMs);
-    const view = {askedPerSecond, completedPerSecond, backlog: work, targetMs};
+    const rates = {askedPerSecond, completedPerSecond};
+    const view = {...rates, requests, backlog: work, targetMs};
     this.updateContention(view, nowMs);
+    this.updateUsualWait(view, nowMs);
     const limits = this.isContended ? this.limitsOf(accounts, view, nowMs) : {};
     const limited = Object.keys(limits).length;
     const {pool} = this.lastState;
@@ -142,32 +127,83 @@
       isContended: this.isContended,
       admittedPerSecond: this.admitted.perSecond(nowMs),
       limited,
-      ...view,
+      ...rates,
+      backlog: work,
+      targetMs,
     };
     return limited > 0 ? limits : undefined;
   }
 
   private updateContention(view: BacklogView, nowMs: number): void {
     const {confirmMs} = this.options;
+    const lastsMs = this.isContended
+      ? confirmMs
+      : Math.max(confirmMs, this.acceptedMs(view));
     const isChanging = this.isContended
       ? this.capacityOf(view, nowMs) >= view.askedPerSecond
       : this.isExcess(view, nowMs);
     if (nowMs - this.lastCompletedMs > this.options.completionExpiryMs) {
       this.isContended = false;
       this.changingSinceMs = undefined;
+    } else if (this.isContended && this.isHarmful(view)) {
+      this.isContended = false;
+      this.changingSinceMs = undefined;
+      this.heldUntilMs = nowMs + this.options.holdMs;
     } else if (!isChanging) {
       this.changingSinceMs = undefined;
-    } else if (nowMs - (this.changingSinceMs ??= nowMs) >= confirmMs) {
+    } else if (nowMs - (this.changingSinceMs ??= nowMs) >= lastsMs) {
       this.isContended = !this.isContended;
+      this.mostCompletedPerSecond = 0;
       this.changingSinceMs = undefined;
     }
   }
 
+  /** The demand is neither in excess nor rising, so the wait is the usual one. */
+  private updateUsualWait(view: BacklogView, nowMs: number): void {
+    const {askedPerSecond, completedPerSecond} = view;
+    if (this.isContended) return;
+    if (askedPerSecond > completedPerSecond * CALM_FACTOR) return;
+    this.usualWait.add(view, nowMs);
+  }
+
+  /**
+   * Whether less is completed because less is admitted, so that the division
+   * does harm. A queue would keep the runners as busy as before.
+   */
+  private isHarmful({
+    askedPerSecond,
+    completedPerSecond,
+  }: BacklogView): boolean {
+    const {minCompletedShare} = this.options;
+    this.mostCompletedPerSecond = Math.max(
+      this.mostCompletedPerSecond,
+      completedPerSecond,
+    );
+    return (
+      askedPerSecond > completedPerSecond &&
+      completedPerSecond < this.mostCompletedPerSecond * minCompletedShare
+    );
+  }
+
   private isExcess(view: BacklogView, nowMs: number): boolean {
-    const {askedPerSecond, completedPerSecond, backlog, targetMs} = view;
-    if (askedPerSecond <= completedPerSecond) return false;
-    const readable = (completedPerSecond * targetMs) / MS_PER_SECOND;
-    return backlog > readable || this.isDropping(view, nowMs);
+    const {excessDeviations} = this.options;
+    const completedPerSecond = Math.max(
+      view.completedPerSecond,
+      this.recentlyCompleted.perSecond(nowMs),
+    );
+    if (view.askedPerSecond <= completedPerSecond) return false;
+    if (nowMs < this.heldUntilMs) return false;
+    const acceptedMs = this.acceptedMs(view);
+    const readable = (completedPerSecond * acceptedMs) / MS_PER_SECOND;
+    const deviation = excessDeviations / Math.sqrt(Math.max(1, view.requests));
+    const isLong = view.backlog > readable * (1 + deviation);
+    return isLong || this.isDropping(view, nowMs);
+  }
+
+  /** Wait above which a backlog is too long. */
+  private acceptedMs({targetMs}: BacklogView): number {
+    const {excessWaitFactor} = this.options;
+    return Math.max(targetMs, this.usualWait.ms * excessWaitFactor);
   }
 
   private isDropping(
@@ -181,9 +217,10 @@
   /** Work per second that may be admitted. */
   private capacityOf(view: BacklogView, nowMs: number): number {
     const {completedPerSecond, backlog, targetMs} = view;
-    const {backlogShare, correctionMs} = this.options;
-    const targetBacklog =
-      (completedPerSecond * targetMs * backlogShare) / MS_PER_SECOND;
+    const {backlogShare, usualWaitFactor, correctionMs} = this.options;
+    const usualMs = this.usualWait.ms * usualWaitFactor;
+    const waitMs = Math.max(targetMs * backlogShare, usualMs);
+    const targetBacklog = (completedPerSecond * waitMs) / MS_PER_SECOND;
     const correction =
       ((targetBacklog - backlog) * MS_PER_SECOND) / correctionMs;
     // The backlog of runners that reject calls is short although they are full.
@@ -252,23 +289,4 @@
 type BacklogView = Pick<
   PoolState,
   'askedPerSecond' | 'completedPerSecond' | 'backlog' | 'targetMs'
->;
-
-/** Gives the amount to the most urgent requests first. */
-function limitOf(
-  byPriority: ReadonlyMap<number, AskedRate>,
-  amount: number,
-  nowMs: number,
-): ShareLimit | undefined {
-  let left = amount;
-  const priorities = [...byPriority.keys()].sort((a, b) => a - b);
-  for (const priority of priorities) {
-    const demand = byPriority.get(priority)!.perSecond(nowMs);
-    if (demand > left * (1 + 1 / SHARE_STEPS)) {
-      const share = Math.floor((left / demand) * SHARE_STEPS) / SHARE_STEPS;
-      return [priority, share];
-    }
-    left = Math.max(0, left - demand);
-  }
-  return undefined;
-}
+> & {requests: number};
--- a/packages/banyanfold-decisions/src/shares/shareDemand.ts
+++ b/packages/banyanfold-decisions/src/shares/shareDemand.ts
@@ -24,6 +24,7 @@
 
 /** Admitted requests whose response has not started. */
 export interface PoolBacklog {
+  requests: number;
   work: number;
   /** Sum over the requests of their work times the target of their route. */
   workMs: number;
--- a/packages/banyanfold-gateway/src/__tests__/fairShares.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/fairShares.test.ts
@@ -32,7 +32,9 @@
     const shares = createShares();
     const admission = shares.decide(REQUEST);
     if (admission?.kind !== 'admit') throw new Error('not admitted');
-    expect(shares.ownBacklogs()).toEqual({[POOL]: {work: 2, workMs: 1_000}});
+    expect(shares.ownBacklogs()).toEqual({
+      [POOL]: {requests: 1, work: 2, workMs: 1_000},
+    });
     admission.admitted.markStarted();
     admission.admitted.end(true);
     expect(shares.ownBacklogs()).toEqual({});
@@ -72,7 +74,9 @@
 
 describe('HolderShares', () => {
   const logger = new MemoryLogger();
-  const backlogs = () => ({[POOL]: {work: 90, workMs: 90 * 800}});
+  const backlogs = () => ({
+    [POOL]: {requests: 120, work: 120, workMs: 120 * 800},
+  });
 
   function createShares({isSwitchedOn = true, hasOrganisations = true} = {}) {
     const organisations = hasOrganisations
--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -143,7 +143,7 @@
     fairShares.decide(request);
     const link = startLink();
     expect(inputs[0]!.poolBacklogs).toEqual({
-      [request.pool]: {work: 4, workMs: 3_200},
+      [request.pool]: {requests: 1, work: 4, workMs: 3_200},
     });
     expect(fairShares.decide(request)!.kind).toBe('refuse');
     await clock.advance(300);
--- a/packages/banyanfold-gateway/src/__tests__/relay.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/relay.test.ts
@@ -180,7 +180,7 @@
       const demandByOrganisation = [{...row, asked: 3}];
       const shared = {demandByOrganisation, poolProgress: [progress]};
       const batch = {batchId: `${entry}#1`, demand: [], ...shared};
-      const poolBacklogs = {p: {work: 2, workMs: 1_600}};
+      const poolBacklogs = {p: {requests: 1, work: 2, workMs: 1_600}};
       exchange(inputOf(entry, {batch, poolBacklogs}));
     }
     expect(shares.take()).toEqual({
@@ -188,7 +188,7 @@
       poolProgress: [{pool: 'p', completed: 4, dropped: 1}],
     });
     expect(relay.groupLoad(OWN).poolBacklogs).toEqual({
-      p: {work: 4, workMs: 3_200},
+      p: {requests: 2, work: 4, workMs: 3_200},
     });
   });
 
--- a/packages/banyanfold-gateway/src/callers/fairShares.ts
+++ b/packages/banyanfold-gateway/src/callers/fairShares.ts
@@ -65,7 +65,7 @@
     const admitted = decision.kind === 'admit' ? work : 0;
     this.meter.addDemand({...id, asked: work, admitted});
     if (decision.kind === 'refuse') return decision;
-    const backlog = {work, workMs: work * targetMs};
+    const backlog = {requests: 1, work, workMs: work * targetMs};
     return {
       kind: 'admit',
       admitted: new AdmittedWork(this.meter, pool, backlog),
--- a/packages/banyanfold-gateway/src/callers/shareMeter.ts
+++ b/packages/banyanfold-gateway/src/callers/shareMeter.ts
@@ -4,9 +4,6 @@
   ShareDemand,
 } from '@banyanfold/decisions';
 
-/** Less than the smallest request; what remains is a rounding error. */
-const MIN_BACKLOG_WORK = 1e-6;
-
 /** Demand and progress since the previous report, as it is sent. */
 export interface ShareReport {
   demandByOrganisation: ShareDemand[];
@@ -48,13 +45,13 @@
   }
 
   /** @param sign 1 for a request that is admitted, -1 when it is over. */
-  changeBacklog(pool: string, {work, workMs}: PoolBacklog, sign: 1 | -1): void {
-    const known = this.backlogs.get(pool) ?? {work: 0, workMs: 0};
-    const changed = {
-      work: Math.max(0, known.work + sign * work),
-      workMs: Math.max(0, known.workMs + sign * workMs),
-    };
-    if (changed.work > MIN_BACKLOG_WORK) this.backlogs.set(pool, changed);
+  changeBacklog(pool: string, changed: PoolBacklog, sign: 1 | -1): void {
+    const known = this.backlogs.get(pool) ?? {requests: 0, work: 0, workMs: 0};
+    const requests = known.requests + sign * changed.requests;
+    const work = known.work + sign * changed.work;
+    const workMs = known.workMs + sign * changed.workMs;
+    // Also drops rounding errors of the sums.
+    if (requests > 0) this.backlogs.set(pool, {requests, work, workMs});
     else this.backlogs.delete(pool);
   }
 
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -33,8 +33,12 @@
  */
 const shareLimitSchema = z.tuple([z.number(), z.number()]).readonly();
 
-/** Admitted work without a response, and the same times its target. */
-const poolBacklogSchema = z.object({work: z.number(), workMs: z.number()});
+/** Admitted requests without a response, their work, and that times its target. */
+const poolBacklogSchema = z.object({
+  requests: z.number(),
+  work: z.number(),
+  workMs: z.number(),
+});
 
 const countsSchema = z.record(z.string(), z.number());
 
--- a/packages/banyanfold-gateway/src/placement/entryLoads.ts
+++ b/packages/banyanfold-gateway/src/placement/entryLoads.ts
@@ -143,10 +143,11 @@
     let isReported = false;
     for (const {poolBacklogs} of this.recent(nowMs)) {
       isReported ||= poolBacklogs !== undefined;
-      for (const [pool, {work, workMs}] of Object.entries(poolBacklogs ?? {})) {
-        const sum = (total[pool] ??= {work: 0, workMs: 0});
-        sum.work += work;
-        sum.workMs += workMs;
+      for (const [pool, backlog] of Object.entries(poolBacklogs ?? {})) {
+        const sum = (total[pool] ??= {requests: 0, work: 0, workMs: 0});
+        sum.requests += backlog.requests;
+        sum.work += backlog.work;
+        sum.workMs += backlog.workMs;
       }
     }
     return isReported ? total : undefined;
