Learn the usual wait of a pool only from times without excess

Cause: the wait of a queue that callers leave after their patience was learned as usual where few requests made the demand look lower than it is, and the pool was then not divided at all. A loss of half of the runners ended the division.

Change: a sample counts for the usual wait if what is asked for is at most 1.1 times what is completed, both averaged over 5 s and smoothed alike. The division ends as harmful below 0.35 of the highest completed rate instead of 0.5.

--- a/packages/banyanfold-decisions/src/__tests__/fleetShares.load.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/fleetShares.load.test.ts
@@ -2,11 +2,8 @@
 import {describe, expect, it} from 'vitest';
 import {divideByMaxMin} from '../shares/divideByMaxMin.js';
 import {randomOf} from './randomOf.js';
-import {
-  simulateShares,
-  type SharesOptions,
-  type SharesOutcome,
-} from './simulateShares.js';
+import type {SharesOptions, SharesOutcome} from './sharesLoad.js';
+import {simulateShares} from './simulateShares.js';
 
 const ORGANISATIONS = 16;
 /** Part of its demand that an organisation below its share is served. */
@@ -123,6 +120,33 @@
     expect(refused).toBe(0);
   });
 
+  // Guards against a share of capacity that is no longer there.
+  it('keeps the bounds while a quarter of the runners is down', () => {
+    const capacityShareAt = (nowMs: number) => (nowMs > 9_000 ? 0.75 : 1);
+    for (const entries of [1, 28, 730]) {
+      expectBounds(simulate(16, {entries, capacityShareAt}));
+    }
+  });
+
+  // Guards against a division by the variation of few requests.
+  it('keeps the bounds at 10 requests a second, in excess from the start', () => {
+    const capacity = 40;
+    const parts = [0.76, 0.08, 0.08, 0.08];
+    const {byOrganisation, unused} = simulate(17, {
+      capacity,
+      organisations: parts.length,
+      demandOf: organisation => capacity * 1.5 * parts[organisation]!,
+      durationMs: 64_000,
+      countedFromMs: 0,
+      countedToMs: 60_000,
+    });
+    const [, ...small] = byOrganisation.map(
+      ({served, asked}) => served / asked,
+    );
+    expect(Math.min(...small)).toBeGreaterThanOrEqual(MIN_SERVED);
+    expect(unused).toBeLessThan(MAX_UNUSED);
+  });
+
   // Guards against an entry that applies old limits after a freeze, and against
   // its late report of the demand.
   it('keeps the bounds while an entry is frozen for 3 s', () => {
--- a/packages/banyanfold-decisions/src/__tests__/simulateShares.ts
+++ b/packages/banyanfold-decisions/src/__tests__/simulateShares.ts
@@ -1,6 +1,11 @@
 import {FleetShares} from '../shares/fleetShares.js';
 import {OrganisationShare} from '../shares/organisationShare.js';
 import {poisson} from './randomOf.js';
+import type {
+  OrganisationOutcome,
+  SharesOptions,
+  SharesOutcome,
+} from './sharesLoad.js';
 import type {
   PoolBacklog,
   ShareDemand,
@@ -16,48 +21,6 @@
 const MEAN_WORK = 4;
 const MS_PER_SECOND = 1000;
 
-export interface SharesOptions {
-  entries: number;
-  /** Work per second that the runners complete. */
-  capacity: number;
-  /** Work per second that each organisation requests. */
-  demandOf(organisation: number, nowMs: number): number;
-  organisations: number;
-  durationMs: number;
-  /** Outcomes of the requests that arrive in this span are counted. */
-  countedFromMs: number;
-  countedToMs: number;
-  random: () => number;
-  weightOf?: (organisation: string) => number;
-  /** Entry at which all callers of an organisation arrive; any if undefined. */
-  entryOf?: (organisation: number) => number | undefined;
-  /** Without shares, all requests are admitted. */
-  hasShares?: boolean;
-  /** Reports and limits arrive one exchange later. */
-  isRelayed?: boolean;
-  isDisconnected?: (entry: number, nowMs: number) => boolean;
-  /** Requests at a frozen entry are decided when it continues. */
-  isFrozen?: (entry: number, nowMs: number) => boolean;
-  /** A killed entry loses its reports and requests; callers go to others. */
-  isKilled?: (entry: number, nowMs: number) => boolean;
-  /** Time at which another process becomes the holder. */
-  newHolderMs?: number;
-}
-
-export interface OrganisationOutcome {
-  asked: number;
-  served: number;
-  longestWaitMs: number;
-}
-
-export interface SharesOutcome {
-  byOrganisation: OrganisationOutcome[];
-  /** Share of the capacity that was unused while requests were refused. */
-  unused: number;
-  refused: number;
-  lastRefusalMs: number;
-}
-
 interface Request {
   organisation: number;
   entry: number;
@@ -190,7 +153,9 @@
   }
 
   private work(): void {
-    let left = (this.options.capacity * STEP_MS) / MS_PER_SECOND;
+    const {capacity, capacityShareAt} = this.options;
+    const capacityShare = capacityShareAt?.(this.nowMs) ?? 1;
+    let left = (capacity * capacityShare * STEP_MS) / MS_PER_SECOND;
     const {queue, nowMs} = this;
     while (left > 0 && queue.length > 0) {
       const [request] = queue;
--- a/packages/banyanfold-decisions/src/shares/poolShares.ts
+++ b/packages/banyanfold-decisions/src/shares/poolShares.ts
@@ -37,12 +37,12 @@
 const RECENTLY_COMPLETED_SMOOTHING_MS = 500;
 /** Demand of an organisation is forgotten after this time without a request. */
 const DEMAND_EXPIRY_MS = 5_000;
-/** Up to this factor over what is completed, the demand is not rising. */
-const CALM_FACTOR = 1.2;
 
 /** Divides what the runners of one pool complete between organisations. */
 export class PoolShares {
   private readonly asked = new Map<string, Map<number, AskedRate>>();
+  /** Smoothed as the completed work is, so that the two can be compared. */
+  private readonly totalAsked = new DecayingRate(COMPLETED_SMOOTHING_MS);
   private readonly admitted = new DecayingRate(COMPLETED_SMOOTHING_MS);
   private readonly recentlyCompleted = new DecayingRate(
     RECENTLY_COMPLETED_SMOOTHING_MS,
@@ -88,6 +88,7 @@
 
   addDemand(demand: ShareDemand, nowMs: number): void {
     const {organisation, priority, asked, admitted} = demand;
+    this.totalAsked.add(asked, nowMs);
     this.admitted.add(admitted, nowMs);
     const byPriority = this.asked.get(organisation) ?? new Map();
     const rate = byPriority.get(priority) ?? new AskedRate();
@@ -118,7 +119,8 @@
     const rates = {askedPerSecond, completedPerSecond};
     const view = {...rates, requests, backlog: work, targetMs};
     this.updateContention(view, nowMs);
-    this.updateUsualWait(view, nowMs);
+    const totalPerSecond = this.totalAsked.perSecond(nowMs);
+    this.usualWait.add({...view, askedPerSecond: totalPerSecond}, nowMs);
     const limits = this.isContended ? this.limitsOf(accounts, view, nowMs) : {};
     const limited = Object.keys(limits).length;
     const {pool} = this.lastState;
@@ -158,14 +160,6 @@
     }
   }
 
-  /** The demand is neither in excess nor rising, so the wait is the usual one. */
-  private updateUsualWait(view: BacklogView, nowMs: number): void {
-    const {askedPerSecond, completedPerSecond} = view;
-    if (this.isContended) return;
-    if (askedPerSecond > completedPerSecond * CALM_FACTOR) return;
-    this.usualWait.add(view, nowMs);
-  }
-
   /**
    * Whether less is completed because less is admitted, so that the division
    * does harm. A queue would keep the runners as busy as before.
--- a/packages/banyanfold-decisions/src/shares/poolSharesOptions.ts
+++ b/packages/banyanfold-decisions/src/shares/poolSharesOptions.ts
@@ -47,8 +47,8 @@
   excessWaitFactor: 1.5,
   // Few requests vary by as much as they are.
   excessDeviations: 2,
-  // More than a loss of a quarter of the runners explains.
-  minCompletedShare: 0.5,
+  // More than a loss of half of the runners explains.
+  minCompletedShare: 0.35,
   // Twice the time over which the usual wait is averaged.
   holdMs: 10_000,
   // More than twice the delay of the loop (report, division, answer: 0.7 s), so
--- a/packages/banyanfold-decisions/src/shares/usualWait.ts
+++ b/packages/banyanfold-decisions/src/shares/usualWait.ts
@@ -2,11 +2,17 @@
 export interface WaitSample {
   /** Work that waits for its first byte. */
   backlog: number;
+  askedPerSecond: number;
   completedPerSecond: number;
 }
 
 /** Outlasts the variation of some seconds, and follows a release of runners. */
 const SMOOTHING_MS = 5_000;
+/**
+ * Up to this factor over what is completed, on average, the demand is not in
+ * excess. The wait of a queue that callers leave would be learned otherwise.
+ */
+const MAX_ASKED_FACTOR = 1.1;
 const MS_PER_SECOND = 1000;
 
 /**
@@ -18,23 +24,27 @@
  * and the backlog stays too long for what is completed.
  */
 export class UsualWait {
-  private backlog = 0;
-  private completedPerSecond = 0;
+  /** Averages of all samples. */
+  private readonly rates = {asked: 0, completed: 0};
+  /** Averages of the samples without an excess of demand. */
+  private readonly calm = {backlog: 0, completed: 0};
   private sampledMs = Number.NEGATIVE_INFINITY;
 
   /** In ms; 0 if it is not known. */
   get ms(): number {
-    const {completedPerSecond, backlog} = this;
-    if (completedPerSecond === 0) return 0;
-    return (backlog * MS_PER_SECOND) / completedPerSecond;
+    const {backlog, completed} = this.calm;
+    return completed === 0 ? 0 : (backlog * MS_PER_SECOND) / completed;
   }
 
-  /** Adds a sample of a time without an excess of demand. */
-  add({backlog, completedPerSecond}: WaitSample, nowMs: number): void {
+  add(sample: WaitSample, nowMs: number): void {
+    const {backlog, askedPerSecond, completedPerSecond} = sample;
     const weight = 1 - Math.exp((this.sampledMs - nowMs) / SMOOTHING_MS);
     this.sampledMs = nowMs;
-    this.backlog += (backlog - this.backlog) * weight;
-    this.completedPerSecond +=
-      (completedPerSecond - this.completedPerSecond) * weight;
+    const {rates, calm} = this;
+    rates.asked += (askedPerSecond - rates.asked) * weight;
+    rates.completed += (completedPerSecond - rates.completed) * weight;
+    if (rates.asked > rates.completed * MAX_ASKED_FACTOR) return;
+    calm.backlog += (backlog - calm.backlog) * weight;
+    calm.completed += (completedPerSecond - calm.completed) * weight;
   }
 }
