Measure the costs of fair shares

`npm run bench -- shares` gives the time of an entry's decision, of applying limits and of a division at the holder, and the bytes of demand and limits, with 16, 1,000 and 10,000 organisations.

--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -6,6 +6,7 @@
   decisions: () => import('./decisions/index.js'),
   path: () => load('./path/index.js'),
   plan: () => import('./plan/index.js'),
+  shares: () => import('./shares/index.js'),
 };
 
 /** Loads a bench that may not be built. */
