--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -7,6 +7,7 @@
   path: () => load('./path/index.js'),
   'plain-calls': () => import('./plainCalls/index.js'),
   plan: () => import('./plan/index.js'),
+  shares: () => import('./shares/index.js'),
 };
 
 /** Loads a bench that may not be built. */
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -27,6 +27,19 @@
   bornMs: z.number(),
 });
 
+/**
+ * Part of its requests that an organisation may send: all that are more urgent
+ * than a priority, and a share of those with this priority.
+ */
+const shareLimitSchema = z.tuple([z.number(), z.number()]).readonly();
+
+/** Admitted requests without a response, their work, and that times its target. */
+const poolBacklogSchema = z.object({
+  requests: z.number(),
+  work: z.number(),
+  workMs: z.number(),
+});
+
 const countsSchema = z.record(z.string(), z.number());
 
 /** An entry, with the properties by which standbys and relays are chosen. */
@@ -82,6 +95,28 @@
       z.object({runnerId: z.string(), asked: z.number(), used: z.number()}),
     )
     .optional(),
+  /** Work by organisation; omitted by entries without fair shares. */
+  demandByOrganisation: z
+    .array(
+      z.object({
+        pool: z.string(),
+        organisation: z.string(),
+        priority: z.number(),
+        asked: z.number(),
+        admitted: z.number(),
+      }),
+    )
+    .optional(),
+  /** Work that has ended; omitted by entries without fair shares. */
+  poolProgress: z
+    .array(
+      z.object({
+        pool: z.string(),
+        completed: z.number(),
+        dropped: z.number(),
+      }),
+    )
+    .optional(),
 });
 
 export type DemandBatch = z.infer<typeof demandBatchSchema>;
@@ -109,6 +144,8 @@
   /** Requests waiting for a copy, by model. */
   waiting: countsSchema,
   batch: demandBatchSchema,
+  /** Backlogs by pool; omitted by entries without fair shares. */
+  poolBacklogs: z.record(z.string(), poolBacklogSchema).optional(),
   /** Omitted by releases that don't report crashes. */
   crashes: crashReportSchema.optional(),
   /**
@@ -213,6 +250,13 @@
    * that don't send them.
    */
   leavingRunners: z.array(leavingRunnerSchema).optional(),
+  /**
+   * Limits by pool and organisation, for organisations that may not send all of
+   * their requests; omitted by holders without fair shares.
+   */
+  organisationShares: z
+    .record(z.string(), z.record(z.string(), shareLimitSchema))
+    .optional(),
   /**
    * Requests that may crash runners; omitted by releases that don't send them.
    */
