--- a/soak/src/__tests__/runSeed.test.ts
+++ b/soak/src/__tests__/runSeed.test.ts
@@ -9,8 +9,9 @@
 const LENGTH_MS = 5_000;
 
 describe('a short soak', () => {
-  // An even seed has a request that crashes the runners that run it.
-  const seeds = [1, 2, ...REGRESSIONS.slice(-3).map(({seed}) => seed)];
+  // An even seed has a request that crashes the runners that run it; one that is
+  // divisible by 3 has entries with the settings for high load.
+  const seeds = [1, 2, 3, ...REGRESSIONS.slice(-3).map(({seed}) => seed)];
 
   it.each(seeds)('breaks no rule with seed %i', async seed => {
     const folder = mkdtempSync(join(tmpdir(), 'soak-'));
--- a/soak/src/entryProcess.ts
+++ b/soak/src/entryProcess.ts
@@ -22,6 +22,8 @@
   ports: EntryPorts;
   /** For its settings and its log. */
   folder: string;
+  /** Fields of its settings beyond the usual ones. */
+  extraSettings?: object;
 }
 
 /** One entry as a process of its own, under a small supervisor. */
@@ -108,7 +110,8 @@
   }
 
   private writeSettings(isFirstStart: boolean): void {
-    const settings = entrySettings(this.options.ports);
+    const {ports, extraSettings} = this.options;
+    const settings = entrySettings(ports, extraSettings);
     const text = JSON.stringify({...settings, bootstrap: isFirstStart});
     writeFileSync(this.settingsPath, text);
   }
--- a/soak/src/runSeed.ts
+++ b/soak/src/runSeed.ts
@@ -12,6 +12,7 @@
 import {pause} from './pause.js';
 import {createDraw} from './random.js';
 import {planFaults, type PlannedFault} from './soakPlan.js';
+import {HIGH_LOAD_SETTINGS} from './highLoadSettings.js';
 import {SoakSystem} from './soakSystem.js';
 import {untilServed} from './untilServed.js';
 
@@ -40,6 +41,8 @@
 const CRASHING_SEEDS = 2_000_000;
 /** One in so many seeds has a request that crashes the runners that run it. */
 const CRASHING_ONE_IN = 2;
+/** One in so many seeds has entries with the settings for high load. */
+const HIGH_LOAD_ONE_IN = 3;
 /** All is served again so soon after the last fault. */
 const RECOVERY_MS = 20_000;
 const START_MS = 20_000;
@@ -52,7 +55,9 @@
  *   isTimed: true});
  */
 export async function runSeed(options: RunSeedOptions): Promise<SeedVerdict> {
-  const system = new SoakSystem(options.folder);
+  const isHighLoad = options.seed % HIGH_LOAD_ONE_IN === 0;
+  const extraSettings = isHighLoad ? HIGH_LOAD_SETTINGS : {};
+  const system = new SoakSystem(options.folder, extraSettings);
   try {
     await system.start();
     const isUp = await untilServed(system, START_MS);
--- a/soak/src/soakSystem.ts
+++ b/soak/src/soakSystem.ts
@@ -48,8 +48,14 @@
   readonly leavings: Leaving[] = [];
   private runnersMade = 0;
 
-  /** @param folder for settings and logs. */
-  constructor(private readonly folder: string) {}
+  /**
+   * @param folder for settings and logs.
+   * @param extraSettings fields of the entries' settings beyond the usual ones.
+   */
+  constructor(
+    private readonly folder: string,
+    private readonly extraSettings: object = {},
+  ) {}
 
   async start(): Promise<void> {
     await this.platform.start();
@@ -67,6 +73,7 @@
       const process = new EntryProcess({
         name: `entry-${i}`,
         folder: this.folder,
+        extraSettings: this.extraSettings,
         ports: {
           store: storeLink.address,
           callers: callers!,
--- a/soak/src/usageCapRun.ts
+++ b/soak/src/usageCapRun.ts
@@ -4,6 +4,7 @@
   sendRequest,
 } from '@banyanfold/platform/standins';
 import {EntryProcess} from './entryProcess.js';
+import {HIGH_LOAD_SETTINGS} from './highLoadSettings.js';
 import type {Violation} from './judge.js';
 import {pause} from './pause.js';
 import {createDraw} from './random.js';
@@ -97,6 +98,7 @@
     const entry = new EntryProcess({
       name: `entry-${i}`,
       folder,
+      extraSettings: HIGH_LOAD_SETTINGS,
       ports: {
         store: platform.store.address,
         callers: callers!,
