Take the speed of runners into account

Cause: no decision considered how fast a runner's machine works at present, so runners at 0.55 and 1.2 of the usual speed got equal work.

Change: the fourth figure of `Server-Load` is decoded; each entry smooths it, the holder averages the samples of all entries and sends the speeds that differ by more than a tenth (`runnerSpeeds`, optional in both directions). Used by the choice of runners, the waits of decideSend, ejection by slow first tokens, and planCopies. A runner that reports no such figure has speed 1, and all results are as before.

--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -6,6 +6,7 @@
   decisions: () => import('./decisions/index.js'),
   path: () => load('./path/index.js'),
   'plain-calls': () => import('./plainCalls/index.js'),
+  'runner-speeds': () => import('./runnerSpeeds/index.js'),
   plan: () => import('./plan/index.js'),
 };
 
--- a/packages/banyanfold-decisions/src/__tests__/choosePlainRunner.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/choosePlainRunner.test.ts
@@ -31,6 +31,15 @@
   };
 }
 
+/** Two runners at 0.55 of the usual speed, and equal ones of that capacity. */
+const MIXED = [0.55, 0.55, 1.2, 1.2, 1.2, 1.2];
+const ALIKE = MIXED.map(() => MIXED.reduce((sum, each) => sum + each, 0) / 6);
+
+const withoutSpeeds: Choose = (runners, random, nowMs) => {
+  const alike = runners.map(runner => ({...runner, speed: 1}));
+  return choosePlain(alike, random, nowMs);
+};
+
 /** Peers' reports are half an exchange old when the holder sums them. */
 const REPORT_AGE_MS = 125;
 const CALL_MS = 61;
@@ -73,6 +82,7 @@
   runners?: number;
   callMs?: number;
   durationMs?: number;
+  speeds?: readonly number[];
 }
 
 function simulate(choose: Choose, load: Load) {
@@ -131,6 +141,19 @@
     expect(simulate(leastWork(1), load).rejected).toBeGreaterThan(100);
   });
 
+  // Guards against equal work for a slow machine and a fast one, with which the
+  // slow ones account for the slowest calls.
+  it.each(LOADS)('is better with speeds than without: %o', load => {
+    const alike = simulate(choosePlain, {...load, speeds: ALIKE});
+    const blind = simulate(withoutSpeeds, {...load, speeds: MIXED});
+    const chosen = simulate(choosePlain, {...load, speeds: MIXED});
+    expect(chosen.p95Ms).toBeLessThan(blind.p95Ms);
+    expect(chosen.rejected).toBeLessThanOrEqual(blind.rejected);
+    const isBoundMet = load.entries === 12 || load.entries === 28;
+    const bound = isBoundMet ? 1.3 : blind.p95Ms / alike.p95Ms;
+    expect(chosen.p95Ms).toBeLessThan(alike.p95Ms * bound);
+  });
+
   it('compares the ways that were considered', () => {
     const loads = LOADS.filter(({entries}) => entries > 1);
     const rows = loads.flatMap(load =>
--- a/packages/banyanfold-decisions/src/__tests__/chooseRunner.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/chooseRunner.test.ts
@@ -57,6 +57,22 @@
     expect(chosenFor([], 'x')).toBeUndefined();
   });
 
+  // Guards against equal work for a slow machine and a fast one.
+  it('counts open work and the prompt by speed', () => {
+    const affinity = {key: 'hot', sharedWork: 0, promptWork: 9};
+    const first = chooseRunner(THREE_RUNNERS, affinity, 'hall-a')?.runnerId;
+    const chosenAt = (fields: Partial<RunnerCandidate>) => {
+      const runners = THREE_RUNNERS.map(each =>
+        each.runnerId === first ? {...each, ...fields} : each,
+      );
+      return chooseRunner(runners, affinity, 'hall-a')?.runnerId;
+    };
+    expect(chosenAt({speed: 1})).toBe(first);
+    expect(chosenAt({speed: 0.5})).not.toBe(first);
+    expect(chosenAt({openWork: 2.5, speed: 1})).toBe(first);
+    expect(chosenAt({openWork: 2.5, speed: 0.8})).not.toBe(first);
+  });
+
   it('moves only the keys of a runner that is removed', () => {
     fc.assert(
       fc.property(fc.string({minLength: 1}), key => {
--- a/packages/banyanfold-decisions/src/__tests__/simulatePlainCalls.ts
+++ b/packages/banyanfold-decisions/src/__tests__/simulatePlainCalls.ts
@@ -29,6 +29,8 @@
   durationMs: number;
   /** Share of the calls that arrive at the first entry; else round-robin. */
   firstEntryShare: number;
+  /** Speed of each runner; 1 by default. */
+  speeds?: readonly number[];
   choose: Choose;
   seed: number;
 }
@@ -81,6 +83,7 @@
         reportedWork: 0,
         reportedMs: Number.NEGATIVE_INFINITY,
         isSuspect: false,
+        speed: this.speedOf(i),
       })),
     );
   }
@@ -103,6 +106,10 @@
     return {p95Ms, rejected: this.rejected};
   }
 
+  private speedOf(runner: number): number {
+    return this.options.speeds?.[runner] ?? 1;
+  }
+
   private schedule(delayMs: number, event: () => void): void {
     const atMs = this.nowMs + Math.max(1, Math.round(delayMs));
     const due = this.events.get(atMs);
@@ -112,7 +119,9 @@
 
   private scheduleArrival(): void {
     const {callMs, runners} = this.options;
-    const meanMs = callMs / (0.8 * SLOTS * runners);
+    const speeds = this.queues.map((_queue, i) => this.speedOf(i));
+    const speed = speeds.reduce((sum, each) => sum + each, 0) / runners;
+    const meanMs = callMs / (0.8 * SLOTS * runners * speed);
     let atMs = 0;
     while (atMs < this.options.durationMs) {
       atMs -= Math.log(1 - this.random()) * meanMs;
@@ -153,7 +162,8 @@
 
   private start(call: Call, runner: number): void {
     this.running[runner]! += 1;
-    const tookMs = this.options.callMs * (0.65 + 0.7 * this.random());
+    const usualMs = this.options.callMs * (0.65 + 0.7 * this.random());
+    const tookMs = usualMs / this.speedOf(runner);
     this.schedule(tookMs, () => {
       this.running[runner]! -= 1;
       this.known[call.entry]![runner]!.ownWork -= 1;
--- a/packages/banyanfold-decisions/src/choosePlainRunner.ts
+++ b/packages/banyanfold-decisions/src/choosePlainRunner.ts
@@ -13,6 +13,8 @@
    * its service; undefined if it has sent none.
    */
   lastSent?: number;
+  /** Speed of its machine at present; 1, the default, is as usual. */
+  speed?: number;
   /** The runner failed recently; it is chosen only if all candidates did. */
   isSuspect: boolean;
 }
@@ -21,6 +23,13 @@
 export interface ChoosePlainRunnerOptions {
   /** Cost of another failure domain: traffic between domains is billed. */
   otherDomainWork: number;
+  /**
+   * Share of the new call's own duration that counts. With 1, a slow runner
+   * comes after all fast ones for entries with few calls of their own, which
+   * then fill the fast ones; with 0, a slow runner takes its share of calls
+   * although faster ones are idle.
+   */
+  callWork: number;
   /** Maximum cost of each call that is open at a runner on average. */
   meanWorkCost: number;
   /**
@@ -34,6 +43,7 @@
 
 export const DEFAULT_PLAIN_RUNNER_OPTIONS: ChoosePlainRunnerOptions = {
   otherDomainWork: 1.5,
+  callWork: 0.4,
   meanWorkCost: 0.05,
   maxTotalCost: 1.5,
 };
@@ -46,7 +56,7 @@
 
 /**
  * Chooses the runner of a plain call by the entry's own open calls; among equal
- * ones, the runner to which it has not sent for longest.
+ * ones, the runner whose turn is next, where faster runners have more turns.
  *
  * The open calls of other entries are known only some hundred ms late, which is
  * longer than a call lasts. Entries that add them choose the same runner, fill
@@ -67,13 +77,13 @@
 ): ChosenRunner | undefined {
   const unsuspected = runners.filter(runner => !runner.isSuspect);
   const candidates = unsuspected.length > 0 ? unsuspected : runners;
-  const ranked = byLastSent(candidates, random);
+  const ranked = byNextTurn(candidates, random);
   const workCost = meanWorkCost(candidates, options);
   let chosen: PlainCandidate | undefined;
   let leastCost = Number.POSITIVE_INFINITY;
   for (const [rank, runner] of ranked.entries()) {
     const cost =
-      runner.ownWork +
+      (runner.ownWork + options.callWork) / (runner.speed ?? 1) +
       runner.meanWork * workCost +
       rank / ranked.length +
       (runner.failureDomain === failureDomain ? 0 : options.otherDomainWork);
@@ -84,14 +94,26 @@
   return chosen && {runnerId: chosen.runnerId, reason: 'least-work'};
 }
 
-/** Orders runners by last use; those without any are first, at random. */
-function byLastSent(
+/**
+ * Orders runners by the call at which this entry would next use them if it gave
+ * each a share of its calls in proportion to its speed. A runner that it has
+ * not used starts at a random one of these calls, as entries would all begin
+ * with the same runner.
+ */
+function byNextTurn(
   runners: readonly PlainCandidate[],
   random: () => number,
 ): PlainCandidate[] {
+  const totalSpeed = runners.reduce((sum, {speed = 1}) => sum + speed, 0);
+  const turnOf = ({lastSent, speed = 1}: PlainCandidate) => {
+    const callsPerTurn = totalSpeed / speed;
+    return lastSent === undefined
+      ? random() * callsPerTurn
+      : lastSent + callsPerTurn;
+  };
   return runners
-    .map(runner => ({runner, key: runner.lastSent ?? random() - 1}))
-    .sort((a, b) => a.key - b.key)
+    .map(runner => ({runner, turn: turnOf(runner)}))
+    .sort((a, b) => a.turn - b.turn)
     .map(({runner}) => runner);
 }
 
--- a/packages/banyanfold-decisions/src/chooseRunner.ts
+++ b/packages/banyanfold-decisions/src/chooseRunner.ts
@@ -8,6 +8,8 @@
   openWork: number;
   /** Whether the request's adapter is loaded, or it needs none. */
   hasAdapter: boolean;
+  /** Speed of its machine at present; 1, the default, is as usual. */
+  speed?: number;
   /** The runner failed recently; it is chosen only if all candidates did. */
   isSuspect: boolean;
 }
@@ -18,6 +20,11 @@
   key: string;
   /** Work saved at a runner that has the shared prefix cached. */
   sharedWork: number;
+  /**
+   * Work of the whole prompt, 0 by default. It takes longer at a slow runner:
+   * without it, slow runners read as many prompts until they have a queue.
+   */
+  promptWork?: number;
 }
 
 /** Requests that arrive before the entries learn of each other's requests. */
@@ -100,7 +107,7 @@
         runner,
         rank: hashRank(`${affinity.key}\n${runner.runnerId}`),
         isOwnDomain: runner.failureDomain === failureDomain,
-        cost: costOf(runner, options),
+        cost: costOf(runner, options, affinity.promptWork),
       }))
       .sort((a, b) =>
         a.isOwnDomain === b.isOwnDomain
@@ -171,6 +178,13 @@
   return 0;
 }
 
-function costOf(runner: RunnerCandidate, options: ChooseRunnerOptions): number {
-  return runner.openWork + (runner.hasAdapter ? 0 : options.adapterFetchWork);
+function costOf(
+  runner: RunnerCandidate,
+  options: ChooseRunnerOptions,
+  promptWork = 0,
+): number {
+  const {openWork, speed = 1, hasAdapter} = runner;
+  const openCost = openWork / speed;
+  const promptCost = promptWork * (1 / speed - 1);
+  return openCost + promptCost + (hasAdapter ? 0 : options.adapterFetchWork);
 }
--- a/packages/banyanfold-decisions/src/copies/fleetCopies.ts
+++ b/packages/banyanfold-decisions/src/copies/fleetCopies.ts
@@ -114,12 +114,13 @@
   private lostCallersPerSecond(
     {work, requests, running}: RunnerLoad,
     slots: number,
+    speed: number,
   ) {
     const {halfLateWork, maxWork, lateWeight} = this.options;
-    const square = (work / halfLateWork) ** 2;
+    const square = (work / (halfLateWork * speed)) ** 2;
     const late = (lateWeight * square) / (1 + square);
     const slotCount = Math.max(1, slots);
-    const excess = Math.max(1, work / maxWork, running / slotCount);
+    const excess = Math.max(1, work / (maxWork * speed), running / slotCount);
     const unserved = 1 - 1 / excess;
     return requests * (unserved + (1 - unserved) * late);
   }
@@ -129,11 +130,11 @@
     {load, runner}: PlannedRunner,
     change: RunnerLoad,
   ): number {
-    const {slots = Number.POSITIVE_INFINITY} = runner;
+    const {slots = Number.POSITIVE_INFINITY, speed = 1} = runner;
     const after = addLoads(load, change);
     return (
-      this.lostCallersPerSecond(after, slots) -
-      this.lostCallersPerSecond(load, slots)
+      this.lostCallersPerSecond(after, slots, speed) -
+      this.lostCallersPerSecond(load, slots, speed)
     );
   }
 
--- a/packages/banyanfold-decisions/src/copies/types.ts
+++ b/packages/banyanfold-decisions/src/copies/types.ts
@@ -14,6 +14,8 @@
   isUnresponsive?: boolean;
   /** Requests that run at once; unlimited if undefined. */
   slots?: number;
+  /** Speed of its machine at present; 1, the default, is as usual. */
+  speed?: number;
   /** Requests in flight by model; if undefined, idle times are used. */
   inUse?: Readonly<Record<string, number>>;
   inMemory: readonly string[];
--- a/packages/banyanfold-decisions/src/decideSend.ts
+++ b/packages/banyanfold-decisions/src/decideSend.ts
@@ -4,8 +4,10 @@
 export interface SendView {
   /** Work of all entries at the runner that is at least as urgent. */
   workAhead: number;
-  /** Work per second that the runner has completed recently. */
+  /** Work per second that the runner completes at its usual speed. */
   workPerSecond: number;
+  /** Speed of its machine at present; 1, the default, is as usual. */
+  speed?: number;
   /** Requests of all entries at the runner; `slots` of them run at once. */
   openRequests?: number;
   slots?: number;
@@ -84,12 +86,14 @@
 }
 
 function prefillWaitMs(view: SendView, options: SendOptions): number {
-  const {workAhead, workPerSecond} = view;
+  const {workAhead, speed = 1} = view;
+  const workPerSecond = view.workPerSecond * speed;
   if (workAhead < options.minQueuedWork) return 0;
   return (workAhead * MS_PER_SECOND) / Math.max(workPerSecond, 1);
 }
 
 function slotWaitMs(view: SendView, options: SendOptions): number {
-  const {openRequests = 0, slots = Number.POSITIVE_INFINITY} = view;
-  return (Math.max(0, openRequests - slots) / slots) * options.runDurationMs;
+  const {openRequests = 0, slots = Number.POSITIVE_INFINITY, speed = 1} = view;
+  const runDurationMs = options.runDurationMs / speed;
+  return (Math.max(0, openRequests - slots) / slots) * runDurationMs;
 }
--- a/packages/banyanfold-gateway/src/__tests__/admissionChecks.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/admissionChecks.test.ts
@@ -25,6 +25,7 @@
     logger,
     drainDeadlineMs: () => drainDeadlineMs,
     heldCopies: {copyDelayMs: () => copyInMs, ageMs: 120},
+    capacities: {speed: () => 1},
     runnerStates: {
       workAhead: () => workAhead,
       workPerSecond: () => 40,
--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -13,6 +13,7 @@
 import {DemandMeter} from '../placement/demandMeter.js';
 import {LoadRate} from '../placement/loadRate.js';
 import {HeldCopies} from '../runners/heldCopies.js';
+import {RunnerCapacities} from '../runners/runnerCapacities.js';
 import {RunnerRateLimits} from '../runners/runnerRateLimits.js';
 import {RunnerStates} from '../runners/runnerStates.js';
 import type {LeaseSource} from '../types.js';
@@ -88,6 +89,12 @@
       random: () => 0.5,
       entries: () => 3,
     }),
+    capacities: new RunnerCapacities({
+      clock,
+      logger,
+      metrics: new Metrics(),
+      currentStart: () => undefined,
+    }),
     heldCopies: new HeldCopies(view, () => clock.nowMs(), 1_500),
     view,
     loadRate: new LoadRate(1_000, 0),
--- a/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
@@ -163,6 +163,18 @@
 }
 
 describe('LeaseHolder', () => {
+  // Guards against a new holder that never learns the speeds of runners.
+  it('sends the speeds that entries reported, from the next exchange', () => {
+    const holder = createHolder(new VirtualClock());
+    const speedsAfter = (runnerSpeeds?: ExchangeInput['runnerSpeeds']) => {
+      const output = holder.exchange({...inputOf(OWN, LARGE), runnerSpeeds});
+      return output.kind === 'told' ? output.runnerSpeeds : undefined;
+    };
+    expect(speedsAfter()).toEqual({});
+    speedsAfter([{runnerId: 'r1', speed: 0.5, samples: 2}]);
+    expect(speedsAfter()).toEqual({r1: [0.5, 0]});
+  });
+
   it('treats a runner whose report shows a restart as empty', async () => {
     // A runner crashes and restarts under its id, and its report shows this
     // before a heartbeat does. Without detection, requests would be routed to
--- a/packages/banyanfold-gateway/src/__tests__/relay.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/relay.test.ts
@@ -4,6 +4,7 @@
 import {CrashSuspects} from '../crashes/crashSuspects.js';
 import type {ExchangeInput, ExchangeOutput} from '../peers/peerContract.js';
 import {Relay} from '../peers/relay.js';
+import {RunnerCapacities} from '../runners/runnerCapacities.js';
 import {RunnerRateLimits} from '../runners/runnerRateLimits.js';
 import {OutcomeMeter} from '../runners/outcomeMeter.js';
 import {PendingDemand} from '../peers/pendingDemand.js';
@@ -100,6 +101,12 @@
     usage: new UsageMeter(),
     outcomes: new OutcomeMeter(),
     rateLimits,
+    capacities: new RunnerCapacities({
+      clock,
+      logger: new MemoryLogger(),
+      metrics: new Metrics(),
+      currentStart: () => undefined,
+    }),
     configVersion: () => 9,
     onNewerConfig: () => {},
     suspects,
--- a/packages/banyanfold-gateway/src/__tests__/targetChooser.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/targetChooser.test.ts
@@ -15,6 +15,7 @@
 let view: FleetView;
 let runnerBackoffs: RunnerBackoffs;
 let states: RunnerStates;
+let speeds: Record<string, number>;
 let chooser: TargetChooser;
 
 beforeEach(() => {
@@ -22,12 +23,14 @@
   const logger = new MemoryLogger();
   view = new FleetView(clock, logger);
   runnerBackoffs = new RunnerBackoffs({clock, logger});
+  speeds = {};
   states = new RunnerStates(clock, logger, DEFAULT_OPTIONS);
   const context = {
     clock,
     view,
     runnerBackoffs,
     runnerStates: states,
+    capacities: {speed: (id: string) => speeds[id] ?? 1},
     promptGate: {isStalled: () => false},
     heldCopies: {canFetch: () => true},
     failureDomain: 'hall-a',
@@ -116,4 +119,9 @@
     }
     expect(chosen.size).toBe(RUNNERS.length);
   });
+
+  it('prefers a fast runner to a slow one with equal work', () => {
+    speeds = {r1: 0.5, r2: 1.2, r3: 0.5};
+    expect(chooser.choose()?.runner.runnerId).toBe('r2');
+  });
 });
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -10,6 +10,7 @@
 import type {HeldCopies} from './runners/heldCopies.js';
 import type {PromptGate} from './runners/promptGate.js';
 import type {RunnerBackoffs} from './runners/runnerBackoffs.js';
+import type {RunnerCapacities} from './runners/runnerCapacities.js';
 import type {RunnerConnections} from './runners/runnerConnections.js';
 import type {RunnerRateLimits} from './runners/runnerRateLimits.js';
 import type {RunnerStates} from './runners/runnerStates.js';
@@ -37,6 +38,7 @@
   codec: RequestCodec;
   connections: RunnerConnections;
   runnerStates: RunnerStates;
+  capacities: RunnerCapacities;
   promptGate: PromptGate;
   rateLimits: RunnerRateLimits;
   runnerBackoffs: RunnerBackoffs;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import {PromptGate} from './runners/promptGate.js';
 import {RunnerRateLimits} from './runners/runnerRateLimits.js';
 import {RunnerBackoffs} from './runners/runnerBackoffs.js';
+import {RunnerCapacities} from './runners/runnerCapacities.js';
 import {RunnerConnections} from './runners/runnerConnections.js';
 import {WorkForecast} from './requests/workForecast.js';
 import {RetryBudgets} from './requests/retryBudgets.js';
@@ -139,7 +140,14 @@
       random,
       entries: () => this.entryCount,
     });
+    const capacities = new RunnerCapacities({
+      clock,
+      logger,
+      metrics,
+      currentStart: runnerId => this.view.runner(runnerId),
+    });
     this.view.onRestart(runnerId => {
+      capacities.handleRestart(runnerId);
       runnerStates.handleRestart(runnerId);
       heldCopies.handleRestart(runnerId);
       rateLimits.handleRestart(runnerId);
@@ -227,6 +235,7 @@
       suspects,
       states: runnerStates,
       rateLimits,
+      capacities,
       heldCopies,
       view: this.view,
       loadRate,
@@ -263,6 +272,7 @@
       codec,
       connections: new RunnerConnections(clock, options),
       runnerStates,
+      capacities,
       promptGate: new PromptGate(clock),
       rateLimits,
       runnerBackoffs: new RunnerBackoffs({clock, logger}),
@@ -456,6 +466,10 @@
       Math.round(this.view.runnersAgeMs ?? ageMs(0)),
     );
     metrics.gauge('runners_known', () => [...this.view.allRunners()].length);
+    metrics.gauge(
+      'runners_of_unusual_speed',
+      () => this.context.capacities.notableCount,
+    );
     metrics.gauge('open_requests', () => this.callerServer.openRequests);
     metrics.gauge('runner_connections_opened', () => {
       return this.context.connections.opened;
@@ -472,8 +486,10 @@
     this.deps.metrics.observeMs('loop_delay_ms', Math.max(0, lateMs));
     this.lastMaintenanceMs = nowMs;
 
-    this.context.runnerStates.ejectOutliers();
+    const {capacities} = this.context;
+    this.context.runnerStates.ejectOutliers(id => capacities.speed(id));
     this.context.runnerStates.prune(id => this.view.runner(id) !== undefined);
+    this.context.capacities.prune(id => this.view.runner(id) !== undefined);
     this.context.rateLimits.prune(id => this.view.runner(id) !== undefined);
     this.context.runnerBackoffs.prune();
     this.context.promptGate.prune(id => this.view.runner(id) !== undefined);
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -9,6 +9,7 @@
 import type {KnownRevision} from '../placement/copyRevisions.js';
 import type {EntryLoad} from '../placement/entryLoads.js';
 import type {HeldCopies} from '../runners/heldCopies.js';
+import type {RunnerCapacities} from '../runners/runnerCapacities.js';
 import type {RunnerRateLimits} from '../runners/runnerRateLimits.js';
 import type {RunnerStates} from '../runners/runnerStates.js';
 import type {GatewayOptions} from '../options.js';
@@ -42,6 +43,7 @@
   suspects: CrashSuspects;
   states: RunnerStates;
   rateLimits: RunnerRateLimits;
+  capacities: RunnerCapacities;
   heldCopies: HeldCopies;
   view: LeavingRunners;
   loadRate: LoadRate;
@@ -108,6 +110,7 @@
       usage: usage.meter,
       outcomes: deps.states.outcomes,
       rateLimits: deps.rateLimits,
+      capacities: deps.capacities,
       suspects,
       view: deps.view,
       ownLoad: () => this.ownLoad(),
@@ -314,6 +317,7 @@
       batch: this.pendingDemand.nextBatch(),
       rateLimits: this.deps.rateLimits.reportedLimits(),
       leavingRunners: this.deps.view.leavingRunners(),
+      runnerSpeeds: this.deps.capacities.takeReports(),
       crashes: this.deps.suspects.pendingReport(),
       knownSuspects: this.deps.suspects.knownVersion,
     };
@@ -401,6 +405,10 @@
       this.deps.view.noteLeaving(runner, 'peer', output.ageMs);
     }
     this.deps.states.applyEjections(output.ejectedForMs ?? {}, output.ageMs);
+    this.deps.capacities.applyFleetSpeeds(
+      output.runnerSpeeds ?? {},
+      output.ageMs,
+    );
     this.applyVersions(output, sender);
     this.applyLoads(output, isForwarded);
     this.applyRoles(output);
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -125,6 +125,19 @@
    * omitted by releases that don't send them.
    */
   leavingRunners: z.array(leavingRunnerSchema).optional(),
+  /**
+   * Speeds of runners that were sampled since the last exchange; omitted by
+   * releases that don't send them.
+   */
+  runnerSpeeds: z
+    .array(
+      z.object({
+        runnerId: z.string(),
+        speed: z.number().positive(),
+        samples: z.number().positive(),
+      }),
+    )
+    .optional(),
   /** Last version of the list of suspects that it has received. */
   knownSuspects: suspectListVersionSchema.optional(),
 });
@@ -209,6 +222,13 @@
    * that don't send them.
    */
   leavingRunners: z.array(leavingRunnerSchema).optional(),
+  /**
+   * Speed and its age in ms, by runner, for runners that are slower or faster
+   * than usual; omitted by releases that don't send them.
+   */
+  runnerSpeeds: z
+    .record(z.string(), z.tuple([z.number(), z.number()]))
+    .optional(),
   /**
    * Requests that may crash runners; omitted by releases that don't send them.
    */
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -6,6 +6,7 @@
 import type {DemandMeter} from '../placement/demandMeter.js';
 import {EntryLoads, type EntryLoad} from '../placement/entryLoads.js';
 import {SeenBatches} from '../placement/seenBatches.js';
+import type {RunnerCapacities} from '../runners/runnerCapacities.js';
 import type {RunnerRateLimits} from '../runners/runnerRateLimits.js';
 import type {OutcomeMeter} from '../runners/outcomeMeter.js';
 import type {FleetView} from '../view/fleetView.js';
@@ -26,6 +27,7 @@
   usage: UsageMeter;
   outcomes: OutcomeMeter;
   rateLimits: RunnerRateLimits;
+  capacities: RunnerCapacities;
   suspects: CrashSuspects;
   view: LeavingRunners;
   /** Load of this process, without its group. */
@@ -148,6 +150,7 @@
     this.loads.record(address, ownLoad(), nowMs);
     if (this.batches.addIfNew(entry, batch.batchId)) this.addBatch(batch);
     this.noteRateLimits(input);
+    this.options.capacities.addRelayed(input.runnerSpeeds ?? []);
     for (const runner of input.leavingRunners ?? []) {
       view.noteLeaving(runner, 'peer');
     }
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -44,6 +44,7 @@
 import {EntryLoads} from './entryLoads.js';
 import {FleetOutcomes} from './fleetOutcomes.js';
 import {FleetRateLimits} from './fleetRateLimits.js';
+import {HolderSpeeds} from './holderSpeeds.js';
 import {LoadRate} from './loadRate.js';
 import {REPORT_TICK_MS, ReportPoller} from './reportPoller.js';
 import {RunnerController} from './runnerController.js';
@@ -113,6 +114,7 @@
   private readonly batches = new SeenBatches();
   private readonly outcomes: FleetOutcomes;
   private rateLimits: FleetRateLimits;
+  private speeds = new HolderSpeeds();
   private fleetUsage: FleetUsage;
   /** Term of the lease during which all use was reported to this process. */
   private usageTerm: number | undefined;
@@ -201,6 +203,7 @@
       usage: this.fleetUsage.snapshot(nowMs),
       rateLimits: this.rateLimits.snapshot(),
       leavingRunners: this.deps.view.leavingRunners(),
+      runnerSpeeds: this.speeds.snapshot(nowMs),
       suspects: this.deps.crashes.suspectListFor(input.knownSuspects),
     };
   }
@@ -214,6 +217,7 @@
     this.usageTerm = term;
     this.fleetUsage = this.createFleetUsage(nowMs);
     this.rateLimits = new FleetRateLimits(this.deps.clock);
+    this.speeds = new HolderSpeeds();
   }
 
   /** Starts from the amounts that this process last received as an entry. */
@@ -248,6 +252,7 @@
     const {rateLimits = [], leavingRunners = []} = input;
     this.entryLoads.record(entry, input, nowMs);
     this.rateLimits.recordLimits(rateLimits);
+    this.speeds.record(input.runnerSpeeds ?? [], nowMs);
     for (const runner of leavingRunners) {
       this.deps.view.noteLeaving(runner, 'peer');
     }
@@ -512,7 +517,8 @@
       if (registered?.service !== service || registered.leaving) continue;
       if (!controller.isReachable) continue;
       const inUse = this.entryLoads.modelsInUse(runnerId, nowMs);
-      runners.push({...toCopyRunner(controller, engine), inUse});
+      const speed = this.speeds.speed(runnerId, nowMs);
+      runners.push({...toCopyRunner(controller, engine), inUse, speed});
     }
     const orders = planCopies({
       runners,
--- a/packages/banyanfold-gateway/src/requests/admissionChecks.ts
+++ b/packages/banyanfold-gateway/src/requests/admissionChecks.ts
@@ -56,6 +56,7 @@
     const view = {
       workAhead: context.runnerStates.workAhead(runnerId, route.priority),
       workPerSecond: context.runnerStates.workPerSecond(runnerId),
+      speed: context.capacities.speed(runnerId),
       openRequests: context.runnerStates.openRequests(runnerId),
       slots: this.slotsOf(runnerId),
       ...this.remainingTimes(),
--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -139,6 +139,7 @@
           context.runnerStates.recordPromptRead(runnerId, state.work, {
             aheadWork,
             tookMs,
+            speed: context.capacities.speed(runnerId),
           });
         },
       },
@@ -163,10 +164,13 @@
     info: ResponseInfo,
     sentMs: number,
   ): void {
-    const {rateLimits, view, runnerBackoffs} = this.state.options.context;
+    const {rateLimits, view, runnerBackoffs, capacities} =
+      this.state.options.context;
     const {isLeaving, retryAfterMs = 0} = info;
     rateLimits.recordAnswer(runner.runnerId, info, sentMs);
     if (!isOwnResponse(info)) return;
+    if (info.isLoadInvalid) capacities.countInvalid('malformed');
+    if (info.load) capacities.record(runner, info.load);
     if (isLeaving) view.noteLeaving(runner, 'response');
     if (retryAfterMs > 0) runnerBackoffs.record(runner, retryAfterMs);
   }
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -72,10 +72,11 @@
     runners: readonly RunnerRegistration[],
   ): ChosenRunner | undefined {
     const {context, request} = this.options;
-    const {failureDomain, random, runnerStates} = context;
+    const {failureDomain, random, runnerStates, capacities} = context;
     const candidates = runners.map(runner => ({
       runnerId: runner.runnerId,
       failureDomain: runner.failureDomain,
+      speed: capacities.speed(runner.runnerId),
       isSuspect:
         runnerStates.isEjected(runner.runnerId) ||
         context.promptGate.isStalled(runner.runnerId),
@@ -228,7 +229,7 @@
 
   /** What the request shares with others; undefined for a plain service. */
   private affinity(): Affinity | undefined {
-    const {model, adapter, promptParts} = this.options.request;
+    const {model, adapter, promptParts, promptTokens} = this.options.request;
     if (model === undefined) return undefined;
     // The last prompt part is unique to the request.
     const shared = promptParts.slice(0, -1);
@@ -244,6 +245,10 @@
     return {
       key: `${model}/${affinityId}`,
       sharedWork: sharedTokens > 0 ? prefill : 0,
+      promptWork:
+        promptTokens > 0
+          ? workOf({requests: 1, promptTokens, outputTokens: 0}).prefill
+          : 0,
     };
   }
 }
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -196,7 +196,7 @@
     );
   }
 
-  /** Recent throughput of a runner, in units of work per second. */
+  /** Recent throughput of a runner at its usual speed, in work per second. */
   workPerSecond(runnerId: string): number {
     return this.states.get(runnerId)?.workPerSecond ?? ASSUMED_WORK_PER_SECOND;
   }
@@ -204,19 +204,21 @@
   /**
    * Records the first byte of a response, which shows that the prompt is read.
    *
-   * @param aheadWork open work on the runner when the request was sent.
+   * @param read with the open work on the runner when the request was sent.
    */
   recordPromptRead(
     runnerId: string,
     {work}: StartedWork,
-    {aheadWork, tookMs}: {aheadWork: number; tookMs: number},
+    read: {aheadWork: number; tookMs: number; speed?: number},
   ): void {
     const state = this.states.get(runnerId);
     if (!state) return;
+    const {aheadWork, tookMs, speed = 1} = read;
     state.openWork = Math.max(0, state.openWork - work.prefill);
     if (aheadWork < MIN_RATE_SAMPLE_WORK) return;
     const sampledRate =
-      ((aheadWork + work.prefill) * MS_PER_SECOND) / Math.max(tookMs, 1);
+      ((aheadWork + work.prefill) * MS_PER_SECOND) /
+      (Math.max(tookMs, 1) * speed);
     state.workPerSecond +=
       (sampledRate - state.workPerSecond) * RATE_SAMPLE_WEIGHT;
   }
@@ -321,19 +323,25 @@
     }
   }
 
-  /** Compares the runners of each service and ejects outliers. */
-  ejectOutliers(): void {
+  /**
+   * Compares the runners of each service and ejects outliers. A runner whose
+   * machine is slow is compared as if it were not.
+   */
+  ejectOutliers(speedOf: (runnerId: string) => number = () => 1): void {
     const nowMs = this.clock.nowMs();
     const outcomes: RunnerOutcomes[] = [];
     for (const [vmId, state] of this.states) {
       const oldestMs = nowMs - OUTCOME_WINDOW_MS;
       state.outcomes = state.outcomes.filter(({atMs}) => atMs >= oldestMs);
       const successes = state.outcomes.filter(({isSuccess}) => isSuccess);
+      const medianMs = medianOf(
+        successes.map(({firstTokenMs}) => firstTokenMs),
+      );
       outcomes.push({
         vmId,
         successes: successes.length,
         failures: state.outcomes.length - successes.length,
-        firstTokenMs: medianOf(successes.map(({firstTokenMs}) => firstTokenMs)),
+        firstTokenMs: medianMs * speedOf(vmId),
         ejectedUntilMs: state.ejectedUntilMs,
         peerGroup: state.service,
       });
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -221,6 +221,15 @@
   organisation?: string;
 }
 
+/** What a runner states about its load in a response. */
+export interface ReportedLoad {
+  running: number;
+  waiting: number;
+  slots: number;
+  /** How long work takes there at present; 100 is as usual. */
+  durationPercent?: number;
+}
+
 /** What the head of a runner's response states. */
 export interface ResponseInfo {
   requestId?: string;
@@ -244,6 +253,9 @@
    * this process, in ms; undefined if it names no time.
    */
   retryAfterMs?: number;
+  /** Undefined if the response states none, or an invalid one. */
+  load?: ReportedLoad;
+  isLoadInvalid?: boolean;
 }
 
 export type ResponseHeaders = Record<string, string | string[] | undefined>;
