--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -11,6 +11,7 @@
 import type {HeldCopies} from './runners/heldCopies.js';
 import type {PromptGate} from './runners/promptGate.js';
 import type {RunnerBackoffs} from './runners/runnerBackoffs.js';
+import type {RunnerCapacities} from './runners/runnerCapacities.js';
 import type {RunnerConnections} from './runners/runnerConnections.js';
 import type {RunnerRateLimits} from './runners/runnerRateLimits.js';
 import type {RunnerStates} from './runners/runnerStates.js';
@@ -41,6 +42,7 @@
   codec: RequestCodec;
   connections: RunnerConnections;
   runnerStates: RunnerStates;
+  capacities: RunnerCapacities;
   promptGate: PromptGate;
   rateLimits: RunnerRateLimits;
   runnerBackoffs: RunnerBackoffs;
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -45,6 +45,7 @@
 import {FleetOutcomes} from './fleetOutcomes.js';
 import {FleetRateLimits} from './fleetRateLimits.js';
 import {HolderShares} from './holderShares.js';
+import {HolderSpeeds} from './holderSpeeds.js';
 import {LoadRate} from './loadRate.js';
 import {REPORT_TICK_MS, ReportPoller} from './reportPoller.js';
 import {RunnerController} from './runnerController.js';
@@ -114,6 +115,7 @@
   private readonly batches = new SeenBatches();
   private readonly outcomes: FleetOutcomes;
   private rateLimits: FleetRateLimits;
+  private speeds = new HolderSpeeds();
   private fleetUsage: FleetUsage;
   private readonly shares: HolderShares;
   /** Term of the lease during which all use was reported to this process. */
@@ -208,6 +210,7 @@
         () => this.entryLoads.poolBacklogs(nowMs) ?? {},
       ),
       leavingRunners: this.deps.view.leavingRunners(),
+      runnerSpeeds: this.speeds.snapshot(nowMs),
       suspects: this.deps.crashes.suspectListFor(input.knownSuspects),
     };
   }
@@ -222,6 +225,7 @@
     this.fleetUsage = this.createFleetUsage(nowMs);
     this.shares.reset();
     this.rateLimits = new FleetRateLimits(this.deps.clock);
+    this.speeds = new HolderSpeeds();
   }
 
   /** Starts from the amounts that this process last received as an entry. */
@@ -256,6 +260,7 @@
     const {rateLimits = [], leavingRunners = []} = input;
     this.entryLoads.record(entry, input, nowMs);
     this.rateLimits.recordLimits(rateLimits);
+    this.speeds.record(input.runnerSpeeds ?? [], nowMs);
     for (const runner of leavingRunners) {
       this.deps.view.noteLeaving(runner, 'peer');
     }
@@ -521,7 +526,8 @@
       if (registered?.service !== service || registered.leaving) continue;
       if (!controller.isReachable) continue;
       const inUse = this.entryLoads.modelsInUse(runnerId, nowMs);
-      runners.push({...toCopyRunner(controller, engine), inUse});
+      const speed = this.speeds.speed(runnerId, nowMs);
+      runners.push({...toCopyRunner(controller, engine), inUse, speed});
     }
     const orders = planCopies({
       runners,
