Free the memory of refused requests without an exception

A request that is refused after its body was read keeps the handler that refuses it once more when memory is short. If its response was still held, behind an earlier one on the same connection, the second refusal threw, and an exception in a socket callback ends the process.

--- a/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
@@ -1,9 +1,12 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {MemoryLogger, Metrics, systemClock} from '@banyanfold/core';
+import net from 'node:net';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import type {GatewayContext} from '../context.js';
 import {GatewayServer} from '../gatewayServer.js';
+import {DEFAULT_OPTIONS} from '../options.js';
+import {HeldBytes} from '../resources/heldBytes.js';
 
 let server: GatewayServer;
 let logger: MemoryLogger;
@@ -12,6 +15,8 @@
 let hasRoute: boolean;
 let refreshes: number;
 let isLate: boolean;
+let isReady: boolean;
+let heldBytes: HeldBytes;
 
 const recordThrown = (error: unknown) => thrown.push(error);
 
@@ -22,14 +27,28 @@
   hasRoute = true;
   refreshes = 0;
   isLate = false;
+  isReady = true;
+  heldBytes = new HeldBytes({
+    clock: systemClock,
+    logger,
+    metrics: new Metrics(),
+    boundBytes: 10_000,
+    options: {...DEFAULT_OPTIONS, stalledAfterMs: 50},
+  });
   process.on('unhandledRejection', recordThrown);
   server = new GatewayServer({
     clock: systemClock,
     logger,
     metrics: new Metrics(),
     view: {
-      isReady: true,
-      onChange: () => () => {},
+      get isReady() {
+        return isReady;
+      },
+      currentConfig: undefined,
+      onChange: () => {
+        isReady = true;
+        return () => {};
+      },
       findRoute: () => (hasRoute ? {name: 'letter'} : undefined),
       isConfigConfirmed: () => isConfigConfirmed,
     },
@@ -46,6 +65,7 @@
       shouldRefuse: () => isLate,
       ownDelayMs: 2_000,
     },
+    heldBytes,
     random: () => 0,
     isDraining: () => false,
   } as unknown as GatewayContext);
@@ -109,4 +129,23 @@
     expect(await sendRequest()).toBe(503);
     expect(refreshes).toBe(1);
   });
+
+  // Guards against an exception, which ends the process, when memory is freed
+  // by a refused request whose response waits behind an earlier one.
+  it('frees the memory of a refused request that is pipelined', async () => {
+    hasRoute = false;
+    // Until the first request waits for it, so that only that one waits.
+    isReady = false;
+    const {port} = server.server.address() as AddressInfo;
+    const socket = net.connect(port, '127.0.0.1');
+    socket.on('error', () => {});
+    const body = 'x'.repeat(5_000);
+    const second = `POST /b HTTP/1.1\r\nhost: a\r\ncontent-length: 5000\r\n\r\n${body}`;
+    socket.write(`GET /a HTTP/1.1\r\nhost: a\r\n\r\n${second}`);
+    await new Promise(resolve => setTimeout(resolve, 200));
+    expect(heldBytes.heldBytes).toBe(5_000);
+    const response = new http.ServerResponse(new http.IncomingMessage(socket));
+    expect(heldBytes.admit(response, 5_000)).toBeDefined();
+    socket.destroy();
+  });
 });
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -119,9 +119,12 @@
       return;
     }
     if (holding) {
-      // Closes the connection of a caller that has stopped sending its body.
-      holding.giveWay = () =>
-        this.refusals.refuseForMemory(request, response, true);
+      // Closes the connection of a caller that has stopped sending its body, or
+      // that does not take an error response which was sent before.
+      holding.giveWay = () => {
+        if (response.headersSent) response.destroy();
+        else this.refusals.refuseForMemory(request, response, true);
+      };
     }
     const body = await readBody(request, {
       maxBytes: this.limits.maxBodyBytes,
