Report no refunds of charges that were never reported

An entry that was partitioned reported its use as of now and the refunds of that use as of when it was charged. The refunds then left the window first, so an organisation far below its cap seemed to be near it. The rows also grew with the length of the partition, ten a second for each organisation.

--- a/packages/banyanfold-gateway/src/__tests__/usageMeter.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/usageMeter.test.ts
@@ -43,4 +43,25 @@
     holder.addReports([{...counts, used: -5_000}], 2_000);
     expect(holder.snapshot(2_000)['claims']!.left).toBe(9_000);
   });
+
+  // Guards against refusing callers below the cap after a partition: use that is
+  // reported late counts as of now, so its refunds must not count as earlier.
+  it('does not report refunds of use that was never reported', () => {
+    const holder = startHolder();
+    const entry = new UsageMeter();
+    for (let nowMs = 100; nowMs <= 5_000; nowMs += 100) {
+      entry.note('claims', 200, 200);
+      entry.refund('claims', 180, nowMs);
+    }
+    const reports = entry.take(5_000);
+    expect(reports[0]!.refunds ?? []).toHaveLength(0);
+    holder.addReports(reports, 5_000);
+    // 1,000 of 9,000 have been used, and none of it leaves the window yet.
+    for (const nowMs of [5_000, 9_000, 11_000, 12_500]) {
+      holder.addReports([{organisation: 'claims', asked: 1, used: 0}], nowMs);
+      const {left, freedPerSecond} = holder.snapshot(nowMs)['claims']!;
+      expect(left).toBe(8_000);
+      expect(freedPerSecond).toBeGreaterThanOrEqual(0);
+    }
+  });
 });
--- a/packages/banyanfold-gateway/src/callers/usageMeter.ts
+++ b/packages/banyanfold-gateway/src/callers/usageMeter.ts
@@ -16,6 +16,7 @@
 /** Counts usage by organisation between two exchanges with the holder. */
 export class UsageMeter {
   private byOrganisation = new Map<string, Counts>();
+  private takenMs = Number.NEGATIVE_INFINITY;
 
   /**
    * @param asked the amount that callers requested, admitted or not.
@@ -27,8 +28,23 @@
     counts.used += used;
   }
 
-  /** @param chargedMs time at which the refunded amount was charged. */
+  /**
+   * Records a refund. One of a charge that is not reported yet only cancels it:
+   * the holder counts that charge when it is told of it, so a refund at an
+   * earlier time would leave the window before the charge does.
+   *
+   * @param chargedMs time at which the refunded amount was charged.
+   */
   refund(organisation: string, amount: number, chargedMs: number): void {
+    if (chargedMs > this.takenMs) this.of(organisation).used -= amount;
+    else this.refundReported(organisation, amount, chargedMs);
+  }
+
+  private refundReported(
+    organisation: string,
+    amount: number,
+    chargedMs: number,
+  ): void {
     const counts = this.of(organisation);
     counts.used -= amount;
     const step = Math.floor(chargedMs / REFUND_STEP_MS) * REFUND_STEP_MS;
@@ -41,7 +57,7 @@
       const refunded = refunds.reduce((sum, {amount}) => sum + amount, 0);
       this.note(organisation, asked, used + refunded);
       for (const {amount, agoMs} of refunds) {
-        this.refund(organisation, amount, nowMs - agoMs);
+        this.refundReported(organisation, amount, nowMs - agoMs);
       }
     }
   }
@@ -49,6 +65,7 @@
   /** Returns the counts and resets them. */
   take(nowMs: number): UsageReport[] {
     const taken = [...this.byOrganisation];
+    this.takenMs = nowMs;
     this.byOrganisation = new Map();
     return taken.map(([organisation, {asked, used, refunds}]) => ({
       organisation,
