Report the work of at most two exchanges for fair shares

The holder counts a report as of its arrival. After a partition of 10 s of half of the entries, the completed rate seemed to be a multiple of what it was, and as it fell, the division ended for 11 s although demand was in excess. The relay test passes the time that the meter now needs.

--- a/packages/banyanfold-gateway/src/__tests__/relay.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/relay.test.ts
@@ -183,7 +183,7 @@
       const poolBacklogs = {p: {requests: 1, work: 2, workMs: 1_600}};
       exchange(inputOf(entry, {batch, poolBacklogs}));
     }
-    expect(shares.take()).toEqual({
+    expect(shares.take(0)).toEqual({
       demandByOrganisation: [{...row, asked: 6, admitted: 2}],
       poolProgress: [{pool: 'p', completed: 4, dropped: 1}],
     });
--- a/packages/banyanfold-gateway/src/callers/fairShares.ts
+++ b/packages/banyanfold-gateway/src/callers/fairShares.ts
@@ -84,7 +84,7 @@
    * other entries have reported is passed on in any case.
    */
   takeReport(): Partial<ShareReport> {
-    const report = this.meter.take();
+    const report = this.meter.take(this.options.clock.nowMs());
     const {demandByOrganisation, poolProgress} = report;
     const isEmpty = demandByOrganisation.length + poolProgress.length === 0;
     return isEmpty && !this.isEnabled ? {} : report;
--- a/packages/banyanfold-gateway/src/callers/shareMeter.ts
+++ b/packages/banyanfold-gateway/src/callers/shareMeter.ts
@@ -10,11 +10,19 @@
   poolProgress: PoolProgress[];
 }
 
+/**
+ * Two exchanges. The holder counts a report as of the time of its arrival, so
+ * that the counts of a longer time, such as that of a partition, would seem to
+ * be a multiple of the rate.
+ */
+const MAX_REPORTED_MS = 500;
+
 /** Counts demand and progress of pools between two exchanges. */
 export class ShareMeter {
   private demand = new Map<string, ShareDemand>();
   private progress = new Map<string, PoolProgress>();
   private readonly backlogs = new Map<string, PoolBacklog>();
+  private takenMs: number | undefined;
 
   addDemand(added: ShareDemand): void {
     const {pool, organisation, priority} = added;
@@ -60,10 +68,24 @@
     return Object.fromEntries(this.backlogs);
   }
 
-  /** Returns the counts and resets them. */
-  take(): ShareReport {
-    const demandByOrganisation = [...this.demand.values()];
-    const poolProgress = [...this.progress.values()];
+  /**
+   * Returns the counts and resets them. Those of a longer time than two
+   * exchanges are reduced to that time.
+   */
+  take(nowMs: number): ShareReport {
+    const elapsedMs = nowMs - (this.takenMs ?? nowMs);
+    const share = Math.min(1, MAX_REPORTED_MS / elapsedMs);
+    this.takenMs = nowMs;
+    const demandByOrganisation = [...this.demand.values()].map(demand => ({
+      ...demand,
+      asked: demand.asked * share,
+      admitted: demand.admitted * share,
+    }));
+    const poolProgress = [...this.progress.values()].map(progress => ({
+      ...progress,
+      completed: progress.completed * share,
+      dropped: progress.dropped * share,
+    }));
     this.demand = new Map();
     this.progress = new Map();
     return {demandByOrganisation, poolProgress};
