End a request whose handling throws

Its timers went on and answered it a second time at its deadline, which threw outside of any request and ended the process. Until then it counted in the backlog of its pool.

--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -1,6 +1,7 @@
 import {priorityWeight} from '@banyanfold/decisions';
 import {AttemptResults} from './attemptResults.js';
 import {AttemptSender} from './attemptSender.js';
+import {ERROR_STATUS} from './errorResponse.js';
 import {RequestAdmission, RUNNER_POLL_MS} from './requestAdmission.js';
 import {RequestEnding} from './requestEnding.js';
 import {RequestState, type RequestHandlerOptions} from './requestState.js';
@@ -38,6 +39,16 @@
 
   /** Handles the request; resolves once it is finished. */
   async run(): Promise<void> {
+    try {
+      await this.handle();
+    } catch (thrown) {
+      this.state.relay.cancel();
+      this.ending.finish('failed-inside', ERROR_STATUS.unknown);
+      throw thrown;
+    }
+  }
+
+  private async handle(): Promise<void> {
     const {context, startedMs, route} = this.options;
     const {state, admission, ending} = this;
     // Before the demand is counted: it must not trigger loads of copies for
@@ -59,9 +70,12 @@
     const responseStartTimer = context.clock.setTimer(startLeftMs, () =>
       ending.refuseIfNotStarted('no-place-in-time'),
     );
-    while (!state.isFinished) await this.step();
-    deadlineTimer.cancel();
-    responseStartTimer.cancel();
+    try {
+      while (!state.isFinished) await this.step();
+    } finally {
+      deadlineTimer.cancel();
+      responseStartTimer.cancel();
+    }
     context.metrics.observeMs('request_ms', context.clock.nowMs() - startedMs, {
       kind: route.kind,
     });
