Do not hold back refunded amounts behind a relay

An entry behind a relay counts what it admitted lately as not included in an update. It counted requests that runners had rejected too, and refused callers below the cap for them.

--- a/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
@@ -269,7 +269,19 @@
     usage.update({left: 100_000, freedPerSecond: 0, askedPerSecond: 0}, 0, 0);
     usage.decide(95_000, view);
     expect(usage.decide(9_000, view).kind).toBe('refuse');
-    usage.refund(95_000);
+    usage.refund(95_000, view.nowMs);
+    expect(usage.decide(9_000, view).kind).toBe('admit');
+  });
+
+  // Guards against refusing callers below the cap for requests that runners
+  // rejected, which an update through a relay would count as admitted.
+  it('does not count a refunded amount as one that a relay holds back', () => {
+    const usage = new OrganisationUsage(true);
+    const fleet = {left: 100_000, freedPerSecond: 0, askedPerSecond: 0};
+    usage.update(fleet, -500, 0, true);
+    usage.decide(95_000, view);
+    usage.refund(95_000, view.nowMs);
+    usage.update(fleet, 0, 0, true);
     expect(usage.decide(9_000, view).kind).toBe('admit');
   });
 
--- a/packages/banyanfold-decisions/src/__tests__/simulateUsage.ts
+++ b/packages/banyanfold-decisions/src/__tests__/simulateUsage.ts
@@ -237,7 +237,7 @@
 }
 
 function refund({entry, tokens, chargedMs}: Refund): void {
-  entry.usage.refund(tokens);
+  entry.usage.refund(tokens, chargedMs);
   entry.used -= tokens;
   entry.refunds.push({amount: tokens, chargedMs});
 }
--- a/packages/banyanfold-decisions/src/usage/amountLog.ts
+++ b/packages/banyanfold-decisions/src/usage/amountLog.ts
@@ -23,6 +23,12 @@
     while (entries[0]!.atMs < nowMs - keptMs) entries.shift();
   }
 
+  /** Subtracts an amount that was added at a time, if it is still kept. */
+  subtractAt(amount: number, addedMs: number): void {
+    const entry = this.entries.findLast(({atMs}) => atMs <= addedMs);
+    if (entry) entry.amount -= amount;
+  }
+
   /** Sum of the amounts added at or after a time. */
   sumSince(sinceMs: number): number {
     let sum = 0;
--- a/packages/banyanfold-decisions/src/usage/organisationUsage.ts
+++ b/packages/banyanfold-decisions/src/usage/organisationUsage.ts
@@ -162,9 +162,14 @@
     this.others.markReported(nowMs);
   }
 
-  /** Returns an admitted amount that was not run. */
-  refund(amount: number): void {
+  /**
+   * Returns an admitted amount that was not run.
+   *
+   * @param chargedMs time of the decision to admit it.
+   */
+  refund(amount: number, chargedMs: number): void {
     this.unaccounted -= amount;
+    this.admitted.subtractAt(amount, chargedMs);
   }
 
   /**
--- a/packages/banyanfold-gateway/src/callers/usageAccounts.ts
+++ b/packages/banyanfold-gateway/src/callers/usageAccounts.ts
@@ -208,7 +208,7 @@
    */
   refund(organisation: string, amount: number, chargedMs: number): void {
     const account = this.of(organisation);
-    account.usage.refund(amount);
+    account.usage.refund(amount, chargedMs);
     account.unreported -= amount;
     this.meter.refund(organisation, amount, chargedMs);
   }
