Close the connection after an error response of a runner

It was neither released nor closed, and stayed open for 4 s. The descriptor budget counts connections that are in use or idle, so it did not count it.

--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -159,12 +159,10 @@
     if (result.kind === 'broken' && result.isClosedByRunner) {
       context.crashWatch.noteConnectionLost(runner, state.fingerprint);
     }
-    if (result.kind === 'delivered' || result.kind === 'rejected') {
-      if (result.canReuse) {
-        context.connections.release(runner.address, connection);
-      } else {
-        connection.destroy();
-      }
+    if ('canReuse' in result && result.canReuse) {
+      context.connections.release(runner.address, connection);
+    } else {
+      connection.destroy();
     }
     return result;
   }
