--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -120,7 +120,10 @@
     if (!result || state.isFinished) return result;
     results.record(target, result);
     if (result.kind === 'delivered') return result;
-    await this.options.context.untilRetryBudgetKnown();
+    // A retry after an unreached runner takes nothing from the budget.
+    if (result.kind !== 'unreached') {
+      await this.options.context.untilRetryBudgetKnown();
+    }
     if (!state.isFinished) results.retryOrFail(target, result);
     return result;
   }
