Refund every request that is refused as not run

An attempt that waited for its connection counted as sent, so a request that was refused meanwhile stayed charged to the cap of its organisation.

--- a/packages/banyanfold-gateway/src/requests/requestEnding.ts
+++ b/packages/banyanfold-gateway/src/requests/requestEnding.ts
@@ -31,6 +31,8 @@
 
   respond(status: number, reason: string, retryAfterMs?: number): void {
     const {response, context} = this.state.options;
+    // Also if an attempt was cancelled while it waited for its connection.
+    if (status === ERROR_STATUS.notRun) this.state.usageCharge.refund();
     this.finish(reason, status);
     sendErrorResponse(
       response,
