Refuse for lack of descriptors without waiting for a stalled body

The refusal was sent at the end of the request body, for which nothing set a limit. Callers that stopped sending kept the connections that are reserved for refusals, and others were then closed without an answer.

--- a/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
@@ -16,6 +16,7 @@
 let refreshes: number;
 let isLate: boolean;
 let isReady: boolean;
+let hasDescriptors: boolean;
 let heldBytes: HeldBytes;
 
 const recordThrown = (error: unknown) => thrown.push(error);
@@ -28,6 +29,7 @@
   refreshes = 0;
   isLate = false;
   isReady = true;
+  hasDescriptors = true;
   heldBytes = new HeldBytes({
     clock: systemClock,
     logger,
@@ -66,6 +68,11 @@
       ownDelayMs: 2_000,
     },
     heldBytes,
+    descriptors: {
+      addCaller: () => {},
+      countRequestsBy: () => {},
+      canServe: () => hasDescriptors,
+    },
     random: () => 0,
     isDraining: () => false,
   } as unknown as GatewayContext);
@@ -162,4 +169,18 @@
     expect(response.headers.connection).toBe('keep-alive');
     agent.destroy();
   });
+
+  // Guards against callers that stop sending and keep the descriptors that are
+  // reserved for refusals.
+  it('refuses without descriptors although a body does not arrive', async () => {
+    hasDescriptors = false;
+    const {port} = server.server.address() as AddressInfo;
+    const socket = net.connect(port, '127.0.0.1');
+    let received = '';
+    socket.on('data', bytes => (received += String(bytes)));
+    const closed = new Promise(resolve => socket.once('close', resolve));
+    socket.write('POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nx');
+    await closed;
+    expect(received).toMatch(/^HTTP\/1.1 503 /);
+  });
 });
--- a/packages/banyanfold-gateway/src/requests/headRefusals.ts
+++ b/packages/banyanfold-gateway/src/requests/headRefusals.ts
@@ -23,6 +23,12 @@
  * that long, and each that ends frees two.
  */
 const DESCRIPTORS_RETRY_AFTER_MS = 1_000;
+/**
+ * Time for the body of a request that is refused because of descriptors. Callers
+ * abandon a silent connection after 1 s, and one that stops sending would keep
+ * its descriptor for as long as it likes.
+ */
+const MAX_REFUSED_BODY_MS = 500;
 
 /** Refuses requests before they are handled; none of them has run. */
 export class HeadRefusals {
@@ -119,7 +125,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    const {metrics, logger, random} = this.context;
+    const {clock, metrics, logger, random} = this.context;
     const retryAfterMs = retryAfterPauseMs(DESCRIPTORS_RETRY_AFTER_MS, random);
     metrics.count('refused_for_descriptors_total');
     logger.info('refuse', {
@@ -127,13 +133,18 @@
       target: request.url,
       retryAfterMs: Math.round(retryAfterMs),
     });
-    const send = () =>
+    const send = () => {
+      timer.cancel();
+      if (response.headersSent || response.closed) return;
       sendErrorResponse(
         response,
         {status: ERROR_STATUS.notRun, reason: 'descriptors', retryAfterMs},
         true,
       );
-    if (announcedBytes(request) === 0) return send();
+    };
+    const hasBody = announcedBytes(request) > 0 || hasUnknownLength(request);
+    const waitMs = hasBody ? MAX_REFUSED_BODY_MS : 0;
+    const timer = clock.setTimer(waitMs, send);
     request.once('end', send);
     request.resume();
   }
