--- a/packages/banyanfold-gateway/src/__tests__/heldBytes.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/heldBytes.test.ts
@@ -135,6 +135,17 @@
       isSufficient: false,
     });
   });
+
+  // Guards against ending requests whose end frees nothing.
+  it('does not choose a transfer that holds no memory', () => {
+    const transfers = [
+      {id: 1, bytes: 0, waitingMs: 5_000},
+      {id: 2, bytes: 900, waitingMs: 20},
+    ];
+    const view = {heldBytes: 900, targetBytes: 0, isOnlyStalled: false};
+    const chosen = decideGivingWay({...view, transfers}, 1_000).transfers;
+    expect(chosen.map(({id}) => id)).toEqual([2]);
+  });
 });
 
 describe('HeldBytes', () => {
--- a/packages/banyanfold-gateway/src/resources/decideGivingWay.ts
+++ b/packages/banyanfold-gateway/src/resources/decideGivingWay.ts
@@ -44,6 +44,7 @@
 ): GivingWayDecision {
   const isStalled = ({waitingMs}: HeldTransfer) => waitingMs >= stalledAfterMs;
   const ordered = transfers
+    .filter(({bytes}) => bytes > 0)
     .filter(transfer => !isOnlyStalled || isStalled(transfer))
     .sort(
       (a, b) =>
