--- a/packages/banyanfold-decisions/src/__tests__/organisationUsage.surge.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/organisationUsage.surge.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {usageLimitOf} from '../usage/usageLimit.js';
+import {randomOf} from './randomOf.js';
 import {simulateFleet, type FleetOptions} from './simulateUsage.js';
 
 const WINDOW_MS = 8_000;
@@ -12,17 +13,6 @@
 const MEAN_TOKENS =
   (TOKENS.most - TOKENS.least) / Math.log(TOKENS.most / TOKENS.least);
 
-/** Mulberry32, so that a seed always gives the same load. */
-function randomOf(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let t = Math.imul(state ^ (state >>> 15), 1 | state);
-    t = (t + Math.imul(t ^ (t >>> 7), 61 | t)) ^ t;
-    return ((t ^ (t >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 const anyOrganisation = fc.record({
   seed: fc.integer({min: 1, max: 1_000_000}),
   ratePerSecond: fc.integer({min: 60_000, max: 180_000}),
--- a/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/organisationUsage.test.ts
@@ -5,6 +5,7 @@
 import {OrganisationUsage} from '../usage/organisationUsage.js';
 import {usageLimitOf} from '../usage/usageLimit.js';
 import {SlidingWindow} from '../usage/slidingWindow.js';
+import {randomOf} from './randomOf.js';
 import {
   EXCHANGE_MS,
   simulateFleet,
@@ -20,17 +21,6 @@
 const TOLERANCE = {share: 0.1, tokens: 110_000};
 const MEAN_TOKENS = 7_500;
 
-/** Mulberry32, so that a seed always gives the same load. */
-function randomOf(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let t = Math.imul(state ^ (state >>> 15), 1 | state);
-    t = (t + Math.imul(t ^ (t >>> 7), 61 | t)) ^ t;
-    return ((t ^ (t >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 function simulate(
   ratePerSecond: number,
   demandRatio: number,
--- a/packages/banyanfold-gateway/src/__tests__/retryBudgets.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/retryBudgets.test.ts
@@ -86,20 +86,27 @@
   });
 });
 
+function budgetsFor(
+  clock: VirtualClock,
+  entryCount: () => number | undefined,
+): RetryBudgets {
+  return new RetryBudgets({
+    clock,
+    metrics: new Metrics(),
+    retryRatio: RETRY_RATIO,
+    retrySlack: 100,
+    retryWindowMs: WINDOW_MS,
+    usedShare: 1,
+    entryCount,
+    random: () => 0.99,
+  });
+}
+
 describe('RetryBudgets', () => {
   it('follows the number of entries', async () => {
     const clock = new VirtualClock();
     let entries: number | undefined;
-    const budgets = new RetryBudgets({
-      clock,
-      metrics: new Metrics(),
-      retryRatio: RETRY_RATIO,
-      retrySlack: 100,
-      retryWindowMs: WINDOW_MS,
-      usedShare: 1,
-      entryCount: () => entries,
-      random: () => 0.99,
-    });
+    const budgets = budgetsFor(clock, () => entries);
     const available = () => budgets.of(SERVICE).available;
     const capacityOf = (count: number) =>
       Math.floor((100 * 0.7) / count + RETRY_RATIO);
@@ -127,16 +134,7 @@
   it('lets retries wait for the number of entries, but not for long', async () => {
     const clock = new VirtualClock();
     let entries: number | undefined;
-    const budgets = new RetryBudgets({
-      clock,
-      metrics: new Metrics(),
-      retryRatio: RETRY_RATIO,
-      retrySlack: 100,
-      retryWindowMs: WINDOW_MS,
-      usedShare: 1,
-      entryCount: () => entries,
-      random: () => 0.99,
-    });
+    const budgets = budgetsFor(clock, () => entries);
     let ended = 0;
     const wait = () => void budgets.untilKnown().then(() => (ended += 1));
     wait();
