Know that a request may have run before its result is recorded

Found by review: between the end of an attempt and the record of its result nothing said that the request may have run. If memory had to be freed just then, the caller would have got a 503, which promises that it has not run. The relay itself now remembers it.

--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -66,6 +66,11 @@
   /** Bytes of the current attempt that the writer doesn't have yet. */
   private readUnsentBytes = () => 0;
   private inFlight: {attempt: Attempt; abandon: () => void} | undefined;
+  /**
+   * An attempt that may have run has ended without an answer. Known here before
+   * the result is recorded, because memory may have to be freed in between.
+   */
+  private mayHaveRun = false;
   private readonly writer: ResponseWriter;
 
   constructor(private readonly options: ResponseRelayOptions) {
@@ -78,7 +83,8 @@
 
   /** Whether a runner has the request or a part of a response was forwarded. */
   get isSent(): boolean {
-    return this.hasStarted || (this.inFlight?.attempt.mayHaveRun ?? false);
+    const isInFlight = this.inFlight?.attempt.mayHaveRun ?? false;
+    return this.hasStarted || this.mayHaveRun || isInFlight;
   }
 
   /** Sends one attempt; resolves when its response ends or fails. */
@@ -90,9 +96,11 @@
     return new Promise(resolve => {
       const settle = (result: AttemptResult) => {
         this.inFlight = undefined;
-        if (result.kind === 'broken') connection.destroy();
+        const {kind} = result;
+        if (kind === 'broken' || kind === 'failed') this.mayHaveRun = true;
+        if (kind === 'broken') connection.destroy();
         // The body of a failure is kept, as it may be sent to the caller.
-        if (result.kind !== 'failed') this.readUnsentBytes = () => 0;
+        if (kind !== 'failed') this.readUnsentBytes = () => 0;
         this.options.holding?.recount();
         resolve(result);
       };
@@ -111,7 +119,7 @@
    */
   cancel(): boolean {
     const {inFlight} = this;
-    if (!inFlight) return false;
+    if (!inFlight) return this.mayHaveRun;
     inFlight.attempt.cancel();
     inFlight.abandon();
     return inFlight.attempt.mayHaveRun;
