Tell the software version of runners and the origin of resumed streams

Neither the version of a runner nor the name that a caller gives the stream's beginning was decoded.

No decision changes. route lines have software, resumes and afterEvent, runner lines software; streams_resumed_total counts by way and version.

--- a/packages/banyanfold-gateway/src/__tests__/responseRelay.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/responseRelay.test.ts
@@ -28,7 +28,12 @@
   const ended = relay.relay(
     connection as unknown as RunnerConnection,
     {method: 'GET', target: '/', headers: [], body: Buffer.alloc(0)},
-    {runnerId: 'i-1', onResponseInfo: () => {}, onFirstByte: () => {}},
+    {
+      runnerId: 'i-1',
+      onResponseInfo: () => {},
+      onFirstByte: () => {},
+      beforeEvents: () => {},
+    },
   );
   handler!.onResponseError!(
     undefined as unknown as Dispatcher.DispatchController,
--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -120,7 +120,10 @@
     const {runnerId} = runner;
     const nowMs = context.clock.nowMs();
     const connection = context.connections.acquire(runner.address);
-    state.log.route(target, state.counts, connection.isReused);
+    state.log.route(target, state.counts, {
+      isReused: connection.isReused,
+      afterEvent: state.relay.lastEventId ?? decoded.request.lastEventId,
+    });
     const headers = context.codec.encodeAttempt(decoded, {
       runnerId,
       remainingMs: state.deadlineMs - nowMs,
@@ -129,6 +132,7 @@
       lastEventId: state.relay.lastEventId,
       organisation: state.currentOrganisation?.name,
     });
+    this.countResumedStream(runner);
     state.sendCount += 1;
     let isPromptRead = false;
     const result = await state.relay.relay(
@@ -141,6 +145,9 @@
       },
       {
         runnerId,
+        beforeEvents: () => {
+          state.firstWriter ??= runner;
+        },
         onResponseInfo: info => this.recordResponseInfo(runner, info, nowMs),
         onFirstByte: () => {
           isPromptRead = true;
@@ -168,6 +175,20 @@
     return result;
   }
 
+  /** Counts an attempt that continues a stream, by how its versions compare. */
+  private countResumedStream({softwareVersion}: RunnerRegistration): void {
+    const {firstWriter, relay, options} = this.state;
+    const {context, decoded} = options;
+    const isSameResponse = relay.lastEventId !== undefined;
+    if (!isSameResponse && decoded.request.lastEventId === undefined) return;
+    const isSameVersion = firstWriter?.softwareVersion === softwareVersion;
+    const software = isSameVersion ? 'same' : 'other';
+    context.metrics.count('streams_resumed_total', {
+      in: isSameResponse ? 'same-response' : 'new-request',
+      software: firstWriter ? software : 'unknown',
+    });
+  }
+
   private recordResponseInfo(
     runner: RunnerRegistration,
     info: ResponseInfo,
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -34,16 +34,26 @@
 export class RequestLog {
   constructor(private readonly options: RequestLogOptions) {}
 
-  route(target: Target, counts: AttemptCounts, isReused: boolean): void {
+  /**
+   * @param afterEvent id of the event after which the attempt resumes a stream.
+   */
+  route(
+    target: Target,
+    counts: AttemptCounts,
+    {isReused, afterEvent}: {isReused: boolean; afterEvent?: string},
+  ): void {
     const {context, route, startedMs} = this.options;
     const {runner, reason} = target;
-    const {model, adapter} = this.options.decoded.request;
+    const {model, adapter, resumedRequestId} = this.options.decoded.request;
     this.logEvent('route', {
       route: route.name,
       fingerprint: this.options.fingerprint,
       model,
       adapter,
       runner: runner.runnerId,
+      software: runner.softwareVersion,
+      resumes: resumedRequestId,
+      afterEvent,
       attempt: counts.attemptsMade + 1,
       rejections: counts.rejections,
       reason,
--- a/packages/banyanfold-gateway/src/requests/requestState.ts
+++ b/packages/banyanfold-gateway/src/requests/requestState.ts
@@ -7,7 +7,12 @@
 import type {PromptPermit} from '../runners/promptGate.js';
 import type {StartedWork} from '../runners/runnerStates.js';
 import type {Holding} from '../resources/holding.js';
-import type {DecodedRequest, Organisation, RoutePolicy} from '../types.js';
+import type {
+  DecodedRequest,
+  Organisation,
+  RoutePolicy,
+  RunnerRegistration,
+} from '../types.js';
 import {pickService} from './pickService.js';
 import {fingerprintOf} from './requestFingerprint.js';
 import {RequestLog, type AttemptCounts} from './requestLog.js';
@@ -60,6 +65,8 @@
   sendCount = 0;
   rejections = 0;
   mayHaveRun = false;
+  /** The runner that wrote the first event which was forwarded. */
+  firstWriter: RunnerRegistration | undefined;
   /** Turn of the prompt that waits or is being read. */
   promptTurn: PromptPermit | undefined;
   /** Undefined without fair shares. */
--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -34,6 +34,8 @@
 export interface AttemptHooks {
   runnerId: string;
   onFirstByte(): void;
+  /** Called before complete events of a stream are forwarded to the caller. */
+  beforeEvents(): void;
   /**
    * Called with the decoded head of a response to this request that was not
    * changed in transit, whether or not it is signed.
@@ -173,7 +175,9 @@
       },
       onData: chunk => {
         if (!incoming) return true;
-        if (incoming.isStreamed) return this.forwardEvents(splitter, chunk);
+        if (incoming.isStreamed) {
+          return this.forwardEvents(splitter, chunk, hooks);
+        }
         incoming.bufferedBytes += chunk.length;
         incoming.chunks.push(chunk);
         holding?.noteReceived();
@@ -213,10 +217,15 @@
     this.writer.startStream(head);
   }
 
-  private forwardEvents(splitter: EventSplitter, chunk: Buffer): boolean {
+  private forwardEvents(
+    splitter: EventSplitter,
+    chunk: Buffer,
+    hooks: AttemptHooks,
+  ): boolean {
     const events = splitter.push(chunk);
     this.options.holding?.noteReceived();
     if (!events) return true;
+    hooks.beforeEvents();
     if (events.lastEventId !== undefined) this.lastEventId = events.lastEventId;
     this.recordPause();
     const {inFlight} = this;
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -134,6 +134,11 @@
   service: string;
   address: string;
   failureDomain: string;
+  /**
+   * Version of the runner's software, not of its weights; undefined if it
+   * states none.
+   */
+  softwareVersion?: string;
   slots: number;
   leaving: boolean;
   /** Time until the runner stops, if it was given short notice. */
@@ -201,6 +206,11 @@
   deadlineMs?: number;
   /** Id of the last event that the caller received of a stream it resumes. */
   lastEventId?: string;
+  /**
+   * Id of the request that brought the first event of the stream that this one
+   * resumes.
+   */
+  resumedRequestId?: string;
 }
 
 export interface DecodedRequest {
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -168,6 +168,7 @@
         runner: runnerId,
         bornMs,
         service: registration.service,
+        software: registration.softwareVersion,
         address: registration.address,
         leaving,
         remainingMs: registration.remainingMs,
