Let a stream go on only at the version that began it

Cause: no part of the path knew a runner's version. After a break in the same response, and for a caller that takes a stream up in a new request, any runner of the service was chosen. The class: state that one process wrote and another continues, without what ties the two together. Ruled out: a version that changes under one id; each new runner has a new id.

An entry records the version before it forwards the first event, sends the record to two peers while the service has several versions, and asks its peers for a stream that it doesn't know. Without an answer the stream goes on only where a single version has served for as long as a stream can be open, else it is refused, so that nothing is guessed.

--- a/packages/banyanfold-decisions/src/chooseRelays.ts
+++ b/packages/banyanfold-decisions/src/chooseRelays.ts
@@ -1,3 +1,4 @@
+import {groupByDomain} from './groupByDomain.js';
 import {hashRank, rankByWeight} from './rankByWeight.js';
 
 /** An entry that can relay state between the lease holder and other entries. */
@@ -59,7 +60,7 @@
 ): RelaysByDomain {
   const relays = new Map<string, readonly string[]>();
   if (entries.length <= options.maxDirectEntries) return relays;
-  for (const [domain, members] of byDomain(entries)) {
+  for (const [domain, members] of groupByDomain(entries)) {
     const others = members.filter(({address}) => address !== holder);
     // A relay that serves only itself would add a hop and save none.
     if (others.length < 2) continue;
@@ -106,15 +107,3 @@
     ? processorShare * hysteresisFactor
     : processorShare;
 }
-
-function byDomain(
-  entries: readonly RelayCandidate[],
-): Map<string, RelayCandidate[]> {
-  const domains = new Map<string, RelayCandidate[]>();
-  for (const entry of entries) {
-    const members = domains.get(entry.failureDomain);
-    if (members) members.push(entry);
-    else domains.set(entry.failureDomain, [entry]);
-  }
-  return domains;
-}
--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -5,6 +5,7 @@
 import {CrashSuspects} from '../crashes/crashSuspects.js';
 import {DEFAULT_OPTIONS} from '../options.js';
 import {HolderLink} from '../peers/holderLink.js';
+import {KeeperList} from '../streams/keeperList.js';
 import type {
   ExchangeInput,
   ExchangeOutput,
@@ -85,6 +86,7 @@
     }),
     fairShares,
     suspects: new CrashSuspects(clock),
+    keeperList: new KeeperList(),
     states: new RunnerStates(clock, logger, DEFAULT_OPTIONS),
     rateLimits: new RunnerRateLimits({
       clock,
--- a/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
@@ -14,6 +14,7 @@
   RunnerControl,
   RunnerRegistration,
 } from '../types.js';
+import {KeeperList} from '../streams/keeperList.js';
 import {FleetView} from '../view/fleetView.js';
 
 const OWN = 'own:7';
@@ -118,6 +119,7 @@
     options: DEFAULT_OPTIONS,
     holder: OWN,
     loadRate: new LoadRate(1_000, 0),
+    keeperList: new KeeperList(),
     crashes: new CrashLedger({
       clock,
       logger,
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -18,6 +18,7 @@
 import type {BacklogWatch} from './resources/backlogWatch.js';
 import type {DescriptorBudget} from './resources/descriptorBudget.js';
 import type {HeldBytes} from './resources/heldBytes.js';
+import type {StreamOrigins} from './streams/streamOrigins.js';
 import type {RequestCodec} from './types.js';
 import type {FleetView} from './view/fleetView.js';
 
@@ -59,6 +60,7 @@
   descriptors?: DescriptorBudget;
   fairShares: FairShares;
   workForecast: WorkForecast;
+  streamOrigins: StreamOrigins;
   /**
    * How long keys are accepted after the configuration was last confirmed, in
    * ms; undefined if without limit.
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import type {Server} from 'node:http';
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
+import {DEFAULT_CHOOSE_KEEPERS_OPTIONS} from '@banyanfold/decisions';
 import type {GatewayContext} from './context.js';
 import {FairShares} from './callers/fairShares.js';
 import {UsageAccounts} from './callers/usageAccounts.js';
@@ -13,7 +14,8 @@
 import {DEFAULT_OPTIONS, type GatewayOptions} from './options.js';
 import {ConfigFetcher, encodePeerConfig} from './peers/configFetcher.js';
 import {HolderLink} from './peers/holderLink.js';
-import {fetchPeerConfig, offerLease} from './peers/peerClient.js';
+import {fetchOrigins, fetchPeerConfig, offerLease} from './peers/peerClient.js';
+import {PeerClients} from './peers/peerClients.js';
 import type {LeaseHandover, PeerHandlers} from './peers/peerContract.js';
 import {PeerServer} from './peers/peerServer.js';
 import {DemandMeter} from './placement/demandMeter.js';
@@ -42,7 +44,14 @@
   RequestCodec,
   RunnerControl,
   UsageStore,
+  VersionNoteStore,
 } from './types.js';
+import {KeeperList} from './streams/keeperList.js';
+import {OriginLookup} from './streams/originLookup.js';
+import type {StreamOrigin} from './streams/originRecords.js';
+import {OriginReplicator} from './streams/originReplicator.js';
+import {StreamOrigins} from './streams/streamOrigins.js';
+import {VersionNotes} from './streams/versionNotes.js';
 import {FleetView} from './view/fleetView.js';
 
 /** Limits that the deployment sets on the system. */
@@ -95,6 +104,7 @@
   control: RunnerControl;
   quarantine: QuarantineStore;
   usage: UsageStore;
+  versionNotes: VersionNoteStore;
   random?: () => number;
 }
 
@@ -103,6 +113,10 @@
 /** Number of entries assumed until the holder has reported it. */
 const ASSUMED_ENTRY_COUNT = 8;
 const MAINTENANCE_INTERVAL_MS = 500;
+/** Two replicas, and one that replaces a keeper that was lost. */
+const MAX_KEEPER_CLIENTS = 3;
+/** A keeper that is awake answers within some ms, a busy one within 0.3 s. */
+const ORIGIN_LOOKUP_TIMEOUT_MS = 300;
 const DRAIN_POLL_MS = 50;
 /** Reserved to leave the group, or to offer peers the lease without a store. */
 const RELEASE_MS = 2_000;
@@ -120,6 +134,9 @@
   private readonly quarantineKeeper: QuarantineKeeper;
   private readonly configFetcher: ConfigFetcher;
   private readonly usageKeeper: UsageKeeper;
+  private readonly versionNotes: VersionNotes;
+  private readonly replicator: OriginReplicator;
+  private readonly keeperClients: PeerClients;
   private stopMaintenance: () => void = () => {};
   private stopBacklogWatch: (() => void) | undefined;
   /** Undefined until the holder has reported it. */
@@ -207,6 +224,7 @@
       deps.fleet.refreshConfig();
       this.configFetcher.noteNewerVersion(version, peer);
     };
+    const keeperList = new KeeperList();
     this.holder = new LeaseHolder({
       clock,
       logger,
@@ -218,6 +236,7 @@
       holder: address,
       loadRate,
       crashes: crashLedger,
+      keeperList,
       processorShare: settings.processorShare,
       usage: usageAccounts,
       onNewerConfig,
@@ -232,6 +251,47 @@
       isFirstStart: settings.isFirstStart,
       nearLimit: () => this.holder.usageNearLimit(),
     });
+    this.keeperClients = new PeerClients(
+      options.peerTimeoutMs,
+      options.adapterTimeoutMs,
+      MAX_KEEPER_CLIENTS,
+    );
+    this.replicator = new OriginReplicator({
+      clock,
+      logger,
+      metrics,
+      self: {address, failureDomain: settings.failureDomain},
+      keepers: () => keeperList.keepers,
+      batchIntervalMs: () =>
+        this.entryCount <= DEFAULT_CHOOSE_KEEPERS_OPTIONS.maxSmallFleet
+          ? options.originBatchMs
+          : options.largeFleetOriginBatchMs,
+      send: (keeper, origins) => this.sendOrigins(keeper, origins),
+    });
+    const streamOrigins = new StreamOrigins({
+      clock,
+      metrics,
+      view: this.view,
+      lookup: new OriginLookup({
+        clock,
+        address,
+        keepers: () => keeperList.keepers,
+        entryCount: () => this.entryCount,
+        ask: (keeper, input) =>
+          fetchOrigins(keeper, input, ORIGIN_LOOKUP_TIMEOUT_MS),
+      }),
+      replicator: this.replicator,
+      memoryMs: options.streamMemoryMs,
+      notedServices: () => this.versionNotes.services,
+    });
+    this.versionNotes = new VersionNotes({
+      clock,
+      logger,
+      store: deps.versionNotes,
+      lease,
+      history: () => streamOrigins.history,
+    });
+    keeperList.onChange = () => this.replicator.resume();
     this.holderLink = new HolderLink({
       clock,
       logger,
@@ -248,6 +308,7 @@
       usage: usageAccounts,
       fairShares,
       suspects,
+      keeperList,
       states: runnerStates,
       rateLimits,
       capacities,
@@ -330,6 +391,7 @@
             }),
       fairShares,
       workForecast: new WorkForecast(() => clock.nowMs()),
+      streamOrigins,
       keysTrustedMs: settings.bounds.keysTrustedMs,
       configApplyMs: settings.bounds.configApplyMs,
       refreshConfig: () => deps.fleet.refreshConfig(),
@@ -410,6 +472,7 @@
     this.holderLink.start();
     this.quarantineKeeper.start();
     this.usageKeeper.start();
+    this.versionNotes.start();
     this.lastMaintenanceMs = clock.nowMs();
     this.stopMaintenance = repeatEvery(clock, MAINTENANCE_INTERVAL_MS, () =>
       this.runMaintenance(),
@@ -466,6 +529,9 @@
     this.holderLink.stop();
     this.quarantineKeeper.stop();
     this.usageKeeper.stop();
+    this.versionNotes.stop();
+    this.replicator.stop();
+    this.keeperClients.close();
     this.configFetcher.stop();
     this.stopMaintenance();
     this.stopBacklogWatch?.();
@@ -497,9 +563,29 @@
       permitTrial: input => holder.permitTrial(input),
       lastOrder: input => holder.lastOrder(input),
       takeOver: handover => holder.takeOver(handover),
+      noteOrigins: ({origins}) =>
+        this.context.streamOrigins.keep(
+          origins.map(([requestId, version]) => ({requestId, version})),
+        ),
+      findOrigins: input => this.context.streamOrigins.handleFind(input),
     };
   }
 
+  private async sendOrigins(
+    keeper: string,
+    origins: readonly StreamOrigin[],
+  ): Promise<void> {
+    const pairs = origins.map(
+      ({requestId, version}) => [requestId, version] as [string, string],
+    );
+    try {
+      await this.keeperClients.clientFor(keeper).noteOrigins({origins: pairs});
+    } catch (thrown) {
+      this.keeperClients.drop(keeper);
+      throw thrown;
+    }
+  }
+
   /** Registers values that are read when the metrics are rendered. */
   private registerGauges(): void {
     const {clock, metrics, lease} = this.deps;
@@ -530,6 +616,7 @@
       () => this.context.fairShares.limitedCount,
     );
     metrics.gauge('entries_heard', () => this.entryCount);
+    metrics.gauge('origin_records', () => this.context.streamOrigins.size);
   }
 
   /** Measures the event loop's delay, ejects runners and drops stale state. */
@@ -540,6 +627,7 @@
     this.lastMaintenanceMs = nowMs;
 
     const {capacities} = this.context;
+    this.context.streamOrigins.refresh();
     this.context.runnerStates.ejectOutliers(id => capacities.speed(id));
     this.context.runnerStates.prune(id => this.view.runner(id) !== undefined);
     this.context.capacities.prune(id => this.view.runner(id) !== undefined);
--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -59,6 +59,19 @@
    * the request enough time for another runner.
    */
   adapterTimeoutMs: durationMs.default(400),
+  /**
+   * How long a stream and its callers' returns can last. For this time the
+   * version that began a stream is remembered, and a version counts after its
+   * last runner has left. Four times the longest deadline of the sheets.
+   */
+  streamMemoryMs: durationMs.default(60_000),
+  /**
+   * Shortest interval between batches of stream origins to a keeper, in fleets
+   * in which each entry is one and in larger ones. The streams of an interval
+   * are refused if their entry ends before it has sent them.
+   */
+  originBatchMs: durationMs.default(100),
+  largeFleetOriginBatchMs: durationMs.default(250),
   /** Time for the balancer to notice a drain: two checks, one second apart. */
   noticeMs: durationMs.default(2_600),
   /** Time left of the grace period when open requests are ended. */
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -15,6 +15,7 @@
 import type {RunnerStates} from '../runners/runnerStates.js';
 import type {GatewayOptions} from '../options.js';
 import type {LeaseSource} from '../types.js';
+import type {KeeperList} from '../streams/keeperList.js';
 import {sumByKey, Relay, type LeavingRunners} from './relay.js';
 import {LeaseAcquisition, acquisitionRank} from './leaseAcquisition.js';
 import {PeerClients} from './peerClients.js';
@@ -47,6 +48,7 @@
   rateLimits: RunnerRateLimits;
   capacities: RunnerCapacities;
   heldCopies: HeldCopies;
+  keeperList: KeeperList;
   view: LeavingRunners;
   loadRate: LoadRate;
   onEntryCount(count: number): void;
@@ -115,6 +117,7 @@
       rateLimits: deps.rateLimits,
       capacities: deps.capacities,
       suspects,
+      keeperList: deps.keeperList,
       view: deps.view,
       ownLoad: () => this.ownLoad(),
       configVersion: () => deps.configVersion(),
@@ -325,6 +328,7 @@
       runnerSpeeds: this.deps.capacities.takeReports(),
       crashes: this.deps.suspects.pendingReport(),
       knownSuspects: this.deps.suspects.knownVersion,
+      knownKeepers: this.deps.keeperList.version,
     };
   }
 
@@ -391,6 +395,7 @@
     this.pendingDemand.acknowledge();
     this.deps.suspects.acknowledge();
     this.deps.suspects.applyList(output.suspects);
+    this.deps.keeperList.apply(output.keepers);
     if (!this.wasHolderReachable) this.deps.logger.info('holder-reachable');
     this.wasHolderReachable = true;
     const isForwarded = output.holder !== sender;
--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -12,6 +12,9 @@
   SuccessorHolder,
   LeaseHandover,
   NotHolder,
+  NoteOriginsInput,
+  FindOriginsInput,
+  FindOriginsOutput,
   PeerRouter,
   PeerConfig,
 } from './peerContract.js';
@@ -24,6 +27,8 @@
   ensureAdapter(input: EnsureAdapterInput): Promise<EnsureAdapterOutput>;
   /** @throws as `exchange` does. */
   permitTrial(input: TrialInput): Promise<TrialOutput>;
+  /** @throws as `exchange` does. */
+  noteOrigins(input: NoteOriginsInput): Promise<void>;
   close(): void;
 }
 
@@ -62,6 +67,8 @@
       withTimeout(adapterTimeoutMs, client.ensureAdapter.mutate(input)),
     permitTrial: input =>
       withTimeout(timeoutMs, client.permitTrial.mutate(input)),
+    noteOrigins: input =>
+      withTimeout(timeoutMs, client.noteOrigins.mutate(input)),
     close: () => void socket.close(),
   };
 }
@@ -155,6 +162,23 @@
   }
 }
 
+/** Asks a peer for the origins of streams; undefined if it doesn't answer. */
+export async function fetchOrigins(
+  address: string,
+  input: FindOriginsInput,
+  timeoutMs: number,
+): Promise<FindOriginsOutput | undefined> {
+  const peer = createHttpClient(address, timeoutMs);
+  try {
+    return await peer.client.findOrigins.mutate(input);
+  } catch {
+    // The other peers are asked at the same time.
+    return undefined;
+  } finally {
+    peer.close();
+  }
+}
+
 /** Offers the lease to a peer; false if the peer declines it. */
 export async function offerLease(
   address: string,
--- a/packages/banyanfold-gateway/src/peers/peerClients.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClients.ts
@@ -1,7 +1,7 @@
 import {createPeerClient, type PeerClient} from './peerClient.js';
 
 /** One for the holder and one for a relay. */
-const MAX_CLIENTS = 2;
+const DEFAULT_MAX_CLIENTS = 2;
 
 /** Caches the clients of the peers used last, by address. */
 export class PeerClients {
@@ -10,6 +10,7 @@
   constructor(
     private readonly timeoutMs: number,
     private readonly adapterTimeoutMs: number,
+    private readonly maxClients = DEFAULT_MAX_CLIENTS,
   ) {}
 
   /** Returns the client for an address; evicts the least recently used one. */
@@ -20,7 +21,7 @@
     this.clients.delete(address);
     this.clients.set(address, client);
     const [oldest] = this.clients.keys();
-    if (this.clients.size > MAX_CLIENTS) this.drop(oldest!);
+    if (this.clients.size > this.maxClients) this.drop(oldest!);
     return client;
   }
 
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -50,6 +50,39 @@
   processorShare: z.number(),
 });
 
+/** An entry that keeps origin records of others. */
+const keeperSchema = z.object({address: z.string(), failureDomain: z.string()});
+
+/** Keepers of origin records; omitted if the receiver knows this version. */
+const keeperUpdateSchema = z.object({
+  version: z.string(),
+  keepers: z.array(keeperSchema).optional(),
+});
+
+export type KeeperUpdate = z.infer<typeof keeperUpdateSchema>;
+
+/** Streams, each as the id of the request that began it and the version. */
+const originsSchema = z.array(z.tuple([z.string(), z.string()]));
+
+export const noteOriginsInputSchema = z.object({origins: originsSchema});
+
+export const findOriginsInputSchema = z.object({
+  requestIds: z.array(z.string()),
+});
+
+export const findOriginsOutputSchema = z.object({
+  /** Those of the streams that are known. */
+  origins: originsSchema,
+  /** Services whose runners have had several versions lately. */
+  mixedServices: z.array(z.string()),
+  /** Whether the sender has seen all versions that matter. */
+  isHistoryComplete: z.boolean(),
+});
+
+export type NoteOriginsInput = z.infer<typeof noteOriginsInputSchema>;
+export type FindOriginsInput = z.infer<typeof findOriginsInputSchema>;
+export type FindOriginsOutput = z.infer<typeof findOriginsOutputSchema>;
+
 /**
  * Demand since the previous batch. A batch is sent again until it is answered.
  */
@@ -181,6 +214,8 @@
     .optional(),
   /** Last version of the list of suspects that it has received. */
   knownSuspects: suspectListVersionSchema.optional(),
+  /** Version of the list of keepers that it has received. */
+  knownKeepers: z.string().optional(),
 });
 
 /** State that the holder, or a relay on its behalf, returns to an entry. */
@@ -281,6 +316,8 @@
    * Requests that may crash runners; omitted by releases that don't send them.
    */
   suspects: suspectListSchema.optional(),
+  /** Omitted by releases that have no keepers. */
+  keepers: keeperUpdateSchema.optional(),
 });
 
 export const ensureAdapterInputSchema = z.object({
@@ -348,6 +385,9 @@
 export interface PeerHandlers extends HolderHandlers {
   /** Undefined until a configuration is in force. */
   config(): PeerConfig | undefined;
+  /** Keeps origin records for the sender. */
+  noteOrigins(input: NoteOriginsInput): void;
+  findOrigins(input: FindOriginsInput): FindOriginsOutput;
 }
 
 /** The calls that the holder answers for entries. */
@@ -372,6 +412,13 @@
     permitTrial: trpc.procedure
       .input(trialInputSchema)
       .mutation(({input}) => handlers.permitTrial(input)),
+    noteOrigins: trpc.procedure
+      .input(noteOriginsInputSchema)
+      .mutation(({input}) => handlers.noteOrigins(input)),
+    findOrigins: trpc.procedure
+      .input(findOriginsInputSchema)
+      .output(findOriginsOutputSchema)
+      .mutation(({input}) => handlers.findOrigins(input)),
     takeOver: trpc.procedure
       .input(leaseHandoverSchema)
       .mutation(({input}) => handlers.takeOver(input)),
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -7,6 +7,7 @@
 import type {DemandMeter} from '../placement/demandMeter.js';
 import {EntryLoads, type EntryLoad} from '../placement/entryLoads.js';
 import {SeenBatches} from '../placement/seenBatches.js';
+import type {KeeperList} from '../streams/keeperList.js';
 import type {RunnerCapacities} from '../runners/runnerCapacities.js';
 import type {RunnerRateLimits} from '../runners/runnerRateLimits.js';
 import type {OutcomeMeter} from '../runners/outcomeMeter.js';
@@ -31,6 +32,7 @@
   rateLimits: RunnerRateLimits;
   capacities: RunnerCapacities;
   suspects: CrashSuspects;
+  keeperList: KeeperList;
   view: LeavingRunners;
   /** Load of this process, without its group. */
   ownLoad(): EntryLoad;
@@ -143,6 +145,7 @@
   exchange(input: ExchangeInput): ExchangeOutput | NotHolder {
     const {clock, suspects, address, ownLoad, holderAddress, view} =
       this.options;
+    const {keeperList} = this.options;
     const nowMs = clock.nowMs();
     const {holderState} = this;
     if (!holderState || nowMs - holderState.atMs > MAX_STATE_AGE_MS) {
@@ -179,6 +182,7 @@
       peersRequests: sumByKey(output.peersRequests, group.requests),
       leavingRunners: view.leavingRunners(),
       suspects: suspects.suspectListFor(input.knownSuspects),
+      keepers: keeperList.updateFor(input.knownKeepers),
     };
   }
 }
--- /dev/null
+++ b/packages/banyanfold-gateway/src/placement/keeperRoster.ts
@@ -0,0 +1,61 @@
+import {chooseKeepers, type KeeperCandidate} from '@banyanfold/decisions';
+import type {KeeperUpdate} from '../peers/peerContract.js';
+import type {KeeperList} from '../streams/keeperList.js';
+
+export interface KeeperRosterOptions {
+  /** Identifies this start of the process among the holders. */
+  epoch: string;
+  /** Shortest time between two choices, in ms. */
+  intervalMs: number;
+  /** The list as this process knows it, also from former holders. */
+  list: KeeperList;
+  members(nowMs: number): KeeperCandidate[];
+}
+
+/**
+ * Time until all entries have reported to a new holder. Until then the list of
+ * the former one stays: a list of the few that have reported would leave out the
+ * keepers that have the records.
+ */
+const SETTLE_MS = 1_500;
+
+/** Chooses the keepers of origin records while this process is the holder. */
+export class KeeperRoster {
+  private term: number | undefined;
+  private termStartMs = 0;
+  private chosenMs = Number.NEGATIVE_INFINITY;
+  private revision = 0;
+
+  constructor(private readonly options: KeeperRosterOptions) {}
+
+  /**
+   * Returns the list for an entry, without the keepers if the entry has them.
+   */
+  updateFor(
+    knownVersion: string | undefined,
+    term: number,
+    nowMs: number,
+  ): KeeperUpdate | undefined {
+    const {epoch, intervalMs, list} = this.options;
+    if (term !== this.term) this.termStartMs = nowMs;
+    this.term = term;
+    const isFromOther = list.version?.startsWith(`${epoch}/`) === false;
+    const isSettled = !isFromOther || nowMs - this.termStartMs >= SETTLE_MS;
+    if (isSettled && nowMs - this.chosenMs >= intervalMs) this.choose(nowMs);
+    return list.updateFor(knownVersion);
+  }
+
+  private choose(nowMs: number): void {
+    this.chosenMs = nowMs;
+    const {list, epoch, members} = this.options;
+    const current = list.keepers ?? [];
+    const addresses = current.map(({address}) => address);
+    const keepers = chooseKeepers(members(nowMs), new Set(addresses));
+    const isSame =
+      keepers.length === current.length &&
+      keepers.every(({address}, i) => address === addresses[i]);
+    if (isSame) return;
+    this.revision += 1;
+    list.apply({version: `${epoch}/${this.revision}`, keepers});
+  }
+}
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -34,6 +34,7 @@
   SuccessorHolder,
   LeaseHandover,
 } from '../peers/peerContract.js';
+import type {KeeperList} from '../streams/keeperList.js';
 import type {FleetView, ViewChange} from '../view/fleetView.js';
 import {repeatEvery} from '../repeatEvery.js';
 import {CopyRevisions} from './copyRevisions.js';
@@ -46,6 +47,7 @@
 import {FleetRateLimits} from './fleetRateLimits.js';
 import {HolderShares} from './holderShares.js';
 import {HolderSpeeds} from './holderSpeeds.js';
+import {KeeperRoster} from './keeperRoster.js';
 import {LoadRate} from './loadRate.js';
 import {REPORT_TICK_MS, ReportPoller} from './reportPoller.js';
 import {RunnerController} from './runnerController.js';
@@ -96,6 +98,7 @@
   holder: string;
   loadRate: LoadRate;
   crashes: CrashLedger;
+  keeperList: KeeperList;
   /** Number of cores that the process may use. */
   processorShare: number;
   usage: UsageAccounts;
@@ -135,6 +138,7 @@
   private lastHeldMs = Number.NEGATIVE_INFINITY;
   private readonly reportPoller: ReportPoller;
   private readonly standbyRoster: StandbyRoster;
+  private readonly keeperRoster: KeeperRoster;
   private readonly startedMs: number;
 
   constructor(private readonly deps: LeaseHolderOptions) {
@@ -155,6 +159,12 @@
     });
     const epoch = `${deps.holder}#${deps.clock.wallMs()}`;
     this.revisions = new CopyRevisions(epoch);
+    this.keeperRoster = new KeeperRoster({
+      epoch,
+      intervalMs: deps.options.exchangeIntervalMs,
+      list: deps.keeperList,
+      members: nowMs => this.entryLoads.members(nowMs),
+    });
     this.standbyRoster = new StandbyRoster(deps.holder, nowMs =>
       this.entryLoads.members(nowMs),
     );
@@ -212,6 +222,7 @@
       leavingRunners: this.deps.view.leavingRunners(),
       runnerSpeeds: this.speeds.snapshot(nowMs),
       suspects: this.deps.crashes.suspectListFor(input.knownSuspects),
+      keepers: this.keeperRoster.updateFor(input.knownKeepers, term, nowMs),
     };
   }
 
--- a/packages/banyanfold-gateway/src/requests/attemptResults.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptResults.ts
@@ -122,7 +122,7 @@
       budgetTokens: budget.settle(),
     });
     state.log.retry(runner.runnerId, result, decision, state.mayHaveRun);
-    if (!shouldRetry) {
+    if (!shouldRetry || state.stream.isVersionUncertain) {
       this.fail(result);
       return;
     }
--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -132,7 +132,9 @@
       lastEventId: state.relay.lastEventId,
       organisation: state.currentOrganisation?.name,
     });
-    this.countResumedStream(runner);
+    if (state.relay.lastEventId !== undefined) {
+      context.metrics.count('streams_resumed_in_response_total');
+    }
     state.sendCount += 1;
     let isPromptRead = false;
     const result = await state.relay.relay(
@@ -145,9 +147,7 @@
       },
       {
         runnerId,
-        beforeEvents: () => {
-          state.firstWriter ??= runner;
-        },
+        beforeEvents: () => state.stream.noteEvents(runner),
         onResponseInfo: info => this.recordResponseInfo(runner, info, nowMs),
         onFirstByte: () => {
           isPromptRead = true;
@@ -175,20 +175,6 @@
     return result;
   }
 
-  /** Counts an attempt that continues a stream, by how its versions compare. */
-  private countResumedStream({softwareVersion}: RunnerRegistration): void {
-    const {firstWriter, relay, options} = this.state;
-    const {context, decoded} = options;
-    const isSameResponse = relay.lastEventId !== undefined;
-    if (!isSameResponse && decoded.request.lastEventId === undefined) return;
-    const isSameVersion = firstWriter?.softwareVersion === softwareVersion;
-    const software = isSameVersion ? 'same' : 'other';
-    context.metrics.count('streams_resumed_total', {
-      in: isSameResponse ? 'same-response' : 'new-request',
-      software: firstWriter ? software : 'unknown',
-    });
-  }
-
   private recordResponseInfo(
     runner: RunnerRegistration,
     info: ResponseInfo,
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -1,4 +1,4 @@
-import {priorityWeight} from '@banyanfold/decisions';
+import {MIN_RETRY_AFTER_MS, priorityWeight} from '@banyanfold/decisions';
 import {AttemptResults} from './attemptResults.js';
 import {AttemptSender} from './attemptSender.js';
 import {ERROR_STATUS} from './errorResponse.js';
@@ -71,6 +71,7 @@
       ending.refuseIfNotStarted('no-place-in-time'),
     );
     try {
+      if (state.stream.isTakenUp) await this.resolveStream();
       while (!state.isFinished) await this.step();
     } finally {
       deadlineTimer.cancel();
@@ -86,6 +87,22 @@
     this.ending.refuseIfNotStarted('leaving');
   }
 
+  /** Binds a stream that is taken up to its version, or refuses it. */
+  private async resolveStream(): Promise<void> {
+    const {state, ending} = this;
+    const sinceMs = this.options.context.clock.nowMs();
+    const resolved = await state.stream.resolve();
+    if (state.isFinished) return;
+    state.log.takeUp(resolved, sinceMs);
+    const {continuation} = resolved;
+    if (continuation.kind !== 'refuse') return;
+    ending.respond(
+      ERROR_STATUS.notRun,
+      continuation.reason,
+      resolved.isFinal ? undefined : MIN_RETRY_AFTER_MS,
+    );
+  }
+
   private recordDemand(): void {
     const {context, decoded, route} = this.options;
     const {model, adapter, promptTokens, maxOutputTokens} = decoded.request;
@@ -130,6 +147,8 @@
 
   private async waitForRunner(): Promise<void> {
     const {admission} = this;
+    const {stream} = this.state;
+    if (stream.isVersionGone) return this.ending.endWithoutAnswer();
     const paused = this.state.targets.pausedState();
     if (paused && admission.endIfPaused(paused)) return;
     if (paused) return this.waitForChange(paused.forMs);
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -2,6 +2,7 @@
 import type {SharedRequest} from '../callers/fairShares.js';
 import type {GatewayContext} from '../context.js';
 import type {DecodedRequest, RoutePolicy} from '../types.js';
+import type {ResolvedContinuation} from '../streams/streamOrigins.js';
 import type {AttemptResult} from './responseRelay.js';
 import type {CopyRefusal, QueueRefusal} from './admissionChecks.js';
 import type {CandidateCounts, Target} from './targetChooser.js';
@@ -68,6 +69,25 @@
     });
   }
 
+  /** Logs where a stream that the caller takes up may go on. */
+  takeUp(resolved: ResolvedContinuation, sinceMs: number): void {
+    const {context, decoded, route} = this.options;
+    const {continuation, source, ageMs, answers} = resolved;
+    const isRefused = continuation.kind === 'refuse';
+    this.logEvent('take-up', {
+      route: route.name,
+      resumes: decoded.request.resumedRequestId,
+      decision: continuation.kind,
+      reason: continuation.reason,
+      software: isRefused ? undefined : continuation.version,
+      source,
+      recordAgeMs: ageMs === undefined ? undefined : Math.round(ageMs),
+      answers,
+      runnersAgeMs: this.runnersAgeMs(),
+      waitedMs: Math.round(context.clock.nowMs() - sinceMs),
+    });
+  }
+
   /** Logs why no runner could be chosen. */
   wait(counts: CandidateCounts): void {
     const {context, decoded, route} = this.options;
--- a/packages/banyanfold-gateway/src/requests/requestState.ts
+++ b/packages/banyanfold-gateway/src/requests/requestState.ts
@@ -7,16 +7,12 @@
 import type {PromptPermit} from '../runners/promptGate.js';
 import type {StartedWork} from '../runners/runnerStates.js';
 import type {Holding} from '../resources/holding.js';
-import type {
-  DecodedRequest,
-  Organisation,
-  RoutePolicy,
-  RunnerRegistration,
-} from '../types.js';
+import type {DecodedRequest, Organisation, RoutePolicy} from '../types.js';
 import {pickService} from './pickService.js';
 import {fingerprintOf} from './requestFingerprint.js';
 import {RequestLog, type AttemptCounts} from './requestLog.js';
 import {ResponseRelay} from './responseRelay.js';
+import {StreamContinuity} from './streamContinuity.js';
 import {SuspectStatus} from './suspectStatus.js';
 import {TargetChooser} from './targetChooser.js';
 import {UsageCharge} from './usageCharge.js';
@@ -65,8 +61,7 @@
   sendCount = 0;
   rejections = 0;
   mayHaveRun = false;
-  /** The runner that wrote the first event which was forwarded. */
-  firstWriter: RunnerRegistration | undefined;
+  readonly stream: StreamContinuity;
   /** Turn of the prompt that waits or is being read. */
   promptTurn: PromptPermit | undefined;
   /** Undefined without fair shares. */
@@ -92,6 +87,13 @@
       request: decoded.request,
       service: this.service,
     });
+    this.stream = new StreamContinuity({
+      context,
+      request: decoded.request,
+      route,
+      service: this.service,
+      targets: this.targets,
+    });
     this.fingerprint = fingerprintOf({
       method: options.request.method ?? 'GET',
       host: options.request.headers.host ?? '',
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -6,6 +6,7 @@
 } from '@banyanfold/decisions';
 import type {GatewayContext} from '../context.js';
 import type {InferenceRequest, RunnerRegistration} from '../types.js';
+import {versionOf} from '../streams/softwareVersion.js';
 import {workOf} from './workOf.js';
 
 /** The runner chosen for an attempt, and why. */
@@ -38,6 +39,11 @@
 
 /** Chooses runners for one request from the current view of the fleet. */
 export class TargetChooser {
+  /**
+   * Only runners of this software version are chosen; undefined while any may
+   * be.
+   */
+  requiredVersion: string | undefined;
   private readonly rejectedBy = new Set<string>();
   /** Runners whose rate limits admit no request, and until when. */
   private readonly rateLimitedUntilMs = new Map<string, number>();
@@ -157,7 +163,8 @@
     const {view, runnerBackoffs} = this.options.context;
     const runner = view.runner(runnerId);
     const isStaying = runner !== undefined && !runner.leaving;
-    return isStaying && runnerBackoffs.remainingMs(runner) === 0;
+    if (!isStaying || !this.hasRequiredVersion(runner)) return false;
+    return runnerBackoffs.remainingMs(runner) === 0;
   }
 
   candidateCounts(): CandidateCounts {
@@ -184,7 +191,16 @@
 
   private remainingRunners(): RunnerRegistration[] {
     const {context, service} = this.options;
-    return context.view.runnersOf(service).filter(({leaving}) => !leaving);
+    return context.view
+      .runnersOf(service)
+      .filter(runner => !runner.leaving && this.hasRequiredVersion(runner));
+  }
+
+  private hasRequiredVersion(runner: RunnerRegistration): boolean {
+    const {requiredVersion} = this;
+    return (
+      requiredVersion === undefined || versionOf(runner) === requiredVersion
+    );
   }
 
   private withModel(runners: RunnerRegistration[]): RunnerRegistration[] {
--- /dev/null
+++ b/packages/banyanfold-gateway/src/streams/originReplicator.ts
@@ -0,0 +1,137 @@
+import type {Clock, Logger, Metrics, Timer} from '@banyanfold/core';
+import {rankReplicas, type Keeper} from '@banyanfold/decisions';
+import type {StreamOrigin} from './originRecords.js';
+
+export interface OriginReplicatorOptions {
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  self: Keeper;
+  /** Undefined until a holder has named them. */
+  keepers(): readonly Keeper[] | undefined;
+  /** Shortest time between two batches to a keeper, in ms. */
+  batchIntervalMs(): number;
+  /** Rejects if the keeper has not taken the batch. */
+  send(address: string, origins: StreamOrigin[]): Promise<void>;
+}
+
+/** Copies of each record, besides the entry's own. */
+const REPLICAS = 2;
+/** Pause before a keeper that did not answer is used again. */
+const KEEPER_RETRY_MS = 2_000;
+/** Records that wait for a keeper; a bound for one that takes them slowly. */
+const MAX_PENDING = 2_000;
+
+/** Records on their way to one keeper. */
+interface Lane {
+  pending: StreamOrigin[];
+  isSending: boolean;
+  sentMs: number;
+  timer: Timer | undefined;
+}
+
+/** Sends origin records to the keepers that hold the copies of this entry. */
+export class OriginReplicator {
+  private readonly lanes = new Map<string, Lane>();
+  /** Records for which no keeper is known yet. */
+  private readonly unplaced: StreamOrigin[] = [];
+  private readonly pausedUntilMs = new Map<string, number>();
+  private ranked: {keepers: readonly Keeper[]; addresses: string[]} = {
+    keepers: [],
+    addresses: [],
+  };
+
+  constructor(private readonly options: OriginReplicatorOptions) {}
+
+  /** Sends a record with the next batch to each replica. */
+  add(origin: StreamOrigin): void {
+    const replicas = this.replicas();
+    if (replicas.length === 0) this.enqueue(this.unplaced, origin);
+    for (const address of replicas) {
+      const lane = this.laneFor(address);
+      this.enqueue(lane.pending, origin);
+      this.schedule(address, lane);
+    }
+  }
+
+  /** Sends the records that had no keeper, now that there are others. */
+  resume(): void {
+    for (const origin of this.unplaced.splice(0)) this.add(origin);
+  }
+
+  stop(): void {
+    for (const {timer} of this.lanes.values()) timer?.cancel();
+    this.lanes.clear();
+  }
+
+  private enqueue(queue: StreamOrigin[], origin: StreamOrigin): void {
+    queue.push(origin);
+    if (queue.length <= MAX_PENDING) return;
+    queue.shift();
+    this.options.metrics.count('origin_records_dropped_total');
+  }
+
+  private replicas(): string[] {
+    const {clock, keepers, self} = this.options;
+    const list = keepers() ?? [];
+    if (list !== this.ranked.keepers) {
+      this.ranked = {keepers: list, addresses: rankReplicas(self, list)};
+    }
+    const nowMs = clock.nowMs();
+    return this.ranked.addresses
+      .filter(address => (this.pausedUntilMs.get(address) ?? 0) <= nowMs)
+      .slice(0, REPLICAS);
+  }
+
+  private laneFor(address: string): Lane {
+    let lane = this.lanes.get(address);
+    if (!lane) {
+      const sentMs = Number.NEGATIVE_INFINITY;
+      lane = {pending: [], isSending: false, sentMs, timer: undefined};
+      this.lanes.set(address, lane);
+    }
+    return lane;
+  }
+
+  private schedule(address: string, lane: Lane): void {
+    if (lane.isSending || lane.timer || lane.pending.length === 0) return;
+    const {clock, batchIntervalMs} = this.options;
+    const dueMs = lane.sentMs + batchIntervalMs();
+    lane.timer = clock.setTimer(Math.max(0, dueMs - clock.nowMs()), () => {
+      lane.timer = undefined;
+      void this.sendBatch(address, lane);
+    });
+  }
+
+  private async sendBatch(address: string, lane: Lane): Promise<void> {
+    const {clock, metrics, send} = this.options;
+    const batch = lane.pending.splice(0);
+    lane.isSending = true;
+    lane.sentMs = clock.nowMs();
+    try {
+      await send(address, batch);
+      metrics.count('origin_records_sent_total', {}, batch.length);
+      lane.isSending = false;
+      this.schedule(address, lane);
+    } catch (thrown) {
+      this.replaceKeeper(address, [...batch, ...lane.pending], thrown);
+    }
+  }
+
+  /** Has other keepers hold the records that a keeper did not take. */
+  private replaceKeeper(
+    address: string,
+    origins: StreamOrigin[],
+    thrown: unknown,
+  ): void {
+    const {clock, logger} = this.options;
+    this.lanes.delete(address);
+    this.pausedUntilMs.set(address, clock.nowMs() + KEEPER_RETRY_MS);
+    logger.info('keeper-lost', {
+      keeper: address,
+      records: origins.length,
+      error: thrown instanceof Error ? thrown.message : String(thrown),
+    });
+    for (const origin of origins) this.add(origin);
+  }
+}
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -428,6 +428,18 @@
   save(record: UsageRecord): Promise<Result<void, BanyanfoldError>>;
 }
 
+/** Stores which services have runners of several software versions. */
+export interface VersionNoteStore {
+  /** Registers a listener for when recent writes may be lost from the store. */
+  onReset(listener: () => void): void;
+  load(): Promise<Result<string[], BanyanfoldError>>;
+  /** Writes and removes notes in one call. Idempotent. */
+  update(
+    put: readonly string[],
+    dropped: readonly string[],
+  ): Promise<Result<void, BanyanfoldError>>;
+}
+
 /** A stored request in quarantine. */
 export interface QuarantineRecord {
   fingerprint: string;
