Peers of a new entry tell which services have several versions

A caller that names no beginning was refused without asking peers, and an entry that no holder had told of peers yet took itself to be alone; both now ask, or wait for the note in the store for up to 0.3 s.

--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -283,6 +283,7 @@
       replicator: this.replicator,
       memoryMs: options.streamMemoryMs,
       notedServices: () => this.versionNotes.services,
+      untilNotesRead: () => this.versionNotes.untilRead(),
     });
     this.versionNotes = new VersionNotes({
       clock,
--- a/packages/banyanfold-gateway/src/streams/originLookup.ts
+++ b/packages/banyanfold-gateway/src/streams/originLookup.ts
@@ -43,7 +43,7 @@
 const REPEAT_MS = 300;
 
 interface Search {
-  requestId: string;
+  requestId: string | undefined;
   result: {
     version: string | undefined;
     answers: number;
@@ -61,16 +61,21 @@
 
   constructor(private readonly options: OriginLookupOptions) {}
 
-  /** Whether there are keepers other than this process. */
-  get hasPeers(): boolean {
-    return this.peers.length > 0;
+  /** Whether a holder has named no other entry. */
+  get isAlone(): boolean {
+    return this.options.keepers() !== undefined && this.peers.length === 0;
   }
 
   /**
    * Resolves once a peer knows the stream, all have answered that they don't,
    * or the time is up.
+   *
+   * @param requestId undefined if the caller names none.
    */
-  find(requestId: string, maxWaitMs: number): Promise<LookupResult> {
+  find(
+    requestId: string | undefined,
+    maxWaitMs: number,
+  ): Promise<LookupResult> {
     const {clock} = this.options;
     return new Promise(resolve => {
       const result: Search['result'] = {
@@ -116,7 +121,8 @@
 
   /** @returns whether all peers have answered. */
   private async askOnce(searches: readonly Search[]): Promise<boolean> {
-    const requestIds = [...new Set(searches.map(each => each.requestId))];
+    const ids = searches.flatMap(({requestId}) => requestId ?? []);
+    const requestIds = [...new Set(ids)];
     const areAnswered = await Promise.all(
       this.peers.map(async address => {
         const output = await this.options.ask(address, {requestIds});
@@ -144,7 +150,7 @@
     result.answers += 1;
     result.hasCompleteHistory ||= isHistoryComplete;
     for (const service of mixedServices) result.mixedServices.add(service);
-    result.version ??= versions.get(requestId);
+    if (requestId !== undefined) result.version ??= versions.get(requestId);
     if (result.version !== undefined) finish();
   }
 }
--- a/packages/banyanfold-gateway/src/streams/streamOrigins.ts
+++ b/packages/banyanfold-gateway/src/streams/streamOrigins.ts
@@ -4,7 +4,6 @@
   FindOriginsInput,
   FindOriginsOutput,
 } from '../peers/peerContract.js';
-import type {RunnerRegistration} from '../types.js';
 import type {FleetView} from '../view/fleetView.js';
 import {ClockJumps} from './clockJumps.js';
 import type {LookupResult, OriginLookup} from './originLookup.js';
@@ -27,6 +26,8 @@
    * the store; undefined until it has been read.
    */
   notedServices(): ReadonlySet<string> | undefined;
+  /** Resolves once the notes have been read, or after a short time. */
+  untilNotesRead(): Promise<void>;
 }
 
 /** A continuation, and the inputs of the decision for the log. */
@@ -154,8 +155,8 @@
     const key =
       resumedRequestId === undefined ? undefined : originKey(resumedRequestId);
     const own = key === undefined ? undefined : this.records.find(key);
-    const found =
-      own || key === undefined ? NO_ANSWERS : await this.lookUp(key, service);
+    const found = own ? NO_ANSWERS : await this.lookUp(key, service);
+    if (!own && !this.history.isComplete) await this.options.untilNotesRead();
     const version = own?.version ?? found.version;
     const continuation = decideContinuation({
       originVersion: version,
@@ -180,7 +181,11 @@
     };
   }
 
-  private lookUp(key: string, service: string): Promise<LookupResult> {
+  /** Without a key, peers still tell which services have several versions. */
+  private lookUp(
+    key: string | undefined,
+    service: string,
+  ): Promise<LookupResult> {
     const maxWaitMs = this.history.hasSeveral(service)
       ? LOOKUP_MS
       : SINGLE_VERSION_LOOKUP_MS;
@@ -202,7 +207,7 @@
     const {lookup, notedServices} = this.options;
     const [version, ...others] = this.history.versionsOf(service);
     if (others.length > 0 || found.mixedServices.has(service)) return undefined;
-    const isCurrent = this.isViewFresh || found.answers > 0 || !lookup.hasPeers;
+    const isCurrent = this.isViewFresh || found.answers > 0 || lookup.isAlone;
     const noted = notedServices();
     const isPastKnown =
       this.history.isComplete ||
@@ -221,9 +226,3 @@
     return ageMs < this.clockJumps.sinceLastMs();
   }
 }
-
-/** A runner as it was chosen for an attempt. */
-export type ChosenRunner = Pick<
-  RunnerRegistration,
-  'runnerId' | 'service' | 'softwareVersion'
->;
--- a/packages/banyanfold-gateway/src/streams/versionNotes.ts
+++ b/packages/banyanfold-gateway/src/streams/versionNotes.ts
@@ -12,6 +12,8 @@
 }
 
 const SYNC_INTERVAL_MS = 500;
+/** The store answers within some ms where it answers at all. */
+const READ_WAIT_MS = 300;
 
 /**
  * Keeps a note in the store of each service whose runners have several software
@@ -25,6 +27,7 @@
   private loadedTerm: number | undefined;
   private isBusy = false;
   private hasFailed = false;
+  private readonly onRead: Array<() => void> = [];
   private stopSync: () => void = () => {};
 
   constructor(private readonly options: VersionNotesOptions) {}
@@ -34,6 +37,18 @@
     return this.noted;
   }
 
+  /** Resolves once the notes have been read, or after `READ_WAIT_MS`. */
+  untilRead(): Promise<void> {
+    if (this.noted !== undefined) return Promise.resolve();
+    return new Promise(resolve => {
+      const timer = this.options.clock.setTimer(READ_WAIT_MS, resolve);
+      this.onRead.push(() => {
+        timer.cancel();
+        resolve();
+      });
+    });
+  }
+
   start(): void {
     const {clock, store} = this.options;
     // What was written lately may be lost, so that it is compared again.
@@ -71,6 +86,7 @@
     this.hasFailed = false;
     this.loadedTerm = term;
     this.noted = new Set(loaded.value);
+    for (const notify of this.onRead.splice(0)) notify();
     if (loaded.value.length === 0) return;
     const services = loaded.value.join();
     this.options.logger.info('version-notes-loaded', {services});
