--- /dev/null
+++ b/packages/banyanfold-gateway/src/__tests__/streamOrigins.test.ts
@@ -0,0 +1,207 @@
+import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {LookupResult, OriginLookup} from '../streams/originLookup.js';
+import type {OriginReplicator} from '../streams/originReplicator.js';
+import {StreamOrigins} from '../streams/streamOrigins.js';
+import {FleetView} from '../view/fleetView.js';
+
+const SERVICE = 'drafting';
+const MEMORY_MS = 60_000;
+const FREEZE_MS = 3_000;
+
+/** Its monotonic clock does not count the time in which it was suspended. */
+class SuspendableClock extends VirtualClock {
+  private suspendedMs = 0;
+
+  override wallMs(): number {
+    return super.wallMs() + this.suspendedMs;
+  }
+
+  suspend(ms: number): void {
+    this.suspendedMs += ms;
+  }
+}
+
+let clock: SuspendableClock;
+let view: FleetView;
+let found: LookupResult;
+let isAlone: boolean;
+let noted: ReadonlySet<string> | undefined;
+let replicated: string[];
+let origins: StreamOrigins;
+
+beforeEach(() => {
+  clock = new SuspendableClock();
+  view = new FleetView(clock, new MemoryLogger());
+  found = {
+    version: undefined,
+    answers: 0,
+    isExhaustive: false,
+    mixedServices: new Set(),
+    hasCompleteHistory: false,
+  };
+  isAlone = false;
+  noted = new Set();
+  replicated = [];
+  const lookup = {
+    find: async () => found,
+    get isAlone() {
+      return isAlone;
+    },
+  };
+  const replicator = {
+    add: ({requestId}: {requestId: string}) => replicated.push(requestId),
+  };
+  origins = new StreamOrigins({
+    clock,
+    metrics: new Metrics(),
+    view,
+    lookup: lookup as unknown as OriginLookup,
+    replicator: replicator as unknown as OriginReplicator,
+    memoryMs: MEMORY_MS,
+    notedServices: () => noted,
+    untilNotesRead: () => Promise.resolve(),
+  });
+  view.onCaughtUp();
+  register('r1', 'v1');
+  register('r2', 'v1');
+});
+
+function register(runnerId: string, softwareVersion?: string, number = 1) {
+  view.onRegistration({
+    runnerId,
+    softwareVersion,
+    bornMs: 0,
+    service: SERVICE,
+    address: '127.0.0.1:1',
+    failureDomain: 'hall-a',
+    slots: 8,
+    leaving: false,
+    heartbeatNumber: number,
+  });
+  view.onRunnersCurrent(clock.nowMs());
+}
+
+async function outcomeOf(requestId?: string) {
+  const {continuation} = await origins.resolve(requestId, SERVICE);
+  return continuation.kind === 'refuse'
+    ? continuation.reason
+    : continuation.version;
+}
+
+describe('a stream without a record, where the view has one version', () => {
+  it('goes on', async () => {
+    expect(await outcomeOf('s1')).toBe('v1');
+    expect(await outcomeOf()).toBe('v1');
+  });
+
+  it('goes on where runners state no version', async () => {
+    view.onRemoval('r1');
+    view.onRemoval('r2');
+    await clock.advance(MEMORY_MS + 1);
+    register('r3');
+    origins.refresh();
+    expect(await outcomeOf('s1')).toBe('');
+  });
+
+  // Guards against a guess by an entry that is cut off from the store and peers.
+  it('is refused if the view is old and no peer answers', async () => {
+    await clock.advance(FREEZE_MS);
+    expect(await outcomeOf('s1')).toBe('origin-unknown');
+    found = {...found, answers: 1};
+    expect(await outcomeOf('s1')).toBe('v1');
+  });
+
+  // Guards against a guess by an entry that was suspended: its view seems fresh.
+  it('is refused after a suspension until the view is confirmed', async () => {
+    clock.suspend(FREEZE_MS);
+    expect(await outcomeOf('s1')).toBe('origin-unknown');
+    await clock.advance(1);
+    view.onRunnersCurrent(clock.nowMs());
+    await clock.advance(1);
+    expect(await outcomeOf('s1')).toBe('v1');
+  });
+
+  // Guards against a guess by an entry that has missed a new version.
+  it('is refused if a peer knows of another version', async () => {
+    found = {...found, answers: 1, mixedServices: new Set([SERVICE])};
+    expect(await outcomeOf('s1')).toBe('origin-unknown');
+  });
+
+  // Guards against a guess by a new entry after the last runner of a version
+  // has left.
+  it('is refused if the note in the store names the service, or is unread', async () => {
+    noted = undefined;
+    expect(await outcomeOf('s1')).toBe('origin-unknown');
+    noted = new Set([SERVICE]);
+    expect(await outcomeOf('s1')).toBe('origin-unknown');
+    await clock.advance(MEMORY_MS);
+    view.onRunnersCurrent(clock.nowMs());
+    expect(await outcomeOf('s1')).toBe('v1');
+  });
+
+  it('goes on if a peer has seen all versions that matter', async () => {
+    noted = undefined;
+    found = {...found, answers: 1, hasCompleteHistory: true};
+    expect(await outcomeOf('s1')).toBe('v1');
+  });
+});
+
+describe('versions of a service', () => {
+  // Guards against forgetting a version whose streams may still be taken up.
+  it('count until no stream of a gone runner can be open', async () => {
+    register('r3', 'v2');
+    view.onRemoval('r3');
+    await clock.advance(MEMORY_MS / 2);
+    register('r1', 'v1', 2);
+    origins.refresh();
+    expect(await outcomeOf('s1')).toBe('origin-unknown');
+    await clock.advance(MEMORY_MS / 2 + 1);
+    register('r1', 'v1', 3);
+    origins.refresh();
+    expect(await outcomeOf('s1')).toBe('v1');
+  });
+
+  // Guards against versions that expire because the store is down.
+  it('count as long as their runners are known', async () => {
+    register('r3', 'v2');
+    await clock.advance(MEMORY_MS + 1);
+    origins.refresh();
+    expect(origins.history.mixedServices()).toEqual([SERVICE]);
+  });
+});
+
+describe('records of streams', () => {
+  it('are sent to peers only while several versions serve', async () => {
+    origins.noteEvents('s1', SERVICE, 'v1');
+    expect(replicated).toEqual([]);
+    register('r3', 'v2');
+    const sentMs = origins.noteEvents('s1', SERVICE, 'v1');
+    origins.noteEvents('s1', SERVICE, 'v1', sentMs);
+    expect(replicated).toEqual(['s1']);
+    await clock.advance(MEMORY_MS / 2);
+    origins.noteEvents('s1', SERVICE, 'v1', sentMs);
+    expect(replicated).toEqual(['s1', 's1']);
+  });
+
+  // Guards against a record that expires while callers still come back.
+  it('are kept anew each time a stream is taken up', async () => {
+    register('r3', 'v2');
+    origins.noteEvents('s1', SERVICE, 'v1');
+    for (let i = 0; i < 3; i++) {
+      await clock.advance(MEMORY_MS / 2 + 1);
+      expect(await outcomeOf('s1')).toBe('v1');
+    }
+    await clock.advance(MEMORY_MS + 1);
+    expect(await outcomeOf('s1')).toBe('origin-unknown');
+  });
+
+  // Guards against memory that callers fill with long ids.
+  it('hold a digest of a long id', async () => {
+    register('r3', 'v2');
+    const id = 'x'.repeat(10_000);
+    origins.noteEvents(id, SERVICE, 'v2');
+    expect(replicated[0]).toHaveLength(64);
+    expect(await outcomeOf(id)).toBe('v2');
+  });
+});
