--- a/soak/src/__tests__/judge.test.ts
+++ b/soak/src/__tests__/judge.test.ts
@@ -1,9 +1,11 @@
 import {describe, expect, it} from 'vitest';
 import type {Call} from '../callers.js';
 import {judge, type SoakRecord} from '../judge.js';
+import type {ResumedStream} from '../resumingCaller.js';
 
 const QUIET: SoakRecord = {
   calls: [],
+  streams: [],
   crashing: [],
   seen: new Map(),
   orders: [],
@@ -96,6 +98,30 @@
 
 const ORDER = {operation: 'load', model: 'm1', fencing_token: 7};
 const LEAVING = {runnerId: 'plain-1', atMs: 0};
+/** A stream that its caller left and took up at another entry. */
+function streamOf(
+  first: number[],
+  firstVersion: string,
+  rest: number[],
+  restVersion: string,
+): ResumedStream {
+  const partOf = (numbers: number[], version: string, isComplete: boolean) => ({
+    status: 200,
+    headers: {},
+    events: numbers.map(number => `token ${number} of ${version}`),
+    lastEventId: String(numbers.at(-1)),
+    isComplete,
+  });
+  return {
+    id: 'r0-1',
+    entries: ['entry-0', 'entry-1'],
+    parts: [
+      partOf(first, firstVersion, false),
+      partOf(rest, restVersion, true),
+    ],
+  };
+}
+
 const PROBE = {
   entry: 'entry-0',
   entryStart: 1,
@@ -128,6 +154,33 @@
     {calls: [callOf('letter', {text: 'id: 1\ndata: token 1\n\n'})]},
     ['answer is whole and the caller’s own'],
   ],
+  [
+    'a stream of one version that was taken up',
+    {streams: [streamOf([1, 2], 'v1', [3, 4, 5, 6], 'v1')]},
+    [],
+  ],
+  [
+    'a stream that was taken up at another version',
+    {streams: [streamOf([1, 2], 'v1', [3, 4, 5, 6], 'v2')]},
+    ['a stream has events of one version'],
+  ],
+  [
+    'a stream that was taken up too late',
+    {streams: [streamOf([1, 2], 'v1', [4, 5, 6], 'v1')]},
+    ['a stream that is taken up has no gap and no repeat'],
+  ],
+  [
+    'a response with events of two versions',
+    {
+      calls: [
+        callOf('letter', {
+          text: 'id: 1\ndata: token 1 of v1\n\nid: 2\ndata: token 2 of v2\n\n',
+          isTruncated: true,
+        }),
+      ],
+    },
+    ['a stream has events of one version'],
+  ],
   [
     'a stream with a repeat',
     {
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -58,10 +58,13 @@
   };
 }
 
-function report({seed, violations, faults, calls, served}: SeedVerdict): void {
+function report(verdictOfSeed: SeedVerdict): void {
+  const {seed, violations, faults, calls, served, takenUp, goneOn} =
+    verdictOfSeed;
   const verdict = violations.length === 0 ? 'ok' : 'BROKEN';
   console.log(
-    `seed ${seed}: ${verdict}, ${faults} faults, ${served} of ${calls} served`,
+    `seed ${seed}: ${verdict}, ${faults} faults, ${served} of ${calls} served, ` +
+      `${goneOn} of ${takenUp} streams gone on`,
   );
   for (const {rule, what} of violations) console.log(`  ${rule}: ${what}`);
 }
--- a/soak/src/judge.ts
+++ b/soak/src/judge.ts
@@ -5,8 +5,10 @@
 } from '@banyanfold/platform/standins';
 import {CALL_KINDS, type Call} from './callers.js';
 import {sentAfterLeaving, sentInPause, sentToLeaving} from './noticeRules.js';
+import type {ResumedStream} from './resumingCaller.js';
 import type {FaultKind} from './soakPlan.js';
 import {STREAM_EVENTS, type Leaving} from './soakSystem.js';
+import {brokenStreams, mixedStreams} from './streamRules.js';
 
 /** A fault as it was played. */
 export interface PlayedFault {
@@ -31,6 +33,8 @@
 /** What callers, runners and the supervisor saw of one run. */
 export interface SoakRecord {
   calls: readonly Call[];
+  /** Streams of callers that leave and take them up again. */
+  streams: readonly ResumedStream[];
   /** Sendings of the one request that crashes each runner that runs it. */
   crashing: readonly Call[];
   /** All that reached a runner, by request id. */
@@ -91,6 +95,12 @@
       .filter(({kind}) => CALL_KINDS[kind]!.isStream)
       .filter(call => !isPrefix(parseEvents(call.seen.text)))
       .map(call => describe(call, seen)),
+  'a stream has events of one version': ({streams, calls, seen}) => [
+    ...mixedStreams(streams),
+    ...calls.filter(hasSeveralVersions).map(call => describe(call, seen)),
+  ],
+  'a stream that is taken up has no gap and no repeat': ({streams}) =>
+    brokenStreams(streams),
   'what may not be repeated runs once': ({calls, seen}) =>
     calls
       .filter(({kind}) => !CALL_KINDS[kind]!.isRepeatable)
@@ -147,7 +157,15 @@
 }
 
 function isPrefix(events: readonly string[]): boolean {
-  return events.every((event, i) => event === `${i + 1} token ${i + 1}`);
+  return events.every((event, i) => {
+    const [token] = event.split(' of ');
+    return token === `${i + 1} token ${i + 1}`;
+  });
+}
+
+function hasSeveralVersions({seen}: Call): boolean {
+  const versions = parseEvents(seen.text).map(event => event.split(' of ')[1]);
+  return new Set(versions).size > 1;
 }
 
 function runsOf(
--- a/soak/src/runSeed.ts
+++ b/soak/src/runSeed.ts
@@ -12,8 +12,10 @@
 import {pause} from './pause.js';
 import {createDraw} from './random.js';
 import {planFaults, type PlannedFault} from './soakPlan.js';
+import {ResumingCaller} from './resumingCaller.js';
 import {HIGH_LOAD_SETTINGS} from './highLoadSettings.js';
 import {SoakSystem} from './soakSystem.js';
+import {countTakeUps} from './streamRules.js';
 import {untilServed} from './untilServed.js';
 
 export interface RunSeedOptions {
@@ -33,6 +35,9 @@
   calls: number;
   /** Answered by a runner, whole. */
   served: number;
+  /** Streams that callers took up again, and those that went on. */
+  takenUp: number;
+  goneOn: number;
 }
 
 const CALLERS = 8;
@@ -46,6 +51,11 @@
 /** All is served again so soon after the last fault. */
 const RECOVERY_MS = 20_000;
 const START_MS = 20_000;
+/** One in so many seeds has runners of several software versions. */
+const VERSIONS_ONE_IN = 4;
+const VERSIONS = 2;
+const RESUMING_CALLERS = 3;
+const RESUMING_SEEDS = 3_000_000;
 
 /**
  * Plays the faults of one seed against the programs, and judges what was seen.
@@ -57,7 +67,11 @@
 export async function runSeed(options: RunSeedOptions): Promise<SeedVerdict> {
   const isHighLoad = options.seed % HIGH_LOAD_ONE_IN === 0;
   const extraSettings = isHighLoad ? HIGH_LOAD_SETTINGS : {};
-  const system = new SoakSystem(options.folder, extraSettings);
+  const system = new SoakSystem(
+    options.folder,
+    extraSettings,
+    hasVersions(options.seed) ? VERSIONS : 1,
+  );
   try {
     await system.start();
     const isUp = await untilServed(system, START_MS);
@@ -78,6 +92,8 @@
   const running = callers.map(caller => caller.run());
   const crashing = makeCrashingCaller(system, seed);
   const crashingRun = crashing?.run();
+  const resuming = makeResumingCallers(system, seed);
+  const resumingRuns = resuming.map(caller => caller.run());
   const context: FaultContext = {system, addedRoutes: []};
   const prober = new ConfigProber(context);
   prober.start();
@@ -86,10 +102,12 @@
   await prober.stop();
   for (const caller of callers) caller.stop();
   crashing?.stop();
-  await Promise.all([...running, crashingRun]);
+  for (const caller of resuming) caller.stop();
+  await Promise.all([...running, crashingRun, ...resumingRuns]);
   return {
     crashing: crashing?.calls ?? [],
     calls: callers.flatMap(({calls}) => calls),
+    streams: resuming.flatMap(({streams}) => streams),
     seen: seenById(system),
     orders: system.runners.flatMap(({orders}) => orders),
     overfilled: system.runners.flatMap(
@@ -113,6 +131,23 @@
   });
 }
 
+/** Also where one version serves, where each stream may go on. */
+function makeResumingCallers(
+  {entries}: SoakSystem,
+  seed: number,
+): ResumingCaller[] {
+  if (!hasVersions(seed) && !hasVersions(seed + 1)) return [];
+  const processes = entries.map(({process}) => process);
+  return Array.from({length: RESUMING_CALLERS}, (_, i) => {
+    const draw = createDraw(seed * RESUMING_CALLERS + i + RESUMING_SEEDS);
+    return new ResumingCaller({name: `r${i}`, entries: processes, draw});
+  });
+}
+
+function hasVersions(seed: number): boolean {
+  return seed % VERSIONS_ONE_IN === VERSIONS_ONE_IN - 1;
+}
+
 function makeCrashingCaller(
   {entries}: SoakSystem,
   seed: number,
@@ -143,6 +178,7 @@
     faults: faults.length,
     calls: calls.length,
     served: served.length,
+    ...countTakeUps(record.streams),
   };
 }
 
--- a/soak/src/soakSystem.ts
+++ b/soak/src/soakSystem.ts
@@ -51,10 +51,12 @@
   /**
    * @param folder for settings and logs.
    * @param extraSettings fields of the entries' settings beyond the usual ones.
+   * @param versions how many software versions model runners have by turns.
    */
   constructor(
     private readonly folder: string,
     private readonly extraSettings: object = {},
+    private readonly versions = 1,
   ) {}
 
   async start(): Promise<void> {
@@ -127,6 +129,7 @@
       {
         runnerId: `${service}-${this.runnersMade}`,
         service,
+        softwareVersion: `v${1 + (this.runnersMade % this.versions)}`,
         models: isModelRunner && model ? [{name: model, adapters: []}] : [],
         events: STREAM_EVENTS,
         eventPauseMs: EVENT_PAUSE_MS,
