Soak: streams of two versions at five entries, one disturbance at a time; replicate origins sooner

Cause, from the logs: the streams had begun within 0.1 s before the kill, and their records still waited for the next batch; their lookups were answered by all three peers. Ruled out: a lost keeper; the second replica was alive. Batches now follow each other after 20 ms instead of 100 in small fleets, where a batch holds one stream or two anyway.

--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -70,7 +70,7 @@
    * in which each entry is one and in larger ones. The streams of an interval
    * are refused if their entry ends before it has sent them.
    */
-  originBatchMs: durationMs.default(100),
+  originBatchMs: durationMs.default(20),
   largeFleetOriginBatchMs: durationMs.default(250),
   /** Time for the balancer to notice a drain: two checks, one second apart. */
   noticeMs: durationMs.default(2_600),
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -3,12 +3,14 @@
 import {parseArgs} from 'node:util';
 import {REGRESSIONS} from './regressions.js';
 import {runSeed, type SeedVerdict} from './runSeed.js';
+import {runVersions} from './versionRun.js';
 import {runUsageCaps} from './usageCapRun.js';
 
 const USAGE = `usage: npm run soak -- [options]
   --seeds N       how many seeds to play (default 10)
   --from S        the first seed; without it a fresh one
   --usage-caps    six entries and two organisations, in place of random faults
+  --versions      five entries and runners of two software versions
   --regressions   the seeds that failed once, in place of others
   --seconds T     the span in which faults begin (default 12)
   --parallel P    how many runs at once (default 2; each has 3 processes)
@@ -25,6 +27,7 @@
   parallel: number;
   folder: string;
   usageCaps: boolean;
+  versions: boolean;
 }
 
 function readArgs(): SoakArgs {
@@ -34,6 +37,7 @@
       from: {type: 'string'},
       regressions: {type: 'boolean', default: false},
       'usage-caps': {type: 'boolean', default: false},
+      versions: {type: 'boolean', default: false},
       seconds: {type: 'string', default: '12'},
       parallel: {type: 'string', default: '2'},
       folder: {type: 'string', default: '.run/soak'},
@@ -55,6 +59,7 @@
     parallel,
     folder: values.folder,
     usageCaps: values['usage-caps'],
+    versions: values.versions,
   };
 }
 
@@ -82,10 +87,26 @@
   return violations.length === 0;
 }
 
+async function playVersions(seed: number, folder: string): Promise<boolean> {
+  const verdicts = await runVersions({seed, folder});
+  for (const each of verdicts) {
+    const verdict = each.violations.length === 0 ? 'ok' : 'BROKEN';
+    console.log(
+      `seed ${seed}: ${each.disturbance}: ${verdict}, ${each.streams} streams, ` +
+        `${each.goneOn} of ${each.takenUp} gone on`,
+    );
+    for (const {rule, what} of each.violations) {
+      console.log(`  ${rule}: ${what}`);
+    }
+  }
+  return verdicts.every(({violations}) => violations.length === 0);
+}
+
 async function playOne(seed: number, args: SoakArgs): Promise<boolean> {
   const folder = join(args.folder, String(seed));
   mkdirSync(folder, {recursive: true});
   if (args.usageCaps) return playUsageCaps(seed, folder);
+  if (args.versions) return playVersions(seed, folder);
   const verdict = await runSeed({
     seed,
     lengthMs: args.lengthMs,
--- a/soak/src/resumingCaller.ts
+++ b/soak/src/resumingCaller.ts
@@ -18,21 +18,21 @@
   name: string;
   entries: readonly EntryProcess[];
   draw: Draw;
+  /** One in so many streams is left midway; none if undefined. */
+  leavesOneIn?: number;
 }
 
 const DEADLINE_MS = 2_500;
 /** Callers leave a stream that stands still. */
 const PATIENCE_MS = 800;
 const MAX_TAKE_UPS = 3;
-/** One in so many streams is read to its end at once. */
-const READ_WHOLE_ONE_IN = 4;
 const MAX_EVENTS_AT_ONCE = 3;
 const MIN_PAUSE_MS = 5;
 const MAX_PAUSE_MS = 60;
 
 /**
- * Reads streams, leaves most of them midway, and takes up at any entry those
- * that it has not read to their end.
+ * Reads streams, leaves some of them midway, and takes up at any entry those that
+ * it has not read to their end.
  */
 export class ResumingCaller {
   readonly streams: ResumedStream[] = [];
@@ -52,12 +52,13 @@
     this.isStopped = true;
   }
 
-  private async readOne(): Promise<void> {
-    const {name, draw} = this.options;
+  /** Reads one stream, and takes it up until it has ended or is refused. */
+  async readOne(): Promise<void> {
+    const {name, draw, leavesOneIn} = this.options;
     const id = `${name}-${this.streams.length + 1}`;
     const stream: ResumedStream = {id, entries: [], parts: []};
     this.streams.push(stream);
-    const isLeft = draw.int(0, READ_WHOLE_ONE_IN) > 0;
+    const isLeft = leavesOneIn !== undefined && draw.int(1, leavesOneIn) === 1;
     const closeAfter = isLeft ? draw.int(1, MAX_EVENTS_AT_ONCE) : undefined;
     await this.read(stream, id, {}, closeAfter);
     for (let i = 1; i <= MAX_TAKE_UPS; i++) {
@@ -83,9 +84,14 @@
     const part = await readStream({
       port: entry.callersPort,
       id,
-      headers: {...headers, 'deadline-ms': String(DEADLINE_MS)},
+      headers: {
+        ...headers,
+        'deadline-ms': String(DEADLINE_MS),
+        // A prompt of its own, so that streams are spread over the runners.
+        'prompt-prefix': `${stream.id}-shared:5,${stream.id}-own:5`,
+      },
       closeAfter,
-      leaveAfterMs: PATIENCE_MS,
+      idleTimeoutMs: PATIENCE_MS,
     });
     stream.parts.push(part);
   }
--- a/soak/src/runSeed.ts
+++ b/soak/src/runSeed.ts
@@ -55,6 +55,7 @@
 const VERSIONS_ONE_IN = 4;
 const VERSIONS = 2;
 const RESUMING_CALLERS = 3;
+const LEAVES_ONE_IN = 2;
 const RESUMING_SEEDS = 3_000_000;
 
 /**
@@ -140,7 +141,12 @@
   const processes = entries.map(({process}) => process);
   return Array.from({length: RESUMING_CALLERS}, (_, i) => {
     const draw = createDraw(seed * RESUMING_CALLERS + i + RESUMING_SEEDS);
-    return new ResumingCaller({name: `r${i}`, entries: processes, draw});
+    return new ResumingCaller({
+      name: `r${i}`,
+      entries: processes,
+      draw,
+      leavesOneIn: LEAVES_ONE_IN,
+    });
   });
 }
 
--- a/soak/src/streamRules.ts
+++ b/soak/src/streamRules.ts
@@ -11,12 +11,15 @@
 }
 
 /** Streams in which an event is missing or comes twice, over all their parts. */
-export function brokenStreams(streams: readonly ResumedStream[]): string[] {
+export function brokenStreams(
+  streams: readonly ResumedStream[],
+  length = STREAM_EVENTS,
+): string[] {
   return streams
     .filter(stream => {
       const numbers = eventsOf(stream).map(event => Number(event[1]));
       const isInOrder = numbers.every((number, i) => number === i + 1);
-      const isWhole = numbers.length === STREAM_EVENTS;
+      const isWhole = numbers.length === length;
       const hasEnded = stream.parts.some(
         ({isComplete, status}) => isComplete && status === 200,
       );
--- a/soak/src/usageCapRun.ts
+++ b/soak/src/usageCapRun.ts
@@ -1,13 +1,10 @@
-import {
-  freePorts,
-  PlatformStandin,
-  sendRequest,
-} from '@banyanfold/platform/standins';
-import {EntryProcess} from './entryProcess.js';
+import {PlatformStandin, sendRequest} from '@banyanfold/platform/standins';
+import type {EntryProcess} from './entryProcess.js';
 import {HIGH_LOAD_SETTINGS} from './highLoadSettings.js';
 import type {Violation} from './judge.js';
 import {pause} from './pause.js';
 import {createDraw} from './random.js';
+import {startEntries} from './startEntries.js';
 
 export interface UsageCapRunOptions {
   seed: number;
@@ -75,7 +72,12 @@
   for (let i = 0; i < RUNNERS; i++) {
     await platform.addRunner({runnerId: `plain-${i}`, service: SERVICE});
   }
-  const entries = await startEntries(platform, options.folder);
+  const entries = await startEntries({
+    platform,
+    count: ENTRIES,
+    folder: options.folder,
+    extraSettings: HIGH_LOAD_SETTINGS,
+  });
   try {
     await untilAllServe(entries);
     const startedMs = performance.now();
@@ -88,29 +90,6 @@
   }
 }
 
-async function startEntries(
-  platform: PlatformStandin,
-  folder: string,
-): Promise<EntryProcess[]> {
-  const ports = await freePorts(ENTRIES * 3);
-  return Array.from({length: ENTRIES}, (_, i) => {
-    const [callers, readiness, peers] = ports.slice(i * 3);
-    const entry = new EntryProcess({
-      name: `entry-${i}`,
-      folder,
-      extraSettings: HIGH_LOAD_SETTINGS,
-      ports: {
-        store: platform.store.address,
-        callers: callers!,
-        readiness: readiness!,
-        peers: peers!,
-      },
-    });
-    entry.start();
-    return entry;
-  });
-}
-
 /** Waits until all serve, and until the windows are empty again. */
 async function untilAllServe(entries: readonly EntryProcess[]): Promise<void> {
   for (;;) {
