--- a/soak/src/resumingCaller.ts
+++ b/soak/src/resumingCaller.ts
@@ -87,8 +87,9 @@
       headers: {
         ...headers,
         'deadline-ms': String(DEADLINE_MS),
-        // A prompt of its own, so that streams are spread over the runners.
-        'prompt-prefix': `${stream.id}-shared:5,${stream.id}-own:5`,
+        // Another prompt each time: prefix affinity would lead a stream back to
+        // the runner that began it, whether or not versions are told apart.
+        'prompt-prefix': `${id}-shared:5,${id}-own:5`,
       },
       closeAfter,
       idleTimeoutMs: PATIENCE_MS,
