End a stream at once whose version has no copy of its model

Copies are planned by model. Where only runners of other versions hold the model, no copy is on its way, and the caller of a stream that was taken up was held until it left (2 s and more) before the refusal. It is refused at once; a response that has begun is cut, so that its caller learns it. Not done: planning copies by version while streams of it are open.

--- a/packages/banyanfold-gateway/src/__tests__/targetChooser.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/targetChooser.test.ts
@@ -17,6 +17,8 @@
 let states: RunnerStates;
 let speeds: Record<string, number>;
 let chooser: TargetChooser;
+let holders: string[];
+let modelChooser: TargetChooser;
 
 beforeEach(() => {
   clock = new VirtualClock();
@@ -24,6 +26,7 @@
   view = new FleetView(clock, logger);
   runnerBackoffs = new RunnerBackoffs({clock, logger});
   speeds = {};
+  holders = [...RUNNERS];
   states = new RunnerStates(clock, logger, DEFAULT_OPTIONS);
   const context = {
     clock,
@@ -32,7 +35,10 @@
     runnerStates: states,
     capacities: {speed: (id: string) => speeds[id] ?? 1},
     promptGate: {isStalled: () => false},
-    heldCopies: {canFetch: () => true},
+    heldCopies: {
+      canFetch: () => true,
+      holdsModel: (id: string) => holders.includes(id),
+    },
     failureDomain: 'hall-a',
     random: () => 0.5,
   };
@@ -41,6 +47,16 @@
     request: {promptTokens: 0, maxOutputTokens: 0, promptParts: []},
     service: 'desk',
   });
+  modelChooser = new TargetChooser({
+    context: context as unknown as GatewayContext,
+    request: {
+      model: 'm1',
+      promptTokens: 0,
+      maxOutputTokens: 0,
+      promptParts: [],
+    },
+    service: 'desk',
+  });
   for (const runnerId of RUNNERS) {
     view.onRegistration({
       runnerId,
@@ -63,7 +79,37 @@
   view.noteLeaving({runnerId, bornMs: BORN_MS}, 'response');
 }
 
+function setVersion(runnerId: string, softwareVersion: string) {
+  const heartbeatNumber = view.runner(runnerId)!.heartbeatNumber + 1;
+  const runner = view.runner(runnerId)!;
+  view.onRegistration({...runner, softwareVersion, heartbeatNumber});
+}
+
 describe('TargetChooser', () => {
+  // Guards against events of two software versions in one stream.
+  it('chooses runners of the required version only', () => {
+    setVersion('r2', 'v2');
+    chooser.requiredVersion = 'v2';
+    expect(chooser.eligibleByOpenWork()).toEqual(['r2']);
+    const runner = chooser.choose()!.runner;
+    expect(chooser.isStillUsable(runner)).toBe(true);
+    setVersion('r2', 'v3');
+    expect(chooser.isStillUsable(runner)).toBe(false);
+    expect(chooser.choose()).toBeUndefined();
+  });
+
+  // Guards against a wait for a copy that nobody plans.
+  it('tells that only runners of other versions hold the model', () => {
+    setVersion('r2', 'v2');
+    expect(modelChooser.isHeldByOtherVersionsOnly).toBe(false);
+    modelChooser.requiredVersion = 'v2';
+    expect(modelChooser.isHeldByOtherVersionsOnly).toBe(false);
+    holders = ['r1', 'r3'];
+    expect(modelChooser.isHeldByOtherVersionsOnly).toBe(true);
+    holders = [];
+    expect(modelChooser.isHeldByOtherVersionsOnly).toBe(false);
+  });
+
   it('leaves out runners that are leaving or paused', () => {
     announceLeaving('r1');
     pauseRunner('r2', 1_000);
--- a/packages/banyanfold-gateway/src/requests/requestAdmission.ts
+++ b/packages/banyanfold-gateway/src/requests/requestAdmission.ts
@@ -156,6 +156,15 @@
     return true;
   }
 
+  /** Ends a stream whose version has no copy of its model, and gets none. */
+  endIfNoCopyOfVersion(): boolean {
+    const {state, ending} = this;
+    if (!state.targets.isHeldByOtherVersionsOnly) return false;
+    if (state.relay.hasStarted || state.mayHaveRun) ending.endWithoutAnswer();
+    else ending.refuse('no-copy-of-version');
+    return true;
+  }
+
   /** Refuses a request whose copy would be ready only after its caller left. */
   refuseIfCopyTooLate(): boolean {
     const {state, ending} = this;
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -186,6 +186,7 @@
     const {state, admission} = this;
     if (!this.hasLoggedWait) state.log.wait(state.targets.candidateCounts());
     this.hasLoggedWait = true;
+    if (admission.endIfNoCopyOfVersion()) return;
     if (admission.refuseIfCopyTooLate()) return;
     state.markWaiting();
     await this.waitForChange(RUNNER_POLL_MS);
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -167,6 +167,26 @@
     return runnerBackoffs.remainingMs(runner) === 0;
   }
 
+  /**
+   * Whether runners hold the model, but none of the required version. Copies are
+   * planned by model only, so none is on its way.
+   */
+  get isHeldByOtherVersionsOnly(): boolean {
+    const {context, service, request} = this.options;
+    const {requiredVersion} = this;
+    if (requiredVersion === undefined || request.model === undefined) {
+      return false;
+    }
+    const staying = context.view
+      .runnersOf(service)
+      .filter(({leaving}) => !leaving);
+    const holding = this.withModel(staying);
+    return (
+      holding.length > 0 &&
+      !holding.some(runner => this.hasRequiredVersion(runner))
+    );
+  }
+
   candidateCounts(): CandidateCounts {
     const {context, service} = this.options;
     const staying = this.remainingRunners();
