Tests of replicas, lookups and keepers of stream origins

Each guards against a failure: a keeper that does not answer, a record made before keepers are named, a frozen peer, a record on its way to a keeper, and a new holder that has heard of few entries yet.

--- /dev/null
+++ b/packages/banyanfold-gateway/src/__tests__/originLookup.test.ts
@@ -0,0 +1,106 @@
+import {VirtualClock} from '@banyanfold/core';
+import type {Keeper} from '@banyanfold/decisions';
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {FindOriginsInput} from '../peers/peerContract.js';
+import {OriginLookup, type LookupResult} from '../streams/originLookup.js';
+
+const MAX_WAIT_MS = 600;
+const CALL_TIMEOUT_MS = 300;
+
+let clock: VirtualClock;
+let keepers: Keeper[] | undefined;
+let entryCount: number;
+/** Versions that each keeper knows; a keeper without an entry is frozen. */
+let known: Map<string, Map<string, string>>;
+let asked: string[][];
+let lookup: OriginLookup;
+
+beforeEach(() => {
+  clock = new VirtualClock();
+  keepers = ['a', 'b', 'c'].map(name => ({
+    address: `${name}:7`,
+    failureDomain: name,
+  }));
+  entryCount = 3;
+  known = new Map([
+    ['b:7', new Map()],
+    ['c:7', new Map()],
+  ]);
+  asked = [];
+  lookup = new OriginLookup({
+    clock,
+    address: 'a:7',
+    keepers: () => keepers,
+    entryCount: () => entryCount,
+    ask: (address, input) => answer(address, input),
+  });
+});
+
+async function answer(address: string, {requestIds}: FindOriginsInput) {
+  asked.push(requestIds);
+  const versions = known.get(address);
+  if (!versions) {
+    await new Promise<void>(resolve => {
+      clock.setTimer(CALL_TIMEOUT_MS, resolve);
+    });
+    return undefined;
+  }
+  return {
+    origins: [...versions],
+    mixedServices: ['drafting'],
+    isHistoryComplete: true,
+  };
+}
+
+/** Returns the result, if there is one within a time. */
+async function find(withinMs: number): Promise<LookupResult | undefined> {
+  let result: LookupResult | undefined;
+  void lookup.find('s1', MAX_WAIT_MS).then(found => (result = found));
+  await clock.advance(withinMs);
+  return result;
+}
+
+describe('a stream that is looked up', () => {
+  it('is found at one peer while another one is frozen', async () => {
+    known.delete('b:7');
+    known.get('c:7')!.set('s1', 'v1');
+    expect((await find(10))?.version).toBe('v1');
+  });
+
+  // Guards against a caller that is told to come back although nobody knows.
+  it('is known to nobody once all peers have answered', async () => {
+    const result = await find(10);
+    expect(result).toMatchObject({version: undefined, isExhaustive: true});
+  });
+
+  it('may be known to a peer that does not answer', async () => {
+    known.delete('b:7');
+    const result = await find(MAX_WAIT_MS);
+    expect(result).toMatchObject({version: undefined, isExhaustive: false});
+  });
+
+  // Guards against a refusal while the record is on its way to a keeper.
+  it('is sought again where its entry may not be among the keepers', async () => {
+    entryCount = 30;
+    expect(await find(100)).toBeUndefined();
+    known.get('b:7')!.set('s1', 'v1');
+    await clock.advance(CALL_TIMEOUT_MS);
+    expect(asked).toHaveLength(4);
+    expect((await find(10))?.version).toBe('v1');
+  });
+
+  it('is sought in one call with others', async () => {
+    void lookup.find('s2', MAX_WAIT_MS);
+    await find(10);
+    expect(asked).toEqual([
+      ['s2', 's1'],
+      ['s2', 's1'],
+    ]);
+  });
+
+  it('is answered at once where no keepers are known', async () => {
+    keepers = undefined;
+    expect(await find(MAX_WAIT_MS)).toMatchObject({answers: 0});
+    expect(lookup.isAlone).toBe(false);
+  });
+});
