Give a version up only where others serve and its runners can't be back

Found in review: a response that broke while the registrations of all runners had expired with the store was cut at once, also where one version serves; it waited for runners before. Registrations are back within two seconds of the store's return. A version is gone if other versions serve and none of its runners stays, or was removed within 3 s without having said that it leaves. A stream that waits for a runner is refused as soon as its version is gone, instead of when its caller leaves. A retry that stops because the runner's version changed under its id is logged as version-uncertain.

Tests: the version of a stream is gone once its last runner is leaving, may return after its registration expired, and is waited for where none serves.

--- a/packages/banyanfold-decisions/src/__tests__/resumedStreams.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/resumedStreams.test.ts
@@ -7,18 +7,16 @@
 import {decideContinuation} from '../streams/decideContinuation.js';
 
 describe('decideContinuation', () => {
-  const serving = new Set(['v1', 'v2']);
-
   it.each([
-    ['its version serves', 'v1', serving, undefined],
-    ['its version is gone', 'v0', serving, undefined],
-    ['its version is gone and one serves', 'v0', new Set(['v1']), 'v1'],
-    ['its beginning is unknown', undefined, serving, undefined],
-    ['one version has ever served', undefined, new Set(['v1']), 'v1'],
-    ['no runner states a version', undefined, new Set(['']), ''],
-  ])('if %s', (_name, originVersion, servingVersions, onlyVersion) => {
+    ['its version serves', 'v1', false, undefined],
+    ['its version is gone', 'v0', true, undefined],
+    ['its version is gone and one serves', 'v0', true, 'v1'],
+    ['its beginning is unknown', undefined, false, undefined],
+    ['one version has ever served', undefined, false, 'v1'],
+    ['no runner states a version', undefined, false, ''],
+  ])('if %s', (_name, originVersion, isOriginGone, onlyVersion) => {
     expect(
-      decideContinuation({originVersion, servingVersions, onlyVersion}),
+      decideContinuation({originVersion, isOriginGone, onlyVersion}),
     ).toMatchSnapshot();
   });
 });
--- a/packages/banyanfold-decisions/src/streams/decideContinuation.ts
+++ b/packages/banyanfold-decisions/src/streams/decideContinuation.ts
@@ -2,8 +2,8 @@
 export interface ContinuationView {
   /** Version that wrote the stream's first event; undefined if unknown. */
   originVersion: string | undefined;
-  /** Versions of the runners that take requests. */
-  servingVersions: ReadonlySet<string>;
+  /** Whether other versions serve, and that one will not again. */
+  isOriginGone: boolean;
   /**
    * The only version that any runner has had for as long as a stream can be
    * open; undefined if there were several, or if it is not certain.
@@ -24,19 +24,19 @@
  * @example
  * decideContinuation({
  *   originVersion: 'v1',
- *   servingVersions: new Set(['v1', 'v2']),
+ *   isOriginGone: false,
  *   onlyVersion: undefined,
  * }) // {kind: 'at-version', version: 'v1', reason: 'known'}
  */
 export function decideContinuation({
   originVersion,
-  servingVersions,
+  isOriginGone,
   onlyVersion,
 }: ContinuationView): Continuation {
   if (originVersion !== undefined) {
-    return servingVersions.has(originVersion)
-      ? {kind: 'at-version', version: originVersion, reason: 'known'}
-      : {kind: 'refuse', reason: 'version-gone'};
+    return isOriginGone
+      ? {kind: 'refuse', reason: 'version-gone'}
+      : {kind: 'at-version', version: originVersion, reason: 'known'};
   }
   return onlyVersion === undefined
     ? {kind: 'refuse', reason: 'origin-unknown'}
--- a/packages/banyanfold-gateway/src/__tests__/streamOrigins.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/streamOrigins.test.ts
@@ -171,6 +171,34 @@
   });
 });
 
+describe('the version of a stream', () => {
+  beforeEach(() => {
+    register('r3', 'v2');
+    origins.noteEvents('s1', SERVICE, 'v2');
+  });
+
+  it('is gone once its last runner is leaving and others serve', async () => {
+    view.noteLeaving({runnerId: 'r3', bornMs: 0}, 'response');
+    expect(await outcomeOf('s1')).toBe('version-gone');
+  });
+
+  // Guards against a final refusal because the store was down: registrations
+  // that expired meanwhile are back within two seconds.
+  it('may return for some seconds after a registration has expired', async () => {
+    view.onRemoval('r3');
+    expect(await outcomeOf('s1')).toBe('v2');
+    await clock.advance(3_001);
+    expect(await outcomeOf('s1')).toBe('version-gone');
+  });
+
+  it('is waited for where no runner serves at all', async () => {
+    for (const runnerId of ['r1', 'r2', 'r3']) {
+      view.noteLeaving({runnerId, bornMs: 0}, 'response');
+    }
+    expect(await outcomeOf('s1')).toBe('v2');
+  });
+});
+
 describe('records of streams', () => {
   it('are sent to peers only while several versions serve', async () => {
     origins.noteEvents('s1', SERVICE, 'v1');
--- a/packages/banyanfold-gateway/src/__tests__/versionNotes.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/versionNotes.test.ts
@@ -37,6 +37,11 @@
   },
 };
 
+function runnerOf(softwareVersion: string) {
+  const runnerId = `runner-${softwareVersion}`;
+  return {runnerId, service: 'drafting', softwareVersion, leaving: false};
+}
+
 function startNotes(owns: boolean) {
   const history = new VersionHistory({
     nowMs: () => clock.nowMs(),
@@ -57,12 +62,12 @@
 describe('notes of services with several versions', () => {
   it('stand in the store until one version has served for long enough', async () => {
     const {history} = startNotes(true);
-    history.note({service: 'drafting', softwareVersion: 'v1'});
-    history.note({service: 'drafting', softwareVersion: 'v2'});
+    history.note(runnerOf('v1'));
+    history.note(runnerOf('v2'));
     await clock.advance(SYNC_MS);
     expect([...stored]).toEqual(['drafting']);
     await clock.advance(HORIZON_MS);
-    history.refresh([{service: 'drafting', softwareVersion: 'v2'}]);
+    history.refresh([runnerOf('v2')]);
     await clock.advance(SYNC_MS);
     expect([...stored]).toEqual([]);
   });
@@ -88,8 +93,8 @@
   // Guards against a note that is lost with the latest writes to the store.
   it('are written again when the store comes back older', async () => {
     const {history} = startNotes(true);
-    history.note({service: 'drafting', softwareVersion: 'v1'});
-    history.note({service: 'drafting', softwareVersion: 'v2'});
+    history.note(runnerOf('v1'));
+    history.note(runnerOf('v2'));
     await clock.advance(SYNC_MS);
     stored.clear();
     reset();
--- a/packages/banyanfold-gateway/src/requests/attemptResults.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptResults.ts
@@ -118,11 +118,12 @@
       result,
       ...state.counts,
       hasStarted: state.relay.hasStarted,
+      isVersionUncertain: state.stream.isVersionUncertain,
       deadlineMs: state.deadlineMs,
       budgetTokens: budget.settle(),
     });
     state.log.retry(runner.runnerId, result, decision, state.mayHaveRun);
-    if (!shouldRetry || state.stream.isVersionUncertain) {
+    if (!shouldRetry) {
       this.fail(result);
       return;
     }
--- a/packages/banyanfold-gateway/src/requests/decideRequestRetry.ts
+++ b/packages/banyanfold-gateway/src/requests/decideRequestRetry.ts
@@ -14,6 +14,8 @@
   mayHaveRun: boolean;
   /** A part of a response was forwarded to the caller. */
   hasStarted: boolean;
+  /** It is not certain which software version wrote the forwarded events. */
+  isVersionUncertain: boolean;
   deadlineMs: number;
   budgetTokens: number;
 }
@@ -58,5 +60,9 @@
     const reason = 'turned-away-too-often';
     return {shouldRetry: false, decision: {kind: 'stop', reason}};
   }
+  if (state.isVersionUncertain) {
+    const reason = 'version-uncertain';
+    return {shouldRetry: false, decision: {kind: 'stop', reason}};
+  }
   return {shouldRetry: decision.kind !== 'stop', decision};
 }
--- a/packages/banyanfold-gateway/src/requests/requestAdmission.ts
+++ b/packages/banyanfold-gateway/src/requests/requestAdmission.ts
@@ -156,6 +156,15 @@
     return true;
   }
 
+  /** Ends a stream whose version serves no more, without a time to return. */
+  endIfVersionGone(): boolean {
+    const {state, ending} = this;
+    if (!state.stream.isVersionGone) return false;
+    if (state.relay.hasStarted || state.mayHaveRun) ending.endWithoutAnswer();
+    else ending.respond(ERROR_STATUS.notRun, 'version-gone');
+    return true;
+  }
+
   /** Ends a stream whose version has no copy of its model, and gets none. */
   endIfNoCopyOfVersion(): boolean {
     const {state, ending} = this;
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -147,8 +147,7 @@
 
   private async waitForRunner(): Promise<void> {
     const {admission} = this;
-    const {stream} = this.state;
-    if (stream.isVersionGone) return this.ending.endWithoutAnswer();
+    if (admission.endIfVersionGone()) return;
     const paused = this.state.targets.pausedState();
     if (paused && admission.endIfPaused(paused)) return;
     if (paused) return this.waitForChange(paused.forMs);
--- a/packages/banyanfold-gateway/src/requests/streamContinuity.ts
+++ b/packages/banyanfold-gateway/src/requests/streamContinuity.ts
@@ -20,7 +20,6 @@
 export class StreamContinuity {
   /** The runner changed its version under its id while it wrote events. */
   isVersionUncertain = false;
-  private hasEvents = false;
   /** When the records of this stream were last sent to peers. */
   private replicatedMs: number | undefined;
 
@@ -57,7 +56,6 @@
     const hasChanged = current !== undefined && versionOf(current) !== version;
     if (hasChanged) this.isVersionUncertain = true;
     if (this.isVersionUncertain) return;
-    this.hasEvents = true;
     targets.requiredVersion = version;
     const {requestId, resumedRequestId} = request;
     let replicatedMs = this.replicatedMs;
@@ -73,13 +71,11 @@
     this.replicatedMs = replicatedMs;
   }
 
-  /** Whether the response has begun and no runner of its version stays. */
+  /** Whether the stream is bound to a version that will not serve again. */
   get isVersionGone(): boolean {
     const {context, service, targets} = this.options;
     const {requiredVersion} = targets;
-    if (!this.hasEvents || requiredVersion === undefined) return false;
-    return !context.view
-      .runnersOf(service)
-      .some(runner => !runner.leaving && versionOf(runner) === requiredVersion);
+    if (requiredVersion === undefined) return false;
+    return context.streamOrigins.history.isGone(service, requiredVersion);
   }
 }
--- a/packages/banyanfold-gateway/src/streams/streamOrigins.ts
+++ b/packages/banyanfold-gateway/src/streams/streamOrigins.ts
@@ -10,7 +10,6 @@
 import {OriginRecords, type StreamOrigin} from './originRecords.js';
 import type {OriginReplicator} from './originReplicator.js';
 import {originKey} from './originKey.js';
-import {versionOf} from './softwareVersion.js';
 import {VersionHistory} from './versionHistory.js';
 
 export interface StreamOriginsOptions {
@@ -83,6 +82,9 @@
     this.clockJumps = new ClockJumps(clock);
     view.onChange(change => {
       if (change.kind === 'caught-up') this.history.startWatching();
+      if (change.kind === 'runner-removed') {
+        this.history.noteRemoval(change.runnerId);
+      }
       if (change.kind !== 'runner') return;
       const runner = view.runner(change.runnerId);
       if (runner) this.history.note(runner);
@@ -160,7 +162,8 @@
     const version = own?.version ?? found.version;
     const continuation = decideContinuation({
       originVersion: version,
-      servingVersions: this.servingVersions(service),
+      isOriginGone:
+        version !== undefined && this.history.isGone(service, version),
       onlyVersion: this.onlyVersion(service, found),
     });
     if (key !== undefined && version !== undefined) {
@@ -192,13 +195,6 @@
     return this.options.lookup.find(key, maxWaitMs);
   }
 
-  private servingVersions(service: string): Set<string> {
-    const staying = this.options.view
-      .runnersOf(service)
-      .filter(({leaving}) => !leaving);
-    return new Set(staying.map(runner => versionOf(runner)));
-  }
-
   /** The only version that has served; undefined if that is not certain. */
   private onlyVersion(
     service: string,
--- a/packages/banyanfold-gateway/src/streams/versionHistory.ts
+++ b/packages/banyanfold-gateway/src/streams/versionHistory.ts
@@ -7,12 +7,24 @@
   horizonMs: number;
 }
 
-type VersionedRunner = Pick<RunnerRegistration, 'service' | 'softwareVersion'>;
+type VersionedRunner = Pick<
+  RunnerRegistration,
+  'runnerId' | 'service' | 'softwareVersion' | 'leaving'
+>;
+
+/**
+ * Registrations that expired while the store was down are back within two
+ * seconds of its return.
+ */
+const RETURN_MS = 3_000;
 
 /** The software versions of each service's runners, for as long as they matter. */
 export class VersionHistory {
   /** When a runner had a version last, by service and version. */
   private readonly services = new Map<string, Map<string, number>>();
+  private readonly runners = new Map<string, VersionedRunner>();
+  /** When a runner that was not leaving was removed last, by version. */
+  private readonly removals = new Map<string, number>();
   private watchedSinceMs: number | undefined;
 
   constructor(private readonly options: VersionHistoryOptions) {}
@@ -33,18 +45,49 @@
 
   /** Records the version of a registered runner. */
   note(runner: VersionedRunner): void {
+    this.runners.set(runner.runnerId, runner);
     let versions = this.services.get(runner.service);
     if (!versions) this.services.set(runner.service, (versions = new Map()));
     versions.set(versionOf(runner), this.options.nowMs());
   }
 
+  /** Records that the registration of a runner was removed. */
+  noteRemoval(runnerId: string): void {
+    const runner = this.runners.get(runnerId);
+    this.runners.delete(runnerId);
+    if (!runner || runner.leaving) return;
+    this.removals.set(removalKey(runner), this.options.nowMs());
+  }
+
+  /**
+   * Whether runners of other versions serve, and none of this one will again. A
+   * removed registration may have expired only because the store was down.
+   */
+  isGone(service: string, version: string): boolean {
+    const staying = [...this.runners.values()].filter(
+      runner => runner.service === service && !runner.leaving,
+    );
+    if (staying.length === 0) return false;
+    if (staying.some(runner => versionOf(runner) === version)) return false;
+    const removedMs = this.removals.get(
+      removalKey({service, softwareVersion: version}),
+    );
+    return (
+      removedMs === undefined || this.options.nowMs() - removedMs > RETURN_MS
+    );
+  }
+
   /**
    * Drops the versions that no longer matter. The versions of the given runners
    * stay: without the store, no heartbeats arrive of runners that serve on.
    */
   refresh(runners: Iterable<VersionedRunner>): void {
     for (const runner of runners) this.note(runner);
-    const oldestMs = this.options.nowMs() - this.options.horizonMs;
+    const nowMs = this.options.nowMs();
+    for (const [key, removedMs] of this.removals) {
+      if (nowMs - removedMs > RETURN_MS) this.removals.delete(key);
+    }
+    const oldestMs = nowMs - this.options.horizonMs;
     for (const versions of this.services.values()) {
       for (const [version, seenMs] of versions) {
         if (seenMs < oldestMs) versions.delete(version);
@@ -66,3 +109,9 @@
     return [...this.services.keys()].filter(each => this.hasSeveral(each));
   }
 }
+
+function removalKey(
+  runner: Pick<RunnerRegistration, 'service' | 'softwareVersion'>,
+): string {
+  return JSON.stringify([runner.service, versionOf(runner)]);
+}
