Name replicas as such, and wire the origins of streams in a module of their own

Read as a newcomer: keepers meant other things in this package (quarantine, usage), the gateway's constructor had the wiring of five classes more, and the field's term is replica.

--- a/packages/banyanfold-decisions/src/__tests__/resumedStreams.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/resumedStreams.test.ts
@@ -1,9 +1,9 @@
 import {describe, expect, it} from 'vitest';
 import {
-  chooseKeepers,
+  chooseReplicas,
   rankReplicas,
-  type KeeperCandidate,
-} from '../streams/chooseKeepers.js';
+  type ReplicaCandidate,
+} from '../streams/chooseReplicas.js';
 import {decideContinuation} from '../streams/decideContinuation.js';
 
 describe('decideContinuation', () => {
@@ -21,7 +21,7 @@
   });
 });
 
-function createEntries(count: number, domains: number): KeeperCandidate[] {
+function createEntries(count: number, domains: number): ReplicaCandidate[] {
   return Array.from({length: count}, (_, i) => ({
     address: `10.0.${i % domains}.${i}:7`,
     failureDomain: `domain-${i % domains}`,
@@ -29,47 +29,47 @@
   }));
 }
 
-describe('chooseKeepers', () => {
+describe('chooseReplicas', () => {
   it.each([1, 5, 16, 17, 67, 730])('of %i entries', count => {
     const entries = createEntries(count, 6);
-    const keepers = chooseKeepers(entries, new Set());
-    const domains = new Set(keepers.map(({failureDomain}) => failureDomain));
-    expect([keepers.length, domains.size]).toMatchSnapshot();
+    const replicas = chooseReplicas(entries, new Set());
+    const domains = new Set(replicas.map(({failureDomain}) => failureDomain));
+    expect([replicas.length, domains.size]).toMatchSnapshot();
   });
 
   // Guards against a move of records each time an entry starts or ends.
   it('stay when others come and go', () => {
     const entries = createEntries(67, 6);
-    const current = chooseKeepers(entries, new Set());
+    const current = chooseReplicas(entries, new Set());
     const addresses = new Set(current.map(({address}) => address));
     const ordinary = entries.filter(({address}) => !addresses.has(address));
     const without = new Set(ordinary.slice(0, 6).map(e => e.address));
     const left = entries.filter(({address}) => !without.has(address));
-    const next = chooseKeepers(left, addresses);
+    const next = chooseReplicas(left, addresses);
     expect(next.every(({address}) => addresses.has(address))).toBe(true);
   });
 });
 
 describe('rankReplicas', () => {
   const entries = createEntries(67, 6);
-  const keepers = chooseKeepers(entries, new Set());
+  const replicas = chooseReplicas(entries, new Set());
 
   // Guards against the loss of all copies with one failure domain.
   it.each([0, 5, 13])('are in other failure domains, for entry %i', index => {
     const entry = entries[index]!;
-    const ranked = rankReplicas(entry, keepers);
-    const replicas = ranked
+    const ranked = rankReplicas(entry, replicas);
+    const nearest = ranked
       .slice(0, 2)
-      .map(replica => keepers.find(({address}) => address === replica)!);
-    const domains = [entry, ...replicas].map(each => each.failureDomain);
+      .map(replica => replicas.find(({address}) => address === replica)!);
+    const domains = [entry, ...nearest].map(each => each.failureDomain);
     expect(new Set(domains).size).toBe(3);
     expect(ranked).not.toContain(entry.address);
   });
 
-  it('keep their order when a keeper is lost', () => {
+  it('keep their order when a replica is lost', () => {
     const entry = entries[0]!;
-    const [lost, ...others] = rankReplicas(entry, keepers);
-    const left = keepers.filter(({address}) => address !== lost);
+    const [lost, ...others] = rankReplicas(entry, replicas);
+    const left = replicas.filter(({address}) => address !== lost);
     expect(rankReplicas(entry, left)[0]).toBe(others[0]);
   });
 });
--- a/packages/banyanfold-decisions/src/index.ts
+++ b/packages/banyanfold-decisions/src/index.ts
@@ -15,7 +15,7 @@
 export * from './decideWait.js';
 export * from './decidePromptWindow.js';
 export * from './priorityWeight.js';
-export * from './streams/chooseKeepers.js';
+export * from './streams/chooseReplicas.js';
 export * from './streams/decideContinuation.js';
 export * from './limits/decideRateLimit.js';
 export * from './usage/decayingRate.js';
--- a/packages/banyanfold-decisions/src/streams/chooseKeepers.ts
+++ b/packages/banyanfold-decisions/src/streams/chooseReplicas.ts
@@ -2,7 +2,7 @@
 import {hashRank, rankByWeight} from '../rankByWeight.js';
 
 /** An entry that can keep records of other entries. */
-export interface KeeperCandidate {
+export interface ReplicaCandidate {
   address: string;
   failureDomain: string;
   /** Processor share of the process, in cores. */
@@ -10,75 +10,75 @@
 }
 
 /** An entry that keeps records of other entries. */
-export type Keeper = Pick<KeeperCandidate, 'address' | 'failureDomain'>;
+export type Replica = Pick<ReplicaCandidate, 'address' | 'failureDomain'>;
 
-export interface ChooseKeepersOptions {
-  /** In fleets up to this size each entry is a keeper. */
+export interface ChooseReplicasOptions {
+  /** In fleets up to this size each entry is a replica. */
   maxSmallFleet: number;
-  /** Entries per keeper in larger fleets. */
-  entriesPerKeeper: number;
-  /** A keeper stays unless an entry has this many times its processor share. */
+  /** Entries per replica in larger fleets. */
+  entriesPerReplica: number;
+  /** A replica stays unless an entry has this many times its processor share. */
   hysteresisFactor: number;
 }
 
-export const DEFAULT_CHOOSE_KEEPERS_OPTIONS: ChooseKeepersOptions = {
+export const DEFAULT_CHOOSE_REPLICAS_OPTIONS: ChooseReplicasOptions = {
   maxSmallFleet: 16,
-  entriesPerKeeper: 8,
+  entriesPerReplica: 8,
   hysteresisFactor: 1.5,
 };
 
 /**
  * Chooses the entries that keep records of others: those with the largest
- * processor share, in proportion in each failure domain. Current keepers are
+ * processor share, in proportion in each failure domain. Current replicas are
  * preferred, because a new one has no records.
  *
- * @param previous addresses of the current keepers.
- * @returns the keepers, ordered by address.
- * @example chooseKeepers([{address: 'a:7', failureDomain: 'x', processorShare: 1}], new Set())
+ * @param previous addresses of the current replicas.
+ * @returns the replicas, ordered by address.
+ * @example chooseReplicas([{address: 'a:7', failureDomain: 'x', processorShare: 1}], new Set())
  */
-export function chooseKeepers(
-  entries: readonly KeeperCandidate[],
+export function chooseReplicas(
+  entries: readonly ReplicaCandidate[],
   previous: ReadonlySet<string>,
-  options: ChooseKeepersOptions = DEFAULT_CHOOSE_KEEPERS_OPTIONS,
-): Keeper[] {
-  const {maxSmallFleet, entriesPerKeeper, hysteresisFactor} = options;
+  options: ChooseReplicasOptions = DEFAULT_CHOOSE_REPLICAS_OPTIONS,
+): Replica[] {
+  const {maxSmallFleet, entriesPerReplica, hysteresisFactor} = options;
   const isSmall = entries.length <= maxSmallFleet;
   const domains = groupByDomain(entries);
-  const keepers = [...domains.values()].flatMap(members => {
+  const replicas = [...domains.values()].flatMap(members => {
     const ranked = rankByWeight(members, ({address, processorShare}) =>
       previous.has(address)
         ? processorShare * hysteresisFactor
         : processorShare,
     );
-    const count = Math.ceil(members.length / entriesPerKeeper);
+    const count = Math.ceil(members.length / entriesPerReplica);
     return isSmall ? ranked : ranked.slice(0, count);
   });
-  return keepers
+  return replicas
     .map(({address, failureDomain}) => ({address, failureDomain}))
     .sort((a, b) => (a.address < b.address ? -1 : 1));
 }
 
 /**
- * Orders the keepers by which an entry has its records kept. Those of other
+ * Orders the replicas by which an entry has its records kept. Those of other
  * failure domains come first, alternately one of each domain, so that the loss
- * of a domain leaves a copy. When a keeper is lost, the others stay in order.
+ * of a domain leaves a copy. When a replica is lost, the others stay in order.
  *
- * @example rankReplicas({address: 'a:7', failureDomain: 'x'}, keepers)[0]
+ * @example rankReplicas({address: 'a:7', failureDomain: 'x'}, replicas)[0]
  */
 export function rankReplicas(
-  entry: Keeper,
-  keepers: readonly Keeper[],
+  entry: Replica,
+  replicas: readonly Replica[],
 ): string[] {
-  const others = keepers.filter(({address}) => address !== entry.address);
+  const others = replicas.filter(({address}) => address !== entry.address);
   const ranked = others
-    .map(keeper => ({
-      keeper,
-      rank: hashRank(`${entry.address}\n${keeper.address}`),
+    .map(replica => ({
+      replica,
+      rank: hashRank(`${entry.address}\n${replica.address}`),
     }))
     .sort((a, b) => (a.rank > b.rank ? -1 : 1));
   const nthOfDomain = new Map<string, number>();
   return ranked
-    .map(({keeper: {address, failureDomain}}) => {
+    .map(({replica: {address, failureDomain}}) => {
       // Its own failure domain counts as used once already.
       const own = failureDomain === entry.failureDomain ? 1 : 0;
       const nth = nthOfDomain.get(failureDomain) ?? own;
--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -5,7 +5,7 @@
 import {CrashSuspects} from '../crashes/crashSuspects.js';
 import {DEFAULT_OPTIONS} from '../options.js';
 import {HolderLink} from '../peers/holderLink.js';
-import {KeeperList} from '../streams/keeperList.js';
+import {ReplicaList} from '../streams/replicaList.js';
 import type {
   ExchangeInput,
   ExchangeOutput,
@@ -86,7 +86,7 @@
     }),
     fairShares,
     suspects: new CrashSuspects(clock),
-    keeperList: new KeeperList(),
+    replicaList: new ReplicaList(),
     states: new RunnerStates(clock, logger, DEFAULT_OPTIONS),
     rateLimits: new RunnerRateLimits({
       clock,
--- a/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
@@ -14,7 +14,7 @@
   RunnerControl,
   RunnerRegistration,
 } from '../types.js';
-import {KeeperList} from '../streams/keeperList.js';
+import {ReplicaList} from '../streams/replicaList.js';
 import {FleetView} from '../view/fleetView.js';
 
 const OWN = 'own:7';
@@ -119,7 +119,7 @@
     options: DEFAULT_OPTIONS,
     holder: OWN,
     loadRate: new LoadRate(1_000, 0),
-    keeperList: new KeeperList(),
+    replicaList: new ReplicaList(),
     crashes: new CrashLedger({
       clock,
       logger,
--- a/packages/banyanfold-gateway/src/__tests__/originLookup.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/originLookup.test.ts
@@ -1,5 +1,5 @@
 import {VirtualClock} from '@banyanfold/core';
-import type {Keeper} from '@banyanfold/decisions';
+import type {Replica} from '@banyanfold/decisions';
 import {beforeEach, describe, expect, it} from 'vitest';
 import type {FindOriginsInput} from '../peers/peerContract.js';
 import {OriginLookup, type LookupResult} from '../streams/originLookup.js';
@@ -8,16 +8,16 @@
 const CALL_TIMEOUT_MS = 300;
 
 let clock: VirtualClock;
-let keepers: Keeper[] | undefined;
+let replicas: Replica[] | undefined;
 let entryCount: number;
-/** Versions that each keeper knows; a keeper without an entry is frozen. */
+/** Versions that each replica knows; a replica without an entry is frozen. */
 let known: Map<string, Map<string, string>>;
 let asked: string[][];
 let lookup: OriginLookup;
 
 beforeEach(() => {
   clock = new VirtualClock();
-  keepers = ['a', 'b', 'c'].map(name => ({
+  replicas = ['a', 'b', 'c'].map(name => ({
     address: `${name}:7`,
     failureDomain: name,
   }));
@@ -30,7 +30,7 @@
   lookup = new OriginLookup({
     clock,
     address: 'a:7',
-    keepers: () => keepers,
+    replicas: () => replicas,
     entryCount: () => entryCount,
     ask: (address, input) => answer(address, input),
   });
@@ -79,8 +79,8 @@
     expect(result).toMatchObject({version: undefined, isExhaustive: false});
   });
 
-  // Guards against a refusal while the record is on its way to a keeper.
-  it('is sought again where its entry may not be among the keepers', async () => {
+  // Guards against a refusal while the record is on its way to a replica.
+  it('is sought again where its entry may not be among the replicas', async () => {
     entryCount = 30;
     expect(await find(100)).toBeUndefined();
     known.get('b:7')!.set('s1', 'v1');
@@ -98,8 +98,8 @@
     ]);
   });
 
-  it('is answered at once where no keepers are known', async () => {
-    keepers = undefined;
+  it('is answered at once where no replicas are known', async () => {
+    replicas = undefined;
     expect(await find(MAX_WAIT_MS)).toMatchObject({answers: 0});
     expect(lookup.isAlone).toBe(false);
   });
--- a/packages/banyanfold-gateway/src/__tests__/originReplicator.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/originReplicator.test.ts
@@ -1,20 +1,20 @@
 import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
-import type {Keeper} from '@banyanfold/decisions';
+import type {Replica} from '@banyanfold/decisions';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {OriginReplicator} from '../streams/originReplicator.js';
 
 const INTERVAL_MS = 20;
 
 let clock: VirtualClock;
-let keepers: Keeper[] | undefined;
+let replicas: Replica[] | undefined;
 let silent: Set<string>;
-/** Ids of the records that each keeper has taken, by batch. */
+/** Ids of the records that each replica has taken, by batch. */
 let taken: Map<string, string[][]>;
 let replicator: OriginReplicator;
 
 beforeEach(() => {
   clock = new VirtualClock();
-  keepers = ['b', 'c', 'd'].map(name => ({
+  replicas = ['b', 'c', 'd'].map(name => ({
     address: `${name}:7`,
     failureDomain: name,
   }));
@@ -25,7 +25,7 @@
     logger: new MemoryLogger(),
     metrics: new Metrics(),
     self: {address: 'a:7', failureDomain: 'a'},
-    keepers: () => keepers,
+    replicas: () => replicas,
     batchIntervalMs: () => INTERVAL_MS,
     send: async (address, origins) => {
       if (silent.has(address)) throw new Error('no answer');
@@ -43,7 +43,7 @@
 }
 
 describe('origin records', () => {
-  it('are sent to two keepers, in batches', async () => {
+  it('are sent to two replicas, in batches', async () => {
     add('s1');
     await clock.advance(1);
     add('s2', 's3');
@@ -52,8 +52,8 @@
     expect([...taken.values()]).toEqual([batches, batches]);
   });
 
-  // Guards against records that only this process has once a keeper is lost.
-  it('go to another keeper if one does not answer', async () => {
+  // Guards against records that only this process has once a replica is lost.
+  it('go to another replica if one does not answer', async () => {
     add('s1');
     await clock.advance(1);
     const [lost] = taken.keys();
@@ -66,14 +66,14 @@
     expect(taken.get(other!)?.flat()).toContain('s2');
   });
 
-  // Guards against a record that is never sent: the holder names the keepers
+  // Guards against a record that is never sent: the holder names the replicas
   // some hundred ms after a process has begun to serve.
-  it('wait for the first keepers that are named', async () => {
-    keepers = undefined;
+  it('wait for the first replicas that are named', async () => {
+    replicas = undefined;
     add('s1');
     await clock.advance(INTERVAL_MS);
     expect(taken.size).toBe(0);
-    keepers = [{address: 'b:7', failureDomain: 'b'}];
+    replicas = [{address: 'b:7', failureDomain: 'b'}];
     replicator.resume();
     await clock.advance(INTERVAL_MS);
     expect(taken.get('b:7')).toEqual([['s1']]);
--- a/packages/banyanfold-gateway/src/__tests__/relay.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/relay.test.ts
@@ -5,7 +5,7 @@
 import {CrashSuspects} from '../crashes/crashSuspects.js';
 import type {ExchangeInput, ExchangeOutput} from '../peers/peerContract.js';
 import {Relay} from '../peers/relay.js';
-import {KeeperList} from '../streams/keeperList.js';
+import {ReplicaList} from '../streams/replicaList.js';
 import {RunnerCapacities} from '../runners/runnerCapacities.js';
 import {RunnerRateLimits} from '../runners/runnerRateLimits.js';
 import {OutcomeMeter} from '../runners/outcomeMeter.js';
@@ -115,7 +115,7 @@
     configVersion: () => 9,
     onNewerConfig: () => {},
     suspects,
-    keeperList: new KeeperList(),
+    replicaList: new ReplicaList(),
     view,
     ownLoad: () => ({
       members: [OWN],
--- a/packages/banyanfold-gateway/src/__tests__/streamOrigins.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/streamOrigins.model.test.ts
@@ -1,5 +1,5 @@
 import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
-import {chooseKeepers, type Keeper} from '@banyanfold/decisions';
+import {chooseReplicas, type Replica} from '@banyanfold/decisions';
 import {describe, expect, it} from 'vitest';
 import {DEFAULT_OPTIONS} from '../options.js';
 import type {
@@ -56,10 +56,10 @@
   trouble: Trouble = 'none';
 
   constructor(
-    readonly keeper: Keeper,
+    readonly replica: Replica,
     private readonly fleet: Fleet,
   ) {
-    const {address} = keeper;
+    const {address} = replica;
     this.clock = new EntryClock(fleet.clock);
     const {clock} = this;
     this.view = new FleetView(clock, new MemoryLogger());
@@ -67,8 +67,8 @@
       clock,
       logger: new MemoryLogger(),
       metrics: new Metrics(),
-      self: keeper,
-      keepers: () => fleet.keepers,
+      self: replica,
+      replicas: () => fleet.replicas,
       batchIntervalMs: () => DEFAULT_OPTIONS.originBatchMs,
       send: (to, origins) => fleet.sendOrigins(this, to, origins),
     });
@@ -79,7 +79,7 @@
       lookup: new OriginLookup({
         clock,
         address,
-        keepers: () => fleet.keepers,
+        replicas: () => fleet.replicas,
         entryCount: () => fleet.entries.size,
         ask: (to, input) => fleet.ask(this, to, input),
       }),
@@ -100,19 +100,19 @@
   readonly clock = new VirtualClock();
   readonly entries = new Map<string, Entry>();
   readonly versions = new Map<string, string>();
-  keepers: Keeper[] = [];
+  replicas: Replica[] = [];
   notedServices: ReadonlySet<string> = new Set();
   private heartbeat = 0;
 
   constructor(count: number) {
     for (let i = 0; i < count; i++) {
       const failureDomain = `domain-${i % DOMAINS}`;
-      const keeper = {address: `e${i}:7`, failureDomain};
-      this.entries.set(keeper.address, new Entry(keeper, this));
+      const replica = {address: `e${i}:7`, failureDomain};
+      this.entries.set(replica.address, new Entry(replica, this));
     }
-    this.keepers = chooseKeepers(
-      [...this.entries.values()].map(({keeper}) => ({
-        ...keeper,
+    this.replicas = chooseReplicas(
+      [...this.entries.values()].map(({replica}) => ({
+        ...replica,
         processorShare: 0.5,
       })),
       new Set(),
@@ -149,8 +149,8 @@
   }
 
   restart(entry: Entry): void {
-    const fresh = new Entry(entry.keeper, this);
-    this.entries.set(entry.keeper.address, fresh);
+    const fresh = new Entry(entry.replica, this);
+    this.entries.set(entry.replica.address, fresh);
     this.readRunners(fresh);
   }
 
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -1,6 +1,5 @@
 import type {Server} from 'node:http';
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
-import {DEFAULT_CHOOSE_KEEPERS_OPTIONS} from '@banyanfold/decisions';
 import type {GatewayContext} from './context.js';
 import {FairShares} from './callers/fairShares.js';
 import {UsageAccounts} from './callers/usageAccounts.js';
@@ -14,8 +13,7 @@
 import {DEFAULT_OPTIONS, type GatewayOptions} from './options.js';
 import {ConfigFetcher, encodePeerConfig} from './peers/configFetcher.js';
 import {HolderLink} from './peers/holderLink.js';
-import {fetchOrigins, fetchPeerConfig, offerLease} from './peers/peerClient.js';
-import {PeerClients} from './peers/peerClients.js';
+import {fetchPeerConfig, offerLease} from './peers/peerClient.js';
 import type {LeaseHandover, PeerHandlers} from './peers/peerContract.js';
 import {PeerServer} from './peers/peerServer.js';
 import {DemandMeter} from './placement/demandMeter.js';
@@ -46,12 +44,8 @@
   UsageStore,
   VersionNoteStore,
 } from './types.js';
-import {KeeperList} from './streams/keeperList.js';
-import {OriginLookup} from './streams/originLookup.js';
-import type {StreamOrigin} from './streams/originRecords.js';
-import {OriginReplicator} from './streams/originReplicator.js';
-import {StreamOrigins} from './streams/streamOrigins.js';
-import {VersionNotes} from './streams/versionNotes.js';
+import {OriginService} from './streams/originService.js';
+import {ReplicaList} from './streams/replicaList.js';
 import {FleetView} from './view/fleetView.js';
 
 /** Limits that the deployment sets on the system. */
@@ -113,10 +107,6 @@
 /** Number of entries assumed until the holder has reported it. */
 const ASSUMED_ENTRY_COUNT = 8;
 const MAINTENANCE_INTERVAL_MS = 500;
-/** Two replicas, and one that replaces a keeper that was lost. */
-const MAX_KEEPER_CLIENTS = 3;
-/** A keeper that is awake answers within some ms, a busy one within 0.3 s. */
-const ORIGIN_LOOKUP_TIMEOUT_MS = 300;
 const DRAIN_POLL_MS = 50;
 /** Reserved to leave the group, or to offer peers the lease without a store. */
 const RELEASE_MS = 2_000;
@@ -134,9 +124,7 @@
   private readonly quarantineKeeper: QuarantineKeeper;
   private readonly configFetcher: ConfigFetcher;
   private readonly usageKeeper: UsageKeeper;
-  private readonly versionNotes: VersionNotes;
-  private readonly replicator: OriginReplicator;
-  private readonly keeperClients: PeerClients;
+  private readonly originService: OriginService;
   private stopMaintenance: () => void = () => {};
   private stopBacklogWatch: (() => void) | undefined;
   /** Undefined until the holder has reported it. */
@@ -224,7 +212,7 @@
       deps.fleet.refreshConfig();
       this.configFetcher.noteNewerVersion(version, peer);
     };
-    const keeperList = new KeeperList();
+    const replicaList = new ReplicaList();
     this.holder = new LeaseHolder({
       clock,
       logger,
@@ -236,7 +224,7 @@
       holder: address,
       loadRate,
       crashes: crashLedger,
-      keeperList,
+      replicaList,
       processorShare: settings.processorShare,
       usage: usageAccounts,
       onNewerConfig,
@@ -251,48 +239,18 @@
       isFirstStart: settings.isFirstStart,
       nearLimit: () => this.holder.usageNearLimit(),
     });
-    this.keeperClients = new PeerClients(
-      options.peerTimeoutMs,
-      options.adapterTimeoutMs,
-      MAX_KEEPER_CLIENTS,
-    );
-    this.replicator = new OriginReplicator({
+    this.originService = new OriginService({
       clock,
       logger,
       metrics,
-      self: {address, failureDomain: settings.failureDomain},
-      keepers: () => keeperList.keepers,
-      batchIntervalMs: () =>
-        this.entryCount <= DEFAULT_CHOOSE_KEEPERS_OPTIONS.maxSmallFleet
-          ? options.originBatchMs
-          : options.largeFleetOriginBatchMs,
-      send: (keeper, origins) => this.sendOrigins(keeper, origins),
-    });
-    const streamOrigins = new StreamOrigins({
-      clock,
-      metrics,
-      view: this.view,
-      lookup: new OriginLookup({
-        clock,
-        address,
-        keepers: () => keeperList.keepers,
-        entryCount: () => this.entryCount,
-        ask: (keeper, input) =>
-          fetchOrigins(keeper, input, ORIGIN_LOOKUP_TIMEOUT_MS),
-      }),
-      replicator: this.replicator,
-      memoryMs: options.streamMemoryMs,
-      notedServices: () => this.versionNotes.services,
-      untilNotesRead: () => this.versionNotes.untilRead(),
-    });
-    this.versionNotes = new VersionNotes({
-      clock,
-      logger,
-      store: deps.versionNotes,
+      options,
       lease,
-      history: () => streamOrigins.history,
+      view: this.view,
+      self: {address, failureDomain: settings.failureDomain},
+      replicaList,
+      noteStore: deps.versionNotes,
+      entryCount: () => this.entryCount,
     });
-    keeperList.onChange = () => this.replicator.resume();
     this.holderLink = new HolderLink({
       clock,
       logger,
@@ -309,7 +267,7 @@
       usage: usageAccounts,
       fairShares,
       suspects,
-      keeperList,
+      replicaList,
       states: runnerStates,
       rateLimits,
       capacities,
@@ -392,7 +350,7 @@
             }),
       fairShares,
       workForecast: new WorkForecast(() => clock.nowMs()),
-      streamOrigins,
+      streamOrigins: this.originService.origins,
       keysTrustedMs: settings.bounds.keysTrustedMs,
       configApplyMs: settings.bounds.configApplyMs,
       refreshConfig: () => deps.fleet.refreshConfig(),
@@ -473,7 +431,7 @@
     this.holderLink.start();
     this.quarantineKeeper.start();
     this.usageKeeper.start();
-    this.versionNotes.start();
+    this.originService.start();
     this.lastMaintenanceMs = clock.nowMs();
     this.stopMaintenance = repeatEvery(clock, MAINTENANCE_INTERVAL_MS, () =>
       this.runMaintenance(),
@@ -530,9 +488,7 @@
     this.holderLink.stop();
     this.quarantineKeeper.stop();
     this.usageKeeper.stop();
-    this.versionNotes.stop();
-    this.replicator.stop();
-    this.keeperClients.close();
+    this.originService.stop();
     this.configFetcher.stop();
     this.stopMaintenance();
     this.stopBacklogWatch?.();
@@ -564,29 +520,11 @@
       permitTrial: input => holder.permitTrial(input),
       lastOrder: input => holder.lastOrder(input),
       takeOver: handover => holder.takeOver(handover),
-      noteOrigins: ({origins}) =>
-        this.context.streamOrigins.keep(
-          origins.map(([requestId, version]) => ({requestId, version})),
-        ),
-      findOrigins: input => this.context.streamOrigins.handleFind(input),
+      noteOrigins: input => this.originService.handleNote(input),
+      findOrigins: input => this.originService.origins.handleFind(input),
     };
   }
 
-  private async sendOrigins(
-    keeper: string,
-    origins: readonly StreamOrigin[],
-  ): Promise<void> {
-    const pairs = origins.map(
-      ({requestId, version}) => [requestId, version] as [string, string],
-    );
-    try {
-      await this.keeperClients.clientFor(keeper).noteOrigins({origins: pairs});
-    } catch (thrown) {
-      this.keeperClients.drop(keeper);
-      throw thrown;
-    }
-  }
-
   /** Registers values that are read when the metrics are rendered. */
   private registerGauges(): void {
     const {clock, metrics, lease} = this.deps;
--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -66,7 +66,7 @@
    */
   streamMemoryMs: durationMs.default(60_000),
   /**
-   * Shortest interval between batches of stream origins to a keeper, in fleets
+   * Shortest interval between batches of stream origins to a replica, in fleets
    * in which each entry is one and in larger ones. The streams of an interval
    * are refused if their entry ends before it has sent them.
    */
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -15,7 +15,7 @@
 import type {RunnerStates} from '../runners/runnerStates.js';
 import type {GatewayOptions} from '../options.js';
 import type {LeaseSource} from '../types.js';
-import type {KeeperList} from '../streams/keeperList.js';
+import type {ReplicaList} from '../streams/replicaList.js';
 import {sumByKey, Relay, type LeavingRunners} from './relay.js';
 import {LeaseAcquisition, acquisitionRank} from './leaseAcquisition.js';
 import {PeerClients} from './peerClients.js';
@@ -48,7 +48,7 @@
   rateLimits: RunnerRateLimits;
   capacities: RunnerCapacities;
   heldCopies: HeldCopies;
-  keeperList: KeeperList;
+  replicaList: ReplicaList;
   view: LeavingRunners;
   loadRate: LoadRate;
   onEntryCount(count: number): void;
@@ -117,7 +117,7 @@
       rateLimits: deps.rateLimits,
       capacities: deps.capacities,
       suspects,
-      keeperList: deps.keeperList,
+      replicaList: deps.replicaList,
       view: deps.view,
       ownLoad: () => this.ownLoad(),
       configVersion: () => deps.configVersion(),
@@ -328,7 +328,7 @@
       runnerSpeeds: this.deps.capacities.takeReports(),
       crashes: this.deps.suspects.pendingReport(),
       knownSuspects: this.deps.suspects.knownVersion,
-      knownKeepers: this.deps.keeperList.version,
+      knownReplicas: this.deps.replicaList.version,
     };
   }
 
@@ -395,7 +395,7 @@
     this.pendingDemand.acknowledge();
     this.deps.suspects.acknowledge();
     this.deps.suspects.applyList(output.suspects);
-    this.deps.keeperList.apply(output.keepers);
+    this.deps.replicaList.apply(output.replicas);
     if (!this.wasHolderReachable) this.deps.logger.info('holder-reachable');
     this.wasHolderReachable = true;
     const isForwarded = output.holder !== sender;
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -51,15 +51,18 @@
 });
 
 /** An entry that keeps origin records of others. */
-const keeperSchema = z.object({address: z.string(), failureDomain: z.string()});
+const replicaSchema = z.object({
+  address: z.string(),
+  failureDomain: z.string(),
+});
 
-/** Keepers of origin records; omitted if the receiver knows this version. */
-const keeperUpdateSchema = z.object({
+/** Replicas of origin records; omitted if the receiver knows this version. */
+const replicaUpdateSchema = z.object({
   version: z.string(),
-  keepers: z.array(keeperSchema).optional(),
+  replicas: z.array(replicaSchema).optional(),
 });
 
-export type KeeperUpdate = z.infer<typeof keeperUpdateSchema>;
+export type ReplicaUpdate = z.infer<typeof replicaUpdateSchema>;
 
 /** Streams, each as the id of the request that began it and the version. */
 const originsSchema = z.array(z.tuple([z.string(), z.string()]));
@@ -214,8 +217,8 @@
     .optional(),
   /** Last version of the list of suspects that it has received. */
   knownSuspects: suspectListVersionSchema.optional(),
-  /** Version of the list of keepers that it has received. */
-  knownKeepers: z.string().optional(),
+  /** Version of the list of replicas that it has received. */
+  knownReplicas: z.string().optional(),
 });
 
 /** State that the holder, or a relay on its behalf, returns to an entry. */
@@ -316,8 +319,8 @@
    * Requests that may crash runners; omitted by releases that don't send them.
    */
   suspects: suspectListSchema.optional(),
-  /** Omitted by releases that have no keepers. */
-  keepers: keeperUpdateSchema.optional(),
+  /** Omitted by releases that have no replicas. */
+  replicas: replicaUpdateSchema.optional(),
 });
 
 export const ensureAdapterInputSchema = z.object({
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -7,7 +7,7 @@
 import type {DemandMeter} from '../placement/demandMeter.js';
 import {EntryLoads, type EntryLoad} from '../placement/entryLoads.js';
 import {SeenBatches} from '../placement/seenBatches.js';
-import type {KeeperList} from '../streams/keeperList.js';
+import type {ReplicaList} from '../streams/replicaList.js';
 import type {RunnerCapacities} from '../runners/runnerCapacities.js';
 import type {RunnerRateLimits} from '../runners/runnerRateLimits.js';
 import type {OutcomeMeter} from '../runners/outcomeMeter.js';
@@ -32,7 +32,7 @@
   rateLimits: RunnerRateLimits;
   capacities: RunnerCapacities;
   suspects: CrashSuspects;
-  keeperList: KeeperList;
+  replicaList: ReplicaList;
   view: LeavingRunners;
   /** Load of this process, without its group. */
   ownLoad(): EntryLoad;
@@ -145,7 +145,7 @@
   exchange(input: ExchangeInput): ExchangeOutput | NotHolder {
     const {clock, suspects, address, ownLoad, holderAddress, view} =
       this.options;
-    const {keeperList} = this.options;
+    const {replicaList} = this.options;
     const nowMs = clock.nowMs();
     const {holderState} = this;
     if (!holderState || nowMs - holderState.atMs > MAX_STATE_AGE_MS) {
@@ -182,7 +182,7 @@
       peersRequests: sumByKey(output.peersRequests, group.requests),
       leavingRunners: view.leavingRunners(),
       suspects: suspects.suspectListFor(input.knownSuspects),
-      keepers: keeperList.updateFor(input.knownKeepers),
+      replicas: replicaList.updateFor(input.knownReplicas),
     };
   }
 }
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -34,7 +34,7 @@
   SuccessorHolder,
   LeaseHandover,
 } from '../peers/peerContract.js';
-import type {KeeperList} from '../streams/keeperList.js';
+import type {ReplicaList} from '../streams/replicaList.js';
 import type {FleetView, ViewChange} from '../view/fleetView.js';
 import {repeatEvery} from '../repeatEvery.js';
 import {CopyRevisions} from './copyRevisions.js';
@@ -47,7 +47,7 @@
 import {FleetRateLimits} from './fleetRateLimits.js';
 import {HolderShares} from './holderShares.js';
 import {HolderSpeeds} from './holderSpeeds.js';
-import {KeeperRoster} from './keeperRoster.js';
+import {ReplicaRoster} from './replicaRoster.js';
 import {LoadRate} from './loadRate.js';
 import {REPORT_TICK_MS, ReportPoller} from './reportPoller.js';
 import {RunnerController} from './runnerController.js';
@@ -98,7 +98,7 @@
   holder: string;
   loadRate: LoadRate;
   crashes: CrashLedger;
-  keeperList: KeeperList;
+  replicaList: ReplicaList;
   /** Number of cores that the process may use. */
   processorShare: number;
   usage: UsageAccounts;
@@ -138,7 +138,7 @@
   private lastHeldMs = Number.NEGATIVE_INFINITY;
   private readonly reportPoller: ReportPoller;
   private readonly standbyRoster: StandbyRoster;
-  private readonly keeperRoster: KeeperRoster;
+  private readonly replicaRoster: ReplicaRoster;
   private readonly startedMs: number;
 
   constructor(private readonly deps: LeaseHolderOptions) {
@@ -159,10 +159,10 @@
     });
     const epoch = `${deps.holder}#${deps.clock.wallMs()}`;
     this.revisions = new CopyRevisions(epoch);
-    this.keeperRoster = new KeeperRoster({
+    this.replicaRoster = new ReplicaRoster({
       epoch,
       intervalMs: deps.options.exchangeIntervalMs,
-      list: deps.keeperList,
+      list: deps.replicaList,
       members: nowMs => this.entryLoads.members(nowMs),
     });
     this.standbyRoster = new StandbyRoster(deps.holder, nowMs =>
@@ -222,7 +222,7 @@
       leavingRunners: this.deps.view.leavingRunners(),
       runnerSpeeds: this.speeds.snapshot(nowMs),
       suspects: this.deps.crashes.suspectListFor(input.knownSuspects),
-      keepers: this.keeperRoster.updateFor(input.knownKeepers, term, nowMs),
+      replicas: this.replicaRoster.updateFor(input.knownReplicas, term, nowMs),
     };
   }
 
--- a/packages/banyanfold-gateway/src/placement/keeperRoster.ts
+++ b/packages/banyanfold-gateway/src/placement/replicaRoster.ts
@@ -1,41 +1,41 @@
-import {chooseKeepers, type KeeperCandidate} from '@banyanfold/decisions';
-import type {KeeperUpdate} from '../peers/peerContract.js';
-import type {KeeperList} from '../streams/keeperList.js';
+import {chooseReplicas, type ReplicaCandidate} from '@banyanfold/decisions';
+import type {ReplicaUpdate} from '../peers/peerContract.js';
+import type {ReplicaList} from '../streams/replicaList.js';
 
-export interface KeeperRosterOptions {
+export interface ReplicaRosterOptions {
   /** Identifies this start of the process among the holders. */
   epoch: string;
   /** Shortest time between two choices, in ms. */
   intervalMs: number;
   /** The list as this process knows it, also from former holders. */
-  list: KeeperList;
-  members(nowMs: number): KeeperCandidate[];
+  list: ReplicaList;
+  members(nowMs: number): ReplicaCandidate[];
 }
 
 /**
  * Time until all entries have reported to a new holder. Until then the list of
  * the former one stays: a list of the few that have reported would leave out the
- * keepers that have the records.
+ * replicas that have the records.
  */
 const SETTLE_MS = 1_500;
 
-/** Chooses the keepers of origin records while this process is the holder. */
-export class KeeperRoster {
+/** Chooses the replicas of origin records while this process is the holder. */
+export class ReplicaRoster {
   private term: number | undefined;
   private termStartMs = 0;
   private chosenMs = Number.NEGATIVE_INFINITY;
   private revision = 0;
 
-  constructor(private readonly options: KeeperRosterOptions) {}
+  constructor(private readonly options: ReplicaRosterOptions) {}
 
   /**
-   * Returns the list for an entry, without the keepers if the entry has them.
+   * Returns the list for an entry, without the replicas if the entry has them.
    */
   updateFor(
     knownVersion: string | undefined,
     term: number,
     nowMs: number,
-  ): KeeperUpdate | undefined {
+  ): ReplicaUpdate | undefined {
     const {epoch, intervalMs, list} = this.options;
     if (term !== this.term) this.termStartMs = nowMs;
     this.term = term;
@@ -48,14 +48,14 @@
   private choose(nowMs: number): void {
     this.chosenMs = nowMs;
     const {list, epoch, members} = this.options;
-    const current = list.keepers ?? [];
+    const current = list.replicas ?? [];
     const addresses = current.map(({address}) => address);
-    const keepers = chooseKeepers(members(nowMs), new Set(addresses));
+    const replicas = chooseReplicas(members(nowMs), new Set(addresses));
     const isSame =
-      keepers.length === current.length &&
-      keepers.every(({address}, i) => address === addresses[i]);
+      replicas.length === current.length &&
+      replicas.every(({address}, i) => address === addresses[i]);
     if (isSame) return;
     this.revision += 1;
-    list.apply({version: `${epoch}/${this.revision}`, keepers});
+    list.apply({version: `${epoch}/${this.revision}`, replicas});
   }
 }
--- a/packages/banyanfold-gateway/src/streams/originLookup.ts
+++ b/packages/banyanfold-gateway/src/streams/originLookup.ts
@@ -1,5 +1,5 @@
 import type {Clock, Timer} from '@banyanfold/core';
-import type {Keeper} from '@banyanfold/decisions';
+import type {Replica} from '@banyanfold/decisions';
 import type {
   FindOriginsInput,
   FindOriginsOutput,
@@ -10,8 +10,8 @@
   /** Address of this process, which isn't asked. */
   address: string;
   /** Undefined until a holder has named them. */
-  keepers(): readonly Keeper[] | undefined;
-  /** Number of entries; some of them may not be keepers. */
+  replicas(): readonly Replica[] | undefined;
+  /** Number of entries; some of them may not be replicas. */
   entryCount(): number;
   /** Resolves to undefined if the peer doesn't answer in time. */
   ask(
@@ -38,7 +38,7 @@
 const GATHER_MS = 5;
 /**
  * Time until peers are asked again, where the entry that began a stream may not
- * be among them: its records reach the keepers in batches.
+ * be among them: its records reach the replicas in batches.
  */
 const REPEAT_MS = 300;
 
@@ -54,7 +54,7 @@
   finish(): void;
 }
 
-/** Asks the keepers which version began a stream. */
+/** Asks the replicas which version began a stream. */
 export class OriginLookup {
   private gathered: Search[] = [];
   private gatherTimer: Timer | undefined;
@@ -63,7 +63,7 @@
 
   /** Whether a holder has named no other entry. */
   get isAlone(): boolean {
-    return this.options.keepers() !== undefined && this.peers.length === 0;
+    return this.options.replicas() !== undefined && this.peers.length === 0;
   }
 
   /**
@@ -95,8 +95,8 @@
   }
 
   private get peers(): string[] {
-    const {keepers, address} = this.options;
-    const addresses = (keepers() ?? []).map(keeper => keeper.address);
+    const {replicas, address} = this.options;
+    const addresses = (replicas() ?? []).map(replica => replica.address);
     return addresses.filter(each => each !== address);
   }
 
@@ -111,9 +111,9 @@
   private async askPeers(searches: readonly Search[]): Promise<void> {
     const {clock, entryCount} = this.options;
     const isAnswered = await this.askOnce(searches);
-    const areAllKeepers = this.peers.length + 1 >= entryCount();
+    const areAllReplicas = this.peers.length + 1 >= entryCount();
     const open = searches.filter(({result}) => result.version === undefined);
-    if (areAllKeepers) return finishAll(open, isAnswered);
+    if (areAllReplicas) return finishAll(open, isAnswered);
     clock.setTimer(REPEAT_MS, () => {
       void this.askOnce(open).then(isWhole => finishAll(open, isWhole));
     });
@@ -130,7 +130,7 @@
         return output !== undefined;
       }),
     );
-    return this.options.keepers() !== undefined && areAnswered.every(Boolean);
+    return this.options.replicas() !== undefined && areAnswered.every(Boolean);
   }
 }
 
--- a/packages/banyanfold-gateway/src/streams/originReplicator.ts
+++ b/packages/banyanfold-gateway/src/streams/originReplicator.ts
@@ -1,28 +1,28 @@
 import type {Clock, Logger, Metrics, Timer} from '@banyanfold/core';
-import {rankReplicas, type Keeper} from '@banyanfold/decisions';
+import {rankReplicas, type Replica} from '@banyanfold/decisions';
 import type {StreamOrigin} from './originRecords.js';
 
 export interface OriginReplicatorOptions {
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
-  self: Keeper;
+  self: Replica;
   /** Undefined until a holder has named them. */
-  keepers(): readonly Keeper[] | undefined;
-  /** Shortest time between two batches to a keeper, in ms. */
+  replicas(): readonly Replica[] | undefined;
+  /** Shortest time between two batches to a replica, in ms. */
   batchIntervalMs(): number;
-  /** Rejects if the keeper has not taken the batch. */
+  /** Rejects if the replica has not taken the batch. */
   send(address: string, origins: StreamOrigin[]): Promise<void>;
 }
 
 /** Copies of each record, besides the entry's own. */
-const REPLICAS = 2;
-/** Pause before a keeper that did not answer is used again. */
-const KEEPER_RETRY_MS = 2_000;
-/** Records that wait for a keeper; a bound for one that takes them slowly. */
+const REPLICA_COUNT = 2;
+/** Pause before a replica that did not answer is used again. */
+const REPLICA_RETRY_MS = 2_000;
+/** Records that wait for a replica; a bound for one that takes them slowly. */
 const MAX_PENDING = 2_000;
 
-/** Records on their way to one keeper. */
+/** Records on their way to one replica. */
 interface Lane {
   pending: StreamOrigin[];
   isSending: boolean;
@@ -30,14 +30,14 @@
   timer: Timer | undefined;
 }
 
-/** Sends origin records to the keepers that hold the copies of this entry. */
+/** Sends origin records to the replicas that hold the copies of this entry. */
 export class OriginReplicator {
   private readonly lanes = new Map<string, Lane>();
-  /** Records for which no keeper is known yet. */
+  /** Records for which no replica is known yet. */
   private readonly unplaced: StreamOrigin[] = [];
   private readonly pausedUntilMs = new Map<string, number>();
-  private ranked: {keepers: readonly Keeper[]; addresses: string[]} = {
-    keepers: [],
+  private ranked: {replicas: readonly Replica[]; addresses: string[]} = {
+    replicas: [],
     addresses: [],
   };
 
@@ -45,7 +45,7 @@
 
   /** Sends a record with the next batch to each replica. */
   add(origin: StreamOrigin): void {
-    const replicas = this.replicas();
+    const replicas = this.activeReplicas();
     if (replicas.length === 0) this.enqueue(this.unplaced, origin);
     for (const address of replicas) {
       const lane = this.laneFor(address);
@@ -54,7 +54,7 @@
     }
   }
 
-  /** Sends the records that had no keeper, now that there are others. */
+  /** Sends the records that had no replica, now that there are others. */
   resume(): void {
     for (const origin of this.unplaced.splice(0)) this.add(origin);
   }
@@ -71,16 +71,16 @@
     this.options.metrics.count('origin_records_dropped_total');
   }
 
-  private replicas(): string[] {
-    const {clock, keepers, self} = this.options;
-    const list = keepers() ?? [];
-    if (list !== this.ranked.keepers) {
-      this.ranked = {keepers: list, addresses: rankReplicas(self, list)};
+  private activeReplicas(): string[] {
+    const {clock, replicas, self} = this.options;
+    const list = replicas() ?? [];
+    if (list !== this.ranked.replicas) {
+      this.ranked = {replicas: list, addresses: rankReplicas(self, list)};
     }
     const nowMs = clock.nowMs();
     return this.ranked.addresses
       .filter(address => (this.pausedUntilMs.get(address) ?? 0) <= nowMs)
-      .slice(0, REPLICAS);
+      .slice(0, REPLICA_COUNT);
   }
 
   private laneFor(address: string): Lane {
@@ -114,21 +114,21 @@
       lane.isSending = false;
       this.schedule(address, lane);
     } catch (thrown) {
-      this.replaceKeeper(address, [...batch, ...lane.pending], thrown);
+      this.replaceReplica(address, [...batch, ...lane.pending], thrown);
     }
   }
 
-  /** Has other keepers hold the records that a keeper did not take. */
-  private replaceKeeper(
+  /** Has other replicas hold the records that a replica did not take. */
+  private replaceReplica(
     address: string,
     origins: StreamOrigin[],
     thrown: unknown,
   ): void {
     const {clock, logger} = this.options;
     this.lanes.delete(address);
-    this.pausedUntilMs.set(address, clock.nowMs() + KEEPER_RETRY_MS);
-    logger.info('keeper-lost', {
-      keeper: address,
+    this.pausedUntilMs.set(address, clock.nowMs() + REPLICA_RETRY_MS);
+    logger.info('replica-lost', {
+      replica: address,
       records: origins.length,
       error: thrown instanceof Error ? thrown.message : String(thrown),
     });
--- /dev/null
+++ b/packages/banyanfold-gateway/src/streams/originService.ts
@@ -0,0 +1,127 @@
+import type {Clock, Logger, Metrics} from '@banyanfold/core';
+import {
+  DEFAULT_CHOOSE_REPLICAS_OPTIONS,
+  type Replica,
+} from '@banyanfold/decisions';
+import type {GatewayOptions} from '../options.js';
+import {fetchOrigins} from '../peers/peerClient.js';
+import {PeerClients} from '../peers/peerClients.js';
+import type {NoteOriginsInput} from '../peers/peerContract.js';
+import type {LeaseSource, VersionNoteStore} from '../types.js';
+import type {FleetView} from '../view/fleetView.js';
+import {OriginLookup} from './originLookup.js';
+import type {StreamOrigin} from './originRecords.js';
+import {OriginReplicator} from './originReplicator.js';
+import type {ReplicaList} from './replicaList.js';
+import {StreamOrigins} from './streamOrigins.js';
+import {VersionNotes} from './versionNotes.js';
+
+export interface OriginServiceOptions {
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  options: GatewayOptions;
+  lease: LeaseSource;
+  view: FleetView;
+  /** This process, as a replica of others. */
+  self: Replica;
+  replicaList: ReplicaList;
+  noteStore: VersionNoteStore;
+  entryCount(): number;
+}
+
+/** Two replicas, and one that replaces a replica that was lost. */
+const MAX_REPLICA_CLIENTS = 3;
+/** A replica that is awake answers within some ms, a busy one within 0.3 s. */
+const LOOKUP_TIMEOUT_MS = 300;
+
+/** The origins of streams, with their replication, lookup and notes. */
+export class OriginService {
+  readonly origins: StreamOrigins;
+  private readonly replicator: OriginReplicator;
+  private readonly notes: VersionNotes;
+  private readonly clients: PeerClients;
+
+  constructor(private readonly deps: OriginServiceOptions) {
+    const {clock, logger, metrics, options, lease, view, self} = deps;
+    const {replicaList, entryCount} = deps;
+    this.clients = new PeerClients(
+      options.peerTimeoutMs,
+      options.adapterTimeoutMs,
+      MAX_REPLICA_CLIENTS,
+    );
+    this.replicator = new OriginReplicator({
+      clock,
+      logger,
+      metrics,
+      self,
+      replicas: () => replicaList.replicas,
+      batchIntervalMs: () => this.batchIntervalMs,
+      send: (replica, origins) => this.sendOrigins(replica, origins),
+    });
+    replicaList.onChange = () => this.replicator.resume();
+    this.origins = new StreamOrigins({
+      clock,
+      metrics,
+      view,
+      lookup: new OriginLookup({
+        clock,
+        address: self.address,
+        replicas: () => replicaList.replicas,
+        entryCount,
+        ask: (replica, input) =>
+          fetchOrigins(replica, input, LOOKUP_TIMEOUT_MS),
+      }),
+      replicator: this.replicator,
+      memoryMs: options.streamMemoryMs,
+      notedServices: () => this.notes.services,
+      untilNotesRead: () => this.notes.untilRead(),
+    });
+    this.notes = new VersionNotes({
+      clock,
+      logger,
+      store: deps.noteStore,
+      lease,
+      history: () => this.origins.history,
+    });
+  }
+
+  start(): void {
+    this.notes.start();
+  }
+
+  stop(): void {
+    this.notes.stop();
+    this.replicator.stop();
+    this.clients.close();
+  }
+
+  /** Keeps records for the entry that sent them. */
+  handleNote({origins}: NoteOriginsInput): void {
+    this.origins.keep(
+      origins.map(([requestId, version]) => ({requestId, version})),
+    );
+  }
+
+  private get batchIntervalMs(): number {
+    const {options, entryCount} = this.deps;
+    const isSmall =
+      entryCount() <= DEFAULT_CHOOSE_REPLICAS_OPTIONS.maxSmallFleet;
+    return isSmall ? options.originBatchMs : options.largeFleetOriginBatchMs;
+  }
+
+  private async sendOrigins(
+    replica: string,
+    origins: readonly StreamOrigin[],
+  ): Promise<void> {
+    const pairs = origins.map(
+      ({requestId, version}) => [requestId, version] as [string, string],
+    );
+    try {
+      await this.clients.clientFor(replica).noteOrigins({origins: pairs});
+    } catch (thrown) {
+      this.clients.drop(replica);
+      throw thrown;
+    }
+  }
+}
