Send a stream that is taken up to the service that began it

On a route that is split between services, a caller that took a stream up was sent to a service by chance, so that one service could go on with what another had written. The id of the request that began the stream now decides, so that each entry picks the same service without knowing of the stream. Other requests, and routes with one service, are as before.

--- a/packages/banyanfold-gateway/src/requests/requestState.ts
+++ b/packages/banyanfold-gateway/src/requests/requestState.ts
@@ -12,6 +12,7 @@
 import {fingerprintOf} from './requestFingerprint.js';
 import {RequestLog, type AttemptCounts} from './requestLog.js';
 import {ResponseRelay} from './responseRelay.js';
+import {drawOf} from './serviceDraw.js';
 import {StreamContinuity} from './streamContinuity.js';
 import {SuspectStatus} from './suspectStatus.js';
 import {TargetChooser} from './targetChooser.js';
@@ -80,7 +81,9 @@
     this.responseStartDeadlineMs =
       startedMs + startsWithinMs - context.options.deadlineMarginMs;
     this.pause = new WakeablePause(context.clock);
-    this.service = pickService(route.services, context.random);
+    this.service = pickService(route.services, () =>
+      drawOf(route, decoded.request, context.random),
+    );
     this.work = startedWorkOf(options);
     this.targets = new TargetChooser({
       context,
