--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -62,7 +62,7 @@
   /**
    * How long a stream and its callers' returns can last. For this time the
    * version that began a stream is remembered, and a version counts after its
-   * last runner has left. Four times the longest deadline of the sheets.
+   * last runner has left.
    */
   streamMemoryMs: durationMs.default(60_000),
   /**
