Tell the prompt parts of requests at runners that crash

Nothing told whether the requests at crashed runners share a part of their prompts, or whether other requests with that part are answered, so the three hypotheses of the incident could not be told apart.

--- a/packages/banyanfold-gateway/src/__tests__/crashDetector.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/crashDetector.test.ts
@@ -1,5 +1,6 @@
 import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {AnsweredParts} from '../crashes/answeredParts.js';
 import {CrashDetector, type ObservedCrash} from '../crashes/crashDetector.js';
 import type {ListenerState} from '../crashes/probeListener.js';
 import type {RunnerRegistration} from '../types.js';
@@ -36,6 +37,7 @@
     logger,
     metrics: new Metrics(),
     view,
+    answeredParts: new AnsweredParts(clock),
     probe: async () => {
       probes += 1;
       return listener;
--- a/packages/banyanfold-gateway/src/crashes/crashDetector.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashDetector.ts
@@ -1,6 +1,7 @@
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import type {RunnerRegistration} from '../types.js';
 import type {FleetView} from '../view/fleetView.js';
+import type {AnsweredParts} from './answeredParts.js';
 import type {ListenerState} from './probeListener.js';
 
 /** A crash of a runner, with the requests of this process that it aborted. */
@@ -15,6 +16,7 @@
   logger: Logger;
   metrics: Metrics;
   view: FleetView;
+  answeredParts: AnsweredParts;
   probe(address: string): Promise<ListenerState>;
   /** Called again for the same crash when more aborted requests are found. */
   onCrash(crash: ObservedCrash): void;
@@ -27,6 +29,8 @@
   atMs: number;
   state: ListenerState | 'probing' | 'crashed';
   fingerprints: Set<string>;
+  /** Prompt parts of these requests. */
+  parts: Set<string>;
 }
 
 /** The registration of a runner that crashed lapses within a few heartbeats. */
@@ -48,7 +52,11 @@
   /**
    * The runner closed a request's connection before its answer was complete.
    */
-  noteConnectionLost(runner: RunnerRegistration, fingerprint: string): void {
+  noteConnectionLost(
+    runner: RunnerRegistration,
+    fingerprint: string,
+    parts: readonly string[] = [],
+  ): void {
     const {view, clock} = this.options;
     const {runnerId, bornMs, address} = runner;
     const known = view.runner(runnerId);
@@ -58,7 +66,10 @@
     const found = this.candidates.get(crashId);
     if (found) {
       found.fingerprints.add(fingerprint);
-      if (found.state === 'crashed') this.reportCrash(crashId, [fingerprint]);
+      for (const part of parts) found.parts.add(part);
+      if (found.state === 'crashed') {
+        this.reportCrash(crashId, [fingerprint], parts);
+      }
       return;
     }
     this.forgetOld();
@@ -68,6 +79,7 @@
       atMs: clock.nowMs(),
       state: 'probing',
       fingerprints: new Set([fingerprint]),
+      parts: new Set(parts),
     });
     void this.probe(crashId, address);
   }
@@ -95,19 +107,34 @@
   private confirm(crashId: string, crash: CrashCandidate): void {
     crash.state = 'crashed';
     this.options.metrics.count('runner_crashes_seen_total');
-    this.reportCrash(crashId, [...crash.fingerprints]);
+    this.reportCrash(crashId, [...crash.fingerprints], [...crash.parts]);
   }
 
-  private reportCrash(crashId: string, fingerprints: readonly string[]): void {
+  private reportCrash(
+    crashId: string,
+    fingerprints: readonly string[],
+    parts: readonly string[],
+  ): void {
     const {logger, onCrash} = this.options;
     logger.warn('runner-crashed', {
       life: crashId,
       requests: fingerprints.length,
       fingerprints: fingerprints.join(','),
+      partsAnsweredAgoMs: this.describeParts(parts),
     });
     onCrash({crashId, fingerprints});
   }
 
+  /** Each part with the time since its last answer here. */
+  private describeParts(parts: readonly string[]): string {
+    return parts
+      .map(part => {
+        const ageMs = this.options.answeredParts.ageMs(part);
+        return `${part}:${ageMs === undefined ? 'none' : Math.round(ageMs)}`;
+      })
+      .join(',');
+  }
+
   private forgetOld(): void {
     const oldestMs = this.options.clock.nowMs() - REGISTRY_WAIT_MS;
     for (const [crashId, {atMs}] of this.candidates) {
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import {FairShares} from './callers/fairShares.js';
 import {UsageAccounts} from './callers/usageAccounts.js';
 import {UsageKeeper} from './callers/usageKeeper.js';
+import {AnsweredParts} from './crashes/answeredParts.js';
 import {CrashLedger} from './crashes/crashLedger.js';
 import {CrashSuspects} from './crashes/crashSuspects.js';
 import {CrashDetector} from './crashes/crashDetector.js';
@@ -179,6 +180,7 @@
         options.fairShares && this.view.organisations !== undefined,
     });
     const suspects = new CrashSuspects(clock);
+    const answeredParts = new AnsweredParts(clock);
     const crashLedger = new CrashLedger({
       clock,
       logger,
@@ -318,10 +320,12 @@
         logger,
         metrics,
         view: this.view,
+        answeredParts,
         probe: at => probeListener(at, options.connectTimeoutMs),
         onCrash: crash => suspects.noteCrash(crash),
       }),
       suspects,
+      answeredParts,
       heldCopies,
       demand,
       usage: usageAccounts,
--- a/packages/banyanfold-gateway/src/requests/attemptResults.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptResults.ts
@@ -64,6 +64,9 @@
   ): void {
     const {runnerStates} = this.state.options.context;
     this.state.suspect.noteAnswered();
+    if (isSuccess) {
+      this.state.options.context.answeredParts.note(this.state.sharedParts);
+    }
     this.notePace(runner.runnerId);
     runnerStates.recordOutcome(runner.runnerId, isSuccess, firstByteMs);
     this.ending.finish('answered', status);
--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -165,7 +165,11 @@
     state.promptTurn?.release();
     context.runnerStates.recordEnd(runnerId, state.work, isPromptRead);
     if (result.kind === 'broken' && result.isClosedByRunner) {
-      context.crashWatch.noteConnectionLost(runner, state.fingerprint);
+      context.crashWatch.noteConnectionLost(
+        runner,
+        state.fingerprint,
+        state.sharedParts,
+      );
     }
     if ('canReuse' in result && result.canReuse) {
       context.connections.release(runner.address, connection);
--- a/packages/banyanfold-gateway/src/requests/requestFingerprint.ts
+++ b/packages/banyanfold-gateway/src/requests/requestFingerprint.ts
@@ -1,7 +1,13 @@
 import {createHash} from 'node:crypto';
+import type {PromptPart} from '../types.js';
 
 /** Hexadecimal digits that are kept; 64 bits make collisions negligible. */
 const FINGERPRINT_DIGITS = 16;
+/** Ids of prompt parts that are used as they are; others are hashed. */
+const IS_PLAIN_PART_ID = /^[\w-]{1,32}$/;
+/** Further parts of a longer prompt are not recorded. */
+const MAX_SHARED_PARTS = 32;
+const PART_PREFIX = 'part/';
 
 /** The parts of a request that stay the same when its caller retries it. */
 export interface FingerprintInput {
@@ -29,3 +35,30 @@
   hash.update(`${method}\n${host}\n${target}\n`);
   return hash.update(body).digest('hex').slice(0, FINGERPRINT_DIGITS);
 }
+
+/**
+ * Identifies a prompt part in all requests whose prompts hold it.
+ *
+ * @example
+ * partFingerprint('5c1e07a2') // 'part/5c1e07a2'
+ */
+export function partFingerprint(partId: string): string {
+  if (IS_PLAIN_PART_ID.test(partId)) return PART_PREFIX + partId;
+  const hash = createHash('sha256').update(partId).digest('hex');
+  return `${PART_PREFIX}~${hash.slice(0, FINGERPRINT_DIGITS)}`;
+}
+
+/**
+ * Identifies the prompt parts that a request shares with others: all but the
+ * last, which belongs to the request or its session.
+ *
+ * @example
+ * sharedPartFingerprints([{partId: 'a1', tokens: 9}, {partId: 'b2', tokens: 4}])
+ * // ['part/a1']
+ */
+export function sharedPartFingerprints(
+  promptParts: readonly PromptPart[],
+): string[] {
+  const shared = promptParts.slice(0, -1).slice(0, MAX_SHARED_PARTS);
+  return [...new Set(shared.map(({partId}) => partFingerprint(partId)))];
+}
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -12,6 +12,8 @@
   decoded: DecodedRequest;
   /** Stays the same when the caller retries the request. */
   fingerprint: string;
+  /** Fingerprints of its prompt parts that other requests may share. */
+  sharedParts: readonly string[];
   route: RoutePolicy;
   startedMs: number;
   deadlineMs: number;
@@ -49,6 +51,7 @@
     this.logEvent('route', {
       route: route.name,
       fingerprint: this.options.fingerprint,
+      parts: this.options.sharedParts.join(',') || undefined,
       model,
       adapter,
       runner: runner.runnerId,
--- a/packages/banyanfold-gateway/src/requests/requestState.ts
+++ b/packages/banyanfold-gateway/src/requests/requestState.ts
@@ -9,7 +9,7 @@
 import type {Holding} from '../resources/holding.js';
 import type {DecodedRequest, Organisation, RoutePolicy} from '../types.js';
 import {pickService} from './pickService.js';
-import {fingerprintOf} from './requestFingerprint.js';
+import {fingerprintOf, sharedPartFingerprints} from './requestFingerprint.js';
 import {RequestLog, type AttemptCounts} from './requestLog.js';
 import {ResponseRelay} from './responseRelay.js';
 import {drawOf} from './serviceDraw.js';
@@ -50,6 +50,8 @@
   readonly service: string;
   readonly work: StartedWork;
   readonly fingerprint: string;
+  /** Fingerprints of the prompt parts that other requests may share. */
+  readonly sharedParts: readonly string[];
   readonly relay: ResponseRelay;
   readonly targets: TargetChooser;
   readonly log: RequestLog;
@@ -103,11 +105,13 @@
       target: options.request.url ?? '/',
       body: options.body,
     });
+    this.sharedParts = sharedPartFingerprints(decoded.request.promptParts);
     this.suspect = new SuspectStatus(context, this.fingerprint);
     this.log = new RequestLog({
       context,
       decoded,
       fingerprint: this.fingerprint,
+      sharedParts: this.sharedParts,
       route,
       startedMs,
       deadlineMs: this.deadlineMs,
