--- a/packages/banyanfold-gateway/src/__tests__/admissionChecks.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/admissionChecks.test.ts
@@ -112,6 +112,7 @@
       context,
       decoded: {request: request('m1'), passedHeaders: []},
       fingerprint: 'f1',
+      sharedParts: [],
       route,
       startedMs: clock.nowMs(),
       deadlineMs: clock.nowMs() + DEADLINE_MS,
