--- a/packages/banyanfold-decisions/src/__tests__/attributeCrashes.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/attributeCrashes.test.ts
@@ -3,29 +3,58 @@
 import {
   attributeCrashes,
   type CrashHistory,
+  type TrialCrash,
 } from '../crashes/attributeCrashes.js';
 
+interface Row extends CrashHistory {
+  /** Whether the last of its crashes was in a trial of it alone. */
+  hasCrashedAlone: boolean;
+  hasPriorQuarantine: boolean;
+}
+
 function history(
   fingerprint: string,
   crashes: string[],
-  fields: Partial<CrashHistory> = {},
-): CrashHistory {
+  fields: Partial<Row> = {},
+): Row {
   return {
     fingerprint,
     crashes: new Set(crashes),
-    hasCrashedAlone: true,
+    wasAnswered: false,
+    crashingForMs: 1_000,
     unresolvedTrials: 0,
+    hasCrashedAlone: true,
     hasPriorQuarantine: false,
     ...fields,
   };
 }
 
-function verdicts(rows: CrashHistory[], unsettled: string[] = []) {
+function verdicts(
+  rows: Row[],
+  unsettled: string[] = [],
+  trialCrashes: TrialCrash[] = trialsAlone(rows),
+) {
   return Object.fromEntries(
-    attributeCrashes(rows, incarnation => !unsettled.includes(incarnation)),
+    attributeCrashes({
+      histories: rows,
+      trialCrashes,
+      priorQuarantine: rows
+        .filter(({hasPriorQuarantine}) => hasPriorQuarantine)
+        .map(({fingerprint}) => fingerprint),
+      isSettled: incarnation => !unsettled.includes(incarnation),
+    }),
   );
 }
 
+function trialsAlone(rows: Row[]): TrialCrash[] {
+  return rows
+    .filter(({hasCrashedAlone, crashes}) => hasCrashedAlone && crashes.size > 0)
+    .map(({fingerprint, crashes}) => ({
+      incarnation: [...crashes].at(-1)!,
+      suspects: [fingerprint],
+    }));
+}
+
 describe('attributeCrashes', () => {
   it('ignores one crash and suspects from the second on', () => {
     expect(verdicts([history('a', ['1']), history('b', ['1', '2'])])).toEqual({
@@ -126,4 +155,79 @@
       {seed: 7, numRuns: 300},
     );
   });
+
+  // Guards against refusing sound requests that share a part with crashing ones.
+  it('leaves out what was answered after the first crashes', () => {
+    const rows = [
+      history('bad', ['1', '2', '3', '4', '5']),
+      history('shared', ['4', '5'], {wasAnswered: true}),
+    ];
+    const trial = {incarnation: '5', suspects: ['bad', 'shared']};
+    expect(verdicts(rows, [], [trial])).toEqual({bad: 'quarantined'});
+  });
+
+  it('does not suspect at once what was answered shortly before', () => {
+    const fields = {wasAnswered: true, hasCrashedAlone: false};
+    const crashes = ['1', '2', '3'];
+    expect(
+      verdicts([history('a', crashes, {...fields, crashingForMs: 1_499})]),
+    ).toEqual({});
+    expect(
+      verdicts([history('a', crashes, {...fields, crashingForMs: 1_500})]),
+    ).toEqual({a: 'suspect'});
+  });
+
+  it('refuses parts that always come together only together', () => {
+    const rows = [
+      history('a', ['1', '2', '3']),
+      history('b', ['1', '2', '3']),
+      history('beside', ['1', '2']),
+    ];
+    const trial = {incarnation: '3', suspects: ['a', 'b']};
+    expect(verdicts(rows, [], [trial])).toEqual({
+      'a+b': 'quarantined',
+      a: 'suspect',
+      b: 'suspect',
+    });
+  });
+
+  it('tells parts apart once an answer clears one of them', () => {
+    const rows = [history('a', ['1', '2', '3']), history('b', [])];
+    const trial = {incarnation: '3', suspects: ['a', 'b']};
+    expect(verdicts(rows, [], [trial])).toEqual({a: 'quarantined'});
+  });
+
+  it('blames a part although one that all share was at all its crashes', () => {
+    const rows = [
+      history('bad', ['1', '2', '3']),
+      history('shared', ['1', '2', '3'], {wasAnswered: true}),
+    ];
+    const trial = {incarnation: '3', suspects: ['bad']};
+    expect(verdicts(rows, [], [trial])).toEqual({bad: 'quarantined'});
+  });
+
+  it('never quarantines a part that sound requests share', () => {
+    // Each crash has the bad part and some shared ones; answers on a shared part
+    // come between any three crashes.
+    const incarnations = Array.from({length: 12}, (_, i) => String(i));
+    const scenario = fc.record({
+      crashes: fc.integer({min: 4, max: 12}),
+      shared: fc.array(fc.integer({min: 0, max: 2}), {maxLength: 8}),
+    });
+    fc.assert(
+      fc.property(scenario, ({crashes, shared}) => {
+        const all = incarnations.slice(0, crashes);
+        const rows = [
+          history('bad', all),
+          ...shared.map((sinceAnswer, i) =>
+            history(`s${i}`, all.slice(all.length - sinceAnswer)),
+          ),
+        ];
+        const suspects = rows.map(({fingerprint}) => fingerprint);
+        const trial = {incarnation: all.at(-1)!, suspects};
+        expect(verdicts(rows, [], [trial])).toEqual({bad: 'quarantined'});
+      }),
+      {seed: 7, numRuns: 300},
+    );
+  });
 });
--- a/packages/banyanfold-decisions/src/index.ts
+++ b/packages/banyanfold-decisions/src/index.ts
@@ -26,6 +26,7 @@
 export * from './usage/useHistory.js';
 export * from './crashes/decideTrial.js';
 export * from './crashes/attributeCrashes.js';
+export * from './crashes/fingerprintSet.js';
 export * from './shares/divideByMaxMin.js';
 export * from './shares/fleetShares.js';
 export * from './shares/organisationShare.js';
--- a/packages/banyanfold-gateway/src/__tests__/attemptSender.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/attemptSender.test.ts
@@ -32,6 +32,7 @@
     log: {route: ignore},
     clearWaiting: ignore,
     relay: {relay: () => Promise.resolve(failure)},
+    suspect: {mayBeSent: true, noteSent: ignore},
   };
   const admission = {
     refuseIfQueueTooLong: () => false,
--- a/packages/banyanfold-gateway/src/__tests__/crashLedger.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/crashLedger.test.ts
@@ -8,16 +8,19 @@
 let clock: VirtualClock;
 let ledger: CrashLedger;
 let quarantined: string[];
+let released: string[];
 
 beforeEach(() => {
   clock = new VirtualClock();
   quarantined = [];
+  released = [];
   ledger = new CrashLedger({
     clock,
     logger: new MemoryLogger(),
     metrics: new Metrics(),
     epoch: 'h1',
     onQuarantine: fingerprint => quarantined.push(fingerprint),
+    onRelease: key => released.push(key),
   });
 });
 
@@ -192,4 +195,128 @@
     await reportCrash('m0', 'f0-0');
     expect(suspects()).toEqual(['crasher!']);
   });
+
+  describe('with prompt parts', () => {
+    it('quarantines the part that requests have in common', async () => {
+      // Guards against a crash for each request, as no two are the same.
+      for (const i of [1, 2]) {
+        await reportCrash(`l${i}`, `f${i}`, 'part/shared', 'part/bad');
+        report({served: ['part/shared']});
+      }
+      expect(suspects()).toEqual(['part/bad']);
+      await crashInTrial('part/bad', 'f3', 'part/shared');
+      expect(suspects()).toEqual(['part/bad!']);
+      expect(quarantined).toEqual(['part/bad']);
+    });
+
+    it('tells the bad part from one that was answered before', async () => {
+      // All crashes come before the next answer on the shared part.
+      report({
+        crashes: ['l1', 'l2', 'l3', 'l4'].map(life => ({
+          life,
+          fingerprints: ['part/shared', 'part/bad'],
+          answered: ['part/shared'],
+        })),
+      });
+      expect(suspects()).toEqual(['part/bad']);
+      await clock.advance(FULLY_REPORTED_MS);
+      await crashInTrial('part/bad', 'part/shared');
+      expect(suspects()).toContain('part/bad!');
+      report({served: ['part/shared']});
+      expect(suspects()).toEqual(['part/bad!']);
+    });
+
+    it('suspects a part that is answered no more', async () => {
+      report({
+        crashes: ['l1', 'l2'].map(life => ({
+          life,
+          fingerprints: ['part/turned-bad'],
+          answered: ['part/turned-bad'],
+        })),
+      });
+      expect(suspects()).toEqual([]);
+      await clock.advance(1_500);
+      expect(suspects()).toEqual(['part/turned-bad']);
+    });
+
+    it('tells two parts of the same requests apart by an answer', async () => {
+      for (const id of ['l1', 'l2']) await reportCrash(id, 'part/a', 'part/b');
+      await crashInTrial('part/a+part/b', 'part/a', 'part/b');
+      expect(suspects()).toEqual(['part/a+part/b!', 'part/a', 'part/b']);
+      expect(requestTrial('part/b').runnerId).toBeDefined();
+      report({served: ['part/b']});
+      expect(suspects()).toEqual(['part/a!']);
+      expect(released).toEqual(['part/a+part/b']);
+      expect(quarantined).toEqual(['part/a+part/b', 'part/a']);
+    });
+
+    it('narrows a combination of a former holder by an answer', () => {
+      report({quarantined: ['part/a+part/b']});
+      expect(suspects()).toEqual(['part/a+part/b!', 'part/a', 'part/b']);
+      report({served: ['part/b']});
+      expect(suspects()).toEqual(['part/a!']);
+    });
+
+    it('releases what a late report explains otherwise', async () => {
+      // The entry whose request crashed the runners reports a second later.
+      for (const id of ['l1', 'l2']) await reportCrash(id, 'beside');
+      await crashInTrial('beside');
+      expect(suspects()).toEqual(['beside!']);
+      const {runnerId} = requestTrial('other');
+      expect(runnerId).toBeDefined();
+      for (const life of ['l1', 'l2', 'r1@2000']) {
+        report({crashes: [{life, fingerprints: ['part/bad']}]});
+      }
+      expect(released).toEqual([]);
+      expect(suspects()).toEqual(['beside', 'part/bad']);
+      expect(released).toEqual(['beside']);
+    });
+
+    it('finds two bad parts at the same time', async () => {
+      for (const id of ['l1', 'l2']) await reportCrash(id, 'part/a', 'f1');
+      for (const id of ['l3', 'l4']) await reportCrash(id, 'part/b', 'f2');
+      report({served: ['f1', 'f2']});
+      expect(requestTrial('part/a').runnerId).toBe('r1');
+      expect(requestTrial('part/b').runnerId).toBe('r2');
+      await reportCrash('r1@9', 'part/a');
+      await reportCrash('r2@9', 'part/b');
+      expect(suspects()).toEqual(['part/a!', 'part/b!']);
+    });
+
+    // Guards against a rack without power that blames each rare part it had.
+    it('clears a rare part by one trial after runners failed together', async () => {
+      report({
+        crashes: ['l1', 'l2', 'l3', 'l4'].map(life => ({
+          life,
+          fingerprints: ['part/rare'],
+        })),
+      });
+      await clock.advance(FULLY_REPORTED_MS);
+      expect(suspects()).toEqual(['part/rare']);
+      expect(requestTrial('part/rare').runnerId).toBe('r1');
+      report({
+        served: ['part/rare'],
+        trialsOver: [{fingerprint: 'part/rare', ran: false}],
+      });
+      expect(suspects()).toEqual([]);
+      expect(quarantined).toEqual([]);
+    });
+
+    it('tells entries for a minute that a runner has crashed', async () => {
+      expect(ledger.suspectListFor(undefined).crashedAgoMs).toBeUndefined();
+      report({crashes: [{life: 'l1', fingerprints: []}]});
+      await clock.advance(40_000);
+      expect(ledger.suspectListFor(undefined).crashedAgoMs).toBe(40_000);
+      await clock.advance(20_001);
+      expect(ledger.suspectListFor(undefined).crashedAgoMs).toBeUndefined();
+    });
+
+    it('lists at most 200 suspects, those with most crashes', async () => {
+      const many = Array.from({length: 500}, (_, i) => `part/${i}`);
+      for (const id of ['l1', 'l2']) await reportCrash(id, ...many);
+      await reportCrash('l3', 'part/499');
+      expect(suspects()).toHaveLength(200);
+      expect(suspects()[0]).toBe('part/499');
+    });
+  });
 });
--- a/packages/banyanfold-gateway/src/__tests__/quarantineKeeper.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/quarantineKeeper.test.ts
@@ -78,7 +78,7 @@
     const {keeper, suspects} = startKeeper();
     await clock.advance(2_000);
     expect(calls).toBe(1);
-    expect(suspects.verdictOf('a')).toBe('quarantined');
+    expect(suspects.verdictOf(['a'])).toBe('quarantined');
     expect(suspects.pendingReport()?.quarantined).toEqual(['a']);
     lease.owns = true;
     await clock.advance(2_000);
@@ -143,9 +143,9 @@
     suspects.noteCrash({crashId: 'r1@1', fingerprints: ['a']});
     stored.set('a', clock.wallMs());
     await clock.advance(2_500);
-    expect(suspects.verdictOf('a')).toBe('quarantined');
+    expect(suspects.verdictOf(['a'])).toBe('quarantined');
     await clock.advance(20_000);
-    expect(suspects.verdictOf('a')).toBe('quarantined');
+    expect(suspects.verdictOf(['a'])).toBe('quarantined');
     expect(calls).toBeLessThan(15);
     keeper.stop();
   });
@@ -170,8 +170,8 @@
     for (let i = 0; i < 500; i++) stored.set(`f${i}`, clock.wallMs() - 500 + i);
     const {keeper, suspects} = startKeeper();
     await clock.advance(1_000);
-    expect(suspects.verdictOf('old')).toBeUndefined();
-    expect(suspects.verdictOf('f1')).toBe('quarantined');
+    expect(suspects.verdictOf(['old'])).toBeUndefined();
+    expect(suspects.verdictOf(['f1'])).toBe('quarantined');
     keeper.add('new');
     await clock.advance(1_000);
     expect(stored.size).toBe(500);
@@ -180,4 +180,19 @@
     expect(stored.has('new')).toBe(true);
     keeper.stop();
   });
+
+  it('removes what was released from the store', async () => {
+    const {keeper} = startKeeper();
+    await clock.advance(1_000);
+    keeper.add('a');
+    keeper.add('b');
+    await clock.advance(1_000);
+    isStoreDown = true;
+    keeper.remove('a');
+    await clock.advance(1_000);
+    isStoreDown = false;
+    await clock.advance(1_000);
+    expect([...stored.keys()]).toEqual(['b']);
+    keeper.stop();
+  });
 });
--- a/packages/banyanfold-gateway/src/__tests__/requestFingerprint.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/requestFingerprint.test.ts
@@ -1,8 +1,9 @@
 import {describe, expect, it} from 'vitest';
 import {
+  fingerprintOf,
   partFingerprint,
   sharedPartFingerprints,
-} from '../requests/requestFingerprint.js';
+} from '../crashes/requestFingerprint.js';
 
 function partsOf(...ids: string[]) {
   return ids.map(partId => ({partId, tokens: 1}));
@@ -33,3 +34,27 @@
     expect(sharedPartFingerprints(partsOf(...many))).toHaveLength(32);
   });
 });
+
+describe('fingerprintOf', () => {
+  const content = {
+    method: 'POST',
+    host: 'a',
+    target: '/x',
+    model: 'm1',
+    promptParts: partsOf('a1', 'own'),
+    body: Buffer.from('body'),
+  };
+
+  // Guards against blaming all requests that have the same body.
+  it('differs between requests with other models or prompts', () => {
+    const others = [
+      {...content, model: 'm2'},
+      {...content, model: undefined},
+      {...content, promptParts: partsOf('a1', 'other')},
+      {...content, promptParts: []},
+    ];
+    const all = [content, ...others].map(fingerprintOf);
+    expect(new Set(all).size).toBe(5);
+    expect(fingerprintOf({...content})).toBe(all[0]);
+  });
+});
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -2,7 +2,6 @@
 import type {RetryBudget} from '@banyanfold/log';
 import type {FairShares} from './callers/fairShares.js';
 import type {UsageAccounts} from './callers/usageAccounts.js';
-import type {AnsweredParts} from './crashes/answeredParts.js';
 import type {TrialInput} from './crashes/crashContract.js';
 import type {CrashSuspects} from './crashes/crashSuspects.js';
 import type {CrashDetector} from './crashes/crashDetector.js';
@@ -50,7 +49,6 @@
   runnerBackoffs: RunnerBackoffs;
   crashWatch: CrashDetector;
   suspects: CrashSuspects;
-  answeredParts: AnsweredParts;
   heldCopies: HeldCopies;
   demand: DemandMeter;
   usage: UsageAccounts;
--- a/packages/banyanfold-gateway/src/crashes/crashDetector.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashDetector.ts
@@ -2,9 +2,11 @@
 import type {RunnerRegistration} from '../types.js';
 import type {FleetView} from '../view/fleetView.js';
 import type {AnsweredParts} from './answeredParts.js';
+import {AnswerEnds} from './answerEnds.js';
 import type {ListenerState} from './probeListener.js';
+import {isPartFingerprint} from './requestFingerprint.js';
 
-/** A crash of a runner, with the requests of this process that it aborted. */
+/** A crash of a runner, with what this process had in flight there. */
 export interface ObservedCrash {
   /** The runner and the start time of its process, as `runnerId@bornMs`. */
   crashId: string;
@@ -18,8 +20,12 @@
   view: FleetView;
   answeredParts: AnsweredParts;
   probe(address: string): Promise<ListenerState>;
+  /** Whether runners crashed lately, so that doubtful ends are probed. */
+  isAlerted(): boolean;
   /** Called again for the same crash when more aborted requests are found. */
   onCrash(crash: ObservedCrash): void;
+  /** Called when a runner has answered and has not crashed since. */
+  onAnswered(fingerprints: readonly string[]): void;
 }
 
 /** A runner that closed connections with requests in flight. */
@@ -29,12 +35,20 @@
   atMs: number;
   state: ListenerState | 'probing' | 'crashed';
   fingerprints: Set<string>;
-  /** Prompt parts of these requests. */
-  parts: Set<string>;
+}
+
+/** How an answer that was delivered completely ended. */
+export interface AnswerEnd {
+  /** It has neither a length nor chunks, so a crash may have ended it. */
+  isEndedByClose: boolean;
+  /** Whether the runner is probed in any case if the end is doubtful. */
+  isTrial: boolean;
 }
 
 /** The registration of a runner that crashed lapses within a few heartbeats. */
 const REGISTRY_WAIT_MS = 8_000;
+/** Time in which a sign of life settles whether a crash ended an answer. */
+const SIGN_OF_LIFE_MS = 50;
 
 /**
  * Detects that a runner crashed with requests of this process in flight. One
@@ -44,9 +58,16 @@
  */
 export class CrashDetector {
   private readonly candidates = new Map<string, CrashCandidate>();
+  private readonly ends: AnswerEnds;
 
   constructor(private readonly options: CrashDetectorOptions) {
-    options.view.onChange(() => this.checkRegistry());
+    const {clock, onAnswered, view} = options;
+    this.ends = new AnswerEnds({
+      clock,
+      isUndecided: crashId => this.candidates.has(crashId),
+      onAnswered,
+    });
+    view.onChange(() => this.checkRegistry());
   }
 
   /**
@@ -54,34 +75,79 @@
    */
   noteConnectionLost(
     runner: RunnerRegistration,
-    fingerprint: string,
-    parts: readonly string[] = [],
+    fingerprints: readonly string[],
   ): void {
-    const {view, clock} = this.options;
-    const {runnerId, bornMs, address} = runner;
-    const known = view.runner(runnerId);
-    // A runner that leaves as planned also aborts the requests it still runs.
-    if (!known || known.leaving) return;
-    const crashId = `${runnerId}@${bornMs}`;
+    if (!this.isStaying(runner)) return;
+    const crashId = crashIdOf(runner);
     const found = this.candidates.get(crashId);
     if (found) {
-      found.fingerprints.add(fingerprint);
-      for (const part of parts) found.parts.add(part);
-      if (found.state === 'crashed') {
-        this.reportCrash(crashId, [fingerprint], parts);
-      }
+      for (const each of fingerprints) found.fingerprints.add(each);
+      if (found.state === 'crashed') this.reportCrash(crashId, fingerprints);
+      return;
+    }
+    this.addCandidate(runner, fingerprints);
+    void this.probe(crashId, runner.address);
+  }
+
+  /** Nothing listens at the address of a runner that is registered. */
+  noteRefused(runner: RunnerRegistration): void {
+    const crashId = crashIdOf(runner);
+    if (!this.isStaying(runner) || this.candidates.has(crashId)) return;
+    this.confirm(crashId, this.addCandidate(runner, []));
+  }
+
+  /** The runner answered a request completely. */
+  noteAnswered(
+    runner: RunnerRegistration,
+    fingerprints: readonly string[],
+    {isEndedByClose, isTrial}: AnswerEnd,
+  ): void {
+    const crashId = crashIdOf(runner);
+    if (this.candidates.get(crashId)?.state === 'crashed') {
+      this.reportCrash(crashId, fingerprints);
       return;
     }
+    this.ends.add(crashId, fingerprints, isEndedByClose);
+    if (!isEndedByClose) return;
+    if (!isTrial && !this.options.isAlerted()) return;
+    this.options.clock.setTimer(SIGN_OF_LIFE_MS, () =>
+      this.probeIfDoubtful(runner),
+    );
+  }
+
+  /** The runner has sent something. */
+  noteSignOfLife(runner: RunnerRegistration): void {
+    this.ends.noteSignOfLife(crashIdOf(runner));
+  }
+
+  private probeIfDoubtful(runner: RunnerRegistration): void {
+    const crashId = crashIdOf(runner);
+    if (!this.isStaying(runner) || this.candidates.has(crashId)) return;
+    if (!this.ends.hasDoubtful(crashId)) return;
+    this.addCandidate(runner, []);
+    void this.probe(crashId, runner.address);
+  }
+
+  private addCandidate(
+    {runnerId, bornMs}: RunnerRegistration,
+    fingerprints: readonly string[],
+  ): CrashCandidate {
     this.forgetOld();
-    this.candidates.set(crashId, {
+    const candidate: CrashCandidate = {
       runnerId,
       bornMs,
-      atMs: clock.nowMs(),
+      atMs: this.options.clock.nowMs(),
       state: 'probing',
-      fingerprints: new Set([fingerprint]),
-      parts: new Set(parts),
-    });
-    void this.probe(crashId, address);
+      fingerprints: new Set(fingerprints),
+    };
+    this.candidates.set(`${runnerId}@${bornMs}`, candidate);
+    return candidate;
+  }
+
+  /** A runner that leaves as planned also aborts the requests it still runs. */
+  private isStaying({runnerId}: RunnerRegistration): boolean {
+    const known = this.options.view.runner(runnerId);
+    return known !== undefined && !known.leaving;
   }
 
   private async probe(crashId: string, address: string): Promise<void> {
@@ -91,7 +157,10 @@
     crash.state = state;
     if (state === 'refused') this.confirm(crashId, crash);
     // It is running, so these requests are no evidence for a later crash.
-    if (state === 'listening') this.candidates.delete(crashId);
+    if (state === 'listening') {
+      this.candidates.delete(crashId);
+      this.ends.noteSignOfLife(crashId);
+    }
   }
 
   /** Decides about the candidates whose probe got no answer. */
@@ -107,20 +176,21 @@
   private confirm(crashId: string, crash: CrashCandidate): void {
     crash.state = 'crashed';
     this.options.metrics.count('runner_crashes_seen_total');
-    this.reportCrash(crashId, [...crash.fingerprints], [...crash.parts]);
+    const ended = this.ends.takeAtCrash(crashId, crash.atMs);
+    for (const fingerprint of ended) crash.fingerprints.add(fingerprint);
+    this.reportCrash(crashId, [...crash.fingerprints]);
   }
 
-  private reportCrash(
-    crashId: string,
-    fingerprints: readonly string[],
-    parts: readonly string[],
-  ): void {
+  private reportCrash(crashId: string, fingerprints: readonly string[]): void {
     const {logger, onCrash} = this.options;
+    const requests = fingerprints.filter(each => !isPartFingerprint(each));
     logger.warn('runner-crashed', {
       life: crashId,
-      requests: fingerprints.length,
-      fingerprints: fingerprints.join(','),
-      partsAnsweredAgoMs: this.describeParts(parts),
+      requests: requests.length,
+      fingerprints: requests.join(','),
+      partsAnsweredAgoMs: this.describeParts(
+        fingerprints.filter(isPartFingerprint),
+      ),
     });
     onCrash({crashId, fingerprints});
   }
@@ -142,3 +212,7 @@
     }
   }
 }
+
+function crashIdOf({runnerId, bornMs}: RunnerRegistration): string {
+  return `${runnerId}@${bornMs}`;
+}
--- a/packages/banyanfold-gateway/src/crashes/crashLedger.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashLedger.ts
@@ -1,8 +1,9 @@
 import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import {
   DEFAULT_ATTRIBUTE_CRASHES_OPTIONS,
-  attributeCrashes,
-  type CrashHistory,
+  isCombination,
+  joinFingerprints,
+  splitFingerprints,
   type CrashVerdict,
 } from '@banyanfold/decisions';
 import type {
@@ -12,6 +13,7 @@
   TrialInput,
   TrialOutput,
 } from './crashContract.js';
+import {CrashEvidence} from './crashEvidence.js';
 import {CrashTrials} from './crashTrials.js';
 
 export interface CrashLedgerOptions {
@@ -20,15 +22,16 @@
   metrics: Metrics;
   /** Differs between holders and between process starts of one. */
   epoch: string;
-  /** Called when a request is quarantined. */
-  onQuarantine?: (fingerprint: string) => void;
+  /** Called when a key is quarantined. */
+  onQuarantine?: (key: string) => void;
+  /** Called when a quarantine turns out to be wrong. */
+  onRelease?: (key: string) => void;
 }
 
-interface LedgerRow extends CrashHistory {
-  crashes: Set<string>;
-  /** Time of the last event that concerns the request. */
+interface Quarantine {
   atMs: number;
-  quarantinedAtMs?: number;
+  /** Known from elsewhere; its crashes may not be known here. */
+  isPrior: boolean;
 }
 
 /**
@@ -36,60 +39,57 @@
  * runners may handle the request.
  */
 export const QUARANTINE_MS = 3_600_000;
-/** How long the crashes of a request that isn't quarantined are kept. */
-const CRASH_RETENTION_MS = 600_000;
-const EVICTION_INTERVAL_MS = 1_000;
-/** Maximum number of rows, some 200 bytes each. */
-const MAX_ROWS = 4_000;
-/** Number of rows evicted at once, so that rows are rarely sorted. */
-const EVICTED_ROWS = 400;
-/** Maximum crashes per row. Only crashes in trials add evidence beyond it. */
-const MAX_CRASHES_PER_ROW = 16;
-/**
- * Time until all entries have reported a crash: two exchanges and one of a
- * relay.
- */
-const REPORT_WINDOW_MS = 700;
+/** Maximum number of quarantined keys; the oldest are dropped. */
+const MAX_QUARANTINED = 500;
+/** Maximum number of suspects in the list for the entries. */
+const MAX_LISTED_SUSPECTS = 200;
+/** How long the entries are told that a runner has crashed. */
+export const CRASH_ALERT_MS = 60_000;
 
 /**
- * Collects, at the holder, the crashes that all entries report. It determines
- * which requests are suspects, and at which runner a suspect may have a trial.
+ * Judges, at the holder, the crashes that all entries report. It determines
+ * which requests and prompt parts are suspects, where a request with suspects
+ * may have a trial, and which ones are quarantined.
  */
 export class CrashLedger {
-  private readonly rows = new Map<string, LedgerRow>();
-  private readonly reportTimes = new Map<string, number>();
+  private readonly evidence: CrashEvidence;
   private readonly trials: CrashTrials;
+  private readonly quarantines = new Map<string, Quarantine>();
+  /** The fingerprints of all quarantined keys. */
+  private quarantinedMembers: ReadonlySet<string> = new Set();
   private verdicts: ReadonlyMap<string, CrashVerdict> = new Map();
   private revision = 0;
   private isChanged = false;
-  private lastEvictionMs = Number.NEGATIVE_INFINITY;
-  private nextWindowEndMs = Number.POSITIVE_INFINITY;
+  private nextChangeMs = Number.POSITIVE_INFINITY;
+  private lastCrashMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: CrashLedgerOptions) {
-    this.trials = new CrashTrials(options.clock);
+    const {clock} = options;
+    this.trials = new CrashTrials(clock);
+    this.evidence = new CrashEvidence({
+      clock,
+      isQuarantined: fingerprint => this.quarantinedMembers.has(fingerprint),
+    });
   }
 
   /** Adds an entry's report. A report that arrives twice counts once. */
   addReport(report: CrashReport): void {
-    for (const {life: crashId, fingerprints} of report.crashes) {
-      for (const fingerprint of fingerprints) {
-        this.noteCrash(crashId, fingerprint);
-      }
+    for (const {life, fingerprints, answered = []} of report.crashes) {
+      this.noteCrash(life, fingerprints, answered);
     }
     for (const fingerprint of report.served) this.noteServed(fingerprint);
-    for (const {fingerprint, ran} of report.trialsOver) {
-      this.noteTrialOver(fingerprint, ran);
+    for (const {fingerprint: key, ran} of report.trialsOver) {
+      if (this.trials.end(key) && ran) this.noteUnresolved(key);
     }
     this.noteQuarantined(report.quarantined);
   }
 
-  /** Adds requests that an entry or the store knows to be quarantined. */
-  noteQuarantined(fingerprints: readonly string[]): void {
-    for (const fingerprint of fingerprints) {
-      const row = this.getOrAddRow(fingerprint);
-      if (row.hasPriorQuarantine) continue;
-      row.hasPriorQuarantine = true;
-      row.quarantinedAtMs ??= this.options.clock.nowMs();
+  /** Adds keys that an entry or the store knows to be quarantined. */
+  noteQuarantined(keys: readonly string[]): void {
+    const atMs = this.options.clock.nowMs();
+    for (const key of keys) {
+      if (this.quarantines.has(key)) continue;
+      this.addQuarantine(key, {atMs, isPrior: true});
       this.isChanged = true;
     }
   }
@@ -99,193 +99,195 @@
     this.updateVerdicts();
     const {epoch, clock} = this.options;
     const {revision} = this;
+    const agoMs = Math.round(clock.nowMs() - this.lastCrashMs);
+    const crashedAgoMs = agoMs <= CRASH_ALERT_MS ? agoMs : undefined;
     if (known?.epoch === epoch && known.revision === revision) {
-      return {epoch, revision};
+      return {epoch, revision, crashedAgoMs};
     }
-    const nowMs = clock.nowMs();
-    const suspects = [...this.verdicts.keys()].map(fingerprint => {
-      const {quarantinedAtMs} = this.rows.get(fingerprint) ?? {};
-      if (quarantinedAtMs === undefined) return {fingerprint};
-      const remainingMs = quarantinedAtMs + QUARANTINE_MS - nowMs;
-      return {fingerprint, quarantinedMs: Math.max(0, Math.round(remainingMs))};
-    });
-    return {epoch, revision, suspects};
+    const suspects = [...this.listQuarantined(), ...this.listSuspects()];
+    return {epoch, revision, suspects, crashedAgoMs};
   }
 
-  /** Chooses a runner for a trial, or returns why the suspect has to wait. */
+  /** Chooses a runner for a trial, or returns why the request has to wait. */
   permitTrial(input: TrialInput): TrialOutput {
-    const {fingerprint} = input;
     for (const overdue of this.trials.expireOverdue()) {
       this.noteUnresolved(overdue);
     }
     this.updateVerdicts();
-    if (this.verdicts.get(fingerprint) === 'quarantined') {
-      return {reason: 'quarantined'};
-    }
-    const crashesOf = (id: string) => this.rows.get(id)?.crashes.size ?? 0;
-    const facts = {
-      crashes: crashesOf(fingerprint),
-      isVerdictPending: this.isBeingJudged(fingerprint),
-    };
-    const decision = this.trials.permit(input, facts, crashesOf);
+    const suspects = splitFingerprints(input.fingerprint);
+    if (this.isQuarantined(suspects)) return {reason: 'quarantined'};
+    const decision = this.trials.permit(input, {
+      isVerdictPending: suspects.some(each =>
+        this.evidence.isBeingJudged(each),
+      ),
+      fewestCrashes: key =>
+        Math.min(
+          ...splitFingerprints(key).map(each => this.evidence.crashCount(each)),
+        ),
+    });
     if (decision.kind === 'wait') return {reason: decision.reason};
     const {runnerId} = decision;
-    this.options.logger.info('trial', {fingerprint, runner: runnerId});
+    this.options.logger.info('trial', {
+      fingerprint: input.fingerprint,
+      runner: runnerId,
+    });
     return {runnerId, reason: 'alone'};
   }
 
-  private noteCrash(crashId: string, fingerprint: string): void {
-    const row = this.getOrAddRow(fingerprint);
-    row.atMs = this.options.clock.nowMs();
-    if (row.crashes.has(crashId)) return;
-    const isTrial = this.trials.isTrialCrash(fingerprint, crashId);
-    if (!isTrial && row.crashes.size >= MAX_CRASHES_PER_ROW) return;
-    row.crashes.add(crashId);
-    if (isTrial) row.hasCrashedAlone = true;
-    if (!this.reportTimes.has(crashId)) this.reportTimes.set(crashId, row.atMs);
-    if (row.hasCrashedAlone) this.trials.end(fingerprint);
-    this.isChanged = true;
+  private noteCrash(
+    crashId: string,
+    fingerprints: readonly string[],
+    answered: readonly string[],
+  ): void {
+    this.lastCrashMs = this.options.clock.nowMs();
+    this.evidence.noteReport(crashId);
+    const trialKey = this.trials.endByCrash(crashId, fingerprints);
+    const suspects = trialKey === undefined ? [] : splitFingerprints(trialKey);
+    for (const fingerprint of fingerprints) {
+      const isTrial = suspects.includes(fingerprint);
+      const isNew = this.evidence.addCrash(crashId, fingerprint, isTrial);
+      this.isChanged ||= isNew;
+    }
+    for (const fingerprint of answered) {
+      this.evidence.noteAnsweredBefore(fingerprint);
+    }
+    if (trialKey === undefined) return;
+    this.evidence.addTrialCrash(crashId, suspects);
+    this.options.logger.warn('trial-crashed', {
+      fingerprint: trialKey,
+      crash: crashId,
+    });
   }
 
-  /** Removes a suspect: a request that completes doesn't crash runners. */
+  /** What is answered completely doesn't crash runners. */
   private noteServed(fingerprint: string): void {
-    this.trials.end(fingerprint);
-    const row = this.rows.get(fingerprint);
-    if (!row || row.hasPriorQuarantine) return;
-    this.rows.delete(fingerprint);
-    this.isChanged = true;
-  }
-
-  private noteTrialOver(fingerprint: string, ran: boolean): void {
-    if (this.trials.end(fingerprint) && ran) this.noteUnresolved(fingerprint);
+    if (this.evidence.noteAnswered(fingerprint)) this.isChanged = true;
+    for (const [key, quarantine] of this.quarantines) {
+      if (!quarantine.isPrior || !isCombination(key)) continue;
+      const members = splitFingerprints(key);
+      if (!members.includes(fingerprint)) continue;
+      const left = members.filter(member => member !== fingerprint);
+      this.quarantines.delete(key);
+      this.addQuarantine(joinFingerprints(left), quarantine);
+      this.isChanged = true;
+    }
   }
 
-  private noteUnresolved(fingerprint: string): void {
-    const row = this.rows.get(fingerprint);
-    if (!row) return;
-    row.unresolvedTrials += 1;
+  private noteUnresolved(trialKey: string): void {
+    for (const fingerprint of splitFingerprints(trialKey)) {
+      this.evidence.noteUnresolvedTrial(fingerprint);
+    }
     this.isChanged = true;
   }
 
   private updateVerdicts(): void {
     const nowMs = this.options.clock.nowMs();
-    this.evictOld(nowMs);
-    if (!this.isChanged && nowMs < this.nextWindowEndMs) return;
+    this.endQuarantines(nowMs);
+    if (this.evidence.evictOld()) this.isChanged = true;
+    if (!this.isChanged && nowMs < this.nextChangeMs) return;
     this.isChanged = false;
     const before = this.verdicts;
-    this.verdicts = attributeCrashes(this.rows.values(), crashId =>
-      this.isFullyReported(crashId, nowMs),
+    this.verdicts = this.evidence.judge(this.priorKeys());
+    this.nextChangeMs = this.evidence.nextChangeMs(
+      DEFAULT_ATTRIBUTE_CRASHES_OPTIONS,
     );
-    this.nextWindowEndMs = this.findNextWindowEndMs(nowMs);
     if (areVerdictsEqual(before, this.verdicts)) return;
     this.revision += 1;
-    this.updateQuarantine(nowMs);
+    this.updateQuarantines(nowMs);
   }
 
-  /** Updates the rows whose verdict changed to or from quarantine. */
-  private updateQuarantine(nowMs: number): void {
-    const {logger, metrics, onQuarantine} = this.options;
-    for (const [fingerprint, row] of this.rows) {
-      const isQuarantined = this.verdicts.get(fingerprint) === 'quarantined';
-      if (!isQuarantined) row.quarantinedAtMs = undefined;
-      if (!isQuarantined || row.quarantinedAtMs !== undefined) continue;
-      row.quarantinedAtMs = nowMs;
-      metrics.count('requests_quarantined_total');
-      logger.warn('request-quarantined', {
-        fingerprint,
-        crashes: [...row.crashes].join(','),
-        unresolvedTrials: row.unresolvedTrials,
-      });
-      onQuarantine?.(fingerprint);
+  /** Records the keys whose verdict changed to or from quarantine. */
+  private updateQuarantines(nowMs: number): void {
+    for (const [key, {isPrior}] of this.quarantines) {
+      if (isPrior || this.verdicts.get(key) === 'quarantined') continue;
+      this.quarantines.delete(key);
+      this.updateMembers();
+      this.options.logger.warn('request-released', {fingerprint: key});
+      this.options.onRelease?.(key);
     }
-  }
-
-  /** Whether it crashed a runner in a trial and reports are outstanding. */
-  private isBeingJudged(fingerprint: string): boolean {
-    const row = this.rows.get(fingerprint);
-    const {quarantineCrashes} = DEFAULT_ATTRIBUTE_CRASHES_OPTIONS;
-    if (!row?.hasCrashedAlone || row.crashes.size < quarantineCrashes) {
-      return false;
+    for (const [key, verdict] of this.verdicts) {
+      if (verdict !== 'quarantined' || this.quarantines.has(key)) continue;
+      this.addQuarantine(key, {atMs: nowMs, isPrior: false});
+      this.reportQuarantine(key);
     }
-    const nowMs = this.options.clock.nowMs();
-    return [...row.crashes].some(
-      crashId => !this.isFullyReported(crashId, nowMs),
-    );
   }
 
-  /** Whether all entries have reported which requests were at the runner. */
-  private isFullyReported(crashId: string, nowMs: number): boolean {
-    const reportedMs =
-      this.reportTimes.get(crashId) ?? Number.NEGATIVE_INFINITY;
-    return nowMs - reportedMs >= REPORT_WINDOW_MS;
+  private reportQuarantine(key: string): void {
+    const {logger, metrics, onQuarantine} = this.options;
+    metrics.count('requests_quarantined_total');
+    const members = splitFingerprints(key);
+    logger.warn('request-quarantined', {
+      fingerprint: key,
+      crashes: this.evidence.crashIds(members[0]!).join(','),
+      answeredAgoMs: members
+        .map(each => this.evidence.answeredAgoMs(each) ?? 'none')
+        .join(','),
+    });
+    onQuarantine?.(key);
   }
 
-  private findNextWindowEndMs(nowMs: number): number {
-    let nextMs = Number.POSITIVE_INFINITY;
-    for (const reportedMs of this.reportTimes.values()) {
-      const atMs = reportedMs + REPORT_WINDOW_MS;
-      if (atMs > nowMs) nextMs = Math.min(nextMs, atMs);
+  private addQuarantine(key: string, quarantine: Quarantine): void {
+    this.quarantines.set(key, quarantine);
+    const [oldest] = this.quarantines.keys();
+    if (this.quarantines.size > MAX_QUARANTINED) {
+      this.quarantines.delete(oldest!);
     }
-    return nextMs;
+    this.updateMembers();
   }
 
-  private getOrAddRow(fingerprint: string): LedgerRow {
-    let row = this.rows.get(fingerprint);
-    if (!row) {
-      row = {
-        fingerprint,
-        crashes: new Set(),
-        hasCrashedAlone: false,
-        unresolvedTrials: 0,
-        hasPriorQuarantine: false,
-        atMs: this.options.clock.nowMs(),
-      };
-      this.rows.set(fingerprint, row);
-      this.evictSurplus();
-    }
-    return row;
+  private updateMembers(): void {
+    this.quarantinedMembers = new Set(
+      [...this.quarantines.keys()].flatMap(splitFingerprints),
+    );
   }
 
-  private evictOld(nowMs: number): void {
-    if (nowMs - this.lastEvictionMs < EVICTION_INTERVAL_MS) return;
-    this.lastEvictionMs = nowMs;
-    for (const row of this.rows.values()) {
-      const {quarantinedAtMs} = row;
-      if (quarantinedAtMs !== undefined) {
-        if (nowMs - quarantinedAtMs >= QUARANTINE_MS) this.endQuarantine(row);
-      } else if (nowMs - row.atMs >= CRASH_RETENTION_MS) {
-        this.rows.delete(row.fingerprint);
-        this.isChanged = true;
+  /** Leaves what was quarantined for long enough as suspects. */
+  private endQuarantines(nowMs: number): void {
+    for (const [key, {atMs}] of this.quarantines) {
+      if (nowMs - atMs < QUARANTINE_MS) continue;
+      this.quarantines.delete(key);
+      this.updateMembers();
+      for (const fingerprint of splitFingerprints(key)) {
+        this.evidence.reduceToSuspect(fingerprint);
       }
-    }
-    for (const [crashId, atMs] of this.reportTimes) {
-      if (nowMs - atMs >= CRASH_RETENTION_MS) this.reportTimes.delete(crashId);
+      this.isChanged = true;
     }
   }
 
-  /** Ends a quarantine. Two crashes are kept, so the request is a suspect. */
-  private endQuarantine(row: LedgerRow): void {
-    const {fingerprint} = row;
-    row.crashes = new Set([`${fingerprint}#1`, `${fingerprint}#2`]);
-    row.hasCrashedAlone = false;
-    row.unresolvedTrials = 0;
-    row.hasPriorQuarantine = false;
-    row.quarantinedAtMs = undefined;
-    row.atMs = this.options.clock.nowMs();
-    this.isChanged = true;
+  private priorKeys(): string[] {
+    return [...this.quarantines]
+      .filter(([, {isPrior}]) => isPrior)
+      .map(([key]) => key);
   }
 
-  /** Evicts the rows with the fewest crashes, the oldest ones first. */
-  private evictSurplus(): void {
-    if (this.rows.size <= MAX_ROWS) return;
-    const rank = ({crashes, hasPriorQuarantine}: LedgerRow) =>
-      hasPriorQuarantine ? MAX_CRASHES_PER_ROW : crashes.size;
-    const evicted = [...this.rows.values()]
-      .slice(0, -1)
-      .sort((a, b) => rank(a) - rank(b) || a.atMs - b.atMs)
-      .slice(0, EVICTED_ROWS);
-    for (const {fingerprint} of evicted) this.rows.delete(fingerprint);
-    this.isChanged = true;
+  private isQuarantined(fingerprints: readonly string[]): boolean {
+    return [...this.quarantines.keys()].some(key =>
+      splitFingerprints(key).every(each => fingerprints.includes(each)),
+    );
+  }
+
+  private listQuarantined() {
+    const nowMs = this.options.clock.nowMs();
+    return [...this.quarantines].map(([fingerprint, {atMs}]) => ({
+      fingerprint,
+      quarantinedMs: Math.max(0, Math.round(atMs + QUARANTINE_MS - nowMs)),
+    }));
+  }
+
+  private listSuspects() {
+    const suspects = [...this.verdicts]
+      .filter(([, verdict]) => verdict === 'suspect')
+      .map(([fingerprint]) => fingerprint);
+    const {evidence} = this;
+    if (suspects.length > MAX_LISTED_SUSPECTS) {
+      suspects.sort((a, b) => evidence.crashCount(b) - evidence.crashCount(a));
+      suspects.length = MAX_LISTED_SUSPECTS;
+    }
+    return suspects.map(fingerprint => {
+      const agoMs = evidence.crashedAgoMs(fingerprint);
+      const crashedAgoMs = agoMs === undefined ? undefined : Math.round(agoMs);
+      return {fingerprint, crashedAgoMs};
+    });
   }
 }
 
--- a/packages/banyanfold-gateway/src/crashes/crashSuspects.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashSuspects.ts
@@ -1,14 +1,36 @@
 import type {Clock} from '@banyanfold/core';
 import {
   DEFAULT_ATTRIBUTE_CRASHES_OPTIONS,
+  isCombination,
+  splitFingerprints,
   type CrashVerdict,
 } from '@banyanfold/decisions';
+import {AnsweredParts} from './answeredParts.js';
 import type {
   CrashReport,
   SuspectListVersion,
   SuspectList,
 } from './crashContract.js';
+import {CRASH_ALERT_MS} from './crashLedger.js';
+import {emptyReport, isEmptyReport, mergeReports} from './crashReports.js';
 import type {ObservedCrash} from './crashDetector.js';
+import {isPartFingerprint} from './requestFingerprint.js';
+
+/** A key in a list of suspects. */
+interface ListedKey {
+  /** End of its quarantine in ms of the clock; undefined for a suspect. */
+  untilMs?: number;
+  /** Time of the last crash of a suspect. */
+  crashedMs?: number;
+}
+
+/** A quarantine that applies to a request. */
+export interface Quarantine {
+  /** The fingerprints that are quarantined, as one key. */
+  key: string;
+  /** Time until it ends, in ms. */
+  forMs: number;
+}
 
 /** A crash that this process observed itself. */
 interface LocalCrash {
@@ -23,6 +45,8 @@
 const VERDICT_DELAY_MS = 1_000;
 /** Time until a new holder knows what its predecessor and the store know. */
 const NEW_HOLDER_DELAY_MS = 2 * VERDICT_DELAY_MS;
+/** Six exchanges; without a list for so long, no holder judges crashes. */
+const HOLDER_TIMEOUT_MS = 1_500;
 /**
  * How long records from the store are valid. While no holder is reachable, they
  * are read every two seconds.
@@ -30,59 +54,67 @@
 const STORED_VALID_MS = 5_000;
 /** How long a crash is kept in order to report it to a new holder. */
 const CRASH_RETENTION_MS = 600_000;
-/** Maximum number of requests with local crashes, some 200 bytes each. */
-const MAX_LOCAL_REQUESTS = 2_000;
-/**
- * Maximum length of each list in the unacknowledged report. More items would
- * report the same crashes again.
- */
-const MAX_REPORT_ITEMS = 2_000;
+/** Maximum number of fingerprints with local crashes, some 200 bytes each. */
+const MAX_LOCAL_FINGERPRINTS = 2_000;
 
 /**
- * Tracks at an entry which requests crash runners. It combines the holder's
- * list of suspects with local crashes that the holder can't have judged yet.
+ * Tracks at an entry which requests and prompt parts crash runners. It combines
+ * the holder's list of suspects with local crashes that the holder can't have
+ * judged yet.
  */
 export class CrashSuspects {
   /** Called when something should be reported without delay. */
   onReport: () => void = () => {};
   /** By fingerprint, in the order of the last crash. */
   private readonly localCrashes = new Map<string, LocalCrash[]>();
-  /** End of quarantine by fingerprint; undefined for a mere suspect. */
-  private holderSuspects = new Map<string, number | undefined>();
-  /** The same, as read from the store and received from former holders. */
-  private retainedSuspects = new Map<string, number | undefined>();
+  private holderSuspects = new Map<string, ListedKey>();
+  /** Read from the store, or received from former holders. */
+  private retainedSuspects = new Map<string, ListedKey>();
+  /** Keys of several fingerprints in both of them. */
+  private combinations: readonly string[] = [];
   private retentionEndMs = Number.POSITIVE_INFINITY;
   private listVersion: SuspectListVersion | undefined;
   private listReceivedMs = Number.NEGATIVE_INFINITY;
+  private lastCrashMs = Number.NEGATIVE_INFINITY;
   private unacknowledged: CrashReport = emptyReport();
   private queued: CrashReport = emptyReport();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly answeredParts = new AnsweredParts(clock),
+  ) {}
 
-  /** Undefined for a request without restrictions. */
-  verdictOf(fingerprint: string): CrashVerdict | undefined {
-    const known = this.findSuspect(fingerprint);
-    if (known) return known.untilMs === undefined ? 'suspect' : 'quarantined';
-    const crashes = this.localCrashes.get(fingerprint);
-    const {suspectCrashes} = DEFAULT_ATTRIBUTE_CRASHES_OPTIONS;
-    if (!crashes || crashes.length < suspectCrashes) return undefined;
-    // The holder has judged older crashes and doesn't list the request.
-    const judgedUntilMs = this.listReceivedMs - VERDICT_DELAY_MS;
-    return crashes.at(-1)!.atMs > judgedUntilMs ? 'suspect' : undefined;
+  /** Verdict on a request by its fingerprints; undefined if it runs normally. */
+  verdictOf(fingerprints: readonly string[]): CrashVerdict | undefined {
+    if (!this.hasCrashData) return undefined;
+    if (this.findQuarantined(fingerprints) !== undefined) return 'quarantined';
+    return this.suspectsAmong(fingerprints).length > 0 ? 'suspect' : undefined;
+  }
+
+  /** The fingerprints that are suspects. */
+  suspectsAmong(fingerprints: readonly string[]): string[] {
+    return fingerprints.filter(fingerprint => {
+      const known = this.findKey(fingerprint);
+      if (known) return known.untilMs === undefined;
+      return this.isLocalSuspect(fingerprint);
+    });
   }
 
-  /** Remaining quarantine of a request, in ms; 0 if it isn't quarantined. */
-  quarantinedForMs(fingerprint: string): number {
-    const untilMs = this.findSuspect(fingerprint)?.untilMs ?? 0;
-    return Math.max(0, untilMs - this.clock.nowMs());
+  /** The quarantine that applies to a request; undefined if none does. */
+  quarantineOf(fingerprints: readonly string[]): Quarantine | undefined {
+    const key = this.findQuarantined(fingerprints);
+    const untilMs = key === undefined ? undefined : this.findKey(key)?.untilMs;
+    if (key === undefined || untilMs === undefined) return undefined;
+    return {key, forMs: Math.max(0, untilMs - this.clock.nowMs())};
   }
 
-  /** Adds quarantined requests from the store, with the ms left for each. */
+  /** Adds quarantined keys from the store, with the ms left for each. */
   noteStoredQuarantine(remainingMs: ReadonlyMap<string, number>): void {
     const nowMs = this.clock.nowMs();
-    for (const [fingerprint, leftMs] of remainingMs) {
-      this.retainedSuspects.set(fingerprint, nowMs + leftMs);
+    for (const [key, leftMs] of remainingMs) {
+      this.retainedSuspects.set(key, {untilMs: nowMs + leftMs});
     }
+    this.updateCombinations();
     this.retentionEndMs = Math.max(
       this.retentionEndMs,
       nowMs + STORED_VALID_MS,
@@ -93,6 +125,7 @@
 
   noteCrash({crashId, fingerprints}: ObservedCrash): void {
     const atMs = this.clock.nowMs();
+    this.lastCrashMs = atMs;
     for (const fingerprint of fingerprints) {
       const crashes = this.localCrashes.get(fingerprint) ?? [];
       if (crashes.some(known => known.crashId === crashId)) continue;
@@ -101,26 +134,42 @@
       this.localCrashes.set(fingerprint, crashes);
     }
     this.evictOld(atMs);
+    const answered = fingerprints.filter(
+      fingerprint => this.answeredParts.ageMs(fingerprint) !== undefined,
+    );
     this.queued.crashes.push({
       life: crashId,
       fingerprints: [...fingerprints],
+      ...(answered.length > 0 && {answered}),
     });
     this.onReport();
   }
 
-  /** A runner answered the request completely, so it doesn't crash runners. */
-  noteServed(fingerprint: string): void {
-    const wasObserved = this.localCrashes.delete(fingerprint);
-    const isSuspect = this.holderSuspects.get(fingerprint) === undefined;
-    const wasListed = isSuspect && this.holderSuspects.delete(fingerprint);
-    if (!wasListed && !wasObserved) return;
-    this.queued.served.push(fingerprint);
+  /**
+   * A runner answered a request with these fingerprints completely, so they
+   * don't crash runners.
+   */
+  noteServed(fingerprints: readonly string[]): void {
+    this.answeredParts.note(fingerprints.filter(isPartFingerprint));
+    if (!this.hasCrashData) return;
+    const news = fingerprints.filter(fingerprint => {
+      const wasObserved = this.localCrashes.delete(fingerprint);
+      const listed = this.holderSuspects.get(fingerprint);
+      const isSuspect = listed !== undefined && listed.untilMs === undefined;
+      if (isSuspect) this.holderSuspects.delete(fingerprint);
+      return wasObserved || listed !== undefined;
+    });
+    if (news.length === 0) return;
+    this.queued.served.push(...news);
     this.onReport();
   }
 
-  /** A trial ended without result; `ran` if a runner may have started it. */
-  noteTrialOver(fingerprint: string, ran: boolean): void {
-    this.queued.trialsOver.push({fingerprint, ran});
+  /**
+   * A trial ended without a crash; `ran` if a runner may have started it and
+   * the result is unknown.
+   */
+  noteTrialOver(trialKey: string, ran: boolean): void {
+    this.queued.trialsOver.push({fingerprint: trialKey, ran});
     this.onReport();
   }
 
@@ -128,7 +177,7 @@
   forward(report: CrashReport | undefined): void {
     if (!report) return;
     this.queued = mergeReports(this.queued, report);
-    if (!isEmpty(report)) this.onReport();
+    if (!isEmptyReport(report)) this.onReport();
   }
 
   /**
@@ -140,7 +189,7 @@
   pendingReport(): CrashReport | undefined {
     this.unacknowledged = mergeReports(this.unacknowledged, this.queued);
     this.queued = emptyReport();
-    return isEmpty(this.unacknowledged) ? undefined : this.unacknowledged;
+    return isEmptyReport(this.unacknowledged) ? undefined : this.unacknowledged;
   }
 
   /** Marks the last report as received. */
@@ -150,7 +199,16 @@
 
   /** Whether any suspect or local crash is known. */
   get hasCrashData(): boolean {
-    return this.holderSuspects.size > 0 || this.localCrashes.size > 0;
+    return (
+      this.holderSuspects.size > 0 ||
+      this.retainedSuspects.size > 0 ||
+      this.localCrashes.size > 0
+    );
+  }
+
+  /** Whether a runner crashed within the last minute, as far as is known. */
+  get isAlerted(): boolean {
+    return this.clock.nowMs() - this.lastCrashMs <= CRASH_ALERT_MS;
   }
 
   get knownVersion(): SuspectListVersion | undefined {
@@ -160,18 +218,26 @@
   /** Applies the holder's list; undefined from releases that don't send it. */
   applyList(list: SuspectList | undefined): void {
     if (!list) return;
-    const {epoch, revision, suspects} = list;
+    const {epoch, revision, suspects, crashedAgoMs} = list;
     const nowMs = this.clock.nowMs();
     if (this.listVersion?.epoch !== epoch) this.handleNewHolder();
     this.listReceivedMs = nowMs;
     this.listVersion = {epoch, revision};
+    if (crashedAgoMs !== undefined) {
+      this.lastCrashMs = Math.max(this.lastCrashMs, nowMs - crashedAgoMs);
+    }
     if (!suspects) return;
     this.holderSuspects = new Map(
-      suspects.map(({fingerprint, quarantinedMs}) => [
+      suspects.map(({fingerprint, quarantinedMs, crashedAgoMs: agoMs}) => [
         fingerprint,
-        quarantinedMs === undefined ? undefined : nowMs + quarantinedMs,
+        {
+          untilMs: quarantinedMs && nowMs + quarantinedMs,
+          crashedMs: agoMs && nowMs - agoMs,
+        },
       ]),
     );
+    this.updateCombinations();
+    this.reportAnsweredSince();
   }
 
   /**
@@ -183,29 +249,78 @@
   ): SuspectList | undefined {
     if (!this.listVersion) return undefined;
     const {epoch, revision} = this.listVersion;
+    const nowMs = this.clock.nowMs();
+    const crashedAgoMs = this.isAlerted ? nowMs - this.lastCrashMs : undefined;
+    const alert = crashedAgoMs === undefined ? {} : {crashedAgoMs};
     if (known?.epoch === epoch && known.revision === revision) {
-      return {epoch, revision};
+      return {epoch, revision, ...alert};
     }
-    const nowMs = this.clock.nowMs();
-    const suspects = [...this.holderSuspects].map(([fingerprint, untilMs]) => ({
-      fingerprint,
-      quarantinedMs:
-        untilMs === undefined ? undefined : Math.max(0, untilMs - nowMs),
+    const suspects = [...this.holderSuspects].map(([key, listed]) => ({
+      fingerprint: key,
+      quarantinedMs: listed.untilMs && Math.max(0, listed.untilMs - nowMs),
+      crashedAgoMs: listed.crashedMs && nowMs - listed.crashedMs,
     }));
-    return {epoch, revision, suspects};
+    return {epoch, revision, suspects, ...alert};
+  }
+
+  /** Reports suspects that this process saw answered after their last crash. */
+  private reportAnsweredSince(): void {
+    const nowMs = this.clock.nowMs();
+    const answered = [...this.holderSuspects]
+      .filter(([fingerprint, {untilMs, crashedMs}]) => {
+        const ageMs = this.answeredParts.ageMs(fingerprint);
+        if (untilMs !== undefined || ageMs === undefined) return false;
+        return crashedMs !== undefined && nowMs - ageMs > crashedMs;
+      })
+      .map(([fingerprint]) => fingerprint);
+    if (answered.length === 0) return;
+    for (const fingerprint of answered) {
+      this.holderSuspects.delete(fingerprint);
+      this.localCrashes.delete(fingerprint);
+    }
+    this.queued.served.push(...answered);
+    this.onReport();
+  }
+
+  /** The quarantined key of which a request has all fingerprints. */
+  private findQuarantined(fingerprints: readonly string[]): string | undefined {
+    const isQuarantined = (key: string) =>
+      this.findKey(key)?.untilMs !== undefined;
+    return (
+      fingerprints.find(isQuarantined) ??
+      this.combinations.find(
+        key =>
+          isQuarantined(key) &&
+          splitFingerprints(key).every(each => fingerprints.includes(each)),
+      )
+    );
   }
 
   /** If the lists differ, quarantine takes precedence over suspicion. */
-  private findSuspect(fingerprint: string): {untilMs?: number} | undefined {
-    const isRetained =
-      this.clock.nowMs() < this.retentionEndMs &&
-      this.retainedSuspects.has(fingerprint);
-    const isListed = this.holderSuspects.has(fingerprint);
-    if (!isRetained && !isListed) return undefined;
-    const retainedUntilMs = isRetained
-      ? this.retainedSuspects.get(fingerprint)
-      : undefined;
-    return {untilMs: this.holderSuspects.get(fingerprint) ?? retainedUntilMs};
+  private findKey(key: string): ListedKey | undefined {
+    const isRetaining = this.clock.nowMs() < this.retentionEndMs;
+    const retained = isRetaining ? this.retainedSuspects.get(key) : undefined;
+    const listed = this.holderSuspects.get(key);
+    if (!retained) return listed;
+    return {untilMs: listed?.untilMs ?? retained.untilMs};
+  }
+
+  /** Whether local crashes that no holder has judged yet make it a suspect. */
+  private isLocalSuspect(fingerprint: string): boolean {
+    const crashes = this.localCrashes.get(fingerprint);
+    if (!crashes) return false;
+    const nowMs = this.clock.nowMs();
+    const {suspectCrashes, answerGraceMs} = DEFAULT_ATTRIBUTE_CRASHES_OPTIONS;
+    const wasAnswered = this.answeredParts.ageMs(fingerprint) !== undefined;
+    if (wasAnswered && nowMs - crashes[0]!.atMs < answerGraceMs) return false;
+    // Without a holder nobody counts the crashes that other entries see.
+    const hasHolder = nowMs - this.listReceivedMs < HOLDER_TIMEOUT_MS;
+    const isCounted =
+      hasHolder || wasAnswered || !isPartFingerprint(fingerprint);
+    if (crashes.length < (isCounted ? suspectCrashes : 1)) return false;
+    // The holder has judged older crashes and doesn't list it.
+    const judgedUntilMs = this.listReceivedMs - VERDICT_DELAY_MS;
+    return crashes.at(-1)!.atMs > judgedUntilMs;
   }
 
   /**
@@ -229,8 +344,8 @@
       }
     }
     const quarantined = [...this.holderSuspects.entries()]
-      .filter(([, untilMs]) => untilMs !== undefined)
-      .map(([fingerprint]) => fingerprint);
+      .filter(([, {untilMs}]) => untilMs !== undefined)
+      .map(([key]) => key);
     this.queued = mergeReports(this.queued, {
       ...emptyReport(),
       crashes: [...crashes].map(([crashId, fingerprints]) => ({
@@ -239,33 +354,21 @@
       })),
       quarantined,
     });
-    this.onReport();
+    if (!isEmptyReport(this.queued)) this.onReport();
+  }
+
+  private updateCombinations(): void {
+    this.combinations = [
+      ...this.holderSuspects.keys(),
+      ...this.retainedSuspects.keys(),
+    ].filter(isCombination);
   }
 
   private evictOld(nowMs: number): void {
     for (const [fingerprint, crashes] of this.localCrashes) {
       const isOld = nowMs - crashes.at(-1)!.atMs >= CRASH_RETENTION_MS;
-      if (!isOld && this.localCrashes.size <= MAX_LOCAL_REQUESTS) return;
+      if (!isOld && this.localCrashes.size <= MAX_LOCAL_FINGERPRINTS) return;
       this.localCrashes.delete(fingerprint);
     }
   }
 }
-
-function emptyReport(): CrashReport {
-  return {crashes: [], served: [], trialsOver: [], quarantined: []};
-}
-
-function isEmpty(report: CrashReport): boolean {
-  return Object.values(report).every(list => list.length === 0);
-}
-
-function mergeReports(one: CrashReport, other: CrashReport): CrashReport {
-  const merge = <T>(a: readonly T[], b: readonly T[]) =>
-    [...a, ...b].slice(-MAX_REPORT_ITEMS);
-  return {
-    crashes: merge(one.crashes, other.crashes),
-    served: merge(one.served, other.served),
-    trialsOver: merge(one.trialsOver, other.trialsOver),
-    quarantined: merge(one.quarantined, other.quarantined),
-  };
-}
--- a/packages/banyanfold-gateway/src/crashes/quarantineKeeper.ts
+++ b/packages/banyanfold-gateway/src/crashes/quarantineKeeper.ts
@@ -22,7 +22,7 @@
 const MAX_RECORDS = 500;
 
 /**
- * Persists the quarantined requests in the store. The holder writes them, and
+ * Persists the quarantined requests and prompt parts in the store. The holder writes them, and
  * each process reads them when it starts. Without this, after all processes
  * ended at once, a request that crashed three runners could crash three more.
  */
@@ -30,6 +30,8 @@
   /** Content of the store: time of the quarantine by fingerprint. */
   private records = new Map<string, number>();
   private readonly unsaved = new Map<string, number>();
+  /** Released, but not yet removed from the store. */
+  private readonly released = new Set<string>();
   private lastLoadMs = Number.NEGATIVE_INFINITY;
   private loadedTerm: number | undefined;
   private isBusy = false;
@@ -49,8 +51,16 @@
     this.stopSync();
   }
 
-  /** Adds a request that has been quarantined. */
+  /** Removes what was released from quarantine. */
+  remove(fingerprint: string): void {
+    this.unsaved.delete(fingerprint);
+    this.released.add(fingerprint);
+    this.sync();
+  }
+
+  /** Adds a request or prompt part that has been quarantined. */
   add(fingerprint: string): void {
+    this.released.delete(fingerprint);
     this.unsaved.set(fingerprint, this.options.clock.wallMs());
     this.sync();
   }
@@ -72,7 +82,8 @@
     const isLoaded = owns
       ? this.loadedTerm === term
       : this.loadedTerm !== undefined;
-    if (isLoaded && (!owns || this.unsaved.size === 0)) return;
+    const isSaved = this.unsaved.size === 0 && this.released.size === 0;
+    if (isLoaded && (!owns || isSaved)) return;
     this.run(isLoaded ? this.save() : this.load(term));
   }
 
@@ -117,7 +128,8 @@
       fingerprint,
       atMs,
     }));
-    const dropped = this.recordsToDrop(added);
+    const released = [...this.released];
+    const dropped = [...this.recordsToDrop(added), ...released];
     const saved = await store.update(added, dropped);
     if (saved.isErr()) return this.noteFailure(saved.error);
     this.hasFailed = false;
@@ -128,6 +140,7 @@
       this.unsaved.delete(fingerprint);
     }
     for (const fingerprint of dropped) this.records.delete(fingerprint);
+    for (const fingerprint of released) this.released.delete(fingerprint);
   }
 
   /** Records to drop: expired ones, and the oldest above the maximum. */
--- a/packages/banyanfold-gateway/src/requests/requestFingerprint.ts
+++ b/packages/banyanfold-gateway/src/crashes/requestFingerprint.ts
@@ -15,6 +15,9 @@
   host: string;
   /** Path and query. */
   target: string;
+  /** The model, with its adapter; undefined for a plain service. */
+  model?: string;
+  promptParts: readonly PromptPart[];
   body: Buffer;
 }
 
@@ -24,15 +27,19 @@
  * it can't cause a crash, and a caller may use several. If it were included,
  * each retry from another address would count as a new request.
  *
+ * The model and the prompt parts are included because runners read the prompt
+ * from them: requests with the same body may differ in nothing else.
+ *
  * @example
- * fingerprintOf({method: 'GET', host: 'a', target: '/x',
+ * fingerprintOf({method: 'GET', host: 'a', target: '/x', promptParts: [],
  *   body: Buffer.alloc(0)}) // 16 hexadecimal digits
  */
 export function fingerprintOf(content: FingerprintInput): string {
-  const {method, host, target, body} = content;
+  const {method, host, target, model = '', promptParts, body} = content;
+  const partIds = promptParts.map(({partId}) => partId).join(',');
   const hash = createHash('sha256');
-  // No part contains a line feed, so the separator is unambiguous.
-  hash.update(`${method}\n${host}\n${target}\n`);
+  // No field contains a line feed, so the separator is unambiguous.
+  hash.update(`${method}\n${host}\n${target}\n${model}\n${partIds}\n`);
   return hash.update(body).digest('hex').slice(0, FINGERPRINT_DIGITS);
 }
 
@@ -62,3 +69,8 @@
   const shared = promptParts.slice(0, -1).slice(0, MAX_SHARED_PARTS);
   return [...new Set(shared.map(({partId}) => partFingerprint(partId)))];
 }
+
+/** Whether a fingerprint stands for a prompt part. */
+export function isPartFingerprint(fingerprint: string): boolean {
+  return fingerprint.startsWith(PART_PREFIX);
+}
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -179,14 +179,15 @@
       isEnabled: () =>
         options.fairShares && this.view.organisations !== undefined,
     });
-    const suspects = new CrashSuspects(clock);
     const answeredParts = new AnsweredParts(clock);
+    const suspects = new CrashSuspects(clock, answeredParts);
     const crashLedger = new CrashLedger({
       clock,
       logger,
       metrics,
       epoch: `${address}#${clock.wallMs()}`,
-      onQuarantine: fingerprint => this.quarantineKeeper.add(fingerprint),
+      onQuarantine: key => this.quarantineKeeper.add(key),
+      onRelease: key => this.quarantineKeeper.remove(key),
     });
     this.quarantineKeeper = new QuarantineKeeper({
       clock,
@@ -322,10 +323,11 @@
         view: this.view,
         answeredParts,
         probe: at => probeListener(at, options.connectTimeoutMs),
+        isAlerted: () => suspects.isAlerted,
         onCrash: crash => suspects.noteCrash(crash),
+        onAnswered: fingerprints => suspects.noteServed(fingerprints),
       }),
       suspects,
-      answeredParts,
       heldCopies,
       demand,
       usage: usageAccounts,
--- a/packages/banyanfold-gateway/src/requests/attemptResult.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptResult.ts
@@ -8,6 +8,8 @@
       isSuccess: boolean;
       firstByteMs: number;
       canReuse: boolean;
+      /** It had neither a length nor chunks and ended with its connection. */
+      isEndedByClose: boolean;
     }
   /** A complete error response of the runner, not yet sent to the caller. */
   | {kind: 'failed'; status: number; headers: ResponseHeaders; chunks: Buffer[]}
@@ -19,7 +21,12 @@
       fromOtherRunner: boolean;
     }
   /** No connection to the runner was established. */
-  | {kind: 'unreached'; error: string}
+  | {
+      kind: 'unreached';
+      error: string;
+      /** Nothing listens at the runner's address. */
+      isRefused: boolean;
+    }
   /** The request may have run, and no complete response arrived. */
   | {
       kind: 'broken';
--- a/packages/banyanfold-gateway/src/requests/attemptResults.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptResults.ts
@@ -52,7 +52,7 @@
         return;
       case 'failed':
       case 'broken':
-        return this.recordFailure(target, result);
+        return this.recordFailure(target);
       default:
         result satisfies never;
     }
@@ -60,24 +60,17 @@
 
   private recordDelivered(
     {runner}: Target,
-    {isSuccess, firstByteMs, status}: ResultOf<'delivered'>,
+    {isSuccess, firstByteMs, status, isEndedByClose}: ResultOf<'delivered'>,
   ): void {
     const {runnerStates} = this.state.options.context;
-    this.state.suspect.noteAnswered();
-    if (isSuccess) {
-      this.state.options.context.answeredParts.note(this.state.sharedParts);
-    }
+    if (isSuccess) this.state.suspect.noteAnswered(runner, isEndedByClose);
     this.notePace(runner.runnerId);
     runnerStates.recordOutcome(runner.runnerId, isSuccess, firstByteMs);
     this.ending.finish('answered', status);
   }
 
-  private recordFailure(
-    {runner}: Target,
-    {kind}: ResultOf<'failed' | 'broken'>,
-  ): void {
+  private recordFailure({runner}: Target): void {
     const {state} = this;
-    if (kind === 'failed') state.suspect.noteAnswered();
     state.attemptsMade += 1;
     state.mayHaveRun = true;
     state.options.context.runnerStates.recordOutcome(runner.runnerId, false);
--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -73,8 +73,12 @@
     const aheadWork = context.runnerStates.workAhead(runnerId, route.priority);
     context.runnerStates.recordStart(runnerId, state.service, state.work);
     const isTurnGranted = await this.waitForTurn(runnerId);
+    // A verdict may have arrived in the meantime.
     const isUsable =
-      isTurnGranted && !state.isFinished && !admission.endIfAccessRevoked();
+      isTurnGranted &&
+      !state.isFinished &&
+      state.suspect.mayBeSent &&
+      !admission.endIfAccessRevoked();
     if (!isUsable || !state.targets.isStillUsable(target.runner)) {
       state.promptTurn?.release();
       context.runnerStates.recordEnd(runnerId, state.work, false);
@@ -119,10 +123,12 @@
     const {runner} = target;
     const {runnerId} = runner;
     const nowMs = context.clock.nowMs();
+    state.suspect.noteSent();
     const connection = context.connections.acquire(runner.address);
     state.log.route(target, state.counts, {
       isReused: connection.isReused,
       afterEvent: state.relay.lastEventId ?? decoded.request.lastEventId,
+      trialKey: state.suspect.trialKey,
     });
     const headers = context.codec.encodeAttempt(decoded, {
       runnerId,
@@ -147,7 +153,10 @@
       },
       {
         runnerId,
-        beforeEvents: () => state.stream.noteEvents(runner),
+        beforeEvents: () => {
+          state.stream.noteEvents(runner);
+          state.suspect.noteEvents(runner);
+        },
         onResponseInfo: info => this.recordResponseInfo(runner, info, nowMs),
         onFirstByte: () => {
           isPromptRead = true;
@@ -165,11 +174,10 @@
     state.promptTurn?.release();
     context.runnerStates.recordEnd(runnerId, state.work, isPromptRead);
     if (result.kind === 'broken' && result.isClosedByRunner) {
-      context.crashWatch.noteConnectionLost(
-        runner,
-        state.fingerprint,
-        state.sharedParts,
-      );
+      context.crashWatch.noteConnectionLost(runner, state.fingerprints);
+    }
+    if (result.kind === 'unreached' && result.isRefused) {
+      context.crashWatch.noteRefused(runner);
     }
     if ('canReuse' in result && result.canReuse) {
       context.connections.release(runner.address, connection);
@@ -184,8 +192,9 @@
     info: ResponseInfo,
     sentMs: number,
   ): void {
-    const {rateLimits, view, runnerBackoffs, capacities} =
+    const {rateLimits, view, runnerBackoffs, capacities, crashWatch} =
       this.state.options.context;
+    crashWatch.noteSignOfLife(runner);
     const {isLeaving, retryAfterMs = 0} = info;
     rateLimits.recordAnswer(runner.runnerId, info, sentMs);
     if (!isOwnResponse(info)) return;
--- a/packages/banyanfold-gateway/src/requests/requestAdmission.ts
+++ b/packages/banyanfold-gateway/src/requests/requestAdmission.ts
@@ -93,17 +93,22 @@
     return true;
   }
 
-  /** Ends a request that is in quarantine for crashing several runners. */
+  /**
+   * Ends a request that is in quarantine for crashing several runners, without
+   * a time to return: nobody knows when a runner can answer it.
+   */
   endQuarantined(): void {
     const {state, ending} = this;
-    const {quarantinedForMs} = state.suspect;
-    state.log.refuseQuarantined(state.fingerprint, quarantinedForMs);
+    const {quarantine} = state.suspect;
+    if (quarantine) {
+      state.log.refuseQuarantined(quarantine.key, quarantine.forMs);
+    }
     if (state.relay.hasStarted) {
       ending.cut('cut');
     } else if (state.mayHaveRun) {
       ending.respond(ERROR_STATUS.unknown, 'quarantined');
     } else {
-      ending.respond(ERROR_STATUS.notRun, 'quarantined', quarantinedForMs);
+      ending.respond(ERROR_STATUS.notRun, 'quarantined');
     }
   }
 
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -164,8 +164,9 @@
     const {state} = this;
     const runnerIds = state.targets.eligibleByOpenWork();
     if (runnerIds.length === 0) return this.waitForRunner();
+    const trialKey = state.suspect.suspectKey;
     const runnerId = await this.options.context.permitTrial({
-      fingerprint: state.fingerprint,
+      fingerprint: trialKey,
       runnerIds,
       forMs: state.leftMs,
     });
@@ -173,6 +174,7 @@
       if (!state.isFinished) await state.pause.wait(TRIAL_POLL_MS);
       return;
     }
+    state.suspect.beginTrial(trialKey);
     const target = state.isFinished
       ? undefined
       : state.targets.choose(runnerId);
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -26,6 +26,16 @@
   mayHaveRun: boolean;
 }
 
+/** How an attempt is sent. */
+export interface SendDetails {
+  /** Whether its connection carried a request before. */
+  isReused: boolean;
+  /** Id of the event after which the attempt resumes a stream. */
+  afterEvent?: string;
+  /** Key of the suspects if the attempt is a trial of them. */
+  trialKey?: string;
+}
+
 /** Timing of a response; a field is undefined if its event did not occur. */
 export interface ResponseTiming {
   firstByteMs?: number;
@@ -37,13 +47,10 @@
 export class RequestLog {
   constructor(private readonly options: RequestLogOptions) {}
 
-  /**
-   * @param afterEvent id of the event after which the attempt resumes a stream.
-   */
   route(
     target: Target,
     counts: AttemptCounts,
-    {isReused, afterEvent}: {isReused: boolean; afterEvent?: string},
+    {isReused, afterEvent, trialKey}: SendDetails,
   ): void {
     const {context, route, startedMs} = this.options;
     const {runner, reason} = target;
@@ -58,6 +65,7 @@
       software: runner.softwareVersion,
       resumes: resumedRequestId,
       afterEvent,
+      trial: trialKey,
       attempt: counts.attemptsMade + 1,
       rejections: counts.rejections,
       reason,
@@ -190,11 +198,13 @@
     });
   }
 
-  refuseQuarantined(fingerprint: string, forMs: number): void {
+  /** @param key the quarantined fingerprints that the request has. */
+  refuseQuarantined(key: string, forMs: number): void {
     this.logEvent('refuse', {
       reason: 'quarantined',
-      fingerprint,
-      retryAfterMs: Math.round(forMs),
+      fingerprint: this.options.fingerprint,
+      quarantine: key,
+      quarantinedMs: Math.round(forMs),
     });
   }
 
--- a/packages/banyanfold-gateway/src/requests/requestState.ts
+++ b/packages/banyanfold-gateway/src/requests/requestState.ts
@@ -9,7 +9,10 @@
 import type {Holding} from '../resources/holding.js';
 import type {DecodedRequest, Organisation, RoutePolicy} from '../types.js';
 import {pickService} from './pickService.js';
-import {fingerprintOf, sharedPartFingerprints} from './requestFingerprint.js';
+import {
+  fingerprintOf,
+  sharedPartFingerprints,
+} from '../crashes/requestFingerprint.js';
 import {RequestLog, type AttemptCounts} from './requestLog.js';
 import {ResponseRelay} from './responseRelay.js';
 import {drawOf} from './serviceDraw.js';
@@ -50,8 +53,8 @@
   readonly service: string;
   readonly work: StartedWork;
   readonly fingerprint: string;
-  /** Fingerprints of the prompt parts that other requests may share. */
-  readonly sharedParts: readonly string[];
+  /** Its own fingerprint, and those of the prompt parts that others share. */
+  readonly fingerprints: readonly string[];
   readonly relay: ResponseRelay;
   readonly targets: TargetChooser;
   readonly log: RequestLog;
@@ -103,15 +106,18 @@
       method: options.request.method ?? 'GET',
       host: options.request.headers.host ?? '',
       target: options.request.url ?? '/',
+      model: modelAndAdapterOf(decoded.request),
+      promptParts: decoded.request.promptParts,
       body: options.body,
     });
-    this.sharedParts = sharedPartFingerprints(decoded.request.promptParts);
-    this.suspect = new SuspectStatus(context, this.fingerprint);
+    const sharedParts = sharedPartFingerprints(decoded.request.promptParts);
+    this.fingerprints = [this.fingerprint, ...sharedParts];
+    this.suspect = new SuspectStatus(context, this.fingerprints);
     this.log = new RequestLog({
       context,
       decoded,
       fingerprint: this.fingerprint,
-      sharedParts: this.sharedParts,
+      sharedParts,
       route,
       startedMs,
       deadlineMs: this.deadlineMs,
@@ -184,3 +190,11 @@
         : undefined,
   };
 }
+
+function modelAndAdapterOf({
+  model,
+  adapter,
+}: DecodedRequest['request']): string | undefined {
+  if (model === undefined || adapter === undefined) return model;
+  return adapterKey(model, adapter);
+}
--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -202,7 +202,11 @@
         if (connection.established) {
           settle(closedByRunnerResult(error.message));
         } else {
-          settle({kind: 'unreached', error: error.message});
+          settle({
+            kind: 'unreached',
+            error: error.message,
+            isRefused: 'code' in error && error.code === 'ECONNREFUSED',
+          });
         }
       },
     };
@@ -248,6 +252,7 @@
     const {head, info, chunks, isStreamed, firstByteMs} = incoming;
     const {status, headers} = head;
     const canReuse = isReusable(incoming);
+    const isEndedByClose = incoming.framing === 'until-close';
     if (isStreamed) {
       if (splitter.pending.length > 0) {
         return closedByRunnerResult('stream ended inside an event');
@@ -259,6 +264,7 @@
         isSuccess: true,
         firstByteMs,
         canReuse,
+        isEndedByClose,
       };
     }
     if (status < 300) {
@@ -271,6 +277,7 @@
         isSuccess: true,
         firstByteMs,
         canReuse,
+        isEndedByClose,
       };
     }
     if (info.notExecuted) {
--- a/packages/banyanfold-gateway/src/requests/suspectStatus.ts
+++ b/packages/banyanfold-gateway/src/requests/suspectStatus.ts
@@ -1,5 +1,7 @@
-import type {CrashVerdict} from '@banyanfold/decisions';
+import {joinFingerprints, type CrashVerdict} from '@banyanfold/decisions';
 import type {GatewayContext} from '../context.js';
+import type {Quarantine} from '../crashes/crashSuspects.js';
+import type {RunnerRegistration} from '../types.js';
 import type {AttemptResult} from './responseRelay.js';
 
 /**
@@ -8,53 +10,102 @@
  * result.
  */
 const CRASH_DETECTION_MS = 500;
+/**
+ * A request that crashes runners does so when its answer begins. Events that
+ * arrive so long after the first one show that it doesn't.
+ */
+const WRITING_MS = 1_000;
 
-/** Results of attempts that a runner ran and answered. */
-const ANSWERED_KINDS: ReadonlySet<AttemptResult['kind']> = new Set([
+/** Results of attempts that no runner ran, or whose result is known. */
+const RESOLVED_KINDS: ReadonlySet<AttemptResult['kind']> = new Set([
   'delivered',
-  'failed',
-]);
-/** Results of attempts that no runner ran. */
-const NOT_RUN_KINDS: ReadonlySet<AttemptResult['kind']> = new Set([
   'rejected',
   'unreached',
 ]);
 
 /** Tracks whether one request is suspected of crashing runners. */
 export class SuspectStatus {
+  /** Key of its suspects while it runs in a trial. */
+  trialKey: string | undefined;
+  private firstEventMs: number | undefined;
+  private hasWritten = false;
+
   constructor(
     private readonly context: GatewayContext,
-    private readonly fingerprint: string,
+    private readonly fingerprints: readonly string[],
   ) {}
 
   get verdict(): CrashVerdict | undefined {
-    return this.context.suspects.verdictOf(this.fingerprint);
+    return this.context.suspects.verdictOf(this.fingerprints);
+  }
+
+  /** Whether it may be sent now, in a trial or because it is no suspect. */
+  get mayBeSent(): boolean {
+    const {verdict} = this;
+    if (verdict === undefined) return true;
+    return verdict === 'suspect' && this.trialKey !== undefined;
+  }
+
+  /** The quarantine that applies to the request; undefined if none does. */
+  get quarantine(): Quarantine | undefined {
+    return this.context.suspects.quarantineOf(this.fingerprints);
+  }
+
+  /** Key of its suspects, under which it asks for a trial. */
+  get suspectKey(): string {
+    return joinFingerprints(
+      this.context.suspects.suspectsAmong(this.fingerprints),
+    );
+  }
+
+  /** Records that the request may be sent once in a trial. */
+  beginTrial(trialKey: string): void {
+    this.trialKey = trialKey;
+  }
+
+  /** Records that an attempt was sent. */
+  noteSent(): void {
+    this.firstEventMs = undefined;
+    this.hasWritten = false;
   }
 
-  /** Time until the request leaves quarantine, in ms. */
-  get quarantinedForMs(): number {
-    return this.context.suspects.quarantinedForMs(this.fingerprint);
+  /** Records that events of a stream have arrived. */
+  noteEvents(runner: RunnerRegistration): void {
+    const {clock, crashWatch, suspects} = this.context;
+    crashWatch.noteSignOfLife(runner);
+    const nowMs = clock.nowMs();
+    this.firstEventMs ??= nowMs;
+    if (this.hasWritten || nowMs - this.firstEventMs < WRITING_MS) return;
+    this.hasWritten = true;
+    suspects.noteServed(this.fingerprints);
   }
 
-  /** Records that a runner answered the request completely, without a crash. */
-  noteAnswered(): void {
-    this.context.suspects.noteServed(this.fingerprint);
+  /** Records that a runner answered the request completely. */
+  noteAnswered(runner: RunnerRegistration, isEndedByClose: boolean): void {
+    this.context.crashWatch.noteAnswered(runner, this.fingerprints, {
+      isEndedByClose,
+      isTrial: this.trialKey !== undefined,
+    });
   }
 
   /**
-   * Records the end of a trial.
+   * Records the end of the trial.
    *
    * @param result undefined if the request was not sent.
    */
   noteTrialEnd(result: AttemptResult | undefined): void {
     const {clock, suspects} = this.context;
-    if (result && ANSWERED_KINDS.has(result.kind)) return;
-    if (!result || NOT_RUN_KINDS.has(result.kind)) {
-      suspects.noteTrialOver(this.fingerprint, false);
+    const {trialKey} = this;
+    this.trialKey = undefined;
+    if (trialKey === undefined) return;
+    const ran = result !== undefined && !RESOLVED_KINDS.has(result.kind);
+    const isUnresolved = ran && !this.hasWritten;
+    if (result === undefined || (!ran && result.kind !== 'delivered')) {
+      suspects.noteTrialOver(trialKey, false);
       return;
     }
     clock.setTimer(CRASH_DETECTION_MS, () =>
-      suspects.noteTrialOver(this.fingerprint, true),
+      suspects.noteTrialOver(trialKey, isUnresolved),
     );
   }
 }
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -440,14 +440,15 @@
   ): Promise<Result<void, BanyanfoldError>>;
 }
 
-/** A stored request in quarantine. */
+/** A stored quarantine. */
 export interface QuarantineRecord {
+  /** The key of what is quarantined: one or several fingerprints. */
   fingerprint: string;
   /** Unix time at which its quarantine started. */
   atMs: number;
 }
 
-/** Stores quarantined requests, so that they outlast all processes. */
+/** Stores the quarantine, so that it outlasts all processes. */
 export interface QuarantineStore {
   /** Registers a listener for when recent writes may be lost from the store. */
   onReset(listener: () => void): void;
