--- /dev/null
+++ b/packages/banyanfold-gateway/src/__tests__/crashFleet.model.test.ts
@@ -0,0 +1,99 @@
+import {describe, expect, it} from 'vitest';
+import {CrashFleet, type CrashFleetScenario} from './crashFleet.js';
+
+/** Arrivals that are allowed once all entries must know of a part. */
+const ALLOWED_ARRIVALS = 3;
+const MIN_SOUND_SHARE = 0.9;
+const SEEDS = [1, 2, 3, 4];
+
+const FLEETS = [
+  {entries: 2, contactMs: 3_000, soundPerSecond: 60},
+  {entries: 67, contactMs: 5_000, soundPerSecond: 150},
+  {entries: 730, contactMs: 5_000, soundPerSecond: 300},
+];
+
+/** Requests with the part begin to come after two seconds. */
+const DISTURBANCES: Record<string, Partial<CrashFleetScenario>> = {
+  'without disturbance': {},
+  'while the holder changes': {
+    isVacant: nowMs => nowMs > 2_300 && nowMs < 3_800,
+  },
+  'while the holder is lost for long': {
+    isVacant: nowMs => nowMs > 2_100 && nowMs < 5_100,
+  },
+  'while the holder changes three times': {
+    isVacant: nowMs => nowMs > 2_000 && nowMs < 8_000 && nowMs % 2_000 < 600,
+  },
+  'while an entry is frozen': {
+    isFrozen: (entry, nowMs) => entry === 1 && nowMs > 2_200 && nowMs < 5_000,
+  },
+  'while an entry is cut off': {
+    isCutOff: (entry, nowMs) => entry === 1 && nowMs > 2_100 && nowMs < 12_000,
+  },
+  'while entries restart': {
+    restarts: (entry, nowMs) => nowMs === 2_500 + entry * 700,
+  },
+};
+
+/** A generator of pseudo-random numbers (mulberry32). */
+function seededRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state + 0x6d2b79f5) | 0;
+    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
+    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
+  };
+}
+
+describe.each(FLEETS)(
+  'a part that crashes runners, $entries entries',
+  fleet => {
+    it.each(Object.entries(DISTURBANCES))(
+      'is held back %s',
+      async (_name, disturbance) => {
+        // Guards against requests with the part that reach runners on and on.
+        for (const seed of SEEDS) {
+          const random = seededRandom(seed);
+          const scenario = {...fleet, ...disturbance, random};
+          const outcome = await new CrashFleet(scenario).play();
+          expect(outcome.lateArrivals).toBeLessThanOrEqual(ALLOWED_ARRIVALS);
+          expect(outcome.soundShare).toBeGreaterThanOrEqual(MIN_SOUND_SHARE);
+          expect(outcome.quarantined).toEqual(['part/bad']);
+        }
+      },
+    );
+
+    it('is found beside another one', async () => {
+      const crashingParts = ['part/bad', 'part/worse'];
+      for (const seed of SEEDS) {
+        const random = seededRandom(seed);
+        const scenario = {
+          ...fleet,
+          crashingParts,
+          random,
+          crashingPerSecond: 16,
+        };
+        const {soundShare, quarantined} = await new CrashFleet(scenario).play();
+        expect(quarantined.sort()).toEqual(crashingParts);
+        expect(soundShare).toBeGreaterThanOrEqual(MIN_SOUND_SHARE);
+      }
+    });
+
+    it('is not seen where runners fail together', async () => {
+      // Guards against blaming what all requests at a failed rack share.
+      for (const seed of SEEDS) {
+        const scenario = {
+          ...fleet,
+          random: seededRandom(seed),
+          crashingPerSecond: 0,
+          failingRunners: (nowMs: number) =>
+            [3_000, 5_500, 8_000].includes(nowMs) ? 10 : 0,
+        };
+        const {soundShare, quarantined} = await new CrashFleet(scenario).play();
+        expect(quarantined).toEqual([]);
+        expect(soundShare).toBeGreaterThanOrEqual(MIN_SOUND_SHARE);
+      }
+    });
+  },
+);
--- a/soak/src/entryProcess.ts
+++ b/soak/src/entryProcess.ts
@@ -30,6 +30,8 @@
 export class EntryProcess {
   readonly name: string;
   readonly callersPort: number;
+  /** The name under which it gives orders to runners. */
+  readonly peersAddress: string;
   /** Ends that nobody asked for. */
   readonly ownEnds: string[] = [];
   /** Rises with each start, so that one process is told from the next. */
@@ -46,6 +48,7 @@
     const {name, ports, folder} = options;
     this.name = name;
     this.callersPort = ports.callers;
+    this.peersAddress = `127.0.0.1:${ports.peers}`;
     this.settingsPath = join(folder, `${name}.json`);
     this.log = createWriteStream(join(folder, `${name}.log`));
     this.writeSettings(true);
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -2,6 +2,7 @@
 import {join} from 'node:path';
 import {parseArgs} from 'node:util';
 import {REGRESSIONS} from './regressions.js';
+import {runCrashingParts} from './crashingPartRun.js';
 import {runSeed, type SeedVerdict} from './runSeed.js';
 import {runVersions} from './versionRun.js';
 import {runUsageCaps} from './usageCapRun.js';
@@ -11,6 +12,8 @@
   --from S        the first seed; without it a fresh one
   --usage-caps    six entries and two organisations, in place of random faults
   --versions      five entries and runners of two software versions
+  --crashing-parts
+                  five entries, sixteen runners and a prompt part that crashes them
   --regressions   the seeds that failed once, in place of others
   --seconds T     the span in which faults begin (default 12)
   --parallel P    how many runs at once (default 2; each has 3 processes)
@@ -28,6 +31,7 @@
   folder: string;
   usageCaps: boolean;
   versions: boolean;
+  crashingParts: boolean;
 }
 
 function readArgs(): SoakArgs {
@@ -38,6 +42,7 @@
       regressions: {type: 'boolean', default: false},
       'usage-caps': {type: 'boolean', default: false},
       versions: {type: 'boolean', default: false},
+      'crashing-parts': {type: 'boolean', default: false},
       seconds: {type: 'string', default: '12'},
       parallel: {type: 'string', default: '2'},
       folder: {type: 'string', default: '.run/soak'},
@@ -60,6 +65,7 @@
     folder: values.folder,
     usageCaps: values['usage-caps'],
     versions: values.versions,
+    crashingParts: values['crashing-parts'],
   };
 }
 
@@ -102,10 +108,31 @@
   return verdicts.every(({violations}) => violations.length === 0);
 }
 
+async function playCrashingParts(
+  seed: number,
+  folder: string,
+): Promise<boolean> {
+  const verdicts = await runCrashingParts({seed, folder});
+  for (const each of verdicts) {
+    const verdict = each.violations.length === 0 ? 'ok' : 'BROKEN';
+    console.log(
+      `seed ${seed}: ${each.scenario}: ${verdict}, ${each.crashes} crashes, ` +
+        `${each.lateRuns} late runs, sound requests served: ` +
+        `${each.soundBefore.toFixed(2)} before, ${each.soundDuring.toFixed(2)} ` +
+        `during, ${each.soundAfter.toFixed(2)} after`,
+    );
+    for (const {rule, what} of each.violations) {
+      console.log(`  ${rule}: ${what}`);
+    }
+  }
+  return verdicts.every(({violations}) => violations.length === 0);
+}
+
 async function playOne(seed: number, args: SoakArgs): Promise<boolean> {
   const folder = join(args.folder, String(seed));
   mkdirSync(folder, {recursive: true});
   if (args.usageCaps) return playUsageCaps(seed, folder);
+  if (args.crashingParts) return playCrashingParts(seed, folder);
   if (args.versions) return playVersions(seed, folder);
   const verdict = await runSeed({
     seed,
