--- a/packages/banyanfold-gateway/src/__tests__/crashFleet.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/crashFleet.model.test.ts
@@ -5,6 +5,7 @@
 const ALLOWED_ARRIVALS = 3;
 const MIN_SOUND_SHARE = 0.9;
 const SEEDS = [1, 2, 3, 4];
+const RANDOM_SEEDS = 20;
 
 const FLEETS = [
   {entries: 2, contactMs: 3_000, soundPerSecond: 60},
@@ -35,6 +36,30 @@
   },
 };
 
+/** Holder lost, one entry frozen, another cut off, and every fifth restarted. */
+function randomDisturbance(
+  entries: number,
+  random: () => number,
+): Partial<CrashFleetScenario> {
+  const from = () => 1_900 + random() * 3_000;
+  const vacantMs = from();
+  const vacancyMs = 500 + random() * 3_500;
+  const frozenMs = from();
+  const cutMs = from();
+  const restartMs = Math.round(from() / 10) * 10;
+  const struck = Math.floor(random() * entries);
+  const isWithin = (nowMs: number, fromMs: number, forMs: number) =>
+    nowMs > fromMs && nowMs < fromMs + forMs;
+  return {
+    isVacant: nowMs => isWithin(nowMs, vacantMs, vacancyMs),
+    isFrozen: (entry, nowMs) =>
+      entry === struck && isWithin(nowMs, frozenMs, 2_500),
+    isCutOff: (entry, nowMs) =>
+      (entry + 1) % entries === struck && isWithin(nowMs, cutMs, 8_000),
+    restarts: (entry, nowMs) => entry % 5 === 4 && nowMs === restartMs,
+  };
+}
+
 /** A generator of pseudo-random numbers (mulberry32). */
 function seededRandom(seed: number): () => number {
   let state = seed;
@@ -64,6 +89,18 @@
       },
     );
 
+    it('is held back whatever strikes the entries at any moment', async () => {
+      for (let seed = 1; seed <= RANDOM_SEEDS; seed++) {
+        const random = seededRandom(seed);
+        const disturbance = randomDisturbance(fleet.entries, random);
+        const scenario = {...fleet, ...disturbance, random, durationMs: 20_000};
+        const outcome = await new CrashFleet(scenario).play();
+        expect(outcome.lateArrivals).toBeLessThanOrEqual(ALLOWED_ARRIVALS);
+        expect(outcome.soundShare).toBeGreaterThanOrEqual(MIN_SOUND_SHARE);
+        expect(outcome.quarantined).toEqual(['part/bad']);
+      }
+    });
+
     it('is found beside another one', async () => {
       const crashingParts = ['part/bad', 'part/worse'];
       for (const seed of SEEDS) {
