--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -61,9 +61,16 @@
 const MIN_PAUSE_MS = 5;
 const MAX_PAUSE_MS = 60;
 
+/** Where the balancer sends new connections; undefined: to all entries. */
+export interface Herd {
+  entry?: EntryProcess;
+}
+
 export interface CallerOptions {
   name: string;
   entries: readonly EntryProcess[];
+  /** While it has an entry, each request comes on a new connection to that. */
+  herd?: Herd;
   draw: Draw;
 }
 
@@ -99,8 +106,9 @@
   }
 
   private async call(kind: string): Promise<void> {
-    const {name, entries, draw} = this.options;
-    const {entry} = this;
+    const {name, entries, draw, herd} = this.options;
+    const herdEntry = herd?.entry;
+    const entry = herdEntry ?? this.entry;
     const {route, headers} = CALL_KINDS[kind]!;
     const id = `${name}-${++this.asked}`;
     const startedMs = performance.now();
@@ -112,7 +120,7 @@
       id,
       headers: {...headers, 'deadline-ms': String(DEADLINE_MS)},
       body: 'x',
-      agent: this.agent,
+      agent: herdEntry ? undefined : this.agent,
     });
     this.open.delete(id);
     const endedMs = performance.now();
@@ -125,6 +133,7 @@
       endedMs,
       seen,
     });
-    if (seen.status === 0 || seen.isTruncated) this.entry = draw.pick(entries);
+    const hasFailed = seen.status === 0 || seen.isTruncated;
+    if (hasFailed && !herdEntry) this.entry = draw.pick(entries);
   }
 }
--- a/soak/src/crashingCaller.ts
+++ b/soak/src/crashingCaller.ts
@@ -6,18 +6,23 @@
 
 /** A runner that runs a request with this content crashes. */
 export const CRASHING_BODY = 'crash';
+/** A runner that runs a request with this part in its prompt crashes. */
+export const CRASHING_PART = 'c0ffee';
 
 const KIND = 'letter';
 const DEADLINE_MS = 2_500;
 const MIN_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 600;
+const MANY_BODIES = 1_000_000;
 
 export interface CrashingCallerOptions {
   entries: readonly EntryProcess[];
   draw: Draw;
+  /** Whether its requests share a prompt part and are never twice alike. */
+  isByPart?: boolean;
 }
 
-/** Sends the one request that crashes its runners again and again, anywhere. */
+/** Sends requests that crash their runners again and again, anywhere. */
 export class CrashingCaller {
   readonly calls: Call[] = [];
   private isStopped = false;
@@ -37,6 +42,7 @@
   }
 
   private async call(entry: EntryProcess): Promise<void> {
+    const {isByPart = false, draw} = this.options;
     const {route, headers} = CALL_KINDS[KIND]!;
     const id = `crash-${this.calls.length + 1}`;
     const startedMs = performance.now();
@@ -45,8 +51,14 @@
       port: entry.callersPort,
       route,
       id,
-      headers: {...headers, 'deadline-ms': String(DEADLINE_MS)},
-      body: CRASHING_BODY,
+      headers: {
+        ...headers,
+        'deadline-ms': String(DEADLINE_MS),
+        ...(isByPart && {
+          'prompt-prefix': `a1:20,${CRASHING_PART}:9,${id}:20`,
+        }),
+      },
+      body: isByPart ? `body ${draw.int(0, MANY_BODIES)}` : CRASHING_BODY,
     });
     const endedMs = performance.now();
     const {name} = entry;
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -52,6 +52,12 @@
   'twice',
   'garbage',
 ];
+const UNFRAMED_FAULTS: readonly RunnerFault[] = [
+  'unframed',
+  'unframed-stream',
+  'unframed-closed-in-event',
+  'unframed-reset-after-event',
+];
 const ANSWERS_SPOILT = 4;
 const TOPICS = ['keyed.op', 'keyed.servers'] as const;
 /** A runner serves on this long after it has said that it leaves. */
@@ -126,6 +132,18 @@
     const queue = context.system.faults[service]!;
     for (let i = 0; i < ANSWERS_SPOILT; i++) queue.push(spoilt);
   },
+  'runner-answers-unframed': async (context, fault) => {
+    const {service} = runnerOf(context, fault);
+    const queue = context.system.faults[service]!;
+    const ending = at(UNFRAMED_FAULTS, fault.variant);
+    for (let i = 0; i < ANSWERS_SPOILT; i++) queue.push(ending);
+  },
+  'callers-herd': async (context, fault) => {
+    const {herd} = context.system;
+    herd.entry = entryOf(context, fault).process;
+    await pause(fault.forMs);
+    herd.entry = undefined;
+  },
   'runner-leaves': async (context, fault) => {
     const place = runnerOf(context, fault);
     context.system.drainRunner(place);
--- a/soak/src/judge.ts
+++ b/soak/src/judge.ts
@@ -35,7 +35,7 @@
   calls: readonly Call[];
   /** Streams of callers that leave and take them up again. */
   streams: readonly ResumedStream[];
-  /** Sendings of the one request that crashes each runner that runs it. */
+  /** Sendings of the requests that crash each runner that runs them. */
   crashing: readonly Call[];
   /** All that reached a runner, by request id. */
   seen: ReadonlyMap<string, readonly ReceivedRequest[]>;
@@ -77,8 +77,11 @@
   'store-forgets',
 ]);
 
-/** Runners that a request may crash before its sendings count. */
+/** Runners that requests may crash before their sendings count. */
 const FREE_CRASHES = 3;
+/** Least share of the calls that are answered while callers herd. */
+const HERD_SERVED_SHARE = 0.75;
+const MIN_HERD_CALLS = 20;
 /** Sendings that are allowed once all entries can know of the last of them. */
 const SENDINGS_AFTER = 3;
 
@@ -116,6 +119,7 @@
       .filter(call => isCutWithoutCause(call, record))
       .map(call => describe(call, record.seen)),
   'a runner that says it is leaving is left alone': sentToLeaving,
+  'callers that herd to one entry are served': herdsNotServed,
   'what crashes runners is not sent on': record => sentOn(record),
   'one holder has a fencing token': ({orders}) => sharedTokens(orders),
   'no runner is ordered to hold more than fits': ({overfilled}) =>
@@ -140,6 +144,24 @@
       .map(call => describe(call, record.seen)),
 };
 
+/** Answered calls of callers that herd to an entry, with no other fault near. */
+function herdsNotServed({calls, faults}: SoakRecord): string[] {
+  const others = faults.filter(({kind}) => kind !== 'callers-herd');
+  const herds = faults.filter(({kind}) => kind === 'callers-herd');
+  const herded = calls.filter(
+    call =>
+      herds.some(
+        ({fromMs, toMs}) => call.startedMs >= fromMs && call.endedMs <= toMs,
+      ) && !others.some(fault => overlaps(fault, call)),
+  );
+  if (herded.length < MIN_HERD_CALLS) return [];
+  const served = herded.filter(
+    ({seen}) => seen.status === 200 && !seen.isTruncated,
+  );
+  if (served.length >= herded.length * HERD_SERVED_SHARE) return [];
+  return [`${served.length} of ${herded.length}`];
+}
+
 /** @param isTimed whether the rules with a bound in time count too. */
 export function judge(record: SoakRecord, isTimed: boolean): Violation[] {
   const rules = {...RULES, ...(isTimed && TIMED_RULES)};
--- a/soak/src/runSeed.ts
+++ b/soak/src/runSeed.ts
@@ -46,6 +46,8 @@
 const CRASHING_SEEDS = 2_000_000;
 /** One in so many seeds has a request that crashes the runners that run it. */
 const CRASHING_ONE_IN = 2;
+/** Of the others, one in so many has a prompt part that does. */
+const CRASHING_PART_ONE_IN = 4;
 /** One in so many seeds has entries with the settings for high load. */
 const HIGH_LOAD_ONE_IN = 3;
 /** All is served again so soon after the last fault. */
@@ -124,11 +126,11 @@
   };
 }
 
-function makeCallers({entries}: SoakSystem, seed: number): Caller[] {
+function makeCallers({entries, herd}: SoakSystem, seed: number): Caller[] {
   const processes = entries.map(({process}) => process);
   return Array.from({length: CALLERS}, (_, i) => {
     const draw = createDraw(seed * CALLERS + i + CALLER_SEEDS);
-    return new Caller({name: `c${i}`, entries: processes, draw});
+    return new Caller({name: `c${i}`, entries: processes, herd, draw});
   });
 }
 
@@ -158,11 +160,13 @@
   {entries}: SoakSystem,
   seed: number,
 ): CrashingCaller | undefined {
-  if (seed % CRASHING_ONE_IN !== 0) return undefined;
+  const isByPart = seed % CRASHING_PART_ONE_IN === 1;
+  if (seed % CRASHING_ONE_IN !== 0 && !isByPart) return undefined;
   const draw = createDraw(seed + CRASHING_SEEDS);
   return new CrashingCaller({
     entries: entries.map(({process}) => process),
     draw,
+    isByPart,
   });
 }
 
--- a/soak/src/soakPlan.ts
+++ b/soak/src/soakPlan.ts
@@ -22,6 +22,12 @@
 /** What runners say of themselves in their responses; planned likewise. */
 const NOTICE_KINDS = ['runner-says-leaving', 'runner-asks-for-pause'] as const;
 
+/** Answers that end with their connection; planned likewise. */
+const UNFRAMED_KIND = 'runner-answers-unframed';
+
+/** Callers open new connections to one entry; planned likewise. */
+const HERD_KIND = 'callers-herd';
+
 /** A runner leaves while reads of the store fail; planned likewise. */
 const UNNOTICED_KIND = 'runner-leaves-unnoticed';
 
@@ -29,6 +35,8 @@
   | (typeof FAULT_KINDS)[number]
   | (typeof NOTICE_KINDS)[number]
   | typeof UNNOTICED_KIND
+  | typeof UNFRAMED_KIND
+  | typeof HERD_KIND
   | typeof STORE_RESTORE;
 
 export interface PlannedFault {
@@ -92,6 +100,8 @@
     ...planRestores({seed, lengthMs}),
     ...planNotices({seed, lengthMs}),
     ...planUnnoticed({seed, lengthMs}),
+    ...planHalves({seed, lengthMs}, UNFRAMED_KIND, 4),
+    ...planHalves({seed, lengthMs}, HERD_KIND, 5),
   ];
 }
 
@@ -107,6 +117,22 @@
   }));
 }
 
+/** One fault of a kind in each half of a run; their variants take turns. */
+function planHalves(
+  {seed, lengthMs}: SoakPlanOptions,
+  kind: FaultKind,
+  seedOffset: number,
+): PlannedFault[] {
+  const draw = createDraw(seed + seedOffset);
+  return [0, 1].map(half => ({
+    kind,
+    atMs: (half * lengthMs) / 2 + draw.int(MIN_GAP_MS, MAX_GAP_MS),
+    forMs: draw.int(MIN_FOR_MS, MAX_FOR_MS),
+    target: draw.int(0, MANY),
+    variant: seed + half,
+  }));
+}
+
 /** One notice of each kind in each half of a run. */
 function planNotices({seed, lengthMs}: SoakPlanOptions): PlannedFault[] {
   const draw = createDraw(seed + 2);
--- a/soak/src/soakSystem.ts
+++ b/soak/src/soakSystem.ts
@@ -4,7 +4,8 @@
   type RunnerFault,
   type RunnerStandin,
 } from '@banyanfold/platform/standins';
-import {CRASHING_BODY} from './crashingCaller.js';
+import type {Herd} from './callers.js';
+import {CRASHING_BODY, CRASHING_PART} from './crashingCaller.js';
 import {EntryProcess} from './entryProcess.js';
 import {FaultProxy} from './faultProxy.js';
 
@@ -43,6 +44,7 @@
   /** All runners that ever were, for what they saw. */
   readonly runners: RunnerStandin[] = [];
   readonly faults: Record<string, RunnerFault[]> = {drafting: [], desk: []};
+  readonly herd: Herd = {};
   /** When runners crashed under the request that crashes them. */
   readonly crashesMs: number[] = [];
   readonly leavings: Leaving[] = [];
@@ -134,7 +136,8 @@
         events: STREAM_EVENTS,
         eventPauseMs: EVENT_PAUSE_MS,
         faults: this.faults[service],
-        crashesOn: body => body === CRASHING_BODY,
+        crashesOn: (body, parts) =>
+          body === CRASHING_BODY || parts.includes(CRASHING_PART),
         onCrash: crashed => void this.replaceCrashed(crashed),
         ...(isModelRunner && CAPACITY),
       },
