Test callers that herd to one entry; soak: the same with a slow entry

For some seconds the balancer may send most new connections to one entry. What may go wrong is what entries divide: limits of runners, usage caps, budgets. Calls on new connections, nine of ten to one of four entries, are served as before from three seconds on: also where runners limit their requests, near a usage cap, and at an entry that has just started. No code changes.

Tried and reverted: to close new connections unread while the event loop is late and the other entries have less to do.

--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -3,6 +3,7 @@
 import {parseArgs} from 'node:util';
 import {REGRESSIONS} from './regressions.js';
 import {runCrashingParts} from './crashingPartRun.js';
+import {runHerd} from './herdRun.js';
 import {runSeed, type SeedVerdict} from './runSeed.js';
 import {runVersions} from './versionRun.js';
 import {runUsageCaps} from './usageCapRun.js';
@@ -14,6 +15,7 @@
   --versions      five entries and runners of two software versions
   --crashing-parts
                   five entries, sixteen runners and a prompt part that crashes them
+  --herds         five entries, one of which gets most new connections
   --regressions   the seeds that failed once, in place of others
   --seconds T     the span in which faults begin (default 12)
   --parallel P    how many runs at once (default 2; each has 3 processes)
@@ -32,6 +34,7 @@
   usageCaps: boolean;
   versions: boolean;
   crashingParts: boolean;
+  herds: boolean;
 }
 
 function readArgs(): SoakArgs {
@@ -43,6 +46,7 @@
       'usage-caps': {type: 'boolean', default: false},
       versions: {type: 'boolean', default: false},
       'crashing-parts': {type: 'boolean', default: false},
+      herds: {type: 'boolean', default: false},
       seconds: {type: 'string', default: '12'},
       parallel: {type: 'string', default: '2'},
       folder: {type: 'string', default: '.run/soak'},
@@ -66,6 +70,7 @@
     usageCaps: values['usage-caps'],
     versions: values.versions,
     crashingParts: values['crashing-parts'],
+    herds: values.herds,
   };
 }
 
@@ -128,11 +133,24 @@
   return verdicts.every(({violations}) => violations.length === 0);
 }
 
+async function playHerds(seed: number, folder: string): Promise<boolean> {
+  const verdict = await runHerd({seed, folder});
+  const {violations, calls, servedBefore, servedDuring, closedUnread} = verdict;
+  console.log(
+    `seed ${seed}: ${violations.length === 0 ? 'ok' : 'BROKEN'}, ${calls} calls, ` +
+      `served: ${servedBefore.toFixed(2)} before, ${servedDuring.toFixed(2)} ` +
+      `during; ${closedUnread} closed unread`,
+  );
+  for (const {rule, what} of violations) console.log(`  ${rule}: ${what}`);
+  return violations.length === 0;
+}
+
 async function playOne(seed: number, args: SoakArgs): Promise<boolean> {
   const folder = join(args.folder, String(seed));
   mkdirSync(folder, {recursive: true});
   if (args.usageCaps) return playUsageCaps(seed, folder);
   if (args.crashingParts) return playCrashingParts(seed, folder);
+  if (args.herds) return playHerds(seed, folder);
   if (args.versions) return playVersions(seed, folder);
   const verdict = await runSeed({
     seed,
