--- a/packages/banyanfold-gateway/src/crashes/crashSuspects.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashSuspects.ts
@@ -1,6 +1,5 @@
 import type {Clock} from '@banyanfold/core';
 import {
-  DEFAULT_ATTRIBUTE_CRASHES_OPTIONS,
   isCombination,
   splitFingerprints,
   type CrashVerdict,
@@ -14,6 +13,7 @@
 import {CRASH_ALERT_MS} from './crashLedger.js';
 import {emptyReport, isEmptyReport, mergeReports} from './crashReports.js';
 import type {ObservedCrash} from './crashDetector.js';
+import {LocalCrashes} from './localCrashes.js';
 import {isPartFingerprint} from './requestFingerprint.js';
 
 /** A key in a list of suspects. */
@@ -32,12 +32,6 @@
   forMs: number;
 }
 
-/** A crash that this process observed itself. */
-interface LocalCrash {
-  crashId: string;
-  atMs: number;
-}
-
 /**
  * Time in which the holder judges a reported crash and its verdict reaches this
  * entry: two exchanges through a relay.
@@ -52,10 +46,6 @@
  * are read every two seconds.
  */
 const STORED_VALID_MS = 5_000;
-/** How long a crash is kept in order to report it to a new holder. */
-const CRASH_RETENTION_MS = 600_000;
-/** Maximum number of fingerprints with local crashes, some 200 bytes each. */
-const MAX_LOCAL_FINGERPRINTS = 2_000;
 
 /**
  * Tracks at an entry which requests and prompt parts crash runners. It combines
@@ -65,8 +55,7 @@
 export class CrashSuspects {
   /** Called when something should be reported without delay. */
   onReport: () => void = () => {};
-  /** By fingerprint, in the order of the last crash. */
-  private readonly localCrashes = new Map<string, LocalCrash[]>();
+  private readonly localCrashes: LocalCrashes;
   private holderSuspects = new Map<string, ListedKey>();
   /** Read from the store, or received from former holders. */
   private retainedSuspects = new Map<string, ListedKey>();
@@ -82,7 +71,9 @@
   constructor(
     private readonly clock: Clock,
     private readonly answeredParts = new AnsweredParts(clock),
-  ) {}
+  ) {
+    this.localCrashes = new LocalCrashes(clock, answeredParts);
+  }
 
   /** Verdict on a request by its fingerprints; undefined if it runs normally. */
   verdictOf(fingerprints: readonly string[]): CrashVerdict | undefined {
@@ -93,10 +84,14 @@
 
   /** The fingerprints that are suspects. */
   suspectsAmong(fingerprints: readonly string[]): string[] {
+    const view = {
+      hasHolder: this.clock.nowMs() - this.listReceivedMs < HOLDER_TIMEOUT_MS,
+      judgedUntilMs: this.listReceivedMs - VERDICT_DELAY_MS,
+    };
     return fingerprints.filter(fingerprint => {
       const known = this.findKey(fingerprint);
       if (known) return known.untilMs === undefined;
-      return this.isLocalSuspect(fingerprint);
+      return this.localCrashes.isSuspect(fingerprint, view);
     });
   }
 
@@ -123,17 +118,10 @@
     if (quarantined.length > 0) this.forward({...emptyReport(), quarantined});
   }
 
-  noteCrash({crashId, fingerprints}: ObservedCrash): void {
-    const atMs = this.clock.nowMs();
-    this.lastCrashMs = atMs;
-    for (const fingerprint of fingerprints) {
-      const crashes = this.localCrashes.get(fingerprint) ?? [];
-      if (crashes.some(known => known.crashId === crashId)) continue;
-      crashes.push({crashId, atMs});
-      this.localCrashes.delete(fingerprint);
-      this.localCrashes.set(fingerprint, crashes);
-    }
-    this.evictOld(atMs);
+  noteCrash(crash: ObservedCrash): void {
+    const {crashId, fingerprints} = crash;
+    this.lastCrashMs = this.clock.nowMs();
+    this.localCrashes.add(crash);
     const answered = fingerprints.filter(
       fingerprint => this.answeredParts.ageMs(fingerprint) !== undefined,
     );
@@ -153,7 +141,7 @@
     this.answeredParts.note(fingerprints.filter(isPartFingerprint));
     if (!this.hasCrashData) return;
     const news = fingerprints.filter(fingerprint => {
-      const wasObserved = this.localCrashes.delete(fingerprint);
+      const wasObserved = this.localCrashes.cancel(fingerprint);
       const listed = this.holderSuspects.get(fingerprint);
       const isSuspect = listed !== undefined && listed.untilMs === undefined;
       if (isSuspect) this.holderSuspects.delete(fingerprint);
@@ -202,7 +190,7 @@
     return (
       this.holderSuspects.size > 0 ||
       this.retainedSuspects.size > 0 ||
-      this.localCrashes.size > 0
+      !this.localCrashes.isEmpty
     );
   }
 
@@ -276,7 +264,7 @@
     if (answered.length === 0) return;
     for (const fingerprint of answered) {
       this.holderSuspects.delete(fingerprint);
-      this.localCrashes.delete(fingerprint);
+      this.localCrashes.cancel(fingerprint);
     }
     this.queued.served.push(...answered);
     this.onReport();
@@ -305,24 +293,6 @@
     return {untilMs: listed?.untilMs ?? retained.untilMs};
   }
 
-  /** Whether local crashes that no holder has judged yet make it a suspect. */
-  private isLocalSuspect(fingerprint: string): boolean {
-    const crashes = this.localCrashes.get(fingerprint);
-    if (!crashes) return false;
-    const nowMs = this.clock.nowMs();
-    const {suspectCrashes, answerGraceMs} = DEFAULT_ATTRIBUTE_CRASHES_OPTIONS;
-    const wasAnswered = this.answeredParts.ageMs(fingerprint) !== undefined;
-    if (wasAnswered && nowMs - crashes[0]!.atMs < answerGraceMs) return false;
-    // Without a holder nobody counts the crashes that other entries see.
-    const hasHolder = nowMs - this.listReceivedMs < HOLDER_TIMEOUT_MS;
-    const isCounted =
-      hasHolder || wasAnswered || !isPartFingerprint(fingerprint);
-    if (crashes.length < (isCounted ? suspectCrashes : 1)) return false;
-    // The holder has judged older crashes and doesn't list it.
-    const judgedUntilMs = this.listReceivedMs - VERDICT_DELAY_MS;
-    return crashes.at(-1)!.atMs > judgedUntilMs;
-  }
-
   /**
    * Reports everything known to a new holder, which starts without data.
    * Otherwise, a request that crashed three runners could crash three more with
@@ -335,22 +305,14 @@
       nowMs < this.retentionEndMs ? [...this.retainedSuspects] : [];
     this.retainedSuspects = new Map([...former, ...this.holderSuspects]);
     this.retentionEndMs = nowMs + NEW_HOLDER_DELAY_MS;
-    const crashes = new Map<string, string[]>();
-    for (const [fingerprint, observed] of this.localCrashes) {
-      for (const {crashId} of observed) {
-        const known = crashes.get(crashId);
-        if (known) known.push(fingerprint);
-        else crashes.set(crashId, [fingerprint]);
-      }
-    }
     const quarantined = [...this.holderSuspects.entries()]
       .filter(([, {untilMs}]) => untilMs !== undefined)
       .map(([key]) => key);
     this.queued = mergeReports(this.queued, {
       ...emptyReport(),
-      crashes: [...crashes].map(([crashId, fingerprints]) => ({
+      crashes: this.localCrashes.byCrash().map(({crashId, fingerprints}) => ({
         life: crashId,
-        fingerprints,
+        fingerprints: [...fingerprints],
       })),
       quarantined,
     });
@@ -363,12 +325,4 @@
       ...this.retainedSuspects.keys(),
     ].filter(isCombination);
   }
-
-  private evictOld(nowMs: number): void {
-    for (const [fingerprint, crashes] of this.localCrashes) {
-      const isOld = nowMs - crashes.at(-1)!.atMs >= CRASH_RETENTION_MS;
-      if (!isOld && this.localCrashes.size <= MAX_LOCAL_FINGERPRINTS) return;
-      this.localCrashes.delete(fingerprint);
-    }
-  }
 }
