--- a/packages/banyanfold-gateway/src/requests/suspectStatus.ts
+++ b/packages/banyanfold-gateway/src/requests/suspectStatus.ts
@@ -16,9 +16,8 @@
  */
 const WRITING_MS = 1_000;
 
-/** Results of attempts that no runner ran, or whose result is known. */
-const RESOLVED_KINDS: ReadonlySet<AttemptResult['kind']> = new Set([
-  'delivered',
+/** Results of attempts that no runner ran. */
+const NOT_RUN_KINDS: ReadonlySet<AttemptResult['kind']> = new Set([
   'rejected',
   'unreached',
 ]);
@@ -98,14 +97,13 @@
     const {trialKey} = this;
     this.trialKey = undefined;
     if (trialKey === undefined) return;
-    const ran = result !== undefined && !RESOLVED_KINDS.has(result.kind);
-    const isUnresolved = ran && !this.hasWritten;
-    if (result === undefined || (!ran && result.kind !== 'delivered')) {
+    if (!result || NOT_RUN_KINDS.has(result.kind)) {
       suspects.noteTrialOver(trialKey, false);
       return;
     }
+    const isResolved = result.kind === 'delivered' || this.hasWritten;
     clock.setTimer(CRASH_DETECTION_MS, () =>
-      suspects.noteTrialOver(trialKey, isUnresolved),
+      suspects.noteTrialOver(trialKey, !isResolved),
     );
   }
 }
