Log the runner of an answer, slow connections and late event loops

The logs of the incident on leaving runners used late can't tell its hypotheses apart: request-end named neither the runner that answered nor how often the request was sent, nothing told how long an attempt waited for its connection after its last check, nor that the process itself ran late.

request-end has runner and sent; connect-slow, loop-late and the histogram runner_connect_ms are new. No decision changes.

--- a/packages/banyanfold-gateway/src/__tests__/runnerConnections.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerConnections.test.ts
@@ -41,7 +41,11 @@
 
 /** Whether a response ended cleanly that arrived while this thread was busy. */
 async function endsCleanly(path: string): Promise<boolean> {
-  const connection = new RunnerConnection(`127.0.0.1:${port}`, DEFAULT_OPTIONS);
+  const connection = new RunnerConnection({
+    address: `127.0.0.1:${port}`,
+    clock: new VirtualClock(),
+    options: DEFAULT_OPTIONS,
+  });
   const isClean = await new Promise<boolean>(resolve => {
     connection.dispatch(
       {method: 'GET', path},
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -31,7 +31,10 @@
 import {RunnerRateLimits} from './runners/runnerRateLimits.js';
 import {RunnerBackoffs} from './runners/runnerBackoffs.js';
 import {RunnerCapacities} from './runners/runnerCapacities.js';
-import {RunnerConnections} from './runners/runnerConnections.js';
+import {
+  RunnerConnections,
+  type ConnectionOpening,
+} from './runners/runnerConnections.js';
 import {WorkForecast} from './requests/workForecast.js';
 import {RetryBudgets} from './requests/retryBudgets.js';
 import {RunnerStates} from './runners/runnerStates.js';
@@ -109,6 +112,10 @@
 const ASSUMED_ENTRY_COUNT = 8;
 const MAINTENANCE_INTERVAL_MS = 500;
 const DRAIN_POLL_MS = 50;
+/** A connection to a runner usually opens within a few milliseconds. */
+const SLOW_CONNECT_MS = 100;
+/** Delay of the event loop that is logged. */
+const LATE_LOOP_MS = 150;
 /** Reserved to leave the group, or to offer peers the lease without a store. */
 const RELEASE_MS = 2_000;
 
@@ -300,7 +307,9 @@
       entryCount: () => this.knownEntryCount,
       random,
     });
-    const connections = new RunnerConnections(clock, options);
+    const connections = new RunnerConnections(clock, options, opening =>
+      this.noteOpening(opening),
+    );
     const {maxDescriptors} = settings.resources ?? {};
     this.context = {
       clock,
@@ -564,12 +573,26 @@
     metrics.gauge('origin_records', () => this.context.streamOrigins.size);
   }
 
+  private noteOpening({address, tookMs, isOpen}: ConnectionOpening): void {
+    const {logger, metrics} = this.deps;
+    metrics.observeMs('runner_connect_ms', tookMs);
+    if (tookMs < SLOW_CONNECT_MS) return;
+    logger.info('connect-slow', {
+      address,
+      tookMs: Math.round(tookMs),
+      isOpen,
+    });
+  }
+
   /** Measures the event loop's delay, ejects runners and drops stale state. */
   private runMaintenance(): void {
     const nowMs = this.deps.clock.nowMs();
     const lateMs = nowMs - this.lastMaintenanceMs - MAINTENANCE_INTERVAL_MS;
     this.deps.metrics.observeMs('loop_delay_ms', Math.max(0, lateMs));
     this.lastMaintenanceMs = nowMs;
+    if (lateMs >= LATE_LOOP_MS) {
+      this.deps.logger.info('loop-late', {lateMs: Math.round(lateMs)});
+    }
 
     const {capacities} = this.context;
     this.context.streamOrigins.refresh();
--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -142,6 +142,7 @@
       context.metrics.count('streams_resumed_in_response_total');
     }
     state.sendCount += 1;
+    state.lastRunnerId = runnerId;
     let isPromptRead = false;
     const result = await state.relay.relay(
       connection,
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -24,6 +24,10 @@
   attemptsMade: number;
   rejections: number;
   mayHaveRun: boolean;
+  /** Attempts that were sent, whatever became of them. */
+  sendCount: number;
+  /** The runner that the last one was sent to. */
+  lastRunnerId: string | undefined;
 }
 
 /** How an attempt is sent. */
@@ -236,6 +240,8 @@
       route: route.name,
       outcome,
       status,
+      runner: counts.lastRunnerId,
+      sent: counts.sendCount,
       attempts: counts.attemptsMade,
       rejections: counts.rejections,
       mayHaveRun: counts.mayHaveRun,
--- a/packages/banyanfold-gateway/src/requests/requestState.ts
+++ b/packages/banyanfold-gateway/src/requests/requestState.ts
@@ -65,6 +65,8 @@
   /** Attempts that a runner has answered or broken off. */
   attemptsMade = 0;
   sendCount = 0;
+  /** The runner that the last attempt was sent to. */
+  lastRunnerId: string | undefined;
   rejections = 0;
   mayHaveRun = false;
   readonly stream: StreamContinuity;
@@ -161,7 +163,8 @@
 
   get counts(): AttemptCounts {
     const {attemptsMade, rejections, mayHaveRun} = this;
-    return {attemptsMade, rejections, mayHaveRun};
+    const {sendCount, lastRunnerId} = this;
+    return {attemptsMade, rejections, mayHaveRun, sendCount, lastRunnerId};
   }
 
   /** Counts the request as waiting for a copy until it is sent or finished. */
--- a/packages/banyanfold-gateway/src/runners/runnerConnections.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerConnections.ts
@@ -7,6 +7,21 @@
 /** Safety margin before the idle timeout that a runner announces. */
 const KEEP_ALIVE_MARGIN_MS = 300;
 
+/** How the opening of a connection ended. */
+export interface ConnectionOpening {
+  address: string;
+  tookMs: number;
+  isOpen: boolean;
+}
+
+export interface RunnerConnectionOptions {
+  address: string;
+  clock: Clock;
+  options: GatewayOptions;
+  /** Called when the connection is established or has failed. */
+  onOpening?: (opening: ConnectionOpening) => void;
+}
+
 /** One connection to a runner, which carries one request at a time. */
 export class RunnerConnection {
   readonly client: Client;
@@ -21,7 +36,12 @@
   private socket: Socket | undefined;
   private endProbe: Promise<boolean> | undefined;
 
-  constructor(address: string, options: GatewayOptions) {
+  constructor({
+    address,
+    clock,
+    options,
+    onOpening = () => {},
+  }: RunnerConnectionOptions) {
     const connect = buildConnector({timeout: options.connectTimeoutMs});
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
@@ -31,7 +51,10 @@
       keepAliveMaxTimeout: options.runnerIdleMs,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       connect: (target, done) => {
+        const startedMs = clock.nowMs();
         connect(target, (error, socket) => {
+          const tookMs = clock.nowMs() - startedMs;
+          onOpening({address, tookMs, isOpen: !error});
           if (error || !socket) {
             done(error ?? new Error('connector returned no socket'), null);
             return;
@@ -101,6 +124,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly options: GatewayOptions,
+    private readonly onOpening?: (opening: ConnectionOpening) => void,
   ) {}
 
   /** Returns the connection that has been idle longest, or a new one. */
@@ -124,7 +148,13 @@
     }
     this.opened += 1;
     this.openCount += 1;
-    const connection = new RunnerConnection(address, this.options);
+    const {clock, options, onOpening} = this;
+    const connection = new RunnerConnection({
+      address,
+      clock,
+      options,
+      onOpening,
+    });
     connection.onClosed = () => {
       this.openCount -= 1;
     };
