Show leaving runners that are used late (listed as red)

Failing tests of the incident on leaving runners used late, on unchanged logic (HolderLink takes its clients as an option, so that a model can replace the network; VirtualClock keeps its timers in a heap, because the model with 730 entries scanned all of them at each step).

With connections to the store silent and its history deleted, a runner that is gone is used until the 4 s watched are over.

--- a/packages/banyanfold-core/src/clock.ts
+++ b/packages/banyanfold-core/src/clock.ts
@@ -23,13 +23,15 @@
   dueMs: number;
   sequence: number;
   callback: () => void;
+  isCancelled: boolean;
 }
 
 /** A clock for tests that advances only through `advance`. */
 export class VirtualClock implements Clock {
   private currentMs = 0;
   private sequence = 0;
-  private readonly pending = new Set<PendingTimer>();
+  /** A binary heap, the timer that is due first at its root. */
+  private readonly pending: PendingTimer[] = [];
 
   constructor(private readonly epochMs = 1_700_000_000_000) {}
 
@@ -46,9 +48,14 @@
       dueMs: this.currentMs + Math.max(0, delayMs),
       sequence: this.sequence++,
       callback,
+      isCancelled: false,
+    };
+    this.add(timer);
+    return {
+      cancel: () => {
+        timer.isCancelled = true;
+      },
     };
-    this.pending.add(timer);
-    return {cancel: () => this.pending.delete(timer)};
   }
 
   /** Advances the time by `deltaMs` and runs the due timers in order. */
@@ -56,9 +63,8 @@
     const endMs = this.currentMs + deltaMs;
     for (;;) {
       await flushMicrotasks();
-      const next = this.nextDue(endMs);
+      const next = this.takeDue(endMs);
       if (!next) break;
-      this.pending.delete(next);
       this.currentMs = next.dueMs;
       next.callback();
     }
@@ -66,13 +72,43 @@
     await flushMicrotasks();
   }
 
-  private nextDue(endMs: number): PendingTimer | undefined {
-    let earliest: PendingTimer | undefined;
-    for (const timer of this.pending) {
-      if (timer.dueMs > endMs) continue;
-      if (!earliest || isBefore(timer, earliest)) earliest = timer;
+  private takeDue(endMs: number): PendingTimer | undefined {
+    for (;;) {
+      const [first] = this.pending;
+      if (!first || first.dueMs > endMs) return undefined;
+      this.removeFirst();
+      if (!first.isCancelled) return first;
+    }
+  }
+
+  private add(timer: PendingTimer): void {
+    const {pending} = this;
+    let at = pending.push(timer) - 1;
+    while (at > 0) {
+      const parentAt = (at - 1) >> 1;
+      const parent = pending[parentAt]!;
+      if (isBefore(parent, timer)) break;
+      pending[at] = parent;
+      at = parentAt;
+    }
+    pending[at] = timer;
+  }
+
+  private removeFirst(): void {
+    const {pending} = this;
+    const last = pending.pop()!;
+    if (pending.length === 0) return;
+    let at = 0;
+    for (;;) {
+      let childAt = 2 * at + 1;
+      const right = pending[childAt + 1];
+      if (right && isBefore(right, pending[childAt]!)) childAt += 1;
+      const child = pending[childAt];
+      if (!child || isBefore(last, child)) break;
+      pending[at] = child;
+      at = childAt;
     }
-    return earliest;
+    pending[at] = last;
   }
 }
 
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -51,6 +51,8 @@
   replicaList: ReplicaList;
   view: LeavingRunners;
   loadRate: LoadRate;
+  /** Clients of the peers; by default, they connect over the network. */
+  clients?: PeerClients;
   onEntryCount(count: number): void;
   configVersion(): number;
   /** Called when a peer has a newer configuration than this process. */
@@ -124,10 +126,9 @@
       onNewerConfig: (version, peer) => deps.onNewerConfig(version, peer),
       holderAddress: () => lease.current().holderAddress,
     });
-    this.clients = new PeerClients(
-      options.peerTimeoutMs,
-      options.adapterTimeoutMs,
-    );
+    this.clients =
+      deps.clients ??
+      new PeerClients(options.peerTimeoutMs, options.adapterTimeoutMs);
     const processId = `${self.address}#${clock.wallMs()}`;
     this.pendingDemand = new PendingDemand(
       demand,
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -4,6 +4,7 @@
 import {REGRESSIONS} from './regressions.js';
 import {runCrashingParts} from './crashingPartRun.js';
 import {runHerd} from './herdRun.js';
+import {runLeavings} from './leavingRun.js';
 import {runSeed, type SeedVerdict} from './runSeed.js';
 import {runVersions} from './versionRun.js';
 import {runUsageCaps} from './usageCapRun.js';
@@ -16,6 +17,8 @@
   --crashing-parts
                   five entries, sixteen runners and a prompt part that crashes them
   --herds         five entries, one of which gets most new connections
+  --leavings      six entries and runners that leave under one or two faults
+  --half-core     with --leavings: each entry is stopped half of the time
   --regressions   the seeds that failed once, in place of others
   --seconds T     the span in which faults begin (default 12)
   --parallel P    how many runs at once (default 2; each has 3 processes)
@@ -35,6 +38,8 @@
   versions: boolean;
   crashingParts: boolean;
   herds: boolean;
+  leavings: boolean;
+  halfCore: boolean;
 }
 
 function readArgs(): SoakArgs {
@@ -47,6 +52,8 @@
       versions: {type: 'boolean', default: false},
       'crashing-parts': {type: 'boolean', default: false},
       herds: {type: 'boolean', default: false},
+      leavings: {type: 'boolean', default: false},
+      'half-core': {type: 'boolean', default: false},
       seconds: {type: 'string', default: '12'},
       parallel: {type: 'string', default: '2'},
       folder: {type: 'string', default: '.run/soak'},
@@ -71,6 +78,8 @@
     versions: values.versions,
     crashingParts: values['crashing-parts'],
     herds: values.herds,
+    leavings: values.leavings,
+    halfCore: values['half-core'],
   };
 }
 
@@ -145,12 +154,34 @@
   return violations.length === 0;
 }
 
+async function playLeavings(
+  seed: number,
+  folder: string,
+  isHalfCore: boolean,
+): Promise<boolean> {
+  const verdicts = await runLeavings({seed, folder, isHalfCore});
+  for (const each of verdicts) {
+    const verdict = each.violations.length === 0 ? 'ok' : 'BROKEN';
+    console.log(
+      `seed ${seed}: ${each.scenario}, ${each.way}: ${verdict}, latest ` +
+        `${Math.round(each.latestMs)} ms by ${each.latestEntry ?? 'none'}, ` +
+        `${each.servedShare.toFixed(3)} served, longest wait ` +
+        `${Math.round(each.longestWaitMs)} ms`,
+    );
+    for (const {rule, what} of each.violations) {
+      console.log(`  ${rule}: ${what}`);
+    }
+  }
+  return verdicts.every(({violations}) => violations.length === 0);
+}
+
 async function playOne(seed: number, args: SoakArgs): Promise<boolean> {
   const folder = join(args.folder, String(seed));
   mkdirSync(folder, {recursive: true});
   if (args.usageCaps) return playUsageCaps(seed, folder);
   if (args.crashingParts) return playCrashingParts(seed, folder);
   if (args.herds) return playHerds(seed, folder);
+  if (args.leavings) return playLeavings(seed, folder, args.halfCore);
   if (args.versions) return playVersions(seed, folder);
   const verdict = await runSeed({
     seed,
