Soak: judge leaving runners by the bound of 2,000 ms, and remove some unannounced

The rule allowed 2,500 ms and runners of runner-leaves were replaced after as long, so that a request later than the bound could not be seen. A runner serves on for 5 s now.

runner-gone removes the registration of a runner that has not said that it leaves, while connections fall silent, polls miss records or the history is deleted; runner-leaves-unnoticed has the third way, too.

The case of the judge's test that allowed 2,400 ms allows 1,900 now, and 2,100 is a violation.

--- a/soak/src/__tests__/judge.test.ts
+++ b/soak/src/__tests__/judge.test.ts
@@ -247,12 +247,21 @@
   ],
   [
     'a request to a runner that the store calls leaving',
-    {...sentAfter([0, 2_600], {}), leavings: [LEAVING]},
+    {...sentAfter([0, 2_100], {}), leavings: [LEAVING]},
+    ['a runner that the store calls leaving is left alone'],
+  ],
+  [
+    'the same while the store deletes its history',
+    {
+      ...sentAfter([0, 2_100], {}),
+      leavings: [LEAVING],
+      faults: [{kind: 'store-forgets', fromMs: 0, toMs: 1}],
+    },
     ['a runner that the store calls leaving is left alone'],
   ],
   [
     'the same while its leaving may not be known yet',
-    {...sentAfter([0, 2_400], {}), leavings: [LEAVING]},
+    {...sentAfter([0, 1_900], {}), leavings: [LEAVING]},
     [],
   ],
   [
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -60,10 +60,11 @@
 ];
 const ANSWERS_SPOILT = 4;
 const TOPICS = ['keyed.op', 'keyed.servers'] as const;
-/** A runner serves on this long after it has said that it leaves. */
-const LEAVING_MS = 2_500;
-/** Longer than the bound within which entries have to leave it alone. */
-const SAYS_LEAVING_MS = 5_000;
+/**
+ * A runner that leaves serves on for this long, longer than the bound within
+ * which entries have to leave it alone.
+ */
+const LEAVING_MS = 5_000;
 const PAUSE_S = 2;
 
 /** Ways in which entries don't read the store's next record in time. */
@@ -78,6 +79,7 @@
     }
   },
   ({platform}, forMs) => platform.store.missRecords(forMs),
+  ({platform}) => platform.store.deleteHistory('keyed.servers'),
 ];
 
 /** Begins a fault and resolves when it is over. */
@@ -154,14 +156,21 @@
     const place = runnerOf(context, fault);
     at(RECORD_LOSSES, fault.variant)(context.system, fault.forMs);
     context.system.drainRunner(place);
-    await pause(SAYS_LEAVING_MS);
+    await pause(LEAVING_MS);
+    await replaceOnce(context, place);
+  },
+  'runner-gone': async (context, fault) => {
+    const place = runnerOf(context, fault);
+    at(RECORD_LOSSES, fault.variant)(context.system, fault.forMs);
+    context.system.removeRegistration(place);
+    await pause(LEAVING_MS);
     await replaceOnce(context, place);
   },
   // The store still calls it ready.
   'runner-says-leaving': async (context, fault) => {
     const place = runnerOf(context, fault);
     place.runner.isLeaving = true;
-    await pause(SAYS_LEAVING_MS);
+    await pause(LEAVING_MS);
     await replaceOnce(context, place);
   },
   'runner-asks-for-pause': async (context, fault) => {
--- a/soak/src/judge.ts
+++ b/soak/src/judge.ts
@@ -69,6 +69,7 @@
   'runner-leaves',
   'runner-says-leaving',
   'runner-leaves-unnoticed',
+  'runner-gone',
   'runner-crash',
 ]);
 const STORE_FAULTS: ReadonlySet<FaultKind> = new Set([
--- a/soak/src/leavingRun.ts
+++ b/soak/src/leavingRun.ts
@@ -35,6 +35,8 @@
 interface Struck {
   /** Entries that are out of touch, whose requests don't count. */
   excused: LeavingEntry[];
+  /** Called right after the store has recorded the leaving. */
+  afterLeaving?(): void;
   end?(): void;
 }
 
@@ -86,6 +88,7 @@
     const results = [one(struck), other(struck)];
     return {
       excused: results.flatMap(({excused}) => excused),
+      afterLeaving: () => results.forEach(r => r.afterLeaving?.()),
       end: () => results.forEach(({end}) => end?.()),
     };
   };
@@ -94,10 +97,10 @@
   silenceStore(struck);
   return {excused: []};
 };
-const forget: Strike = ({platform}) => {
-  platform.store.deleteHistory('keyed.servers');
-  return {excused: []};
-};
+const forget: Strike = ({platform}) => ({
+  excused: [],
+  afterLeaving: () => platform.store.deleteHistory('keyed.servers'),
+});
 const miss: Strike = ({platform}) => {
   platform.store.missRecords(MISS_MS);
   return {excused: []};
@@ -177,9 +180,10 @@
   await pause(SETTLE_MS + draw.int(0, MISS_MS));
   const leaving = running.pickOfEachService();
   const startMs = performance.now();
-  const {excused, end} = strike(running);
+  const {excused, afterLeaving, end} = strike(running);
   await pause(draw.int(0, STRIKE_LEAD_MS));
   for (const runner of leaving) running.leave(runner, way);
+  afterLeaving?.();
   const leftMs = performance.now();
   await pause(WATCH_MS);
   end?.();
--- a/soak/src/noticeRules.ts
+++ b/soak/src/noticeRules.ts
@@ -8,10 +8,8 @@
   received: ReceivedRequest;
 }
 
-/** Requests that callers send later than this after an answer count. */
+/** A runner that leaves gets no request later than this after it is known. */
 const LEAVING_BOUND_MS = 2_000;
-/** The bound on the store's word; the rest is for a busy machine. */
-const LEAVING_KNOWN_MS = 2_500;
 /** An entry is in touch again this long after a fault of it or of the store. */
 const CONTACT_MS = 3_000;
 /** Requests that were under way still arrive in this time. */
@@ -19,14 +17,16 @@
 /** Requests that may arrive in the rest of a pause. */
 const IN_PAUSE = 2;
 const MS_PER_SECOND = 1000;
-/** Faults after which a process knows late of what the store acknowledged. */
+/**
+ * Faults after which a process is out of touch: it was stopped, or the store was
+ * not available to it. A store that only deletes its history stays available.
+ */
 const CONTACT_KINDS: ReadonlySet<string> = new Set([
   'entry-term',
   'entry-kill',
   'entry-pause',
   'store-link',
   'store-down',
-  'store-forgets',
   'store-restore',
 ]);
 
@@ -55,7 +55,7 @@
   return leavings.flatMap(({runnerId, atMs}) =>
     passed
       .filter(({received}) => received.runnerId === runnerId)
-      .filter(({received}) => received.atMs > atMs + LEAVING_KNOWN_MS)
+      .filter(({received}) => received.atMs > atMs + LEAVING_BOUND_MS)
       .filter(({call}) => !isOutOfTouch(call, atMs, faults))
       .map(({call, received}) => {
         const lateMs = Math.round(received.atMs - atMs);
--- a/soak/src/soakPlan.ts
+++ b/soak/src/soakPlan.ts
@@ -31,10 +31,14 @@
 /** A runner leaves while reads of the store fail; planned likewise. */
 const UNNOTICED_KIND = 'runner-leaves-unnoticed';
 
+/** The same without notice; planned likewise. */
+const GONE_KIND = 'runner-gone';
+
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | (typeof NOTICE_KINDS)[number]
   | typeof UNNOTICED_KIND
+  | typeof GONE_KIND
   | typeof UNFRAMED_KIND
   | typeof HERD_KIND
   | typeof STORE_RESTORE;
@@ -102,6 +106,7 @@
     ...planUnnoticed({seed, lengthMs}),
     ...planHalves({seed, lengthMs}, UNFRAMED_KIND, 4),
     ...planHalves({seed, lengthMs}, HERD_KIND, 5),
+    ...planHalves({seed, lengthMs}, GONE_KIND, 6),
   ];
 }
 
--- a/soak/src/soakSystem.ts
+++ b/soak/src/soakSystem.ts
@@ -97,6 +97,13 @@
     this.leavings.push({runnerId, atMs: performance.now()});
   }
 
+  /** The store removes a runner that has not said that it leaves. */
+  removeRegistration({runner}: RunnerPlace): void {
+    this.platform.removeRunner(runner);
+    const {runnerId} = runner;
+    this.leavings.push({runnerId, atMs: performance.now()});
+  }
+
   /** The runner of a place is gone; an empty one of another id comes. */
   async replaceRunner(place: RunnerPlace): Promise<void> {
     const at = this.runnerPlaces.indexOf(place);
