Limit the opening of connections on time, and check the runner when one is open

A request could reach a runner a second and more after the last check whether the runner may be used, and callers waited as long for another runner.

Cause: the limit of 400 ms on opening a connection was the HTTP client's, whose timers work in steps of half a second; it took effect at 1,000 ms (8 tries each: 999 to 1,002 ms; 700 ms became 999 to 1,000). It ran after the event loop had read its sockets, so that in a process that stalls a connection that opened meanwhile was used. The class: a bound that rests on a timeout nobody has measured.

createConnector keeps the limit on the process's own timers (400 to 402 ms, 701 to 702 ms). When a connection opens, the runner is checked again in the step in which the request is written; if it may not be used any more, nothing is sent and another one is chosen, without an attempt being counted.

--- a/packages/banyanfold-entry/src/attempts/attemptTransport.ts
+++ b/packages/banyanfold-entry/src/attempts/attemptTransport.ts
@@ -1,3 +1,4 @@
+import {createConnector} from '@banyanfold/log';
 import {Agent} from 'undici';
 import {HEADERS, PATHS} from '@banyanfold/protocol';
 import type {EntrySettings} from '../settings.js';
@@ -43,7 +44,7 @@
     this.dispatcher = new Agent({
       pipelining: 1,
       connections: settings.attempts.connectionsPerAgent,
-      connect: {timeout: settings.attempts.connectMs},
+      connect: createConnector({timeoutMs: settings.attempts.connectMs}),
       // The request's own deadline, run on the injected clock, limits both.
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -1,4 +1,5 @@
 import {startTimer, timeoutSignal, type Timer} from '@banyanfold/core';
+import {createConnector} from '@banyanfold/log';
 import {createTRPCClient, createWSClient, httpLink, wsLink} from '@trpc/client';
 import {Pool, type Dispatcher} from 'undici';
 import {WebSocket} from 'ws';
@@ -95,7 +96,7 @@
   const origin = `http://${address}`;
   const dispatcher = new Pool(origin, {
     connections: 1,
-    connect: {timeout: timeoutMs},
+    connect: createConnector({timeoutMs}),
   });
   // Implements the part of `fetch` that the link uses. The runtime's own
   // `fetch` would load a second HTTP client into the process.
--- a/packages/banyanfold-gateway/src/requests/attemptResult.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptResult.ts
@@ -27,6 +27,8 @@
       /** Nothing listens at the runner's address. */
       isRefused: boolean;
     }
+  /** The runner may not be used any more, and nothing was sent. */
+  | {kind: 'withdrawn'}
   /** The request may have run, and no complete response arrived. */
   | {
       kind: 'broken';
@@ -35,6 +37,9 @@
       isClosedByRunner: boolean;
     };
 
+/** How an attempt that was sent, or could not be, ended. */
+export type SentResult = Exclude<AttemptResult, {kind: 'withdrawn'}>;
+
 /** The result of an attempt that was cancelled or whose response is invalid. */
 export function brokenResult(error: string): AttemptResult {
   return {kind: 'broken', error, isClosedByRunner: false};
--- a/packages/banyanfold-gateway/src/requests/attemptResults.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptResults.ts
@@ -2,7 +2,7 @@
 import type {RequestAdmission} from './requestAdmission.js';
 import type {RequestEnding} from './requestEnding.js';
 import type {RequestState} from './requestState.js';
-import type {AttemptResult} from './responseRelay.js';
+import type {SentResult} from './responseRelay.js';
 import type {Target} from './targetChooser.js';
 
 /** The runner doesn't hold the model or the adapter of the request. */
@@ -17,8 +17,8 @@
  */
 const MAX_REJECTION_BACKOFF_MS = 200;
 
-type ResultOf<Kind extends AttemptResult['kind']> = Extract<
-  AttemptResult,
+type ResultOf<Kind extends SentResult['kind']> = Extract<
+  SentResult,
   {kind: Kind}
 >;
 
@@ -37,7 +37,7 @@
    * Records a result. It runs in the same step in which the result arrives,
    * because a request that may have run must not be refused after that.
    */
-  record(target: Target, result: AttemptResult): void {
+  record(target: Target, result: SentResult): void {
     const {state} = this;
     switch (result.kind) {
       case 'delivered':
@@ -103,7 +103,7 @@
   }
 
   /** Schedules another attempt if the retry policy allows it, or fails. */
-  retryOrFail({runner}: Target, result: AttemptResult): void {
+  retryOrFail({runner}: Target, result: SentResult): void {
     const {state} = this;
     const {context, route} = state.options;
     const wasRejected =
@@ -141,7 +141,7 @@
     return (maxMs * (1 + options.context.random())) / 2;
   }
 
-  private fail(result: AttemptResult): void {
+  private fail(result: SentResult): void {
     const {state, ending, admission} = this;
     if (result.kind === 'failed' && !state.relay.hasStarted) {
       state.relay.deliverFailure(result);
--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -1,7 +1,7 @@
 import type {ResponseInfo, RunnerRegistration} from '../types.js';
 import type {RequestAdmission} from './requestAdmission.js';
 import type {RequestState} from './requestState.js';
-import type {AttemptResult} from './responseRelay.js';
+import type {SentResult} from './responseRelay.js';
 import type {Target} from './targetChooser.js';
 
 /** Pause before another runner is tried for an adapter that isn't available. */
@@ -20,7 +20,7 @@
   ) {}
 
   /** Returns undefined if the request was not sent. */
-  async trySend(target: Target): Promise<AttemptResult | undefined> {
+  async trySend(target: Target): Promise<SentResult | undefined> {
     const {runnerId} = target.runner;
     const {targets, options} = this.state;
     const {rateLimits} = options.context;
@@ -35,7 +35,7 @@
     return result;
   }
 
-  private async sendTo(target: Target): Promise<AttemptResult | undefined> {
+  private async sendTo(target: Target): Promise<SentResult | undefined> {
     const {state, admission} = this;
     if (target.needsAdapter && !(await this.fetchAdapter(target))) {
       return undefined;
@@ -65,7 +65,7 @@
   }
 
   /** Returns undefined if it was not sent because its turn came late. */
-  private async sendInTurn(target: Target): Promise<AttemptResult | undefined> {
+  private async sendInTurn(target: Target): Promise<SentResult | undefined> {
     const {state, admission} = this;
     const {context, route} = state.options;
     const {runnerId} = target.runner;
@@ -114,10 +114,11 @@
     return context.fairShares.isOverShare(pool, organisation?.name);
   }
 
+  /** Returns undefined if the runner left before its connection was open. */
   private async send(
     target: Target,
     aheadWork: number,
-  ): Promise<AttemptResult> {
+  ): Promise<SentResult | undefined> {
     const {state} = this;
     const {context, decoded, route, request, body} = state.options;
     const {runner} = target;
@@ -125,6 +126,7 @@
     const nowMs = context.clock.nowMs();
     state.suspect.noteSent();
     const connection = context.connections.acquire(runner.address);
+    connection.isWanted = () => state.targets.isStillUsable(runner);
     state.log.route(target, state.counts, {
       isReused: connection.isReused,
       afterEvent: state.relay.lastEventId ?? decoded.request.lastEventId,
@@ -174,6 +176,12 @@
     );
     state.promptTurn?.release();
     context.runnerStates.recordEnd(runnerId, state.work, isPromptRead);
+    if (result.kind === 'withdrawn') {
+      connection.destroy();
+      state.sendCount -= 1;
+      state.log.withdraw(runnerId);
+      return undefined;
+    }
     if (result.kind === 'broken' && result.isClosedByRunner) {
       context.crashWatch.noteConnectionLost(runner, state.fingerprints);
     }
--- a/packages/banyanfold-gateway/src/requests/decideRequestRetry.ts
+++ b/packages/banyanfold-gateway/src/requests/decideRequestRetry.ts
@@ -1,14 +1,14 @@
 import {decideRetry, type RetryDecision} from '@banyanfold/decisions';
 import type {GatewayContext} from '../context.js';
 import type {RoutePolicy} from '../types.js';
-import type {AttemptResult} from './responseRelay.js';
+import type {SentResult} from './responseRelay.js';
 
 /** Attempts of one request that runners may reject without running it. */
 const MAX_REJECTIONS = 6;
 
 /** State of a request after an attempt that brought no final response. */
 export interface RetryState {
-  result: AttemptResult;
+  result: SentResult;
   attemptsMade: number;
   rejections: number;
   mayHaveRun: boolean;
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -5,7 +5,7 @@
 import {RequestAdmission, RUNNER_POLL_MS} from './requestAdmission.js';
 import {RequestEnding} from './requestEnding.js';
 import {RequestState, type RequestHandlerOptions} from './requestState.js';
-import type {AttemptResult} from './responseRelay.js';
+import type {SentResult} from './responseRelay.js';
 import type {Target} from './targetChooser.js';
 
 export type {RequestHandlerOptions} from './requestState.js';
@@ -131,7 +131,7 @@
   }
 
   /** Returns undefined if the request was not sent. */
-  private async tryRunner(target: Target): Promise<AttemptResult | undefined> {
+  private async tryRunner(target: Target): Promise<SentResult | undefined> {
     const {state, results} = this;
     const result = await this.sender.trySend(target);
     if (!result || state.isFinished) return result;
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -3,7 +3,7 @@
 import type {GatewayContext} from '../context.js';
 import type {DecodedRequest, RoutePolicy} from '../types.js';
 import type {ResolvedContinuation} from '../streams/streamOrigins.js';
-import type {AttemptResult} from './responseRelay.js';
+import type {SentResult} from './responseRelay.js';
 import type {CopyRefusal, QueueRefusal} from './admissionChecks.js';
 import type {CandidateCounts, Target} from './targetChooser.js';
 
@@ -84,6 +84,14 @@
     });
   }
 
+  /** Logs that the runner left before the attempt was sent. */
+  withdraw(runnerId: string): void {
+    this.logEvent('withdrawn', {
+      runner: runnerId,
+      runnersAgeMs: this.runnersAgeMs(),
+    });
+  }
+
   /** Logs where a stream that the caller takes up may go on. */
   takeUp(resolved: ResolvedContinuation, sinceMs: number): void {
     const {context, decoded, route} = this.options;
@@ -214,7 +222,7 @@
 
   retry(
     runnerId: string,
-    result: AttemptResult,
+    result: SentResult,
     decision: {kind: string; reason: string},
     mayHaveRun: boolean,
   ): void {
--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -1,6 +1,9 @@
 import type {ServerResponse} from 'node:http';
 import type {GatewayContext} from '../context.js';
-import type {RunnerConnection} from '../runners/runnerConnections.js';
+import {
+  UnwantedConnectionError,
+  type RunnerConnection,
+} from '../runners/runnerConnections.js';
 import type {Holding} from '../resources/holding.js';
 import type {
   ResponseInfo,
@@ -28,7 +31,7 @@
 } from './incomingResponse.js';
 import {ResponseWriter} from './responseWriter.js';
 
-export type {AttemptResult} from './attemptResult.js';
+export type {AttemptResult, SentResult} from './attemptResult.js';
 
 /** The runner of an attempt, and callbacks for the start of its response. */
 export interface AttemptHooks {
@@ -199,7 +202,9 @@
         });
       },
       onError: error => {
-        if (connection.established) {
+        if (error instanceof UnwantedConnectionError) {
+          settle({kind: 'withdrawn'});
+        } else if (connection.established) {
           settle(closedByRunnerResult(error.message));
         } else {
           settle({
--- a/packages/banyanfold-gateway/src/requests/suspectStatus.ts
+++ b/packages/banyanfold-gateway/src/requests/suspectStatus.ts
@@ -2,7 +2,7 @@
 import type {GatewayContext} from '../context.js';
 import type {Quarantine} from '../crashes/crashSuspects.js';
 import type {RunnerRegistration} from '../types.js';
-import type {AttemptResult} from './responseRelay.js';
+import type {SentResult} from './responseRelay.js';
 
 /**
  * After a runner closes the connection, a crash is detected within this time by
@@ -17,7 +17,7 @@
 const WRITING_MS = 1_000;
 
 /** Results of attempts that no runner ran. */
-const NOT_RUN_KINDS: ReadonlySet<AttemptResult['kind']> = new Set([
+const NOT_RUN_KINDS: ReadonlySet<SentResult['kind']> = new Set([
   'rejected',
   'unreached',
 ]);
@@ -92,7 +92,7 @@
    *
    * @param result undefined if the request was not sent.
    */
-  noteTrialEnd(result: AttemptResult | undefined): void {
+  noteTrialEnd(result: SentResult | undefined): void {
     const {clock, suspects} = this.context;
     const {trialKey} = this;
     this.trialKey = undefined;
--- a/packages/banyanfold-gateway/src/runners/runnerConnections.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerConnections.ts
@@ -1,12 +1,20 @@
 import type {Clock} from '@banyanfold/core';
+import {createConnector} from '@banyanfold/log';
 import type {Socket} from 'node:net';
-import {buildConnector, Client, type Dispatcher} from 'undici';
+import {Client, type Dispatcher} from 'undici';
 import type {GatewayOptions} from '../options.js';
 
 const NO_TIMEOUT_MS = 0;
 /** Safety margin before the idle timeout that a runner announces. */
 const KEEP_ALIVE_MARGIN_MS = 300;
 
+/** Nothing was sent, because the request no longer needs the connection. */
+export class UnwantedConnectionError extends Error {
+  constructor() {
+    super('the connection is no longer wanted');
+  }
+}
+
 /** How the opening of a connection ended. */
 export interface ConnectionOpening {
   address: string;
@@ -31,6 +39,8 @@
   isReused = false;
   closed = false;
   idleSinceMs = 0;
+  /** Whether a request may still be sent when the connection is open. */
+  isWanted: () => boolean = () => true;
   /** Called once, when it is closed. */
   onClosed: () => void = () => {};
   private socket: Socket | undefined;
@@ -42,7 +52,8 @@
     options,
     onOpening = () => {},
   }: RunnerConnectionOptions) {
-    const connect = buildConnector({timeout: options.connectTimeoutMs});
+    const {connectTimeoutMs: timeoutMs} = options;
+    const connect = createConnector({timeoutMs, clock});
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: NO_TIMEOUT_MS,
@@ -59,6 +70,11 @@
             done(error ?? new Error('connector returned no socket'), null);
             return;
           }
+          if (!this.isWanted()) {
+            socket.destroy();
+            done(new UnwantedConnectionError(), null);
+            return;
+          }
           this.established = true;
           this.socket = socket;
           socket.prependOnceListener('end', () => this.probeEnd(socket));
--- a/packages/banyanfold-log/src/index.ts
+++ b/packages/banyanfold-log/src/index.ts
@@ -6,6 +6,7 @@
 export * from './claimsFold.js';
 export * from './claimWindow.js';
 export * from './configFollower.js';
+export * from './createConnector.js';
 export * from './createLogService.js';
 export * from './createVmListService.js';
 export * from './keyClaims.js';
