Name a change to the runners as soon as the holder has read it

An entry took its view of the runners for as recent as the holder's although the holder had just read that one is gone: the position of the last change came from the entries' reports, the holder's own among them, and so up to 250 ms late, while the age in the same answer was that of its last read. The class: two facts of one message from different moments.

Evidence: leaseHolder.test.ts failed before (0 instead of 3) and passes.

--- a/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
@@ -104,6 +104,7 @@
 function createHolderAndView(
   clock: VirtualClock,
   control: RunnerControl,
+  runnersChange = () => 0,
 ): {holder: LeaseHolder; view: FleetView} {
   const logger = new MemoryLogger();
   const view = new FleetView(clock, logger);
@@ -127,6 +128,7 @@
       epoch: OWN,
     }),
     processorShare: LARGE,
+    runnersChange,
     onNewerConfig: () => {},
     usage: new UsageAccounts({
       clock,
@@ -165,6 +167,24 @@
 }
 
 describe('LeaseHolder', () => {
+  // Guards against entries that take a view for current which the holder has
+  // already found to be outdated.
+  it('names a change as soon as it has read it itself', () => {
+    let runnersChange = 3;
+    const {holder} = createHolderAndView(
+      new VirtualClock(),
+      {} as RunnerControl,
+      () => runnersChange,
+    );
+    const changeTold = () => {
+      const output = holder.exchange(inputOf('e2:7', SMALL));
+      return output.kind === 'told' ? output.runnersChange : undefined;
+    };
+    expect(changeTold()).toBe(3);
+    runnersChange = 7;
+    expect(changeTold()).toBe(7);
+  });
+
   // Guards against a new holder that never learns the speeds of runners.
   it('sends the speeds that entries reported, from the next exchange', () => {
     const holder = createHolder(new VirtualClock());
--- a/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
@@ -176,6 +176,7 @@
         replicaList,
         crashes: new CrashLedger({clock, logger, metrics, epoch: this.address}),
         processorShare,
+        runnersChange: () => source.runnersChange,
         onNewerConfig: () => {},
         usage,
         isLeaving: () => false,
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -237,6 +237,7 @@
       replicaList,
       processorShare: settings.processorShare,
       usage: usageAccounts,
+      runnersChange: () => deps.fleet.runnersChange,
       onNewerConfig,
       isLeaving: () => this.isDraining,
     });
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -102,6 +102,8 @@
   /** Number of cores that the process may use. */
   processorShare: number;
   usage: UsageAccounts;
+  /** Position of the last change to the runners that this process has read. */
+  runnersChange(): number;
   /** Called when an entry has a newer configuration than this process. */
   onNewerConfig(version: number, peer: string): void;
   isLeaving: () => boolean;
@@ -202,7 +204,12 @@
       isOrdering: isHolder,
       ageMs,
       configVersion: this.newestConfigVersion,
-      runnersChange: this.newestRunnersChange,
+      // As of now, like the age of the view: an entry that is told only the age
+      // would take its own view for as recent.
+      runnersChange: Math.max(
+        this.newestRunnersChange,
+        this.deps.runnersChange(),
+      ),
       runnersReadAgeMs: this.deps.view.runnersAgeMs ?? nowMs,
       configReadAgeMs: this.deps.view.configAgeMs,
       entries: this.entryLoads.count(nowMs),
