Count the age of what peers tell from when they were asked

A view of the runners or a configuration looked newer than it was by the time that the answer of the holder or a relay took, which in a process that stalls includes the time in which it waited in a socket. Ages of reads from the store count from when the read was sent; exchanges did not.

Evidence: holderLink.test.ts failed before (confirmed as of 300 ms instead of 0) and passes.

--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -1,10 +1,11 @@
-import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
+import {MemoryLogger, Metrics, sleep, VirtualClock} from '@banyanfold/core';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {FairShares} from '../callers/fairShares.js';
 import {UsageAccounts} from '../callers/usageAccounts.js';
 import {CrashSuspects} from '../crashes/crashSuspects.js';
 import {DEFAULT_OPTIONS} from '../options.js';
 import {HolderLink} from '../peers/holderLink.js';
+import type {PeerClients} from '../peers/peerClients.js';
 import {ReplicaList} from '../streams/replicaList.js';
 import type {
   ExchangeInput,
@@ -48,16 +49,25 @@
 let standbyCalls: boolean[];
 let inputs: ExchangeInput[];
 let confirmedAtMs: number[];
+let runnersConfirmedAtMs: number[];
+let owns: boolean;
+let answerDelayMs: number;
 let demand: DemandMeter;
 let fairShares: FairShares;
 let areSharesOn: boolean;
 
-/** A link in the process that owns the lease, so no network is used. */
+/** A link without a network, by default in the process that owns the lease. */
 function startLink(): HolderLink {
   const logger = new MemoryLogger();
   const view = new FleetView(clock, logger);
   const lease = {
-    current: () => ({isHolder, owns: true, isVacant, fencingToken: 1}),
+    current: () => ({
+      isHolder,
+      owns,
+      isVacant,
+      fencingToken: 1,
+      holderAddress: 'e1:7',
+    }),
     setStandby: (isStandby: boolean) => standbyCalls.push(isStandby),
     refreshHolder: () => {},
     noteHolder: () => {},
@@ -68,7 +78,18 @@
       return answer;
     },
   } as unknown as HolderHandlers;
+  const clients = {
+    clientFor: () => ({
+      exchange: async () => {
+        await sleep(clock, answerDelayMs);
+        return answer;
+      },
+    }),
+    drop: () => {},
+    close: () => {},
+  } as unknown as PeerClients;
   const link = new HolderLink({
+    clients,
     clock,
     logger,
     metrics: new Metrics(),
@@ -108,7 +129,7 @@
     configVersion: () => 1,
     onNewerConfig: () => {},
     onConfigCurrent: atMs => confirmedAtMs.push(atMs),
-    onRunnersCurrent: () => {},
+    onRunnersCurrent: atMs => runnersConfirmedAtMs.push(atMs),
     runnersChange: () => 0,
     onRunnersChange: () => {},
     random: () => 0.5,
@@ -125,6 +146,9 @@
   standbyCalls = [];
   inputs = [];
   confirmedAtMs = [];
+  runnersConfirmedAtMs = [];
+  owns = true;
+  answerDelayMs = 0;
   demand = new DemandMeter();
   areSharesOn = true;
   fairShares = new FairShares({
@@ -227,6 +251,17 @@
     link.stop();
   });
 
+  // Guards against an answer that waited in a socket and looks new.
+  it('counts the age of what it is told from when it asked', async () => {
+    isHolder = false;
+    owns = false;
+    answerDelayMs = 300;
+    const link = startLink();
+    await clock.advance(400);
+    expect(runnersConfirmedAtMs).toEqual([0]);
+    link.stop();
+  });
+
   // Otherwise this process polls rarely while the holder can't read the
   // configuration.
   it('does not rely on a holder without a recent read of the configuration', async () => {
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -96,7 +96,8 @@
   private wasRelayed = false;
   private wasHolderReachable = true;
   private knownCopies: KnownRevision | undefined;
-  private lastState: {atMs: number; readAgeMs: number} | undefined;
+  /** When a holder's last state arrived, and as of when it knew the fleet. */
+  private lastState: {atMs: number; readMs: number} | undefined;
   private lastExchangeMs = 0;
   private lastContactMs = 0;
   /** Last list from the holder, in the order of acquiring the lease. */
@@ -169,9 +170,9 @@
   get isRelayed(): boolean {
     const {lease, clock} = this.deps;
     if (lease.current().isHolder || !this.lastState) return false;
-    const ageMs = clock.nowMs() - this.lastState.atMs;
-    const readAgeMs = this.lastState.readAgeMs + ageMs;
-    return ageMs < MAX_STATE_AGE_MS && readAgeMs < MAX_READ_AGE_MS;
+    const {atMs, readMs} = this.lastState;
+    const nowMs = clock.nowMs();
+    return nowMs - atMs < MAX_STATE_AGE_MS && nowMs - readMs < MAX_READ_AGE_MS;
   }
 
   /** Whether state from a holder arrived within the last few exchanges. */
@@ -261,7 +262,7 @@
     logger.info('fleet-source', {
       source: isRelayed ? 'holder' : 'store',
       stateAgeMs: lastState && Math.round(clock.nowMs() - lastState.atMs),
-      readAgeMs: lastState && Math.round(lastState.readAgeMs),
+      readAgeMs: lastState && Math.round(clock.nowMs() - lastState.readMs),
     });
   }
 
@@ -334,12 +335,11 @@
   }
 
   private async exchange(): Promise<void> {
-    const {ownHandlers, lease, self} = this.deps;
+    const {ownHandlers, lease, self, clock} = this.deps;
+    const sentMs = clock.nowMs();
     if (lease.current().owns) {
-      this.applyOutput(
-        ownHandlers.exchange(this.exchangeInput()),
-        self.address,
-      );
+      const output = ownHandlers.exchange(this.exchangeInput());
+      this.applyOutput(output, self.address, sentMs);
       return;
     }
     const relay = this.currentRelay();
@@ -352,7 +352,7 @@
       const output = await this.clients
         .clientFor(address)
         .exchange(this.exchangeInput());
-      this.applyOutput(output, address);
+      this.applyOutput(output, address, sentMs);
     } catch (thrown) {
       this.clients.drop(address);
       if (relay === undefined) this.handleHolderFailure(address, thrown);
@@ -376,10 +376,12 @@
 
   /**
    * @param sender address of the process that answered, a relay or the holder.
+   * @param sentMs when it was asked; ages in the answer count from then.
    */
   private applyOutput(
     output: ExchangeOutput | NotHolder,
     sender: string,
+    sentMs: number,
   ): void {
     const {lease, self} = this.deps;
     if (output.kind === 'not-holder') {
@@ -401,7 +403,9 @@
     this.wasHolderReachable = true;
     const isForwarded = output.holder !== sender;
     if (isForwarded) lease.noteHolder(output.holder);
-    else if (sender !== self.address) this.relay.noteHolderState(output);
+    else if (sender !== self.address) {
+      this.relay.noteHolderState(output, sentMs);
+    }
     this.deps.usage.applyFleetUsage(
       output.usage ?? {},
       output.ageMs,
@@ -421,12 +425,16 @@
       output.runnerSpeeds ?? {},
       output.ageMs,
     );
-    this.applyVersions(output, sender);
+    this.applyVersions(output, sender, sentMs);
     this.applyLoads(output, isForwarded);
     this.applyRoles(output);
   }
 
-  private applyVersions(output: ExchangeOutput, sender: string): void {
+  private applyVersions(
+    output: ExchangeOutput,
+    sender: string,
+    sentMs: number,
+  ): void {
     const {clock, heldCopies, metrics} = this.deps;
     const nowMs = clock.nowMs();
     const {ageMs, runnersReadAgeMs, configReadAgeMs} = output;
@@ -434,13 +442,13 @@
     if (output.configVersion > this.deps.configVersion()) {
       this.deps.onNewerConfig(output.configVersion, sender);
     } else if (configReadAgeMs !== undefined) {
-      this.deps.onConfigCurrent(nowMs - configReadAgeMs - ageMs);
+      this.deps.onConfigCurrent(sentMs - configReadAgeMs - ageMs);
     }
     if (this.deps.runnersChange() >= output.runnersChange) {
-      this.deps.onRunnersCurrent(nowMs - runnersReadAgeMs - ageMs);
+      this.deps.onRunnersCurrent(sentMs - runnersReadAgeMs - ageMs);
     }
     this.deps.onRunnersChange(output.runnersChange);
-    this.lastState = {atMs: nowMs, readAgeMs};
+    this.lastState = {atMs: nowMs, readMs: sentMs - readAgeMs};
     if (output.isOrdering) this.lastContactMs = nowMs;
     metrics.observeMs('holder_word_age_ms', ageMs);
     heldCopies.applyChanges(output.copies, ageMs);
--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -48,7 +48,7 @@
 /** The runners that are leaving. */
 export type LeavingRunners = Pick<FleetView, 'noteLeaving' | 'leavingRunners'>;
 
-/** The last state received from the holder, and when it was received. */
+/** The last state received from the holder, and when it was asked for. */
 interface HolderState {
   output: ExchangeOutput;
   atMs: number;
@@ -90,14 +90,19 @@
    * that was forwarded. Nor may it be a state that this process produced while
    * it was the holder itself: once forwarded, it made all others leave the
    * lease group although another process held the lease by then.
+   *
+   * @param sentMs when the holder was asked for it.
    */
-  noteHolderState(output: ExchangeOutput): void {
+  noteHolderState(
+    output: ExchangeOutput,
+    sentMs = this.options.clock.nowMs(),
+  ): void {
     const {isWhole, runners, gone} = output.copies;
     if (isWhole) this.runners.clear();
     for (const runner of runners) this.runners.set(runner.runnerId, runner);
     for (const runnerId of gone) this.runners.delete(runnerId);
     this.revisions.update([...this.runners.values()]);
-    this.holderState = {output, atMs: this.options.clock.nowMs()};
+    this.holderState = {output, atMs: sentMs};
   }
 
   /** Load of this process and its group, as it is sent to the holder. */
