Send requests by a view of the runners that is at most 1,450 ms old

Requests reached a leaving runner later than the 2,000 ms that are allowed: the time until an entry knows is a sum over the store, the holder, a relay and the entry, and two terms at their limits exceeded the bound together (silent connections and a holder cut off from the store: 1,790 ms until known at 6 entries, and up to 1,000 ms for a connection). The class: limits on each term of a chain, and none on the sum.

The last link checks the sum now (ViewFreshness): with an older view a request waits for a read of the store, sent a second time on a new connection after 50 ms; without an answer within 250 ms it is sent by what is known, and none waits again for 10 s or until the store answers in time. The same check is made when a connection opens.

Ruled out: shorter limits alone; each stall adds to each of them.

--- a/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
@@ -32,6 +32,7 @@
   RunnerControl,
 } from '../types.js';
 import {FleetView} from '../view/fleetView.js';
+import {ViewFreshness} from '../view/viewFreshness.js';
 
 const DOMAINS = 6;
 /** Entries that have more of a processor, and become relays. */
@@ -83,6 +84,7 @@
   readonly source: FleetSource;
   readonly link: HolderLink;
   readonly clock: Clock;
+  private readonly freshness: ViewFreshness;
   /** It gives no answers and takes none, as if killed or frozen. */
   isDown = false;
   /** The bound on leaving runners doesn't hold for it. */
@@ -98,6 +100,13 @@
     this.view = new FleetView(this.clock, new MemoryLogger());
     this.source = options.createSource(index, this.clock);
     this.link = this.createLink(options);
+    this.freshness = new ViewFreshness({
+      clock: this.clock,
+      logger: new MemoryLogger(),
+      metrics: new Metrics(),
+      view: this.view,
+      confirmRunners: () => this.source.confirmRunners(),
+    });
   }
 
   start(): void {
@@ -123,8 +132,10 @@
     this.link.stop();
   }
 
-  /** Whether this entry sends requests to a runner now. */
+  /** Whether this entry, which always has requests, sends them to a runner. */
   wouldSendTo(runnerId: string): boolean {
+    void this.freshness.untilFresh();
+    if (!this.freshness.check()) return false;
     return this.view.runner(runnerId)?.leaving === false;
   }
 
--- a/packages/banyanfold-gateway/src/__tests__/requestHandler.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/requestHandler.test.ts
@@ -37,6 +37,7 @@
     isDraining: () => false,
     drainDeadlineMs: () => undefined,
     suspects: {verdictOf: () => undefined},
+    viewFreshness: {untilFresh: () => Promise.resolve()},
     retryBudgetOf: () => ({recordAttempt: () => {}}),
   } as unknown as GatewayContext;
   const handler = new RequestHandler({
--- a/packages/banyanfold-gateway/src/__tests__/targetChooser.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/targetChooser.test.ts
@@ -1,4 +1,4 @@
-import {MemoryLogger, VirtualClock} from '@banyanfold/core';
+import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {beforeEach, describe, expect, it} from 'vitest';
 import type {GatewayContext} from '../context.js';
 import {DEFAULT_OPTIONS} from '../options.js';
@@ -6,6 +6,7 @@
 import {RunnerBackoffs} from '../runners/runnerBackoffs.js';
 import {RunnerStates} from '../runners/runnerStates.js';
 import {FleetView} from '../view/fleetView.js';
+import {ViewFreshness} from '../view/viewFreshness.js';
 
 const RUNNERS = ['r1', 'r2', 'r3'];
 const BORN_MS = 5;
@@ -31,6 +32,13 @@
   const context = {
     clock,
     view,
+    viewFreshness: new ViewFreshness({
+      clock,
+      logger,
+      metrics: new Metrics(),
+      view,
+      confirmRunners: () => Promise.resolve(),
+    }),
     runnerBackoffs,
     runnerStates: states,
     capacities: {speed: (id: string) => speeds[id] ?? 1},
@@ -145,6 +153,16 @@
     });
   });
 
+  // Guards against a request that is sent long after its runner was chosen.
+  it('finds a chosen runner unusable once the view is too old', async () => {
+    view.onRunnersCurrent(clock.nowMs());
+    const {runner} = chooser.choose()!;
+    await clock.advance(1_450);
+    expect(chooser.isStillUsable(runner)).toBe(true);
+    await clock.advance(1);
+    expect(chooser.isStillUsable(runner)).toBe(false);
+  });
+
   it('uses a runner again after its pause', async () => {
     for (const runnerId of RUNNERS) pauseRunner(runnerId, 1_000);
     expect(chooser.choose()).toBeUndefined();
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -21,6 +21,7 @@
 import type {StreamOrigins} from './streams/streamOrigins.js';
 import type {RequestCodec} from './types.js';
 import type {FleetView} from './view/fleetView.js';
+import type {ViewFreshness} from './view/viewFreshness.js';
 
 /** Ensures that a runner holds an adapter; resolves to false if it can't. */
 export type EnsureAdapter = (wanted: {
@@ -40,6 +41,7 @@
   options: GatewayOptions;
   failureDomain: string;
   view: FleetView;
+  viewFreshness: ViewFreshness;
   codec: RequestCodec;
   connections: RunnerConnections;
   runnerStates: RunnerStates;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -51,6 +51,7 @@
 import {OriginService} from './streams/originService.js';
 import {ReplicaList} from './streams/replicaList.js';
 import {FleetView} from './view/fleetView.js';
+import {ViewFreshness} from './view/viewFreshness.js';
 
 /** Limits that the deployment sets on the system. */
 export interface DeploymentBounds {
@@ -319,6 +320,13 @@
       options,
       failureDomain: settings.failureDomain,
       view: this.view,
+      viewFreshness: new ViewFreshness({
+        clock,
+        logger,
+        metrics,
+        view: this.view,
+        confirmRunners: () => deps.fleet.confirmRunners(),
+      }),
       codec,
       connections,
       runnerStates,
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -71,11 +71,11 @@
 const MAX_STATE_AGE_MS = 800;
 /**
  * Maximum time since the holder sent its last answered read. The holder reads
- * at least every 0.9 s, and a relay adds the time of an exchange. A leaving
- * runner must receive no more requests after two seconds, and this process
- * still has to read the store itself.
+ * at least every 0.8 s, and an entry learns of it one or two exchanges later.
+ * Below the age up to which requests are sent by a view, so that this process
+ * reads the store itself before they have to wait.
  */
-const MAX_READ_AGE_MS = 1_450;
+const MAX_READ_AGE_MS = 1_300;
 /** Six exchanges. A change of holder usually takes less. */
 const HOLDER_TIMEOUT_MS = 1_500;
 /**
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -120,6 +120,7 @@
       await state.pause.wait(results.nextBackoffMs);
     }
     results.nextBackoffMs = 0;
+    await this.options.context.viewFreshness.untilFresh();
     if (state.isFinished) return;
     if (admission.endIfAccessRevoked()) return;
     const {verdict} = state.suspect;
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -157,10 +157,11 @@
 
   /**
    * Checks again, as the runner may have left or asked for a pause while the
-   * request waited for an adapter or its turn.
+   * request waited for an adapter, its turn or a connection.
    */
   isStillUsable({runnerId}: RunnerRegistration): boolean {
-    const {view, runnerBackoffs} = this.options.context;
+    const {view, viewFreshness, runnerBackoffs} = this.options.context;
+    if (!viewFreshness.check()) return false;
     const runner = view.runner(runnerId);
     const isStaying = runner !== undefined && !runner.leaving;
     if (!isStaying || !this.hasRequiredVersion(runner)) return false;
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -319,6 +319,11 @@
   readonly runnersChange: number;
   /** Reads the runners again, unless it has read up to that position. */
   refreshRunners(runnersChange: number): void;
+  /**
+   * Reads what has changed at the runners at once; resolves when that has
+   * succeeded or failed.
+   */
+  confirmRunners(): Promise<void>;
   stop(): void;
 }
 
