--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -75,7 +75,7 @@
  * Below the age up to which requests are sent by a view, so that this process
  * reads the store itself before they have to wait.
  */
-const MAX_READ_AGE_MS = 1_300;
+const MAX_READ_AGE_MS = 1_400;
 /** Six exchanges. A change of holder usually takes less. */
 const HOLDER_TIMEOUT_MS = 1_500;
 /**
