Take the holder's age for the view of an entry that has read as far

An entry confirmed its view by the holder's word only if its own last change was at least as late as the last one that any entry had told. One that starts, or reads the newest records, notes the end of the topic as its last change, and the others, whose last change is an earlier record, then never confirmed theirs by the holder until the next change; since requests wait for an old view, each of them would read the store for itself every 1.45 s. What counts is up to where an entry has read.

Evidence: holderLink.test.ts, an entry that has read as far as the position that the holder names; the comparison of last changes would never have confirmed it.

--- a/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/holderLink.test.ts
@@ -52,6 +52,7 @@
 let runnersConfirmedAtMs: number[];
 let owns: boolean;
 let answerDelayMs: number;
+let readPosition: number;
 let demand: DemandMeter;
 let fairShares: FairShares;
 let areSharesOn: boolean;
@@ -131,6 +132,7 @@
     onConfigCurrent: atMs => confirmedAtMs.push(atMs),
     onRunnersCurrent: atMs => runnersConfirmedAtMs.push(atMs),
     runnersChange: () => 0,
+    hasReadRunners: position => position <= readPosition,
     onRunnersChange: () => {},
     random: () => 0.5,
   });
@@ -149,6 +151,7 @@
   runnersConfirmedAtMs = [];
   owns = true;
   answerDelayMs = 0;
+  readPosition = 0;
   demand = new DemandMeter();
   areSharesOn = true;
   fairShares = new FairShares({
@@ -251,6 +254,19 @@
     link.stop();
   });
 
+  // Guards against a view that stays old because the last position that a peer
+  // names belongs to no change that this process has seen.
+  it('takes the age of a holder that has read no further', async () => {
+    answer = {...OUTPUT, runnersChange: 5};
+    const link = startLink();
+    await clock.advance(100);
+    expect(runnersConfirmedAtMs).toEqual([]);
+    readPosition = 5;
+    await clock.advance(200);
+    expect(runnersConfirmedAtMs).toEqual([250]);
+    link.stop();
+  });
+
   // Guards against an answer that waited in a socket and looks new.
   it('counts the age of what it is told from when it asked', async () => {
     isHolder = false;
--- a/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
@@ -215,6 +215,7 @@
       onConfigCurrent: () => {},
       onRunnersCurrent: atMs => view.onRunnersCurrent(atMs),
       runnersChange: () => source.runnersChange,
+      hasReadRunners: position => source.hasReadRunners(position),
       onRunnersChange: position => source.refreshRunners(position),
       random,
     });
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -289,6 +289,7 @@
       configVersion: () => this.view.currentConfig?.version ?? 0,
       onNewerConfig,
       runnersChange: () => deps.fleet.runnersChange,
+      hasReadRunners: position => deps.fleet.hasReadRunners(position),
       onConfigCurrent: atMs => this.view.onConfigCurrent(atMs),
       onRunnersCurrent: atMs => this.view.onRunnersCurrent(atMs),
       onRunnersChange: position => deps.fleet.refreshRunners(position),
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -60,6 +60,8 @@
   /** Called with a time at which the configuration here was current. */
   onConfigCurrent(atMs: number): void;
   runnersChange(): number;
+  /** Whether this process has read the runners up to this change. */
+  hasReadRunners(runnersChange: number): boolean;
   /** Called with a time up to which this process knows the runners. */
   onRunnersCurrent(atMs: number): void;
   /** Called when a peer has read the runners up to this change. */
@@ -442,7 +444,7 @@
     } else if (configReadAgeMs !== undefined) {
       this.deps.onConfigCurrent(sentMs - configReadAgeMs - ageMs);
     }
-    if (this.deps.runnersChange() >= output.runnersChange) {
+    if (this.deps.hasReadRunners(output.runnersChange)) {
       this.deps.onRunnersCurrent(sentMs - runnersReadAgeMs - ageMs);
     }
     this.deps.onRunnersChange(output.runnersChange);
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -317,6 +317,8 @@
    * changed whether it is leaving; comparable between readers.
    */
   readonly runnersChange: number;
+  /** Whether all changes up to that position have been read. */
+  hasReadRunners(runnersChange: number): boolean;
   /** Reads the runners again, unless it has read up to that position. */
   refreshRunners(runnersChange: number): void;
   /**
