--- a/soak/src/leavingRun.ts
+++ b/soak/src/leavingRun.ts
@@ -2,7 +2,11 @@
 import {join} from 'node:path';
 import type {RunnerStandin} from '@banyanfold/platform/standins';
 import type {Violation} from './judge.js';
-import {LeavingSystem, type LeavingEntry} from './leavingSystem.js';
+import {
+  LeavingSystem,
+  type LeavingEntry,
+  type LeavingWay,
+} from './leavingSystem.js';
 import {pause} from './pause.js';
 import {createDraw, type Draw} from './random.js';
 
@@ -29,9 +33,6 @@
   servedShare: number;
 }
 
-/** How the store comes to know that a runner leaves. */
-export type LeavingWay = 'draining' | 'gone';
-
 interface Struck {
   /** Entries that are out of touch, whose requests don't count. */
   excused: LeavingEntry[];
@@ -48,8 +49,11 @@
 const WATCH_MS = 4_000;
 /** An entry that was struck is back in touch after this. */
 const SETTLE_MS = 4_000;
-const MISS_MS = 1_000;
+/** How long polls miss records, and runners leave connections unanswered. */
+const FAULT_MS = 1_000;
 const STRIKE_LEAD_MS = 300;
+/** Spreads the strikes over the pauses of the entries' reads. */
+const MAX_OFFSET_MS = 1_000;
 
 const silenceStore = ({entries}: LeavingSystem) => {
   for (const {storeLink} of entries) {
@@ -102,7 +106,7 @@
   afterLeaving: () => platform.store.deleteHistory('keyed.servers'),
 });
 const miss: Strike = ({platform}) => {
-  platform.store.missRecords(MISS_MS);
+  platform.store.missRecords(FAULT_MS);
   return {excused: []};
 };
 const slow: Strike = ({entries}) => {
@@ -115,7 +119,7 @@
 const stall: Strike = ({proxies}) => {
   for (const proxy of proxies.values()) void proxy.stall();
   const resume = () => proxies.forEach(proxy => proxy.resume());
-  setTimeout(resume, MISS_MS + STRIKE_LEAD_MS);
+  setTimeout(resume, FAULT_MS + STRIKE_LEAD_MS);
   return {excused: [], end: resume};
 };
 
@@ -177,7 +181,7 @@
   {scenario, strike, way, draw}: Round,
 ): Promise<LeavingVerdict> {
   await running.untilServed();
-  await pause(SETTLE_MS + draw.int(0, MISS_MS));
+  await pause(SETTLE_MS + draw.int(0, MAX_OFFSET_MS));
   const leaving = running.pickOfEachService();
   const startMs = performance.now();
   const {excused, afterLeaving, end} = strike(running);
--- a/soak/src/leavingSystem.ts
+++ b/soak/src/leavingSystem.ts
@@ -8,7 +8,6 @@
 import {CALL_KINDS} from './callers.js';
 import {EntryProcess} from './entryProcess.js';
 import {FaultProxy} from './faultProxy.js';
-import type {LeavingWay} from './leavingRun.js';
 import {pause} from './pause.js';
 import type {Draw} from './random.js';
 
@@ -20,6 +19,9 @@
   isHalfCore: boolean;
 }
 
+/** How the store comes to know that a runner leaves. */
+export type LeavingWay = 'draining' | 'gone';
+
 export interface LeavingEntry {
   process: EntryProcess;
   storeLink: FaultProxy;
