Log what the retry budget has left, and when it is sized

The log couldn't tell a budget sized for too few entries from one that starts full, or from retries that take nothing: it named neither what was left nor the number of entries. No decision changes.

--- a/packages/banyanfold-gateway/src/__tests__/retryBudgets.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/retryBudgets.test.ts
@@ -1,4 +1,4 @@
-import {Metrics, VirtualClock} from '@banyanfold/core';
+import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {describe, expect, it} from 'vitest';
 import {RetryBudgets} from '../requests/retryBudgets.js';
 
@@ -37,6 +37,7 @@
   const budgets = Array.from({length: entries}, () => {
     return new RetryBudgets({
       clock,
+      logger: new MemoryLogger(),
       metrics: new Metrics(),
       retryRatio: RETRY_RATIO,
       retrySlack,
@@ -92,6 +93,7 @@
 ): RetryBudgets {
   return new RetryBudgets({
     clock,
+    logger: new MemoryLogger(),
     metrics: new Metrics(),
     retryRatio: RETRY_RATIO,
     retrySlack: 100,
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -302,6 +302,7 @@
     const {retryRatio, retrySlack, retryWindowMs} = settings.bounds;
     const retryBudgets = new RetryBudgets({
       clock,
+      logger,
       metrics,
       retryRatio,
       retrySlack,
--- a/packages/banyanfold-gateway/src/requests/attemptResults.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptResults.ts
@@ -110,20 +110,24 @@
       result.kind === 'rejected' || result.kind === 'unreached';
     state.targets.noteRejected(runner.runnerId);
     const budget = context.retryBudgetOf(state.service);
+    const budgetTokens = budget.settle();
     const {shouldRetry, decision} = decideRequestRetry(context, route, {
       result,
       ...state.counts,
       hasStarted: state.relay.hasStarted,
       isVersionUncertain: state.stream.isVersionUncertain,
       deadlineMs: state.deadlineMs,
-      budgetTokens: budget.settle(),
+      budgetTokens,
+    });
+    const isCharged = shouldRetry && result.kind !== 'unreached';
+    state.log.retry(runner.runnerId, result, decision, state.mayHaveRun, {
+      left: budgetTokens,
+      isTaken: isCharged && budget.tryTake(),
     });
-    state.log.retry(runner.runnerId, result, decision, state.mayHaveRun);
     if (!shouldRetry) {
       this.fail(result);
       return;
     }
-    if (result.kind !== 'unreached') budget.tryTake();
     if (wasRejected) this.nextBackoffMs = this.rejectionBackoffMs();
     context.metrics.count('retries_total', {after: result.kind});
   }
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -225,6 +225,7 @@
     result: SentResult,
     decision: {kind: string; reason: string},
     mayHaveRun: boolean,
+    budget: {left: number; isTaken: boolean},
   ): void {
     this.logEvent('retry', {
       runner: runnerId,
@@ -234,6 +235,8 @@
       decision: decision.kind,
       reason: decision.reason,
       mayHaveRun,
+      budgetLeft: budget.left,
+      isBudgetTaken: budget.isTaken,
     });
   }
 
--- a/packages/banyanfold-gateway/src/requests/retryBudgets.ts
+++ b/packages/banyanfold-gateway/src/requests/retryBudgets.ts
@@ -1,8 +1,9 @@
-import type {Clock, Metrics} from '@banyanfold/core';
+import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import {RetryBudget, type RetryBudgetLimits} from '@banyanfold/log';
 
 export interface RetryBudgetsOptions {
   clock: Clock;
+  logger: Logger;
   metrics: Metrics;
   /** Retries that the deployment allows per request. */
   retryRatio: number;
@@ -101,6 +102,11 @@
     const before = this.limits();
     this.entries = entries;
     const limits = this.limits();
+    this.options.logger.info('retry-budget-sized', {
+      entries,
+      burst: limits.capacity,
+      perSecond: limits.tokensPerSecond,
+    });
     const addedRetries = wasUnknown ? limits.capacity - before.capacity : 0;
     for (const budget of this.budgets.values()) {
       budget.resize(limits, Math.max(0, addedRetries));
