--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -5,6 +5,7 @@
 import {runCrashingParts} from './crashingPartRun.js';
 import {runHerd} from './herdRun.js';
 import {runLeavings} from './leavingRun.js';
+import {runRestarts} from './restartRun.js';
 import {runSeed, type SeedVerdict} from './runSeed.js';
 import {runVersions} from './versionRun.js';
 import {runUsageCaps} from './usageCapRun.js';
@@ -18,6 +19,7 @@
                   five entries, sixteen runners and a prompt part that crashes them
   --herds         five entries, one of which gets most new connections
   --leavings      six entries and runners that leave under one or two faults
+  --restarts      twelve entries that end together while runners reject requests
   --half-core     with --leavings: each entry is stopped half of the time
   --regressions   the seeds that failed once, in place of others
   --seconds T     the span in which faults begin (default 12)
@@ -39,6 +41,7 @@
   crashingParts: boolean;
   herds: boolean;
   leavings: boolean;
+  restarts: boolean;
   halfCore: boolean;
 }
 
@@ -53,6 +56,7 @@
       'crashing-parts': {type: 'boolean', default: false},
       herds: {type: 'boolean', default: false},
       leavings: {type: 'boolean', default: false},
+      restarts: {type: 'boolean', default: false},
       'half-core': {type: 'boolean', default: false},
       seconds: {type: 'string', default: '12'},
       parallel: {type: 'string', default: '2'},
@@ -79,6 +83,7 @@
     crashingParts: values['crashing-parts'],
     herds: values.herds,
     leavings: values.leavings,
+    restarts: values.restarts,
     halfCore: values['half-core'],
   };
 }
@@ -154,6 +159,18 @@
   return violations.length === 0;
 }
 
+async function playRestarts(seed: number, folder: string): Promise<boolean> {
+  const verdict = await runRestarts({seed, folder});
+  const {violations, ends, requests, served, retries, left} = verdict;
+  console.log(
+    `seed ${seed}: ${violations.length === 0 ? 'ok' : 'BROKEN'}, ${ends}, ` +
+      `${served} of ${requests} served, ${retries} retries, ` +
+      `${Math.floor(left)} left in the fullest window`,
+  );
+  for (const {rule, what} of violations) console.log(`  ${rule}: ${what}`);
+  return violations.length === 0;
+}
+
 async function playLeavings(
   seed: number,
   folder: string,
@@ -182,6 +199,7 @@
   if (args.crashingParts) return playCrashingParts(seed, folder);
   if (args.herds) return playHerds(seed, folder);
   if (args.leavings) return playLeavings(seed, folder, args.halfCore);
+  if (args.restarts) return playRestarts(seed, folder);
   if (args.versions) return playVersions(seed, folder);
   const verdict = await runSeed({
     seed,
