Use 1/730 of a runner's limit until the holder tells of its use

What callers saw: nothing seen; found by looking for the cause of retries beyond the budget elsewhere.

Cause: a share by the number of entries, which is assumed or told too low just after a start. The share is now one of the largest number that the system is designed for, until the holder tells how much all use. The price: other runners get the requests for up to two exchanges after a runner first names a limit.

Requests from entries that have not heard of the limit for 0.5 s don't count in the two new cases only; the cases before count all as they did.

--- a/packages/banyanfold-decisions/src/limits/decideRateLimit.ts
+++ b/packages/banyanfold-decisions/src/limits/decideRateLimit.ts
@@ -23,8 +23,6 @@
   ownAskedPerSecond: number;
   /** Undefined until the lease holder has reported the use. */
   fleet?: ReceivedRateUse;
-  /** Number of active entries, including this one. */
-  entries: number;
   /** Returns a uniform number in [0, 1). */
   random(): number;
 }
@@ -40,6 +38,11 @@
   maxFillRatio: number;
   /** Share of the limit to use while entries don't know each other's use. */
   uncoordinatedShare: number;
+  /**
+   * Number of entries that share that part until they know each other's use. A
+   * bound, because the number that is told is too low after all have started.
+   */
+  maxEntries: number;
   /** Below this rate of requests at this entry, a growth counts as noise. */
   noisePerSecond: number;
 }
@@ -50,6 +53,7 @@
   gain: 1,
   maxFillRatio: 1.1,
   uncoordinatedShare: 0.8,
+  maxEntries: 730,
   noisePerSecond: 4,
 };
 
@@ -69,7 +73,7 @@
  * the window.
  *
  * @example
- * decideRateLimit({limitPerSecond: 2, ownAskedPerSecond: 8, entries: 1,
+ * decideRateLimit({limitPerSecond: 2, ownAskedPerSecond: 8,
  *   fleet: {used: 8, askedPerSecond: 8, ageMs: 0, ownAskedPerSecond: 8,
  *     unaccounted: 0},
  *   random: () => 0.2}) // {kind: 'admit'}
@@ -86,9 +90,11 @@
 
 /** Requests per second that this entry may send. */
 function allowedRate(view: RateLimitView, options: RateLimitOptions): number {
-  const {limitPerSecond, ownAskedPerSecond, fleet, entries} = view;
+  const {limitPerSecond, ownAskedPerSecond, fleet} = view;
   const uncoordinated = limitPerSecond * options.uncoordinatedShare;
-  if (!fleet || fleet.askedPerSecond <= 0) return uncoordinated / entries;
+  if (!fleet || fleet.askedPerSecond <= 0) {
+    return uncoordinated / options.maxEntries;
+  }
   if (fleet.ageMs > options.maxAgeMs) {
     return (
       uncoordinated *
--- a/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
@@ -157,7 +157,6 @@
       logger,
       metrics,
       random,
-      entries: () => fleet.nodes.length,
     });
     const capacities = new RunnerCapacities({
       clock,
--- a/packages/banyanfold-gateway/src/__tests__/rateLimitFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/rateLimitFleet.ts
@@ -27,7 +27,9 @@
    * Whether reports and answers take one exchange longer, as through a relay.
    */
   isRelayed?: boolean;
-  /** Whether an entry is disconnected from the holder. */
+  /** Whether no entry reaches the holder. */
+  isUnreachable?: (nowMs: number) => boolean;
+  /** Whether an entry, whose requests don't count, is disconnected from it. */
   isDisconnected?: (entry: number, nowMs: number) => boolean;
   /** Whether an entry is frozen. */
   isFrozen?: (entry: number, nowMs: number) => boolean;
@@ -35,6 +37,11 @@
   restarts?: (entry: number, nowMs: number) => boolean;
   /** Whether another process becomes the holder at this step. */
   changesHolder?: (nowMs: number) => boolean;
+  /**
+   * Requests count from an entry that has known the limit for this long; all of
+   * them by default.
+   */
+  countedAfterMs?: number;
 }
 
 export interface RateLimitOutcome {
@@ -48,6 +55,8 @@
 
 interface Entry {
   limits: RunnerRateLimits;
+  /** When it received its first answer of the runner with a limit. */
+  knownSinceMs: number | undefined;
   /** In the order of delivery. */
   answers: HolderAnswer[];
 }
@@ -73,6 +82,7 @@
 ): Promise<RateLimitOutcome> {
   const {entries: count, durationMs, random, isRelayed = false} = scenario;
   const {limitedUntilMs = Number.POSITIVE_INFINITY} = scenario;
+  const {countedAfterMs} = scenario;
   const {isDisconnected = never, isFrozen = never, restarts = never} = scenario;
   const clock = new VirtualClock();
   const logger = new MemoryLogger();
@@ -83,8 +93,8 @@
       logger,
       metrics,
       random,
-      entries: () => count,
     }),
+    knownSinceMs: undefined,
     answers: [],
   });
   const entries = Array.from({length: count}, start);
@@ -120,10 +130,16 @@
     limits.prune(() => true);
   };
 
-  const send = (entry: Entry, isCounted: boolean, nowMs: number) => {
+  const hasKnownLimit = ({knownSinceMs}: Entry, nowMs: number) =>
+    countedAfterMs === undefined ||
+    (knownSinceMs !== undefined && nowMs - knownSinceMs >= countedAfterMs);
+
+  const send = (entry: Entry, isConnected: boolean, nowMs: number) => {
     if (entry.limits.acquire(RUNNER).kind === 'refuse') return;
+    const isCounted = isConnected && hasKnownLimit(entry, nowMs);
     sent.push({atMs: nowMs, isCounted});
     const isLimited = nowMs < limitedUntilMs;
+    if (isLimited) entry.knownSinceMs ??= nowMs;
     const facts = {
       signed: true,
       notExecuted: false,
@@ -139,6 +155,7 @@
     if (scenario.changesHolder?.(nowMs)) holder = new FleetRateLimits(clock);
     for (let i = 0; i < count; i++) {
       if (restarts(i, nowMs)) entries[i] = start();
+      if (scenario.isUnreachable?.(nowMs)) continue;
       if (isDisconnected(i, nowMs) || isFrozen(i, nowMs)) continue;
       const isDue = (nowMs + i * STEP_MS) % EXCHANGE_MS === 0;
       if (isDue) exchange(entries[i]!, nowMs);
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -161,7 +161,6 @@
       logger,
       metrics,
       random,
-      entries: () => this.entryCount,
     });
     const capacities = new RunnerCapacities({
       clock,
--- a/packages/banyanfold-gateway/src/runners/runnerRateLimits.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerRateLimits.ts
@@ -31,8 +31,6 @@
   logger: Logger;
   metrics: Metrics;
   random(): number;
-  /** Number of running entries, including this one. */
-  entries(): number;
 }
 
 /** Time constant of the exponential average of the request rate. */
@@ -126,7 +124,7 @@
   acquire(runnerId: string): RatePermit {
     const limited = this.limited.get(runnerId);
     if (limited?.perSecond === undefined) return {kind: 'unlimited'};
-    const {clock, entries, random, metrics} = this.options;
+    const {clock, random, metrics} = this.options;
     const nowMs = clock.nowMs();
     limited.requested.add(1, nowMs);
     limited.unreportedRequests += 1;
@@ -134,7 +132,6 @@
       limitPerSecond: Math.max(limited.perSecond, MIN_PER_SECOND),
       ownAskedPerSecond: limited.requested.perSecond(nowMs),
       fleet: toFleetRateUse(limited, nowMs),
-      entries: entries(),
       random,
     });
     const used = decision.kind === 'admit' ? 1 : 0;
