Grant retries only with an unexpired lease, and late in a new term

A holder that can't reach the store goes on giving orders, since runners check tokens; nobody checks permits, so it and its successor would both have granted the slack. A process that lost the lease and got it again took itself for the first holder of the deployment.

--- a/packages/banyanfold-gateway/src/__tests__/leaseManager.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseManager.model.test.ts
@@ -291,6 +291,19 @@
     expect(unfenced.holders()).toHaveLength(0);
   });
 
+  // Guards against permits to retry from two processes that each hold a lease.
+  it('counts a lease as expired while its holder goes on without the store', async () => {
+    const world = new Simulation(true);
+    const unexpired = () =>
+      world.processes.filter(({manager}) => manager.current().isUnexpired);
+    await world.run(LEASE_MS + 500);
+    expect(unexpired()).toEqual(world.holders());
+    world.store.state = 'down';
+    await world.run(2 * TTL_MS);
+    expect(world.holders()).toHaveLength(1);
+    expect(unexpired()).toEqual([]);
+  });
+
   it('logs a store outage and the recovery once', async () => {
     const world = new Simulation(true);
     await world.run(LEASE_MS);
--- a/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
@@ -195,6 +195,7 @@
           permitsPerWindow: 50,
           windowMs: 10_000,
           grantedForMs: 2_000,
+          leaseTtlMs: 1_000,
           entryCount: () => 1,
         }),
         isFirstHolder: () => true,
@@ -263,6 +264,7 @@
     const state: LeaseState = {
       isHolder,
       owns: isHolder,
+      isUnexpired: isHolder,
       isVacant: false,
       fencingToken: 1,
       term: 1,
--- a/packages/banyanfold-gateway/src/__tests__/retryFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/retryFleet.ts
@@ -6,6 +6,7 @@
 export const RETRY_RATIO = 0.2;
 export const RETRY_WINDOW_MS = 10_000;
 const USED_SHARE = 0.85;
+const LEASE_TTL_MS = 1_000;
 const STEP_MS = 100;
 const MS_PER_SECOND = 1000;
 const SERVICE = 'desk';
@@ -189,6 +190,7 @@
       permitsPerWindow: retrySlack * USED_SHARE,
       windowMs: RETRY_WINDOW_MS,
       grantedForMs: GRANTED_FOR_MS,
+      leaseTtlMs: LEASE_TTL_MS,
       entryCount: () => COUNTS[count](entries),
     });
     grants.begin(isFirst);
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -37,6 +37,7 @@
 } from './runners/runnerConnections.js';
 import {WorkForecast} from './requests/workForecast.js';
 import {GRANTED_FOR_MS, RetryBudgets} from './requests/retryBudgets.js';
+import {MAX_LEASE_TTL_MS} from './placement/leaseTtlMs.js';
 import {RetryGrants} from './placement/retryGrants.js';
 import {RunnerStates} from './runners/runnerStates.js';
 import type {
@@ -244,6 +245,7 @@
         permitsPerWindow: retrySlack * options.retryBudgetShare,
         windowMs: retryWindowMs,
         grantedForMs: GRANTED_FOR_MS,
+        leaseTtlMs: MAX_LEASE_TTL_MS,
         entryCount: () => this.entryCount,
       }),
       isFirstHolder: () =>
--- a/packages/banyanfold-gateway/src/peers/retryGrantLink.ts
+++ b/packages/banyanfold-gateway/src/peers/retryGrantLink.ts
@@ -33,7 +33,7 @@
   ): Promise<RetryGrant | undefined> {
     const {lease, ownHandlers, relayAddress, holderAddress} = this.options;
     const input = {service, count, isForwarded: false};
-    if (lease.current().isHolder) return ownHandlers.grantRetries(input);
+    if (lease.current().owns) return ownHandlers.grantRetries(input);
     return this.send(relayAddress() ?? holderAddress(), input);
   }
 
@@ -42,7 +42,7 @@
     input: RetryGrantInput,
   ): Promise<RetryGrant | undefined> => {
     const {lease, ownHandlers, clock, holderAddress} = this.options;
-    if (lease.current().isHolder) return ownHandlers.grantRetries(input);
+    if (lease.current().owns) return ownHandlers.grantRetries(input);
     if (input.isForwarded) return undefined;
     const {service, count} = input;
     const pausedForMs = (this.pausedUntilMs.get(service) ?? 0) - clock.nowMs();
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -245,8 +245,9 @@
    */
   private handleTermChange(term: number, nowMs: number): void {
     if (term === this.usageTerm) return;
+    const {retryGrants, isFirstHolder} = this.deps;
+    retryGrants.begin(this.usageTerm === undefined && isFirstHolder());
     this.usageTerm = term;
-    this.deps.retryGrants.begin(this.deps.isFirstHolder());
     this.fleetUsage = this.createFleetUsage(nowMs);
     this.shares.reset();
     this.rateLimits = new FleetRateLimits(this.deps.clock);
@@ -419,11 +420,14 @@
     return crashes.permitTrial(input);
   }
 
-  /** Undefined from a process that doesn't hold the lease. */
+  /**
+   * Undefined from a process that doesn't hold the lease. One whose lease has
+   * expired grants nothing, as its successor may do so before it knows.
+   */
   grantRetries({service, count}: RetryGrantInput): RetryGrant | undefined {
     const {lease, clock, logger, retryGrants} = this.deps;
-    const {isHolder, term} = lease.current();
-    if (!isHolder) return undefined;
+    const {isUnexpired, term} = lease.current();
+    if (!isUnexpired) return undefined;
     this.handleTermChange(term, clock.nowMs());
     const grant = retryGrants.grant(service, count);
     logger.info('retries-granted', {service, requested: count, ...grant});
--- a/packages/banyanfold-gateway/src/placement/leaseManager.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseManager.ts
@@ -152,6 +152,7 @@
     return {
       isHolder,
       owns: this.ownsLease,
+      isUnexpired: this.ownsLease && !this.hasLapsed(),
       isVacant: this.isVacant,
       fencingToken: this.generation * MAX_HANDOVERS + this.handoverCount,
       term: this.term,
--- a/packages/banyanfold-gateway/src/placement/leaseTtlMs.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseTtlMs.ts
@@ -5,7 +5,7 @@
 /** Processor share at which `BASE_TTL_MS` is long enough. */
 const REFERENCE_SHARE = 0.5;
 /** Without a holder no missing adapter is loaded, which bounds the duration. */
-const MAX_TTL_MS = 2_000;
+export const MAX_LEASE_TTL_MS = 2_000;
 
 /**
  * Returns how long the lease of a process lasts without a renewal. A process
@@ -19,6 +19,6 @@
  */
 export function leaseTtlMs(processorShare: number, minMs: number): number {
   const scaledMs = (BASE_TTL_MS * REFERENCE_SHARE) / processorShare;
-  const boundedMs = Math.min(Math.max(scaledMs, BASE_TTL_MS), MAX_TTL_MS);
+  const boundedMs = Math.min(Math.max(scaledMs, BASE_TTL_MS), MAX_LEASE_TTL_MS);
   return Math.max(Math.round(boundedMs), minMs);
 }
--- a/packages/banyanfold-gateway/src/placement/retryGrants.ts
+++ b/packages/banyanfold-gateway/src/placement/retryGrants.ts
@@ -8,6 +8,8 @@
   windowMs: number;
   /** How long a permit is valid. */
   grantedForMs: number;
+  /** How long another holder may grant after this one took over. */
+  leaseTtlMs: number;
   /** Number of active entries, which sets the pace of their requests. */
   entryCount(): number;
 }
@@ -20,6 +22,8 @@
 const MIN_PAUSE_MS = 1_000;
 /** Lets all refused entries together ask 50 times a second. */
 const PAUSE_PER_ENTRY_MS = 20;
+/** A holder that takes over meanwhile may grant again. */
+const MAX_PAUSE_MS = 5_000;
 
 /**
  * Permits to retry that the lease holder grants to entries that have earned
@@ -38,8 +42,10 @@
    * @param isFirst no other process has granted any permits.
    */
   begin(isFirst: boolean): void {
-    const nowMs = this.options.clock.nowMs();
-    this.pausedUntilMs = isFirst ? nowMs : nowMs + this.countedMs;
+    const {clock, leaseTtlMs} = this.options;
+    const nowMs = clock.nowMs();
+    const otherGrantsMs = leaseTtlMs + this.countedMs;
+    this.pausedUntilMs = isFirst ? nowMs : nowMs + otherGrantsMs;
   }
 
   /** @example grants.grant('drafting', 2) // {granted: 2, retryAfterMs: 0} */
@@ -70,7 +76,7 @@
     const retryAfterMs = Math.max(
       MIN_PAUSE_MS,
       entryCount() * PAUSE_PER_ENTRY_MS,
-      Math.min(untilMs - clock.nowMs(), this.countedMs),
+      Math.min(untilMs - clock.nowMs(), MAX_PAUSE_MS),
     );
     return {granted: 0, retryAfterMs};
   }
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -355,6 +355,12 @@
    * valid.
    */
   owns: boolean;
+  /**
+   * The lease has not expired, so no other process holds it. A holder that
+   * can't reach the store may give orders for longer, because runners check
+   * their tokens.
+   */
+  isUnexpired: boolean;
   /** The store last reported that nobody holds the lease. */
   isVacant: boolean;
   /** Increases with each change of holder. */
