Spread prompts that share no part over the runners

What callers saw: streams refused with 503 (reason=queue) while runners were idle.

Cause: such a prompt had an affinity key all the same, the model's name, so all of them ranked the runners alike, and the slack of the choice is many short prompts wide. It now has a key of its own, so the bounded choice by load stays and the order differs. Prompts with a shared part or an adapter are ranked as before.

--- a/packages/banyanfold-gateway/src/__tests__/targetChooser.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/targetChooser.test.ts
@@ -11,6 +11,7 @@
 const RUNNERS = ['r1', 'r2', 'r3'];
 const BORN_MS = 5;
 const PLAIN_CALL = {work: {prefill: 1, decode: 0}};
+const SHORT_PROMPT = {work: {prefill: 0.05, decode: 0.05}, model: 'm1'};
 
 let clock: VirtualClock;
 let view: FleetView;
@@ -20,6 +21,7 @@
 let chooser: TargetChooser;
 let holders: string[];
 let modelChooser: TargetChooser;
+let random: () => number;
 
 beforeEach(() => {
   clock = new VirtualClock();
@@ -28,6 +30,7 @@
   runnerBackoffs = new RunnerBackoffs({clock, logger});
   speeds = {};
   holders = [...RUNNERS];
+  random = () => 0.5;
   states = new RunnerStates(clock, logger, DEFAULT_OPTIONS);
   const context = {
     clock,
@@ -48,7 +51,7 @@
       holdsModel: (id: string) => holders.includes(id),
     },
     failureDomain: 'hall-a',
-    random: () => 0.5,
+    random: () => random(),
   };
   chooser = new TargetChooser({
     context: context as unknown as GatewayContext,
@@ -94,6 +97,21 @@
 }
 
 describe('TargetChooser', () => {
+  // Guards against prompts that share nothing and all go to the same runner
+  // until it has no place left, while others are idle.
+  it('spreads prompts that share no part over the runners', () => {
+    let drawn = 0;
+    random = () => (drawn = (drawn + 0.618) % 1);
+    const chosen = Array.from({length: 60}, () => {
+      const {runnerId} = modelChooser.choose()!.runner;
+      states.recordStart(runnerId, 'desk', SHORT_PROMPT);
+      return runnerId;
+    });
+    const counts = RUNNERS.map(id => chosen.filter(each => each === id).length);
+    expect(Math.max(...counts)).toBeLessThanOrEqual(30);
+    expect(Math.min(...counts)).toBeGreaterThanOrEqual(10);
+  });
+
   // Guards against events of two software versions in one stream.
   it('chooses runners of the required version only', () => {
     setVersion('r2', 'v2');
--- a/packages/banyanfold-gateway/src/requests/targetChooser.ts
+++ b/packages/banyanfold-gateway/src/requests/targetChooser.ts
@@ -266,7 +266,8 @@
 
   /** What the request shares with others; undefined for a plain service. */
   private affinity(): Affinity | undefined {
-    const {model, adapter, promptParts, promptTokens} = this.options.request;
+    const {context, request} = this.options;
+    const {model, adapter, promptParts, promptTokens} = request;
     if (model === undefined) return undefined;
     // The last prompt part is unique to the request.
     const shared = promptParts.slice(0, -1);
@@ -277,8 +278,13 @@
       outputTokens: 0,
     });
     // With an adapter, requests are grouped by it alone: a runner has fewer
-    // adapter slots than there are prompts that use the adapter.
-    const affinityId = adapter ?? shared.map(({partId}) => partId).join(',');
+    // adapter slots than there are prompts that use the adapter. A prompt that
+    // shares nothing has an order of the runners of its own.
+    const affinityId =
+      adapter ??
+      (shared.length > 0
+        ? shared.map(({partId}) => partId).join(',')
+        : String(context.random()));
     return {
       key: `${model}/${affinityId}`,
       sharedWork: sharedTokens > 0 ? prefill : 0,
