Answer a request whose body takes longer than its time with 504

What callers saw: a request with a body that came slowly was answered only once the body had ended, long after its route's time, with 503, reason=queue and a negative time to return in the log; one whose body never ended was not answered at all.

Cause: the time of a request was first looked at after its body had been read. It now runs from the head: at the route's time, or the caller's own if that is shorter, the request is answered with 504 and its connection closed. No runner has had it then.

gatewayServer.test.ts, both cases red before (no answer in 3 s).

--- a/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
@@ -8,6 +8,8 @@
 import {DEFAULT_OPTIONS} from '../options.js';
 import {HeldBytes} from '../resources/heldBytes.js';
 
+const ROUTE_TIMEOUT_MS = 300;
+
 let server: GatewayServer;
 let logger: MemoryLogger;
 let thrown: unknown[];
@@ -18,6 +20,7 @@
 let isReady: boolean;
 let hasDescriptors: boolean;
 let heldBytes: HeldBytes;
+let decoded: {request: {deadlineMs?: number}} | undefined;
 
 const recordThrown = (error: unknown) => thrown.push(error);
 
@@ -30,6 +33,7 @@
   isLate = false;
   isReady = true;
   hasDescriptors = true;
+  decoded = undefined;
   heldBytes = new HeldBytes({
     clock: systemClock,
     logger,
@@ -39,7 +43,6 @@
   });
   process.on('unhandledRejection', recordThrown);
   server = new GatewayServer({
-    clock: systemClock,
     logger,
     metrics: new Metrics(),
     view: {
@@ -51,7 +54,8 @@
         isReady = true;
         return () => {};
       },
-      findRoute: () => (hasRoute ? {name: 'letter'} : undefined),
+      findRoute: () =>
+        hasRoute ? {name: 'letter', timeoutMs: ROUTE_TIMEOUT_MS} : undefined,
       isConfigConfirmed: () => isConfigConfirmed,
     },
     refreshConfig: () => {
@@ -59,6 +63,7 @@
     },
     codec: {
       decodeRequest: () => {
+        if (decoded) return decoded;
         throw new Error('unexpected failure');
       },
     },
@@ -75,6 +80,8 @@
     },
     random: () => 0,
     isDraining: () => false,
+    options: DEFAULT_OPTIONS,
+    clock: systemClock,
   } as unknown as GatewayContext);
   await server.listen(0, '127.0.0.1');
 });
@@ -183,4 +190,25 @@
     await closed;
     expect(received).toMatch(/^HTTP\/1.1 503 /);
   });
+
+  // Guards against callers that are answered only once their body has ended, or
+  // never, with a reason and a time to return that are wrong.
+  it.each([
+    ["its route's", undefined],
+    ["the caller's", 100],
+  ])(
+    'responds with 504 to a body that takes longer than %s time',
+    async (_name, deadlineMs) => {
+      decoded = {request: {deadlineMs}};
+      const {port} = server.server.address() as AddressInfo;
+      const socket = net.connect(port, '127.0.0.1');
+      let received = '';
+      socket.on('data', bytes => (received += String(bytes)));
+      const closed = new Promise(resolve => socket.once('close', resolve));
+      socket.write('POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nx');
+      await closed;
+      expect(received).toMatch(/^HTTP\/1.1 504 /);
+      expect(received).not.toContain('retry-after');
+    },
+  );
 });
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -6,7 +6,11 @@
 import type {GatewayContext} from './context.js';
 import {ERROR_STATUS, sendErrorResponse} from './requests/errorResponse.js';
 import {HeadRefusals} from './requests/headRefusals.js';
-import {announcedBytes, readBody} from './requests/readBody.js';
+import {
+  announcedBytes,
+  hasUnknownLength,
+  readBody,
+} from './requests/readBody.js';
 import {RequestHandler} from './requests/requestHandler.js';
 import {CallerIdentity} from './callers/callerIdentity.js';
 import type {CallerLimits} from './types.js';
@@ -126,10 +130,12 @@
         else this.refusals.refuseForMemory(request, response, true);
       };
     }
+    const stopTimer = this.limitBodyTime(request, response);
     const body = await readBody(request, {
       maxBytes: this.limits.maxBodyBytes,
       addBytes: holding && (bytes => holding.addBody(bytes)),
     });
+    stopTimer();
     if (body === 'broken-off' || response.headersSent) return;
     holding?.endBody();
     if (body === 'no-memory') {
@@ -251,6 +257,31 @@
     return this.pendingLoopTurns;
   }
 
+  /**
+   * Answers a request whose body takes longer than the request may take. No
+   * runner has it, but a 503 would ask its caller to come back, whose time is
+   * over.
+   *
+   * @returns a function to be called once the body has arrived.
+   */
+  private limitBodyTime(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): () => void {
+    const {view, codec, options, clock} = this.context;
+    const hasBody = announcedBytes(request) > 0 || hasUnknownLength(request);
+    const host = request.headers.host ?? '';
+    const route = hasBody && view.findRoute(host, request.url ?? '/');
+    if (!route) return () => {};
+    const {deadlineMs} = codec.decodeRequest(request.rawHeaders).request;
+    const allowedMs = Math.min(route.timeoutMs, deadlineMs ?? Infinity);
+    const timer = clock.setTimer(allowedMs - options.deadlineMarginMs, () => {
+      if (response.headersSent) return;
+      this.refusals.refuse(request, response, ERROR_STATUS.timeout, true);
+    });
+    return () => timer.cancel();
+  }
+
   /** Whether this process is too late to serve the request in its time. */
   private isTooLate(request: IncomingMessage): boolean {
     const {backlog, view} = this.context;
