--- a/bench/src/decisions/__tests__/decisionsBench.test.ts
+++ b/bench/src/decisions/__tests__/decisionsBench.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {annotateRows} from '../annotateRows.js';
-import {compare, type ResultRow} from '../compare.js';
+import {compare} from '../compare.js';
+import type {ResultRow} from '../resultRow.js';
 import {DEPLOYMENTS} from '../deployments.js';
 import {EventQueue} from '../eventQueue.js';
 import {FakeEngine, type EngineJob} from '../fakes/fakeEngine.js';
--- a/bench/src/decisions/annotateRows.ts
+++ b/bench/src/decisions/annotateRows.ts
@@ -1,4 +1,4 @@
-import type {ResultRow} from './compare.js';
+import type {ResultRow} from './resultRow.js';
 
 const OURS = 'banyanfold';
 /** Rows that are no baselines. */
--- a/bench/src/decisions/compare.ts
+++ b/bench/src/decisions/compare.ts
@@ -2,6 +2,7 @@
 import type {DeploymentSpec} from './deployments.js';
 import type {RunResult} from './metrics.js';
 import {pooledBound} from './pooledBound.js';
+import type {ResultRow, Spread} from './resultRow.js';
 import type {Scenario} from './scenarios.js';
 import {simulateRun} from './simulateRun.js';
 import {drawTrace} from './trace.js';
@@ -10,28 +11,6 @@
 /** The row of the upper bound. */
 const BOUND_NAME = 'pooled-bound';
 
-export interface Spread {
-  mean: number;
-  min: number;
-  max: number;
-}
-
-/** One line of the comparison. */
-export interface ResultRow {
-  deployment: string;
-  scenario: string;
-  policy: string;
-  seeds: number[];
-  attainmentPerAccelerator: Spread;
-  attainment: Spread;
-  deskAttainment: Spread;
-  moves: Spread;
-  ttftP95Ms: Spread;
-  refusedShare: Spread;
-  withoutCopy: Spread;
-  note: string;
-}
-
 export interface CompareOptions {
   deployments: DeploymentSpec[];
   scenarios: Scenario[];
--- a/bench/src/decisions/output/drawPlot.ts
+++ b/bench/src/decisions/output/drawPlot.ts
@@ -1,4 +1,4 @@
-import type {ResultRow} from '../compare.js';
+import type {ResultRow} from '../resultRow.js';
 
 const BAR_HEIGHT = 7;
 const GROUP_GAP = 10;
--- a/bench/src/decisions/output/renderTable.ts
+++ b/bench/src/decisions/output/renderTable.ts
@@ -1,4 +1,4 @@
-import type {ResultRow, Spread} from '../compare.js';
+import type {ResultRow, Spread} from '../resultRow.js';
 
 const PERCENT = 100;
 const COLUMNS = [
--- a/bench/src/decisions/output/writeResults.ts
+++ b/bench/src/decisions/output/writeResults.ts
@@ -1,6 +1,6 @@
 import {mkdir, writeFile} from 'node:fs/promises';
 import {fileURLToPath} from 'node:url';
-import type {ResultRow} from '../compare.js';
+import type {ResultRow} from '../resultRow.js';
 import {drawPlot} from './drawPlot.js';
 import {renderTable} from './renderTable.js';
 
--- a/soak/src/__tests__/judge.test.ts
+++ b/soak/src/__tests__/judge.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import type {Call} from '../callers.js';
-import {judge, type SoakRecord} from '../judge.js';
+import {judge} from '../judge.js';
+import type {SoakRecord} from '../soakRecord.js';
 import type {ResumedStream} from '../resumingCaller.js';
 
 const QUIET: SoakRecord = {
--- a/soak/src/configProber.ts
+++ b/soak/src/configProber.ts
@@ -1,7 +1,7 @@
 import {sendRequest} from '@banyanfold/platform/standins';
 import type {EntryProcess} from './entryProcess.js';
 import type {AddedRoute, FaultContext} from './faults.js';
-import type {ConfigProbe} from './judge.js';
+import type {ConfigProbe} from './soakRecord.js';
 import {pause} from './pause.js';
 
 const PROBE_INTERVAL_MS = 250;
--- a/soak/src/crashingPartRun.ts
+++ b/soak/src/crashingPartRun.ts
@@ -8,7 +8,7 @@
   type RunnerStandinOptions,
 } from '@banyanfold/platform/standins';
 import type {EntryProcess} from './entryProcess.js';
-import type {Violation} from './judge.js';
+import type {Violation} from './soakRecord.js';
 import {pause} from './pause.js';
 import {createDraw} from './random.js';
 import {startEntries} from './startEntries.js';
--- a/soak/src/judge.ts
+++ b/soak/src/judge.ts
@@ -5,56 +5,16 @@
 } from '@banyanfold/platform/standins';
 import {CALL_KINDS, type Call} from './callers.js';
 import {sentAfterLeaving, sentInPause, sentToLeaving} from './noticeRules.js';
-import type {ResumedStream} from './resumingCaller.js';
 import type {FaultKind} from './soakPlan.js';
-import {STREAM_EVENTS, type Leaving} from './soakSystem.js';
+import type {
+  ConfigProbe,
+  PlayedFault,
+  SoakRecord,
+  Violation,
+} from './soakRecord.js';
+import {STREAM_EVENTS} from './soakSystem.js';
 import {brokenStreams, mixedStreams} from './streamRules.js';
 
-/** A fault as it was played. */
-export interface PlayedFault {
-  kind: FaultKind;
-  fromMs: number;
-  toMs: number;
-  /** The entry that it struck; undefined for others. */
-  entry?: string;
-}
-
-/** One question which configuration is in force at an entry. */
-export interface ConfigProbe {
-  entry: string;
-  entryStart: number;
-  route: string;
-  /** When the store had the route. */
-  addedMs: number;
-  askedMs: number;
-  isKnown: boolean;
-}
-
-/** What callers, runners and the supervisor saw of one run. */
-export interface SoakRecord {
-  calls: readonly Call[];
-  /** Streams of callers that leave and take them up again. */
-  streams: readonly ResumedStream[];
-  /** Sendings of the requests that crash each runner that runs them. */
-  crashing: readonly Call[];
-  /** All that reached a runner, by request id. */
-  seen: ReadonlyMap<string, readonly ReceivedRequest[]>;
-  orders: readonly AcceptedOrder[];
-  overfilled: readonly AcceptedOrder[];
-  faults: readonly PlayedFault[];
-  probes: readonly ConfigProbe[];
-  leavings: readonly Leaving[];
-  /** Processes that ended by themselves. */
-  ownEnds: readonly string[];
-  /** What was not served again after the last fault. */
-  notRecovered: readonly string[];
-}
-
-export interface Violation {
-  rule: string;
-  what: string;
-}
-
 /** Statuses that promise that the request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 /** A fault is felt this long after it is over: silent connections time out. */
--- a/soak/src/leavingRun.ts
+++ b/soak/src/leavingRun.ts
@@ -1,7 +1,7 @@
 import {mkdirSync} from 'node:fs';
 import {join} from 'node:path';
 import type {RunnerStandin} from '@banyanfold/platform/standins';
-import type {Violation} from './judge.js';
+import type {Violation} from './soakRecord.js';
 import {
   LeavingSystem,
   type LeavingEntry,
--- a/soak/src/noticeRules.ts
+++ b/soak/src/noticeRules.ts
@@ -1,6 +1,6 @@
 import type {ReceivedRequest} from '@banyanfold/platform/standins';
 import type {Call} from './callers.js';
-import type {PlayedFault, SoakRecord} from './judge.js';
+import type {PlayedFault, SoakRecord} from './soakRecord.js';
 
 /** A request that one entry passed on to one runner. */
 interface Passed {
--- a/soak/src/restartRun.ts
+++ b/soak/src/restartRun.ts
@@ -1,6 +1,6 @@
 import {PlatformStandin, sendRequest} from '@banyanfold/platform/standins';
 import type {EntryProcess} from './entryProcess.js';
-import type {Violation} from './judge.js';
+import type {Violation} from './soakRecord.js';
 import {pause} from './pause.js';
 import {createDraw, type Draw} from './random.js';
 import {
--- a/soak/src/runSeed.ts
+++ b/soak/src/runSeed.ts
@@ -3,15 +3,11 @@
 import {CrashingCaller} from './crashingCaller.js';
 import {ConfigProber} from './configProber.js';
 import {FAULT_HANDLERS, type FaultContext} from './faults.js';
-import {
-  judge,
-  type PlayedFault,
-  type SoakRecord,
-  type Violation,
-} from './judge.js';
+import {judge} from './judge.js';
 import {pause} from './pause.js';
 import {createDraw} from './random.js';
 import {planFaults, type PlannedFault} from './soakPlan.js';
+import type {PlayedFault, SoakRecord, Violation} from './soakRecord.js';
 import {ResumingCaller} from './resumingCaller.js';
 import {HIGH_LOAD_SETTINGS} from './highLoadSettings.js';
 import {SoakSystem} from './soakSystem.js';
--- a/soak/src/usageCapRun.ts
+++ b/soak/src/usageCapRun.ts
@@ -1,7 +1,7 @@
 import {PlatformStandin, sendRequest} from '@banyanfold/platform/standins';
 import type {EntryProcess} from './entryProcess.js';
 import {HIGH_LOAD_SETTINGS} from './highLoadSettings.js';
-import type {Violation} from './judge.js';
+import type {Violation} from './soakRecord.js';
 import {pause} from './pause.js';
 import {createDraw} from './random.js';
 import {startEntries} from './startEntries.js';
