Cut off answers of runners that have no end, and avoid the runner

A runner whose status line, head, interim heads, body, framing or event never ends held each caller to the deadline, who then got 504 beside an idle runner; an event without end also took memory, in time that grew with its square.

Cause: heads were limited in bytes by the parser, except for the status line, interim heads and empty lines; bodies by bytes only; nothing by time, and events and comments of streams by nothing at all. An attempt that ended with its caller's time said nothing about its runner.

Now each part of an answer has a limit in bytes and in time (ResponseLimits), checked as bytes arrive: silence is no answer without end, and a body may be as slow as 4 kB/s. An answer beyond one is treated as a broken connection, so that streams go on elsewhere after their last whole event, and the runner is ejected for 2.5 s. Chunks of an event are joined once. An idle connection on which bytes arrive is closed.

Ruled out: timers for each head, which would fire for a process that was stopped while the rest of the head waits in its socket.

--- a/packages/banyanfold-gateway/src/__tests__/eventSplitter.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/eventSplitter.test.ts
@@ -9,14 +9,19 @@
     const events = splitter.push(Buffer.from('ta: a\n\nid: 2\ndata: b'));
     expect(events?.bytes.toString()).toBe('id: 1\ndata: a\n\n');
     expect(events?.lastEventId).toBe('1');
-    expect(splitter.pending.toString()).toBe('id: 2\ndata: b');
+    expect(splitter.pendingBytes).toBe('id: 2\ndata: b'.length);
+    const second = splitter.push(Buffer.from('\n\n'));
+    expect(second?.bytes.toString()).toBe('id: 2\ndata: b\n\n');
+    expect(splitter.pendingBytes).toBe(0);
   });
 
   it('recognizes blank lines with carriage returns', () => {
     const splitter = new EventSplitter();
     const events = splitter.push(Buffer.from('id: 9\r\ndata: a\r\n\r\nid'));
     expect(events?.lastEventId).toBe('9');
-    expect(splitter.pending.toString()).toBe('id');
+    expect(splitter.pendingBytes).toBe('id'.length);
+    const second = splitter.push(Buffer.from(': 10\r\n\r\n'));
+    expect(second?.bytes.toString()).toBe('id: 10\r\n\r\n');
   });
 
   it('loses no byte, however the stream is split into chunks', () => {
--- a/packages/banyanfold-gateway/src/requests/attempt.ts
+++ b/packages/banyanfold-gateway/src/requests/attempt.ts
@@ -19,6 +19,9 @@
 
 /** Receives one response as it arrives. */
 export interface AttemptObserver {
+  /** Called when bytes were read, after the calls for the parts in them. */
+  onRead(bytes: number): void;
+  onInterimHead(): void;
   onHead(head: ResponseHead): void;
   /** Returns false to pause the response until `resume` is called. */
   onData(chunk: Buffer): boolean;
@@ -41,6 +44,9 @@
   ) {}
 
   send({method, target, headers, body}: AttemptRequest): void {
+    this.connection.onRead = bytes => {
+      if (!this.isDone) this.observer.onRead(bytes);
+    };
     const hasBody = body.length > 0 || !BODILESS_METHODS.has(method);
     this.connection.dispatch(
       {
@@ -55,9 +61,10 @@
           if (this.isDone) controller.abort(new Error('attempt cancelled'));
         },
         onResponseStart: (_controller, status, headers) => {
+          if (this.isDone) return;
           // 1xx responses are interim; the final response follows.
-          if (this.isDone || status < 200) return;
-          this.observer.onHead({status, headers});
+          if (status < 200) this.observer.onInterimHead();
+          else this.observer.onHead({status, headers});
         },
         onResponseData: (controller, chunk) => {
           if (this.isDone) return;
--- a/packages/banyanfold-gateway/src/requests/attemptResult.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptResult.ts
@@ -1,4 +1,5 @@
 import type {ResponseHeaders} from '../types.js';
+import type {ResponseLimit} from './responseLimits.js';
 
 /** How one attempt to send a request to a runner ended. */
 export type AttemptResult =
@@ -35,6 +36,8 @@
       error: string;
       /** The runner closed the connection; it may have crashed. */
       isClosedByRunner: boolean;
+      /** The limit that the response exceeded, for which it was cut off. */
+      limit?: ResponseLimit;
     };
 
 /** How an attempt that was sent, or could not be, ended. */
@@ -45,6 +48,12 @@
   return {kind: 'broken', error, isClosedByRunner: false};
 }
 
+/** The result of an attempt whose response was cut off at a limit. */
+export function limitExceededResult(limit: ResponseLimit): AttemptResult {
+  const error = `the response exceeds a limit: ${limit}`;
+  return {kind: 'broken', error, isClosedByRunner: false, limit};
+}
+
 /** The result of an attempt whose connection the runner closed early. */
 export function closedByRunnerResult(error: string): AttemptResult {
   return {kind: 'broken', error, isClosedByRunner: true};
--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -190,6 +190,11 @@
     if (result.kind === 'broken' && result.isClosedByRunner) {
       context.crashWatch.noteConnectionLost(runner, state.fingerprints);
     }
+    if (result.kind === 'broken' && result.limit) {
+      const {limit} = result;
+      context.metrics.count('responses_cut_off_total', {limit});
+      context.runnerStates.ejectForLimit(runnerId, state.service, limit);
+    }
     if (result.kind === 'unreached' && result.isRefused) {
       context.crashWatch.noteRefused(runner);
     }
--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import {errors} from 'undici';
 import type {GatewayContext} from '../context.js';
 import {
   UnwantedConnectionError,
@@ -20,15 +21,17 @@
 import {
   brokenResult,
   closedByRunnerResult,
+  limitExceededResult,
   type AttemptResult,
 } from './attemptResult.js';
-import {EventSplitter} from './eventSplitter.js';
+import {EventSplitter, type CompleteEvents} from './eventSplitter.js';
 import {
   decodeHead,
   integrityErrorOf,
   isReusable,
   type IncomingResponse,
 } from './incomingResponse.js';
+import {ResponseLimits, type ResponseLimit} from './responseLimits.js';
 import {ResponseWriter} from './responseWriter.js';
 
 export type {AttemptResult, SentResult} from './attemptResult.js';
@@ -160,13 +163,22 @@
     const sentMs = context.clock.nowMs();
     let incoming: IncomingResponse | undefined;
     this.readUnsentBytes = () =>
-      (incoming?.bufferedBytes ?? 0) + splitter.pending.length;
-    const fail = (error: string) => {
+      (incoming?.bufferedBytes ?? 0) + splitter.pendingBytes;
+    const limits = new ResponseLimits(context.clock, context.options);
+    const end = (result: AttemptResult) => {
       this.inFlight?.attempt.cancel();
-      settle(brokenResult(error));
+      settle(result);
+    };
+    const fail = (error: string) => end(brokenResult(error));
+    const checkLimit = (limit: ResponseLimit | undefined) => {
+      if (limit) end(limitExceededResult(limit));
+      return limit === undefined;
     };
     return {
+      onRead: bytes => void checkLimit(limits.noteRead(bytes)),
+      onInterimHead: () => void checkLimit(limits.noteInterimHead()),
       onHead: head => {
+        limits.noteHead();
         incoming = decodeHead(head, {...this.options, sentMs, runnerId});
         if (!incoming.info.notExecuted) hooks.onFirstByte();
         const integrityError = integrityErrorOf(incoming.info, decoded);
@@ -179,13 +191,16 @@
       onData: chunk => {
         if (!incoming) return true;
         if (incoming.isStreamed) {
-          return this.forwardEvents(splitter, chunk, hooks);
+          const events = splitter.push(chunk);
+          const {pendingBytes} = splitter;
+          const {length} = chunk;
+          const limit = limits.noteStream(length, pendingBytes, events);
+          return checkLimit(limit) ? this.forwardEvents(events, hooks) : true;
         }
         incoming.bufferedBytes += chunk.length;
         incoming.chunks.push(chunk);
         holding?.noteReceived();
-        const {maxGatheredBytes} = context.options;
-        if (incoming.bufferedBytes > maxGatheredBytes) fail('body too large');
+        checkLimit(limits.noteBody(chunk.length));
         return true;
       },
       onEnd: () => {
@@ -204,6 +219,8 @@
       onError: error => {
         if (error instanceof UnwantedConnectionError) {
           settle({kind: 'withdrawn'});
+        } else if (error instanceof errors.HeadersOverflowError) {
+          settle(limitExceededResult('head-bytes'));
         } else if (connection.established) {
           settle(closedByRunnerResult(error.message));
         } else {
@@ -227,11 +244,9 @@
   }
 
   private forwardEvents(
-    splitter: EventSplitter,
-    chunk: Buffer,
+    events: CompleteEvents | undefined,
     hooks: AttemptHooks,
   ): boolean {
-    const events = splitter.push(chunk);
     this.options.holding?.noteReceived();
     if (!events) return true;
     hooks.beforeEvents();
@@ -259,7 +274,7 @@
     const canReuse = isReusable(incoming);
     const isEndedByClose = incoming.framing === 'until-close';
     if (isStreamed) {
-      if (splitter.pending.length > 0) {
+      if (splitter.pendingBytes > 0) {
         return closedByRunnerResult('stream ended inside an event');
       }
       this.writer.endStream();
--- a/packages/banyanfold-gateway/src/runners/runnerConnections.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerConnections.ts
@@ -41,10 +41,16 @@
   idleSinceMs = 0;
   /** Whether a request may still be sent when the connection is open. */
   isWanted: () => boolean = () => true;
+  /** Called when bytes of the response were read, after they were parsed. */
+  onRead: (bytes: number) => void = () => {};
+  /** Whether it carries no request. */
+  isIdle = false;
   /** Called once, when it is closed. */
   onClosed: () => void = () => {};
   private socket: Socket | undefined;
   private endProbe: Promise<boolean> | undefined;
+  /** Bytes that the parser has been given since the connection is open. */
+  private readBytes = 0;
 
   constructor({
     address,
@@ -82,6 +88,10 @@
         });
       },
     });
+    // The parser listens by then, so that it is called first.
+    this.client.on('connect', () =>
+      this.socket?.on('readable', () => this.handleRead()),
+    );
     this.client.on('disconnect', () => this.markClosed());
   }
 
@@ -106,9 +116,20 @@
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): void {
+    this.isIdle = false;
     this.client.dispatch(options, handler);
   }
 
+  private handleRead(): void {
+    const {bytesRead = 0, readableLength = 0} = this.socket ?? {};
+    const bytes = bytesRead - readableLength - this.readBytes;
+    if (bytes <= 0) return;
+    this.readBytes += bytes;
+    // Without a request, the parser skips empty lines without end.
+    if (this.isIdle) this.destroy();
+    else this.onRead(bytes);
+  }
+
   private probeEnd(socket: Socket): void {
     this.endProbe = new Promise(resolve => {
       socket.write('\r\n', error => resolve(!error));
@@ -181,6 +202,7 @@
   release(address: string, connection: RunnerConnection): void {
     if (connection.closed) return;
     connection.isReused = true;
+    connection.isIdle = true;
     connection.idleSinceMs = this.clock.nowMs();
     const resting = this.idle.get(address);
     if (resting) resting.push(connection);
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -300,6 +300,16 @@
     state.unreachableUntilMs = 0;
   }
 
+  /**
+   * Ejects a runner whose response exceeded a limit. Its other responses would
+   * hold callers for as long.
+   */
+  ejectForLimit(runnerId: string, service: string, limit: string): void {
+    const state = this.getOrCreate(runnerId, service);
+    state.ejectedUntilMs = this.clock.nowMs() + EJECTION_MS;
+    this.logger.warn('runner-ejected', {runner: runnerId, reason: limit});
+  }
+
   /** Clears the failures and ejections from before a restart of the runner. */
   handleRestart(runnerId: string): void {
     const state = this.states.get(runnerId);
