--- a/packages/banyanfold-gateway/src/placement/reportPoller.ts
+++ b/packages/banyanfold-gateway/src/placement/reportPoller.ts
@@ -8,6 +8,12 @@
 export const REPORT_TICK_MS = 50;
 /** Maximum number of unknown runners that are queried at once. */
 const MAX_UNKNOWN_BURST = 32;
+/**
+ * Pause after a report that was too long, which costs the link of a small VM
+ * half a second.
+ */
+const TOO_LARGE_PAUSE_MS = 5_000;
+const TOO_LARGE = 'too-large';
 const MS_PER_SECOND = 1000;
 
 export interface ReportPollerOptions {
@@ -32,6 +38,7 @@
   /** Runners whose report was requested and has not arrived yet. */
   private readonly inFlight = new Set<string>();
   private readonly lastRequestedMs = new WeakMap<RunnerController, number>();
+  private readonly pausedUntilMs = new WeakMap<RunnerController, number>();
   private unknownQuota = MAX_UNKNOWN_BURST;
   private quotaUpdatedMs: number;
 
@@ -48,6 +55,7 @@
     this.refillQuota(nowMs);
     const states = controllers
       .filter(({registration}) => !this.inFlight.has(registration.runnerId))
+      .filter(runner => nowMs >= (this.pausedUntilMs.get(runner) ?? 0))
       .map(controller => ({
         key: controller,
         lastRequestedMs: this.lastRequestedMs.get(controller),
@@ -90,10 +98,11 @@
     this.inFlight.delete(runnerId);
     if (result.isOk()) return onReport(controller, result.value, requestedMs);
     controller.recordReportFailure();
-    logger.warn('report-failed', {
-      runner: runnerId,
-      error: result.error.message,
-    });
+    const {code, message} = result.error;
+    if (code === TOO_LARGE) {
+      this.pausedUntilMs.set(controller, clock.nowMs() + TOO_LARGE_PAUSE_MS);
+    }
+    logger.warn('report-failed', {runner: runnerId, code, error: message});
   }
 }
 
