Enforce the time limits of callers' heads and idle connections

A caller whose head arrives slowly kept its connection for up to 30 s beyond the time that the configuration allows, and one that sends empty lines after a request for good: the runtime checks heads every 30 s, and ends its idle timeout with the first byte.

--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -623,6 +623,7 @@
     this.context.runnerBackoffs.prune();
     this.context.promptGate.prune(id => this.view.runner(id) !== undefined);
     this.context.connections.closeIdle();
+    this.callerServer.closeStaleConnections();
     this.context.descriptors?.measure();
   }
 }
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -12,6 +12,7 @@
   readBody,
 } from './requests/readBody.js';
 import {RequestHandler} from './requests/requestHandler.js';
+import {CallerConnections} from './resources/callerConnections.js';
 import {CallerIdentity} from './callers/callerIdentity.js';
 import type {CallerLimits} from './types.js';
 
@@ -26,6 +27,8 @@
 const MAX_PARSED_HEADER_BYTES = 131_072;
 /** Added to the announced timeout, until which callers reuse connections. */
 const KEEP_ALIVE_MARGIN_MS = 1_500;
+/** Interval at which the time limits of connections are checked. */
+const CONNECTION_CHECK_MS = 500;
 /** Shorter than the 1 s after which callers abandon a silent connection. */
 const READY_WAIT_MS = 600;
 /** Lines of a stack trace that are logged: the error and its origin. */
@@ -36,21 +39,32 @@
   readonly server: Server;
   private readonly activeRequests = new Set<RequestHandler>();
   private readonly refusals: HeadRefusals;
+  private readonly connections: CallerConnections;
   openRequests = 0;
   private pendingLoopTurns: Promise<void> | undefined;
 
   constructor(private readonly context: GatewayContext) {
     this.refusals = new HeadRefusals(context);
     this.server = http.createServer(
-      {maxHeaderSize: MAX_PARSED_HEADER_BYTES, requestTimeout: 0},
+      {
+        maxHeaderSize: MAX_PARSED_HEADER_BYTES,
+        requestTimeout: 0,
+        connectionsCheckingInterval: CONNECTION_CHECK_MS,
+      },
       (request, response) => {
         this.handle(request, response).catch((thrown: unknown) =>
           this.handleUnexpectedError(response, thrown),
         );
       },
     );
+    this.connections = new CallerConnections({
+      clock: context.clock,
+      maxIdleMs: () =>
+        this.server.keepAliveTimeout + this.server.headersTimeout,
+    });
     this.server.on('connection', socket => {
       socket.setNoDelay(true);
+      this.connections.add(socket);
       context.descriptors?.addCaller(socket);
       context.backlog?.addCaller(socket);
     });
@@ -74,6 +88,11 @@
     this.server.closeIdleConnections();
   }
 
+  /** Closes connections that have been without a request for too long. */
+  closeStaleConnections(): void {
+    this.connections.closeIdle();
+  }
+
   /** Refuses unsent requests, so that they can go to another entry. */
   refuseUnsent(): void {
     for (const handler of this.activeRequests) handler.refuseUnsent();
@@ -100,6 +119,7 @@
     const {context} = this;
     const startedMs = context.clock.nowMs();
     this.openRequests += 1;
+    this.connections.noteRequest(request.socket, response);
     response.once('close', () => {
       this.openRequests -= 1;
     });
