--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -19,6 +19,7 @@
   PeerRouter,
   PeerConfig,
 } from './peerContract.js';
+import {MAX_PEER_MESSAGE_BYTES} from './peerServer.js';
 import type {RetryGrant, RetryGrantInput} from './retryGrantContract.js';
 
 /** Calls to a peer over one persistent connection. */
@@ -52,7 +53,11 @@
 ): PeerClient {
   class PeerSocket extends WebSocket {
     constructor(url: string) {
-      super(url, {handshakeTimeout: timeoutMs, perMessageDeflate: false});
+      super(url, {
+        handshakeTimeout: timeoutMs,
+        perMessageDeflate: false,
+        maxPayload: MAX_PEER_MESSAGE_BYTES,
+      });
     }
   }
   const socket = createWSClient({
@@ -101,6 +106,7 @@
   const origin = `http://${address}`;
   const dispatcher = new Pool(origin, {
     connections: 1,
+    maxResponseSize: MAX_PEER_MESSAGE_BYTES,
     connect: createConnector({timeoutMs}),
   });
   // Implements the part of `fetch` that the link uses. The runtime's own
