Limit what agents, entries and clients of the log read

On the project's own interface the body of an engine's, a service's, an agent's or the log's response had no limit in bytes, and timeouts that each byte began anew. readBody reads a body with both limits; heads end with a timer of their own, as interim heads extend the client's; a stream of an engine that brings no event for five minutes counts as broken. Answers of engines and services may have 32 MiB (maxAnswerBytes), which is what entries forward at most.

--- a/packages/banyanfold-agent/src/attempts/engineRejection.ts
+++ b/packages/banyanfold-agent/src/attempts/engineRejection.ts
@@ -1,3 +1,4 @@
+import {readBody, type BodyLimits} from '@banyanfold/core';
 import type {EngineResponse} from '../engine/engineClient.js';
 import type {Refusal} from './refusal.js';
 
@@ -19,9 +20,11 @@
 /** Converts an error response of the engine into a refusal. */
 export async function readEngineRefusal(
   response: EngineResponse,
+  limits: BodyLimits,
 ): Promise<Refusal> {
   const {statusCode} = response;
-  const text = await response.body.text().catch(() => '');
+  const body = await readBody(response.body, limits).catch(() => '');
+  const text = body.toString();
   const message =
     text.slice(0, MAX_MESSAGE_CHARS) || `the engine answered ${statusCode}`;
   const code = NOT_RUN_CODE_BY_STATUS[statusCode];
--- a/packages/banyanfold-agent/src/attempts/engineStreamReader.ts
+++ b/packages/banyanfold-agent/src/attempts/engineStreamReader.ts
@@ -27,6 +27,8 @@
   callerRequestId: string;
   sink: EventSink;
   signal: AbortSignal;
+  /** A stream whose next event takes longer than this counts as broken. */
+  maxEventMs: number;
   maxResumes: number;
   retryDelayMs: number;
   /** Sequence number of the last event that the sink's reader already has. */
@@ -108,15 +110,24 @@
       maxBufferSize: MAX_EVENT_CHARS,
     });
     const decoder = new TextDecoder();
+    const {clock, maxEventMs} = this.options;
+    let lastEventMs = clock.nowMs();
     const {body} = response;
     let end: ReadEnd | undefined;
     try {
       const chunks = body.iterator({destroyOnReturn: false});
       for await (const chunk of chunks as AsyncIterable<Buffer>) {
         parser.feed(decoder.decode(chunk, {stream: true}));
+        if (events.length > 0) lastEventMs = clock.nowMs();
+        const isTooSlow = clock.nowMs() - lastEventMs > maxEventMs;
+        if (isTooSlow) this.recordFault('event-time');
         end = isTooLong ? 'failed' : this.processEvents(events.splice(0));
+        if (isTooSlow) end ??= 'broken';
         if (end) break;
-        if (this.options.sink.isFull()) await this.writableOrAborted();
+        if (this.options.sink.isFull()) {
+          await this.writableOrAborted();
+          lastEventMs = clock.nowMs();
+        }
       }
     } catch {
       // The connection broke: keep the received events and resume the rest.
--- a/packages/banyanfold-agent/src/attempts/modelAttempt.ts
+++ b/packages/banyanfold-agent/src/attempts/modelAttempt.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import type {BodyLimits} from '@banyanfold/core';
 import type {EngineResponse} from '../engine/engineClient.js';
 import {commonHeaders, writeStreamHeaders} from './responseHeaders.js';
 import type {AttemptContext} from './attemptContext.js';
@@ -53,6 +54,12 @@
         : this.createWholeBuffer();
   }
 
+  private get bodyLimits(): BodyLimits {
+    const {clock, settings} = this.context;
+    const {maxAnswerBytes: maxBytes, engine} = settings;
+    return {clock, maxBytes, timeoutMs: engine.wholeAnswerTimeoutMs};
+  }
+
   /** Sends the request; its slot and KV memory must be reserved already. */
   async run(): Promise<void> {
     const {registry, clock, engine} = this.context;
@@ -77,7 +84,7 @@
     const response = sent.unwrapOr(undefined);
     this.engineResponded = response !== undefined;
     if (response && response.statusCode >= FIRST_ERROR_STATUS) {
-      const refusal = await readEngineRefusal(response);
+      const refusal = await readEngineRefusal(response, this.bodyLimits);
       if (refusal.outcome === 'not-run') this.finishNotRun(refusal);
       else await this.finishUnknown(refusal);
       return;
@@ -132,6 +139,7 @@
       ...this.ids,
       sink: buffer,
       signal: this.abort.signal,
+      maxEventMs: settings.engine.wholeAnswerTimeoutMs,
       maxResumes: settings.engine.maxResumes,
       retryDelayMs: settings.engine.retryDelayMs,
       onFirstEvent: () => {
@@ -148,7 +156,7 @@
     buffer: WholeResponseBuffer,
     response: EngineResponse | undefined,
   ): Promise<boolean> {
-    const body = response && (await readWholeBody(response));
+    const body = response && (await readWholeBody(response, this.bodyLimits));
     const callerBody = body && replaceResponseId(body, this.ids);
     if (!callerBody) {
       const fault = body ? 'foreign-whole' : 'cut-whole';
--- a/packages/banyanfold-agent/src/attempts/resumeAttempt.ts
+++ b/packages/banyanfold-agent/src/attempts/resumeAttempt.ts
@@ -93,6 +93,7 @@
     callerRequestId: requestId,
     sink: buffer,
     signal: abort.signal,
+    maxEventMs: settings.engine.wholeAnswerTimeoutMs,
     maxResumes: settings.engine.maxResumes,
     retryDelayMs: settings.engine.retryDelayMs,
     startSeq: afterSeq,
--- a/packages/banyanfold-agent/src/attempts/serviceAttempt.ts
+++ b/packages/banyanfold-agent/src/attempts/serviceAttempt.ts
@@ -1,4 +1,5 @@
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
+import {readBody} from '@banyanfold/core';
 import {Agent, request, type Dispatcher} from 'undici';
 import {isNotSent} from '../engine/engineClient.js';
 import type {AttemptHeaders} from './attemptHeaders.js';
@@ -81,19 +82,31 @@
   logger.info('service-call', {attempt: attemptId, request: requestId, result});
 
   async function callOnce(): Promise<string> {
+    // Interim heads would extend the timeout of the dispatcher.
+    const abort = new AbortController();
+    const timer = clock.setTimer(settings.serviceTimeoutMs, () =>
+      abort.abort(),
+    );
     try {
       const response = await request(input.url, {
         method: 'POST',
         dispatcher,
+        signal: abort.signal,
         reset: true,
         headers: toServiceHeaders(input),
         body: input.body,
       });
-      const body = Buffer.from(await response.body.arrayBuffer());
+      timer.cancel();
+      const body = await readBody(response.body, {
+        clock,
+        maxBytes: settings.maxAnswerBytes,
+        timeoutMs: settings.serviceTimeoutMs,
+      });
       const headers = toForwardedHeaders(response.headers);
       buffer.complete({status: response.statusCode, headers, body});
       return 'answered';
     } catch (error) {
+      timer.cancel();
       const reader = buffer.fail();
       const refusal = toRefusal(error);
       if (refusal.outcome === 'not-run') registry.refuse(attemptId);
--- a/packages/banyanfold-agent/src/attempts/wholeResponse.ts
+++ b/packages/banyanfold-agent/src/attempts/wholeResponse.ts
@@ -1,12 +1,16 @@
+import {readBody, type BodyLimits} from '@banyanfold/core';
 import type {EngineResponse} from '../engine/engineClient.js';
 import {toCallerId} from '../engine/streamVerifier.js';
 
-/** Reads the whole body; undefined if any of it is missing. */
+/**
+ * Reads the whole body; undefined if any of it is missing or it exceeds a limit.
+ */
 export async function readWholeBody(
   response: EngineResponse,
+  limits: BodyLimits,
 ): Promise<Buffer | undefined> {
   try {
-    const body = Buffer.from(await response.body.arrayBuffer());
+    const body = await readBody(response.body, limits);
     const declaredLength = response.headers['content-length'];
     const isTruncated =
       declaredLength !== undefined && Number(declaredLength) !== body.length;
--- a/packages/banyanfold-agent/src/engine/engineClient.ts
+++ b/packages/banyanfold-agent/src/engine/engineClient.ts
@@ -1,4 +1,9 @@
-import {BanyanfoldError, type Clock} from '@banyanfold/core';
+import {
+  BanyanfoldError,
+  readJsonBody,
+  timeoutSignal,
+  type Clock,
+} from '@banyanfold/core';
 import {err, ok, type Result} from 'neverthrow';
 import {Agent, request, type Dispatcher} from 'undici';
 import type {z} from 'zod';
@@ -17,6 +22,11 @@
 import type {ReportTiming} from '../memory/allocation.js';
 
 const ENGINE_NOW_HEADER = 'x-engine-now-ms';
+/**
+ * A report has a row for each copy and order; a list of cache events has at most
+ * some thousand.
+ */
+const MAX_CONTROL_BYTES = 8_388_608;
 const NOT_FOUND = 404;
 const CONFLICT = 409;
 
@@ -128,8 +138,9 @@
         dispatcher: this.controlAgent,
         headers: {'content-type': 'application/json'},
         body: JSON.stringify(order),
+        signal: this.controlSignal(),
       });
-      const body: unknown = await response.body.json();
+      const body = await readJsonBody(response.body, this.controlLimits);
       return parseOrderResult(response, body);
     } catch (error) {
       return {kind: isNotSent(error) ? 'not-sent' : 'answer-lost'};
@@ -142,19 +153,21 @@
   ): Promise<Result<EngineResponse, BanyanfoldError>> {
     const {streamIdleTimeoutMs, wholeAnswerTimeoutMs} = this.options;
     const timeoutMs = call.stream ? streamIdleTimeoutMs : wholeAnswerTimeoutMs;
-    return this.tryRequest('send-request', `/${call.path}`, {
-      method: 'POST',
-      dispatcher: this.dispatcherFor(call),
-      signal: call.signal,
-      headersTimeout: timeoutMs,
-      bodyTimeout: timeoutMs,
-      headers: {
-        'content-type': 'application/json',
-        'x-request-id': call.engineRequestId,
-        'x-priority': String(call.priority),
-      },
-      body: call.body,
-    });
+    return this.untilHead(call.signal, timeoutMs, signal =>
+      this.tryRequest('send-request', `/${call.path}`, {
+        method: 'POST',
+        dispatcher: this.dispatcherFor(call),
+        signal,
+        headersTimeout: timeoutMs,
+        bodyTimeout: timeoutMs,
+        headers: {
+          'content-type': 'application/json',
+          'x-request-id': call.engineRequestId,
+          'x-priority': String(call.priority),
+        },
+        body: call.body,
+      }),
+    );
   }
 
   /** Resumes a stream after event `afterSeq`. */
@@ -164,14 +177,16 @@
     signal: AbortSignal,
   ): Promise<Result<EngineResponse, BanyanfoldError>> {
     const {streamIdleTimeoutMs} = this.options;
-    return this.tryRequest('resume-stream', this.streamPath(engineRequestId), {
-      method: 'GET',
-      dispatcher: this.pooled,
-      signal,
-      headersTimeout: streamIdleTimeoutMs,
-      bodyTimeout: streamIdleTimeoutMs,
-      headers: {'last-event-id': String(afterSeq)},
-    });
+    return this.untilHead(signal, streamIdleTimeoutMs, until =>
+      this.tryRequest('resume-stream', this.streamPath(engineRequestId), {
+        method: 'GET',
+        dispatcher: this.pooled,
+        signal: until,
+        headersTimeout: streamIdleTimeoutMs,
+        bodyTimeout: streamIdleTimeoutMs,
+        headers: {'last-event-id': String(afterSeq)},
+      }),
+    );
   }
 
   async cancel(
@@ -181,6 +196,7 @@
     const result = await this.tryRequest('cancel-stream', path, {
       method: 'DELETE',
       dispatcher: this.controlAgent,
+      signal: this.controlSignal(),
     });
     if (result.isErr()) return err(result.error);
     if (result.value.statusCode === NOT_FOUND) {
@@ -200,6 +216,31 @@
     await Promise.all(agents.map(agent => agent.destroy()));
   }
 
+  /** Limits a whole call; interim heads would extend the client's timeouts. */
+  private controlSignal(): AbortSignal {
+    return timeoutSignal(this.options.requestTimeoutMs * 2);
+  }
+
+  private get controlLimits() {
+    const {clock, requestTimeoutMs: timeoutMs} = this.options;
+    return {clock, maxBytes: MAX_CONTROL_BYTES, timeoutMs};
+  }
+
+  /** Aborts a request whose response has no head by then. */
+  private async untilHead<T>(
+    signal: AbortSignal,
+    timeoutMs: number,
+    send: (signal: AbortSignal) => Promise<T>,
+  ): Promise<T> {
+    const abort = new AbortController();
+    const timer = this.options.clock.setTimer(timeoutMs, () => abort.abort());
+    try {
+      return await send(AbortSignal.any([signal, abort.signal]));
+    } finally {
+      timer.cancel();
+    }
+  }
+
   private streamPath(engineRequestId: string): string {
     return `/v1/streams/${encodeURIComponent(engineRequestId)}`;
   }
@@ -227,6 +268,7 @@
     const result = await this.tryRequest(step, path, {
       method: 'GET',
       dispatcher: this.controlAgent,
+      signal: this.controlSignal(),
     });
     if (result.isErr()) return err(result.error);
     const engineNowMs = readEngineNowMs(result.value);
@@ -243,7 +285,7 @@
     response: EngineResponse,
   ): Promise<Result<unknown, BanyanfoldError>> {
     try {
-      return ok(await response.body.json());
+      return ok(await readJsonBody(response.body, this.controlLimits));
     } catch (error) {
       return err(this.toError('answer-lost', step, error));
     }
--- a/packages/banyanfold-agent/src/settings.ts
+++ b/packages/banyanfold-agent/src/settings.ts
@@ -15,7 +15,10 @@
   requestTimeoutMs: durationMsSchema.default(2_000),
   /** An open stream without data for longer than this counts as broken. */
   streamIdleTimeoutMs: durationMsSchema.default(30_000),
-  /** The timeout until the start of a response that is not streamed. */
+  /**
+   * The timeout until the start of a response that is not streamed, until its
+   * end, and until the next event of a stream while other data arrives.
+   */
   wholeAnswerTimeoutMs: durationMsSchema.default(300_000),
   /** The maximum number of attempts to resume a broken engine stream. */
   maxResumes: z.number().int().nonnegative().default(4),
@@ -79,6 +82,8 @@
   maxQueued: z.number().int().nonnegative().default(64),
   maxServiceCalls: countSchema.default(64),
   maxBodyBytes: countSchema.default(64 * MIB),
+  /** The longest answer that is not streamed; entries forward no longer one. */
+  maxAnswerBytes: countSchema.default(32 * MIB),
   serviceTimeoutMs: durationMsSchema.default(60_000),
   /** How long a disconnected caller may resume its stream. */
   resumeWindowMs: durationMsSchema.default(5_000),
--- a/packages/banyanfold-core/src/index.ts
+++ b/packages/banyanfold-core/src/index.ts
@@ -6,6 +6,7 @@
 export * from './lineWriter.js';
 export * from './logger.js';
 export * from './metrics.js';
+export * from './readBody.js';
 export * from './secrets.js';
 export * from './startTimer.js';
 export * from './timeoutSignal.js';
--- a/packages/banyanfold-entry/src/attempts/attemptResponse.ts
+++ b/packages/banyanfold-entry/src/attempts/attemptResponse.ts
@@ -1,3 +1,4 @@
+import {readJsonBody, type BodyLimits} from '@banyanfold/core';
 import type {Dispatcher} from 'undici';
 import {
   HEADERS,
@@ -62,6 +63,7 @@
 export async function readAttemptResponse(
   attemptId: string,
   response: Dispatcher.ResponseData,
+  limits: BodyLimits,
 ): Promise<AttemptResponse> {
   const headers = flattenHeaders(response.headers);
   if (headers[HEADERS.attemptId] !== attemptId) {
@@ -71,7 +73,7 @@
   }
   const outcome = headers[HEADERS.outcome];
   if (outcome !== undefined) {
-    return readRefusal(response, headers, outcome);
+    return readRefusal(response, headers, outcome, limits);
   }
   return {
     kind: 'answered',
@@ -125,8 +127,10 @@
   response: Dispatcher.ResponseData,
   headers: Record<string, string>,
   outcome: string,
+  limits: BodyLimits,
 ): Promise<AttemptRefusal> {
-  const body = (await response.body.json().catch(() => undefined)) as
+  const read = readJsonBody(response.body, limits);
+  const body = (await read.catch(() => undefined)) as
     | {error?: {message?: string; code?: string}; retryAfterMs?: number}
     | undefined;
   return {
--- a/packages/banyanfold-entry/src/attempts/attemptTransport.ts
+++ b/packages/banyanfold-entry/src/attempts/attemptTransport.ts
@@ -1,3 +1,4 @@
+import type {Clock} from '@banyanfold/core';
 import {createConnector} from '@banyanfold/log';
 import {Agent} from 'undici';
 import {HEADERS, PATHS} from '@banyanfold/protocol';
@@ -9,6 +10,9 @@
   type AttemptResponse,
 } from './attemptResponse.js';
 
+/** A refusal is an error object with a message. */
+const MAX_REFUSAL_BYTES = 65_536;
+
 /** An attempt, its agent, and the signal that aborts a call about it. */
 export interface AttemptTarget {
   agent: AgentState;
@@ -40,7 +44,10 @@
 export class AttemptTransport {
   private readonly dispatcher: Agent;
 
-  constructor(private readonly settings: EntrySettings) {
+  constructor(
+    private readonly settings: EntrySettings,
+    private readonly clock: Clock,
+  ) {
     this.dispatcher = new Agent({
       pipelining: 1,
       connections: settings.attempts.connectionsPerAgent,
@@ -101,7 +108,11 @@
         },
         signal: request.signal,
       });
-      return await readAttemptResponse(request.attemptId, response);
+      return await readAttemptResponse(request.attemptId, response, {
+        clock: this.clock,
+        maxBytes: MAX_REFUSAL_BYTES,
+        timeoutMs: this.settings.attempts.resumeMs,
+      });
     } catch (error) {
       return failureFromError(error);
     }
--- a/packages/banyanfold-entry/src/createEntry.ts
+++ b/packages/banyanfold-entry/src/createEntry.ts
@@ -140,7 +140,7 @@
     view,
     metrics: overrides.metrics ?? new Metrics(),
     clients: new AgentClients(settings, settings.attempts.sealMs),
-    transport: new AttemptTransport(settings),
+    transport: new AttemptTransport(settings, clock),
     configWatch: new ConfigWatch({settings, clock, logger, random, log, view}),
     callers: new CallerDirectory(settings.callers),
     retryBudget: new RetryBudget({
--- a/packages/banyanfold-log/src/httpJson.ts
+++ b/packages/banyanfold-log/src/httpJson.ts
@@ -1,5 +1,6 @@
 import {
   BanyanfoldError,
+  readJsonBody,
   toBanyanfoldError,
   type Clock,
   type ErrorContext,
@@ -26,6 +27,8 @@
   outcomeUnknownCode: string;
 }
 
+/** A page of the log, or the list of all VMs, is far shorter. */
+const MAX_RESPONSE_BYTES = 16_777_216;
 const OK_STATUS = 200;
 const FIRST_SERVER_ERROR_STATUS = 500;
 const UNAVAILABLE_STATUS = 503;
@@ -68,7 +71,12 @@
     await response.body.dump();
     throw statusError(call, response.statusCode);
   }
-  return call.schema.parse(await response.body.json()) as z.output<S>;
+  const body = await readJsonBody(response.body, {
+    clock: call.clock,
+    maxBytes: MAX_RESPONSE_BYTES,
+    timeoutMs: call.timeoutMs,
+  });
+  return call.schema.parse(body) as z.output<S>;
 }
 
 /** A 503 or a status below 500 proves that the call was not executed. */
--- a/packages/banyanfold-protocol/src/clients.ts
+++ b/packages/banyanfold-protocol/src/clients.ts
@@ -1,6 +1,6 @@
 import {timeoutSignal} from '@banyanfold/core';
 import {createTRPCClient, httpLink, TRPCClientError} from '@trpc/client';
-import {fetch, type Dispatcher} from 'undici';
+import {Agent, fetch, type Dispatcher} from 'undici';
 import type {
   AgentReport,
   AgentRouter,
@@ -20,13 +20,23 @@
 }
 
 const DEFAULT_TIMEOUT_MS = 2000;
+/** A full report of an agent has a row for each copy and cached prefix. */
+const MAX_RESPONSE_BYTES = 16_777_216;
+
+let defaultDispatcher: Dispatcher | undefined;
+
+/** Created with the first client: processes that have none need no agent. */
+function sharedDispatcher(): Dispatcher {
+  defaultDispatcher ??= new Agent({maxResponseSize: MAX_RESPONSE_BYTES});
+  return defaultDispatcher;
+}
 
 function controlLink(options: ControlClientOptions) {
   const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
   const fetchWithTimeout = (url: unknown, init: unknown) =>
     fetch(String(url), {
       ...(init as object),
-      dispatcher: options.dispatcher,
+      dispatcher: options.dispatcher ?? sharedDispatcher(),
       signal: timeoutSignal(timeoutMs),
     } as Parameters<typeof fetch>[1]);
   return httpLink({
