Soak: runners whose answers have no end; tell errors by their codes

Judged: memory, readiness, streams whole, calls served, no process that ends by itself.

Its first play found that the limits themselves ended processes: the bundle has a part of the client library, without its error classes, so instanceof threw (16 ends in 28 scenarios). The unit tests load the whole library. Errors are told by their codes now.

--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -1,5 +1,4 @@
 import type {ServerResponse} from 'node:http';
-import {errors} from 'undici';
 import type {GatewayContext} from '../context.js';
 import {
   UnwantedConnectionError,
@@ -34,6 +33,9 @@
 import {ResponseLimits, type ResponseLimit} from './responseLimits.js';
 import {ResponseWriter} from './responseWriter.js';
 
+/** Code of the client library's error for a head or trailers that are too long. */
+const HEAD_OVERFLOW_CODE = 'UND_ERR_HEADERS_OVERFLOW';
+
 export type {AttemptResult, SentResult} from './attemptResult.js';
 
 /** The runner of an attempt, and callbacks for the start of its response. */
@@ -219,7 +221,7 @@
       onError: error => {
         if (error instanceof UnwantedConnectionError) {
           settle({kind: 'withdrawn'});
-        } else if (error instanceof errors.HeadersOverflowError) {
+        } else if ('code' in error && error.code === HEAD_OVERFLOW_CODE) {
           settle(limitExceededResult('head-bytes'));
         } else if (connection.established) {
           settle(closedByRunnerResult(error.message));
--- a/soak/src/entryProcess.ts
+++ b/soak/src/entryProcess.ts
@@ -24,12 +24,15 @@
   folder: string;
   /** Fields of its settings beyond the usual ones. */
   extraSettings?: object;
+  /** Its settings say after each start that the whole system starts. */
+  keepsFirstStart?: boolean;
 }
 
 /** One entry as a process of its own, under a small supervisor. */
 export class EntryProcess {
   readonly name: string;
   readonly callersPort: number;
+  readonly readinessPort: number;
   /** The name under which it gives orders to runners. */
   readonly peersAddress: string;
   /** Ends that nobody asked for. */
@@ -48,6 +51,7 @@
     const {name, ports, folder} = options;
     this.name = name;
     this.callersPort = ports.callers;
+    this.readinessPort = ports.readiness;
     this.peersAddress = `127.0.0.1:${ports.peers}`;
     this.settingsPath = join(folder, `${name}.json`);
     this.log = createWriteStream(join(folder, `${name}.log`));
@@ -74,11 +78,16 @@
     });
     child.once('exit', (code, signal) => {
       if (!this.isEnding) this.ownEnds.push(`${code ?? signal}`);
-      this.writeSettings(false);
+      this.writeSettings(this.options.keepsFirstStart ?? false);
       setTimeout(() => this.start(), RESTART_MS);
     });
   }
 
+  /** Of the process that runs now; 0 before the first one. */
+  get pid(): number {
+    return this.child?.pid ?? 0;
+  }
+
   /** Ends the process; another takes its place soon after it is gone. */
   end(signal: 'SIGTERM' | 'SIGKILL'): void {
     this.isEnding = true;
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -3,6 +3,7 @@
 import {parseArgs} from 'node:util';
 import {REGRESSIONS} from './regressions.js';
 import {runCrashingParts} from './crashingPartRun.js';
+import {runEndless} from './endlessRun.js';
 import {runHerd} from './herdRun.js';
 import {runLeavings} from './leavingRun.js';
 import {runRestarts} from './restartRun.js';
@@ -20,6 +21,7 @@
   --herds         five entries, one of which gets most new connections
   --leavings      six entries and runners that leave under one or two faults
   --restarts      twelve entries that end together while runners reject requests
+  --endless       three entries and runners whose answers have no end
   --half-core     with --leavings: each entry is stopped half of the time
   --regressions   the seeds that failed once, in place of others
   --seconds T     the span in which faults begin (default 12)
@@ -42,6 +44,7 @@
   herds: boolean;
   leavings: boolean;
   restarts: boolean;
+  endless: boolean;
   halfCore: boolean;
 }
 
@@ -57,6 +60,7 @@
       herds: {type: 'boolean', default: false},
       leavings: {type: 'boolean', default: false},
       restarts: {type: 'boolean', default: false},
+      endless: {type: 'boolean', default: false},
       'half-core': {type: 'boolean', default: false},
       seconds: {type: 'string', default: '12'},
       parallel: {type: 'string', default: '2'},
@@ -84,6 +88,7 @@
     herds: values.herds,
     leavings: values.leavings,
     restarts: values.restarts,
+    endless: values.endless,
     halfCore: values['half-core'],
   };
 }
@@ -171,6 +176,24 @@
   return violations.length === 0;
 }
 
+async function playEndless(seed: number, folder: string): Promise<boolean> {
+  const verdicts = await runEndless({folder, isTimed: true});
+  for (const each of verdicts) {
+    const verdict = each.violations.length === 0 ? 'ok' : 'BROKEN';
+    console.log(
+      `seed ${seed}: ${each.scenario}: ${verdict}, ${each.endlessAnswers} ` +
+        `without end, ${each.wholeStreams} streams whole, ${each.served} ` +
+        `calls served, longest ${each.longestMs.toFixed(0)} ms, readiness ` +
+        `${each.longestReadinessMs.toFixed(0)} ms, ` +
+        `${each.memoryMb.toFixed(0)} MB more`,
+    );
+    for (const {rule, what} of each.violations) {
+      console.log(`  ${rule}: ${what}`);
+    }
+  }
+  return verdicts.every(({violations}) => violations.length === 0);
+}
+
 async function playLeavings(
   seed: number,
   folder: string,
@@ -199,6 +222,7 @@
   if (args.crashingParts) return playCrashingParts(seed, folder);
   if (args.herds) return playHerds(seed, folder);
   if (args.leavings) return playLeavings(seed, folder, args.halfCore);
+  if (args.endless) return playEndless(seed, folder);
   if (args.restarts) return playRestarts(seed, folder);
   if (args.versions) return playVersions(seed, folder);
   const verdict = await runSeed({
