Tell the first holder by the lease, not by the settings

A process that starts again while its settings still name the first start took itself for the first holder: it granted the whole slack of the retry budget at once, assumed that no cap had been used, and started loads without regard to those of others. The settings can't tell: they name the start of the whole system, during which processes may end and start again.

The lease tells: the first holder gained it in the first generation of the group, in the store's first era, and hasn't lost it since. Retry grants, the assumed use of caps and the load rate go by that. Entries always read the stored use of caps, and a record there goes before the settings. What is left: an entry that nobody has told anything, where nothing was ever stored, still goes by the settings until the holder's first answer.

Failed before: usageKeeper.test.ts, stored use with settings that name a first start (admitted). New: leaseHolder.test.ts and leaseStore.test.ts, whose interface is new.

--- a/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
@@ -101,6 +101,7 @@
 interface HeldLease {
   isUnexpired: boolean;
   term: number;
+  isFirst: boolean;
 }
 
 function createHolder(clock: VirtualClock): LeaseHolder {
@@ -120,6 +121,7 @@
     isUnexpired: true,
     fencingToken: 1,
     term: 1,
+    isFirst: true,
   };
   const lease = {current: () => state};
   const holder = new LeaseHolder({
@@ -157,7 +159,6 @@
       leaseTtlMs: 1_000,
       entryCount: () => 1,
     }),
-    isFirstHolder: () => true,
     isLeaving: () => false,
   });
   return {holder, view, state};
@@ -200,6 +201,7 @@
     expect(granted()).toBeUndefined();
     state.isUnexpired = true;
     state.term += 1;
+    state.isFirst = false;
     expect(granted()).toBe(0);
     await clock.advance(12_999);
     expect(granted()).toBe(0);
@@ -207,6 +209,20 @@
     expect(granted()).toBe(1);
   });
 
+  // Guards against a slack that each of several holders grants, since each of
+  // them takes itself for the first one.
+  it('grants no retries at once if another process may have held the lease', async () => {
+    const clock = new VirtualClock();
+    const {holder, state} = createHolderAndView(clock, {} as RunnerControl);
+    state.isFirst = false;
+    const granted = () =>
+      holder.grantRetries({service: 'desk', count: 1, isForwarded: false})
+        ?.granted;
+    expect(granted()).toBe(0);
+    await clock.advance(13_000);
+    expect(granted()).toBe(1);
+  });
+
   // Guards against entries that take a view for current which the holder has
   // already found to be outdated.
   it('names a change as soon as it has read it itself', () => {
--- a/packages/banyanfold-gateway/src/__tests__/leaseManager.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseManager.model.test.ts
@@ -56,7 +56,8 @@
         [this.owner] = [...this.lastSeenMs.keys()].sort();
         const owns = this.owner === member;
         const generation = this.era * GENERATIONS_PER_ERA + this.generation;
-        return ok({generation, owns});
+        const isFirstGeneration = this.era === 0 && this.generation === 1;
+        return ok({generation, isFirstGeneration, owns});
       },
       leave: async () => {
         if (isUnavailable()) return unreachable();
--- a/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
@@ -198,7 +198,6 @@
           leaseTtlMs: 1_000,
           entryCount: () => 1,
         }),
-        isFirstHolder: () => true,
         isLeaving: () => false,
       }),
       self: {
@@ -268,6 +267,7 @@
       isVacant: false,
       fencingToken: 1,
       term: 1,
+      isFirst: true,
       holderAddress: addressOf(0),
     };
     return {
--- a/packages/banyanfold-gateway/src/__tests__/usageKeeper.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/usageKeeper.test.ts
@@ -84,6 +84,18 @@
     expect(accounts.decide(other, CAP, 9_000).kind).toBe('admit');
   });
 
+  // Guards against a cap that is granted again by each process that starts while
+  // the settings still name the first start.
+  it('restores the stored usage although the settings name a first start', async () => {
+    near = {claims: SPENT};
+    const before = startKeeper(true);
+    await clock.advance(1_000);
+    before.keeper.stop();
+    const {accounts} = startKeeper(true);
+    await clock.advance(10);
+    expect(accounts.decide(CLAIMS, CAP, 9_000).kind).toBe('refuse');
+  });
+
   // Guards against a new holder that frees the use of a surge before it has
   // left the window, or forgets it because it read the caps after the usage.
   it.each([
--- a/packages/banyanfold-gateway/src/callers/usageAccounts.ts
+++ b/packages/banyanfold-gateway/src/callers/usageAccounts.ts
@@ -17,7 +17,10 @@
   clock: Clock;
   /** Length of the window over which usage is summed up. */
   windowMs: number;
-  /** The whole system starts for the first time, so nothing has been used. */
+  /**
+   * The settings say that the whole system starts for the first time. What the
+   * store or the lease tells goes before it.
+   */
   isFirstStart: boolean;
   random(): number;
   /** The cap in force; undefined if there is none, or no such organisation. */
@@ -80,7 +83,11 @@
   /** No update arrived within the wait since the last one. */
   private isUpdateOverdue = false;
 
-  constructor(private readonly options: UsageAccountsOptions) {}
+  private isFirstStart: boolean;
+
+  constructor(private readonly options: UsageAccountsOptions) {
+    this.isFirstStart = options.isFirstStart;
+  }
 
   /** The limit of an organisation over all entries. */
   limitOf(cap: UsageCap): UsageLimit {
@@ -91,6 +98,11 @@
     return this.options.windowMs;
   }
 
+  /** To be called if the store shows that the system has been in service. */
+  noteEarlierService(): void {
+    this.isFirstStart = false;
+  }
+
   /** Use by all entries, as far as this entry has heard of it. */
   knownUse(): Map<string, SlidingWindow> {
     this.recordRestored();
@@ -101,13 +113,11 @@
 
   /**
    * Share of its limit that an organisation of which no use is known is assumed
-   * to have used; all of it before the first update, unless the whole system
-   * has just started.
+   * to have used; all of it before the first update.
    */
   get assumedUseShare(): number {
-    const {fleetUsage, options} = this;
-    if (fleetUsage) return 1 - fleetUsage.unlistedShare;
-    return options.isFirstStart ? 0 : 1;
+    const {fleetUsage} = this;
+    return fleetUsage ? 1 - fleetUsage.unlistedShare : 1;
   }
 
   /** Selects the organisations that may soon have used up their limit. */
@@ -264,7 +274,7 @@
     atMs: number,
   ): void {
     const isFirst = this.fleetUsage === undefined;
-    const isUnused = !isFirst || this.options.isFirstStart;
+    const isUnused = !isFirst || this.isFirstStart;
     this.recordRestored();
     for (const [name, snapshot] of Object.entries(usage)) {
       const isRecorded = this.recordHistory(name, snapshot, {atMs, isUnused});
@@ -292,9 +302,10 @@
 
   /** Records the restored usage of the organisations whose caps are known now. */
   private recordRestored(): void {
-    const isUnused = this.options.isFirstStart;
     for (const [name, {snapshot, atMs}] of this.restored) {
-      if (this.recordHistory(name, snapshot, {atMs, isUnused})) {
+      if (
+        this.recordHistory(name, snapshot, {atMs, isUnused: this.isFirstStart})
+      ) {
         this.restored.delete(name);
       }
     }
@@ -324,7 +335,7 @@
   private of(name: string): Account {
     let account = this.accounts.get(name);
     if (!account) {
-      const usage = new OrganisationUsage(this.options.isFirstStart);
+      const usage = new OrganisationUsage(this.isFirstStart);
       account = {usage, unreported: 0, reported: 0};
       this.accounts.set(name, account);
       this.applyToAccount(name, account, 0);
--- a/packages/banyanfold-gateway/src/callers/usageKeeper.ts
+++ b/packages/banyanfold-gateway/src/callers/usageKeeper.ts
@@ -9,7 +9,7 @@
   store: UsageStore;
   lease: LeaseSource;
   accounts: UsageAccounts;
-  /** The whole system starts for the first time, so nothing has been used. */
+  /** See `UsageAccountsOptions`. */
   isFirstStart: boolean;
   /** Usage of the organisations that are near their limits. */
   nearLimit(): Record<string, StoredUsage>;
@@ -31,11 +31,11 @@
   constructor(private readonly options: UsageKeeperOptions) {}
 
   start(): void {
-    const {clock, isFirstStart} = this.options;
-    this.mayHaveStoredUsage = !isFirstStart;
-    if (!isFirstStart) void this.load();
-    this.stopSaving = repeatEvery(clock, USAGE_SAVE_INTERVAL_MS, () =>
-      this.save(),
+    void this.load();
+    this.stopSaving = repeatEvery(
+      this.options.clock,
+      USAGE_SAVE_INTERVAL_MS,
+      () => this.save(),
     );
   }
 
@@ -44,10 +44,13 @@
   }
 
   private async load(): Promise<void> {
-    const {store, accounts, clock, logger} = this.options;
+    const {store, accounts, clock, logger, isFirstStart} = this.options;
     const loaded = await store.load();
     if (loaded.isErr()) return this.reportStoreFailure(loaded.error.message);
     const record = loaded.value;
+    if (record) accounts.noteEarlierService();
+    else this.mayHaveStoredUsage = false;
+    if (isFirstStart && !record) return;
     const ageMs = Math.max(0, clock.wallMs() - (record?.atMs ?? 0));
     const isCurrent = record !== undefined && ageMs < accounts.windowMs;
     accounts.restore(
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -208,9 +208,7 @@
     });
     const loadRate = new LoadRate(
       settings.bounds.loadWindowMs,
-      settings.isFirstStart
-        ? clock.nowMs()
-        : clock.nowMs() + settings.bounds.loadWindowMs,
+      clock.nowMs() + settings.bounds.loadWindowMs,
     );
     this.configFetcher = new ConfigFetcher({
       clock,
@@ -248,8 +246,6 @@
         leaseTtlMs: MAX_LEASE_TTL_MS,
         entryCount: () => this.entryCount,
       }),
-      isFirstHolder: () =>
-        settings.isFirstStart && !this.holderLink.hasHeardOtherHolder,
       runnersChange: () => deps.fleet.runnersChange,
       onNewerConfig,
       isLeaving: () => this.isDraining,
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -99,8 +99,6 @@
   private timer: Timer | undefined;
   private wasRelayed = false;
   private wasHolderReachable = true;
-  /** Whether another process has held the lease, as far as this one knows. */
-  hasHeardOtherHolder = false;
   private knownCopies: KnownRevision | undefined;
   /** When a holder's last state arrived, and as of when it knew the fleet. */
   private lastState: {atMs: number; readMs: number} | undefined;
@@ -417,7 +415,6 @@
     if (!this.wasHolderReachable) this.deps.logger.info('holder-reachable');
     this.wasHolderReachable = true;
     const isForwarded = output.holder !== sender;
-    if (output.holder !== self.address) this.hasHeardOtherHolder = true;
     if (isForwarded) lease.noteHolder(output.holder);
     else if (sender !== self.address) {
       this.relay.noteHolderState(output, sentMs);
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -106,8 +106,6 @@
   usage: UsageAccounts;
   /** Permits to retry that this process grants while it holds the lease. */
   retryGrants: RetryGrants;
-  /** Whether no other process has held the lease before. */
-  isFirstHolder: () => boolean;
   /** Position of the last change to the runners that this process has read. */
   runnersChange(): number;
   /** Called when an entry has a newer configuration than this process. */
@@ -151,7 +149,7 @@
 
   constructor(private readonly deps: LeaseHolderOptions) {
     this.startedMs = deps.clock.nowMs();
-    this.fleetUsage = this.createFleetUsage(this.startedMs);
+    this.fleetUsage = this.createFleetUsage(this.startedMs, false);
     this.outcomes = new FleetOutcomes(deps);
     this.rateLimits = new FleetRateLimits(deps.clock);
     const isSwitchedOn = deps.options.fairShares;
@@ -245,19 +243,21 @@
    */
   private handleTermChange(term: number, nowMs: number): void {
     if (term === this.usageTerm) return;
-    const {retryGrants, isFirstHolder} = this.deps;
-    retryGrants.begin(this.usageTerm === undefined && isFirstHolder());
+    const {retryGrants, loadRate, lease} = this.deps;
+    const {isFirst} = lease.current();
+    retryGrants.begin(isFirst);
+    if (isFirst) loadRate.markSynced();
     this.usageTerm = term;
-    this.fleetUsage = this.createFleetUsage(nowMs);
+    this.fleetUsage = this.createFleetUsage(nowMs, isFirst);
     this.shares.reset();
     this.rateLimits = new FleetRateLimits(this.deps.clock);
     this.speeds = new HolderSpeeds();
   }
 
   /** Starts from the amounts that this process last received as an entry. */
-  private createFleetUsage(sinceMs: number): FleetUsage {
+  private createFleetUsage(sinceMs: number, isFirst: boolean): FleetUsage {
     const {usage} = this.deps;
-    const assumedShare = usage.assumedUseShare;
+    const assumedShare = isFirst ? 0 : usage.assumedUseShare;
     return new FleetUsage({
       windowMs: usage.windowMs,
       startMs: sinceMs,
--- a/packages/banyanfold-gateway/src/placement/leaseManager.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseManager.ts
@@ -78,8 +78,6 @@
 const RECENT_FAILURE_MS = 2_500;
 /** Upper bound on handovers per generation; far fewer occur in practice. */
 const MAX_HANDOVERS = 1_000;
-/** The store numbers the generations of a group from 1. */
-const FIRST_GENERATION = 1;
 /** Minimum time between two queries for the owner of the lease. */
 const OWNER_QUERY_INTERVAL_MS = 300;
 
@@ -118,6 +116,7 @@
   private isVacant = false;
   private wasHolder = false;
   private term = 0;
+  private isFirst = false;
 
   constructor(private readonly options: LeaseManagerOptions) {
     this.startedAt = this.now();
@@ -156,6 +155,7 @@
       isVacant: this.isVacant,
       fencingToken: this.generation * MAX_HANDOVERS + this.handoverCount,
       term: this.term,
+      isFirst: this.isFirst,
       holderAddress: this.holderAddress,
     };
   }
@@ -276,6 +276,7 @@
     this.handoverCount = step;
     this.ownsLease = true;
     this.term += 1;
+    this.isFirst = false;
     this.ordersAllowedFromMs = this.options.clock.nowMs();
     this.holderAddress = this.options.address;
     this.options.logger.info('lease-taken-over', {generation, step});
@@ -309,7 +310,7 @@
     if (joined === 'left-to-another') return;
     if (this.isStopped || !this.isStandby) return;
     if (joined.isOk()) {
-      const {generation, owns} = joined.value;
+      const {generation, owns, isFirstGeneration} = joined.value;
       if (this.isStoreDown) logger.info('lease-renewed', {generation, owns});
       this.isStoreDown = false;
       // If runners don't check tokens, a lease that moved to another process
@@ -319,7 +320,10 @@
       const isFenced = this.options.areRunnersFenced;
       const isGained = owns && (!this.ownsLease || (hasMoved && !isFenced));
       // The lease may have moved away and come back between two renewals.
-      if (isGained || (owns && this.hasLapsed())) this.term += 1;
+      if (isGained || (owns && this.hasLapsed())) {
+        this.isFirst = isFirstGeneration && this.term === 0;
+        this.term += 1;
+      }
       if (!owns && this.ownsLease) logger.info('lease-lost', {generation});
       this.generation = generation;
       this.handoverCount = 0;
@@ -415,8 +419,7 @@
     }
     const hasJustStarted = this.elapsedMs(this.startedAt) < contactMs;
     if (isFenced && hasJustStarted) waitMs = 0;
-    // In the first generation of the group there is no former holder.
-    if (generation === FIRST_GENERATION) waitMs = 0;
+    if (this.isFirst) waitMs = 0;
     this.ordersAllowedFromMs = clock.nowMs() + waitMs;
     this.formerHolder = undefined;
     this.holderAddress = address;
--- a/packages/banyanfold-gateway/src/placement/loadRate.ts
+++ b/packages/banyanfold-gateway/src/placement/loadRate.ts
@@ -48,6 +48,11 @@
     this.startedMs = agesMs.map(ageMs => nowMs - ageMs);
   }
 
+  /** No other process has started loads. */
+  markSynced(): void {
+    this.unsyncedUntilMs = Number.NEGATIVE_INFINITY;
+  }
+
   remaining(loadsPerSecond: number, nowMs: number): number {
     this.startedMs = this.startedMs.filter(
       atMs => nowMs - atMs < this.windowMs,
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -367,6 +367,11 @@
   fencingToken: number;
   /** Increases if another process may have sent orders since this one did. */
   term: number;
+  /**
+   * No process has held the lease before this one, which has held it without
+   * interruption.
+   */
+  isFirst: boolean;
   /** Address of the holder's internal listener, if known. */
   holderAddress?: string;
 }
@@ -374,6 +379,8 @@
 export interface JoinResult {
   /** Increases with each change of the group's members. */
   generation: number;
+  /** No other process has ever been a member. */
+  isFirstGeneration: boolean;
   owns: boolean;
 }
 
--- a/soak/src/restartRun.ts
+++ b/soak/src/restartRun.ts
@@ -126,6 +126,7 @@
     count: ENTRIES,
     folder,
     extraSettings: SETTINGS,
+    keepsFirstStart: seed % (PLANS.length * 2) >= PLANS.length,
   });
   try {
     await untilAllServe(entries);
--- a/soak/src/startEntries.ts
+++ b/soak/src/startEntries.ts
@@ -8,6 +8,8 @@
   folder: string;
   /** Fields of the settings beyond the usual ones. */
   extraSettings?: object;
+  /** See `EntryProcessOptions`. */
+  keepsFirstStart?: boolean;
 }
 
 /** Starts entries as processes that reach the store without a proxy. */
@@ -16,6 +18,7 @@
   count,
   folder,
   extraSettings,
+  keepsFirstStart,
 }: StartEntriesOptions): Promise<EntryProcess[]> {
   const ports = await freePorts(count * 3);
   return Array.from({length: count}, (_, i) => {
@@ -24,6 +27,7 @@
       name: `entry-${i}`,
       folder,
       extraSettings,
+      keepsFirstStart,
       ports: {
         store: platform.store.address,
         callers: callers!,
