Soak: judge every window of retries

The soak of restarts judged windows that begin at a retry only, so one that begins earlier, with fewer requests, wasn't looked at. Counts change where a window, or one that is counted before it, begins or ends at an arrival; all these starts are judged now.

The case 'a window that the one before allows' named 3.5 for a play in which a window 4 ms earlier allows 3: it is kept with 3 as a case of its own, and the name has a play in which no other window allows less. Both fail on the former code. No play of the soak was judged again yet.

--- a/soak/src/__tests__/retryRule.test.ts
+++ b/soak/src/__tests__/retryRule.test.ts
@@ -16,9 +16,15 @@
     ['a window of its own', [requestAt(0, 3), requestAt(1, 0)], 3, 2],
     [
       'a window that the one before allows',
+      [...[5, 6, 7, 8].map(ms => requestAt(ms, 0)), requestAt(10_004, 4)],
+      4,
+      3,
+    ],
+    [
+      'a window that begins before its first retry, between two requests',
       [...[0, 1, 2, 3].map(ms => requestAt(ms, 0)), requestAt(9_999, 4)],
       4,
-      3.5,
+      3,
     ],
     [
       'retries that lie too far apart for one window',
--- a/soak/src/retryRule.ts
+++ b/soak/src/retryRule.ts
@@ -1,3 +1,6 @@
+/** Less than the time between two arrivals. */
+const INSTANT_MS = 1e-6;
+
 /** What a deployment allows of retries, over all entries. */
 export interface RetryAllowance {
   /** Retries per request. */
@@ -36,9 +39,10 @@
   const retries = requests
     .flatMap(({arrivedMs}) => [...arrivedMs].sort(ascending).slice(1))
     .sort(ascending);
+  const countedBeforeMs = [0, windowMs, windowMs / 2];
   let fullest: FullestWindow = {retries: 0, allowed: slack};
-  for (const fromMs of retries) {
-    const requestCounts = [0, windowMs, windowMs / 2].map(beforeMs =>
+  for (const fromMs of windowStarts(sent, retries, windowMs)) {
+    const requestCounts = countedBeforeMs.map(beforeMs =>
       countBetween(sent, fromMs - beforeMs, fromMs - beforeMs + windowMs),
     );
     const window = {
@@ -50,17 +54,49 @@
   return fullest;
 }
 
+/**
+ * Starts of windows, at least one for each pair of counts that a window can
+ * have: a count changes only where a window begins or ends at an arrival, or
+ * one that is counted before it does.
+ */
+function windowStarts(
+  sent: readonly number[],
+  retries: readonly number[],
+  windowMs: number,
+): number[] {
+  const changes = [
+    ...retries.flatMap(atMs => [atMs, atMs - windowMs]),
+    ...sent.flatMap(atMs =>
+      [-2, -1, 0, 1, 2].map(halves => atMs + (halves * windowMs) / 2),
+    ),
+  ];
+  return changes.flatMap(atMs => [atMs - INSTANT_MS, atMs, atMs + INSTANT_MS]);
+}
+
 /** Negative if the window has more retries than it allows. */
 export function leftIn({retries, allowed}: FullestWindow): number {
   return allowed - retries;
 }
 
+/** @param times in ascending order. */
 function countBetween(
   times: readonly number[],
   fromMs: number,
   toMs: number,
 ): number {
-  return times.filter(atMs => atMs >= fromMs && atMs <= toMs).length;
+  return countBefore(times, toMs + INSTANT_MS / 2) - countBefore(times, fromMs);
+}
+
+/** Binary search for the number of times that are earlier. */
+function countBefore(times: readonly number[], atMs: number): number {
+  let low = 0;
+  let high = times.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (times[middle]! < atMs) low = middle + 1;
+    else high = middle;
+  }
+  return low;
 }
 
 function ascending(a: number, b: number): number {
