Soak: read orders of the stand-in without a name of the platform

judge.ts read fencing_token, a name on the platform's wire, outside platform/. No behaviour changes; judge.test.ts passes.

--- a/soak/src/__tests__/judge.test.ts
+++ b/soak/src/__tests__/judge.test.ts
@@ -97,7 +97,7 @@
   retryAfterS: 1,
 });
 
-const ORDER = {operation: 'load', model: 'm1', fencing_token: 7};
+const ORDER = {operation: 'load', model: 'm1', fencingToken: 7};
 const LEAVING = {runnerId: 'plain-1', atMs: 0};
 /** A stream that its caller left and took up at another entry. */
 function streamOf(
--- a/soak/src/judge.ts
+++ b/soak/src/judge.ts
@@ -216,7 +216,7 @@
 
 function sharedTokens(orders: readonly AcceptedOrder[]): string[] {
   const holders = new Map<number, Set<string>>();
-  for (const {fencing_token: token, holder} of orders) {
+  for (const {fencingToken: token, holder} of orders) {
     const known = holders.get(token) ?? new Set();
     holders.set(token, known.add(holder));
   }
