Model of retries: two holders that overlap, and holders that follow each other

A holder that is succeeded went silent at once in the model, and the play of random faults passes with no pause after a change of holder at all: it hardly ever has two changes within a window in which all retries wait for the slack. The former holder now goes on until its lease expires, and a play of its own changes holders two to six times, 0.5 to 4 s apart, while all requests are rejected.

--- a/packages/banyanfold-gateway/src/__tests__/retryBudgets.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/retryBudgets.model.test.ts
@@ -58,4 +58,49 @@
       );
     },
   );
+
+  // Guards against holders that each grant the slack within one window.
+  it.each([6, 70, 730])(
+    'keep to it while holders follow each other: %i entries',
+    async entries => {
+      const changes = fc
+        .array(fc.integer({min: 500, max: 4_000}), {
+          minLength: 2,
+          maxLength: 6,
+        })
+        .map(pauses => pauses.map((_, i) => sumOf(pauses.slice(0, i + 1))));
+      const play = fc.record({
+        holderChangesMs: changes,
+        requestsPerSecond: fc.constantFrom(20, 60, 180),
+        seed: fc.integer(),
+      });
+      await fc.assert(
+        fc.asyncProperty(play, async drawn => {
+          const {mostExcess} = await simulateRetries({
+            entries,
+            retrySlack: 96,
+            count: 'right',
+            answer: 'atOnce',
+            split: 'even',
+            phases: [
+              {requestsPerSecond: drawn.requestsPerSecond, lastsMs: 20_000},
+            ],
+            rejectingFromMs: 0,
+            rejectedShare: 1,
+            rejections: 6,
+            waitMs: 0,
+            restarts: [],
+            holderChangesMs: drawn.holderChangesMs,
+            seed: drawn.seed,
+          });
+          expect(mostExcess).toBeLessThanOrEqual(0);
+        }),
+        {numRuns: RUNS_PER_FLEET, seed: 72},
+      );
+    },
+  );
 });
+
+function sumOf(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0);
+}
--- a/packages/banyanfold-gateway/src/__tests__/retryFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/retryFleet.ts
@@ -64,7 +64,10 @@
   /** How long a retry waits before it is sent. */
   waitMs: number;
   restarts: readonly Restart[];
-  /** When another process becomes the holder. */
+  /**
+   * When another process becomes the holder. The one before goes on granting
+   * until its lease has expired.
+   */
   holderChangesMs: readonly number[];
   seed: number;
 }
@@ -127,6 +130,9 @@
   private readonly random: () => number;
   private entries: ModelEntry[];
   private grants: RetryGrants;
+  /** Of the holder before, which doesn't know of the change yet. */
+  private formerGrants: RetryGrants | undefined;
+  private formerUntilMs = 0;
 
   constructor(private readonly play: RetryPlay) {
     this.random = randomOf(play.seed);
@@ -165,6 +171,8 @@
       });
     }
     if (this.play.holderChangesMs.some(isDue)) {
+      this.formerGrants = this.grants;
+      this.formerUntilMs = nowMs + LEASE_TTL_MS;
       this.grants = this.startHolder(false);
     }
   }
@@ -201,11 +209,18 @@
     this.asked += 1;
     const delayMs = ANSWERS[this.play.answer](this.random());
     if (delayMs === Infinity) return new Promise<undefined>(() => {});
-    const grant = this.grants.grant(service, count);
+    const grant = this.askedHolder().grant(service, count);
     if (delayMs > 0) await sleep(this.clock, delayMs);
     return grant;
   }
 
+  /** Either of two holders while both take themselves for the holder. */
+  private askedHolder(): RetryGrants {
+    const isFormerHolding = this.clock.nowMs() < this.formerUntilMs;
+    const asksFormer = isFormerHolding && this.random() < 0.5;
+    return (asksFormer && this.formerGrants) || this.grants;
+  }
+
   private async request(rejections: number): Promise<void> {
     const {clock, play} = this;
     const pick = SPLITS[play.split](play.entries, this.random());
