--- a/packages/banyanfold-gateway/src/__tests__/leaseManager.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseManager.model.test.ts
@@ -305,6 +305,27 @@
     expect(unexpired()).toEqual([]);
   });
 
+  // Guards against allowances that each of several holders grants anew.
+  it('tells the first holder from all later ones, also if it comes back', async () => {
+    const world = new Simulation(true);
+    const isFirst = () =>
+      world.holders().map(({manager}) => manager.current().isFirst);
+    await world.run(LEASE_MS + 500);
+    const [first] = world.holders();
+    expect(isFirst()).toEqual([true]);
+    first!.isFrozen = true;
+    await world.run(LEASE_MS * 2);
+    expect(isFirst()).toEqual([false]);
+    first!.resume();
+    await world.run(LEASE_MS);
+    for (const process of world.processes) process.isFrozen = process !== first;
+    await world.run(TTL_MS * 2);
+    first!.manager.setStandby(true);
+    await world.run(TTL_MS + LEASE_MS);
+    expect(world.holders()).toEqual([first]);
+    expect(isFirst()).toEqual([false]);
+  });
+
   it('logs a store outage and the recovery once', async () => {
     const world = new Simulation(true);
     await world.run(LEASE_MS);
