--- a/packages/banyanfold-gateway/src/__tests__/peerClient.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/peerClient.test.ts
@@ -1,9 +1,14 @@
+import {once} from 'node:events';
 import net, {type AddressInfo} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {WebSocketServer} from 'ws';
 import {createPeerClient} from '../peers/peerClient.js';
 import type {ExchangeInput} from '../peers/peerContract.js';
+import {MAX_PEER_MESSAGE_BYTES} from '../peers/peerServer.js';
 
 const TIMEOUT_MS = 100;
+/** Code with which a WebSocket is closed for that. */
+const MESSAGE_TOO_BIG = 1009;
 const INPUT: ExchangeInput = {
   entry: 'e1:7',
   members: [],
@@ -87,4 +92,28 @@
     await settle();
     expect(uncaught).toEqual([]);
   });
+
+  // Guards against a process whose memory a peer fills.
+  it('closes the connection of a peer whose message is too long', async () => {
+    const sockets = new WebSocketServer({port: 0, host: '127.0.0.1'});
+    await once(sockets, 'listening');
+    const closedWith = new Promise(resolve => {
+      sockets.on('connection', socket => {
+        socket.once('close', resolve);
+        socket.send(Buffer.alloc(MAX_PEER_MESSAGE_BYTES + 1));
+      });
+    });
+    const {port} = sockets.address() as AddressInfo;
+    const client = createPeerClient(
+      `127.0.0.1:${port}`,
+      TIMEOUT_MS,
+      TIMEOUT_MS,
+    );
+    await expect(client.exchange(INPUT)).rejects.toThrow();
+    expect(await closedWith).toBe(MESSAGE_TOO_BIG);
+    client.close();
+    sockets.close();
+    await settle();
+    expect(uncaught).toEqual([]);
+  });
 });
