--- a/packages/banyanfold-gateway/src/__tests__/crashFleet.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/crashFleet.model.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {CrashFleet, type CrashFleetScenario} from './crashFleet.js';
+import {randomOf} from './randomOf.js';
 
 /** Arrivals that are allowed once all entries must know of a part. */
 const ALLOWED_ARRIVALS = 3;
@@ -60,17 +61,6 @@
   };
 }
 
-/** A generator of pseudo-random numbers (mulberry32). */
-function seededRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 describe.each(FLEETS)(
   'a part that crashes runners, $entries entries',
   fleet => {
@@ -79,7 +69,7 @@
       async (_name, disturbance) => {
         // Guards against requests with the part that reach runners on and on.
         for (const seed of SEEDS) {
-          const random = seededRandom(seed);
+          const random = randomOf(seed);
           const scenario = {...fleet, ...disturbance, random};
           const outcome = await new CrashFleet(scenario).play();
           expect(outcome.lateArrivals).toBeLessThanOrEqual(ALLOWED_ARRIVALS);
@@ -91,7 +81,7 @@
 
     it('is held back whatever strikes the entries at any moment', async () => {
       for (let seed = 1; seed <= RANDOM_SEEDS; seed++) {
-        const random = seededRandom(seed);
+        const random = randomOf(seed);
         const disturbance = randomDisturbance(fleet.entries, random);
         const scenario = {...fleet, ...disturbance, random, durationMs: 20_000};
         const outcome = await new CrashFleet(scenario).play();
@@ -104,7 +94,7 @@
     it('is found beside another one', async () => {
       const crashingParts = ['part/bad', 'part/worse'];
       for (const seed of SEEDS) {
-        const random = seededRandom(seed);
+        const random = randomOf(seed);
         const scenario = {
           ...fleet,
           crashingParts,
@@ -122,7 +112,7 @@
       for (const seed of SEEDS) {
         const scenario = {
           ...fleet,
-          random: seededRandom(seed),
+          random: randomOf(seed),
           crashingPerSecond: 0,
           failingRunners: (nowMs: number) =>
             [3_000, 5_500, 8_000].includes(nowMs) ? 10 : 0,
--- a/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/leaseHolder.test.ts
@@ -6,7 +6,6 @@
 import {DEFAULT_OPTIONS} from '../options.js';
 import type {ExchangeInput} from '../peers/peerContract.js';
 import {LeaseHolder} from '../placement/leaseHolder.js';
-import {RetryGrants} from '../placement/retryGrants.js';
 import {LoadRate} from '../placement/loadRate.js';
 import {RunnerController} from '../placement/runnerController.js';
 import type {
@@ -17,6 +16,7 @@
 } from '../types.js';
 import {ReplicaList} from '../streams/replicaList.js';
 import {FleetView} from '../view/fleetView.js';
+import {exampleRetryGrants} from './exampleRetryGrants.js';
 
 const OWN = 'own:7';
 const LARGE = 1.3;
@@ -151,14 +151,7 @@
       random: () => 0.5,
       usageCapOf: () => undefined,
     }),
-    retryGrants: new RetryGrants({
-      clock,
-      permitsPerWindow: 50,
-      windowMs: 10_000,
-      grantedForMs: 2_000,
-      leaseTtlMs: 1_000,
-      entryCount: () => 1,
-    }),
+    retryGrants: exampleRetryGrants(clock),
     isLeaving: () => false,
   });
   return {holder, view, state};
--- a/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/peerFleet.ts
@@ -19,7 +19,6 @@
 } from '../peers/peerContract.js';
 import {DemandMeter} from '../placement/demandMeter.js';
 import {LeaseHolder} from '../placement/leaseHolder.js';
-import {RetryGrants} from '../placement/retryGrants.js';
 import {LoadRate} from '../placement/loadRate.js';
 import {HeldCopies} from '../runners/heldCopies.js';
 import {RunnerCapacities} from '../runners/runnerCapacities.js';
@@ -34,6 +33,7 @@
 } from '../types.js';
 import {FleetView} from '../view/fleetView.js';
 import {ViewFreshness} from '../view/viewFreshness.js';
+import {exampleRetryGrants} from './exampleRetryGrants.js';
 
 const DOMAINS = 6;
 /** Entries that have more of a processor, and become relays. */
@@ -190,14 +190,7 @@
         runnersChange: () => source.runnersChange,
         onNewerConfig: () => {},
         usage,
-        retryGrants: new RetryGrants({
-          clock,
-          permitsPerWindow: 50,
-          windowMs: 10_000,
-          grantedForMs: 2_000,
-          leaseTtlMs: 1_000,
-          entryCount: () => 1,
-        }),
+        retryGrants: exampleRetryGrants(clock),
         isLeaving: () => false,
       }),
       self: {
--- a/packages/banyanfold-gateway/src/__tests__/retryFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/retryFleet.ts
@@ -2,6 +2,7 @@
 import {RetryGrants} from '../placement/retryGrants.js';
 import {RequestPermits} from '../requests/requestPermits.js';
 import {GRANTED_FOR_MS, RetryBudgets} from '../requests/retryBudgets.js';
+import {randomOf} from './randomOf.js';
 
 export const RETRY_RATIO = 0.2;
 export const RETRY_WINDOW_MS = 10_000;
@@ -82,17 +83,6 @@
   asked: number;
 }
 
-/** Mulberry32, so that a seed reproduces the same play. */
-export function randomOf(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let t = Math.imul(state ^ (state >>> 15), 1 | state);
-    t = (t + Math.imul(t ^ (t >>> 7), 61 | t)) ^ t;
-    return ((t ^ (t >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 /** Counts by step, from which the counts of windows are summed. */
 class StepCounts {
   private readonly counts: number[] = [];
--- a/packages/banyanfold-gateway/src/__tests__/runnerRateLimits.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerRateLimits.test.ts
@@ -1,22 +1,12 @@
 import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {describe, expect, it} from 'vitest';
 import {RunnerRateLimits} from '../runners/runnerRateLimits.js';
+import {randomOf} from './randomOf.js';
 import {simulateRateLimit, type RateLimitScenario} from './rateLimitFleet.js';
 
 const WINDOW_S = 4;
 const DURATION_MS = 16_000;
 
-/** Mulberry32, so that a seed reproduces the same load. */
-function randomOf(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let t = Math.imul(state ^ (state >>> 15), 1 | state);
-    t = (t + Math.imul(t ^ (t >>> 7), 61 | t)) ^ t;
-    return ((t ^ (t >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 /** Maximum number of requests per window at a runner with a limit. */
 function maxRequests(limitPerSecond: number): number {
   return limitPerSecond * WINDOW_S * 1.5 + 5;
