--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds what the scripts start: the bundle, by the command of the deploy file.
+# The stand-ins are plain modules of the runtime and need no build.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ node_modules -nt package-lock.json ] || npm ci --silent
+node platform/build.mjs
