--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 # The stand-ins are plain modules of the runtime and need no build.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-[ node_modules -nt package-lock.json ] || npm ci --silent
+[ -d node_modules ] || npm ci --silent
 node platform/build.mjs
--- a/review/common/deployment.mjs
+++ b/review/common/deployment.mjs
@@ -214,6 +214,11 @@
     this.log = log;
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
     this.store = new Store();
+    // Also if the script itself is ended, no entry stays.
+    process.once('exit', () => this.entries.forEach(entry => entry.close()));
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+      process.once(signal, () => process.exit(2));
+    }
   }
 
   /** @param hosts loopback addresses of the entries, all in one zone. */
