Log the requests that the exit of a process cuts off

A caller's connection closed without an answer around a planned stop, and no line of the entry named the request: `request-end` was missing, `drained` told how many were open but not which, and nothing told when they came. `request-cut`, written as the process exits, names each with its runner and how long it had been open.

--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -528,6 +528,11 @@
     this.peerServer.close();
   }
 
+  /** To be called when the process exits. */
+  logRequestsCutByExit(): void {
+    this.callerServer.logRequestsCutByExit();
+  }
+
   /** Only logs a failure, such as a port in use: callers need no metrics. */
   private async listenForMetrics(at: ListenAddress): Promise<void> {
     try {
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -98,6 +98,11 @@
     for (const handler of this.activeRequests) handler.refuseUnsent();
   }
 
+  /** Logs the requests that the exit of the process cuts off. */
+  logRequestsCutByExit(): void {
+    for (const handler of this.activeRequests) handler.logCutByExit();
+  }
+
   stopAccepting(): void {
     this.server.close();
   }
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -82,6 +82,12 @@
     });
   }
 
+  /** Logs the request as cut off by the exit of the process, if it is open. */
+  logCutByExit(): void {
+    const {state} = this;
+    if (!state.isFinished) state.log.cutByExit(state.counts);
+  }
+
   /** Refuses the request if unsent, so that it can go to another entry. */
   refuseUnsent(): void {
     this.ending.refuseIfNotStarted('leaving');
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -259,6 +259,18 @@
     });
   }
 
+  /** Logs that the exit of the process closes the caller's connection. */
+  cutByExit({lastRunnerId, sendCount}: AttemptCounts): void {
+    const {context, route, startedMs} = this.options;
+    this.logEvent('request-cut', {
+      route: route.name,
+      reason: 'process-exit',
+      runner: lastRunnerId,
+      sent: sendCount,
+      openMs: Math.round(context.clock.nowMs() - startedMs),
+    });
+  }
+
   private leftMs(): number {
     const {context, deadlineMs} = this.options;
     return Math.round(deadlineMs - context.clock.nowMs());
