End a drain in the turn that finds no request open

Callers saw: around a planned stop the connection of a call that a runner had closed without an answer, 13 to 24 ms after it was sent (LOST). The caller of a call that may not be repeated can't know whether it ran.

Cause: the drain looked at the open requests, left its loop when there were none, and only then awaited the release of the lease, a call to the store. The listener was open meanwhile, and requests were passed on until the exit.

Now the lease is released while callers are served; then the last look, the close of the listener and the refusal of further requests come in one turn of the event loop, and connections that are open have 0.2 s to send or end a request, which is refused as not run. The same turn comes at the end of the grace period, before the release is awaited.

--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import {CrashDetector} from './crashes/crashDetector.js';
 import {probeListener} from './crashes/probeListener.js';
 import {QuarantineKeeper} from './crashes/quarantineKeeper.js';
+import {Drain} from './drain.js';
 import {GatewayServer} from './gatewayServer.js';
 import {DEFAULT_OPTIONS, type GatewayOptions} from './options.js';
 import {ConfigFetcher, encodePeerConfig} from './peers/configFetcher.js';
@@ -114,13 +115,10 @@
 /** Number of entries assumed until the holder has reported it. */
 const ASSUMED_ENTRY_COUNT = 8;
 const MAINTENANCE_INTERVAL_MS = 500;
-const DRAIN_POLL_MS = 50;
 /** A connection to a runner usually opens within a few milliseconds. */
 const SLOW_CONNECT_MS = 100;
 /** Delay of the event loop that is logged. */
 const LATE_LOOP_MS = 150;
-/** Reserved to leave the group, or to offer peers the lease without a store. */
-const RELEASE_MS = 2_000;
 
 /** The gateway process on an entry VM. */
 export class Gateway {
@@ -141,8 +139,7 @@
   /** Undefined until the holder has reported it. */
   private knownEntryCount: number | undefined;
   private lastMaintenanceMs = 0;
-  private isDraining = false;
-  private drainDeadlineMs: number | undefined;
+  private readonly drainRun: Drain;
 
   constructor(private readonly deps: GatewayDependencies) {
     const {clock, logger, metrics, settings, codec, lease, control} = deps;
@@ -248,7 +245,7 @@
       }),
       runnersChange: () => deps.fleet.runnersChange,
       onNewerConfig,
-      isLeaving: () => this.isDraining,
+      isLeaving: () => this.drainRun.hasStarted,
     });
     this.usageKeeper = new UsageKeeper({
       clock,
@@ -390,10 +387,18 @@
       ensureAdapter: this.holderLink.ensureAdapter,
       permitTrial: this.holderLink.permitTrial,
       random,
-      isDraining: () => this.isDraining,
-      drainDeadlineMs: () => this.drainDeadlineMs,
+      isDraining: () => this.drainRun.hasStarted,
+      drainDeadlineMs: () => this.drainRun.deadlineMs,
     };
     this.callerServer = new GatewayServer(this.context);
+    this.drainRun = new Drain({
+      clock,
+      logger,
+      lease,
+      callers: this.callerServer,
+      graceMs: settings.bounds.graceMs,
+      options,
+    });
     this.readinessServer = createReadinessServer(() => this.isReady);
     this.metricsServer = createMetricsServer(() => metrics.render());
     this.registerGauges();
@@ -403,12 +408,12 @@
   /** Whether the balancer may send callers to this process. */
   get isReady(): boolean {
     const isLate = this.context.backlog?.isUnready ?? false;
-    return this.view.isReady && !this.isDraining && !isLate;
+    return this.view.isReady && !this.drainRun.hasStarted && !isLate;
   }
 
   /** The process drains, and the balancer has stopped sending callers to it. */
   get isDrainNoticed(): boolean {
-    return this.drainDeadlineMs !== undefined;
+    return this.drainRun.deadlineMs !== undefined;
   }
 
   private get entryCount(): number {
@@ -473,43 +478,9 @@
     });
   }
 
-  /**
-   * Drains the process without interrupting requests. The balancer sends
-   * callers here until it notices that the process isn't ready. Until then
-   * callers are served, each response closes its connection, and idle
-   * connections stay open.
-   *
-   * The holder of the lease keeps giving orders during that time, because its
-   * successor may have to wait before its first order and may itself be stopped
-   * meanwhile. Any other process leaves the group at once, so that it isn't
-   * assigned the lease.
-   */
-  async drain(): Promise<void> {
-    const {clock, lease, logger, settings} = this.deps;
-    const {noticeMs, graceMarginMs} = this.context.options;
-    const startedMs = clock.nowMs();
-    this.isDraining = true;
-    logger.info('draining', {open: this.callerServer.openRequests});
-    const endMs = startedMs + settings.bounds.graceMs - graceMarginMs;
-    let released = lease.current().isHolder ? undefined : lease.release();
-    await released;
-    while (clock.nowMs() < endMs) {
-      if (clock.nowMs() >= endMs - RELEASE_MS) released ??= lease.release();
-      const isDrainNoticed = clock.nowMs() - startedMs >= noticeMs;
-      if (isDrainNoticed) this.drainDeadlineMs = endMs;
-      // A refused caller needs enough time left to retry at another entry.
-      if (isDrainNoticed) this.callerServer.refuseUnsent();
-      if (isDrainNoticed) this.callerServer.closeIdleConnections();
-      if (isDrainNoticed && this.callerServer.openRequests === 0) break;
-      await new Promise<void>(resolve => {
-        clock.setTimer(DRAIN_POLL_MS, resolve);
-      });
-    }
-    await (released ?? lease.release());
-    logger.info('drained', {
-      open: this.callerServer.openRequests,
-      tookMs: Math.round(clock.nowMs() - startedMs),
-    });
+  /** Drains the process; see {@link Drain}. */
+  drain(): Promise<void> {
+    return this.drainRun.run();
   }
 
   stop(): void {
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -83,11 +83,21 @@
     });
   }
 
-  /** Closes connections without a request in flight. */
+  /** Connections of callers, with and without a request. */
+  get connectionCount(): number {
+    return this.connections.count;
+  }
+
+  /** Closes connections that wait for their next request. */
   closeIdleConnections(): void {
     this.server.closeIdleConnections();
   }
 
+  /** Closes connections without a request, also those that never had one. */
+  closeSilentConnections(): void {
+    this.connections.closeWithoutRequest();
+  }
+
   /** Closes connections that have been without a request for too long. */
   closeStaleConnections(): void {
     this.connections.closeIdle();
--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -74,6 +74,12 @@
   largeFleetOriginBatchMs: durationMs.default(250),
   /** Time for the balancer to notice a drain: two checks, one second apart. */
   noticeMs: durationMs.default(2_600),
+  /**
+   * Time for a request that is under way on an open connection when the process
+   * stops accepting others. It takes a few ms; one that gets lost is sent again
+   * after 0.2 s. Must be less than `graceMarginMs`.
+   */
+  closingMs: durationMs.default(200),
   /** Time left of the grace period when open requests are ended. */
   graceMarginMs: durationMs.default(500),
   /**
--- a/packages/banyanfold-gateway/src/resources/callerConnections.ts
+++ b/packages/banyanfold-gateway/src/resources/callerConnections.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '@banyanfold/core';
 
 interface CallerConnection {
+  /** Requests whose responses are not flushed yet. */
   openRequests: number;
   idleSinceMs: number;
 }
@@ -24,7 +25,10 @@
 
   add(socket: Socket): void {
     const idleSinceMs = this.options.clock.nowMs();
-    this.connections.set(socket, {openRequests: 0, idleSinceMs});
+    this.connections.set(socket, {
+      openRequests: 0,
+      idleSinceMs,
+    });
     socket.once('close', () => this.connections.delete(socket));
   }
 
@@ -39,6 +43,16 @@
     });
   }
 
+  get count(): number {
+    return this.connections.size;
+  }
+
+  closeWithoutRequest(): void {
+    for (const [socket, {openRequests}] of this.connections) {
+      if (openRequests === 0) socket.destroy();
+    }
+  }
+
   closeIdle(): void {
     const {clock, maxIdleMs} = this.options;
     const oldestMs = clock.nowMs() - maxIdleMs();
