Close callers' connections once the response is flushed

Callers saw: an answer that they read slowly was cut off by a planned stop although the runner had delivered it whole (LOST).

Cause: in a drain, connections between two requests were closed by the runtime's `closeIdleConnections`. For it a connection is idle once its response has been ended, not once the bytes have been taken by the kernel; an answer larger than the socket's buffers is cut. The gateway counts the request as open until its response is flushed, so the drain would have waited.

The gateway's own list of connections knows which responses are flushed, and closes by that. Ruled out: the parser's view of the connection (it has read the request whole, so that it can't tell).

--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -90,7 +90,7 @@
 
   /** Closes connections that wait for their next request. */
   closeIdleConnections(): void {
-    this.server.closeIdleConnections();
+    this.connections.closeBetweenRequests();
   }
 
   /** Closes connections without a request, also those that never had one. */
--- a/packages/banyanfold-gateway/src/resources/callerConnections.ts
+++ b/packages/banyanfold-gateway/src/resources/callerConnections.ts
@@ -5,6 +5,7 @@
 interface CallerConnection {
   /** Requests whose responses are not flushed yet. */
   openRequests: number;
+  hadRequest: boolean;
   idleSinceMs: number;
 }
 
@@ -27,6 +28,7 @@
     const idleSinceMs = this.options.clock.nowMs();
     this.connections.set(socket, {
       openRequests: 0,
+      hadRequest: false,
       idleSinceMs,
     });
     socket.once('close', () => this.connections.delete(socket));
@@ -37,6 +39,7 @@
     const connection = this.connections.get(socket);
     if (!connection) return;
     connection.openRequests += 1;
+    connection.hadRequest = true;
     response.once('close', () => {
       connection.openRequests -= 1;
       connection.idleSinceMs = this.options.clock.nowMs();
@@ -47,6 +50,17 @@
     return this.connections.size;
   }
 
+  /**
+   * Closes connections whose last response is flushed. The runtime's own method
+   * also closes those whose response has only been written.
+   */
+  closeBetweenRequests(): void {
+    for (const [socket, {openRequests, hadRequest}] of this.connections) {
+      if (openRequests === 0 && hadRequest) socket.destroy();
+    }
+  }
+
+  /** Closes connections without a request, also those that never had one. */
   closeWithoutRequest(): void {
     for (const [socket, {openRequests}] of this.connections) {
       if (openRequests === 0) socket.destroy();
