Entry: close callers' connections once the response is flushed

The lifecycle knows the responses that are pending; connections are closed by that, and the listener by the method of the net server, which closes no connection.

Evidence: leaving.test.ts, an answer of 8 MB that is read after the listener has closed: aborted before, whole after.

--- a/packages/banyanfold-entry/src/__tests__/leaving.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/leaving.test.ts
@@ -1,12 +1,19 @@
 import {request, type IncomingMessage} from 'node:http';
 import {createEntryClient} from '@banyanfold/protocol';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
-import {framesOf, writeStreamHead, answerWhole} from './kit/behaviours.js';
+import {
+  answerJson,
+  answerWhole,
+  framesOf,
+  writeStreamHead,
+} from './kit/behaviours.js';
 import {INTERNAL_KEY, type AttemptCall} from './kit/fakeAgent.js';
 import {eventually} from './kit/eventually.js';
 import {CALLER_KEY, CHAT, TestSystem, isReady, post} from './kit/testSystem.js';
 
 const CHAT_PATH = '/v1/chat/completions';
+/** Larger than the buffers of a loopback connection. */
+const LONG_ANSWER_CHARS = 8_000_000;
 
 let system: TestSystem;
 
@@ -92,6 +99,28 @@
     await cutOff;
   });
 
+  // Guards against closing a connection whose response is not yet flushed.
+  it('leaves a slow caller the time to read its answer', async () => {
+    const port = await system.startReadyEntry();
+    const {entry} = system.entries[0]!;
+    const text = 'x'.repeat(LONG_ANSWER_CHARS);
+    system.next.push(call => answerJson(call, JSON.stringify({text})));
+    const headers = {authorization: `Bearer ${CALLER_KEY}`};
+    const response = await new Promise<IncomingMessage>(resolve => {
+      request({port, path: CHAT_PATH, method: 'POST', headers})
+        .on('response', resolve)
+        .end(JSON.stringify(CHAT));
+    });
+    const drained = entry.drain();
+    await eventually(() => post(port, CHAT_PATH).catch(toRefused)).toBe(
+      'refused',
+    );
+    let chars = 0;
+    for await (const chunk of response) chars += (chunk as Buffer).length;
+    expect(chars).toBeGreaterThan(LONG_ANSWER_CHARS);
+    await drained;
+  });
+
   it('is not ready and closes keep-alive connections while leaving', async () => {
     const port = await system.startReadyEntry({drainNoticeMs: 60_000});
     const client = createEntryClient({
--- a/packages/banyanfold-entry/src/createEntry.ts
+++ b/packages/banyanfold-entry/src/createEntry.ts
@@ -100,6 +100,7 @@
       const inference = new InferenceHandler(context, plugins);
       const listener = createRequestListener({context, inference, control});
       server = createHttpServer(settings, listener);
+      context.lifecycle.watch(server);
       const port = await listen(server, settings);
       await pollers.start();
       context.configWatch.start();
--- a/packages/banyanfold-entry/src/drain.ts
+++ b/packages/banyanfold-entry/src/drain.ts
@@ -1,4 +1,5 @@
 import type {Server} from 'node:http';
+import {Server as NetServer} from 'node:net';
 import {sleep} from '@banyanfold/core';
 import type {EntryContext} from './context.js';
 
@@ -17,9 +18,10 @@
   lifecycle.leave();
   logger.info('drain-started', {open: lifecycle.openRequestCount});
   await sleep(clock, settings.drainNoticeMs);
-  // Also closes idle connections; those in use get `Connection: close` with
-  // their response.
-  server.close();
+  // Connections in use get `Connection: close` with their response. The method
+  // of the HTTP server would cut off responses that are not yet flushed.
+  NetServer.prototype.close.call(server);
+  lifecycle.closeIdleConnections();
   const deadline = new Promise<'timeout'>(resolve => {
     clock.setTimer(settings.drainBoundMs, () => resolve('timeout'));
   });
--- a/packages/banyanfold-entry/src/lifecycle.ts
+++ b/packages/banyanfold-entry/src/lifecycle.ts
@@ -1,8 +1,13 @@
-import type {ServerResponse} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
+import {Server as TlsServer} from 'node:https';
+import type {Socket} from 'node:net';
 
-/** Tracks whether this entry is leaving, and its open requests. */
+/** Tracks whether this entry is leaving, its connections and open requests. */
 export class Lifecycle {
   private isLeaving = false;
+  private readonly connections = new Set<Socket>();
+  /** Connections that have carried a request. */
+  private readonly served = new WeakSet<Socket>();
   private readonly pendingResponses = new Set<ServerResponse>();
   private openRequests = 0;
   private idleWaiters: Array<() => void> = [];
@@ -25,9 +30,33 @@
   responseOpened(res: ServerResponse): void {
     if (this.isLeaving) closeConnectionAfter(res);
     this.pendingResponses.add(res);
+    if (res.socket) this.served.add(res.socket);
     res.once('close', () => this.pendingResponses.delete(res));
   }
 
+  /** Tracks the connections of a server. */
+  watch(server: Server): void {
+    const isTls = server instanceof TlsServer;
+    server.on(isTls ? 'secureConnection' : 'connection', (socket: Socket) => {
+      this.connections.add(socket);
+      socket.once('close', () => this.connections.delete(socket));
+    });
+  }
+
+  /**
+   * Closes the connections that wait for their next request. The runtime's own
+   * method also closes those whose response has been written but not flushed.
+   */
+  closeIdleConnections(): void {
+    for (const socket of this.connections) {
+      if (this.served.has(socket) && !this.isBusy(socket)) socket.destroy();
+    }
+  }
+
+  private isBusy(socket: Socket): boolean {
+    return [...this.pendingResponses].some(res => res.socket === socket);
+  }
+
   get openRequestCount(): number {
     return this.openRequests;
   }
