Entry: refuse requests from the turn in which a drain ends

Requests that are read after the last look are refused, as not run; each connection closes after its request, and silent ones after 0.2 s.

--- a/packages/banyanfold-entry/src/__tests__/leaving.test.ts
+++ b/packages/banyanfold-entry/src/__tests__/leaving.test.ts
@@ -1,4 +1,6 @@
+import {once} from 'node:events';
 import {request, type IncomingMessage} from 'node:http';
+import {connect} from 'node:net';
 import {createEntryClient} from '@banyanfold/protocol';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {
@@ -99,6 +101,27 @@
     await cutOff;
   });
 
+  // Guards against passing on a request that the stop of the entry cuts off.
+  it('takes on no request once its drain has ended', async () => {
+    const port = await system.startReadyEntry();
+    const {entry} = system.entries[0]!;
+    const socket = connect(port, '127.0.0.1');
+    await once(socket, 'connect');
+    const closed = new Promise(resolve => socket.once('close', resolve));
+    socket.on('error', () => {});
+    socket.resume();
+    await entry.drain();
+    const body = JSON.stringify(CHAT);
+    socket.write(
+      `POST ${CHAT_PATH} HTTP/1.1\r\nHost: entry\r\n` +
+        `Authorization: Bearer ${CALLER_KEY}\r\n` +
+        `Content-Length: ${body.length}\r\n\r\n${body}`,
+    );
+    await Promise.race([closed, eventuallyCalled()]);
+    await entry.stop();
+    expect(system.takeCounts().calls).toBe(0);
+  });
+
   // Guards against closing a connection whose response is not yet flushed.
   it('leaves a slow caller the time to read its answer', async () => {
     const port = await system.startReadyEntry();
@@ -184,6 +207,12 @@
 
 const toRefused = () => 'refused' as const;
 
+async function eventuallyCalled(): Promise<void> {
+  await eventually(() =>
+    system.agents.some(({calls}) => calls.length > 0),
+  ).toBe(true);
+}
+
 async function explainCandidates(_port: number) {
   const {entry} = system.entries[0]!;
   const {candidates} = await entry.handlers.explain({
--- a/packages/banyanfold-entry/src/drain.ts
+++ b/packages/banyanfold-entry/src/drain.ts
@@ -4,11 +4,16 @@
 import type {EntryContext} from './context.js';
 
 const MS_PER_SECOND = 1000;
+/** Time for a request that is under way on an open connection; it is refused. */
+const CLOSING_MS = 200;
+const CLOSING_POLL_MS = 10;
 
 /**
  * Shuts down gracefully: readiness fails first, so that the load balancer stops
  * sending; then the listener closes; then open requests have `drainBoundMs` to
- * finish. The number of those still open at the deadline is logged.
+ * finish. Requests on connections that are open then are served until no request
+ * is left, and refused from then on. The number of requests still open at the
+ * deadline is logged.
  */
 export async function drainEntry(
   context: EntryContext,
@@ -27,7 +32,9 @@
   });
   const idle = lifecycle.whenIdle().then(() => 'idle' as const);
   const outcome = await Promise.race([idle, deadline]);
+  lifecycle.stopServing();
   if (outcome === 'idle') {
+    await closeConnections(context);
     logger.info('drain-finished');
     return;
   }
@@ -36,3 +43,17 @@
     boundSeconds: settings.drainBoundMs / MS_PER_SECOND,
   });
 }
+
+/** Closes each connection after its request, or without one after a while. */
+async function closeConnections({
+  clock,
+  lifecycle,
+}: EntryContext): Promise<void> {
+  const endMs = clock.nowMs() + CLOSING_MS;
+  lifecycle.closeIdleConnections();
+  while (lifecycle.connectionCount > 0 && clock.nowMs() < endMs) {
+    await sleep(clock, CLOSING_POLL_MS);
+    lifecycle.closeIdleConnections();
+  }
+  lifecycle.closeSilentConnections();
+}
--- a/packages/banyanfold-entry/src/http/inference.ts
+++ b/packages/banyanfold-entry/src/http/inference.ts
@@ -13,6 +13,8 @@
 import {waitForFlush, type StallLimit} from './waitForFlush.js';
 
 const OVERLOADED_RETRY_AFTER_MS = 1000;
+/** Another entry can take the request at once. */
+const SHUTDOWN_RETRY_AFTER_MS = 50;
 
 /** A call to a model or a service. */
 export interface InferenceCall {
@@ -31,6 +33,11 @@
 
   async handle(call: InferenceCall): Promise<void> {
     const {callers, lifecycle, settings} = this.context;
+    if (lifecycle.stoppedServing) {
+      throw new ApiError('not_ready', 'this entry is shutting down', {
+        retryAfterMs: SHUTDOWN_RETRY_AFTER_MS,
+      });
+    }
     const caller = callers.admit(call.req);
     lifecycle.requestOpened();
     try {
--- a/packages/banyanfold-entry/src/lifecycle.ts
+++ b/packages/banyanfold-entry/src/lifecycle.ts
@@ -5,6 +5,7 @@
 /** Tracks whether this entry is leaving, its connections and open requests. */
 export class Lifecycle {
   private isLeaving = false;
+  private hasStoppedServing = false;
   private readonly connections = new Set<Socket>();
   /** Connections that have carried a request. */
   private readonly served = new WeakSet<Socket>();
@@ -34,6 +35,15 @@
     res.once('close', () => this.pendingResponses.delete(res));
   }
 
+  /** From now on requests are refused, because the exit would cut them off. */
+  stopServing(): void {
+    this.hasStoppedServing = true;
+  }
+
+  get stoppedServing(): boolean {
+    return this.hasStoppedServing;
+  }
+
   /** Tracks the connections of a server. */
   watch(server: Server): void {
     const isTls = server instanceof TlsServer;
@@ -43,6 +53,10 @@
     });
   }
 
+  get connectionCount(): number {
+    return this.connections.size;
+  }
+
   /**
    * Closes the connections that wait for their next request. The runtime's own
    * method also closes those whose response has been written but not flushed.
@@ -53,6 +67,13 @@
     }
   }
 
+  /** Closes the connections without a request, also those that had none. */
+  closeSilentConnections(): void {
+    for (const socket of this.connections) {
+      if (!this.isBusy(socket)) socket.destroy();
+    }
+  }
+
   private isBusy(socket: Socket): boolean {
     return [...this.pendingResponses].some(res => res.socket === socket);
   }
