Agent: drain until the responses to entries are flushed

Callers saw: an answer that the engine had finished was cut off when its backend server was drained, if the entry read it slowly. An entry reads slowly while its caller does.

Cause: the drain waited for attempts, which end with the engine's answer. The stop after it closes all connections, with what they had not sent.

Responses to attempts and to entries that take them up again count as open until they are flushed, within the same `drainBoundMs`.

--- a/packages/banyanfold-agent/src/__tests__/attemptOutcome.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/attemptOutcome.test.ts
@@ -5,6 +5,7 @@
 import {request} from 'undici';
 import {afterEach, describe, expect, it} from 'vitest';
 import {serviceUrl} from '../attempts/serviceAttempt.js';
+import {FakeEngine} from './fakeEngine.js';
 import {
   chatBody,
   INTERNAL_KEY,
@@ -16,6 +17,9 @@
   until,
 } from './testAgent.js';
 
+/** Larger than the buffers of a loopback connection. */
+const LARGE_ANSWER_BYTES = 12_000_000;
+
 const cleanups: Array<() => Promise<void>> = [];
 afterEach(async () => {
   for (const cleanup of cleanups.splice(0)) await cleanup();
@@ -326,6 +330,31 @@
     );
   });
 
+  // Guards against closing a connection whose response is not yet flushed.
+  it('leaves an entry the time to read an answer that has ended', async () => {
+    const engine = new FakeEngine({
+      onRequest: (_req, res, requestId) => {
+        const padding = 'x'.repeat(LARGE_ANSWER_BYTES);
+        const id = `chatcmpl-${requestId}`;
+        res.writeHead(200, {'content-type': 'application/json'});
+        res.end(JSON.stringify({id, choices: [], padding}));
+      },
+    });
+    const target = await start({fakeEngine: engine});
+    const {response} = await sendAttempt(target, {
+      body: chatBody({stream: false}),
+    });
+    await until(() => target.openAttempts() === 0);
+    const stopped = target.agent.drain().then(() => target.agent.stop());
+    await until(() =>
+      target.logger.lines.some(line => line.includes('event=drain ')),
+    );
+    const {text, cut} = await readUntilCut(response.body);
+    expect(cut).toBe(false);
+    expect(text.length).toBeGreaterThan(LARGE_ANSWER_BYTES);
+    await stopped;
+  });
+
   // Guards against a log that calls an answer cut which its caller got whole.
   it('does not log an attempt that ends before the agent stops', async () => {
     const target = await start({settings: {drainBoundMs: 30}});
--- a/packages/banyanfold-agent/src/agent.ts
+++ b/packages/banyanfold-agent/src/agent.ts
@@ -42,8 +42,8 @@
    */
   start(): Promise<{port: number}>;
   /**
-   * Refuses new attempts, and resolves when all open attempts have ended or
-   * the drain timeout has passed.
+   * Refuses new attempts, and resolves when all open attempts have ended and
+   * their responses are flushed, or the drain timeout has passed.
    */
   drain(): Promise<void>;
   /** Stops the agent and closes all connections without draining. */
@@ -102,7 +102,7 @@
   }
 
   function drain(): Promise<void> {
-    draining ??= drainAttempts(context);
+    draining ??= drainAttempts(context, server);
     return draining;
   }
 
@@ -169,12 +169,18 @@
  * and a successor that could bind the port would be a second agent of the same
  * engine.
  */
-async function drainAttempts(context: AgentContext): Promise<void> {
+async function drainAttempts(
+  context: AgentContext,
+  server: AgentServer,
+): Promise<void> {
   const {clock, logger, registry, settings} = context;
   context.markLeaving();
   logger.info('drain', {open: registry.openCount()});
   const endMs = clock.nowMs() + settings.drainBoundMs;
-  while (registry.openCount() > 0 && clock.nowMs() < endMs) {
+  // An answer that the engine has finished may not have reached its entry yet.
+  const hasOpen = () =>
+    registry.openCount() > 0 || server.openResponseCount > 0;
+  while (hasOpen() && clock.nowMs() < endMs) {
     await sleep(clock, DRAIN_POLL_MS);
   }
   logger.info('drained', {open: registry.openCount()});
--- a/packages/banyanfold-agent/src/http/agentServer.ts
+++ b/packages/banyanfold-agent/src/http/agentServer.ts
@@ -52,6 +52,7 @@
 /** The HTTP server of an agent. */
 export class AgentServer {
   private readonly server: Server;
+  private readonly attemptResponses = new Set<ServerResponse>();
 
   constructor(private readonly options: AgentServerOptions) {
     this.server = createServer((req, res) => this.handle(req, res));
@@ -74,6 +75,11 @@
     return (this.server.address() as AddressInfo).port;
   }
 
+  /** Responses to attempts and resumes that entries have not been sent whole. */
+  get openResponseCount(): number {
+    return this.attemptResponses.size;
+  }
+
   async close(): Promise<void> {
     await new Promise<void>(resolve => {
       this.server.close(() => resolve());
@@ -140,6 +146,8 @@
         sendJson(res, UNAUTHORIZED, {error: {message: 'unauthorized'}});
         return;
       }
+      this.attemptResponses.add(res);
+      res.once('close', () => this.attemptResponses.delete(res));
       const run = async () => handle(url, req, res);
       run().catch((error: unknown) => {
         const {logger} = this.options;
