--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -6,6 +6,7 @@
 import {runEndless} from './endlessRun.js';
 import {runHerd} from './herdRun.js';
 import {runLeavings} from './leavingRun.js';
+import {runPlannedStops} from './plannedStopRun.js';
 import {runRestarts} from './restartRun.js';
 import {runSeed, type SeedVerdict} from './runSeed.js';
 import {runVersions} from './versionRun.js';
@@ -21,6 +22,7 @@
   --herds         five entries, one of which gets most new connections
   --leavings      six entries and runners that leave under one or two faults
   --restarts      twelve entries that end together while runners reject requests
+  --planned-stops three entries that are stopped and started by turns
   --endless       three entries and runners whose answers have no end
   --half-core     with --leavings: each entry is stopped half of the time
   --regressions   the seeds that failed once, in place of others
@@ -44,6 +46,7 @@
   herds: boolean;
   leavings: boolean;
   restarts: boolean;
+  plannedStops: boolean;
   endless: boolean;
   halfCore: boolean;
 }
@@ -60,6 +63,7 @@
       herds: {type: 'boolean', default: false},
       leavings: {type: 'boolean', default: false},
       restarts: {type: 'boolean', default: false},
+      'planned-stops': {type: 'boolean', default: false},
       endless: {type: 'boolean', default: false},
       'half-core': {type: 'boolean', default: false},
       seconds: {type: 'string', default: '12'},
@@ -88,6 +92,7 @@
     herds: values.herds,
     leavings: values.leavings,
     restarts: values.restarts,
+    plannedStops: values['planned-stops'],
     endless: values.endless,
     halfCore: values['half-core'],
   };
@@ -176,6 +181,20 @@
   return violations.length === 0;
 }
 
+async function playPlannedStops(
+  seed: number,
+  folder: string,
+): Promise<boolean> {
+  const verdict = await runPlannedStops({seed, folder});
+  const {violations, stops, calls, served, refused} = verdict;
+  console.log(
+    `seed ${seed}: ${violations.length === 0 ? 'ok' : 'BROKEN'}, ${stops} stops, ` +
+      `${served} of ${calls} served, ${refused} refused`,
+  );
+  for (const {rule, what} of violations) console.log(`  ${rule}: ${what}`);
+  return violations.length === 0;
+}
+
 async function playEndless(seed: number, folder: string): Promise<boolean> {
   const verdicts = await runEndless({folder, isTimed: true});
   for (const each of verdicts) {
@@ -223,6 +242,7 @@
   if (args.herds) return playHerds(seed, folder);
   if (args.leavings) return playLeavings(seed, folder, args.halfCore);
   if (args.endless) return playEndless(seed, folder);
+  if (args.plannedStops) return playPlannedStops(seed, folder);
   if (args.restarts) return playRestarts(seed, folder);
   if (args.versions) return playVersions(seed, folder);
   const verdict = await runSeed({
--- a/soak/src/soakSystem.ts
+++ b/soak/src/soakSystem.ts
@@ -29,6 +29,8 @@
 
 export const STREAM_EVENTS = 6;
 const EVENT_PAUSE_MS = 12;
+/** The store of a deployment takes about this long. */
+const STORE_DELAY_MS = 4;
 const ENTRIES = 3;
 const MODEL_RUNNERS = 3;
 const PLAIN_RUNNERS = 3;
@@ -63,6 +65,7 @@
 
   async start(): Promise<void> {
     await this.platform.start();
+    this.platform.store.answerDelayMs = STORE_DELAY_MS;
     for (let i = 0; i < MODEL_RUNNERS; i++) {
       this.runnerPlaces.push(await this.makeRunner('drafting', i));
     }
