Send no two attempts of a request on one connection

Cause: a rejected attempt returns its connection to the pool after 8 ms, and the next attempt of the same request, 12 ms later or more, may take it. A late copy of the rejection bears the same request id, which is all that tells answers apart, so it counted as the answer to the attempt that ran. Ruled out: answers of other requests, whose id differs and which close the connection; the callers, as one id ran twice.

A request takes no connection that has carried an attempt of it. A longer rest before the reuse would only make it rarer.

--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -1,3 +1,4 @@
+import type {RunnerConnection} from '../runners/runnerConnections.js';
 import type {ResponseInfo, RunnerRegistration} from '../types.js';
 import type {RequestAdmission} from './requestAdmission.js';
 import type {RequestState} from './requestState.js';
@@ -14,6 +15,8 @@
 
 /** Sends attempts of one request to the chosen runners. */
 export class AttemptSender {
+  private readonly usedConnections = new Set<RunnerConnection>();
+
   constructor(
     private readonly state: RequestState,
     private readonly admission: RequestAdmission,
@@ -126,7 +129,7 @@
     const {runnerId} = runner;
     const nowMs = context.clock.nowMs();
     state.suspect.noteSent();
-    const connection = context.connections.acquire(runner.address);
+    const connection = this.acquireConnection(runner.address);
     connection.isWanted = () =>
       state.targets.isStillUsable(runner) && state.permits.maySend;
     state.log.route(target, state.counts, {
@@ -206,6 +209,21 @@
     return result;
   }
 
+  /**
+   * Returns a connection that has carried no attempt of this request. A late
+   * second response to that attempt bears the same request id as this one's, so
+   * that a rejection would be taken for the answer to an attempt that runs.
+   */
+  private acquireConnection(address: string): RunnerConnection {
+    const {connections} = this.state.options.context;
+    const connection = connections.acquire(
+      address,
+      idle => !this.usedConnections.has(idle),
+    );
+    this.usedConnections.add(connection);
+    return connection;
+  }
+
   private recordResponseInfo(
     runner: RunnerRegistration,
     info: ResponseInfo,
--- a/packages/banyanfold-gateway/src/runners/runnerConnections.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerConnections.ts
@@ -164,25 +164,43 @@
     private readonly onOpening?: (opening: ConnectionOpening) => void,
   ) {}
 
-  /** Returns the connection that has been idle longest, or a new one. */
-  acquire(address: string): RunnerConnection {
+  /**
+   * Returns the connection that has been idle longest, or a new one.
+   *
+   * @param isUsable whether a connection may be reused.
+   */
+  acquire(
+    address: string,
+    isUsable: (connection: RunnerConnection) => boolean = () => true,
+  ): RunnerConnection {
+    return this.takeIdle(address, isUsable) ?? this.open(address);
+  }
+
+  private takeIdle(
+    address: string,
+    isUsable: (connection: RunnerConnection) => boolean,
+  ): RunnerConnection | undefined {
     const nowMs = this.clock.nowMs();
-    const resting = this.idle.get(address);
-    while (resting && resting.length > 0) {
-      const oldest = resting[0]!;
-      if (
-        !oldest.closed &&
-        this.idleMs(oldest, nowMs) < this.options.reuseRestMs
-      ) {
-        break;
-      }
-      resting.shift();
-      if (oldest.closed) continue;
-      if (this.idleMs(oldest, nowMs) < this.options.runnerIdleMs) {
-        return oldest;
+    const {reuseRestMs, runnerIdleMs} = this.options;
+    const resting = this.idle.get(address) ?? [];
+    let position = 0;
+    while (position < resting.length) {
+      const connection = resting[position]!;
+      const idleMs = this.idleMs(connection, nowMs);
+      if (!connection.closed && idleMs < reuseRestMs) return undefined;
+      const isExpired = connection.closed || idleMs >= runnerIdleMs;
+      if (!isExpired && !isUsable(connection)) {
+        position += 1;
+        continue;
       }
-      oldest.destroy();
+      resting.splice(position, 1);
+      if (!isExpired) return connection;
+      connection.destroy();
     }
+    return undefined;
+  }
+
+  private open(address: string): RunnerConnection {
     this.opened += 1;
     this.openCount += 1;
     const {clock, options, onOpening} = this;
