Tie what a runner holds to the start that holds it

Callers saw: streams with events of two software versions in one answer (ORDER), after a model runner had started again under its id with a newer version while the store was down.

Cause: the holder learns of another start from the runner's report, and has a model loaded there. What it tells entries of the runner's models named the runner and not the start; entries joined it to the registration of the start before, whose version is the old one, and sent streams of that version on. Ruled out: a change between the choice and the first event (the runner had been back for half a second), the take-up by callers (it was one answer).

A report of another start now takes the place of the registration: nothing that depends on the start before counts, and its version counts as one of its own until it registers. The holder tells the start with the models, and entries apply both or neither. The version of before isn't gone for good meanwhile, so that callers are told to come back.

--- a/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
@@ -186,6 +186,48 @@
     expect(restartedIds).toEqual(['r1', 'r1']);
   });
 
+  // Guards against going by what an earlier start of a runner has registered.
+  it('knows nothing but the place of a start that has not registered', () => {
+    const view = createView();
+    const restarted: string[] = [];
+    view.onRestart(runnerId => restarted.push(runnerId));
+    const models = [{name: 'm1', version: 1, adapters: []}];
+    const first = {models, softwareVersion: 'v1', leaving: true};
+    view.onRegistration(registration(5, first));
+    view.noteStart({runnerId: 'r1', bornMs: 2});
+    view.noteStart({runnerId: 'r1', bornMs: 1});
+    view.onRegistration(registration(6, first));
+    expect(view.runner('r1')).toMatchObject({
+      bornMs: 2,
+      address: '127.0.0.1:1',
+      models: [],
+      softwareVersion: undefined,
+      isUnregistered: true,
+      leaving: false,
+    });
+    expect(restarted).toEqual(['r1']);
+    expect(view.departures().leavingRunners).toEqual([]);
+  });
+
+  // Guards against ignoring the registration of a start that a report told of.
+  it('goes by the registration of a start once it is there', () => {
+    const view = createView();
+    view.onRegistration(registration(5, {softwareVersion: 'v1'}));
+    view.noteStart({runnerId: 'r1', bornMs: 2});
+    const second = registration(0, {bornMs: 2, softwareVersion: 'v2'});
+    view.onRegistration(second);
+    expect(view.runner('r1')).toEqual(second);
+  });
+
+  // Guards against ignoring all registrations of a runner that states no start.
+  it('keeps the registration of a runner that states its start in reports only', () => {
+    const view = createView();
+    view.onRegistration(registration(5, {bornMs: 0}));
+    view.noteStart({runnerId: 'r1', bornMs: 2});
+    view.onRegistration(registration(6, {bornMs: 0, leaving: true}));
+    expect(view.runner('r1')).toMatchObject({bornMs: 0, leaving: true});
+  });
+
   it('is ready when it knows a configuration and the runners', () => {
     const view = createView();
     view.onConfig(config(1));
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -17,6 +17,8 @@
 /** The models and adapters that one runner holds. */
 const runnerCopiesSchema = z.object({
   runnerId: z.string(),
+  /** The incarnation that holds them; absent from holders of earlier releases. */
+  bornMs: z.number().optional(),
   models: z.array(z.string()),
   /** Each as the names of its model and adapter, joined by a slash. */
   adapters: z.array(z.string()),
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -159,6 +159,7 @@
       onReport: (queried, report, requestedMs) => {
         const {runnerId} = queried.registration;
         const {bornMs, isLeaving} = report;
+        deps.view.noteStart({runnerId, bornMs});
         if (isLeaving) deps.view.noteLeaving({runnerId, bornMs}, 'report');
         this.controllerFor(queried, report)?.applyReport(report, requestedMs);
       },
@@ -388,6 +389,7 @@
       .filter(controller => controller.isReady)
       .map(controller => ({
         runnerId: controller.registration.runnerId,
+        bornMs: controller.registration.bornMs,
         models: controller.isReachable ? controller.servingModels() : [],
         adapters: controller.servingAdapters(),
         isBusy: controller.isBusy,
@@ -528,11 +530,9 @@
     {bornMs}: RunnerReport,
   ): RunnerController | undefined {
     const {registration} = queriedController;
-    const {runnerId} = registration;
-    const current = this.controllers.get(runnerId);
+    const current = this.controllers.get(registration.runnerId);
     if (!current || bornMs < current.registration.bornMs) return undefined;
     if (bornMs === current.registration.bornMs) return current;
-    this.deps.logger.info('runner-restarted', {runner: runnerId, bornMs});
     return this.createController({...registration, bornMs, models: []});
   }
 
--- a/packages/banyanfold-gateway/src/runners/heldCopies.ts
+++ b/packages/banyanfold-gateway/src/runners/heldCopies.ts
@@ -3,6 +3,8 @@
 
 /** What one runner holds according to the last report of the holder. */
 interface ReportedCopies {
+  /** The incarnation that holds them; undefined if the holder doesn't tell. */
+  bornMs: number | undefined;
   models: ReadonlySet<string>;
   adapters: Set<string>;
   /** Whether no adapter can be fetched at the moment. */
@@ -106,8 +108,10 @@
     this.reportedMs = this.nowMs() - ageMs;
     if (isWhole) this.reported.clear();
     for (const runnerId of gone) this.reported.delete(runnerId);
-    for (const {runnerId, models, adapters, isBusy} of runners) {
+    for (const {runnerId, bornMs, models, adapters, isBusy} of runners) {
+      if (bornMs !== undefined) this.view.noteStart({runnerId, bornMs});
       this.reported.set(runnerId, {
+        bornMs,
         models: new Set(models),
         adapters: new Set(adapters),
         isBusy,
@@ -154,7 +158,11 @@
 
   private reportedCopies(runnerId: string): ReportedCopies | undefined {
     if (this.nowMs() - this.reportedMs > this.freshMs) return undefined;
-    return this.reported.get(runnerId);
+    const held = this.reported.get(runnerId);
+    if (held?.bornMs === undefined) return held;
+    // What an earlier incarnation held is gone.
+    const isCurrent = held.bornMs === this.view.runner(runnerId)?.bornMs;
+    return isCurrent ? held : undefined;
   }
 
   private registeredModel(runnerId: string, model: string) {
--- a/packages/banyanfold-gateway/src/streams/versionHistory.ts
+++ b/packages/banyanfold-gateway/src/streams/versionHistory.ts
@@ -1,5 +1,5 @@
 import type {RunnerRegistration} from '../types.js';
-import {versionOf} from './softwareVersion.js';
+import {versionOf, type VersionFields} from './softwareVersion.js';
 
 export interface VersionHistoryOptions {
   nowMs(): number;
@@ -7,10 +7,8 @@
   horizonMs: number;
 }
 
-type VersionedRunner = Pick<
-  RunnerRegistration,
-  'runnerId' | 'service' | 'softwareVersion' | 'leaving'
->;
+type VersionedRunner = VersionFields &
+  Pick<RunnerRegistration, 'service' | 'leaving'>;
 
 /**
  * Registrations that expired while the store was down are back within two
@@ -45,8 +43,14 @@
 
   /** Records the version of a registered runner. */
   note(runner: VersionedRunner): void {
+    const last = this.runners.get(runner.runnerId);
     this.runners.set(runner.runnerId, runner);
     let versions = this.services.get(runner.service);
+    const isNowRegistered =
+      last?.isUnregistered &&
+      !runner.isUnregistered &&
+      last.bornMs === runner.bornMs;
+    if (isNowRegistered) versions?.delete(versionOf(last));
     if (!versions) this.services.set(runner.service, (versions = new Map()));
     versions.set(versionOf(runner), this.options.nowMs());
   }
@@ -56,22 +60,24 @@
     const runner = this.runners.get(runnerId);
     this.runners.delete(runnerId);
     if (!runner || runner.leaving) return;
-    this.removals.set(removalKey(runner), this.options.nowMs());
+    const key = removalKey(runner.service, versionOf(runner));
+    this.removals.set(key, this.options.nowMs());
   }
 
   /**
    * Whether runners of other versions serve, and none of this one will again. A
-   * removed registration may have expired only because the store was down.
+   * removed registration may have expired only because the store was down, and
+   * an incarnation that has not registered may be of any version.
    */
   isGone(service: string, version: string): boolean {
     const staying = [...this.runners.values()].filter(
       runner => runner.service === service && !runner.leaving,
     );
     if (staying.length === 0) return false;
-    if (staying.some(runner => versionOf(runner) === version)) return false;
-    const removedMs = this.removals.get(
-      removalKey({service, softwareVersion: version}),
-    );
+    const mayServe = (runner: VersionedRunner) =>
+      runner.isUnregistered || versionOf(runner) === version;
+    if (staying.some(mayServe)) return false;
+    const removedMs = this.removals.get(removalKey(service, version));
     return (
       removedMs === undefined || this.options.nowMs() - removedMs > RETURN_MS
     );
@@ -110,8 +116,6 @@
   }
 }
 
-function removalKey(
-  runner: Pick<RunnerRegistration, 'service' | 'softwareVersion'>,
-): string {
-  return JSON.stringify([runner.service, versionOf(runner)]);
+function removalKey(service: string, version: string): string {
+  return JSON.stringify([service, version]);
 }
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -147,6 +147,11 @@
   models?: readonly HeldModel[];
   /** Increases with each heartbeat of an incarnation; lower ones are stale. */
   heartbeatNumber: number;
+  /**
+   * The incarnation is known only from the runner's report. What depends on it,
+   * such as its software version, is unknown until it registers.
+   */
+  isUnregistered?: boolean;
 }
 
 /** Identifies one start of a runner. */
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -15,6 +15,10 @@
 const REMOVAL_TOLD_MS = 10_000;
 /** Bounds each exchange; of more removals, peers read the rest themselves. */
 const MAX_REMOVALS_TOLD = 100;
+/** Start of a runner that doesn't state it. */
+const UNSTATED_START_MS = 0;
+/** Lower than the number of any heartbeat. */
+const BEFORE_FIRST_HEARTBEAT = -1;
 
 /**
  * Describes what has changed, so that a listener need not check all runners.
@@ -178,7 +182,9 @@
     if (leaving) this.leaving.set(runnerId, bornMs);
     else this.leaving.delete(runnerId);
     if (isRestart) for (const notify of this.restartListeners) notify(runnerId);
-    if (!known || isRestart || known.leaving !== leaving) {
+    const hasNews =
+      !known || isRestart || known.leaving !== leaving || known.isUnregistered;
+    if (hasNews) {
       this.logger.info('runner', {
         runner: runnerId,
         bornMs,
@@ -194,6 +200,34 @@
     this.notifyListeners({kind: 'runner', runnerId});
   }
 
+  /**
+   * Records that a runner has started again, as its own report says. Its
+   * registration may come seconds later, and what the one of the start before
+   * says of models, leaving and software may be wrong for this start.
+   *
+   * @example view.noteStart({runnerId: 'i-1', bornMs: 1_700_000_000_000})
+   */
+  noteStart({runnerId, bornMs}: RunnerStart): void {
+    const known = this.runners.get(runnerId);
+    if (!known || bornMs <= known.bornMs) return;
+    // Its registrations don't tell one incarnation from another.
+    if (known.bornMs === UNSTATED_START_MS) return;
+    this.runners.set(runnerId, {
+      ...known,
+      bornMs,
+      softwareVersion: undefined,
+      isUnregistered: true,
+      leaving: false,
+      remainingMs: undefined,
+      models: known.models && [],
+      heartbeatNumber: BEFORE_FIRST_HEARTBEAT,
+    });
+    this.leaving.delete(runnerId);
+    for (const notify of this.restartListeners) notify(runnerId);
+    this.logger.info('runner-restarted', {runner: runnerId, bornMs});
+    this.notifyListeners({kind: 'runner', runnerId});
+  }
+
   /**
    * Marks a runner as leaving because it said so itself. That counts until it
    * restarts: while the store is unavailable, the registration still says that
