--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -1,7 +1,5 @@
 import {mkdirSync, rmSync} from 'node:fs';
 import {join} from 'node:path';
-import {parseArgs} from 'node:util';
-import {REGRESSIONS} from './regressions.js';
 import {runCrashingParts} from './crashingPartRun.js';
 import {runEndless} from './endlessRun.js';
 import {runHerd} from './herdRun.js';
@@ -9,94 +7,12 @@
 import {runPlannedStops} from './plannedStopRun.js';
 import {runRestarts} from './restartRun.js';
 import {runSeed, type SeedVerdict} from './runSeed.js';
+import {readSoakArgs, type SoakArgs, USAGE} from './soakArgs.js';
 import {runVersions} from './versionRun.js';
 import {runUsageCaps} from './usageCapRun.js';
 
-const USAGE = `usage: npm run soak -- [options]
-  --seeds N       how many seeds to play (default 10)
-  --from S        the first seed; without it a fresh one
-  --usage-caps    six entries and two organisations, in place of random faults
-  --versions      five entries and runners of two software versions
-  --crashing-parts
-                  five entries, sixteen runners and a prompt part that crashes them
-  --herds         five entries, one of which gets most new connections
-  --leavings      six entries and runners that leave under one or two faults
-  --restarts      twelve entries that end together while runners reject requests
-  --planned-stops three entries that are stopped and started by turns
-  --endless       three entries and runners whose answers have no end
-  --half-core     with --leavings: each entry is stopped half of the time
-  --regressions   the seeds that failed once, in place of others
-  --seconds T     the span in which faults begin (default 12)
-  --parallel P    how many runs at once (default 2; each has 3 processes)
-  --folder F      for logs of runs that failed (default .run/soak)`;
-
-/** Well under the few hundred processes that a machine is to bear. */
-const MAX_PARALLEL = 16;
-const MS_PER_SECOND = 1000;
-const FRESH_SEEDS = 1_000_000_000;
-
-interface SoakArgs {
-  seeds: number[];
-  lengthMs: number;
-  parallel: number;
-  folder: string;
-  usageCaps: boolean;
-  versions: boolean;
-  crashingParts: boolean;
-  herds: boolean;
-  leavings: boolean;
-  restarts: boolean;
-  plannedStops: boolean;
-  endless: boolean;
-  halfCore: boolean;
-}
-
-function readArgs(): SoakArgs {
-  const {values} = parseArgs({
-    options: {
-      seeds: {type: 'string', default: '10'},
-      from: {type: 'string'},
-      regressions: {type: 'boolean', default: false},
-      'usage-caps': {type: 'boolean', default: false},
-      versions: {type: 'boolean', default: false},
-      'crashing-parts': {type: 'boolean', default: false},
-      herds: {type: 'boolean', default: false},
-      leavings: {type: 'boolean', default: false},
-      restarts: {type: 'boolean', default: false},
-      'planned-stops': {type: 'boolean', default: false},
-      endless: {type: 'boolean', default: false},
-      'half-core': {type: 'boolean', default: false},
-      seconds: {type: 'string', default: '12'},
-      parallel: {type: 'string', default: '2'},
-      folder: {type: 'string', default: '.run/soak'},
-    },
-  });
-  const count = Number(values.seeds);
-  const first = Number(values.from ?? Math.floor(Math.random() * FRESH_SEEDS));
-  const parallel = Number(values.parallel);
-  const seconds = Number(values.seconds);
-  const isGood = [count, first, parallel, seconds].every(Number.isFinite);
-  if (!isGood || parallel < 1 || parallel > MAX_PARALLEL) {
-    throw new Error(USAGE);
-  }
-  return {
-    seeds: values.regressions
-      ? REGRESSIONS.map(({seed}) => seed)
-      : Array.from({length: count}, (_, i) => first + i),
-    lengthMs: seconds * MS_PER_SECOND,
-    parallel,
-    folder: values.folder,
-    usageCaps: values['usage-caps'],
-    versions: values.versions,
-    crashingParts: values['crashing-parts'],
-    herds: values.herds,
-    leavings: values.leavings,
-    restarts: values.restarts,
-    plannedStops: values['planned-stops'],
-    endless: values.endless,
-    halfCore: values['half-core'],
-  };
-}
+/** Exit code for options that can't be read. */
+const BAD_INPUT = 2;
 
 function report(verdictOfSeed: SeedVerdict): void {
   const {seed, violations, faults, calls, served, takenUp, goneOn} =
@@ -257,9 +173,19 @@
   return isGood;
 }
 
-/** Plays all seeds, and returns the exit code. */
+/** Returns the exit code. */
 async function main(): Promise<number> {
-  const args = readArgs();
+  const read = readSoakArgs(process.argv.slice(2));
+  if (read.isErr()) {
+    console.error(`${read.error}\n${USAGE}`);
+    return BAD_INPUT;
+  }
+  if (read.value !== 'help') return playAll(read.value);
+  console.log(USAGE);
+  return 0;
+}
+
+async function playAll(args: SoakArgs): Promise<number> {
   const waiting = [...args.seeds];
   const broken: number[] = [];
   const work = async () => {
