--- a/packages/banyanfold-gateway/src/__tests__/attemptSender.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/attemptSender.test.ts
@@ -29,7 +29,7 @@
       request: {},
     },
     targets: {isStillUsable: () => true},
-    log: {route: ignore},
+    log: {route: ignore, attempt: ignore},
     clearWaiting: ignore,
     relay: {relay: () => Promise.resolve(failure)},
     suspect: {mayBeSent: true, noteSent: ignore},
--- a/packages/banyanfold-gateway/src/__tests__/responseRelay.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/responseRelay.test.ts
@@ -32,6 +32,7 @@
       runnerId: 'i-1',
       onResponseInfo: () => {},
       onFirstByte: () => {},
+      onResponse: () => {},
       beforeEvents: () => {},
     },
   );
--- a/packages/banyanfold-gateway/src/__tests__/runnerConnections.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerConnections.test.ts
@@ -42,6 +42,7 @@
 /** Whether a response ended cleanly that arrived while this thread was busy. */
 async function endsCleanly(path: string): Promise<boolean> {
   const connection = new RunnerConnection({
+    connectionNumber: 1,
     address: `127.0.0.1:${port}`,
     clock: new VirtualClock(),
     options: DEFAULT_OPTIONS,
--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -1,6 +1,7 @@
 import type {RunnerConnection} from '../runners/runnerConnections.js';
 import type {ResponseInfo, RunnerRegistration} from '../types.js';
 import type {RequestAdmission} from './requestAdmission.js';
+import {AttemptTrace} from './attemptTrace.js';
 import type {RequestState} from './requestState.js';
 import type {SentResult} from './responseRelay.js';
 import type {Target} from './targetChooser.js';
@@ -151,6 +152,13 @@
     state.permits.noteAttempt();
     state.sendCount += 1;
     state.lastRunnerId = runnerId;
+    const trace = new AttemptTrace({
+      context,
+      connection,
+      requestId: decoded.request.requestId,
+      runnerId,
+      attemptNumber: state.sendCount,
+    });
     let isPromptRead = false;
     const result = await state.relay.relay(
       connection,
@@ -162,6 +170,7 @@
       },
       {
         runnerId,
+        onResponse: response => trace.noteResponse(response),
         beforeEvents: () => {
           state.stream.noteEvents(runner);
           state.suspect.noteEvents(runner);
@@ -180,6 +189,7 @@
         },
       },
     );
+    state.log.attempt(trace, result);
     const {kind} = result;
     state.permits.noteResult(kind !== 'unreached' && kind !== 'withdrawn');
     state.promptTurn?.release();
--- a/packages/banyanfold-gateway/src/requests/incomingResponse.ts
+++ b/packages/banyanfold-gateway/src/requests/incomingResponse.ts
@@ -41,15 +41,31 @@
   };
 }
 
+/** Whose request id a response bears. */
+export type NamedRequest = 'own' | 'other' | 'none';
+
+/**
+ * Tells whose id a response bears that arrived while a request was waiting.
+ *
+ * @example namedRequestOf({requestId: 'r1', ...info}, 'r1') // 'own'
+ */
+export function namedRequestOf(
+  {requestId}: ResponseInfo,
+  waitingRequestId: string | undefined,
+): NamedRequest {
+  if (requestId === undefined) return 'none';
+  return requestId === waitingRequestId ? 'own' : 'other';
+}
+
 /** Why a response can't be forwarded, by its head; undefined if it can. */
 export function integrityErrorOf(
-  {requestId, encoded}: ResponseInfo,
+  info: ResponseInfo,
   {request}: DecodedRequest,
 ): string | undefined {
-  if (requestId !== undefined && requestId !== request.requestId) {
+  if (namedRequestOf(info, request.requestId) === 'other') {
     return 'response belongs to another request';
   }
-  return encoded ? 'response body was re-encoded in transit' : undefined;
+  return info.encoded ? 'response body was re-encoded in transit' : undefined;
 }
 
 /** Whether its connection can carry another request. */
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -3,7 +3,8 @@
 import type {GatewayContext} from '../context.js';
 import type {DecodedRequest, RoutePolicy} from '../types.js';
 import type {ResolvedContinuation} from '../streams/streamOrigins.js';
-import type {SentResult} from './responseRelay.js';
+import type {AttemptTrace} from './attemptTrace.js';
+import type {AttemptResult, SentResult} from './attemptResult.js';
 import type {CopyRefusal, QueueRefusal} from './admissionChecks.js';
 import type {CandidateCounts, Target} from './targetChooser.js';
 
@@ -84,6 +85,12 @@
     });
   }
 
+  /** Logs an attempt, unless it is the only one and was answered. */
+  attempt(trace: AttemptTrace, {kind}: AttemptResult): void {
+    if (kind === 'delivered' && trace.isFirst) return;
+    this.logEvent('attempt', trace.fields(kind));
+  }
+
   /** Logs that the runner left before the attempt was sent. */
   withdraw(runnerId: string): void {
     this.logEvent('withdrawn', {
--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -42,6 +42,8 @@
 export interface AttemptHooks {
   runnerId: string;
   onFirstByte(): void;
+  /** Called with each response, before it is known whether it is the runner's. */
+  onResponse(response: IncomingResponse): void;
   /** Called before complete events of a stream are forwarded to the caller. */
   beforeEvents(): void;
   /**
@@ -182,6 +184,7 @@
       onHead: head => {
         limits.noteHead();
         incoming = decodeHead(head, {...this.options, sentMs, runnerId});
+        hooks.onResponse(incoming);
         if (!incoming.info.notExecuted) hooks.onFirstByte();
         const integrityError = integrityErrorOf(incoming.info, decoded);
         if (integrityError !== undefined) return fail(integrityError);
--- a/packages/banyanfold-gateway/src/runners/runnerConnections.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerConnections.ts
@@ -24,6 +24,8 @@
 
 export interface RunnerConnectionOptions {
   address: string;
+  /** Identifies the connection within the process, for the log. */
+  connectionNumber: number;
   clock: Clock;
   options: GatewayOptions;
   /** Called when the connection is established or has failed. */
@@ -33,6 +35,9 @@
 /** One connection to a runner, which carries one request at a time. */
 export class RunnerConnection {
   readonly client: Client;
+  readonly connectionNumber: number;
+  /** Requests that were sent on it. */
+  requestCount = 0;
   /** True once the connection has been established. */
   established = false;
   /** Whether the connection carried a request before the current one. */
@@ -54,10 +59,12 @@
 
   constructor({
     address,
+    connectionNumber,
     clock,
     options,
     onOpening = () => {},
   }: RunnerConnectionOptions) {
+    this.connectionNumber = connectionNumber;
     const {connectTimeoutMs: timeoutMs} = options;
     const connect = createConnector({timeoutMs, clock});
     this.client = new Client(`http://${address}`, {
@@ -117,6 +124,7 @@
     handler: Dispatcher.DispatchHandler,
   ): void {
     this.isIdle = false;
+    this.requestCount += 1;
     this.client.dispatch(options, handler);
   }
 
@@ -206,6 +214,7 @@
     const {clock, options, onOpening} = this;
     const connection = new RunnerConnection({
       address,
+      connectionNumber: this.opened,
       clock,
       options,
       onOpening,
