Reproduce calls that are refused or repeated although they run

Hypothesis 2 (a response that names no request is taken for the answer to whichever waits): the stand-in sends a rejection again, without an id, with the connection's next request. That request, another one, ran twice, both where rejections bear ids and where none does. A copy of an answer without an id went to the next caller as its own. Hypothesis 3 (an error of the runner passed on as a promise): a signed 503 without Not-Executed reached the caller as 503 and had run.

--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -3,6 +3,7 @@
 import {runCrashingParts} from './crashingPartRun.js';
 import {runEndless} from './endlessRun.js';
 import {runHerd} from './herdRun.js';
+import {runLateAnswers} from './lateAnswerRun.js';
 import {runLeavings} from './leavingRun.js';
 import {runPlannedStops} from './plannedStopRun.js';
 import {runRestarts} from './restartRun.js';
@@ -111,6 +112,18 @@
   return violations.length === 0;
 }
 
+async function playLateAnswers(seed: number, folder: string): Promise<boolean> {
+  const verdict = await runLateAnswers({seed, folder});
+  const {violations, calls, served, refused, unknown, lateCopies} = verdict;
+  console.log(
+    `seed ${seed}: ${violations.length === 0 ? 'ok' : 'BROKEN'}, ` +
+      `${lateCopies} late, ${served} of ${calls} served, ${refused} refused, ` +
+      `${unknown} unknown`,
+  );
+  for (const {rule, what} of violations) console.log(`  ${rule}: ${what}`);
+  return violations.length === 0;
+}
+
 async function playEndless(seed: number, folder: string): Promise<boolean> {
   const verdicts = await runEndless({folder, isTimed: true});
   for (const each of verdicts) {
@@ -159,6 +172,7 @@
   if (args.leavings) return playLeavings(seed, folder, args.halfCore);
   if (args.endless) return playEndless(seed, folder);
   if (args.plannedStops) return playPlannedStops(seed, folder);
+  if (args.lateAnswers) return playLateAnswers(seed, folder);
   if (args.restarts) return playRestarts(seed, folder);
   if (args.versions) return playVersions(seed, folder);
   const verdict = await runSeed({
--- a/soak/src/soakArgs.ts
+++ b/soak/src/soakArgs.ts
@@ -13,6 +13,7 @@
   --leavings      six entries and runners that leave under one or two faults
   --restarts      twelve entries that end together while runners reject requests
   --planned-stops three entries that are stopped and started by turns
+  --late-answers  three entries and runners that send responses a second time
   --endless       three entries and runners whose answers have no end
   --half-core     with --leavings: each entry is stopped half of the time
   --regressions   the seeds that failed once, in place of others
@@ -39,6 +40,7 @@
   leavings: boolean;
   restarts: boolean;
   plannedStops: boolean;
+  lateAnswers: boolean;
   endless: boolean;
   halfCore: boolean;
 }
@@ -54,6 +56,7 @@
   leavings: {type: 'boolean', default: false},
   restarts: {type: 'boolean', default: false},
   'planned-stops': {type: 'boolean', default: false},
+  'late-answers': {type: 'boolean', default: false},
   endless: {type: 'boolean', default: false},
   'half-core': {type: 'boolean', default: false},
   seconds: {type: 'string', default: '12'},
@@ -99,6 +102,7 @@
     leavings: values.leavings,
     restarts: values.restarts,
     plannedStops: values['planned-stops'],
+    lateAnswers: values['late-answers'],
     endless: values.endless,
     halfCore: values['half-core'],
   });
