Believe no response that can't be attributed to its request

Callers saw: calls that may run once were refused with 503 and ran, or ran twice; a caller got the answer to another's request.

Cause: a response without a request id counted as the answer to whichever request waited on the connection (integrityErrorOf compared ids only where there was one). Class: a promise made on evidence that isn't known to be about the request.

On a used connection a response without an id is no answer now; a rejection only counts if the request may run again, and the connection is closed. A connection that carried such a response isn't used again. After one, calls that may run once get connections of their own at that runner for a minute, where the first response is the answer, so that runners whose rejections never bear ids are believed still. Requests without an id get new connections.

--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -1,5 +1,7 @@
 import type {RunnerConnection} from '../runners/runnerConnections.js';
 import type {ResponseInfo, RunnerRegistration} from '../types.js';
+import {isRepeatable} from './decideRequestRetry.js';
+import type {IncomingResponse} from './incomingResponse.js';
 import type {RequestAdmission} from './requestAdmission.js';
 import {AttemptTrace} from './attemptTrace.js';
 import type {RequestState} from './requestState.js';
@@ -170,7 +172,10 @@
       },
       {
         runnerId,
-        onResponse: response => trace.noteResponse(response),
+        onResponse: response => {
+          trace.noteResponse(response);
+          this.noteAttribution(runner, response);
+        },
         beforeEvents: () => {
           state.stream.noteEvents(runner);
           state.suspect.noteEvents(runner);
@@ -223,17 +228,30 @@
    * Returns a connection that has carried no attempt of this request. A late
    * second response to that attempt bears the same request id as this one's, so
    * that a rejection would be taken for the answer to an attempt that runs.
+   * Responses to a request without an id can't be told from any other.
    */
   private acquireConnection(address: string): RunnerConnection {
-    const {connections} = this.state.options.context;
-    const connection = connections.acquire(
-      address,
-      idle => !this.usedConnections.has(idle),
-    );
+    const {context, route, decoded} = this.state.options;
+    const hasId = decoded.request.requestId !== undefined;
+    const connection = context.connections.acquire(address, {
+      runsOnce: !isRepeatable(route),
+      isUsable: idle => hasId && !this.usedConnections.has(idle),
+    });
     this.usedConnections.add(connection);
     return connection;
   }
 
+  private noteAttribution(
+    {runnerId, address}: RunnerRegistration,
+    {info}: IncomingResponse,
+  ): void {
+    const {context, decoded} = this.state.options;
+    const {requestId} = decoded.request;
+    if (requestId === undefined || info.requestId !== undefined) return;
+    if (!context.connections.noteAmbiguous(address)) return;
+    context.logger.warn('runner-ambiguous', {runner: runnerId});
+  }
+
   private recordResponseInfo(
     runner: RunnerRegistration,
     info: ResponseInfo,
--- a/packages/banyanfold-gateway/src/requests/decideRequestRetry.ts
+++ b/packages/banyanfold-gateway/src/requests/decideRequestRetry.ts
@@ -25,6 +25,11 @@
   decision: {kind: string; reason: string};
 }
 
+/** Whether requests of the route may run more than once. */
+export function isRepeatable({kind, resumable}: RoutePolicy): boolean {
+  return kind === 'idempotent' || resumable;
+}
+
 /**
  * Decides whether the retry policy of its route allows a request to be retried.
  * Whether the retry budget does is for {@link RequestPermits} to decide.
@@ -41,7 +46,7 @@
       budgetTokens: 1,
       firstByteSent: state.hasStarted && !route.resumable,
       allNeverStarted: !state.mayHaveRun,
-      repeatable: route.kind === 'idempotent' || route.resumable,
+      repeatable: isRepeatable(route),
       remainingBudgetMs: state.deadlineMs - nowMs,
     },
     nowMs,
--- a/packages/banyanfold-gateway/src/requests/incomingResponse.ts
+++ b/packages/banyanfold-gateway/src/requests/incomingResponse.ts
@@ -68,8 +68,31 @@
   return info.encoded ? 'response body was re-encoded in transit' : undefined;
 }
 
-/** Whether its connection can carry another request. */
-export function isReusable({head, framing}: IncomingResponse): boolean {
+export interface AttributionOptions {
+  /** Whether the connection has carried another request before. */
+  isReused: boolean;
+  runsOnce: boolean;
+}
+
+/**
+ * Whether a response may be the answer to an earlier request of its connection.
+ * A rejection is then believed only if the request may run again, since the
+ * runner may be running it.
+ */
+export function isUnattributed(
+  {requestId, notExecuted}: ResponseInfo,
+  {isReused, runsOnce}: AttributionOptions,
+): boolean {
+  if (!isReused || requestId !== undefined) return false;
+  return runsOnce || !notExecuted;
+}
+
+/**
+ * Whether its connection can carry another request. A second copy of a response
+ * without a request id could not be told from the answer to that request.
+ */
+export function isReusable({head, info, framing}: IncomingResponse): boolean {
+  if (info.requestId === undefined) return false;
   const connection = String(head.headers['connection'] ?? '').toLowerCase();
   return framing !== 'until-close' && !connection.includes('close');
 }
--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -23,11 +23,13 @@
   limitExceededResult,
   type AttemptResult,
 } from './attemptResult.js';
+import {isRepeatable} from './decideRequestRetry.js';
 import {EventSplitter, type CompleteEvents} from './eventSplitter.js';
 import {
   decodeHead,
   integrityErrorOf,
   isReusable,
+  isUnattributed,
   type IncomingResponse,
 } from './incomingResponse.js';
 import {ResponseLimits, type ResponseLimit} from './responseLimits.js';
@@ -163,7 +165,9 @@
   ): AttemptObserver {
     const splitter = new EventSplitter();
     const {runnerId} = hooks;
-    const {context, decoded, holding} = this.options;
+    const {context, route, decoded, holding} = this.options;
+    const {isReused} = connection;
+    const runsOnce = !isRepeatable(route);
     const sentMs = context.clock.nowMs();
     let incoming: IncomingResponse | undefined;
     this.readUnsentBytes = () =>
@@ -189,6 +193,9 @@
         const integrityError = integrityErrorOf(incoming.info, decoded);
         if (integrityError !== undefined) return fail(integrityError);
         hooks.onResponseInfo(incoming.info);
+        if (isUnattributed(incoming.info, {isReused, runsOnce})) {
+          return fail('response names no request');
+        }
         // Only after the checks: the head can't be replaced when another runner
         // resumes the stream, so it must belong to this request.
         if (incoming.isStreamed) this.startResponse(head);
--- a/packages/banyanfold-gateway/src/runners/runnerConnections.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerConnections.ts
@@ -5,6 +5,11 @@
 import type {GatewayOptions} from '../options.js';
 
 const NO_TIMEOUT_MS = 0;
+/**
+ * How long requests that may run only once get connections of their own after a
+ * response of the runner could not be attributed to a request.
+ */
+const OWN_CONNECTIONS_MS = 60_000;
 /** Safety margin before the idle timeout that a runner announces. */
 const KEEP_ALIVE_MARGIN_MS = 300;
 
@@ -42,6 +47,8 @@
   established = false;
   /** Whether the connection carried a request before the current one. */
   isReused = false;
+  /** Whether it may carry another request after the current one. */
+  isShared = true;
   closed = false;
   idleSinceMs = 0;
   /** Whether a request may still be sent when the connection is open. */
@@ -159,9 +166,18 @@
   }
 }
 
+export interface AcquireOptions {
+  /** The request may run only once, so its response must be beyond doubt. */
+  runsOnce?: boolean;
+  /** Whether an idle connection may carry the request. */
+  isUsable?: (connection: RunnerConnection) => boolean;
+}
+
 /** Pool of keep-alive connections by runner address. */
 export class RunnerConnections {
   private readonly idle = new Map<string, RunnerConnection[]>();
+  /** Addresses whose responses are ambiguous, and until when. */
+  private readonly ambiguousUntilMs = new Map<string, number>();
   opened = 0;
   /** Connections that are not closed, with or without a request. */
   openCount = 0;
@@ -175,15 +191,41 @@
   /**
    * Returns the connection that has been idle longest, or a new one.
    *
-   * @param isUsable whether a connection may be reused.
+   * A request that may run only once gets a connection of its own while the
+   * runner's responses are ambiguous: the first response on a connection is the
+   * answer to its first request, whatever it names.
+   *
+   * @example connections.acquire('10.2.0.4:8022', {runsOnce: true})
    */
   acquire(
     address: string,
-    isUsable: (connection: RunnerConnection) => boolean = () => true,
+    {runsOnce = false, isUsable = () => true}: AcquireOptions = {},
   ): RunnerConnection {
+    if (runsOnce && this.isAmbiguous(address)) {
+      const connection = this.open(address);
+      connection.isShared = false;
+      return connection;
+    }
     return this.takeIdle(address, isUsable) ?? this.open(address);
   }
 
+  /**
+   * Records a response that could not be attributed to a request by its id.
+   *
+   * @returns whether the runner's responses were not known to be ambiguous.
+   */
+  noteAmbiguous(address: string): boolean {
+    const isNew = !this.isAmbiguous(address);
+    const untilMs = this.clock.nowMs() + OWN_CONNECTIONS_MS;
+    this.ambiguousUntilMs.set(address, untilMs);
+    return isNew;
+  }
+
+  private isAmbiguous(address: string): boolean {
+    const untilMs = this.ambiguousUntilMs.get(address) ?? 0;
+    return untilMs > this.clock.nowMs();
+  }
+
   private takeIdle(
     address: string,
     isUsable: (connection: RunnerConnection) => boolean,
@@ -228,6 +270,10 @@
   /** Returns a connection to the pool after a complete response. */
   release(address: string, connection: RunnerConnection): void {
     if (connection.closed) return;
+    if (!connection.isShared) {
+      connection.destroy();
+      return;
+    }
     connection.isReused = true;
     connection.isIdle = true;
     connection.idleSinceMs = this.clock.nowMs();
@@ -249,6 +295,9 @@
       if (kept.length === 0) this.idle.delete(address);
       else this.idle.set(address, kept);
     }
+    for (const [address, untilMs] of this.ambiguousUntilMs) {
+      if (untilMs <= nowMs) this.ambiguousUntilMs.delete(address);
+    }
   }
 
   /** Connections without a request. */
