Forward no failure of a runner whose status promises that nothing ran

Callers would see: 503, 429 or 408 for a call that a runner ran (REFUSED), if the runner fails it with that status, signed and without Not-Executed.

Cause: a signed error counted as the runner's failure whatever its status, and was forwarded unchanged. To callers these statuses are a promise, and only Not-Executed makes it.

Such a response counts as broken now: the call may have run, and the caller gets 502 of our own, without the runner's stamp; a request that may be repeated is sent again.

--- a/packages/banyanfold-gateway/src/requests/errorResponse.ts
+++ b/packages/banyanfold-gateway/src/requests/errorResponse.ts
@@ -17,6 +17,19 @@
   overCap: 429,
 } as const;
 
+/** Statuses that promise callers that the request has not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/**
+ * Whether callers take the status for a promise that the request has not run. A
+ * runner's failure with such a status must not be forwarded.
+ *
+ * @example promisesNotRun(503) // true
+ */
+export function promisesNotRun(status: number): boolean {
+  return NOT_RUN_STATUSES.has(status);
+}
+
 export interface ErrorResponse {
   status: number;
   reason: string;
--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -24,6 +24,7 @@
   type AttemptResult,
 } from './attemptResult.js';
 import {isRepeatable} from './decideRequestRetry.js';
+import {promisesNotRun} from './errorResponse.js';
 import {EventSplitter, type CompleteEvents} from './eventSplitter.js';
 import {
   decodeHead,
@@ -316,7 +317,13 @@
       const {fromOtherRunner} = info;
       return {kind: 'rejected', status, canReuse, fromOtherRunner};
     }
-    if (info.signed) return {kind: 'failed', status, headers, chunks};
-    return brokenResult(`unsigned response with status ${status}`);
+    if (!info.signed) {
+      return brokenResult(`unsigned response with status ${status}`);
+    }
+    // The runner may have run it, and the caller would take it for a promise.
+    if (promisesNotRun(status)) {
+      return brokenResult(`failure with status ${status}`);
+    }
+    return {kind: 'failed', status, headers, chunks};
   }
 }
