Use own connections after a response of another request

Callers saw: beside a runner that sends responses twice, each late copy with another request's id ended the next call on its connection with 502, though its runner ran it and its answer came right after. A call that may run once is not sent again: its answer is lost.

Cause: the copy shows that responses of the connection don't answer its requests in turn, so it is closed, which is right, but nothing was learnt from it: the next connection of that runner was shared too.

A response with another request's id makes the runner's responses ambiguous, as one without an id does: for a minute, calls that may run once get connections of their own there. Weighed: reading past the copy, which would save the first answer too, but the client library ends a request with its first final response.

--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -1,7 +1,7 @@
 import type {RunnerConnection} from '../runners/runnerConnections.js';
 import type {ResponseInfo, RunnerRegistration} from '../types.js';
 import {isRepeatable} from './decideRequestRetry.js';
-import type {IncomingResponse} from './incomingResponse.js';
+import {namedRequestOf, type IncomingResponse} from './incomingResponse.js';
 import type {RequestAdmission} from './requestAdmission.js';
 import {AttemptTrace} from './attemptTrace.js';
 import type {RequestState} from './requestState.js';
@@ -247,9 +247,10 @@
   ): void {
     const {context, decoded} = this.state.options;
     const {requestId} = decoded.request;
-    if (requestId === undefined || info.requestId !== undefined) return;
+    const names = namedRequestOf(info, requestId);
+    if (requestId === undefined || names === 'own') return;
     if (!context.connections.noteAmbiguous(address)) return;
-    context.logger.warn('runner-ambiguous', {runner: runnerId});
+    context.logger.warn('runner-ambiguous', {runner: runnerId, names});
   }
 
   private recordResponseInfo(
