Agent: attribute rejections of the engine to their requests

Callers saw (own interface): a request called not run, and sent to another backend server, that the engine was running; its slot and KV memory were freed meanwhile. Only for requests that may be repeated: others have a connection of their own.

Error responses of the engine were taken for the answer of whichever request waited on the kept-alive connection; only events and whole answers are checked for the id.

A rejection with another request's X-Request-Id is no answer now (unknown, which cancels at the engine before memory is freed). After one without an id the kept-alive connections are replaced, so that a copy of it has nowhere to come. Weighed: a connection for each request (0.3 ms of processor time each, and the reuse that a test asks for), and unknown for all rejections without an id (a 400 would become a 502).

--- a/packages/banyanfold-agent/src/__tests__/engineConnections.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/engineConnections.test.ts
@@ -35,6 +35,43 @@
     expect((await connectionsOf({})).size).toBe(1);
   });
 
+  // Guards against taking a late copy of a rejection for the answer to the next
+  // request, which is then called not run although the engine runs it.
+  it.each([
+    ['without a request id', undefined, 200, undefined],
+    ['with its request id', 'own', 502, 'unknown'],
+  ])(
+    'calls no request not run after a copy %s',
+    async (_, name, status, outcome) => {
+      const copies = new Map<Socket, string>();
+      const engine = new FakeEngine({
+        onRequest: (req, res, requestId) => {
+          const copy = copies.get(req.socket);
+          if (copy !== undefined) req.socket.write(copy);
+          if (engine.requests.length > 1) {
+            res.writeHead(200, {'content-type': 'text/event-stream'});
+            res.end(STREAM_END);
+            return;
+          }
+          const named = name && `x-request-id: ${requestId}\r\n`;
+          const rest = `${named ?? ''}content-length: 0\r\n\r\n`;
+          const rejection = `HTTP/1.1 429 Too Many Requests\r\n${rest}`;
+          copies.set(req.socket, rejection);
+          req.socket.write(rejection);
+        },
+      });
+      const target = await startTestAgent({fakeEngine: engine});
+      cleanups.push(target.stop);
+      const first = await sendAttempt(target, {});
+      expect(first.response.statusCode).toBe(429);
+      await first.response.body.dump();
+      const {response} = await sendAttempt(target, {});
+      expect(response.statusCode).toBe(status);
+      expect(response.headers[HEADERS.outcome]).toBe(outcome);
+      await readUntilCut(response.body);
+    },
+  );
+
   // If the engine closes a kept-alive connection while a request is sent, it is
   // unknown whether the request ran. One that must not be repeated can't be
   // retried, so its caller would receive "unknown". A connection of its own
--- a/packages/banyanfold-agent/src/engine/engineClient.ts
+++ b/packages/banyanfold-agent/src/engine/engineClient.ts
@@ -22,6 +22,8 @@
 import type {ReportTiming} from '../memory/allocation.js';
 
 const ENGINE_NOW_HEADER = 'x-engine-now-ms';
+const REQUEST_ID_HEADER = 'x-request-id';
+const FIRST_ERROR_STATUS = 400;
 /**
  * A report has a row for each copy and order; a list of cache events has at most
  * some thousand.
@@ -82,7 +84,9 @@
   readonly peer: string;
   private readonly base: string;
   private readonly controlAgent: Agent;
-  private readonly pooled: Agent;
+  private pooled = createPooledAgent();
+  /** Agents whose last responses are still being read. */
+  private readonly closing = new Set<Agent>();
   private readonly unpooled: Agent;
 
   constructor(private readonly options: EngineClientOptions) {
@@ -92,7 +96,6 @@
       headersTimeout: options.requestTimeoutMs,
       bodyTimeout: options.requestTimeoutMs,
     });
-    this.pooled = new Agent({pipelining: 1, connections: null});
     this.unpooled = new Agent({pipelining: 0, connections: null});
   }
 
@@ -153,21 +156,57 @@
   ): Promise<Result<EngineResponse, BanyanfoldError>> {
     const {streamIdleTimeoutMs, wholeAnswerTimeoutMs} = this.options;
     const timeoutMs = call.stream ? streamIdleTimeoutMs : wholeAnswerTimeoutMs;
-    return this.untilHead(call.signal, timeoutMs, signal =>
+    const dispatcher = this.dispatcherFor(call);
+    const sent = await this.untilHead(call.signal, timeoutMs, signal =>
       this.tryRequest('send-request', `/${call.path}`, {
         method: 'POST',
-        dispatcher: this.dispatcherFor(call),
+        dispatcher,
         signal,
         headersTimeout: timeoutMs,
         bodyTimeout: timeoutMs,
         headers: {
           'content-type': 'application/json',
-          'x-request-id': call.engineRequestId,
+          [REQUEST_ID_HEADER]: call.engineRequestId,
           'x-priority': String(call.priority),
         },
         body: call.body,
       }),
     );
+    return sent.andThen(response =>
+      this.attributeRejection(response, call.engineRequestId, dispatcher),
+    );
+  }
+
+  /**
+   * An engine may send a response again when its connection carries the next
+   * request. A rejection of another request would end one that runs, and one
+   * without an id can't be told from its copies, so the connections that may
+   * have carried it are not used again.
+   */
+  private attributeRejection(
+    response: EngineResponse,
+    engineRequestId: string,
+    dispatcher: Agent,
+  ): Result<EngineResponse, BanyanfoldError> {
+    if (response.statusCode < FIRST_ERROR_STATUS) return ok(response);
+    const namedId = response.headers[REQUEST_ID_HEADER];
+    if (namedId !== undefined && namedId !== engineRequestId) {
+      response.body.on('error', () => {}).destroy();
+      const cause = 'the response belongs to another request';
+      return err(this.toError('answer-lost', 'send-request', cause));
+    }
+    if (namedId === undefined && dispatcher === this.pooled) {
+      this.renewConnections();
+    }
+    return ok(response);
+  }
+
+  /** Closes idle connections; responses that are being read are not cut. */
+  private renewConnections(): void {
+    const {pooled} = this;
+    this.pooled = createPooledAgent();
+    this.closing.add(pooled);
+    void pooled.close().finally(() => this.closing.delete(pooled));
   }
 
   /** Resumes a stream after event `afterSeq`. */
@@ -212,7 +251,8 @@
   }
 
   async close(): Promise<void> {
-    const agents = [this.controlAgent, this.pooled, this.unpooled];
+    const {controlAgent, pooled, unpooled, closing} = this;
+    const agents = [controlAgent, pooled, unpooled, ...closing];
     await Promise.all(agents.map(agent => agent.destroy()));
   }
 
@@ -298,6 +338,10 @@
   }
 }
 
+function createPooledAgent(): Agent {
+  return new Agent({pipelining: 1, connections: null});
+}
+
 function readEngineNowMs(response: EngineResponse): number {
   return Number(response.headers[ENGINE_NOW_HEADER] ?? Number.NaN);
 }
