Agent: send orders and cancels to the engine on connections of their own

Same class, found by going through the calls whose answers name no request: a late copy of the answer to one cancel counted as that to the next, so that the KV memory of a request was freed that the engine still ran; a late copy of a refused order ended the agent's orders (stale-fencing) although it was the newest.

Both are rare calls; each has a connection of its own now, on which the first response is the answer. Reports and cache events stay on kept-alive connections: they are read again and again, bear the engine's time, and a copy is an older one.

Evidence: two tests of engineControl.test.ts failed before ('unknown' for a cancelled request, 'stale-fencing' for an accepted order) and pass; 153 tests of the agent pass.

--- a/packages/banyanfold-agent/src/engine/engineClient.ts
+++ b/packages/banyanfold-agent/src/engine/engineClient.ts
@@ -133,12 +133,15 @@
     return result.map(({value}) => value);
   }
 
-  /** Sends an order once, without retries; never throws. */
+  /**
+   * Sends an order once, without retries; never throws. Answers to orders and
+   * cancels name no request, so each has a connection of its own.
+   */
   async order(order: EngineOrder): Promise<OrderResult> {
     try {
       const response = await request(`${this.base}/orders`, {
         method: 'POST',
-        dispatcher: this.controlAgent,
+        dispatcher: this.unpooled,
         headers: {'content-type': 'application/json'},
         body: JSON.stringify(order),
         signal: this.controlSignal(),
@@ -234,7 +237,7 @@
     const path = this.streamPath(engineRequestId);
     const result = await this.tryRequest('cancel-stream', path, {
       method: 'DELETE',
-      dispatcher: this.controlAgent,
+      dispatcher: this.unpooled,
       signal: this.controlSignal(),
     });
     if (result.isErr()) return err(result.error);
