--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -6,6 +6,7 @@
 import {runLateAnswers} from './lateAnswerRun.js';
 import {runLeavings} from './leavingRun.js';
 import {runPlannedStops} from './plannedStopRun.js';
+import {playSeeds} from './playSeeds.js';
 import {runRestarts} from './restartRun.js';
 import {runSeed, type SeedVerdict} from './runSeed.js';
 import {readSoakArgs, type SoakArgs, USAGE} from './soakArgs.js';
@@ -200,18 +201,15 @@
 }
 
 async function playAll(args: SoakArgs): Promise<number> {
-  const waiting = [...args.seeds];
-  const broken: number[] = [];
-  const work = async () => {
-    for (let seed = waiting.shift(); seed; seed = waiting.shift()) {
-      const isGood = await playOne(seed, args).catch((thrown: unknown) => {
+  const broken = await playSeeds({
+    seeds: args.seeds,
+    parallel: args.parallel,
+    play: seed =>
+      playOne(seed, args).catch((thrown: unknown) => {
         console.log(`seed ${seed}: NOT PLAYED, ${String(thrown)}`);
         return false;
-      });
-      if (!isGood) broken.push(seed);
-    }
-  };
-  await Promise.all(Array.from({length: args.parallel}, work));
+      }),
+  });
   console.log(
     `${args.seeds.length} seeds, ${broken.length} broken` +
       (broken.length > 0
