--- a/soak/src/__tests__/judge.test.ts
+++ b/soak/src/__tests__/judge.test.ts
@@ -39,6 +39,7 @@
     atMs: 0,
     rawHeaders: [],
     isExecuted: true,
+    bodyBytes: 0,
     runnerId: 'plain-1',
     isLeaving: false,
     cancelled: false,
@@ -94,6 +95,7 @@
 
 const IN_A_PAUSE = sentAfter([0, 600, 700, 800], {
   isExecuted: false,
+  bodyBytes: 0,
   retryAfterS: 1,
 });
 
