Testing: name the wait that a test ends in

Three lines of KNOWN-RED.txt say no more than that a test ended at its limit of 60 s, or after tens of seconds. A wait gives up after 45 s and names itself, but two of them in a row, or a condition that doesn't return, reach the test's own limit first, which names nothing.

--- a/packages/banyanfold-testing/src/waitUntil.ts
+++ b/packages/banyanfold-testing/src/waitUntil.ts
@@ -1,5 +1,7 @@
 const POLL_MS = 25;
 const DEFAULT_GIVE_UP_MS = 45_000;
+/** A wait that takes longer is printed, as the test's own limit may end it. */
+const SLOW_WAIT_MS = 10_000;
 
 /**
  * Waits until a condition holds. The bound only ends a test that hangs; no
@@ -14,8 +16,16 @@
   giveUpMs = DEFAULT_GIVE_UP_MS,
 ): Promise<void> {
   const endMs = performance.now() + giveUpMs;
-  while (!(await condition())) {
-    if (performance.now() > endMs) throw new Error(`gave up on: ${what}`);
-    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  const slowTimer = setInterval(
+    () => console.warn(`still waiting: ${what}`),
+    SLOW_WAIT_MS,
+  );
+  try {
+    while (!(await condition())) {
+      if (performance.now() > endMs) throw new Error(`gave up on: ${what}`);
+      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+  } finally {
+    clearInterval(slowTimer);
   }
 }
