Soak: share the turns of seeds and the statuses that promise

lateAnswerRun and plannedStopRun picked values by the seed with a copy of the same function each, and judge and lateAnswerRun had the same set of statuses.

--- a/soak/src/judge.ts
+++ b/soak/src/judge.ts
@@ -5,6 +5,7 @@
 } from '@banyanfold/platform/standins';
 import {CALL_KINDS, type Call} from './callers.js';
 import {sentAfterLeaving, sentInPause, sentToLeaving} from './noticeRules.js';
+import {NOT_RUN_STATUSES} from './notRunStatuses.js';
 import type {FaultKind} from './soakPlan.js';
 import type {
   ConfigProbe,
@@ -15,8 +16,6 @@
 import {STREAM_EVENTS} from './soakSystem.js';
 import {brokenStreams, mixedStreams} from './streamRules.js';
 
-/** Statuses that promise that the request has not run and never will. */
-const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 /** A fault is felt this long after it is over: silent connections time out. */
 const AFTER_EFFECT_MS = 4_000;
 /** A change is in force after this long, as deployments ask. */
--- a/soak/src/lateAnswerRun.ts
+++ b/soak/src/lateAnswerRun.ts
@@ -5,10 +5,12 @@
   type LateCopy,
 } from '@banyanfold/platform/standins';
 import type {EntryProcess} from './entryProcess.js';
+import {NOT_RUN_STATUSES} from './notRunStatuses.js';
 import {pause} from './pause.js';
 import {createDraw, type Draw} from './random.js';
 import type {Violation} from './soakRecord.js';
 import {startEntries} from './startEntries.js';
+import {takeTurns} from './takeTurns.js';
 
 export interface LateAnswerRunOptions {
   seed: number;
@@ -33,7 +35,6 @@
   id: string;
   route: string;
   status: number;
-  isTruncated: boolean;
   /** The request id that the response bears. */
   namedId: string | undefined;
 }
@@ -81,8 +82,6 @@
 const MS_PER_SECOND = 1000;
 const SERVED = 200;
 const REJECTED = 503;
-/** Statuses that promise that the request has not run and never will. */
-const PROMISES = new Set([408, 421, 429, 503]);
 const UNKNOWN = new Set([0, 502, 504]);
 const ONCE_ROUTES = new Set(['lodge', 'lodge-letter']);
 
@@ -109,10 +108,6 @@
   };
 }
 
-function takeTurns<T>(values: readonly T[], seed: number): T {
-  return values[seed % values.length]!;
-}
-
 /**
  * Has runners send responses a second time, late, while they are full and
  * reject calls, and entries are paused or stopped. No call that may run once
@@ -210,7 +205,7 @@
     violations: judge(calls, runsById(platform)),
     calls: calls.length,
     served: calls.filter(({status}) => status === SERVED).length,
-    refused: calls.filter(({status}) => PROMISES.has(status)).length,
+    refused: calls.filter(({status}) => NOT_RUN_STATUSES.has(status)).length,
     unknown: calls.filter(({status}) => UNKNOWN.has(status)).length,
     lateCopies: runners.reduce((sum, {lateCopies}) => sum + lateCopies, 0),
   };
@@ -240,7 +235,7 @@
     const isOnce = ONCE_ROUTES.has(route);
     const broken: string[] = [];
     if (isOnce && count > 1) broken.push('what may run once runs once');
-    if (isOnce && count > 0 && PROMISES.has(status)) {
+    if (isOnce && count > 0 && NOT_RUN_STATUSES.has(status)) {
       broken.push('what is refused does not run');
     }
     if (status === SERVED && namedId !== id) {
@@ -258,7 +253,7 @@
   id: string,
   route: string,
 ): Promise<LateCall> {
-  const {status, isTruncated, headers} = await sendRequest({
+  const {status, headers} = await sendRequest({
     port: entry.callersPort,
     route,
     id,
@@ -268,7 +263,7 @@
     },
   });
   const namedId = headers['request-id'] as string | undefined;
-  return {id, route, status, isTruncated, namedId};
+  return {id, route, status, namedId};
 }
 
 async function untilAllServe(entries: readonly EntryProcess[]): Promise<void> {
--- a/soak/src/plannedStopRun.ts
+++ b/soak/src/plannedStopRun.ts
@@ -9,6 +9,7 @@
 import {createDraw, type Draw} from './random.js';
 import type {Violation} from './soakRecord.js';
 import {startEntries} from './startEntries.js';
+import {takeTurns} from './takeTurns.js';
 
 export interface PlannedStopRunOptions {
   seed: number;
@@ -74,10 +75,6 @@
   };
 }
 
-function takeTurns<T>(values: readonly T[], seed: number): T {
-  return values[seed % values.length]!;
-}
-
 /**
  * Stops entries with SIGTERM and starts them again, while callers keep sending
  * new connections to all of them, as a balancer does that has too few ready
