--- a/packages/banyanfold-core/src/index.ts
+++ b/packages/banyanfold-core/src/index.ts
@@ -9,5 +9,6 @@
 export * from './readBody.js';
 export * from './secrets.js';
 export * from './startTimer.js';
+export * from './summarizeError.js';
 export * from './timeoutSignal.js';
 export * from './traceRequest.js';
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -3,6 +3,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import {summarizeError} from '@banyanfold/core';
 import type {GatewayContext} from './context.js';
 import {ERROR_STATUS, sendErrorResponse} from './requests/errorResponse.js';
 import {HeadRefusals} from './requests/headRefusals.js';
@@ -31,8 +32,6 @@
 const CONNECTION_CHECK_MS = 500;
 /** Shorter than the 1 s after which callers abandon a silent connection. */
 const READY_WAIT_MS = 600;
-/** Lines of a stack trace that are logged: the error and its origin. */
-const MAX_STACK_LINES = 6;
 
 /** HTTP server for callers: validates, authorizes and handles requests. */
 export class GatewayServer {
@@ -239,10 +238,7 @@
   ): void {
     const {metrics, logger, isDraining} = this.context;
     metrics.count('requests_failed_inside_total');
-    const stack = thrown instanceof Error ? thrown.stack : String(thrown);
-    logger.error('request-failed', {
-      error: (stack ?? '').split('\n').slice(0, MAX_STACK_LINES).join(' | '),
-    });
+    logger.error('request-failed', {error: summarizeError(thrown)});
     if (response.headersSent) {
       response.destroy();
       return;
