--- a/packages/banyanfold-core/src/index.ts
+++ b/packages/banyanfold-core/src/index.ts
@@ -8,6 +8,7 @@
 export * from './metrics.js';
 export * from './readBody.js';
 export * from './secrets.js';
+export * from './socketAddress.js';
 export * from './startTimer.js';
 export * from './summarizeError.js';
 export * from './timeoutSignal.js';
