Log failures of background work instead of ending the process

Callers lost all streams of an entry for one failed report: the promise was started with void, its rejection counted as an uncaught error, and the process exited.

runInBackground starts work that nobody awaits and logs its failure with the step and the peer; repeatEvery goes on after a failure and logs some of a series. Errors are counted by event (errors_total).

The linter refuses a promise that nobody awaits in core, gateway and platform, and void is no way out.

Ruled out: a listener for unhandled rejections that ignores them; loops that such a rejection had ended would stay dead without a word.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,6 +33,19 @@
     files: ['**/*.cjs'],
     rules: {'@typescript-eslint/no-require-imports': 'off'},
   },
+  {
+    // A promise that nobody awaits ends the process when it rejects.
+    files: [
+      'packages/banyanfold-core/src/**/*.ts',
+      'packages/banyanfold-gateway/src/**/*.ts',
+      'platform/src/**/*.ts',
+    ],
+    ignores: ['**/__tests__/**', '**/standins/**'],
+    languageOptions: {parserOptions: {projectService: true}},
+    rules: {
+      '@typescript-eslint/no-floating-promises': ['error', {ignoreVoid: false}],
+    },
+  },
   {
     files: ['**/*.ts'],
     rules: {
--- a/packages/banyanfold-core/src/index.ts
+++ b/packages/banyanfold-core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './clock.js';
+export * from './countErrors.js';
 export * from './errors.js';
 export * from './exitProcess.js';
 export * from './jsonWithComments.js';
@@ -7,6 +8,7 @@
 export * from './logger.js';
 export * from './metrics.js';
 export * from './readBody.js';
+export * from './runInBackground.js';
 export * from './secrets.js';
 export * from './socketAddress.js';
 export * from './startTimer.js';
--- a/packages/banyanfold-gateway/src/__tests__/originLookup.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/originLookup.test.ts
@@ -1,4 +1,4 @@
-import {VirtualClock} from '@banyanfold/core';
+import {MemoryLogger, VirtualClock} from '@banyanfold/core';
 import type {Replica} from '@banyanfold/decisions';
 import {beforeEach, describe, expect, it} from 'vitest';
 import type {FindOriginsInput} from '../peers/peerContract.js';
@@ -28,6 +28,7 @@
   ]);
   asked = [];
   lookup = new OriginLookup({
+    logger: new MemoryLogger(),
     clock,
     address: 'a:7',
     replicas: () => replicas,
--- a/packages/banyanfold-gateway/src/__tests__/reportPoller.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/reportPoller.test.ts
@@ -12,20 +12,23 @@
 const MAX_AT_ONCE = 32;
 
 /** Polls unknown runners, as a process does that has just gained the lease. */
-function createSimulation(runners: number, {awaited = 0} = {}) {
+function createSimulation(runners: number, {awaited = 0, throwsFor = ''} = {}) {
   const clock = new VirtualClock();
   const known = new Set<string>();
   const requestedMs: number[] = [];
+  const failed: string[] = [];
+  const logger = new MemoryLogger();
   const control = {
-    report: async () => {
+    report: async (runnerId: string) => {
       requestedMs.push(clock.nowMs());
+      if (runnerId === throwsFor) throw new TypeError('Invalid URL');
       await sleep(clock, ANSWER_MS);
       return ok({} as RunnerReport);
     },
   } as unknown as RunnerControl;
   const poller = new ReportPoller({
     clock,
-    logger: new MemoryLogger(),
+    logger,
     control,
     options: DEFAULT_OPTIONS,
     processorShare: PROCESSOR_SHARE,
@@ -37,6 +40,7 @@
       registration: {runnerId, address: 'runner'},
       isReachable: true,
       isReportDue: index < awaited,
+      recordReportFailure: () => void failed.push(runnerId),
       get isReady() {
         return known.has(runnerId);
       },
@@ -48,7 +52,7 @@
       await clock.advance(REPORT_TICK_MS);
     }
   };
-  return {known, asked: requestedMs, runFor};
+  return {known, failed, logger, asked: requestedMs, runFor};
 }
 
 // Guards against a holder that queries thousands of runners at the same moment:
@@ -81,3 +85,19 @@
     expect(known.size).toBe(3_000);
   });
 });
+
+describe('ReportPoller, with a runner whose address can’t be used', () => {
+  // Guards against a holder that ends for one runner, and against one that
+  // never polls that runner again.
+  it('polls the others, and that one again', async () => {
+    const {known, failed, logger, runFor} = createSimulation(3, {
+      throwsFor: 'r1',
+    });
+    await runFor(2_000);
+    expect([...known].sort()).toEqual(['r0', 'r2']);
+    expect(failed.length).toBeGreaterThan(1);
+    expect(logger.lines[0]).toMatch(
+      /event=background-failed step=report peer=r1 error="TypeError: Invalid URL/,
+    );
+  });
+});
--- a/packages/banyanfold-gateway/src/__tests__/retryBudgets.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/retryBudgets.test.ts
@@ -1,4 +1,4 @@
-import {Metrics, VirtualClock} from '@banyanfold/core';
+import {MemoryLogger, Metrics, VirtualClock} from '@banyanfold/core';
 import {describe, expect, it} from 'vitest';
 import type {RetryGrant} from '../peers/retryGrantContract.js';
 import {RequestPermits} from '../requests/requestPermits.js';
@@ -90,6 +90,7 @@
   const clock = new VirtualClock();
   const asked: number[] = [];
   const budgets = new RetryBudgets({
+    logger: new MemoryLogger(),
     clock,
     metrics: new Metrics(),
     retryRatio: RETRY_RATIO,
--- a/packages/banyanfold-gateway/src/__tests__/retryFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/retryFleet.ts
@@ -1,4 +1,4 @@
-import {Metrics, sleep, VirtualClock} from '@banyanfold/core';
+import {MemoryLogger, Metrics, sleep, VirtualClock} from '@banyanfold/core';
 import {RetryGrants} from '../placement/retryGrants.js';
 import {RequestPermits} from '../requests/requestPermits.js';
 import {GRANTED_FOR_MS, RetryBudgets} from '../requests/retryBudgets.js';
@@ -170,6 +170,7 @@
   private startEntry(): ModelEntry {
     const {clock, random} = this;
     const budgets = new RetryBudgets({
+      logger: new MemoryLogger(),
       clock,
       metrics: new Metrics(),
       retryRatio: RETRY_RATIO,
--- a/packages/banyanfold-gateway/src/__tests__/streamOrigins.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/streamOrigins.model.test.ts
@@ -77,6 +77,7 @@
       metrics: new Metrics(),
       view: this.view,
       lookup: new OriginLookup({
+        logger: new MemoryLogger(),
         clock,
         address,
         replicas: () => fleet.replicas,
--- a/packages/banyanfold-gateway/src/callers/usageKeeper.ts
+++ b/packages/banyanfold-gateway/src/callers/usageKeeper.ts
@@ -1,4 +1,4 @@
-import type {Clock, Logger} from '@banyanfold/core';
+import {type Clock, type Logger, runInBackground} from '@banyanfold/core';
 import {repeatEvery} from '../repeatEvery.js';
 import type {LeaseSource, StoredUsage, UsageStore} from '../types.js';
 import {USAGE_SAVE_INTERVAL_MS, type UsageAccounts} from './usageAccounts.js';
@@ -31,11 +31,11 @@
   constructor(private readonly options: UsageKeeperOptions) {}
 
   start(): void {
-    void this.load();
+    const {clock, logger} = this.options;
+    runInBackground({logger, step: 'load-usage'}, () => this.load());
     this.stopSaving = repeatEvery(
-      this.options.clock,
-      USAGE_SAVE_INTERVAL_MS,
-      () => this.save(),
+      {clock, logger, step: 'save-usage', intervalMs: USAGE_SAVE_INTERVAL_MS},
+      () => this.saveIfDue(),
     );
   }
 
@@ -61,19 +61,28 @@
     logger.info('usage-loaded', {organisations, ageMs});
   }
 
-  private save(): void {
-    const {lease, nearLimit, store, clock} = this.options;
+  private saveIfDue(): void {
+    const {lease, nearLimit, logger} = this.options;
     if (this.isSaving || !lease.current().owns) return;
     const organisations = nearLimit();
     const hasUsageToStore = Object.keys(organisations).length > 0;
     if (!hasUsageToStore && !this.mayHaveStoredUsage) return;
     this.isSaving = true;
-    void store.save({atMs: clock.wallMs(), organisations}).then(saved => {
-      this.isSaving = false;
-      if (saved.isErr()) return this.reportStoreFailure(saved.error.message);
-      this.hasFailed = false;
-      this.mayHaveStoredUsage = hasUsageToStore;
-    });
+    runInBackground({logger, step: 'save-usage'}, () =>
+      this.save(organisations).finally(() => {
+        this.isSaving = false;
+      }),
+    );
+  }
+
+  private async save(
+    organisations: Record<string, StoredUsage>,
+  ): Promise<void> {
+    const {store, clock} = this.options;
+    const saved = await store.save({atMs: clock.wallMs(), organisations});
+    if (saved.isErr()) return this.reportStoreFailure(saved.error.message);
+    this.hasFailed = false;
+    this.mayHaveStoredUsage = Object.keys(organisations).length > 0;
   }
 
   private reportStoreFailure(error: string): void {
--- a/packages/banyanfold-gateway/src/crashes/crashDetector.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashDetector.ts
@@ -1,4 +1,9 @@
-import type {Clock, Logger, Metrics} from '@banyanfold/core';
+import {
+  type Clock,
+  type Logger,
+  type Metrics,
+  runInBackground,
+} from '@banyanfold/core';
 import type {RunnerRegistration} from '../types.js';
 import type {FleetView} from '../view/fleetView.js';
 import type {AnsweredParts} from './answeredParts.js';
@@ -86,7 +91,7 @@
       return;
     }
     this.addCandidate(runner, fingerprints);
-    void this.probe(crashId, runner.address);
+    this.probeInBackground(crashId, runner);
   }
 
   /** Nothing listens at the address of a runner that is registered. */
@@ -125,7 +130,7 @@
     if (!this.isStaying(runner) || this.candidates.has(crashId)) return;
     if (!this.ends.hasDoubtful(crashId)) return;
     this.addCandidate(runner, []);
-    void this.probe(crashId, runner.address);
+    this.probeInBackground(crashId, runner);
   }
 
   private addCandidate(
@@ -150,6 +155,16 @@
     return known !== undefined && !known.leaving;
   }
 
+  private probeInBackground(
+    crashId: string,
+    {runnerId, address}: RunnerRegistration,
+  ): void {
+    const {logger} = this.options;
+    runInBackground({logger, step: 'probe-runner', peer: runnerId}, () =>
+      this.probe(crashId, address),
+    );
+  }
+
   private async probe(crashId: string, address: string): Promise<void> {
     const state = await this.options.probe(address);
     const crash = this.candidates.get(crashId);
--- a/packages/banyanfold-gateway/src/crashes/quarantineKeeper.ts
+++ b/packages/banyanfold-gateway/src/crashes/quarantineKeeper.ts
@@ -1,4 +1,9 @@
-import type {BanyanfoldError, Clock, Logger} from '@banyanfold/core';
+import {
+  type BanyanfoldError,
+  type Clock,
+  type Logger,
+  runInBackground,
+} from '@banyanfold/core';
 import {repeatEvery} from '../repeatEvery.js';
 import type {LeaseSource, QuarantineRecord, QuarantineStore} from '../types.js';
 import {QUARANTINE_MS} from './crashLedger.js';
@@ -41,9 +46,12 @@
   constructor(private readonly options: QuarantineKeeperOptions) {}
 
   start(): void {
-    const {clock, store} = this.options;
+    const {clock, logger, store} = this.options;
     store.onReset(() => this.rewriteRecords());
-    this.stopSync = repeatEvery(clock, RETRY_INTERVAL_MS, () => this.sync());
+    this.stopSync = repeatEvery(
+      {clock, logger, step: 'sync-quarantine', intervalMs: RETRY_INTERVAL_MS},
+      () => this.sync(),
+    );
     this.sync();
   }
 
@@ -77,14 +85,14 @@
   private sync(): void {
     const {owns, term} = this.options.lease.current();
     if (this.isBusy) return;
-    if (this.shouldRead) return this.run(this.load(term));
+    if (this.shouldRead) return this.run(() => this.load(term));
     // A new holder first loads what former holders have written.
     const isLoaded = owns
       ? this.loadedTerm === term
       : this.loadedTerm !== undefined;
     const isSaved = this.unsaved.size === 0 && this.released.size === 0;
     if (isLoaded && (!owns || isSaved)) return;
-    this.run(isLoaded ? this.save() : this.load(term));
+    this.run(() => (isLoaded ? this.save() : this.load(term)));
   }
 
   /**
@@ -98,11 +106,14 @@
     return clock.nowMs() - this.lastLoadMs >= READ_INTERVAL_MS;
   }
 
-  private run(work: Promise<void>): void {
+  private run(work: () => Promise<void>): void {
+    const {logger} = this.options;
     this.isBusy = true;
-    void work.finally(() => {
-      this.isBusy = false;
-    });
+    runInBackground({logger, step: 'sync-quarantine'}, () =>
+      work().finally(() => {
+        this.isBusy = false;
+      }),
+    );
   }
 
   private async load(term: number): Promise<void> {
--- a/packages/banyanfold-gateway/src/drain.ts
+++ b/packages/banyanfold-gateway/src/drain.ts
@@ -1,4 +1,4 @@
-import type {Clock, Logger} from '@banyanfold/core';
+import {type Clock, type Logger, runInBackground} from '@banyanfold/core';
 import type {GatewayServer} from './gatewayServer.js';
 import type {GatewayOptions} from './options.js';
 import type {LeaseSource} from './types.js';
@@ -75,7 +75,7 @@
   ): Promise<void> {
     const {clock, callers} = this.options;
     while (clock.nowMs() < endMs) {
-      if (clock.nowMs() >= endMs - RELEASE_MS) void this.releaseLease();
+      if (clock.nowMs() >= endMs - RELEASE_MS) this.beginRelease();
       if (clock.nowMs() >= noticedMs) {
         this.stopsServingMs = endMs;
         // A refused caller needs enough time left to retry at another entry.
@@ -83,7 +83,7 @@
         callers.closeIdleConnections();
         if (callers.openRequests === 0) {
           if (this.isReleased) return;
-          void this.releaseLease();
+          this.beginRelease();
         }
       }
       await this.pause();
@@ -101,6 +101,11 @@
     callers.closeSilentConnections();
   }
 
+  private beginRelease(): void {
+    const {logger} = this.options;
+    runInBackground({logger, step: 'release-lease'}, () => this.releaseLease());
+  }
+
   private releaseLease(): Promise<void> {
     this.release ??= this.options.lease.release().then(() => {
       this.isReleased = true;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -305,6 +305,7 @@
     });
     const retryBudgets = new RetryBudgets({
       clock,
+      logger,
       metrics,
       retryRatio,
       retryWindowMs,
@@ -468,8 +469,14 @@
     this.usageKeeper.start();
     this.originService.start();
     this.lastMaintenanceMs = clock.nowMs();
-    this.stopMaintenance = repeatEvery(clock, MAINTENANCE_INTERVAL_MS, () =>
-      this.runMaintenance(),
+    this.stopMaintenance = repeatEvery(
+      {
+        clock,
+        logger,
+        step: 'maintenance',
+        intervalMs: MAINTENANCE_INTERVAL_MS,
+      },
+      () => this.runMaintenance(),
     );
     this.stopBacklogWatch = this.context.backlog?.start();
     logger.info('started', {
--- a/packages/banyanfold-gateway/src/peers/configFetcher.ts
+++ b/packages/banyanfold-gateway/src/peers/configFetcher.ts
@@ -1,5 +1,10 @@
 import {createHash} from 'node:crypto';
-import type {Clock, Logger, Timer} from '@banyanfold/core';
+import {
+  type Clock,
+  type Logger,
+  runInBackground,
+  type Timer,
+} from '@banyanfold/core';
 import type {ConfigRecord} from '../types.js';
 import type {PeerConfig} from './peerContract.js';
 
@@ -34,9 +39,12 @@
    */
   noteNewerVersion(version: number, address: string): void {
     this.timer ??= this.options.clock.setTimer(STORE_GRACE_MS, () => {
-      void this.fetch(version, address).finally(() => {
-        this.timer = undefined;
-      });
+      const {logger} = this.options;
+      runInBackground({logger, step: 'fetch-config', peer: address}, () =>
+        this.fetch(version, address).finally(() => {
+          this.timer = undefined;
+        }),
+      );
     });
   }
 
--- a/packages/banyanfold-gateway/src/peers/holderLink.ts
+++ b/packages/banyanfold-gateway/src/peers/holderLink.ts
@@ -1,5 +1,11 @@
 import {relayOf, type RelayCandidate} from '@banyanfold/decisions';
-import type {Clock, Logger, Metrics, Timer} from '@banyanfold/core';
+import {
+  type Clock,
+  type Logger,
+  type Metrics,
+  runInBackground,
+  type Timer,
+} from '@banyanfold/core';
 import type {EnsureAdapter, PermitTrial} from '../context.js';
 import type {TrialInput, TrialOutput} from '../crashes/crashContract.js';
 import type {CrashSuspects} from '../crashes/crashSuspects.js';
@@ -157,7 +163,7 @@
   start(): void {
     this.deps.demand.onWaiting = () => this.expediteExchange();
     this.deps.suspects.onReport = () => this.expediteExchange();
-    void this.runExchange();
+    this.exchangeInBackground();
   }
 
   stop(): void {
@@ -255,15 +261,23 @@
     }
   }
 
+  private exchangeInBackground(): void {
+    const {logger} = this.deps;
+    runInBackground({logger, step: 'exchange'}, () => this.runExchange());
+  }
+
   private async runExchange(): Promise<void> {
     const {clock, options} = this.deps;
     this.timer?.cancel();
     this.timer = undefined;
     this.lastExchangeMs = clock.nowMs();
-    await this.exchange();
-    this.logIfRelayChanged();
-    this.checkLease();
-    this.schedule(options.exchangeIntervalMs);
+    try {
+      await this.exchange();
+      this.logIfRelayChanged();
+      this.checkLease();
+    } finally {
+      this.schedule(options.exchangeIntervalMs);
+    }
   }
 
   /** Logs whether this process relies on the holder or reads the store itself. */
@@ -304,9 +318,8 @@
 
   private schedule(delayMs: number): void {
     this.timer?.cancel();
-    this.timer = this.deps.clock.setTimer(
-      delayMs,
-      () => void this.runExchange(),
+    this.timer = this.deps.clock.setTimer(delayMs, () =>
+      this.exchangeInBackground(),
     );
   }
 
--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -80,7 +80,11 @@
       withTimeout(timeoutMs, client.requestRetries.mutate(input)),
     noteOrigins: input =>
       withTimeout(timeoutMs, client.noteOrigins.mutate(input)),
-    close: () => void socket.close(),
+    close: () => {
+      socket.close().catch(() => {
+        // The connection has failed already.
+      });
+    },
   };
 }
 
@@ -136,7 +140,12 @@
       }),
     ],
   });
-  return {client, close: () => void dispatcher.destroy()};
+  const close = () => {
+    dispatcher.destroy().catch(() => {
+      // It is closed already.
+    });
+  };
+  return {client, close};
 }
 
 /**
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -1,4 +1,9 @@
-import type {Clock, Logger, Metrics} from '@banyanfold/core';
+import {
+  type Clock,
+  type Logger,
+  type Metrics,
+  runInBackground,
+} from '@banyanfold/core';
 import {
   chooseRelays,
   planCopies,
@@ -178,10 +183,16 @@
   }
 
   start(): void {
-    const {options, clock} = this.deps;
+    const {options, clock, logger} = this.deps;
     this.stopTimers.push(
-      repeatEvery(clock, options.planIntervalMs, () => this.plan()),
-      repeatEvery(clock, REPORT_TICK_MS, () => this.pollReports()),
+      repeatEvery(
+        {clock, logger, step: 'plan', intervalMs: options.planIntervalMs},
+        () => this.plan(),
+      ),
+      repeatEvery(
+        {clock, logger, step: 'poll-reports', intervalMs: REPORT_TICK_MS},
+        () => this.pollReports(),
+      ),
     );
     this.deps.view.onChange(change => this.handleViewChange(change));
   }
@@ -589,7 +600,12 @@
       canEvict: this.demand.observedForMs(nowMs) >= MIN_DEMAND_HISTORY_MS,
       storeLoadsLeft: loadRate.remaining(engine.loadsPerSecond, nowMs),
     });
-    for (const order of orders) void this.sendOrder(order, engine);
+    for (const order of orders) {
+      const {logger} = this.deps;
+      runInBackground({logger, step: 'order', peer: order.runnerId}, () =>
+        this.sendOrder(order, engine),
+      );
+    }
   }
 
   private async sendOrder(order: CopyOrder, engine: EngineSpec): Promise<void> {
--- a/packages/banyanfold-gateway/src/placement/leaseManager.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseManager.ts
@@ -1,4 +1,10 @@
-import type {BanyanfoldError, Clock, Logger, Timer} from '@banyanfold/core';
+import {
+  type BanyanfoldError,
+  type Clock,
+  type Logger,
+  runInBackground,
+  type Timer,
+} from '@banyanfold/core';
 import type {Result} from 'neverthrow';
 import type {LastOrder, LeaseHandover} from '../peers/peerContract.js';
 import type {
@@ -123,7 +129,7 @@
   }
 
   start(): void {
-    void this.joinOrDefer();
+    this.runStep('join-group', () => this.joinOrDefer());
   }
 
   /**
@@ -209,8 +215,8 @@
       isStandby,
       held: this.ownsLease,
     });
-    if (isStandby) void this.renew();
-    else void this.leaveGroup();
+    if (isStandby) this.renewInBackground();
+    else this.runStep('leave-group', () => this.leaveGroup());
   }
 
   /**
@@ -224,7 +230,7 @@
     const nowMs = this.options.clock.nowMs();
     if (nowMs - this.ownerQueriedMs < OWNER_QUERY_INTERVAL_MS) return;
     this.ownerQueriedMs = nowMs;
-    void this.queryOwner();
+    this.runStep('query-owner', () => this.queryOwner());
   }
 
   /**
@@ -302,8 +308,24 @@
     }
   }
 
+  /** A failure doesn't end the renewals, after which the lease would lapse. */
+  private renewInBackground(): void {
+    this.runStep('renew-lease', async () => {
+      try {
+        await this.renew();
+      } catch (thrown) {
+        if (!this.isStopped && this.isStandby) this.scheduleRenewal();
+        throw thrown;
+      }
+    });
+  }
+
+  private runStep(step: string, work: () => Promise<void>): void {
+    runInBackground({logger: this.options.logger, step}, work);
+  }
+
   private async renew(): Promise<void> {
-    const {ttlMs, logger, clock} = this.options;
+    const {logger} = this.options;
     this.timer?.cancel();
     const sentAt = this.now();
     const joined = await this.joinUnlessHeld();
@@ -329,7 +351,9 @@
       this.handoverCount = 0;
       this.ownsLease = owns;
       this.renewedAt = sentAt;
-      if (isGained) void this.waitForFormerHolder();
+      if (isGained) {
+        this.runStep('gain-lease', () => this.waitForFormerHolder());
+      }
     } else {
       // Logged once per outage, because the renewal is retried four times a
       // second.
@@ -343,10 +367,15 @@
       if (this.hasLapsed() && !this.mayExtendLease()) this.ownsLease = false;
     }
     this.current();
+    this.scheduleRenewal();
+  }
+
+  private scheduleRenewal(): void {
+    const {ttlMs, clock} = this.options;
     const delayMs = ttlMs / RENEWALS_PER_TTL;
     // A timer set before this process left the group may still be pending.
     this.timer?.cancel();
-    this.timer = clock.setTimer(delayMs, () => void this.renew());
+    this.timer = clock.setTimer(delayMs, () => this.renewInBackground());
   }
 
   /**
--- a/packages/banyanfold-gateway/src/placement/reportPoller.ts
+++ b/packages/banyanfold-gateway/src/placement/reportPoller.ts
@@ -1,4 +1,4 @@
-import type {Clock, Logger} from '@banyanfold/core';
+import {type Clock, type Logger, runInBackground} from '@banyanfold/core';
 import type {GatewayOptions} from '../options.js';
 import type {RunnerControl, RunnerReport} from '../types.js';
 import {dueReports} from './dueReports.js';
@@ -71,7 +71,7 @@
     });
     for (const controller of due) {
       if (isUnknown(controller)) this.unknownQuota -= 1;
-      void this.requestReport(controller);
+      this.requestInBackground(controller);
     }
   }
 
@@ -87,15 +87,29 @@
     this.quotaUpdatedMs = nowMs;
   }
 
+  private requestInBackground(controller: RunnerController): void {
+    const {logger, clock} = this.deps;
+    const {runnerId} = controller.registration;
+    if (this.inFlight.has(runnerId)) return;
+    this.inFlight.add(runnerId);
+    this.lastRequestedMs.set(controller, clock.nowMs());
+    runInBackground({logger, step: 'report', peer: runnerId}, async () => {
+      try {
+        await this.requestReport(controller);
+      } catch (thrown) {
+        controller.recordReportFailure();
+        throw thrown;
+      } finally {
+        this.inFlight.delete(runnerId);
+      }
+    });
+  }
+
   private async requestReport(controller: RunnerController): Promise<void> {
     const {control, logger, clock, onReport} = this.deps;
     const {runnerId, address} = controller.registration;
-    if (this.inFlight.has(runnerId)) return;
-    this.inFlight.add(runnerId);
     const requestedMs = clock.nowMs();
-    this.lastRequestedMs.set(controller, requestedMs);
     const result = await control.report(runnerId, address);
-    this.inFlight.delete(runnerId);
     if (result.isOk()) return onReport(controller, result.value, requestedMs);
     controller.recordReportFailure();
     const {code, message} = result.error;
--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -1,3 +1,4 @@
+import {summarizeError} from '@banyanfold/core';
 import type {ServerResponse} from 'node:http';
 import type {GatewayContext} from '../context.js';
 import {
@@ -223,11 +224,13 @@
           return;
         }
         const endedResponse = incoming;
-        void connection.endedCleanly().then(isComplete => {
+        const settleEnded = async () => {
+          const isComplete = await connection.endedCleanly();
           if (!this.inFlight) return;
           if (isComplete) settle(this.complete(endedResponse, splitter));
           else settle(closedByRunnerResult('response truncated by a reset'));
-        });
+        };
+        settleEnded().catch((thrown: unknown) => fail(summarizeError(thrown)));
       },
       onError: error => {
         if (error instanceof UnwantedConnectionError) {
--- a/packages/banyanfold-gateway/src/requests/retryBudgets.ts
+++ b/packages/banyanfold-gateway/src/requests/retryBudgets.ts
@@ -1,9 +1,10 @@
-import type {Clock, Metrics} from '@banyanfold/core';
+import type {Clock, Logger, Metrics} from '@banyanfold/core';
 import type {RetryGrant} from '../peers/retryGrantContract.js';
 import {ServiceRetryBudget} from './serviceRetryBudget.js';
 
 export interface RetryBudgetsOptions {
   clock: Clock;
+  logger: Logger;
   metrics: Metrics;
   /** Retries that the deployment allows per request. */
   retryRatio: number;
@@ -48,10 +49,19 @@
   }
 
   private create(service: string): ServiceRetryBudget {
-    const {clock, random, retryRatio, usedShare, retryWindowMs, requestGrant} =
-      this.options;
+    const {
+      clock,
+      logger,
+      random,
+      retryRatio,
+      usedShare,
+      retryWindowMs,
+      requestGrant,
+    } = this.options;
     return new ServiceRetryBudget({
       clock,
+      logger,
+      service,
       random,
       permitsPerRequest: (retryRatio * usedShare) / EARNING_WINDOWS,
       earnedForMs: retryWindowMs,
--- a/packages/banyanfold-gateway/src/requests/serviceRetryBudget.ts
+++ b/packages/banyanfold-gateway/src/requests/serviceRetryBudget.ts
@@ -1,4 +1,9 @@
-import type {Clock} from '@banyanfold/core';
+import {
+  runInBackground,
+  type Clock,
+  type Logger,
+  type Timer,
+} from '@banyanfold/core';
 import type {RetryGrant} from '../peers/retryGrantContract.js';
 
 /** The right to send one request to a runner once more. */
@@ -9,6 +14,8 @@
 
 export interface ServiceRetryBudgetOptions {
   clock: Clock;
+  logger: Logger;
+  service: string;
   /** Permits that each request earns. */
   permitsPerRequest: number;
   /** How long an earned permit is valid. */
@@ -95,7 +102,7 @@
     if (permit || this.isPaused) return permit;
     await new Promise<void>(resolve => {
       this.waiting.push(resolve);
-      if (!this.isAsking) void this.requestGrants();
+      if (!this.isAsking) this.requestInBackground();
     });
     return this.take();
   }
@@ -111,16 +118,28 @@
     this.permits.splice(later < 0 ? this.permits.length : later, 0, permit);
   }
 
+  private requestInBackground(): void {
+    const {logger, service} = this.options;
+    runInBackground({logger, step: 'request-retries', peer: service}, () =>
+      this.requestGrants(),
+    );
+  }
+
   /** Requests permits for all that wait, until nobody does. */
   private async requestGrants(): Promise<void> {
     this.isAsking = true;
-    while (this.waiting.length > 0) {
-      const count = this.waiting.length;
-      await this.requestGrant(count);
-      const served = this.isPaused ? this.waiting.length : count;
-      for (const resolve of this.waiting.splice(0, served)) resolve();
+    try {
+      while (this.waiting.length > 0) {
+        const count = this.waiting.length;
+        await this.requestGrant(count);
+        const served = this.isPaused ? this.waiting.length : count;
+        for (const resolve of this.waiting.splice(0, served)) resolve();
+      }
+    } finally {
+      // After a failure; otherwise none is left.
+      for (const resolve of this.waiting.splice(0)) resolve();
+      this.isAsking = false;
     }
-    this.isAsking = false;
   }
 
   private async requestGrant(count: number): Promise<void> {
@@ -135,12 +154,15 @@
 
   private async grantWithinTime(count: number): Promise<RetryGrant> {
     const {clock, requestGrant} = this.options;
-    const answer = requestGrant(count);
+    let timer: Timer | undefined;
     const expired = new Promise<undefined>(resolve => {
-      const timer = clock.setTimer(MAX_GRANT_WAIT_MS, () => resolve(undefined));
-      void answer.finally(() => timer.cancel());
+      timer = clock.setTimer(MAX_GRANT_WAIT_MS, () => resolve(undefined));
     });
-    const grant = await Promise.race([answer, expired]);
-    return grant ?? {granted: 0, retryAfterMs: NO_ANSWER_PAUSE_MS};
+    try {
+      const grant = await Promise.race([requestGrant(count), expired]);
+      return grant ?? {granted: 0, retryAfterMs: NO_ANSWER_PAUSE_MS};
+    } finally {
+      timer?.cancel();
+    }
   }
 }
--- a/packages/banyanfold-gateway/src/resources/backlogWatch.ts
+++ b/packages/banyanfold-gateway/src/resources/backlogWatch.ts
@@ -69,13 +69,16 @@
 
   /** Returns a function that stops the watch. */
   start(): () => void {
-    const {clock} = this.options;
+    const {clock, logger} = this.options;
     this.dueMs = clock.nowMs() + SAMPLE_INTERVAL_MS;
-    return repeatEvery(clock, SAMPLE_INTERVAL_MS, () => {
-      const nowMs = clock.nowMs();
-      this.sample(Math.max(0, nowMs - this.dueMs));
-      this.dueMs = nowMs + SAMPLE_INTERVAL_MS;
-    });
+    return repeatEvery(
+      {clock, logger, step: 'sample-load', intervalMs: SAMPLE_INTERVAL_MS},
+      () => {
+        const nowMs = clock.nowMs();
+        this.sample(Math.max(0, nowMs - this.dueMs));
+        this.dueMs = nowMs + SAMPLE_INTERVAL_MS;
+      },
+    );
   }
 
   /** Counts the bytes of a caller's connection. */
--- a/packages/banyanfold-gateway/src/runners/runnerConnections.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerConnections.ts
@@ -154,7 +154,7 @@
   destroy(): void {
     if (this.closed) return;
     this.markClosed();
-    void this.client.destroy().catch(() => {
+    this.client.destroy().catch(() => {
       // `destroy` fails only for a client that is already destroyed.
     });
   }
--- a/packages/banyanfold-gateway/src/streams/originLookup.ts
+++ b/packages/banyanfold-gateway/src/streams/originLookup.ts
@@ -1,4 +1,10 @@
-import type {Clock, Timer} from '@banyanfold/core';
+import {
+  runInBackground,
+  sleep,
+  type Clock,
+  type Logger,
+  type Timer,
+} from '@banyanfold/core';
 import type {Replica} from '@banyanfold/decisions';
 import type {
   FindOriginsInput,
@@ -7,6 +13,7 @@
 
 export interface OriginLookupOptions {
   clock: Clock;
+  logger: Logger;
   /** Address of this process, which isn't asked. */
   address: string;
   /** Undefined until a holder has named them. */
@@ -104,7 +111,10 @@
     this.gathered.push(search);
     this.gatherTimer ??= this.options.clock.setTimer(GATHER_MS, () => {
       this.gatherTimer = undefined;
-      void this.askPeers(this.gathered.splice(0));
+      const {logger} = this.options;
+      runInBackground({logger, step: 'find-origins'}, () =>
+        this.askPeers(this.gathered.splice(0)),
+      );
     });
   }
 
@@ -114,9 +124,8 @@
     const areAllReplicas = this.peers.length + 1 >= entryCount();
     const open = searches.filter(({result}) => result.version === undefined);
     if (areAllReplicas) return finishAll(open, isAnswered);
-    clock.setTimer(REPEAT_MS, () => {
-      void this.askOnce(open).then(isWhole => finishAll(open, isWhole));
-    });
+    await sleep(clock, REPEAT_MS);
+    finishAll(open, await this.askOnce(open));
   }
 
   /** @returns whether all peers have answered. */
--- a/packages/banyanfold-gateway/src/streams/originReplicator.ts
+++ b/packages/banyanfold-gateway/src/streams/originReplicator.ts
@@ -1,4 +1,10 @@
-import type {Clock, Logger, Metrics, Timer} from '@banyanfold/core';
+import {
+  type Clock,
+  type Logger,
+  type Metrics,
+  runInBackground,
+  type Timer,
+} from '@banyanfold/core';
 import {rankReplicas, type Replica} from '@banyanfold/decisions';
 import type {StreamOrigin} from './originRecords.js';
 
@@ -99,7 +105,10 @@
     const dueMs = lane.sentMs + batchIntervalMs();
     lane.timer = clock.setTimer(Math.max(0, dueMs - clock.nowMs()), () => {
       lane.timer = undefined;
-      void this.sendBatch(address, lane);
+      const {logger} = this.options;
+      runInBackground({logger, step: 'send-origins', peer: address}, () =>
+        this.sendBatch(address, lane),
+      );
     });
   }
 
--- a/packages/banyanfold-gateway/src/streams/originService.ts
+++ b/packages/banyanfold-gateway/src/streams/originService.ts
@@ -66,6 +66,7 @@
       view,
       lookup: new OriginLookup({
         clock,
+        logger,
         address: self.address,
         replicas: () => replicaList.replicas,
         entryCount,
--- a/packages/banyanfold-gateway/src/streams/versionNotes.ts
+++ b/packages/banyanfold-gateway/src/streams/versionNotes.ts
@@ -1,4 +1,9 @@
-import type {BanyanfoldError, Clock, Logger} from '@banyanfold/core';
+import {
+  type BanyanfoldError,
+  type Clock,
+  type Logger,
+  runInBackground,
+} from '@banyanfold/core';
 import {repeatEvery} from '../repeatEvery.js';
 import type {LeaseSource, VersionNoteStore} from '../types.js';
 import type {VersionHistory} from './versionHistory.js';
@@ -50,12 +55,15 @@
   }
 
   start(): void {
-    const {clock, store} = this.options;
+    const {clock, logger, store} = this.options;
     // What was written lately may be lost, so that it is compared again.
     store.onReset(() => {
       this.loadedTerm = undefined;
     });
-    this.stopSync = repeatEvery(clock, SYNC_INTERVAL_MS, () => this.sync());
+    this.stopSync = repeatEvery(
+      {clock, logger, step: 'sync-version-notes', intervalMs: SYNC_INTERVAL_MS},
+      () => this.sync(),
+    );
     this.sync();
   }
 
@@ -68,16 +76,19 @@
     const {owns, term} = this.options.lease.current();
     const isLoaded = this.noted !== undefined;
     if (!isLoaded || (owns && this.loadedTerm !== term)) {
-      return this.run(this.load(term));
+      return this.run(() => this.load(term));
     }
-    if (owns) this.run(this.save());
+    if (owns) this.run(() => this.save());
   }
 
-  private run(work: Promise<void>): void {
+  private run(work: () => Promise<void>): void {
+    const {logger} = this.options;
     this.isBusy = true;
-    void work.finally(() => {
-      this.isBusy = false;
-    });
+    runInBackground({logger, step: 'sync-version-notes'}, () =>
+      work().finally(() => {
+        this.isBusy = false;
+      }),
+    );
   }
 
   private async load(term: number): Promise<void> {
--- a/packages/banyanfold-gateway/src/view/viewFreshness.ts
+++ b/packages/banyanfold-gateway/src/view/viewFreshness.ts
@@ -1,4 +1,9 @@
-import type {Clock, Logger, Metrics} from '@banyanfold/core';
+import {
+  type Clock,
+  type Logger,
+  type Metrics,
+  runInBackground,
+} from '@banyanfold/core';
 import type {FleetView} from './fleetView.js';
 
 /**
@@ -60,10 +65,12 @@
     const ageMs = Math.round(view.runnersAgeMs ?? 0);
     await new Promise<void>(resolve => {
       const timer = clock.setTimer(CONFIRM_TIMEOUT_MS, resolve);
-      void confirmRunners().then(() => {
-        timer.cancel();
-        resolve();
-      });
+      runInBackground({logger, step: 'confirm-runners'}, () =>
+        confirmRunners().finally(() => {
+          timer.cancel();
+          resolve();
+        }),
+      );
     });
     this.confirming = undefined;
     const isConfirmed = this.check();
