--- a/packages/banyanfold-core/src/index.ts
+++ b/packages/banyanfold-core/src/index.ts
@@ -7,6 +7,7 @@
 export * from './lineWriter.js';
 export * from './logger.js';
 export * from './metrics.js';
+export * from './processEnd.js';
 export * from './readBody.js';
 export * from './runInBackground.js';
 export * from './secrets.js';
