Take a request out of a runner's open work as it was added

Callers saw all sound streams refused (503, reason queue) long after the requests of one caller with negative token counts had ended, until the entries started again.

Cause: RunnerStates added a request's work to the sum of its runner at the start, and subtracted it at the first byte and at the end, each time no lower than zero. A request with -1,000,000 prompt tokens makes the sum -1,000; the next sound request that ends lifts it to zero, and the end of the odd one then adds 1,000 that nothing takes away. That is 25 s of queue at 40 units a second, so decideSend refuses for as long as the process lives. The reports to the holder spread the sum to the other entries.

Ruled out as what lasts: FleetDemand and WorkForecast decay within seconds (by reading), the priority mix within some hundred requests, ShareMeter drops a backlog with its last request.

Change: recordStart returns the open request, which subtracts what it added, each part once.

The tests of the target chooser and the attempt sender use the new call.

--- a/packages/banyanfold-gateway/src/__tests__/attemptSender.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/attemptSender.test.ts
@@ -17,7 +17,7 @@
     clock,
     connections,
     rateLimits: {acquire: () => ({kind: 'admit'})},
-    runnerStates: {workAhead: () => 0, recordStart: ignore, recordEnd: ignore},
+    runnerStates: {workAhead: () => 0, recordStart: () => ({end: ignore})},
     codec: {encodeAttempt: () => []},
   };
   const failure = {kind: 'failed', status: 404, headers: {}, chunks: []};
--- a/packages/banyanfold-gateway/src/__tests__/targetChooser.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/targetChooser.test.ts
@@ -196,8 +196,7 @@
     for (let i = 0; i < RUNNERS.length; i++) {
       const runnerId = chooser.choose()!.runner.runnerId;
       chosen.add(runnerId);
-      states.recordStart(runnerId, 'desk', PLAIN_CALL);
-      states.recordEnd(runnerId, PLAIN_CALL, false);
+      states.recordStart(runnerId, 'desk', PLAIN_CALL).end();
     }
     expect(chosen.size).toBe(RUNNERS.length);
   });
--- a/packages/banyanfold-gateway/src/requests/attemptSender.ts
+++ b/packages/banyanfold-gateway/src/requests/attemptSender.ts
@@ -1,4 +1,5 @@
 import type {RunnerConnection} from '../runners/runnerConnections.js';
+import type {OpenRequest} from '../runners/runnerStates.js';
 import type {ResponseInfo, RunnerRegistration} from '../types.js';
 import {isRepeatable} from './decideRequestRetry.js';
 import {namedRequestOf, type IncomingResponse} from './incomingResponse.js';
@@ -77,7 +78,11 @@
     const {runnerId} = target.runner;
     state.clearWaiting();
     const aheadWork = context.runnerStates.workAhead(runnerId, route.priority);
-    context.runnerStates.recordStart(runnerId, state.service, state.work);
+    const openRequest = context.runnerStates.recordStart(
+      runnerId,
+      state.service,
+      state.work,
+    );
     const isTurnGranted = await this.waitForTurn(runnerId);
     // A verdict may have arrived in the meantime.
     const isUsable =
@@ -88,10 +93,10 @@
       !admission.endIfAccessRevoked();
     if (!isUsable || !state.targets.isStillUsable(target.runner)) {
       state.promptTurn?.release();
-      context.runnerStates.recordEnd(runnerId, state.work, false);
+      openRequest.end();
       return undefined;
     }
-    return this.send(target, aheadWork);
+    return this.send(target, aheadWork, openRequest);
   }
 
   /** Returns false if the turn was given up before it was granted. */
@@ -125,6 +130,7 @@
   private async send(
     target: Target,
     aheadWork: number,
+    openRequest: OpenRequest,
   ): Promise<SentResult | undefined> {
     const {state} = this;
     const {context, decoded, route, request, body} = state.options;
@@ -161,7 +167,6 @@
       runnerId,
       attemptNumber: state.sendCount,
     });
-    let isPromptRead = false;
     const result = await state.relay.relay(
       connection,
       {
@@ -182,11 +187,10 @@
         },
         onResponseInfo: info => this.recordResponseInfo(runner, info, nowMs),
         onFirstByte: () => {
-          isPromptRead = true;
           state.promptTurn?.release();
           state.admittedWork?.markStarted();
           const tookMs = context.clock.nowMs() - nowMs;
-          context.runnerStates.recordPromptRead(runnerId, state.work, {
+          openRequest.markRead({
             aheadWork,
             tookMs,
             speed: context.capacities.speed(runnerId),
@@ -198,7 +202,7 @@
     const {kind} = result;
     state.permits.noteResult(kind !== 'unreached' && kind !== 'withdrawn');
     state.promptTurn?.release();
-    context.runnerStates.recordEnd(runnerId, state.work, isPromptRead);
+    openRequest.end();
     if (result.kind === 'withdrawn') {
       connection.destroy();
       state.sendCount -= 1;
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -8,6 +8,7 @@
 import type {Work} from '../requests/workOf.js';
 import {OutcomeMeter} from './outcomeMeter.js';
 import {PriorityMix} from './priorityMix.js';
+import {WorkSum} from './workSum.js';
 
 /** Older outcomes are not evidence of a runner's current state. */
 const OUTCOME_WINDOW_MS = 4_000;
@@ -58,6 +59,23 @@
   adapter?: string;
 }
 
+/** The first byte of a response, which shows that the prompt is read. */
+export interface PromptRead {
+  /** Open work on the runner when the request was sent. */
+  aheadWork: number;
+  tookMs: number;
+  /** Speed of the runner's machine; 1, the default, is as usual. */
+  speed?: number;
+}
+
+/** A request that is counted at a runner until it ends. */
+export interface OpenRequest {
+  /** Takes the prompt out of the open work. Idempotent. */
+  markRead(read: PromptRead): void;
+  /** Takes out what is left of the request. Idempotent. */
+  end(): void;
+}
+
 /** See `PlainCandidate`. */
 export type PlainLoad = Pick<
   PlainCandidate,
@@ -72,7 +90,7 @@
 
 interface RunnerState {
   service: string;
-  openWork: number;
+  openWork: WorkSum;
   openRequests: number;
   peersWork: number;
   peersRequests: number;
@@ -111,7 +129,7 @@
    */
   openWork(runnerId: string): number {
     const state = this.states.get(runnerId);
-    return state ? state.openWork + state.peersWork : 0;
+    return state ? state.openWork.work + state.peersWork : 0;
   }
 
   /**
@@ -122,7 +140,7 @@
     const state = this.states.get(runnerId);
     const isStale = this.clock.nowMs() - this.peersHeardMs > MEAN_WORK_TTL_MS;
     return {
-      ownWork: state?.openWork ?? 0,
+      ownWork: state?.openWork.work ?? 0,
       meanWork: isStale ? 0 : (state?.meanWork ?? 0),
       lastSent: state?.lastSent,
     };
@@ -131,7 +149,7 @@
   ownOpenWork(): Record<string, number> {
     const open: Record<string, number> = {};
     for (const [runnerId, {openWork}] of this.states) {
-      if (openWork > 0) open[runnerId] = openWork;
+      if (openWork.work > 0) open[runnerId] = openWork.work;
     }
     return open;
   }
@@ -173,16 +191,44 @@
     return inUse;
   }
 
-  recordStart(runnerId: string, service: string, started: StartedWork): void {
-    const {priority, work} = started;
+  /** Counts a request as open at a runner. */
+  recordStart(
+    runnerId: string,
+    service: string,
+    started: StartedWork,
+  ): OpenRequest {
+    const {priority, work, adapter, model} = started;
     if (priority !== undefined) this.priorityMix.record(priority, work.prefill);
     const state = this.getOrCreate(runnerId, service);
-    state.openWork += started.work.prefill + started.work.decode;
+    state.openWork.add(work.prefill);
+    state.openWork.add(work.decode);
     state.openRequests += 1;
     state.lastSent = (this.sentByService.get(service) ?? 0) + 1;
     this.sentByService.set(service, state.lastSent);
-    adjustCount(state.adaptersInUse, started.adapter, 1);
-    adjustCount(state.modelsInUse, started.model, 1);
+    adjustCount(state.adaptersInUse, adapter, 1);
+    adjustCount(state.modelsInUse, model, 1);
+    let isPromptOpen = true;
+    let isOpen = true;
+    const closePrompt = () => {
+      if (isPromptOpen) state.openWork.subtract(work.prefill);
+      isPromptOpen = false;
+    };
+    return {
+      markRead: read => {
+        if (!isPromptOpen) return;
+        closePrompt();
+        sampleRate(state, work.prefill, read);
+      },
+      end: () => {
+        if (!isOpen) return;
+        isOpen = false;
+        closePrompt();
+        state.openWork.subtract(work.decode);
+        state.openRequests -= 1;
+        adjustCount(state.adaptersInUse, adapter, -1);
+        adjustCount(state.modelsInUse, model, -1);
+      },
+    };
   }
 
   /**
@@ -201,40 +247,6 @@
     return this.states.get(runnerId)?.workPerSecond ?? ASSUMED_WORK_PER_SECOND;
   }
 
-  /**
-   * Records the first byte of a response, which shows that the prompt is read.
-   *
-   * @param read with the open work on the runner when the request was sent.
-   */
-  recordPromptRead(
-    runnerId: string,
-    {work}: StartedWork,
-    read: {aheadWork: number; tookMs: number; speed?: number},
-  ): void {
-    const state = this.states.get(runnerId);
-    if (!state) return;
-    const {aheadWork, tookMs, speed = 1} = read;
-    state.openWork = Math.max(0, state.openWork - work.prefill);
-    if (aheadWork < MIN_RATE_SAMPLE_WORK) return;
-    const sampledRate =
-      ((aheadWork + work.prefill) * MS_PER_SECOND) /
-      (Math.max(tookMs, 1) * speed);
-    state.workPerSecond +=
-      (sampledRate - state.workPerSecond) * RATE_SAMPLE_WEIGHT;
-  }
-
-  /** @param wasRead whether the first byte has arrived. */
-  recordEnd(runnerId: string, finished: StartedWork, wasRead: boolean): void {
-    const state = this.states.get(runnerId);
-    if (!state) return;
-    const {prefill: read, decode: generate} = finished.work;
-    const remainingWork = wasRead ? generate : read + generate;
-    state.openWork = Math.max(0, state.openWork - remainingWork);
-    state.openRequests -= 1;
-    adjustCount(state.adaptersInUse, finished.adapter, -1);
-    adjustCount(state.modelsInUse, finished.model, -1);
-  }
-
   /** Sets the open work and requests of the other entries, by runner. */
   setPeersWork(
     work: Readonly<Record<string, number>>,
@@ -258,7 +270,7 @@
     this.peersHeardMs = nowMs;
     const weight = 1 - Math.exp(-elapsedMs / MEAN_WORK_WINDOW_MS);
     for (const state of this.states.values()) {
-      const openWork = state.openWork + state.peersWork;
+      const openWork = state.openWork.work + state.peersWork;
       state.meanWork += (openWork - state.meanWork) * weight;
     }
   }
@@ -379,7 +391,7 @@
     if (!state) {
       state = {
         service,
-        openWork: 0,
+        openWork: new WorkSum(),
         openRequests: 0,
         peersWork: 0,
         peersRequests: 0,
@@ -400,6 +412,19 @@
   }
 }
 
+/** Updates the throughput of a runner by the time that a prompt took. */
+function sampleRate(
+  state: RunnerState,
+  promptWork: number,
+  {aheadWork, tookMs, speed = 1}: PromptRead,
+): void {
+  if (aheadWork < MIN_RATE_SAMPLE_WORK) return;
+  const sampledRate =
+    ((aheadWork + promptWork) * MS_PER_SECOND) / (Math.max(tookMs, 1) * speed);
+  state.workPerSecond +=
+    (sampledRate - state.workPerSecond) * RATE_SAMPLE_WEIGHT;
+}
+
 function adjustCount(
   counts: Map<string, number>,
   key: string | undefined,
