Refuse requests with header values that can't be true

Callers saw sound streams refused (503) and caps that did not hold because of one caller: `Token-Count: -1000000,40` and `900,-1000000`, answered 200, were counted as negative load, demand and use. `200,1e15` and `1e308,1e308` were counted as load that no runner has.

Cause: parseNumbers took any number that JavaScript reads, dropped what it didn't read, so that `many,40` was 40 prompt tokens, and ignored all but two; the tokens of prompt parts and deadlines had no range either.

A value outside of it, or a header that comes twice with other values, gets 400 with the name and the range, before demand, windows, caps and shares.

Ruled out: to take such values as not given. A caller that is charged a fixed amount for a request without tokens would pay less for a large prompt with `Token-Count: x`, and would not learn of its mistake. To check in each meter: eleven places, and the next one would be without.

--- a/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
@@ -2,6 +2,7 @@
 import type {AddressInfo} from 'node:net';
 import {MemoryLogger, Metrics, systemClock} from '@banyanfold/core';
 import net from 'node:net';
+import {ok} from 'neverthrow';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import type {GatewayContext} from '../context.js';
 import {GatewayServer} from '../gatewayServer.js';
@@ -63,7 +64,7 @@
     },
     codec: {
       decodeRequest: () => {
-        if (decoded) return decoded;
+        if (decoded) return ok(decoded);
         throw new Error('unexpected failure');
       },
     },
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -193,7 +193,12 @@
       this.refusals.refuseUnrouted(request, response);
       return;
     }
-    const decoded = context.codec.decodeRequest(request.rawHeaders);
+    const decoding = context.codec.decodeRequest(request.rawHeaders);
+    if (decoding.isErr()) {
+      this.refusals.refuseInvalid(request, response, decoding.error);
+      return;
+    }
+    const decoded = decoding.value;
     const identity = new CallerIdentity({
       view: context.view,
       isPublic: route.isPublic,
@@ -304,7 +309,10 @@
     const host = request.headers.host ?? '';
     const route = hasBody && view.findRoute(host, request.url ?? '/');
     if (!route) return () => {};
-    const {deadlineMs} = codec.decodeRequest(request.rawHeaders).request;
+    const deadlineMs = codec
+      .decodeRequest(request.rawHeaders)
+      .map(decoded => decoded.request.deadlineMs)
+      .unwrapOr(undefined);
     const allowedMs = Math.min(route.timeoutMs, deadlineMs ?? Infinity);
     const timer = clock.setTimer(allowedMs - options.deadlineMarginMs, () => {
       if (response.headersSent) return;
--- a/packages/banyanfold-gateway/src/requests/errorResponse.ts
+++ b/packages/banyanfold-gateway/src/requests/errorResponse.ts
@@ -9,6 +9,8 @@
   unknown: 502,
   /** The deadline passed; the request may have run. */
   timeout: 504,
+  /** A header has a value that can't be true; the request has not run. */
+  invalid: 400,
   unauthorized: 401,
   noRoute: 404,
   tooLarge: 413,
@@ -35,15 +37,19 @@
   reason: string;
   /** When the caller may retry, for a request that has not run. */
   retryAfterMs?: number;
+  /** The header that is invalid. */
+  field?: string;
+  /** For people. */
+  message?: string;
 }
 
 /** Ends a request with an error response of the gateway itself. */
 export function sendErrorResponse(
   response: ServerResponse,
-  {status, reason, retryAfterMs}: ErrorResponse,
+  {status, reason, retryAfterMs, field, message}: ErrorResponse,
   closeConnection: boolean,
 ): void {
-  const body = JSON.stringify({error: {code: reason}});
+  const body = JSON.stringify({error: {code: reason, field, message}});
   const headers: Record<string, string | number> = {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(body),
--- a/packages/banyanfold-gateway/src/requests/headRefusals.ts
+++ b/packages/banyanfold-gateway/src/requests/headRefusals.ts
@@ -2,7 +2,7 @@
 import type {CallerDecision} from '../callers/decideCaller.js';
 import {shortDigest} from '../callers/keyDigest.js';
 import type {GatewayContext} from '../context.js';
-import type {DecodedRequest} from '../types.js';
+import type {DecodedRequest, InvalidRequest} from '../types.js';
 import {announcedBytes, hasUnknownLength} from './readBody.js';
 import {ERROR_STATUS, sendErrorResponse} from './errorResponse.js';
 import {retryAfterPauseMs} from './retryAfter.js';
@@ -30,6 +30,9 @@
  */
 const MAX_REFUSED_BODY_MS = 500;
 
+/** A longer value of a header is cut off in the log. */
+const MAX_LOGGED_VALUE_LENGTH = 60;
+
 /** Refuses requests before they are handled; none of them has run. */
 export class HeadRefusals {
   constructor(private readonly context: GatewayContext) {}
@@ -49,6 +52,38 @@
     this.refuse(request, response, ERROR_STATUS.notRun, false);
   }
 
+  /**
+   * Refuses a request with a value that can't be true, before anything counts
+   * it. The refusal is final, as the caller would send the same value again.
+   */
+  refuseInvalid(
+    request: IncomingMessage,
+    response: ServerResponse,
+    {header, requestId, keyDigest}: InvalidRequest,
+  ): void {
+    const {name, expected, value} = header;
+    const {metrics, logger, isDraining} = this.context;
+    metrics.count('invalid_headers_total', {header: name});
+    logger.info('invalid-header', {
+      request: requestId,
+      key: keyDigest && shortDigest(keyDigest),
+      header: name,
+      value: value.slice(0, MAX_LOGGED_VALUE_LENGTH),
+      host: request.headers.host,
+      target: request.url,
+    });
+    sendErrorResponse(
+      response,
+      {
+        status: ERROR_STATUS.invalid,
+        reason: 'invalid-header',
+        field: name,
+        message: `${name} must be: ${expected}`,
+      },
+      isDraining(),
+    );
+  }
+
   /** Refuses a caller that is unauthorized or can't be authorized yet. */
   refuseCaller(
     request: IncomingMessage,
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -204,10 +204,14 @@
   requestId?: string;
   model?: string;
   adapter?: string;
+  /** Whole and not negative; 0 if the caller doesn't state it. */
   promptTokens: number;
   maxOutputTokens: number;
   promptParts: readonly PromptPart[];
-  /** How long the caller waits, in ms; undefined if it doesn't state it. */
+  /**
+   * How long the caller waits, in ms, not longer than a timer takes; undefined
+   * if it doesn't state it.
+   */
   deadlineMs?: number;
   /** Id of the last event that the caller received of a stream it resumes. */
   lastEventId?: string;
@@ -226,6 +230,22 @@
   keyDigest?: string;
 }
 
+/** A header of a request whose value can't be true. */
+export interface InvalidHeader {
+  name: string;
+  /** What it may hold, for the caller. */
+  expected: string;
+  value: string;
+}
+
+/** A request that can't be true, and what is known of its caller, for the log. */
+export interface InvalidRequest {
+  header: InvalidHeader;
+  requestId?: string;
+  /** Digest of the caller's key; undefined if it is missing or malformed. */
+  keyDigest?: string;
+}
+
 /** Fields that the gateway adds to an attempt. */
 export interface AttemptFields {
   runnerId: string;
@@ -277,7 +297,10 @@
 
 /** Translates between headers on the wire and the gateway's types. */
 export interface RequestCodec {
-  decodeRequest(rawHeaders: readonly string[]): DecodedRequest;
+  /** The values of a decoded request are within their ranges. */
+  decodeRequest(
+    rawHeaders: readonly string[],
+  ): Result<DecodedRequest, InvalidRequest>;
   encodeAttempt(decoded: DecodedRequest, fields: AttemptFields): string[];
   decodeResponse(
     status: number,
