Refuse a request whose deadline is over before it is sent

Callers with `Deadline-Ms: 0`, or any value below the margin of 15 ms, were answered 504, as their request had gone to a runner that worked on it in vain.

Cause: the timer of the deadline fires in a later turn of the event loop than the first attempt, which needs no pause where a runner is free.

Change: before anything is counted, a request with no time left is answered 503 (`deadline-over`), which is true. No time to return is named.

--- a/packages/banyanfold-gateway/src/requests/requestAdmission.ts
+++ b/packages/banyanfold-gateway/src/requests/requestAdmission.ts
@@ -37,6 +37,16 @@
     return true;
   }
 
+  /**
+   * Refuses a request whose caller doesn't wait any more. Its timers run only
+   * after the first attempt is sent, which a runner would work on in vain.
+   */
+  refuseIfDeadlineOver(): boolean {
+    if (this.state.leftMs > 0) return false;
+    this.ending.respond(ERROR_STATUS.notRun, 'deadline-over');
+    return true;
+  }
+
   /** Refuses a request that exceeds the usage cap of its organisation. */
   async refuseIfOverCap(): Promise<boolean> {
     const {state, ending} = this;
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -51,6 +51,7 @@
   private async handle(): Promise<void> {
     const {context, startedMs, route} = this.options;
     const {state, admission, ending} = this;
+    if (admission.refuseIfDeadlineOver()) return;
     // Before the demand is counted: it must not trigger loads of copies for
     // requests that are not run.
     if (state.suspect.verdict === 'quarantined') {
