Refuse requests that are larger than the memory of a runner

Callers saw sound streams refused (503, reason queue) while another caller sent `200,1000000000` or `1000000000,1`, which no runner can hold.

Cause: such a request was counted as demand, as use of the cap and as open work of each runner that it was sent to, until that runner had rejected it.

Change: where the configuration states the memory of the runners of a service, a request for a model whose prompt and longest output are more than that is answered 503 (`larger-than-runners`), as a runner would, before anything counts it. No time to return is named, as no runner will have more memory.

Weighed: to compare the prompt only, as most outputs are shorter than announced. A runner decides when it admits a request, and the announced output is what would still be counted as load. Prompts of the deployments that are known are at most 39,600 tokens, their runners hold 73,608 and more.

--- a/packages/banyanfold-gateway/src/requests/requestAdmission.ts
+++ b/packages/banyanfold-gateway/src/requests/requestAdmission.ts
@@ -47,6 +47,25 @@
     return true;
   }
 
+  /**
+   * Refuses a request that no runner has the memory for. Runners reject it as
+   * if they were full, so it would be counted as load and demand in vain.
+   */
+  refuseIfTooLargeForRunners(): boolean {
+    const {state, ending} = this;
+    const {context, decoded} = state.options;
+    const {model, promptTokens, maxOutputTokens} = decoded.request;
+    if (model === undefined) return false;
+    const service = context.view.currentConfig?.services.get(state.service);
+    // 0 if the configuration doesn't state it.
+    const {kvCapacityTokens = 0} = service?.engine ?? {};
+    const tokens = promptTokens + maxOutputTokens;
+    if (kvCapacityTokens === 0 || tokens <= kvCapacityTokens) return false;
+    state.log.refuseForSize(tokens, kvCapacityTokens);
+    ending.respond(ERROR_STATUS.notRun, 'larger-than-runners');
+    return true;
+  }
+
   /** Refuses a request that exceeds the usage cap of its organisation. */
   async refuseIfOverCap(): Promise<boolean> {
     const {state, ending} = this;
--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -52,6 +52,7 @@
     const {context, startedMs, route} = this.options;
     const {state, admission, ending} = this;
     if (admission.refuseIfDeadlineOver()) return;
+    if (admission.refuseIfTooLargeForRunners()) return;
     // Before the demand is counted: it must not trigger loads of copies for
     // requests that are not run.
     if (state.suspect.verdict === 'quarantined') {
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -217,6 +217,14 @@
     });
   }
 
+  refuseForSize(tokens: number, kvCapacityTokens: number): void {
+    this.logEvent('refuse', {
+      reason: 'larger-than-runners',
+      tokens,
+      kvCapacityTokens,
+    });
+  }
+
   /** @param key the quarantined fingerprints that the request has. */
   refuseQuarantined(key: string, forMs: number): void {
     this.logEvent('refuse', {
