Count names from callers in records without inherited properties

One request for the adapter `constructor` (`Model: m1/constructor`), or a few that wait for a model of such a name, ended the exchanges between entries and the holder: `holder-lost`, with an error of the message's schema.

Cause: counts by name were summed in plain objects. The first count of `constructor` is added to the function that objects inherit, and becomes a text. The schema of the exchange rejects it. A batch of demand is sent again until it is answered, so the entry reports nothing until it restarts (by reading; the test plays the rejection). A runner of that name, which another writer may register, made isAdapterInUse of the holder throw.

Change: DemandMeter, EntryLoads and the relay's sums use records without a prototype, and records from messages are read by their own properties.

Ruled out: to refuse such names. They are allowed, and runners and organisations have names too. `__proto__`, which the schema's library leaves out of a record, is not counted, and takes nothing with it.

--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -4,6 +4,7 @@
 import type {UsageMeter} from '../callers/usageMeter.js';
 import type {CrashSuspects} from '../crashes/crashSuspects.js';
 import {CopyRevisions} from '../placement/copyRevisions.js';
+import {addCounts, emptyRecord} from '../placement/counts.js';
 import type {DemandMeter} from '../placement/demandMeter.js';
 import {EntryLoads, type EntryLoad} from '../placement/entryLoads.js';
 import {SeenBatches} from '../placement/seenBatches.js';
@@ -199,9 +200,8 @@
   one: Readonly<Record<string, number>>,
   other: Readonly<Record<string, number>>,
 ): Record<string, number> {
-  const sums: Record<string, number> = {...one};
-  for (const [key, value] of Object.entries(other)) {
-    sums[key] = (sums[key] ?? 0) + value;
-  }
+  const sums = emptyRecord<number>();
+  addCounts(sums, one);
+  addCounts(sums, other);
   return sums;
 }
--- a/packages/banyanfold-gateway/src/placement/demandMeter.ts
+++ b/packages/banyanfold-gateway/src/placement/demandMeter.ts
@@ -1,3 +1,5 @@
+import {addCounts, emptyRecord} from './counts.js';
+
 /** Demand for one model since the last exchange. */
 export interface ModelDemand {
   model: string;
@@ -66,9 +68,7 @@
       total.arrivals += other.arrivals;
       total.promptTokens += other.promptTokens;
       total.outputTokens += other.outputTokens;
-      for (const [adapter, count] of Object.entries(other.adapters)) {
-        total.adapters[adapter] = (total.adapters[adapter] ?? 0) + count;
-      }
+      addCounts(total.adapters, other.adapters);
     }
   }
 
@@ -87,7 +87,7 @@
         arrivals: 0,
         promptTokens: 0,
         outputTokens: 0,
-        adapters: {},
+        adapters: emptyRecord(),
       };
       this.byModel.set(model, demand);
     }
--- a/packages/banyanfold-gateway/src/placement/entryLoads.ts
+++ b/packages/banyanfold-gateway/src/placement/entryLoads.ts
@@ -1,4 +1,5 @@
 import type {PoolBacklog, RelayCandidate} from '@banyanfold/decisions';
+import {addCounts, countOf, emptyRecord, valueOf} from './counts.js';
 
 /** An entry that has not reported for this long no longer counts. */
 const ENTRY_EXPIRY_MS = 2_000;
@@ -45,7 +46,9 @@
   /** Number of requests at all entries that wait for a copy of a model. */
   waitingRequests(model: string, nowMs: number): number {
     let total = 0;
-    for (const {waiting} of this.recent(nowMs)) total += waiting[model] ?? 0;
+    for (const {waiting} of this.recent(nowMs)) {
+      total += countOf(waiting, model);
+    }
     return total;
   }
 
@@ -65,7 +68,7 @@
 
   /** Open work of all entries but one, by runner. */
   openWorkExcept(entry: string, nowMs: number): Record<string, number> {
-    const total: Record<string, number> = {};
+    const total: Record<string, number> = emptyRecord();
     for (const {openWork} of this.recent(nowMs, entry)) {
       addCounts(total, openWork);
     }
@@ -77,7 +80,7 @@
 
   /** Open requests of all entries but one, by runner. */
   openRequestsExcept(entry: string, nowMs: number): Record<string, number> {
-    const total: Record<string, number> = {};
+    const total: Record<string, number> = emptyRecord();
     for (const {modelsInUse} of this.recent(nowMs, entry)) {
       for (const [runnerId, counts] of Object.entries(modelsInUse)) {
         for (const count of Object.values(counts)) {
@@ -93,16 +96,16 @@
    */
   isAdapterInUse(runnerId: string, adapter: string, nowMs: number): boolean {
     for (const {adaptersInUse} of this.recent(nowMs)) {
-      if (adaptersInUse[runnerId]?.includes(adapter)) return true;
+      if (valueOf(adaptersInUse, runnerId)?.includes(adapter)) return true;
     }
     return false;
   }
 
   /** Requests of all entries in progress on a runner, by model. */
   modelsInUse(runnerId: string, nowMs: number): Record<string, number> {
-    const total: Record<string, number> = {};
+    const total: Record<string, number> = emptyRecord();
     for (const {modelsInUse} of this.recent(nowMs)) {
-      addCounts(total, modelsInUse[runnerId] ?? {});
+      addCounts(total, valueOf(modelsInUse, runnerId) ?? {});
     }
     return total;
   }
@@ -113,15 +116,15 @@
    * @example loads.sum(clock.nowMs()).openWork // {'i-7f3a': 12.5}
    */
   sum(nowMs: number): EntryLoad {
-    const openWork: Record<string, number> = {};
-    const adapters: Record<string, Set<string>> = {};
-    const modelsInUse: Record<string, Record<string, number>> = {};
-    const waiting: Record<string, number> = {};
+    const openWork: Record<string, number> = emptyRecord();
+    const adapters: Record<string, Set<string>> = emptyRecord();
+    const modelsInUse: Record<string, Record<string, number>> = emptyRecord();
+    const waiting: Record<string, number> = emptyRecord();
     for (const load of this.recent(nowMs)) {
       addCounts(openWork, load.openWork);
       addCounts(waiting, load.waiting);
       for (const [runnerId, counts] of Object.entries(load.modelsInUse)) {
-        addCounts((modelsInUse[runnerId] ??= {}), counts);
+        addCounts((modelsInUse[runnerId] ??= emptyRecord()), counts);
       }
       for (const [runnerId, names] of Object.entries(load.adaptersInUse)) {
         const all = (adapters[runnerId] ??= new Set());
@@ -139,7 +142,7 @@
 
   /** Backlogs of all entries by pool; undefined if none reports any. */
   poolBacklogs(nowMs: number): Record<string, PoolBacklog> | undefined {
-    const total: Record<string, PoolBacklog> = {};
+    const total: Record<string, PoolBacklog> = emptyRecord();
     let isReported = false;
     for (const {poolBacklogs} of this.recent(nowMs)) {
       isReported ||= poolBacklogs !== undefined;
@@ -163,12 +166,3 @@
     }
   }
 }
-
-function addCounts(
-  total: Record<string, number>,
-  counts: Readonly<Record<string, number>>,
-): void {
-  for (const [key, value] of Object.entries(counts)) {
-    total[key] = (total[key] ?? 0) + value;
-  }
-}
--- a/packages/banyanfold-gateway/src/runners/runnerStates.ts
+++ b/packages/banyanfold-gateway/src/runners/runnerStates.ts
@@ -5,6 +5,7 @@
   type RunnerOutcomes,
 } from '@banyanfold/decisions';
 import type {GatewayOptions} from '../options.js';
+import {countOf} from '../placement/counts.js';
 import type {Work} from '../requests/workOf.js';
 import {OutcomeMeter} from './outcomeMeter.js';
 import {PriorityMix} from './priorityMix.js';
@@ -253,13 +254,13 @@
     requests: Readonly<Record<string, number>> = {},
   ): void {
     for (const [runnerId, state] of this.states) {
-      state.peersWork = work[runnerId] ?? 0;
-      state.peersRequests = requests[runnerId] ?? 0;
+      state.peersWork = countOf(work, runnerId);
+      state.peersRequests = countOf(requests, runnerId);
     }
     for (const [runnerId, peersWork] of Object.entries(work)) {
       const state = this.getOrCreate(runnerId, '');
       state.peersWork = peersWork;
-      state.peersRequests = requests[runnerId] ?? 0;
+      state.peersRequests = countOf(requests, runnerId);
     }
     this.updateMeanWork();
   }
