Take amounts in messages between entries as sound or as nothing

Part of the fault that one caller's values moved the sums of all entries: the holder and the relays added any number that another entry sent, among them negative ones, and rejected a whole message for one that isn't a number. JSON has no Infinity: a sum that is too large arrives as null, and as a batch is sent again until it is answered, its entry could not report any more.

Change: amounts in the exchange are from 0 to the largest exact whole number; another one counts as nothing. An entry's use of a cap is not lower than what it says it refunded.

Ruled out: to reject the message, which cuts an entry of an earlier release off while the versions are mixed. To bound `used` at zero: it is negative where a refund follows its charge in a later report, also without the list of refunds in earlier releases.

--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -14,6 +14,16 @@
   type RetryGrantInput,
 } from './retryGrantContract.js';
 
+/** The largest whole number up to which sums of whole numbers are exact. */
+const MAX_AMOUNT = Number.MAX_SAFE_INTEGER;
+
+/**
+ * A number that is added to sums over all entries. One that can't be true counts
+ * as nothing: if the message were rejected for it, its entry could not report
+ * anything, as a batch is sent again until it is answered.
+ */
+const amountSchema = z.number().min(0).max(MAX_AMOUNT).catch(0);
+
 /** The models and adapters that one runner holds. */
 const runnerCopiesSchema = z.object({
   runnerId: z.string(),
@@ -49,12 +59,12 @@
 
 /** Admitted requests without a response, their work, and that times its target. */
 const poolBacklogSchema = z.object({
-  requests: z.number(),
-  work: z.number(),
-  workMs: z.number(),
+  requests: amountSchema,
+  work: amountSchema,
+  workMs: amountSchema,
 });
 
-const countsSchema = z.record(z.string(), z.number());
+const countsSchema = z.record(z.string(), amountSchema);
 
 /** An entry, with the properties by which standbys and relays are chosen. */
 const memberSchema = z.object({
@@ -100,6 +110,35 @@
 export type FindOriginsInput = z.infer<typeof findOriginsInputSchema>;
 export type FindOriginsOutput = z.infer<typeof findOriginsOutputSchema>;
 
+const usageReportSchema = z
+  .object({
+    organisation: z.string(),
+    asked: amountSchema,
+    /** Negative if more was refunded than admitted since the last report. */
+    used: z.number().min(-MAX_AMOUNT).max(MAX_AMOUNT).catch(0),
+    /** What was not run; omitted by releases that don't tell its time. */
+    refunds: z
+      .array(z.object({amount: amountSchema, agoMs: amountSchema}))
+      .optional(),
+  })
+  .transform(report => ({...report, used: admittedOrRefunded(report)}));
+
+/**
+ * What was refunded is part of `used`, so `used` can't be lower: the difference
+ * would lower the use by other requests.
+ */
+function admittedOrRefunded({
+  used,
+  refunds,
+}: {
+  used: number;
+  refunds?: ReadonlyArray<{amount: number}>;
+}): number {
+  if (!refunds) return used;
+  const refunded = refunds.reduce((sum, {amount}) => sum + amount, 0);
+  return Math.max(used, 0 - refunded);
+}
+
 /**
  * Demand since the previous batch. A batch is sent again until it is answered.
  */
@@ -109,9 +148,9 @@
   demand: z.array(
     z.object({
       model: z.string(),
-      arrivals: z.number(),
-      promptTokens: z.number(),
-      outputTokens: z.number(),
+      arrivals: amountSchema,
+      promptTokens: amountSchema,
+      outputTokens: amountSchema,
       adapters: countsSchema,
     }),
   ),
@@ -120,29 +159,17 @@
     .array(
       z.object({
         runnerId: z.string(),
-        successes: z.number(),
-        failures: z.number(),
+        successes: amountSchema,
+        failures: amountSchema,
       }),
     )
     .optional(),
   /** Usage counted against caps; omitted by releases that don't send it. */
-  usage: z
-    .array(
-      z.object({
-        organisation: z.string(),
-        asked: z.number(),
-        used: z.number(),
-        /** What was not run; omitted by releases that don't tell its time. */
-        refunds: z
-          .array(z.object({amount: z.number(), agoMs: z.number()}))
-          .optional(),
-      }),
-    )
-    .optional(),
+  usage: z.array(usageReportSchema).optional(),
   /** Usage of rate-limited runners; omitted by releases that don't send it. */
   rateUse: z
     .array(
-      z.object({runnerId: z.string(), asked: z.number(), used: z.number()}),
+      z.object({runnerId: z.string(), asked: amountSchema, used: amountSchema}),
     )
     .optional(),
   /** Work by organisation; omitted by entries without fair shares. */
@@ -152,8 +179,8 @@
         pool: z.string(),
         organisation: z.string(),
         priority: z.number(),
-        asked: z.number(),
-        admitted: z.number(),
+        asked: amountSchema,
+        admitted: amountSchema,
       }),
     )
     .optional(),
@@ -162,8 +189,8 @@
     .array(
       z.object({
         pool: z.string(),
-        completed: z.number(),
-        dropped: z.number(),
+        completed: amountSchema,
+        dropped: amountSchema,
       }),
     )
     .optional(),
