Refund use from the slots in which it was added, and no more

A large request whose charge was reported to one lease holder and refunded at the next one freed as much of the cap for other requests: the next holder, which didn't know of the charge, had negative use for it.

Cause: SlidingWindow.subtractAt subtracted from the slot of the charge, whatever was in it. A charge is added when its report arrives, up to some hundred ms later; so the slot of the charge became negative and left the window before the one in which it had been added, which counted the refunded amount once more for that time.

Change: the amount is taken from the slot of the charge and those after it, as far as there is something in them. No slot becomes negative by a refund. What isn't in the window any more, or never was, is ignored.

Ruled out: to limit the sum at zero, which hides later use of others for as long as the negative slot is in the window.

The tests of usage, refunds and the relay are unchanged and pass.

--- a/packages/banyanfold-decisions/src/usage/slidingWindow.ts
+++ b/packages/banyanfold-decisions/src/usage/slidingWindow.ts
@@ -31,15 +31,26 @@
   }
 
   /**
-   * Subtracts an amount that was added before. Subtracted at the current time,
-   * it would still reduce the sum after the added amount has expired, and as
-   * much use too much would be admitted until it expires itself.
+   * Subtracts an amount that was charged at a time and added then or later.
+   * Subtracted at the current time, it would still reduce the sum after the
+   * added amount has expired, and as much use too much would be admitted until
+   * it expires itself. What was never added, because it was reported to another
+   * holder, is ignored.
    */
-  subtractAt(amount: number, addedMs: number): void {
-    const slot = Math.floor(addedMs / this.slotMs);
-    if (slot < this.newestSlot - SLOTS) return;
+  subtractAt(amount: number, chargedMs: number): void {
     const {newestSlot} = this;
-    this.amounts[this.indexOf(Math.min(slot, newestSlot))]! -= amount;
+    const slot = Math.floor(chargedMs / this.slotMs);
+    const isEmpty = newestSlot === Number.NEGATIVE_INFINITY;
+    if (isEmpty || slot < newestSlot - SLOTS) return;
+    let remaining = amount;
+    for (let at = Math.min(slot, newestSlot); at <= newestSlot; at++) {
+      const index = this.indexOf(at);
+      const added = Math.max(0, this.amounts[index]!);
+      const taken = Math.min(remaining, added);
+      this.amounts[index]! -= taken;
+      remaining -= taken;
+      if (remaining <= 0) return;
+    }
   }
 
   /**
