Bound max_tokens of the OpenAI-compatible interface, and name the range

A completion with `max_tokens` 1e15 was accepted and counted as needed memory at each runner that it was sent to. Others outside of the range got 400 with the words of the schema's library, which differ by value and name no range.

Change: `max_tokens` and `max_completion_tokens` are whole numbers from 1 to 2,147,483,647; another value gets 400 with the field and this range.

Weighed: 1,000,000,000 as for Token-Count. Some clients send the largest 32-bit number for no limit, and were served.

Ruled out: a request that fits no runner holds up others there; pickNext starts those that fit (by reading). The other fields of a body aren't computed with.

--- a/packages/banyanfold-entry/src/requests/parseRequest.ts
+++ b/packages/banyanfold-entry/src/requests/parseRequest.ts
@@ -8,7 +8,16 @@
 const DEFAULT_MAX_TOKENS = 512;
 const PREFIX_HASH_LENGTH = 16;
 
-const countSchema = z.number().int().positive().nullish();
+/** Some clients send the largest 32-bit number for no limit. */
+const MAX_TOKENS = 2 ** 31 - 1;
+const TOKEN_RANGE = `must be a whole number from 1 to ${MAX_TOKENS}`;
+
+const countSchema = z
+  .number(TOKEN_RANGE)
+  .int(TOKEN_RANGE)
+  .min(1, TOKEN_RANGE)
+  .max(MAX_TOKENS, TOKEN_RANGE)
+  .nullish();
 
 const completionSchema = z.looseObject({
   model: z.string().min(1),
