Count demand only for models of the configuration

Each name that a caller sent as `Model` was kept for good in the forecast of its entry and in the demand of the holder: one caller with made-up names makes their memory grow with each request.

Change: demand and forecast count requests for models that the engine of the service has in the configuration. Requests for others wait and are refused as before, and are in the counts of waiting requests meanwhile, which each gives back.

Ruled out: to forget averages after some time. The holder uses the time since the last request for a model to choose which copies to give up.

Evidence: unknownModels.test.ts: four names counted before, one, which the configuration has, after. The growth itself was not measured.

--- a/packages/banyanfold-gateway/src/requests/requestHandler.ts
+++ b/packages/banyanfold-gateway/src/requests/requestHandler.ts
@@ -115,7 +115,10 @@
     const {context, decoded, route} = this.options;
     const {model, adapter, promptTokens, maxOutputTokens} = decoded.request;
     if (model === undefined) return;
-    const {lowestPriority: leastUrgent} = context.view;
+    const {lowestPriority: leastUrgent, currentConfig} = context.view;
+    const {engine} = currentConfig?.services.get(this.state.service) ?? {};
+    // Callers can make up names, and the averages by model are kept.
+    if (!engine?.models.has(model)) return;
     const urgency = priorityWeight(route.priority, leastUrgent);
     const tokens = {promptTokens, maxOutputTokens};
     context.demand.recordArrival({model, adapter, urgency, ...tokens});
