Wait for delays that the runtime's timers don't take

Callers of a route whose configuration names a time-out of 1e300 ms were refused after 1 ms: Node's timers take at most 2^31 - 1 ms and fire at once, with a TimeoutOverflowWarning, if they are set for longer.

The timers of the clock now wait for a longer delay in several parts. A delay that is negative or not a number counts as 0 on both clocks; the virtual clock set its time to NaN before, so a test could not show such a fault.

Ruled out: to clamp the delay, as a timer that ends early ends the wait of whoever set it.

--- a/packages/banyanfold-core/src/clock.ts
+++ b/packages/banyanfold-core/src/clock.ts
@@ -1,4 +1,4 @@
-import {startTimer, type Timer} from './startTimer.js';
+import {soundDelayMs, startTimer, type Timer} from './startTimer.js';
 
 /**
  * The only source of time in the program, so that tests can replace it by a
@@ -9,6 +9,7 @@
   nowMs(): number;
   /** Wall-clock time since the epoch. */
   wallMs(): number;
+  /** Takes any delay; see {@link soundDelayMs}. */
   setTimer(delayMs: number, callback: () => void): Timer;
 }
 
@@ -45,7 +46,7 @@
 
   setTimer(delayMs: number, callback: () => void): Timer {
     const timer: PendingTimer = {
-      dueMs: this.currentMs + Math.max(0, delayMs),
+      dueMs: this.currentMs + soundDelayMs(delayMs),
       sequence: this.sequence++,
       callback,
       isCancelled: false,
