--- a/packages/banyanfold-gateway/src/__tests__/runnerRateLimits.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/runnerRateLimits.test.ts
@@ -91,6 +91,23 @@
     }
   });
 
+  // Guards against refusing requests to a runner whose limit allows all of them.
+  it('refuses no request under a limit far above them', async () => {
+    const sent: number[] = [];
+    for (const limitPerSecond of [1e6, 1e9]) {
+      const {sentMs} = await simulateRateLimit({
+        entries: 2,
+        limitPerSecond,
+        askedPerSecond: 40,
+        durationMs: DURATION_MS,
+        random: randomOf(7),
+      });
+      sent.push(sentMs.length);
+    }
+    expect(sent[1]).toBe(sent[0]);
+    expect(sent[0]).toBeGreaterThan(600);
+  });
+
   // Guards against throttling a runner after its limit was lifted.
   it('sends all requests soon after the limit is lifted', async () => {
     for (const entries of [2, 26]) {
