Keep using a runner whose reports can't be read

Callers of the models of a runner whose report was `null`, `[]` or otherwise not a report were refused (503) for as long as it reported so, although the runner answered and served: the holder counted such an answer like a runner that doesn't answer, and after two of them its copies didn't count.

A runner that doesn't answer, or another runner at its address, counts as before.

Ruled out: to raise the number of failed reports that are allowed, as a runner that is gone must not get requests for longer.

--- a/packages/banyanfold-gateway/src/placement/reportPoller.ts
+++ b/packages/banyanfold-gateway/src/placement/reportPoller.ts
@@ -1,6 +1,10 @@
 import type {Clock, Logger} from '@banyanfold/core';
 import type {GatewayOptions} from '../options.js';
-import type {RunnerControl, RunnerReport} from '../types.js';
+import {
+  UNREADABLE_REPORT,
+  type RunnerControl,
+  type RunnerReport,
+} from '../types.js';
 import {dueReports} from './dueReports.js';
 import type {RunnerController} from './runnerController.js';
 
@@ -97,8 +101,9 @@
     const result = await control.report(runnerId, address);
     this.inFlight.delete(runnerId);
     if (result.isOk()) return onReport(controller, result.value, requestedMs);
-    controller.recordReportFailure();
     const {code, message} = result.error;
+    // The runner is there and serves what its last readable report lists.
+    if (code !== UNREADABLE_REPORT) controller.recordReportFailure();
     if (code === TOO_LARGE) {
       this.pausedUntilMs.set(controller, clock.nowMs() + TOO_LARGE_PAUSE_MS);
     }
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -288,6 +288,9 @@
   forwardedResponseHeaders(headers: ResponseHeaders): ResponseHeaders;
 }
 
+/** Code of the error for a runner that answered, but not with its state. */
+export const UNREADABLE_REPORT = 'unreadable';
+
 /** Control calls to runners. */
 export interface RunnerControl {
   /** On an error the order may still be carried out. */
@@ -296,6 +299,7 @@
     address: string,
     order: RunnerOrder,
   ): Promise<Result<OrderOutcome, BanyanfoldError>>;
+  /** An error has the code {@link UNREADABLE_REPORT} if an answer came. */
   report(
     runnerId: string,
     address: string,
