Check the values that peers send by their range, at both ends

A peer's message was checked by types, and its answers not at all. An address that isn't one was kept as the holder's, a relay's or a replica's and called: the client library throws for it, outside of the code that catches what a call throws (`fetchLastOrder` and others rejected, where "no answer" is promised; `offerLease` took what can't be called for a peer that has taken the lease). A version of 1e300 made all entries look for it for good, and a work of 1e300 in one message left no runner with room.

Both ends of a call now check the same schemas: addresses of one host and port, versions and positions as integers, quantities up to 1e24, bounded lists and texts. An answer out of range is no answer, and its error names the field. Quantities may stay negative, as corrections are.

Ruled out: a record schema for the work by runner, as it made the check of an exchange of 2,000 runners four times as long.

--- a/packages/banyanfold-gateway/src/crashes/crashContract.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashContract.ts
@@ -1,4 +1,10 @@
 import {z} from 'zod';
+import {
+  amountSchema,
+  listOf,
+  ordinalSchema,
+  textSchema,
+} from '../peers/contractRanges.js';
 
 /**
  * Crash data that an entry, or a relay for its group, sends to the holder. A
@@ -6,37 +12,37 @@
  */
 export const crashReportSchema = z.object({
   /** What was in flight at a crashed runner; `life` identifies the crash. */
-  crashes: z.array(
+  crashes: listOf(
     z.object({
-      life: z.string(),
-      fingerprints: z.array(z.string()),
+      life: textSchema,
+      fingerprints: listOf(textSchema),
       /**
        * Those that runners answered within the last minute; omitted by releases
        * that don't record answers.
        */
-      answered: z.array(z.string()).optional(),
+      answered: listOf(textSchema).optional(),
     }),
   ),
   /** Suspects that a runner answered completely. */
-  served: z.array(z.string()),
+  served: listOf(textSchema),
   /**
    * Trials that ended without a crash, by the key of their suspects; `ran` if a
    * runner may have started one and its result is unknown.
    */
-  trialsOver: z.array(z.object({fingerprint: z.string(), ran: z.boolean()})),
+  trialsOver: listOf(z.object({fingerprint: textSchema, ran: z.boolean()})),
   /** Quarantined keys, for a holder that may not know about them. */
-  quarantined: z.array(z.string()),
+  quarantined: listOf(textSchema),
 });
 
 export type CrashReport = z.infer<typeof crashReportSchema>;
 
 const suspectSchema = z.object({
   /** A fingerprint, or the key of several that are quarantined together. */
-  fingerprint: z.string(),
+  fingerprint: textSchema,
   /** Time since the last crash of a mere suspect, in ms. */
-  crashedAgoMs: z.number().optional(),
+  crashedAgoMs: amountSchema.optional(),
   /** Remaining quarantine in ms; undefined for a mere suspect. */
-  quarantinedMs: z.number().optional(),
+  quarantinedMs: amountSchema.optional(),
 });
 
 export type Suspect = z.infer<typeof suspectSchema>;
@@ -44,13 +50,13 @@
 /** The list of suspects, as the holder sends it to all entries. */
 export const suspectListSchema = z.object({
   /** Differs between holders. */
-  epoch: z.string(),
+  epoch: textSchema,
   /** Increases with each change of the list. */
-  revision: z.number(),
+  revision: ordinalSchema,
   /** The complete list; omitted for a receiver that has this revision. */
-  suspects: z.array(suspectSchema).optional(),
+  suspects: listOf(suspectSchema).optional(),
   /** Time since the last crash of any runner in ms, within the last minute. */
-  crashedAgoMs: z.number().optional(),
+  crashedAgoMs: amountSchema.optional(),
 });
 
 export type SuspectList = z.infer<typeof suspectListSchema>;
@@ -64,17 +70,17 @@
 /** An entry's request to run a request with suspects. */
 export const trialInputSchema = z.object({
   /** The key of its suspects. */
-  fingerprint: z.string(),
+  fingerprint: textSchema,
   /** Runners that could run it, in order of preference. */
-  runnerIds: z.array(z.string()),
+  runnerIds: listOf(textSchema),
   /** Maximum duration of the trial, in ms. */
-  forMs: z.number(),
+  forMs: amountSchema,
 });
 
 export const trialOutputSchema = z.object({
   /** Undefined while the suspect has to wait. */
-  runnerId: z.string().optional(),
-  reason: z.string(),
+  runnerId: textSchema.optional(),
+  reason: textSchema,
 });
 
 export type TrialInput = z.infer<typeof trialInputSchema>;
--- /dev/null
+++ b/packages/banyanfold-gateway/src/peers/contractRanges.ts
@@ -0,0 +1,56 @@
+import {isSocketAddress} from '@banyanfold/core';
+import {z} from 'zod';
+
+/**
+ * Ranges of what peers send. They are wider than anything that a sound peer
+ * computes; with values in them, sums over all entries stay finite.
+ */
+
+/** Work times its target is the largest quantity. */
+const MAX_AMOUNT = 1e24;
+/** A key of several prompt parts is the longest text. */
+const MAX_TEXT_CHARS = 65_536;
+const MAX_ITEMS = 100_000;
+
+/** Where a peer listens; a connection can be opened to it. */
+export const addressSchema = z
+  .string()
+  .refine(isSocketAddress, {error: 'not an IPv4 address and port'});
+
+/**
+ * A quantity or an age. It may be negative: a request that was counted and then
+ * not sent is taken off, and usage exceeds a limit that was lowered.
+ */
+export const amountSchema = z.number().min(-MAX_AMOUNT).max(MAX_AMOUNT);
+
+/** Versions, revisions and positions, which only rise. */
+export const ordinalSchema = z.number().int().nonnegative();
+
+export const textSchema = z.string().max(MAX_TEXT_CHARS);
+
+/** A list of bounded length. */
+export function listOf<S extends z.ZodType>(item: S) {
+  return z.array(item).max(MAX_ITEMS);
+}
+
+/**
+ * Quantities by the id of a runner or a model. Each exchange has several with
+ * all runners, and a schema for each value took four times as long.
+ */
+export const countsSchema = z.custom<Record<string, number>>(isCounts, {
+  error: 'not a record of numbers in range',
+});
+
+function isCounts(value: unknown): boolean {
+  if (typeof value !== 'object' || value === null) return false;
+  return !Array.isArray(value) && Object.values(value).every(isAmount);
+}
+
+function isAmount(value: unknown): boolean {
+  return typeof value === 'number' && Math.abs(value) <= MAX_AMOUNT;
+}
+
+/** Values by the id of a runner, a model or an organisation. */
+export function recordOf<S extends z.ZodType>(value: S) {
+  return z.record(textSchema, value);
+}
--- a/packages/banyanfold-gateway/src/peers/peerClient.ts
+++ b/packages/banyanfold-gateway/src/peers/peerClient.ts
@@ -1,30 +1,52 @@
-import {startTimer, timeoutSignal, type Timer} from '@banyanfold/core';
+import {
+  isSocketAddress,
+  startTimer,
+  timeoutSignal,
+  type Timer,
+} from '@banyanfold/core';
 import {createConnector} from '@banyanfold/log';
 import {createTRPCClient, createWSClient, httpLink, wsLink} from '@trpc/client';
 import {Pool, type Dispatcher} from 'undici';
 import {WebSocket} from 'ws';
-import type {TrialInput, TrialOutput} from '../crashes/crashContract.js';
-import type {
-  ExchangeInput,
-  ExchangeOutput,
-  EnsureAdapterInput,
-  EnsureAdapterOutput,
-  LastOrder,
-  SuccessorHolder,
-  LeaseHandover,
-  NotHolder,
-  NoteOriginsInput,
-  FindOriginsInput,
-  FindOriginsOutput,
-  PeerRouter,
-  PeerConfig,
+import {z} from 'zod';
+import {
+  trialOutputSchema,
+  type TrialInput,
+  type TrialOutput,
+} from '../crashes/crashContract.js';
+import {
+  ensureAdapterOutputSchema,
+  exchangeAnswerSchema,
+  findOriginsOutputSchema,
+  lastOrderOutputSchema,
+  peerConfigSchema,
+  type ExchangeInput,
+  type ExchangeOutput,
+  type EnsureAdapterInput,
+  type EnsureAdapterOutput,
+  type LastOrder,
+  type SuccessorHolder,
+  type LeaseHandover,
+  type NotHolder,
+  type NoteOriginsInput,
+  type FindOriginsInput,
+  type FindOriginsOutput,
+  type PeerRouter,
+  type PeerConfig,
 } from './peerContract.js';
 import {MAX_PEER_MESSAGE_BYTES} from './peerServer.js';
-import type {RetryGrant, RetryGrantInput} from './retryGrantContract.js';
+import {
+  retryGrantSchema,
+  type RetryGrant,
+  type RetryGrantInput,
+} from './retryGrantContract.js';
 
 /** Calls to a peer over one persistent connection. */
 export interface PeerClient {
-  /** @throws if no answer arrives in time, or the connection is lost. */
+  /**
+   * @throws if no answer arrives in time, the connection is lost or the answer
+   * is out of range.
+   */
   exchange(input: ExchangeInput): Promise<ExchangeOutput | NotHolder>;
   /** @throws as `exchange` does. */
   ensureAdapter(input: EnsureAdapterInput): Promise<EnsureAdapterOutput>;
@@ -71,19 +93,43 @@
     links: [wsLink({client: socket})],
   });
   return {
-    exchange: input => withTimeout(timeoutMs, client.exchange.mutate(input)),
-    ensureAdapter: input =>
-      withTimeout(adapterTimeoutMs, client.ensureAdapter.mutate(input)),
-    permitTrial: input =>
-      withTimeout(timeoutMs, client.permitTrial.mutate(input)),
-    requestRetries: input =>
-      withTimeout(timeoutMs, client.requestRetries.mutate(input)),
+    exchange: async input =>
+      parseAnswer(
+        exchangeAnswerSchema,
+        await withTimeout(timeoutMs, client.exchange.mutate(input)),
+      ),
+    ensureAdapter: async input =>
+      parseAnswer(
+        ensureAdapterOutputSchema,
+        await withTimeout(adapterTimeoutMs, client.ensureAdapter.mutate(input)),
+      ),
+    permitTrial: async input =>
+      parseAnswer(
+        trialOutputSchema,
+        await withTimeout(timeoutMs, client.permitTrial.mutate(input)),
+      ),
+    requestRetries: async input =>
+      parseAnswer(
+        retryGrantSchema.optional(),
+        await withTimeout(timeoutMs, client.requestRetries.mutate(input)),
+      ),
     noteOrigins: input =>
       withTimeout(timeoutMs, client.noteOrigins.mutate(input)),
     close: () => void socket.close(),
   };
 }
 
+/** @throws an error that names the first field that is out of range. */
+function parseAnswer<S extends z.ZodType>(
+  schema: S,
+  answer: unknown,
+): z.output<S> {
+  const checked = schema.safeParse(answer);
+  if (checked.success) return checked.data;
+  const {path, message} = checked.error.issues[0]!;
+  throw new Error(`odd answer: ${path.join('.')}: ${message}`);
+}
+
 /** @throws if the answer takes longer than `timeoutMs`. */
 async function withTimeout<T>(
   timeoutMs: number,
@@ -139,6 +185,28 @@
   return {client, close: () => void dispatcher.destroy()};
 }
 
+type HttpClient = ReturnType<typeof createHttpClient>['client'];
+
+/**
+ * Makes a single call over HTTP.
+ *
+ * @throws if no answer arrives in time or it is out of range, or if there can be
+ * no client for the address.
+ */
+async function callOnce<S extends z.ZodType>(
+  address: string,
+  timeoutMs: number,
+  schema: S,
+  call: (client: HttpClient) => Promise<unknown>,
+): Promise<z.output<S>> {
+  const peer = createHttpClient(address, timeoutMs);
+  try {
+    return parseAnswer(schema, await call(peer.client));
+  } finally {
+    peer.close();
+  }
+}
+
 /**
  * Asks a former holder about its last order; undefined if it doesn't answer.
  */
@@ -147,14 +215,13 @@
   successor: SuccessorHolder,
   timeoutMs: number,
 ): Promise<LastOrder | undefined> {
-  const peer = createHttpClient(address, timeoutMs);
   try {
-    return await peer.client.lastOrder.query(successor);
+    return await callOnce(address, timeoutMs, lastOrderOutputSchema, client =>
+      client.lastOrder.query(successor),
+    );
   } catch {
     // Undefined means that the former holder is unreachable.
     return undefined;
-  } finally {
-    peer.close();
   }
 }
 
@@ -163,14 +230,14 @@
   address: string,
   timeoutMs: number,
 ): Promise<PeerConfig | undefined> {
-  const peer = createHttpClient(address, timeoutMs);
   try {
-    return await peer.client.config.query();
+    const schema = peerConfigSchema.optional();
+    return await callOnce(address, timeoutMs, schema, client =>
+      client.config.query(),
+    );
   } catch {
     // The next peer that announces the version is tried next.
     return undefined;
-  } finally {
-    peer.close();
   }
 }
 
@@ -180,14 +247,13 @@
   input: FindOriginsInput,
   timeoutMs: number,
 ): Promise<FindOriginsOutput | undefined> {
-  const peer = createHttpClient(address, timeoutMs);
   try {
-    return await peer.client.findOrigins.mutate(input);
+    return await callOnce(address, timeoutMs, findOriginsOutputSchema, client =>
+      client.findOrigins.mutate(input),
+    );
   } catch {
     // The other peers are asked at the same time.
     return undefined;
-  } finally {
-    peer.close();
   }
 }
 
@@ -197,14 +263,14 @@
   handover: LeaseHandover,
   timeoutMs: number,
 ): Promise<boolean> {
-  const peer = createHttpClient(address, timeoutMs);
+  if (!isSocketAddress(address)) return false;
   try {
-    return await peer.client.takeOver.mutate(handover);
+    return await callOnce(address, timeoutMs, z.boolean(), client =>
+      client.takeOver.mutate(handover),
+    );
   } catch {
     // The peer may have accepted the lease although its answer was lost.
     // Offering it to another peer could leave two processes that give orders.
     return true;
-  } finally {
-    peer.close();
   }
 }
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -8,6 +8,15 @@
   type TrialInput,
   type TrialOutput,
 } from '../crashes/crashContract.js';
+import {
+  addressSchema,
+  amountSchema,
+  countsSchema,
+  listOf,
+  ordinalSchema,
+  recordOf,
+  textSchema,
+} from './contractRanges.js';
 import {
   retryGrantInputSchema,
   type RetryGrant,
@@ -16,12 +25,12 @@
 
 /** The models and adapters that one runner holds. */
 const runnerCopiesSchema = z.object({
-  runnerId: z.string(),
+  runnerId: textSchema,
   /** The incarnation that holds them; absent from holders of earlier releases. */
-  bornMs: z.number().optional(),
-  models: z.array(z.string()),
+  bornMs: ordinalSchema.optional(),
+  models: listOf(textSchema),
   /** Each as the names of its model and adapter, joined by a slash. */
-  adapters: z.array(z.string()),
+  adapters: listOf(textSchema),
   /** A model is being loaded or unloaded, so no adapter can be fetched. */
   isBusy: z.boolean(),
 });
@@ -30,68 +39,66 @@
 
 /** A runner whose registration was removed, and its last heartbeat before. */
 const goneRunnerSchema = z.object({
-  runnerId: z.string(),
-  bornMs: z.number(),
-  heartbeatNumber: z.number(),
+  runnerId: textSchema,
+  bornMs: ordinalSchema,
+  heartbeatNumber: ordinalSchema,
 });
 
 /** A start of a runner that is leaving. */
 const leavingRunnerSchema = z.object({
-  runnerId: z.string(),
-  bornMs: z.number(),
+  runnerId: textSchema,
+  bornMs: ordinalSchema,
 });
 
 /**
  * Part of its requests that an organisation may send: all that are more urgent
  * than a priority, and a share of those with this priority.
  */
-const shareLimitSchema = z.tuple([z.number(), z.number()]).readonly();
+const shareLimitSchema = z.tuple([amountSchema, amountSchema]).readonly();
 
 /** Admitted requests without a response, their work, and that times its target. */
 const poolBacklogSchema = z.object({
-  requests: z.number(),
-  work: z.number(),
-  workMs: z.number(),
+  requests: amountSchema,
+  work: amountSchema,
+  workMs: amountSchema,
 });
 
-const countsSchema = z.record(z.string(), z.number());
-
 /** An entry, with the properties by which standbys and relays are chosen. */
 const memberSchema = z.object({
-  address: z.string(),
-  failureDomain: z.string(),
+  address: addressSchema,
+  failureDomain: textSchema,
   /** Processor cores that the process may use. */
-  processorShare: z.number(),
+  processorShare: amountSchema,
 });
 
 /** An entry that keeps origin records of others. */
 const replicaSchema = z.object({
-  address: z.string(),
-  failureDomain: z.string(),
+  address: addressSchema,
+  failureDomain: textSchema,
 });
 
 /** Replicas of origin records; omitted if the receiver knows this version. */
 const replicaUpdateSchema = z.object({
-  version: z.string(),
-  replicas: z.array(replicaSchema).optional(),
+  version: textSchema,
+  replicas: listOf(replicaSchema).optional(),
 });
 
 export type ReplicaUpdate = z.infer<typeof replicaUpdateSchema>;
 
 /** Streams, each as the id of the request that began it and the version. */
-const originsSchema = z.array(z.tuple([z.string(), z.string()]));
+const originsSchema = listOf(z.tuple([textSchema, textSchema]));
 
 export const noteOriginsInputSchema = z.object({origins: originsSchema});
 
 export const findOriginsInputSchema = z.object({
-  requestIds: z.array(z.string()),
+  requestIds: listOf(textSchema),
 });
 
 export const findOriginsOutputSchema = z.object({
   /** Those of the streams that are known. */
   origins: originsSchema,
   /** Services whose runners have had several versions lately. */
-  mixedServices: z.array(z.string()),
+  mixedServices: listOf(textSchema),
   /** Whether the sender has seen all versions that matter. */
   isHistoryComplete: z.boolean(),
 });
@@ -105,68 +112,58 @@
  */
 const demandBatchSchema = z.object({
   /** Differs from the id of the previous batch. */
-  batchId: z.string(),
-  demand: z.array(
+  batchId: textSchema,
+  demand: listOf(
     z.object({
-      model: z.string(),
-      arrivals: z.number(),
-      promptTokens: z.number(),
-      outputTokens: z.number(),
+      model: textSchema,
+      arrivals: amountSchema,
+      promptTokens: amountSchema,
+      outputTokens: amountSchema,
       adapters: countsSchema,
     }),
   ),
   /** Request outcomes by runner; omitted by releases that don't send them. */
-  outcomes: z
-    .array(
-      z.object({
-        runnerId: z.string(),
-        successes: z.number(),
-        failures: z.number(),
-      }),
-    )
-    .optional(),
+  outcomes: listOf(
+    z.object({
+      runnerId: textSchema,
+      successes: amountSchema,
+      failures: amountSchema,
+    }),
+  ).optional(),
   /** Usage counted against caps; omitted by releases that don't send it. */
-  usage: z
-    .array(
-      z.object({
-        organisation: z.string(),
-        asked: z.number(),
-        used: z.number(),
-        /** What was not run; omitted by releases that don't tell its time. */
-        refunds: z
-          .array(z.object({amount: z.number(), agoMs: z.number()}))
-          .optional(),
-      }),
-    )
-    .optional(),
+  usage: listOf(
+    z.object({
+      organisation: textSchema,
+      asked: amountSchema,
+      used: amountSchema,
+      /** What was not run; omitted by releases that don't tell its time. */
+      refunds: listOf(
+        z.object({amount: amountSchema, agoMs: amountSchema}),
+      ).optional(),
+    }),
+  ).optional(),
   /** Usage of rate-limited runners; omitted by releases that don't send it. */
-  rateUse: z
-    .array(
-      z.object({runnerId: z.string(), asked: z.number(), used: z.number()}),
-    )
-    .optional(),
+  rateUse: listOf(
+    z.object({runnerId: textSchema, asked: amountSchema, used: amountSchema}),
+  ).optional(),
   /** Work by organisation; omitted by entries without fair shares. */
-  demandByOrganisation: z
-    .array(
-      z.object({
-        pool: z.string(),
-        organisation: z.string(),
-        priority: z.number(),
-        asked: z.number(),
-        admitted: z.number(),
-      }),
-    )
-    .optional(),
+  demandByOrganisation: listOf(
+    z.object({
+      pool: textSchema,
+      organisation: textSchema,
+      priority: amountSchema,
+      asked: amountSchema,
+      admitted: amountSchema,
+    }),
+  ).optional(),
   /** Work that has ended; omitted by entries without fair shares. */
-  poolProgress: z
-    .array(
-      z.object({
-        pool: z.string(),
-        completed: z.number(),
-        dropped: z.number(),
-      }),
-    )
-    .optional(),
+  poolProgress: listOf(
+    z.object({
+      pool: textSchema,
+      completed: amountSchema,
+      dropped: amountSchema,
+    }),
+  ).optional(),
 });
 
 export type DemandBatch = z.infer<typeof demandBatchSchema>;
@@ -177,105 +174,101 @@
  */
 export const exchangeInputSchema = z.object({
   /** Address of the sending process. */
-  entry: z.string(),
+  entry: addressSchema,
   /** The entry itself and the entries that it relays for. */
-  members: z.array(memberSchema),
+  members: listOf(memberSchema),
   /** Version of the configuration in force there; 0 if there is none. */
-  configVersion: z.number(),
+  configVersion: ordinalSchema,
   /** Position of the last change to the runners that it has read. */
-  runnersChange: z.number(),
+  runnersChange: ordinalSchema,
   /** Last revision of the runners' copies that it has received. */
-  known: z.object({epoch: z.string(), revision: z.number()}).optional(),
+  known: z.object({epoch: textSchema, revision: ordinalSchema}).optional(),
   openWork: countsSchema,
   /** Adapters used by its requests in flight, by runner. */
-  adaptersInUse: z.record(z.string(), z.array(z.string())),
+  adaptersInUse: recordOf(listOf(textSchema)),
   /** Requests in flight, by runner and model. */
-  modelsInUse: z.record(z.string(), countsSchema),
+  modelsInUse: recordOf(countsSchema),
   /** Requests waiting for a copy, by model. */
   waiting: countsSchema,
   batch: demandBatchSchema,
   /** Backlogs by pool; omitted by entries without fair shares. */
-  poolBacklogs: z.record(z.string(), poolBacklogSchema).optional(),
+  poolBacklogs: recordOf(poolBacklogSchema).optional(),
   /** Omitted by releases that don't report crashes. */
   crashes: crashReportSchema.optional(),
   /**
    * Rate limits that runners have announced or withdrawn; omitted by releases
    * that don't send them.
    */
-  rateLimits: z
-    .array(
-      z.object({
-        runnerId: z.string(),
-        perSecond: z.number().optional(),
-        ageMs: z.number(),
-      }),
-    )
-    .optional(),
+  rateLimits: listOf(
+    z.object({
+      runnerId: textSchema,
+      perSecond: amountSchema.optional(),
+      ageMs: amountSchema,
+    }),
+  ).optional(),
   /**
    * Runners that are leaving, as far as known there;
    * omitted by releases that don't send them.
    */
-  leavingRunners: z.array(leavingRunnerSchema).optional(),
+  leavingRunners: listOf(leavingRunnerSchema).optional(),
   /** Likewise, runners that were removed a short time ago. */
-  goneRunners: z.array(goneRunnerSchema).optional(),
+  goneRunners: listOf(goneRunnerSchema).optional(),
   /**
    * Speeds of runners that were sampled since the last exchange; omitted by
    * releases that don't send them.
    */
-  runnerSpeeds: z
-    .array(
-      z.object({
-        runnerId: z.string(),
-        speed: z.number().positive(),
-        samples: z.number().positive(),
-      }),
-    )
-    .optional(),
+  runnerSpeeds: listOf(
+    z.object({
+      runnerId: textSchema,
+      speed: amountSchema.positive(),
+      samples: amountSchema.positive(),
+    }),
+  ).optional(),
   /** Last version of the list of suspects that it has received. */
   knownSuspects: suspectListVersionSchema.optional(),
   /** Version of the list of replicas that it has received. */
-  knownReplicas: z.string().optional(),
+  knownReplicas: textSchema.optional(),
 });
 
 /** State that the holder, or a relay on its behalf, returns to an entry. */
 export const exchangeOutputSchema = z.object({
   kind: z.literal('told'),
   /** Address of the holder that produced the state. */
-  holder: z.string(),
+  holder: addressSchema,
   /** Whether the holder may give orders; false shortly after a lapse. */
   isOrdering: z.boolean(),
   /** Age of the state in ms; 0 from a holder that may give orders. */
-  ageMs: z.number(),
+  ageMs: amountSchema,
   /** Highest configuration version that any entry has reported. */
-  configVersion: z.number(),
+  configVersion: ordinalSchema,
   /** Last position of a change to the runners that any entry has reported. */
-  runnersChange: z.number(),
+  runnersChange: ordinalSchema,
   /** Time since the holder sent its last answered read of the runners, in ms. */
-  runnersReadAgeMs: z.number(),
+  runnersReadAgeMs: amountSchema,
   /**
    * Time since the holder itself last confirmed that its configuration is
    * current, in ms; omitted by releases that don't send it, and nothing is
    * confirmed then.
    */
-  configReadAgeMs: z.number().optional(),
+  configReadAgeMs: amountSchema.optional(),
   /** Number of entries seen within the last seconds, including the receiver. */
-  entries: z.number(),
+  entries: amountSchema,
   /** Standbys for the lease, in the order in which they acquire it. */
-  standbys: z.array(z.string()),
+  standbys: listOf(addressSchema),
   /**
    * Relays in the receiver's failure domain; empty if all entries contact the
    * holder directly.
    */
-  relays: z.array(z.string()),
+  relays: listOf(addressSchema),
   /** Age of each load from the weight store that still counts, in ms. */
-  loadAgesMs: z.array(z.number()),
+  loadAgesMs: listOf(amountSchema),
   /** Changes to the runners' copies since the revision that the entry knows. */
   copies: z.object({
-    epoch: z.string(),
-    revision: z.number(),
+    epoch: textSchema,
+    revision: ordinalSchema,
     isWhole: z.boolean(),
-    runners: z.array(runnerCopiesSchema),
-    gone: z.array(z.string()),
+    runners: listOf(runnerCopiesSchema),
+    gone: listOf(textSchema),
   }),
   /** Time until a copy is ready, for recently requested models without one. */
   copiesInMs: countsSchema,
@@ -290,49 +283,39 @@
    */
   ejectedForMs: countsSchema.optional(),
   /** Remaining usage under the caps, for organisations with recent requests. */
-  usage: z
-    .record(
-      z.string(),
-      z.object({
-        left: z.number(),
-        freedPerSecond: z.number(),
-        askedPerSecond: z.number(),
-      }),
-    )
-    .optional(),
+  usage: recordOf(
+    z.object({
+      left: amountSchema,
+      freedPerSecond: amountSchema,
+      askedPerSecond: amountSchema,
+    }),
+  ).optional(),
   /** Rate limits by runner, with the usage of the whole fleet. */
-  rateLimits: z
-    .record(
-      z.string(),
-      z.object({
-        perSecond: z.number().optional(),
-        ageMs: z.number(),
-        used: z.number(),
-        askedPerSecond: z.number(),
-      }),
-    )
-    .optional(),
+  rateLimits: recordOf(
+    z.object({
+      perSecond: amountSchema.optional(),
+      ageMs: amountSchema,
+      used: amountSchema,
+      askedPerSecond: amountSchema,
+    }),
+  ).optional(),
   /**
    * Runners that are leaving, as far as any entry knows; omitted by releases
    * that don't send them.
    */
-  leavingRunners: z.array(leavingRunnerSchema).optional(),
+  leavingRunners: listOf(leavingRunnerSchema).optional(),
   /** Likewise, runners that were removed a short time ago. */
-  goneRunners: z.array(goneRunnerSchema).optional(),
+  goneRunners: listOf(goneRunnerSchema).optional(),
   /**
    * Limits by pool and organisation, for organisations that may not send all of
    * their requests; omitted by holders without fair shares.
    */
-  organisationShares: z
-    .record(z.string(), z.record(z.string(), shareLimitSchema))
-    .optional(),
+  organisationShares: recordOf(recordOf(shareLimitSchema)).optional(),
   /**
    * Speed and its age in ms, by runner, for runners that are slower or faster
    * than usual; omitted by releases that don't send them.
    */
-  runnerSpeeds: z
-    .record(z.string(), z.tuple([z.number(), z.number()]))
-    .optional(),
+  runnerSpeeds: recordOf(z.tuple([amountSchema, amountSchema])).optional(),
   /**
    * Requests that may crash runners; omitted by releases that don't send them.
    */
@@ -341,21 +324,34 @@
   replicas: replicaUpdateSchema.optional(),
 });
 
+/** From a process without recent state: the holder of the lease, if known. */
+const notHolderSchema = z.object({
+  kind: z.literal('not-holder'),
+  holderAddress: addressSchema.optional(),
+});
+
+export type NotHolder = z.infer<typeof notHolderSchema>;
+
+export const exchangeAnswerSchema = z.discriminatedUnion('kind', [
+  exchangeOutputSchema,
+  notHolderSchema,
+]);
+
 export const ensureAdapterInputSchema = z.object({
-  runnerId: z.string(),
-  model: z.string(),
-  adapter: z.string(),
+  runnerId: textSchema,
+  model: textSchema,
+  adapter: textSchema,
 });
 
 export const ensureAdapterOutputSchema = z.object({
   isThere: z.boolean(),
-  reason: z.string(),
+  reason: textSchema,
 });
 
 /** The holder that queries its predecessor. */
 export const successorHolderSchema = z.object({
-  generation: z.number(),
-  address: z.string(),
+  generation: ordinalSchema,
+  address: addressSchema,
 });
 
 export type SuccessorHolder = z.infer<typeof successorHolderSchema>;
@@ -363,18 +359,18 @@
 /** The answer of a former holder to its successor. */
 export const lastOrderOutputSchema = z.object({
   /** Time since the last order; undefined if it gave none. */
-  agoMs: z.number().optional(),
+  agoMs: amountSchema.optional(),
   /** Uptime of the answering process. */
-  upMs: z.number().default(0),
+  upMs: amountSchema.default(0),
   /** It is leaving or can't reach the store, and gives no more orders. */
   isOver: z.boolean(),
 });
 
 /** A transfer of the lease from one peer to another. */
 export const leaseHandoverSchema = z.object({
-  generation: z.number(),
+  generation: ordinalSchema,
   /** Increases with each handover within a generation. */
-  step: z.number(),
+  step: ordinalSchema,
 });
 
 export type LeaseHandover = z.infer<typeof leaseHandoverSchema>;
@@ -382,21 +378,15 @@
 export type ExchangeInput = z.infer<typeof exchangeInputSchema>;
 export type ExchangeOutput = z.infer<typeof exchangeOutputSchema>;
 
-/** From a process without recent state: the holder of the lease, if known. */
-export interface NotHolder {
-  kind: 'not-holder';
-  holderAddress?: string;
-}
-
 export type EnsureAdapterInput = z.infer<typeof ensureAdapterInputSchema>;
 export type EnsureAdapterOutput = z.infer<typeof ensureAdapterOutputSchema>;
 
 /** A configuration for a peer that can't read it from the store. */
 export const peerConfigSchema = z.object({
-  version: z.number(),
+  version: ordinalSchema,
   /** SHA-256 of the bytes, hex-encoded. */
-  checksum: z.string(),
-  /** Base64-encoded. */
+  checksum: textSchema,
+  /** Base64-encoded; bounded by the length of a message. */
   bytes: z.string(),
 });
 
--- a/packages/banyanfold-gateway/src/peers/peerServer.ts
+++ b/packages/banyanfold-gateway/src/peers/peerServer.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
 import {WebSocketServer} from 'ws';
@@ -47,6 +48,11 @@
     });
   }
 
+  /** The port that it listens on; for port 0, the one that was assigned. */
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
   close(): void {
     for (const socket of this.sockets.clients) socket.terminate();
     this.sockets.close();
