Ignore a quarantine whose time has not come

A request or prompt part was refused for years if another writer had stored its quarantine with a time far ahead, and 500 such records made the keeper drop all sound ones, as it drops the oldest.

A record whose time is later than a full quarantine from now is ignored. A wall clock that had jumped forward when a sound record was written stays within that.

Ruled out: to cut the time that is left only, as such a record would never be dropped.

--- a/packages/banyanfold-gateway/src/__tests__/quarantineKeeper.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/quarantineKeeper.test.ts
@@ -72,6 +72,24 @@
 }
 
 describe('QuarantineKeeper', () => {
+  // Guards against refusing a request for years, and against dropping all other
+  // records, which are older, because of a time that another writer wrote.
+  it('ignores a record whose time has not come', async () => {
+    stored.set('sound', clock.wallMs());
+    stored.set('jumped', clock.wallMs() + 60_000);
+    stored.set('odd', clock.wallMs() + 10 * QUARANTINE_MS);
+    const {keeper, suspects} = startKeeper();
+    await clock.advance(1_000);
+    const isQuarantined = (id: string) =>
+      suspects.verdictOf([id]) === 'quarantined';
+    expect(['sound', 'jumped', 'odd'].map(isQuarantined)).toEqual([
+      true,
+      true,
+      false,
+    ]);
+    keeper.stop();
+  });
+
   it('loads at the start, and once for each term of the lease', async () => {
     stored.set('a', clock.wallMs());
     lease.owns = false;
--- a/packages/banyanfold-gateway/src/crashes/quarantineKeeper.ts
+++ b/packages/banyanfold-gateway/src/crashes/quarantineKeeper.ts
@@ -112,7 +112,10 @@
     if (loaded.isErr()) return this.noteFailure(loaded.error);
     this.hasFailed = false;
     this.loadedTerm = term;
-    this.records = new Map(loaded.value.map(r => [r.fingerprint, r.atMs]));
+    // No process wrote a later time, however far its wall clock has jumped.
+    const latestMs = clock.wallMs() + QUARANTINE_MS;
+    const records = loaded.value.filter(({atMs}) => atMs <= latestMs);
+    this.records = new Map(records.map(r => [r.fingerprint, r.atMs]));
     const remainingMs = new Map<string, number>();
     for (const [fingerprint, atMs] of this.records) {
       const leftMs = atMs + QUARANTINE_MS - clock.wallMs();
