Count under names of inherited properties like under others

One request with `Model: m1/constructor` cut its entry off from the holder of the lease: it read the store itself, and models and adapters that its callers then asked for were not loaded. Demand is counted by adapter in plain objects; the count of `constructor` began with the function that each object inherits and became a text, the holder refused the message for it, and the demand is sent again until it is answered. A name `__proto__` was not counted.

Records by names from outside inherit nothing now (`emptyRecord`): in the meter of demand, and where entries' loads are summed at the holder and at relays.

--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -19,6 +19,7 @@
   NotHolder,
   RunnerCopies,
 } from './peerContract.js';
+import {emptyRecord} from '../emptyRecord.js';
 
 export interface RelayOptions {
   clock: Clock;
@@ -199,7 +200,7 @@
   one: Readonly<Record<string, number>>,
   other: Readonly<Record<string, number>>,
 ): Record<string, number> {
-  const sums: Record<string, number> = {...one};
+  const sums = Object.assign(emptyRecord<number>(), one);
   for (const [key, value] of Object.entries(other)) {
     sums[key] = (sums[key] ?? 0) + value;
   }
--- a/packages/banyanfold-gateway/src/placement/demandMeter.ts
+++ b/packages/banyanfold-gateway/src/placement/demandMeter.ts
@@ -1,3 +1,5 @@
+import {emptyRecord} from '../emptyRecord.js';
+
 /** Demand for one model since the last exchange. */
 export interface ModelDemand {
   model: string;
@@ -87,7 +89,7 @@
         arrivals: 0,
         promptTokens: 0,
         outputTokens: 0,
-        adapters: {},
+        adapters: emptyRecord(),
       };
       this.byModel.set(model, demand);
     }
--- a/packages/banyanfold-gateway/src/placement/entryLoads.ts
+++ b/packages/banyanfold-gateway/src/placement/entryLoads.ts
@@ -1,4 +1,5 @@
 import type {PoolBacklog, RelayCandidate} from '@banyanfold/decisions';
+import {emptyRecord} from '../emptyRecord.js';
 
 /** An entry that has not reported for this long no longer counts. */
 const ENTRY_EXPIRY_MS = 2_000;
@@ -65,7 +66,7 @@
 
   /** Open work of all entries but one, by runner. */
   openWorkExcept(entry: string, nowMs: number): Record<string, number> {
-    const total: Record<string, number> = {};
+    const total = emptyRecord<number>();
     for (const {openWork} of this.recent(nowMs, entry)) {
       addCounts(total, openWork);
     }
@@ -77,7 +78,7 @@
 
   /** Open requests of all entries but one, by runner. */
   openRequestsExcept(entry: string, nowMs: number): Record<string, number> {
-    const total: Record<string, number> = {};
+    const total = emptyRecord<number>();
     for (const {modelsInUse} of this.recent(nowMs, entry)) {
       for (const [runnerId, counts] of Object.entries(modelsInUse)) {
         for (const count of Object.values(counts)) {
@@ -100,7 +101,7 @@
 
   /** Requests of all entries in progress on a runner, by model. */
   modelsInUse(runnerId: string, nowMs: number): Record<string, number> {
-    const total: Record<string, number> = {};
+    const total = emptyRecord<number>();
     for (const {modelsInUse} of this.recent(nowMs)) {
       addCounts(total, modelsInUse[runnerId] ?? {});
     }
@@ -113,15 +114,15 @@
    * @example loads.sum(clock.nowMs()).openWork // {'i-7f3a': 12.5}
    */
   sum(nowMs: number): EntryLoad {
-    const openWork: Record<string, number> = {};
-    const adapters: Record<string, Set<string>> = {};
-    const modelsInUse: Record<string, Record<string, number>> = {};
-    const waiting: Record<string, number> = {};
+    const openWork = emptyRecord<number>();
+    const adapters = emptyRecord<Set<string>>();
+    const modelsInUse = emptyRecord<Record<string, number>>();
+    const waiting = emptyRecord<number>();
     for (const load of this.recent(nowMs)) {
       addCounts(openWork, load.openWork);
       addCounts(waiting, load.waiting);
       for (const [runnerId, counts] of Object.entries(load.modelsInUse)) {
-        addCounts((modelsInUse[runnerId] ??= {}), counts);
+        addCounts((modelsInUse[runnerId] ??= emptyRecord()), counts);
       }
       for (const [runnerId, names] of Object.entries(load.adaptersInUse)) {
         const all = (adapters[runnerId] ??= new Set());
@@ -139,7 +140,7 @@
 
   /** Backlogs of all entries by pool; undefined if none reports any. */
   poolBacklogs(nowMs: number): Record<string, PoolBacklog> | undefined {
-    const total: Record<string, PoolBacklog> = {};
+    const total = emptyRecord<PoolBacklog>();
     let isReported = false;
     for (const {poolBacklogs} of this.recent(nowMs)) {
       isReported ||= poolBacklogs !== undefined;
