--- a/packages/banyanfold-gateway/src/peers/relay.ts
+++ b/packages/banyanfold-gateway/src/peers/relay.ts
@@ -4,7 +4,7 @@
 import type {UsageMeter} from '../callers/usageMeter.js';
 import type {CrashSuspects} from '../crashes/crashSuspects.js';
 import {CopyRevisions} from '../placement/copyRevisions.js';
-import {addCounts, emptyRecord} from '../placement/counts.js';
+import {addCounts} from '../placement/counts.js';
 import type {DemandMeter} from '../placement/demandMeter.js';
 import {EntryLoads, type EntryLoad} from '../placement/entryLoads.js';
 import {SeenBatches} from '../placement/seenBatches.js';
@@ -20,6 +20,7 @@
   NotHolder,
   RunnerCopies,
 } from './peerContract.js';
+import {emptyRecord} from '../emptyRecord.js';
 
 export interface RelayOptions {
   clock: Clock;
--- a/packages/banyanfold-gateway/src/placement/counts.ts
+++ b/packages/banyanfold-gateway/src/placement/counts.ts
@@ -1,16 +1,6 @@
 /** Numbers by name. */
 export type Counts = Readonly<Record<string, number>>;
 
-/**
- * Returns a record without inherited properties. Names come from callers; one
- * such as `constructor` would otherwise have a function as its first count.
- *
- * @example emptyRecord<number>()['constructor'] // undefined
- */
-export function emptyRecord<T>(): Record<string, T> {
-  return Object.create(null) as Record<string, T>;
-}
-
 /** Returns the own property of a record that a message has brought. */
 export function valueOf<T>(
   record: Readonly<Record<string, T>>,
--- a/packages/banyanfold-gateway/src/placement/demandMeter.ts
+++ b/packages/banyanfold-gateway/src/placement/demandMeter.ts
@@ -1,4 +1,5 @@
-import {addCounts, emptyRecord} from './counts.js';
+import {emptyRecord} from '../emptyRecord.js';
+import {addCounts} from './counts.js';
 
 /** Demand for one model since the last exchange. */
 export interface ModelDemand {
--- a/packages/banyanfold-gateway/src/placement/entryLoads.ts
+++ b/packages/banyanfold-gateway/src/placement/entryLoads.ts
@@ -1,5 +1,6 @@
 import type {PoolBacklog, RelayCandidate} from '@banyanfold/decisions';
-import {addCounts, countOf, emptyRecord, valueOf} from './counts.js';
+import {emptyRecord} from '../emptyRecord.js';
+import {addCounts, countOf, valueOf} from './counts.js';
 
 /** An entry that has not reported for this long no longer counts. */
 const ENTRY_EXPIRY_MS = 2_000;
@@ -68,7 +69,7 @@
 
   /** Open work of all entries but one, by runner. */
   openWorkExcept(entry: string, nowMs: number): Record<string, number> {
-    const total: Record<string, number> = emptyRecord();
+    const total = emptyRecord<number>();
     for (const {openWork} of this.recent(nowMs, entry)) {
       addCounts(total, openWork);
     }
@@ -80,7 +81,7 @@
 
   /** Open requests of all entries but one, by runner. */
   openRequestsExcept(entry: string, nowMs: number): Record<string, number> {
-    const total: Record<string, number> = emptyRecord();
+    const total = emptyRecord<number>();
     for (const {modelsInUse} of this.recent(nowMs, entry)) {
       for (const [runnerId, counts] of Object.entries(modelsInUse)) {
         for (const count of Object.values(counts)) {
@@ -103,7 +104,7 @@
 
   /** Requests of all entries in progress on a runner, by model. */
   modelsInUse(runnerId: string, nowMs: number): Record<string, number> {
-    const total: Record<string, number> = emptyRecord();
+    const total = emptyRecord<number>();
     for (const {modelsInUse} of this.recent(nowMs)) {
       addCounts(total, valueOf(modelsInUse, runnerId) ?? {});
     }
@@ -116,10 +117,10 @@
    * @example loads.sum(clock.nowMs()).openWork // {'i-7f3a': 12.5}
    */
   sum(nowMs: number): EntryLoad {
-    const openWork: Record<string, number> = emptyRecord();
-    const adapters: Record<string, Set<string>> = emptyRecord();
-    const modelsInUse: Record<string, Record<string, number>> = emptyRecord();
-    const waiting: Record<string, number> = emptyRecord();
+    const openWork = emptyRecord<number>();
+    const adapters = emptyRecord<Set<string>>();
+    const modelsInUse = emptyRecord<Record<string, number>>();
+    const waiting = emptyRecord<number>();
     for (const load of this.recent(nowMs)) {
       addCounts(openWork, load.openWork);
       addCounts(waiting, load.waiting);
@@ -142,7 +143,7 @@
 
   /** Backlogs of all entries by pool; undefined if none reports any. */
   poolBacklogs(nowMs: number): Record<string, PoolBacklog> | undefined {
-    const total: Record<string, PoolBacklog> = emptyRecord();
+    const total = emptyRecord<PoolBacklog>();
     let isReported = false;
     for (const {poolBacklogs} of this.recent(nowMs)) {
       isReported ||= poolBacklogs !== undefined;
