Have callers return to a version that an entry has not read about

Callers that took a stream up at an entry that was behind during a release were refused for good: a peer told the entry that the stream began at a version of which it knew no runner, and it took that version for gone, with no time to return (503 without Retry-After). The version served; the entry had not read about its runners yet.

A version counts as gone for good only if this entry has seen it. One that it never read about is still refused at once, as no runner here can take the stream, but with a time to return.

Ruled out: to wait for a runner of that version, which holds the caller at an entry that may stay cut off.

Evidence: the test in streamOrigins.test.ts failed before (isFinal was true) and passes now.

--- a/packages/banyanfold-gateway/src/__tests__/streamOrigins.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/streamOrigins.test.ts
@@ -191,6 +191,19 @@
     expect(await outcomeOf('s1')).toBe('version-gone');
   });
 
+  // Guards against telling callers not to return where this entry has not read
+  // about a version that serves.
+  it('may serve all the same if this entry has not read about it', async () => {
+    found = {...found, version: 'v3'};
+    const unread = await origins.resolve('s2', SERVICE);
+    expect(unread.continuation).toMatchObject({reason: 'version-gone'});
+    expect(unread.isFinal).toBe(false);
+    view.noteLeaving({runnerId: 'r3', bornMs: 0}, 'response');
+    const gone = await origins.resolve('s1', SERVICE);
+    expect(gone.continuation).toMatchObject({reason: 'version-gone'});
+    expect(gone.isFinal).toBe(true);
+  });
+
   it('is waited for where no runner serves at all', async () => {
     for (const runnerId of ['r1', 'r2', 'r3']) {
       view.noteLeaving({runnerId, bornMs: 0}, 'response');
--- a/packages/banyanfold-gateway/src/streams/streamOrigins.ts
+++ b/packages/banyanfold-gateway/src/streams/streamOrigins.ts
@@ -37,7 +37,10 @@
   ageMs?: number;
   /** Peers that answered. */
   answers: number;
-  /** No other entry can know more, so a caller need not return. */
+  /**
+   * No other entry can know more, so a caller need not return. A version that
+   * this entry has not read about may serve all the same.
+   */
   isFinal: boolean;
 }
 
@@ -180,7 +183,10 @@
       source,
       ageMs: own?.ageMs,
       answers: found.answers,
-      isFinal: version !== undefined || found.isExhaustive,
+      isFinal:
+        version === undefined
+          ? found.isExhaustive
+          : this.history.versionsOf(service).includes(version),
     };
   }
 
