Tell whether a read of the runners has left anything out

confirmRunners resolved alike whether the store had answered or not, and after the first page: the store sends 1 MB at a time, so that an entry that was behind counted as current as of now by an older page. Nobody was told either when the history had been deleted between two reads, or the store had come back older: runners that had come and gone meanwhile were never known, and what followed the runners looked complete.

Each deletion and restore is passed on, and the view tells (event runners-gap) how long runners may have come and gone unseen: from the last time at which they were known until all have been read anew.

Ruled out: to take the age of the view as the answer. A read of the newest records makes the view recent, but skips what came and went before it.

Open: a running poll still counts as read to the end after its first page.

--- a/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
@@ -58,6 +58,26 @@
     expect(view.isConfigConfirmed(2_000)).toBe(true);
   });
 
+  // Guards against a gap that seems short because the runners were read anew.
+  it('tells how long runners may have come and gone unseen', async () => {
+    const clock = new VirtualClock();
+    const view = createView(clock);
+    const gapsMs: number[] = [];
+    view.onChange(change => {
+      if (change.kind === 'runners-gap') gapsMs.push(change.lengthMs);
+    });
+    view.onRunnersCurrent(clock.nowMs());
+    view.onCaughtUp();
+    await clock.advance(3_000);
+    view.onRunnersGap();
+    await clock.advance(400);
+    view.onRunnersGap();
+    view.onCaughtUp();
+    view.onRunnersCurrent(clock.nowMs());
+    view.onCaughtUp();
+    expect(gapsMs).toEqual([3_400]);
+  });
+
   it('keeps a runner leaving when an older heartbeat arrives late', () => {
     const view = createView();
     view.onRegistration(registration(4));
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -458,6 +458,7 @@
       onRegistration: registration => this.view.onRegistration(registration),
       onRemoval: runnerId => this.view.onRemoval(runnerId),
       onRunnersCurrent: atMs => this.view.onRunnersCurrent(atMs),
+      onRunnersGap: () => this.view.onRunnersGap(),
       onCaughtUp: () => this.view.onCaughtUp(),
       isRelayed: () => this.holderLink.isRelayed,
     });
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -466,6 +466,7 @@
   } = {
     config: () => this.syncControllers(),
     'caught-up': () => {},
+    'runners-gap': () => {},
     runner: ({runnerId}) => this.syncController(runnerId),
     'runner-removed': ({runnerId}) => this.controllers.delete(runnerId),
   };
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -329,8 +329,11 @@
   /**
    * Reads what has changed at the runners at once; resolves when that has
    * succeeded or failed.
+   *
+   * @returns whether each registration and removal up to the time of the call has
+   * been passed on, none left out.
    */
-  confirmRunners(): Promise<void>;
+  confirmRunners(): Promise<boolean>;
   stop(): void;
 }
 
@@ -344,7 +347,12 @@
    * All registrations and removals up to a time, in ms, have been passed on.
    */
   onRunnersCurrent(atMs: number): void;
-  /** The source has been read to its end once. */
+  /**
+   * Changes of the runners may have been deleted before they were read, or lost
+   * by the source. All runners are read anew.
+   */
+  onRunnersGap?(): void;
+  /** All runners have been read, for the first time or anew. */
   onCaughtUp(): void;
   /** Whether peers report changes at once, so that the source can poll less. */
   isRelayed(): boolean;
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -26,6 +26,8 @@
 export type ViewChange =
   | {kind: 'config'}
   | {kind: 'caught-up'}
+  /** Runners may have come and gone unseen within this time, in ms. */
+  | {kind: 'runners-gap'; lengthMs: number}
   | {kind: 'runner' | 'runner-removed'; runnerId: string};
 
 type ChangeListener = (change: ViewChange) => void;
@@ -74,6 +76,8 @@
   private configConfirmedMs: number | undefined;
   /** All registrations and removals up to this time are known. */
   private runnersConfirmedMs: number | undefined;
+  /** Since when changes may have been left out; undefined if none was. */
+  private gapSinceMs: number | undefined;
 
   constructor(
     private readonly clock: Clock,
@@ -328,7 +332,19 @@
     this.runnersConfirmedMs = Math.max(this.runnersConfirmedMs ?? atMs, atMs);
   }
 
+  /** Records that changes of the runners were deleted before they were read. */
+  onRunnersGap(): void {
+    this.gapSinceMs ??= this.runnersConfirmedMs;
+  }
+
+  /** Records that all runners have been read that are registered. */
   onCaughtUp(): void {
+    if (this.gapSinceMs !== undefined) {
+      const lengthMs = this.clock.nowMs() - this.gapSinceMs;
+      this.gapSinceMs = undefined;
+      this.logger.info('runners-gap', {lengthMs: Math.round(lengthMs)});
+      this.notifyListeners({kind: 'runners-gap', lengthMs});
+    }
     if (this.isCaughtUp) return;
     this.isCaughtUp = true;
     this.logger.info('runners-known', {runners: this.runners.size});
--- a/packages/banyanfold-gateway/src/view/viewFreshness.ts
+++ b/packages/banyanfold-gateway/src/view/viewFreshness.ts
@@ -19,7 +19,7 @@
   metrics: Metrics;
   view: Pick<FleetView, 'runnersAgeMs'>;
   /** Reads what has changed at the runners; resolves when that has ended. */
-  confirmRunners(): Promise<void>;
+  confirmRunners(): Promise<unknown>;
 }
 
 /**
