Take up unknown streams at a single version only on proof

Callers got streams joined from two software versions during a release. An entry was out of step for some seconds (cut off, stopped or slow) while a runner of a new version joined; a stream that began there through another entry broke, was taken up at this one, and went on at the only version that it knew, answered 200 to the end.

Cause: an entry that finds no record of a stream goes on at "the only version that has served" if its view of the runners is at most 2 s old, or one peer has answered within 0.1 s. Neither shows that no other version had joined by the time the stream was taken up: the view may be older than the runner, and the peer as much out of step. The entry that knows may be the one that ended.

Now one of two proofs is needed (findOnlyVersion, pure). Either a read of the store that was sent after the take-up came, with nothing left out and the versions before it known: an entry begins streams only at runners that it has read, so the registration was there before the stream began. Or the answers of all entries that were named in the last minute, each of which remembers the versions that it used since before this entry's last read: the stream began at one of them. A peer that knows another version rules both out; peers now tell the version of each service that has had one. After a gap of over 2 s (history deleted, store restored) the history isn't complete for 60 s. Else the stream is refused as not run, with a time to return.

Ruled out: a shorter age of the view, as any age leaves a window; runners of a new version that take first events only later, which delays each release and still trusts a clock; to count all entries but the one that ended, which is the one that knows; to forget an entry once the holder no longer names it, as the holder may be cut off with this entry.

Tests replaced: "is refused if the view is old and no peer answers" demanded that one answer of a peer is enough, which is the fault; it now demands that it isn't, at any age, and that the answers of all are. "is refused after a suspension until the view is confirmed" has both proofs in place of the age.

--- a/packages/banyanfold-decisions/src/__tests__/resumedStreams.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/resumedStreams.test.ts
@@ -5,6 +5,10 @@
   type ReplicaCandidate,
 } from '../streams/chooseReplicas.js';
 import {decideContinuation} from '../streams/decideContinuation.js';
+import {
+  findOnlyVersion,
+  type VersionEvidence,
+} from '../streams/findOnlyVersion.js';
 
 describe('decideContinuation', () => {
   it.each([
@@ -21,6 +25,71 @@
   });
 });
 
+const UNREAD: VersionEvidence = {
+  versions: ['v1'],
+  peerVersions: ['v1'],
+  havePeersSeenSeveral: false,
+  isConfirmed: false,
+  isHistoryComplete: true,
+  hasPeerCompleteHistory: true,
+  isStartKnown: true,
+  gapAgeMs: undefined,
+  readAgeMs: 100,
+  peersFollowedMs: undefined,
+};
+const GAP = {isHistoryComplete: false, gapAgeMs: 5_000};
+
+describe('findOnlyVersion', () => {
+  // Guards against a guess by an entry that has missed a version.
+  it.each<[string, Partial<VersionEvidence>, string | undefined]>([
+    ['neither the store nor all peers answer', {}, undefined],
+    ['the store answers', {isConfirmed: true}, 'v1'],
+    ['all peers answer', {peersFollowedMs: 100}, 'v1'],
+    ['a peer started after the last read', {peersFollowedMs: 99}, undefined],
+    [
+      'it is not known how old the last read is',
+      {peersFollowedMs: 1e9, readAgeMs: Infinity},
+      undefined,
+    ],
+    [
+      'a peer knows another version',
+      {isConfirmed: true, peerVersions: ['v1', 'v2']},
+      undefined,
+    ],
+    [
+      'a peer has seen several',
+      {isConfirmed: true, havePeersSeenSeveral: true},
+      undefined,
+    ],
+    ['no version is known', {isConfirmed: true, versions: []}, undefined],
+    [
+      'it has a gap and no peer has a complete history',
+      {...GAP, isConfirmed: true, hasPeerCompleteHistory: false},
+      undefined,
+    ],
+    [
+      'it has a gap and a peer has a complete history',
+      {...GAP, isConfirmed: true},
+      'v1',
+    ],
+    ['all peers cover its gap', {...GAP, peersFollowedMs: 5_000}, 'v1'],
+    ['a peer started in its gap', {...GAP, peersFollowedMs: 4_999}, undefined],
+    [
+      'it does not know what served before its start',
+      {
+        isConfirmed: true,
+        isHistoryComplete: false,
+        hasPeerCompleteHistory: false,
+        isStartKnown: false,
+        peersFollowedMs: 1e9,
+      },
+      undefined,
+    ],
+  ])('if %s', (_name, known, expected) => {
+    expect(findOnlyVersion({...UNREAD, ...known})).toBe(expected);
+  });
+});
+
 function createEntries(count: number, domains: number): ReplicaCandidate[] {
   return Array.from({length: count}, (_, i) => ({
     address: `10.0.${i % domains}.${i}:7`,
--- a/packages/banyanfold-decisions/src/index.ts
+++ b/packages/banyanfold-decisions/src/index.ts
@@ -17,6 +17,7 @@
 export * from './priorityWeight.js';
 export * from './streams/chooseReplicas.js';
 export * from './streams/decideContinuation.js';
+export * from './streams/findOnlyVersion.js';
 export * from './limits/decideRateLimit.js';
 export * from './usage/decayingRate.js';
 export * from './usage/fleetUsage.js';
--- a/packages/banyanfold-gateway/src/__tests__/originLookup.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/originLookup.test.ts
@@ -13,6 +13,8 @@
 /** Versions that each replica knows; a replica without an entry is frozen. */
 let known: Map<string, Map<string, string>>;
 let asked: string[][];
+/** How long each replica has followed the runners. */
+let followedMs: Map<string, number>;
 let lookup: OriginLookup;
 
 beforeEach(() => {
@@ -27,6 +29,10 @@
     ['c:7', new Map()],
   ]);
   asked = [];
+  followedMs = new Map([
+    ['b:7', 700],
+    ['c:7', 900],
+  ]);
   lookup = new OriginLookup({
     clock,
     address: 'a:7',
@@ -48,7 +54,9 @@
   return {
     origins: [...versions],
     mixedServices: ['drafting'],
+    soleVersions: [['plain', `of ${address}`] as [string, string]],
     isHistoryComplete: true,
+    followedMs: followedMs.get(address),
   };
 }
 
@@ -89,6 +97,48 @@
     expect((await find(10))?.version).toBe('v1');
   });
 
+  it('is answered with what all peers know of versions', async () => {
+    expect(await find(10)).toMatchObject({
+      soleVersions: [
+        ['plain', 'of b:7'],
+        ['plain', 'of c:7'],
+      ],
+      followedMs: 700,
+    });
+  });
+
+  // Guards against going by peers of which one remembers nothing or is silent.
+  it('is not known of all peers if one follows nothing or is silent', async () => {
+    followedMs.delete('c:7');
+    expect((await find(10))?.followedMs).toBe(0);
+    known.delete('b:7');
+    expect((await find(MAX_WAIT_MS))?.followedMs).toBeUndefined();
+  });
+
+  // Guards against going by the other peers once the holder, which may be cut
+  // off itself, no longer names one that still serves.
+  it('is not known of all peers for a minute after one was named', async () => {
+    lookup.refresh();
+    replicas = replicas!.slice(0, 2);
+    entryCount = 2;
+    expect(await find(10)).toMatchObject({
+      isExhaustive: true,
+      followedMs: undefined,
+    });
+    await clock.advance(60_000);
+    expect((await find(10))?.followedMs).toBe(700);
+  });
+
+  it('ends once enough is known', async () => {
+    known.delete('b:7');
+    let result: LookupResult | undefined;
+    const enough = Promise.resolve();
+    const searching = lookup.find('s1', MAX_WAIT_MS, enough);
+    void searching.then(found => (result = found));
+    await clock.advance(0);
+    expect(result).toMatchObject({answers: 0, followedMs: undefined});
+  });
+
   it('is sought in one call with others', async () => {
     void lookup.find('s2', MAX_WAIT_MS);
     await find(10);
@@ -100,7 +150,10 @@
 
   it('is answered at once where no replicas are known', async () => {
     replicas = undefined;
-    expect(await find(MAX_WAIT_MS)).toMatchObject({answers: 0});
-    expect(lookup.isAlone).toBe(false);
+    expect(await find(MAX_WAIT_MS)).toMatchObject({
+      answers: 0,
+      isExhaustive: false,
+      followedMs: undefined,
+    });
   });
 });
--- a/packages/banyanfold-gateway/src/__tests__/streamOrigins.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/streamOrigins.model.test.ts
@@ -87,6 +87,7 @@
       memoryMs: DEFAULT_OPTIONS.streamMemoryMs,
       notedServices: () => fleet.notedServices,
       untilNotesRead: () => Promise.resolve(),
+      confirmRunners: async () => this.fleet.confirmRunners(this),
     });
   }
 
@@ -127,6 +128,11 @@
     }
   }
 
+  confirmRunners(entry: Entry): boolean {
+    if (entry.isInTouch) this.readRunners(entry);
+    return entry.isInTouch;
+  }
+
   private readRunners({view, clock}: Entry): void {
     for (const [runnerId, softwareVersion] of this.versions) {
       view.onRegistration({
--- a/packages/banyanfold-gateway/src/__tests__/streamOrigins.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/streamOrigins.test.ts
@@ -25,8 +25,8 @@
 let clock: SuspendableClock;
 let view: FleetView;
 let found: LookupResult;
-let isAlone: boolean;
 let noted: ReadonlySet<string> | undefined;
+let isConfirmed: boolean;
 let replicated: string[];
 let origins: StreamOrigins;
 
@@ -38,17 +38,14 @@
     answers: 0,
     isExhaustive: false,
     mixedServices: new Set(),
+    soleVersions: [],
+    followedMs: undefined,
     hasCompleteHistory: false,
   };
-  isAlone = false;
+  isConfirmed = true;
   noted = new Set();
   replicated = [];
-  const lookup = {
-    find: async () => found,
-    get isAlone() {
-      return isAlone;
-    },
-  };
+  const lookup = {find: async () => found, refresh: () => {}};
   const replicator = {
     add: ({requestId}: {requestId: string}) => replicated.push(requestId),
   };
@@ -61,6 +58,7 @@
     memoryMs: MEMORY_MS,
     notedServices: () => noted,
     untilNotesRead: () => Promise.resolve(),
+    confirmRunners: async () => isConfirmed,
   });
   view.onCaughtUp();
   register('r1', 'v1');
@@ -104,22 +102,68 @@
     expect(await outcomeOf('s1')).toBe('');
   });
 
-  // Guards against a guess by an entry that is cut off from the store and peers.
-  it('is refused if the view is old and no peer answers', async () => {
+  // Guards against a guess by an entry that is cut off from the store, however
+  // recent its view is, and against going by some of the peers.
+  it.each([0, FREEZE_MS])(
+    'is refused if neither the store nor all peers answer, at age %i ms',
+    async ageMs => {
+      await clock.advance(ageMs);
+      isConfirmed = false;
+      expect(await outcomeOf('s1')).toBe('origin-unknown');
+      found = {...found, answers: 1};
+      expect(await outcomeOf('s1')).toBe('origin-unknown');
+      found = {...found, isExhaustive: true, followedMs: MEMORY_MS};
+      expect(await outcomeOf('s1')).toBe('v1');
+    },
+  );
+
+  // Guards against a guess where a peer has forgotten which versions it used.
+  it('is refused if a peer started after the view was read', async () => {
     await clock.advance(FREEZE_MS);
+    isConfirmed = false;
+    found = {...found, isExhaustive: true, followedMs: FREEZE_MS - 1};
     expect(await outcomeOf('s1')).toBe('origin-unknown');
-    found = {...found, answers: 1};
-    expect(await outcomeOf('s1')).toBe('v1');
   });
 
   // Guards against a guess by an entry that was suspended: its view seems fresh.
-  it('is refused after a suspension until the view is confirmed', async () => {
+  it('is refused after a suspension until the runners are read', async () => {
+    await clock.advance(1);
     clock.suspend(FREEZE_MS);
+    isConfirmed = false;
+    found = {...found, isExhaustive: true, followedMs: MEMORY_MS};
     expect(await outcomeOf('s1')).toBe('origin-unknown');
     await clock.advance(1);
     view.onRunnersCurrent(clock.nowMs());
     await clock.advance(1);
     expect(await outcomeOf('s1')).toBe('v1');
+    clock.suspend(FREEZE_MS);
+    isConfirmed = true;
+    found = {...found, isExhaustive: false, followedMs: undefined};
+    expect(await outcomeOf('s1')).toBe('v1');
+  });
+
+  // Guards against a guess where the peers have read of another single version.
+  it('is refused if a peer knows another version only', async () => {
+    found = {...found, soleVersions: [[SERVICE, 'v2']]};
+    expect(await outcomeOf('s1')).toBe('origin-unknown');
+    found = {...found, soleVersions: [['other', 'v2']]};
+    expect(await outcomeOf('s1')).toBe('v1');
+  });
+
+  // Guards against a history that lacks versions that came and went unread.
+  it('is refused after a gap until all peers or a whole history tell', async () => {
+    await clock.advance(FREEZE_MS);
+    view.onRunnersGap();
+    view.onCaughtUp();
+    view.onRunnersCurrent(clock.nowMs());
+    expect(await outcomeOf('s1')).toBe('origin-unknown');
+    expect(origins.handleFind({requestIds: []}).isHistoryComplete).toBe(false);
+    found = {...found, followedMs: FREEZE_MS};
+    expect(await outcomeOf('s1')).toBe('v1');
+    found = {...found, followedMs: FREEZE_MS - 1};
+    expect(await outcomeOf('s1')).toBe('origin-unknown');
+    found = {...found, hasCompleteHistory: true};
+    expect(await outcomeOf('s1')).toBe('v1');
   });
 
   // Guards against a guess by an entry that has missed a new version.
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -267,6 +267,7 @@
       replicaList,
       noteStore: deps.versionNotes,
       entryCount: () => this.entryCount,
+      confirmRunners: () => deps.fleet.confirmRunners(),
     });
     this.holderLink = new HolderLink({
       clock,
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -92,8 +92,15 @@
   origins: originsSchema,
   /** Services whose runners have had several versions lately. */
   mixedServices: z.array(z.string()),
+  /** The version of each of the other services. */
+  soleVersions: z.array(z.tuple([z.string(), z.string()])).optional(),
   /** Whether the sender has seen all versions that matter. */
   isHistoryComplete: z.boolean(),
+  /**
+   * How long the sender has followed the runners, and remembered which versions
+   * it used, in ms; absent until it has read the runners.
+   */
+  followedMs: z.number().optional(),
 });
 
 export type NoteOriginsInput = z.infer<typeof noteOriginsInputSchema>;
--- a/packages/banyanfold-gateway/src/requests/requestLog.ts
+++ b/packages/banyanfold-gateway/src/requests/requestLog.ts
@@ -102,7 +102,7 @@
   /** Logs where a stream that the caller takes up may go on. */
   takeUp(resolved: ResolvedContinuation, sinceMs: number): void {
     const {context, decoded, route} = this.options;
-    const {continuation, source, ageMs, answers} = resolved;
+    const {continuation, source, ageMs, answers, isConfirmed} = resolved;
     const isRefused = continuation.kind === 'refuse';
     this.logEvent('take-up', {
       route: route.name,
@@ -113,6 +113,7 @@
       source,
       recordAgeMs: ageMs === undefined ? undefined : Math.round(ageMs),
       answers,
+      isConfirmed,
       runnersAgeMs: this.runnersAgeMs(),
       waitedMs: Math.round(context.clock.nowMs() - sinceMs),
     });
--- a/packages/banyanfold-gateway/src/streams/originLookup.ts
+++ b/packages/banyanfold-gateway/src/streams/originLookup.ts
@@ -30,6 +30,13 @@
   isExhaustive: boolean;
   /** Services that a peer knows to have had several versions. */
   mixedServices: ReadonlySet<string>;
+  /** Services and the only version that a peer knows of. */
+  soleVersions: ReadonlyArray<[service: string, version: string]>;
+  /**
+   * The shortest time for which a peer has followed the runners. Undefined unless
+   * all peers, and all that were named in the last minute, have answered.
+   */
+  followedMs: number | undefined;
   /** A peer that answered has seen all versions that matter. */
   hasCompleteHistory: boolean;
 }
@@ -41,6 +48,11 @@
  * be among them: its records reach the replicas in batches.
  */
 const REPEAT_MS = 300;
+/**
+ * The holder no longer names an entry that it doesn't reach. Such an entry may
+ * still serve, and know streams and versions that no other does.
+ */
+const NAMED_MS = 60_000;
 
 interface Search {
   requestId: string | undefined;
@@ -49,8 +61,12 @@
     answers: number;
     isExhaustive: boolean;
     mixedServices: Set<string>;
+    soleVersions: Array<[service: string, version: string]>;
+    followedMs: number | undefined;
     hasCompleteHistory: boolean;
   };
+  /** Of the peers that have answered, the shortest; 0 if one doesn't follow. */
+  shortestFollowedMs: number;
   finish(): void;
 }
 
@@ -58,12 +74,18 @@
 export class OriginLookup {
   private gathered: Search[] = [];
   private gatherTimer: Timer | undefined;
+  /** When each peer was named last. */
+  private readonly namedMs = new Map<string, number>();
 
   constructor(private readonly options: OriginLookupOptions) {}
 
-  /** Whether a holder has named no other entry. */
-  get isAlone(): boolean {
-    return this.options.replicas() !== undefined && this.peers.length === 0;
+  /** Records which peers are named; call it at short intervals. */
+  refresh(): void {
+    const nowMs = this.options.clock.nowMs();
+    for (const address of this.peers) this.namedMs.set(address, nowMs);
+    for (const [address, namedMs] of this.namedMs) {
+      if (nowMs - namedMs > NAMED_MS) this.namedMs.delete(address);
+    }
   }
 
   /**
@@ -71,10 +93,12 @@
    * or the time is up.
    *
    * @param requestId undefined if the caller names none.
+   * @param untilEnough ends the search early with what is known by then.
    */
   find(
     requestId: string | undefined,
     maxWaitMs: number,
+    untilEnough?: Promise<void>,
   ): Promise<LookupResult> {
     const {clock} = this.options;
     return new Promise(resolve => {
@@ -83,6 +107,8 @@
         answers: 0,
         isExhaustive: false,
         mixedServices: new Set(),
+        soleVersions: [],
+        followedMs: undefined,
         hasCompleteHistory: false,
       };
       const timer = clock.setTimer(maxWaitMs, () => resolve(result));
@@ -90,7 +116,8 @@
         timer.cancel();
         resolve(result);
       };
-      this.gather({requestId, result, finish});
+      void untilEnough?.then(finish);
+      this.gather({requestId, result, shortestFollowedMs: Infinity, finish});
     });
   }
 
@@ -113,12 +140,22 @@
     const isAnswered = await this.askOnce(searches);
     const areAllReplicas = this.peers.length + 1 >= entryCount();
     const open = searches.filter(({result}) => result.version === undefined);
-    if (areAllReplicas) return finishAll(open, isAnswered);
+    if (areAllReplicas) return this.finishAll(open, isAnswered);
     clock.setTimer(REPEAT_MS, () => {
-      void this.askOnce(open).then(isWhole => finishAll(open, isWhole));
+      void this.askOnce(open).then(isWhole => this.finishAll(open, isWhole));
     });
   }
 
+  private finishAll(searches: readonly Search[], isExhaustive: boolean): void {
+    this.refresh();
+    const isEachNamed = this.namedMs.size === this.peers.length;
+    for (const {result, shortestFollowedMs, finish} of searches) {
+      result.isExhaustive = isExhaustive;
+      if (isExhaustive && isEachNamed) result.followedMs = shortestFollowedMs;
+      finish();
+    }
+  }
+
   /** @returns whether all peers have answered. */
   private async askOnce(searches: readonly Search[]): Promise<boolean> {
     const ids = searches.flatMap(({requestId}) => requestId ?? []);
@@ -134,22 +171,20 @@
   }
 }
 
-function finishAll(searches: readonly Search[], isExhaustive: boolean): void {
-  for (const {result, finish} of searches) {
-    result.isExhaustive = isExhaustive;
-    finish();
-  }
-}
-
 function applyAnswer(
   searches: readonly Search[],
-  {origins, mixedServices, isHistoryComplete}: FindOriginsOutput,
+  output: FindOriginsOutput,
 ): void {
+  const {origins, mixedServices, soleVersions = [], followedMs = 0} = output;
   const versions = new Map(origins);
-  for (const {requestId, result, finish} of searches) {
+  for (const search of searches) {
+    const {requestId, result, finish} = search;
+    const shortestMs = Math.min(search.shortestFollowedMs, followedMs);
+    search.shortestFollowedMs = shortestMs;
     result.answers += 1;
-    result.hasCompleteHistory ||= isHistoryComplete;
+    result.hasCompleteHistory ||= output.isHistoryComplete;
     for (const service of mixedServices) result.mixedServices.add(service);
+    result.soleVersions.push(...soleVersions);
     if (requestId !== undefined) result.version ??= versions.get(requestId);
     if (result.version !== undefined) finish();
   }
--- a/packages/banyanfold-gateway/src/streams/originService.ts
+++ b/packages/banyanfold-gateway/src/streams/originService.ts
@@ -28,6 +28,8 @@
   replicaList: ReplicaList;
   noteStore: VersionNoteStore;
   entryCount(): number;
+  /** Reads the runners at once; see `FleetSource`. */
+  confirmRunners(): Promise<boolean>;
 }
 
 /** Two replicas, and one that replaces a replica that was lost. */
@@ -76,6 +78,7 @@
       memoryMs: options.streamMemoryMs,
       notedServices: () => this.notes.services,
       untilNotesRead: () => this.notes.untilRead(),
+      confirmRunners: deps.confirmRunners,
     });
     this.notes = new VersionNotes({
       clock,
--- a/packages/banyanfold-gateway/src/streams/streamOrigins.ts
+++ b/packages/banyanfold-gateway/src/streams/streamOrigins.ts
@@ -1,5 +1,12 @@
-import type {Clock, Metrics} from '@banyanfold/core';
-import {decideContinuation, type Continuation} from '@banyanfold/decisions';
+import {sleep, type Clock, type Metrics} from '@banyanfold/core';
+import {
+  decideContinuation,
+  findOnlyVersion,
+  hasSeveralVersions,
+  isPastSeen,
+  type Continuation,
+  type VersionEvidence,
+} from '@banyanfold/decisions';
 import type {
   FindOriginsInput,
   FindOriginsOutput,
@@ -10,6 +17,7 @@
 import {OriginRecords, type StreamOrigin} from './originRecords.js';
 import type {OriginReplicator} from './originReplicator.js';
 import {originKey} from './originKey.js';
+import {SharedRead} from './sharedRead.js';
 import {VersionHistory} from './versionHistory.js';
 
 export interface StreamOriginsOptions {
@@ -27,6 +35,11 @@
   notedServices(): ReadonlySet<string> | undefined;
   /** Resolves once the notes have been read, or after a short time. */
   untilNotesRead(): Promise<void>;
+  /**
+   * Reads the runners at once. Resolves to whether each registration and removal
+   * up to the time of the call has been passed to the view, none left out.
+   */
+  confirmRunners(): Promise<boolean>;
 }
 
 /** A continuation, and the inputs of the decision for the log. */
@@ -37,6 +50,8 @@
   ageMs?: number;
   /** Peers that answered. */
   answers: number;
+  /** Whether the runners were read for this decision. */
+  isConfirmed: boolean;
   /**
    * No other entry can know more, so a caller need not return. A version that
    * this entry has not read about may serve all the same.
@@ -50,17 +65,34 @@
 const REPLICATE_AGAIN_MS = 20_000;
 /** Peers that are awake answer within some ms. */
 const LOOKUP_MS = 600;
-/** A frozen peer must not hold up streams where one version serves. */
+/**
+ * A frozen peer must not hold up streams where one version serves and the store
+ * has shown that no other one has joined.
+ */
 const SINGLE_VERSION_LOOKUP_MS = 100;
-/** Entries know changes of the runners within this time while in touch. */
+/** The store answers within some ms where it answers at all. */
+const CONFIRM_WAIT_MS = 250;
+/**
+ * Entries in touch know changes of the runners within this time. Registrations
+ * last longer: until a runner has drained, or has missed three heartbeats.
+ */
 const MAX_VIEW_AGE_MS = 2_000;
 
-const NO_ANSWERS: LookupResult = {
+/** What the store and the peers have answered when a stream is taken up. */
+interface Answers extends LookupResult {
+  /** The runners known here are those of a read sent after the take-up came. */
+  isConfirmed: boolean;
+}
+
+const NO_ANSWERS: Answers = {
   version: undefined,
   answers: 0,
   isExhaustive: false,
   mixedServices: new Set(),
+  soleVersions: [],
+  followedMs: undefined,
   hasCompleteHistory: false,
+  isConfirmed: false,
 };
 
 /**
@@ -72,9 +104,11 @@
   readonly history: VersionHistory;
   private readonly records: OriginRecords;
   private readonly clockJumps: ClockJumps;
+  private readonly confirmations: SharedRead<boolean>;
 
   constructor(private readonly options: StreamOriginsOptions) {
     const {clock, view, memoryMs} = options;
+    this.confirmations = new SharedRead(() => options.confirmRunners());
     const nowMs = () => clock.nowMs();
     this.history = new VersionHistory({nowMs, horizonMs: memoryMs});
     this.records = new OriginRecords({
@@ -85,6 +119,7 @@
     this.clockJumps = new ClockJumps(clock);
     view.onChange(change => {
       if (change.kind === 'caught-up') this.history.startWatching();
+      if (change.kind === 'runners-gap') this.noteGap(change.lengthMs);
       if (change.kind === 'runner-removed') {
         this.history.noteRemoval(change.runnerId);
       }
@@ -102,9 +137,15 @@
   /** Drops versions that no longer matter. */
   refresh(): void {
     this.history.refresh(this.options.view.allRunners());
+    this.options.lookup.refresh();
     this.clockJumps.check();
   }
 
+  private noteGap(lengthMs: number): void {
+    if (lengthMs <= MAX_VIEW_AGE_MS) return;
+    this.history.noteGap(this.options.clock.nowMs() - lengthMs);
+  }
+
   /**
    * Records that events of a stream are about to be forwarded.
    *
@@ -140,10 +181,14 @@
       const known = this.records.find(requestId);
       return known ? [[requestId, known.version] as [string, string]] : [];
     });
+    const {history} = this;
+    const {runnersAgeMs = Infinity} = this.options.view;
     return {
       origins,
-      mixedServices: this.history.mixedServices(),
-      isHistoryComplete: this.history.isComplete,
+      mixedServices: history.mixedServices(),
+      soleVersions: history.soleVersions(),
+      isHistoryComplete: history.isComplete && runnersAgeMs <= MAX_VIEW_AGE_MS,
+      followedMs: history.followedMs,
     };
   }
 
@@ -163,11 +208,12 @@
     const found = own ? NO_ANSWERS : await this.lookUp(key, service);
     if (!own && !this.history.isComplete) await this.options.untilNotesRead();
     const version = own?.version ?? found.version;
+    const evidence = this.evidenceOf(service, found);
     const continuation = decideContinuation({
       originVersion: version,
       isOriginGone:
         version !== undefined && this.history.isGone(service, version),
-      onlyVersion: this.onlyVersion(service, found),
+      onlyVersion: findOnlyVersion(evidence),
     });
     if (key !== undefined && version !== undefined) {
       this.records.put({requestId: key, version});
@@ -183,48 +229,90 @@
       source,
       ageMs: own?.ageMs,
       answers: found.answers,
+      isConfirmed: found.isConfirmed,
       isFinal:
         version === undefined
-          ? found.isExhaustive
+          ? found.isExhaustive && hasSeveralVersions(evidence)
           : this.history.versionsOf(service).includes(version),
     };
   }
 
-  /** Without a key, peers still tell which services have several versions. */
-  private lookUp(
+  /**
+   * Asks the peers and, where one version is known, the store at the same time.
+   * Without a key, peers still tell which versions they know.
+   */
+  private async lookUp(
     key: string | undefined,
     service: string,
-  ): Promise<LookupResult> {
-    const maxWaitMs = this.history.hasSeveral(service)
-      ? LOOKUP_MS
-      : SINGLE_VERSION_LOOKUP_MS;
-    return this.options.lookup.find(key, maxWaitMs);
+  ): Promise<Answers> {
+    const {lookup} = this.options;
+    if (this.history.hasSeveral(service)) {
+      const found = await lookup.find(key, LOOKUP_MS);
+      return {...found, isConfirmed: false};
+    }
+    const confirming = this.confirm();
+    const searching = lookup.find(
+      key,
+      LOOKUP_MS,
+      this.untilConfirmed(service, confirming),
+    );
+    const isFound = (await searching).version !== undefined;
+    const isConfirmed = isFound ? false : await confirming;
+    return {...(await searching), isConfirmed};
+  }
+
+  /** Resolves to whether the view is now that of a read sent after this call. */
+  private confirm(): Promise<boolean> {
+    const {clock} = this.options;
+    return Promise.race([
+      // A read that fails, for whatever reason, has confirmed nothing.
+      this.confirmations.sendNext().catch(() => false),
+      sleep(clock, CONFIRM_WAIT_MS).then(() => false),
+    ]);
   }
 
-  /** The only version that has served; undefined if that is not certain. */
-  private onlyVersion(
+  /** Ends the wait for peers once the store has shown that one version serves. */
+  private async untilConfirmed(
     service: string,
-    found: LookupResult,
-  ): string | undefined {
-    const {lookup, notedServices} = this.options;
-    const [version, ...others] = this.history.versionsOf(service);
-    if (others.length > 0 || found.mixedServices.has(service)) return undefined;
-    const isCurrent = this.isViewFresh || found.answers > 0 || lookup.isAlone;
-    const noted = notedServices();
-    const isPastKnown =
-      this.history.isComplete ||
-      found.hasCompleteHistory ||
-      (noted !== undefined && !noted.has(service));
-    return isCurrent && isPastKnown ? version : undefined;
+    confirming: Promise<boolean>,
+  ): Promise<void> {
+    await sleep(this.options.clock, SINGLE_VERSION_LOOKUP_MS);
+    const isConfirmed = await confirming;
+    const evidence = this.evidenceOf(service, NO_ANSWERS);
+    const isEnough =
+      isConfirmed &&
+      isPastSeen(evidence, false) &&
+      !hasSeveralVersions(evidence);
+    if (!isEnough) await new Promise<never>(() => {});
   }
 
-  /**
-   * Whether the runners are known as of now. After the process was suspended the
-   * view seems fresh by the monotonic clock, which may not count that time.
-   */
-  private get isViewFresh(): boolean {
-    const {runnersAgeMs: ageMs} = this.options.view;
-    if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS) return false;
-    return ageMs < this.clockJumps.sinceLastMs();
+  private evidenceOf(service: string, found: Answers): VersionEvidence {
+    const {history, clockJumps} = this;
+    const {runnersAgeMs = Infinity} = this.options.view;
+    // The monotonic clock may not count the time in which it was suspended.
+    const isAgeKnown = runnersAgeMs < clockJumps.sinceLastMs();
+    return {
+      versions: history.versionsOf(service),
+      peerVersions: found.soleVersions
+        .filter(([name]) => name === service)
+        .map(([, version]) => version),
+      havePeersSeenSeveral: found.mixedServices.has(service),
+      isConfirmed: found.isConfirmed,
+      isHistoryComplete: history.isComplete,
+      hasPeerCompleteHistory: found.hasCompleteHistory,
+      isStartKnown: this.isStartKnown(service),
+      gapAgeMs: history.gapAgeMs,
+      readAgeMs: isAgeKnown ? runnersAgeMs : Infinity,
+      peersFollowedMs: found.followedMs,
+    };
+  }
+
+  /** Whether the versions before this process started are all known. */
+  private isStartKnown(service: string): boolean {
+    const {memoryMs, notedServices} = this.options;
+    const {followedMs = 0} = this.history;
+    const noted = notedServices();
+    const isNotedSingle = noted !== undefined && !noted.has(service);
+    return followedMs >= memoryMs || isNotedSingle;
   }
 }
--- a/packages/banyanfold-gateway/src/streams/versionHistory.ts
+++ b/packages/banyanfold-gateway/src/streams/versionHistory.ts
@@ -23,22 +23,43 @@
   private readonly runners = new Map<string, VersionedRunner>();
   /** When a runner that was not leaving was removed last, by version. */
   private readonly removals = new Map<string, number>();
-  private watchedSinceMs: number | undefined;
+  private startedMs: number | undefined;
+  /** When versions may have come and gone unseen last. */
+  private gap: {fromMs: number; untilMs: number} | undefined;
 
   constructor(private readonly options: VersionHistoryOptions) {}
 
   /** Records that all registrations are passed on from now on. */
   startWatching(): void {
-    this.watchedSinceMs ??= this.options.nowMs();
+    this.startedMs ??= this.options.nowMs();
+  }
+
+  /** Records that registrations may have come and gone unseen until now. */
+  noteGap(fromMs: number): void {
+    const isOngoing = this.gapAgeMs !== undefined;
+    this.gap = {
+      fromMs: isOngoing ? Math.min(this.gap!.fromMs, fromMs) : fromMs,
+      untilMs: this.options.nowMs(),
+    };
+  }
+
+  /** Time since registrations have been passed on; undefined before that. */
+  get followedMs(): number | undefined {
+    if (this.startedMs === undefined) return undefined;
+    return this.options.nowMs() - this.startedMs;
+  }
+
+  /** Time since the gaps that still matter began; undefined if there are none. */
+  get gapAgeMs(): number | undefined {
+    const {nowMs, horizonMs} = this.options;
+    if (!this.gap || nowMs() - this.gap.untilMs >= horizonMs) return undefined;
+    return nowMs() - this.gap.fromMs;
   }
 
   /** Whether all versions that matter have been seen. */
   get isComplete(): boolean {
-    const {nowMs, horizonMs} = this.options;
-    return (
-      this.watchedSinceMs !== undefined &&
-      nowMs() - this.watchedSinceMs >= horizonMs
-    );
+    const {followedMs = 0} = this;
+    return followedMs >= this.options.horizonMs && this.gapAgeMs === undefined;
   }
 
   /** Records the version of a registered runner. */
@@ -110,6 +131,13 @@
     return (this.services.get(service)?.size ?? 0) > 1;
   }
 
+  /** The version of each service that has had only one. */
+  soleVersions(): Array<[service: string, version: string]> {
+    return [...this.services]
+      .filter(([, versions]) => versions.size === 1)
+      .map(([service, versions]) => [service, [...versions.keys()][0]!]);
+  }
+
   /** Services at which streams can have begun at several versions. */
   mixedServices(): string[] {
     return [...this.services.keys()].filter(each => this.hasSeveral(each));
