Wait for a slow store until peers may no longer answer

Callers whose streams were taken up at a slow entry were refused where one version serves: the entry gave the store 0.25 s and then only waited for peers, for 0.6 s in all, which were as slow to reach. The store's answer, due after 0.4 s, was not looked at.

The store now has as long as the peers; 0.25 s counts from the time at which all peers have answered, so that a store that is down still holds up streams for a short time only.

Evidence: the test of a slow entry in outOfStep.model.test.ts (0.4 s to a peer and back, 0.4 s to the store; virtual clock) failed before and passes now; a store that is down takes 0.3 s at most there, before and now.

--- a/packages/banyanfold-gateway/src/__tests__/outOfStep.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/outOfStep.model.test.ts
@@ -23,6 +23,8 @@
 const SERVICE = 'drafting';
 const HOP_MS = 2;
 const SLOW_HOP_MS = 120;
+/** Peers don't answer in time then, and the store answers within 0.4 s. */
+const VERY_SLOW_HOP_MS = 200;
 const POLL_MS = 400;
 const CALL_TIMEOUT_MS = 300;
 const READ_TIMEOUT_MS = 1_000;
@@ -499,6 +501,26 @@
     },
   );
 
+  // Guards against refusing streams because the store and the peers are slow.
+  it('goes on by the store at an entry that is slow', async () => {
+    const {resolved, tookMs} = await takeUpAfter(100, fleet => {
+      fleet.entry(1).hopMs = VERY_SLOW_HOP_MS;
+    });
+    expect(versionOfResult(resolved)).toBe('v1');
+    expect(tookMs).toBeLessThanOrEqual(600);
+  });
+
+  // Guards against a long wait for a store that gives no answer.
+  it('is decided by the peers within some time', async () => {
+    const {resolved, tookMs} = await takeUpAfter(5_000, fleet => {
+      for (const i of all) {
+        TROUBLES['cut off from the store']!(fleet.entry(i), 0);
+      }
+    });
+    expect(versionOfResult(resolved)).toBe('v1');
+    expect(tookMs).toBeLessThanOrEqual(300);
+  });
+
   it('is decided within two round trips to the store and the peers', async () => {
     const {resolved, tookMs} = await takeUpAfter(100, () => {});
     expect(versionOfResult(resolved)).toBe('v1');
--- a/packages/banyanfold-gateway/src/streams/streamOrigins.ts
+++ b/packages/banyanfold-gateway/src/streams/streamOrigins.ts
@@ -70,7 +70,7 @@
  * has shown that no other one has joined.
  */
 const SINGLE_VERSION_LOOKUP_MS = 100;
-/** The store answers within some ms where it answers at all. */
+/** Wait for the store once the answers of all peers may do without it. */
 const CONFIRM_WAIT_MS = 250;
 /**
  * Entries in touch know changes of the runners within this time. Registrations
@@ -256,19 +256,25 @@
       LOOKUP_MS,
       this.untilConfirmed(service, confirming),
     );
-    const isFound = (await searching).version !== undefined;
-    const isConfirmed = isFound ? false : await confirming;
-    return {...(await searching), isConfirmed};
+    const found = await searching;
+    if (found.version !== undefined) return {...found, isConfirmed: false};
+    const haveAllAnswered = found.followedMs !== undefined;
+    const isConfirmed = haveAllAnswered
+      ? await this.within(CONFIRM_WAIT_MS, confirming)
+      : await confirming;
+    return {...found, isConfirmed};
   }
 
   /** Resolves to whether the view is now that of a read sent after this call. */
   private confirm(): Promise<boolean> {
+    // A read that fails, for whatever reason, has confirmed nothing.
+    const confirming = this.confirmations.sendNext().catch(() => false);
+    return this.within(LOOKUP_MS, confirming);
+  }
+
+  private within(maxMs: number, confirming: Promise<boolean>) {
     const {clock} = this.options;
-    return Promise.race([
-      // A read that fails, for whatever reason, has confirmed nothing.
-      this.confirmations.sendNext().catch(() => false),
-      sleep(clock, CONFIRM_WAIT_MS).then(() => false),
-    ]);
+    return Promise.race([confirming, sleep(clock, maxMs).then(() => false)]);
   }
 
   /** Ends the wait for peers once the store has shown that one version serves. */
