--- a/packages/banyanfold-gateway/src/__tests__/streamOrigins.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/streamOrigins.model.test.ts
@@ -88,6 +88,7 @@
       memoryMs: DEFAULT_OPTIONS.streamMemoryMs,
       notedServices: () => fleet.notedServices,
       untilNotesRead: () => Promise.resolve(),
+      confirmRunners: async () => this.fleet.confirmRunners(this),
     });
   }
 
@@ -128,6 +129,11 @@
     }
   }
 
+  confirmRunners(entry: Entry): boolean {
+    if (entry.isInTouch) this.readRunners(entry);
+    return entry.isInTouch;
+  }
+
   private readRunners({view, clock}: Entry): void {
     for (const [runnerId, softwareVersion] of this.versions) {
       view.onRegistration({
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -267,6 +267,7 @@
       replicaList,
       noteStore: deps.versionNotes,
       entryCount: () => this.entryCount,
+      confirmRunners: () => deps.fleet.confirmRunners(),
     });
     this.holderLink = new HolderLink({
       clock,
@@ -459,6 +460,7 @@
       onRegistration: registration => this.view.onRegistration(registration),
       onRemoval: runnerId => this.view.onRemoval(runnerId),
       onRunnersCurrent: atMs => this.view.onRunnersCurrent(atMs),
+      onRunnersGap: () => this.view.onRunnersGap(),
       onCaughtUp: () => this.view.onCaughtUp(),
       isRelayed: () => this.holderLink.isRelayed,
     });
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -101,8 +101,15 @@
   origins: originsSchema,
   /** Services whose runners have had several versions lately. */
   mixedServices: listOf(textSchema),
+  /** The version of each of the other services. */
+  soleVersions: listOf(z.tuple([textSchema, textSchema])).optional(),
   /** Whether the sender has seen all versions that matter. */
   isHistoryComplete: z.boolean(),
+  /**
+   * How long the sender has followed the runners, and remembered which versions
+   * it used, in ms; absent until it has read the runners.
+   */
+  followedMs: amountSchema.optional(),
 });
 
 export type NoteOriginsInput = z.infer<typeof noteOriginsInputSchema>;
