Soak: judge processes that end by themselves in every run

Callers lose all streams of an entry that ends by itself.

All runs share the rule now. The supervisor keeps the end of what a process writes, on standard output and standard error, and the verdict names the process, its exit code and the line with the error, or else its last line. A process that is told to end and exits with a failure counts too: it had to end by the signal or with 0.

--- a/soak/src/crashingPartRun.ts
+++ b/soak/src/crashingPartRun.ts
@@ -9,6 +9,7 @@
 } from '@banyanfold/platform/standins';
 import type {EntryProcess} from './entryProcess.js';
 import type {Violation} from './soakRecord.js';
+import {ownEndViolations} from './ownEnds.js';
 import {pause} from './pause.js';
 import {createDraw} from './random.js';
 import {startEntries} from './startEntries.js';
@@ -200,7 +201,7 @@
   {isWithoutCrashingPart, disturb}: Scenario,
   system: CrashingPartSystem,
 ): Promise<CrashingPartVerdict> {
-  const {traffic, crashesMs, platform} = system;
+  const {traffic, crashesMs, platform, entries} = system;
   const startMs = performance.now();
   traffic.startSound();
   await pause(BEFORE_MS);
@@ -216,7 +217,7 @@
       ({requestId, atMs}) => requestId.startsWith('crashing') && atMs > knownMs,
     ).length;
   const soundAfter = traffic.soundShare(lastMs + 2 * CONTACT_MS);
-  const violations: Violation[] = [];
+  const violations: Violation[] = ownEndViolations(entries);
   if (!isWithoutCrashingPart && lateRuns > ALLOWED_RUNS) {
     const what = `${lateRuns} runs, ${ALLOWED_RUNS} are allowed`;
     violations.push({rule: 'requests with the part are held back', what});
--- a/soak/src/endlessRun.ts
+++ b/soak/src/endlessRun.ts
@@ -10,6 +10,7 @@
 import type {EntryProcess} from './entryProcess.js';
 import {HIGH_LOAD_SETTINGS} from './highLoadSettings.js';
 import {memoryMbOf} from './memoryMbOf.js';
+import {ownEndViolations} from './ownEnds.js';
 import {pause} from './pause.js';
 import type {Violation} from './soakRecord.js';
 import {startEntries} from './startEntries.js';
@@ -194,7 +195,6 @@
   isTimed: boolean,
 ): Violation[] {
   const {wholeStreams, served, memoryMb, longestReadinessMs} = verdict;
-  const ends = entries.flatMap(({ownEnds}) => ownEnds);
   const checks: Array<[isBroken: boolean, rule: string, what: string]> = [
     [wholeStreams < STREAMS, 'streams are whole', `${wholeStreams} are`],
     [served < STREAMS, 'calls are served', `${served} are`],
@@ -204,11 +204,13 @@
       'readiness',
       `answered after ${longestReadinessMs.toFixed(0)} ms`,
     ],
-    [ends.length > 0, 'no process ends by itself', ends.join(', ')],
   ];
-  return checks
-    .filter(([isBroken]) => isBroken)
-    .map(([, rule, what]) => ({rule, what}));
+  return [
+    ...checks
+      .filter(([isBroken]) => isBroken)
+      .map(([, rule, what]) => ({rule, what})),
+    ...ownEndViolations(entries),
+  ];
 }
 
 function countServed(calls: readonly Call[]): number {
--- a/soak/src/entryProcess.ts
+++ b/soak/src/entryProcess.ts
@@ -3,6 +3,8 @@
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {entrySettings, type EntryPorts} from '@banyanfold/platform/standins';
+import {OutputTail} from './outputTail.js';
+import type {OwnEnd} from './ownEnds.js';
 import {processorMsOf} from './processorMsOf.js';
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url));
@@ -35,8 +37,8 @@
   readonly readinessPort: number;
   /** The name under which it gives orders to runners. */
   readonly peersAddress: string;
-  /** Ends that nobody asked for. */
-  readonly ownEnds: string[] = [];
+  /** Ends that nobody asked for, and failures while it was to end. */
+  readonly ownEnds: OwnEnd[] = [];
   /** Rises with each start, so that one process is told from the next. */
   starts = 0;
   /** What the process had used when its program began; undefined before. */
@@ -69,20 +71,42 @@
       stdio: ['ignore', 'pipe', 'pipe', 'pipe'],
     });
     this.child = child;
-    child.stdout?.pipe(this.log, {end: false});
-    child.stderr?.pipe(this.log, {end: false});
+    const tail = new OutputTail();
+    for (const output of [child.stdout, child.stderr]) {
+      output?.pipe(this.log, {end: false});
+      output?.on('data', (chunk: Buffer) => tail.add(chunk));
+    }
     child.stdio[MARK_FD]?.once('data', () => {
       if (this.child === child) {
         this.bootProcessorMs = processorMsOf(child.pid ?? 0);
       }
     });
     child.once('exit', (code, signal) => {
-      if (!this.isEnding) this.ownEnds.push(`${code ?? signal}`);
+      // A process that is told to end ends by the signal or with code 0.
+      if (!this.isEnding || code) this.noteOwnEnd(child, tail, code ?? signal);
       this.writeSettings(this.options.keepsFirstStart ?? false);
       setTimeout(() => this.start(), RESTART_MS);
     });
   }
 
+  private noteOwnEnd(
+    child: ChildProcess,
+    tail: OutputTail,
+    exit: number | string | null,
+  ): void {
+    const end: OwnEnd = {
+      entry: this.name,
+      exit: String(exit),
+      atMs: performance.now(),
+      lastLine: tail.lastLine(),
+    };
+    this.ownEnds.push(end);
+    // What it wrote last may come after its exit.
+    child.once('close', () => {
+      end.lastLine = tail.lastLine();
+    });
+  }
+
   /** Of the process that runs now; 0 before the first one. */
   get pid(): number {
     return this.child?.pid ?? 0;
--- a/soak/src/herdRun.ts
+++ b/soak/src/herdRun.ts
@@ -7,6 +7,7 @@
 } from '@banyanfold/platform/standins';
 import type {EntryProcess} from './entryProcess.js';
 import type {Violation} from './soakRecord.js';
+import {ownEndViolations} from './ownEnds.js';
 import {pause} from './pause.js';
 import {createDraw, type Draw} from './random.js';
 import {startEntries} from './startEntries.js';
@@ -110,7 +111,7 @@
   const during = calls.filter(({sentMs}) => sentMs > herdMs + CONTACT_MS);
   const servedBefore = servedShare(before);
   const servedDuring = servedShare(during);
-  const violations: Violation[] = [];
+  const violations: Violation[] = ownEndViolations(entries);
   if (servedDuring < servedBefore * MIN_SHARE) {
     const what = `${servedDuring.toFixed(2)} of calls, ${servedBefore.toFixed(2)} before`;
     violations.push({rule: 'callers that herd are served', what});
--- a/soak/src/lateAnswerRun.ts
+++ b/soak/src/lateAnswerRun.ts
@@ -6,6 +6,7 @@
 } from '@banyanfold/platform/standins';
 import type {EntryProcess} from './entryProcess.js';
 import {NOT_RUN_STATUSES} from './notRunStatuses.js';
+import {ownEndViolations} from './ownEnds.js';
 import {pause} from './pause.js';
 import {createDraw, type Draw} from './random.js';
 import type {Violation} from './soakRecord.js';
@@ -202,7 +203,10 @@
   const calls = await Promise.all(pending);
   const runners = [...platform.runners.values()];
   return {
-    violations: judge(calls, runsById(platform)),
+    violations: [
+      ...judge(calls, runsById(platform)),
+      ...ownEndViolations(entries),
+    ],
     calls: calls.length,
     served: calls.filter(({status}) => status === SERVED).length,
     refused: calls.filter(({status}) => NOT_RUN_STATUSES.has(status)).length,
--- a/soak/src/leavingRun.ts
+++ b/soak/src/leavingRun.ts
@@ -7,6 +7,7 @@
   type LeavingEntry,
   type LeavingWay,
 } from './leavingSystem.js';
+import {ownEndViolations} from './ownEnds.js';
 import {pause} from './pause.js';
 import {createDraw, type Draw} from './random.js';
 
@@ -203,10 +204,16 @@
   return {
     scenario,
     way,
-    violations: late.map(({id, entry, afterMs}) => ({
-      rule: 'a leaving runner gets no more requests',
-      what: `${id} by ${entry}, ${Math.round(afterMs)} ms after its leaving`,
-    })),
+    violations: [
+      ...late.map(({id, entry, afterMs}) => ({
+        rule: 'a leaving runner gets no more requests',
+        what: `${id} by ${entry}, ${Math.round(afterMs)} ms after its leaving`,
+      })),
+      ...ownEndViolations(
+        running.entries.map(({process}) => process),
+        startMs,
+      ),
+    ],
     latestMs: latest?.afterMs ?? 0,
     latestEntry: latest?.entry,
     longestWaitMs: Math.max(0, ...waits),
--- /dev/null
+++ b/soak/src/ownEnds.ts
@@ -0,0 +1,46 @@
+import type {Violation} from './soakRecord.js';
+
+/** How a process ended that nobody had asked to end. */
+export interface OwnEnd {
+  /** Name of its entry. */
+  entry: string;
+  /** Its exit code, or the signal that ended it. */
+  exit: string;
+  /** Time in ms, from the monotonic clock. */
+  atMs: number;
+  /** The last line that it wrote, or the one that names the error. */
+  lastLine: string;
+}
+
+/** What the supervisor knows of one entry. */
+export interface SupervisedEntry {
+  readonly ownEnds: readonly OwnEnd[];
+}
+
+/**
+ * One line for each process that ended by itself.
+ *
+ * @example describeOwnEnds(entries)[0] // 'entry-1: exit 1 after "…"'
+ */
+export function describeOwnEnds(
+  entries: readonly SupervisedEntry[],
+  sinceMs = 0,
+): string[] {
+  return entries
+    .flatMap(({ownEnds}) => ownEnds)
+    .filter(({atMs}) => atMs >= sinceMs)
+    .map(
+      ({entry, exit, lastLine}) => `${entry}: exit ${exit} after "${lastLine}"`,
+    );
+}
+
+/** Judges the processes of a run, whatever it plays. */
+export function ownEndViolations(
+  entries: readonly SupervisedEntry[],
+  sinceMs = 0,
+): Violation[] {
+  return describeOwnEnds(entries, sinceMs).map(what => ({
+    rule: 'no process ends by itself',
+    what,
+  }));
+}
--- a/soak/src/plannedStopRun.ts
+++ b/soak/src/plannedStopRun.ts
@@ -5,6 +5,7 @@
   SlotQueue,
 } from '@banyanfold/platform/standins';
 import type {EntryProcess} from './entryProcess.js';
+import {ownEndViolations} from './ownEnds.js';
 import {pause} from './pause.js';
 import {createDraw, type Draw} from './random.js';
 import type {Violation} from './soakRecord.js';
@@ -150,13 +151,16 @@
   const calls = await Promise.all(pending);
   for (const agent of agents) agent.destroy();
   return {
-    violations: calls
-      .filter(isCut)
-      .filter(({id}) => hasArrived(platform, id))
-      .map(each => ({
-        rule: 'a planned stop cuts off no call that a runner has',
-        what: describe(each),
-      })),
+    violations: [
+      ...calls
+        .filter(isCut)
+        .filter(({id}) => hasArrived(platform, id))
+        .map(each => ({
+          rule: 'a planned stop cuts off no call that a runner has',
+          what: describe(each),
+        })),
+      ...ownEndViolations(entries),
+    ],
     stops,
     calls: calls.length,
     served: calls.filter(each => each.status === SERVED && !each.isTruncated)
--- a/soak/src/restartRun.ts
+++ b/soak/src/restartRun.ts
@@ -1,6 +1,7 @@
 import {PlatformStandin, sendRequest} from '@banyanfold/platform/standins';
 import type {EntryProcess} from './entryProcess.js';
 import type {Violation} from './soakRecord.js';
+import {ownEndViolations} from './ownEnds.js';
 import {pause} from './pause.js';
 import {createDraw, type Draw} from './random.js';
 import {
@@ -131,7 +132,9 @@
   try {
     await untilAllServe(entries);
     const calls = await play({platform, entries, plan, draw});
-    return judge(plan, calls, arrivalsByRequest(platform));
+    const verdict = judge(plan, calls, arrivalsByRequest(platform));
+    verdict.violations.push(...ownEndViolations(entries));
+    return verdict;
   } finally {
     await Promise.all(entries.map(entry => entry.stop()));
     platform.stop();
--- a/soak/src/runSeed.ts
+++ b/soak/src/runSeed.ts
@@ -4,6 +4,7 @@
 import {ConfigProber} from './configProber.js';
 import {FAULT_HANDLERS, type FaultContext} from './faults.js';
 import {judge} from './judge.js';
+import {describeOwnEnds} from './ownEnds.js';
 import {pause} from './pause.js';
 import {createDraw} from './random.js';
 import {planFaults, type PlannedFault} from './soakPlan.js';
@@ -115,9 +116,7 @@
     faults: [...faults, ...system.crashesMs.map(crashAt)],
     probes: prober.probes,
     leavings: system.leavings,
-    ownEnds: system.entries.flatMap(({process: {name, ownEnds}}) =>
-      ownEnds.map(end => `${name}: ${end}`),
-    ),
+    ownEnds: describeOwnEnds(system.entries.map(({process}) => process)),
     notRecovered,
   };
 }
--- a/soak/src/usageCapRun.ts
+++ b/soak/src/usageCapRun.ts
@@ -2,6 +2,7 @@
 import type {EntryProcess} from './entryProcess.js';
 import {HIGH_LOAD_SETTINGS} from './highLoadSettings.js';
 import type {Violation} from './soakRecord.js';
+import {ownEndViolations} from './ownEnds.js';
 import {pause} from './pause.js';
 import {createDraw} from './random.js';
 import {startEntries} from './startEntries.js';
@@ -83,7 +84,9 @@
     const startedMs = performance.now();
     const answers = await play(entries, options.seed);
     const runs = runsSince(platform, startedMs);
-    return judgeCaps(answers, runs);
+    const verdict = judgeCaps(answers, runs);
+    verdict.violations.push(...ownEndViolations(entries));
+    return verdict;
   } finally {
     await Promise.all(entries.map(entry => entry.stop()));
     platform.stop();
--- a/soak/src/versionRun.ts
+++ b/soak/src/versionRun.ts
@@ -7,6 +7,7 @@
 } from '@banyanfold/platform/standins';
 import type {EntryProcess} from './entryProcess.js';
 import type {Violation} from './soakRecord.js';
+import {ownEndViolations} from './ownEnds.js';
 import {pause} from './pause.js';
 import {createDraw, type Draw} from './random.js';
 import {ResumingCaller, type ResumedStream} from './resumingCaller.js';
@@ -158,7 +159,9 @@
   });
   try {
     const streams = await playStreams(system, disturbance, seed);
-    return judgeStreams(name, streams);
+    const verdict = judgeStreams(name, streams);
+    verdict.violations.push(...ownEndViolations(system.entries));
+    return verdict;
   } finally {
     await Promise.all(system.entries.map(entry => entry.stop()));
     platform.stop();
