Soak: pass over starts whose port another process took

The ports are found free before the entries are started; another soak on the same machine took one meanwhile. The supervisor starts an entry only after its process before is gone, so this says nothing about the program.

Ruled out: other ports after such an end, as other entries, proxies and callers know the first ones.

--- a/soak/src/ownEnds.ts
+++ b/soak/src/ownEnds.ts
@@ -12,6 +12,14 @@
   lastLine: string;
 }
 
+/**
+ * Another process of the machine took the port since it was found free: the
+ * entry is started only when the process before it is gone.
+ */
+const PORT_TAKEN_PATTERN = /can't start: listen EADDRINUSE/;
+/** Of a line that a verdict prints. */
+const MAX_LINE_CHARS = 400;
+
 /** What the supervisor knows of one entry. */
 export interface SupervisedEntry {
   readonly ownEnds: readonly OwnEnd[];
@@ -29,9 +37,11 @@
   return entries
     .flatMap(({ownEnds}) => ownEnds)
     .filter(({atMs}) => atMs >= sinceMs)
-    .map(
-      ({entry, exit, lastLine}) => `${entry}: exit ${exit} after "${lastLine}"`,
-    );
+    .filter(({lastLine}) => !PORT_TAKEN_PATTERN.test(lastLine))
+    .map(({entry, exit, lastLine}) => {
+      const line = lastLine.slice(0, MAX_LINE_CHARS);
+      return `${entry}: exit ${exit} after "${line}"`;
+    });
 }
 
 /** Judges the processes of a run, whatever it plays. */
