Soak: odd records of another writer as a fault of the random seeds

Callers lost streams as entries ended by themselves after another writer had left a registration with an address that no connection can be opened to. No run of the soak had such records: all that its store held was well formed.

Each half of a random seed has one fault of each of the three groups; the first record of the registrations has an odd address.

--- a/soak/src/__tests__/judge.test.ts
+++ b/soak/src/__tests__/judge.test.ts
@@ -352,3 +352,23 @@
     expect(found.map(({rule}) => rule)).toEqual(rules);
   });
 });
+
+describe('judge of callers that herd beside odd records', () => {
+  // Guards against records of another writer that hide calls that fail.
+  it.each(['odd-registrations', 'odd-system-records', 'odd-config'] as const)(
+    'counts calls that fail beside %s',
+    kind => {
+      const calls = Array.from({length: 20}, () =>
+        callOf('status', {status: 503}),
+      );
+      const faults = [
+        {kind: 'callers-herd' as const, fromMs: 900, toMs: 1_200},
+        {kind, fromMs: 0, toMs: 2_000},
+      ];
+      const found = judge({...QUIET, calls, faults}, false);
+      expect(found.map(({rule}) => rule)).toEqual([
+        'callers that herd to one entry are served',
+      ]);
+    },
+  );
+});
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -1,5 +1,12 @@
 import {
   exampleRoute,
+  isStorable,
+  ODD_ADDRESSES,
+  ODD_CONFIGS,
+  ODD_REGISTRATIONS,
+  ODD_SYSTEM_RECORDS,
+  OddWriter,
+  type OddForm,
   type RunnerFault,
   type StoreFault,
 } from '@banyanfold/platform/standins';
@@ -66,6 +73,9 @@
  */
 const LEAVING_MS = 5_000;
 const PAUSE_S = 2;
+/** Most odd records of another writer at once. */
+const MAX_ODD_AT_ONCE = 3;
+const SERVICES = ['drafting', 'desk'] as const;
 
 /** Ways in which entries don't read the store's next record in time. */
 const RECORD_LOSSES: ReadonlyArray<
@@ -114,13 +124,13 @@
   'store-forgets': async ({system}, fault) => {
     system.platform.store.deleteHistory(at(TOPICS, fault.variant));
   },
-  'store-restore': async ({system, addedRoutes}, fault) => {
-    const {platform} = system;
+  'store-restore': async (context, fault) => {
+    const {platform} = context.system;
     const copy = platform.store.snapshot();
     await pause(fault.forMs);
     platform.store.restore(copy);
     // The operator writes again what it had written.
-    platform.publish(addedRoutes.map(({name}) => exampleRoute(name)));
+    publishRoutes(context);
   },
   'runner-link': async (context, fault) => {
     const {proxy} = runnerOf(context, fault);
@@ -179,17 +189,56 @@
     runner.fullUntilMs = performance.now() + fault.forMs;
     await pause(fault.forMs);
   },
+  'odd-registrations': (context, fault) =>
+    writeOdd(context, fault, [
+      at(ODD_ADDRESSES, fault.target),
+      ...pickOdd(ODD_REGISTRATIONS, fault),
+    ]),
+  'odd-system-records': (context, fault) =>
+    writeOdd(context, fault, pickOdd(ODD_SYSTEM_RECORDS, fault)),
+  'odd-config': async (context, fault) => {
+    await writeOdd(context, fault, pickOdd(ODD_CONFIGS, fault));
+    publishRoutes(context);
+  },
   'runner-crash': async (context, fault) => {
     await replaceOnce(context, runnerOf(context, fault));
   },
-  'config-change': async ({system, addedRoutes}) => {
+  'config-change': async context => {
+    const {addedRoutes} = context;
     const name = `added-${addedRoutes.length}`;
-    const names = [...addedRoutes.map(route => route.name), name];
-    system.platform.publish(names.map(added => exampleRoute(added)));
     addedRoutes.push({name, atMs: performance.now()});
+    publishRoutes(context);
   },
 };
 
+/** Writes the operator's configuration, with all routes that it added. */
+function publishRoutes({system, addedRoutes}: FaultContext): void {
+  system.platform.publish(addedRoutes.map(({name}) => exampleRoute(name)));
+}
+
+/** One or several forms, one after the other in their table. */
+function pickOdd(
+  forms: readonly OddForm[],
+  {target, variant}: PlannedFault,
+): OddForm[] {
+  const count = 1 + (variant % MAX_ODD_AT_ONCE);
+  return Array.from({length: count}, (_, i) => at(forms, target + i));
+}
+
+/** Another writer leaves odd records for a while, then removes them. */
+async function writeOdd(
+  {system}: FaultContext,
+  {target, forMs}: PlannedFault,
+  forms: readonly OddForm[],
+): Promise<void> {
+  const service = at(SERVICES, target);
+  // Longer ones would hold up entries beyond the bounds that are judged here.
+  const storable = forms.filter(({value}) => isStorable(value(service)));
+  const writer = new OddWriter(system.platform.store, storable, service);
+  await pause(forMs);
+  writer.stop();
+}
+
 /** Two faults may strike the same runner; the second finds another one there. */
 async function replaceOnce(
   {system}: FaultContext,
--- a/soak/src/judge.ts
+++ b/soak/src/judge.ts
@@ -37,6 +37,12 @@
   'store-forgets',
 ]);
 
+/** Records of another writer, which excuse nothing. */
+const ODD_FAULTS: ReadonlySet<FaultKind> = new Set([
+  'odd-registrations',
+  'odd-system-records',
+  'odd-config',
+]);
 /** Runners that requests may crash before their sendings count. */
 const FREE_CRASHES = 3;
 /** Least share of the calls that are answered while callers herd. */
@@ -106,7 +112,9 @@
 
 /** Answered calls of callers that herd to an entry, with no other fault near. */
 function herdsNotServed({calls, faults}: SoakRecord): string[] {
-  const others = faults.filter(({kind}) => kind !== 'callers-herd');
+  const others = faults.filter(
+    ({kind}) => kind !== 'callers-herd' && !ODD_FAULTS.has(kind),
+  );
   const herds = faults.filter(({kind}) => kind === 'callers-herd');
   const herded = calls.filter(
     call =>
--- a/soak/src/soakPlan.ts
+++ b/soak/src/soakPlan.ts
@@ -34,6 +34,12 @@
 /** The same without notice; planned likewise. */
 const GONE_KIND = 'runner-gone';
 
+/** Records of another writer; planned likewise. */
+const ODD_KINDS = ['odd-registrations', 'odd-system-records'] as const;
+
+/** What another writer puts in place of the configuration, for a moment. */
+const ODD_CONFIG_KIND = 'odd-config';
+
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | (typeof NOTICE_KINDS)[number]
@@ -41,7 +47,9 @@
   | typeof GONE_KIND
   | typeof UNFRAMED_KIND
   | typeof HERD_KIND
-  | typeof STORE_RESTORE;
+  | typeof STORE_RESTORE
+  | (typeof ODD_KINDS)[number]
+  | typeof ODD_CONFIG_KIND;
 
 export interface PlannedFault {
   kind: FaultKind;
@@ -107,12 +115,16 @@
     ...planHalves({seed, lengthMs}, UNFRAMED_KIND, 4),
     ...planHalves({seed, lengthMs}, HERD_KIND, 5),
     ...planUnnoticed({seed, lengthMs}, GONE_KIND, 6),
+    ...ODD_KINDS.flatMap((kind, i) =>
+      planHalves({seed, lengthMs}, kind, 7 + i),
+    ),
+    ...planUnnoticed({seed, lengthMs}, ODD_CONFIG_KIND, 9),
   ];
 }
 
 /**
- * A runner that leaves while reads fail in each half of a run; their variants
- * take turns.
+ * A fault of a kind in each half of a run, for a moment only, as runners that
+ * leave while reads fail; their variants take turns.
  */
 function planUnnoticed(
   {seed, lengthMs}: SoakPlanOptions,
