Soak: play odd records of another writer one after the other

Entries ended one after the other for as long as another writer's registration stayed in the store, and callers lost their streams. Random seeds have two such faults beside forty others, so most forms are seldom played and a lost call mostly has another cause.

--odd-entries plays three entries, two services and 40 calls a second without any other fault: one form after the other from the whole table, then a new route and a new runner. Judged: no process ends, each call is answered whole, the route is served at each entry, the new runner gets work. What is written depends on the seed alone; the calls have a draw of their own.

Ruled out: the same prompt in all calls, as prefix affinity then kept calls from a new runner for over 10 s (seeds 1 and 2).

--- a/soak/src/__tests__/soakArgs.test.ts
+++ b/soak/src/__tests__/soakArgs.test.ts
@@ -7,6 +7,7 @@
     expect(args._unsafeUnwrap()).toMatchObject({
       seeds: [7, 8],
       herds: true,
+      oddEntries: false,
       versions: false,
     });
   });
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -5,6 +5,7 @@
 import {runHerd} from './herdRun.js';
 import {runLateAnswers} from './lateAnswerRun.js';
 import {runLeavings} from './leavingRun.js';
+import {runOddEntries} from './oddEntryRun.js';
 import {runPlannedStops} from './plannedStopRun.js';
 import {playSeeds} from './playSeeds.js';
 import {runRestarts} from './restartRun.js';
@@ -113,6 +114,21 @@
   return violations.length === 0;
 }
 
+async function playOddEntries(
+  seed: number,
+  folder: string,
+  lengthMs: number,
+): Promise<boolean> {
+  const verdict = await runOddEntries({seed, folder, lengthMs});
+  const {violations, forms, calls, whole} = verdict;
+  console.log(
+    `seed ${seed}: ${violations.length === 0 ? 'ok' : 'BROKEN'}, ` +
+      `${forms} forms, ${whole} of ${calls} whole`,
+  );
+  for (const {rule, what} of violations) console.log(`  ${rule}: ${what}`);
+  return violations.length === 0;
+}
+
 async function playLateAnswers(seed: number, folder: string): Promise<boolean> {
   const verdict = await runLateAnswers({seed, folder});
   const {violations, calls, served, refused, unknown, lateCopies} = verdict;
@@ -171,6 +187,7 @@
   if (args.crashingParts) return playCrashingParts(seed, folder);
   if (args.herds) return playHerds(seed, folder);
   if (args.leavings) return playLeavings(seed, folder, args.halfCore);
+  if (args.oddEntries) return playOddEntries(seed, folder, args.lengthMs);
   if (args.endless) return playEndless(seed, folder);
   if (args.plannedStops) return playPlannedStops(seed, folder);
   if (args.lateAnswers) return playLateAnswers(seed, folder);
--- a/soak/src/soakArgs.ts
+++ b/soak/src/soakArgs.ts
@@ -15,6 +15,7 @@
   --planned-stops three entries that are stopped and started by turns
   --late-answers  three entries and runners that send responses a second time
   --endless       three entries and runners whose answers have no end
+  --odd-entries   three entries and odd records of another writer
   --half-core     with --leavings: each entry is stopped half of the time
   --regressions   the seeds that failed once, in place of others
   --seconds T     the span in which faults begin (default 12)
@@ -42,6 +43,7 @@
   plannedStops: boolean;
   lateAnswers: boolean;
   endless: boolean;
+  oddEntries: boolean;
   halfCore: boolean;
 }
 
@@ -58,6 +60,7 @@
   'planned-stops': {type: 'boolean', default: false},
   'late-answers': {type: 'boolean', default: false},
   endless: {type: 'boolean', default: false},
+  'odd-entries': {type: 'boolean', default: false},
   'half-core': {type: 'boolean', default: false},
   seconds: {type: 'string', default: '12'},
   parallel: {type: 'string', default: '2'},
@@ -104,6 +107,7 @@
     plannedStops: values['planned-stops'],
     lateAnswers: values['late-answers'],
     endless: values.endless,
+    oddEntries: values['odd-entries'],
     halfCore: values['half-core'],
   });
 }
