Soak: a caller with odd headers besides the sound ones

One caller's Token-Count moved the meters of all callers, and for good: sound requests were refused with 503 long after it had stopped. The soak's callers send sound headers only.

In each fourth random seed, once all is served again after the faults, one more caller sends odd values for 4 s: one in each header that entries read and that names no amount, then one odd amount again and again, another in each seed. The share of the other calls that isn't served may not be larger from 4 s after its last request on than it was before its first.

That an amount of 1e300 absorbs what the meters held before is suspected, not traced.

--- a/soak/src/__tests__/judge.test.ts
+++ b/soak/src/__tests__/judge.test.ts
@@ -372,3 +372,25 @@
     },
   );
 });
+
+describe('judge of callers after odd headers', () => {
+  const oddCaller = {beforeMs: 0, fromMs: 2_000, toMs: 6_000, overMs: 10_000};
+  const callAt = (startedMs: number, status: number): Call => ({
+    ...callOf('status', {status}),
+    startedMs,
+    endedMs: startedMs + 100,
+  });
+
+  // Guards against one caller whose values keep refusing the others.
+  it.each([
+    [200, 503, 200, 1],
+    [200, 200, 503, 0],
+    [503, 503, 503, 0],
+  ])('with %i before, %i after and %i between finds %i', (a, b, c, count) => {
+    const calls = [callAt(1_000, a), callAt(5_000, c), callAt(11_000, b)];
+    const found = judge({...QUIET, calls, oddCaller}, false).filter(
+      ({rule}) => rule === 'callers are served as before after odd headers',
+    );
+    expect(found).toHaveLength(count);
+  });
+});
--- a/soak/src/judge.ts
+++ b/soak/src/judge.ts
@@ -43,6 +43,8 @@
   'odd-system-records',
   'odd-config',
 ]);
+/** Calls that a verdict describes where one rule finds many. */
+const MAX_DESCRIBED = 3;
 /** Runners that requests may crash before their sendings count. */
 const FREE_CRASHES = 3;
 /** Least share of the calls that are answered while callers herd. */
@@ -86,6 +88,7 @@
       .map(call => describe(call, record.seen)),
   'a runner that says it is leaving is left alone': sentToLeaving,
   'callers that herd to one entry are served': herdsNotServed,
+  'callers are served as before after odd headers': refusedAfterOdd,
   'what crashes runners is not sent on': record => sentOn(record),
   'one holder has a fencing token': ({orders}) => sharedTokens(orders),
   'no runner is ordered to hold more than fits': ({overfilled}) =>
@@ -110,6 +113,28 @@
       .map(call => describe(call, record.seen)),
 };
 
+/** Calls that are not served after the odd caller, where such ones were. */
+function refusedAfterOdd({calls, seen, oddCaller}: SoakRecord): string[] {
+  if (!oddCaller) return [];
+  const isServed = (call: Call) =>
+    call.seen.status === 200 && !call.seen.isTruncated;
+  const {beforeMs, fromMs, overMs} = oddCaller;
+  const before = calls.filter(
+    ({startedMs, endedMs}) => startedMs >= beforeMs && endedMs <= fromMs,
+  );
+  const after = calls.filter(({startedMs}) => startedMs >= overMs);
+  const notBefore = before.filter(call => !isServed(call));
+  const notAfter = after.filter(call => !isServed(call));
+  const isMore =
+    notAfter.length * before.length > notBefore.length * after.length;
+  if (!isMore) return [];
+  const some = notAfter.slice(0, MAX_DESCRIBED).map(c => describe(c, seen));
+  return [
+    `${notAfter.length} of ${after.length} not, ` +
+      `${notBefore.length} of ${before.length} before: ${some.join('; ')}`,
+  ];
+}
+
 /** Answered calls of callers that herd to an entry, with no other fault near. */
 function herdsNotServed({calls, faults}: SoakRecord): string[] {
   const others = faults.filter(
--- a/soak/src/runSeed.ts
+++ b/soak/src/runSeed.ts
@@ -4,15 +4,22 @@
 import {ConfigProber} from './configProber.js';
 import {FAULT_HANDLERS, type FaultContext} from './faults.js';
 import {judge} from './judge.js';
+import {ODD_AMOUNTS, OddCaller} from './oddCaller.js';
 import {describeOwnEnds} from './ownEnds.js';
 import {pause} from './pause.js';
 import {createDraw} from './random.js';
 import {planFaults, type PlannedFault} from './soakPlan.js';
-import type {PlayedFault, SoakRecord, Violation} from './soakRecord.js';
+import type {
+  OddCallerSpan,
+  PlayedFault,
+  SoakRecord,
+  Violation,
+} from './soakRecord.js';
 import {ResumingCaller} from './resumingCaller.js';
 import {HIGH_LOAD_SETTINGS} from './highLoadSettings.js';
 import {SoakSystem} from './soakSystem.js';
 import {countTakeUps} from './streamRules.js';
+import {takeTurns} from './takeTurns.js';
 import {untilServed} from './untilServed.js';
 
 export interface RunSeedOptions {
@@ -56,6 +63,14 @@
 const RESUMING_CALLERS = 3;
 const LEAVES_ONE_IN = 2;
 const RESUMING_SEEDS = 3_000_000;
+/** One in so many seeds has a caller with odd headers, after the faults. */
+const ODD_CALLER_ONE_IN = 4;
+const ODD_CALLER_SEEDS = 4_000_000;
+const ODD_CALLER_MS = 4_000;
+/** What the odd caller has caused is over after this long. */
+const ODD_CALLER_OVER_MS = 4_000;
+/** Calls of this span before and after it are compared. */
+const COMPARED_MS = 2_500;
 
 /**
  * Plays the faults of one seed against the programs, and judges what was seen.
@@ -100,12 +115,14 @@
   const faults = await playFaults(context, planFaults({seed, lengthMs}));
   const notRecovered = await untilServed(system, RECOVERY_MS);
   await prober.stop();
-  for (const caller of callers) caller.stop();
   crashing?.stop();
   for (const caller of resuming) caller.stop();
+  const oddCaller = await playOddCaller(system, seed);
+  for (const caller of callers) caller.stop();
   await Promise.all([...running, crashingRun, ...resumingRuns]);
   return {
     crashing: crashing?.calls ?? [],
+    oddCaller,
     calls: callers.flatMap(({calls}) => calls),
     streams: resuming.flatMap(({streams}) => streams),
     seen: seenById(system),
@@ -121,6 +138,33 @@
   };
 }
 
+/** Besides the sound callers, when no fault is played any more. */
+async function playOddCaller(
+  {entries}: SoakSystem,
+  seed: number,
+): Promise<OddCallerSpan | undefined> {
+  if (seed % ODD_CALLER_ONE_IN !== 2) return undefined;
+  await pause(COMPARED_MS);
+  const caller = new OddCaller({
+    entries: entries.map(({process}) => process),
+    draw: createDraw(seed + ODD_CALLER_SEEDS),
+    amount: takeTurns(ODD_AMOUNTS, Math.floor(seed / ODD_CALLER_ONE_IN)),
+  });
+  const running = caller.run();
+  const fromMs = performance.now();
+  await pause(ODD_CALLER_MS);
+  caller.stop();
+  await running;
+  const toMs = performance.now();
+  await pause(ODD_CALLER_OVER_MS + COMPARED_MS);
+  return {
+    beforeMs: fromMs - COMPARED_MS,
+    fromMs,
+    toMs,
+    overMs: toMs + ODD_CALLER_OVER_MS,
+  };
+}
+
 function makeCallers({entries, herd}: SoakSystem, seed: number): Caller[] {
   const processes = entries.map(({process}) => process);
   return Array.from({length: CALLERS}, (_, i) => {
--- a/soak/src/soakRecord.ts
+++ b/soak/src/soakRecord.ts
@@ -27,6 +27,16 @@
   isKnown: boolean;
 }
 
+/** When a caller sent odd headers, in ms of the monotonic clock. */
+export interface OddCallerSpan {
+  /** Calls count from here on, and up to the first odd one. */
+  beforeMs: number;
+  fromMs: number;
+  toMs: number;
+  /** From here on all is to be as it was before. */
+  overMs: number;
+}
+
 /** What callers, runners and the supervisor saw of one run. */
 export interface SoakRecord {
   calls: readonly Call[];
@@ -34,6 +44,8 @@
   streams: readonly ResumedStream[];
   /** Sendings of the requests that crash each runner that runs them. */
   crashing: readonly Call[];
+  /** Undefined if no caller sent odd headers. */
+  oddCaller?: OddCallerSpan;
   /** All that reached a runner, by request id. */
   seen: ReadonlyMap<string, readonly ReceivedRequest[]>;
   orders: readonly AcceptedOrder[];
