Keep the versions of streams in the store while several serve

Callers whose streams broke off as all entries ended at once, while two software versions served, were refused at each entry (503, origin-unknown), although runners of their version served.

Cause: only entries knew which version began a stream, each its own and two replicas. When all end, nobody knows. Refusing is right then, so it has to be known.

Ruled out: the version by the request id (a guess while entries learn of versions at different times); asking runners (they list open runs only); appending before the first event (adds 4 ms and the wait for a batch).

Change: replicas append the origins to a topic of the store, in batches, after the first event was passed on; in fleets of up to 16 each entry is one. All writers together make a fifth of the store's writes at most, each one batch in 0.25 s at most. An entry reads the newest 1,000 batches on demand, before it refuses a stream, and where it would go by the note of versions alone. A stream whose version is found goes on there, or is refused if that is gone. A recent record of a service shows that it had several versions, also without the note.

Tests, seen failing on the code before: 0 of 16 streams went on, more than 8 are asked for; streams of a version that had left were told to return.

--- a/packages/banyanfold-gateway/src/__tests__/streamOrigins.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/streamOrigins.model.test.ts
@@ -71,6 +71,7 @@
       replicas: () => fleet.replicas,
       batchIntervalMs: () => DEFAULT_OPTIONS.originBatchMs,
       send: (to, origins) => fleet.sendOrigins(this, to, origins),
+      append: () => {},
     });
     this.origins = new StreamOrigins({
       clock,
@@ -83,6 +84,14 @@
         entryCount: () => fleet.entries.size,
         ask: (to, input) => fleet.ask(this, to, input),
       }),
+      stored: {
+        find: async () => ({
+          version: undefined,
+          isMixed: false,
+          isCurrent: true,
+        }),
+        refresh: () => {},
+      },
       replicator,
       memoryMs: DEFAULT_OPTIONS.streamMemoryMs,
       notedServices: () => fleet.notedServices,
--- a/packages/banyanfold-gateway/src/__tests__/streamOrigins.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/streamOrigins.test.ts
@@ -2,6 +2,7 @@
 import {beforeEach, describe, expect, it} from 'vitest';
 import type {LookupResult, OriginLookup} from '../streams/originLookup.js';
 import type {OriginReplicator} from '../streams/originReplicator.js';
+import type {StoredOrigin} from '../streams/storedOrigins.js';
 import {StreamOrigins} from '../streams/streamOrigins.js';
 import {FleetView} from '../view/fleetView.js';
 
@@ -27,6 +28,9 @@
 let found: LookupResult;
 let isAlone: boolean;
 let noted: ReadonlySet<string> | undefined;
+let stored: StoredOrigin;
+/** How often the store was asked for a stream, or was to be read. */
+let asked: number;
 let replicated: string[];
 let origins: StreamOrigins;
 
@@ -42,7 +46,9 @@
   };
   isAlone = false;
   noted = new Set();
+  stored = {version: undefined, isMixed: false, isCurrent: true};
   replicated = [];
+  asked = 0;
   const lookup = {
     find: async () => found,
     get isAlone() {
@@ -57,6 +63,15 @@
     metrics: new Metrics(),
     view,
     lookup: lookup as unknown as OriginLookup,
+    stored: {
+      find: async () => {
+        asked += 1;
+        return stored;
+      },
+      refresh: () => {
+        asked += 1;
+      },
+    },
     replicator: replicator as unknown as OriginReplicator,
     memoryMs: MEMORY_MS,
     notedServices: () => noted,
@@ -147,6 +162,60 @@
   });
 });
 
+describe('a stream that only the store knows', () => {
+  it('goes on at the version in the store', async () => {
+    register('r3', 'v2');
+    stored = {version: 'v2', isMixed: true, isCurrent: true};
+    const {continuation, source} = await origins.resolve('s1', SERVICE);
+    expect(continuation).toMatchObject({kind: 'at-version', version: 'v2'});
+    expect(source).toBe('store');
+  });
+
+  // Guards against a guess after all entries ended, before a note was written.
+  it('does not go on at the only version that this entry has seen', async () => {
+    stored = {version: 'v0', isMixed: true, isCurrent: true};
+    expect(await outcomeOf('s1')).toBe('version-gone');
+    stored = {version: undefined, isMixed: true, isCurrent: true};
+    expect(await outcomeOf('s2')).toBe('origin-unknown');
+    expect(await outcomeOf()).toBe('origin-unknown');
+  });
+
+  // Guards against streams that are refused where one version serves, as the
+  // store doesn't answer.
+  it('goes on at the only version where the store is down', async () => {
+    stored = {version: undefined, isMixed: false, isCurrent: false};
+    expect(await outcomeOf('s1')).toBe('v1');
+  });
+
+  // Guards against a caller that isn't told to come back once the store answers.
+  it('is not refused for good where the store is down', async () => {
+    register('r3', 'v2');
+    found = {...found, answers: 1, isExhaustive: true};
+    stored = {version: undefined, isMixed: false, isCurrent: false};
+    expect((await origins.resolve('s1', SERVICE)).isFinal).toBe(false);
+    stored = {...stored, isCurrent: true};
+    expect((await origins.resolve('s1', SERVICE)).isFinal).toBe(true);
+  });
+});
+
+describe('the store', () => {
+  // Guards against calls that cost while one version serves.
+  it('is not asked where one version has served', async () => {
+    await clock.advance(MEMORY_MS);
+    view.onRunnersCurrent(clock.nowMs());
+    expect(await outcomeOf('s1')).toBe('v1');
+    expect(asked).toBe(0);
+  });
+
+  it('is not asked for what an entry knows', async () => {
+    origins.noteEvents('s1', SERVICE, 'v1');
+    expect(await outcomeOf('s1')).toBe('v1');
+    found = {...found, version: 'v1', answers: 1};
+    expect(await outcomeOf('s2')).toBe('v1');
+    expect(asked).toBe(0);
+  });
+});
+
 describe('versions of a service', () => {
   // Guards against forgetting a version whose streams may still be taken up.
   it('count until no stream of a gone runner can be open', async () => {
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -45,6 +45,7 @@
   FleetSource,
   LeaseSource,
   ListenAddress,
+  OriginBatchStore,
   QuarantineStore,
   RequestCodec,
   RunnerControl,
@@ -107,6 +108,7 @@
   quarantine: QuarantineStore;
   usage: UsageStore;
   versionNotes: VersionNoteStore;
+  originBatches: OriginBatchStore;
   random?: () => number;
 }
 
@@ -266,6 +268,7 @@
       self: {address, failureDomain: settings.failureDomain},
       replicaList,
       noteStore: deps.versionNotes,
+      batchStore: deps.originBatches,
       entryCount: () => this.entryCount,
     });
     this.holderLink = new HolderLink({
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -81,7 +81,11 @@
 /** Streams, each as the id of the request that began it and the version. */
 const originsSchema = z.array(z.tuple([z.string(), z.string()]));
 
-export const noteOriginsInputSchema = z.object({origins: originsSchema});
+export const noteOriginsInputSchema = z.object({
+  origins: originsSchema,
+  /** The service of each that the receiver also appends to the store. */
+  services: z.array(z.string().nullable()).optional(),
+});
 
 export const findOriginsInputSchema = z.object({
   requestIds: z.array(z.string()),
--- a/packages/banyanfold-gateway/src/streams/originRecords.ts
+++ b/packages/banyanfold-gateway/src/streams/originRecords.ts
@@ -5,6 +5,12 @@
   version: string;
 }
 
+/** An origin as entries tell it to replicas and to the store. */
+export interface ServiceOrigin extends StreamOrigin {
+  /** The service that the stream was begun at. */
+  service: string;
+}
+
 export interface OriginRecordsOptions {
   /** How long a record is kept after it was last put, in ms. */
   ttlMs: number;
--- a/packages/banyanfold-gateway/src/streams/originReplicator.ts
+++ b/packages/banyanfold-gateway/src/streams/originReplicator.ts
@@ -1,6 +1,12 @@
 import type {Clock, Logger, Metrics, Timer} from '@banyanfold/core';
 import {rankReplicas, type Replica} from '@banyanfold/decisions';
-import type {StreamOrigin} from './originRecords.js';
+import type {ServiceOrigin} from './originRecords.js';
+
+/** A record on its way to a replica. */
+export interface ReplicatedOrigin extends ServiceOrigin {
+  /** Whether the replica also appends it to the store. */
+  shouldAppend: boolean;
+}
 
 export interface OriginReplicatorOptions {
   clock: Clock;
@@ -12,7 +18,9 @@
   /** Shortest time between two batches to a replica, in ms. */
   batchIntervalMs(): number;
   /** Rejects if the replica has not taken the batch. */
-  send(address: string, origins: StreamOrigin[]): Promise<void>;
+  send(address: string, origins: ReplicatedOrigin[]): Promise<void>;
+  /** Appends a record to the store; called only where this entry is a replica. */
+  append(origin: ServiceOrigin): void;
 }
 
 /** Copies of each record, besides the entry's own. */
@@ -24,17 +32,20 @@
 
 /** Records on their way to one replica. */
 interface Lane {
-  pending: StreamOrigin[];
+  pending: ReplicatedOrigin[];
   isSending: boolean;
   sentMs: number;
   timer: Timer | undefined;
 }
 
-/** Sends origin records to the replicas that hold the copies of this entry. */
+/**
+ * Sends origin records to the replicas that hold the copies of this entry.
+ * Replicas append to the store, as in a large fleet all entries are too many.
+ */
 export class OriginReplicator {
   private readonly lanes = new Map<string, Lane>();
   /** Records for which no replica is known yet. */
-  private readonly unplaced: StreamOrigin[] = [];
+  private readonly unplaced: ReplicatedOrigin[] = [];
   private readonly pausedUntilMs = new Map<string, number>();
   private ranked: {replicas: readonly Replica[]; addresses: string[]} = {
     replicas: [],
@@ -44,19 +55,38 @@
   constructor(private readonly options: OriginReplicatorOptions) {}
 
   /** Sends a record with the next batch to each replica. */
-  add(origin: StreamOrigin): void {
+  add(origin: ServiceOrigin): void {
+    this.place({...origin, shouldAppend: true});
+  }
+
+  private place(origin: ReplicatedOrigin): void {
+    const {isReplica} = this;
+    if (isReplica && origin.shouldAppend) this.options.append(origin);
+    const shouldAppend = origin.shouldAppend && !isReplica;
     const replicas = this.activeReplicas();
-    if (replicas.length === 0) this.enqueue(this.unplaced, origin);
-    for (const address of replicas) {
+    if (replicas.length === 0) {
+      this.enqueue(this.unplaced, {...origin, shouldAppend});
+    }
+    for (const [i, address] of replicas.entries()) {
       const lane = this.laneFor(address);
-      this.enqueue(lane.pending, origin);
+      const isFirst = i === 0;
+      this.enqueue(lane.pending, {
+        ...origin,
+        shouldAppend: shouldAppend && isFirst,
+      });
       this.schedule(address, lane);
     }
   }
 
   /** Sends the records that had no replica, now that there are others. */
   resume(): void {
-    for (const origin of this.unplaced.splice(0)) this.add(origin);
+    for (const origin of this.unplaced.splice(0)) this.place(origin);
+  }
+
+  private get isReplica(): boolean {
+    const {self, replicas} = this.options;
+    const addresses = (replicas() ?? []).map(({address}) => address);
+    return addresses.includes(self.address);
   }
 
   stop(): void {
@@ -64,7 +94,7 @@
     this.lanes.clear();
   }
 
-  private enqueue(queue: StreamOrigin[], origin: StreamOrigin): void {
+  private enqueue(queue: ReplicatedOrigin[], origin: ReplicatedOrigin): void {
     queue.push(origin);
     if (queue.length <= MAX_PENDING) return;
     queue.shift();
@@ -121,7 +151,7 @@
   /** Has other replicas hold the records that a replica did not take. */
   private replaceReplica(
     address: string,
-    origins: StreamOrigin[],
+    origins: ReplicatedOrigin[],
     thrown: unknown,
   ): void {
     const {clock, logger} = this.options;
@@ -132,6 +162,6 @@
       records: origins.length,
       error: thrown instanceof Error ? thrown.message : String(thrown),
     });
-    for (const origin of origins) this.add(origin);
+    for (const origin of origins) this.place(origin);
   }
 }
--- a/packages/banyanfold-gateway/src/streams/originService.ts
+++ b/packages/banyanfold-gateway/src/streams/originService.ts
@@ -7,12 +7,17 @@
 import {fetchOrigins} from '../peers/peerClient.js';
 import {PeerClients} from '../peers/peerClients.js';
 import type {NoteOriginsInput} from '../peers/peerContract.js';
-import type {LeaseSource, VersionNoteStore} from '../types.js';
+import type {
+  LeaseSource,
+  OriginBatchStore,
+  VersionNoteStore,
+} from '../types.js';
 import type {FleetView} from '../view/fleetView.js';
+import {OriginAppender} from './originAppender.js';
 import {OriginLookup} from './originLookup.js';
-import type {StreamOrigin} from './originRecords.js';
-import {OriginReplicator} from './originReplicator.js';
+import {OriginReplicator, type ReplicatedOrigin} from './originReplicator.js';
 import type {ReplicaList} from './replicaList.js';
+import {StoredOrigins} from './storedOrigins.js';
 import {StreamOrigins} from './streamOrigins.js';
 import {VersionNotes} from './versionNotes.js';
 
@@ -27,6 +32,7 @@
   self: Replica;
   replicaList: ReplicaList;
   noteStore: VersionNoteStore;
+  batchStore: OriginBatchStore;
   entryCount(): number;
 }
 
@@ -39,17 +45,25 @@
 export class OriginService {
   readonly origins: StreamOrigins;
   private readonly replicator: OriginReplicator;
+  private readonly appender: OriginAppender;
   private readonly notes: VersionNotes;
   private readonly clients: PeerClients;
 
   constructor(private readonly deps: OriginServiceOptions) {
     const {clock, logger, metrics, options, lease, view, self} = deps;
-    const {replicaList, entryCount} = deps;
+    const {replicaList, entryCount, batchStore} = deps;
     this.clients = new PeerClients(
       options.peerTimeoutMs,
       options.adapterTimeoutMs,
       MAX_REPLICA_CLIENTS,
     );
+    this.appender = new OriginAppender({
+      clock,
+      logger,
+      metrics,
+      store: batchStore,
+      writerCount: () => replicaList.replicas?.length,
+    });
     this.replicator = new OriginReplicator({
       clock,
       logger,
@@ -58,6 +72,7 @@
       replicas: () => replicaList.replicas,
       batchIntervalMs: () => this.batchIntervalMs,
       send: (replica, origins) => this.sendOrigins(replica, origins),
+      append: origin => this.appender.add([origin]),
     });
     replicaList.onChange = () => this.replicator.resume();
     this.origins = new StreamOrigins({
@@ -72,6 +87,13 @@
         ask: (replica, input) =>
           fetchOrigins(replica, input, LOOKUP_TIMEOUT_MS),
       }),
+      stored: new StoredOrigins({
+        clock,
+        logger,
+        metrics,
+        store: batchStore,
+        memoryMs: options.streamMemoryMs,
+      }),
       replicator: this.replicator,
       memoryMs: options.streamMemoryMs,
       notedServices: () => this.notes.services,
@@ -93,13 +115,22 @@
   stop(): void {
     this.notes.stop();
     this.replicator.stop();
+    this.appender.stop();
     this.clients.close();
   }
 
   /** Keeps records for the entry that sent them. */
-  handleNote({origins}: NoteOriginsInput): void {
-    this.origins.keep(
-      origins.map(([requestId, version]) => ({requestId, version})),
+  handleNote({origins, services}: NoteOriginsInput): void {
+    const records = origins.map(([requestId, version]) => ({
+      requestId,
+      version,
+    }));
+    this.origins.keep(records);
+    this.appender.add(
+      records.flatMap((record, i) => {
+        const service = services?.[i];
+        return service ? [{...record, service}] : [];
+      }),
     );
   }
 
@@ -112,13 +143,17 @@
 
   private async sendOrigins(
     replica: string,
-    origins: readonly StreamOrigin[],
+    origins: readonly ReplicatedOrigin[],
   ): Promise<void> {
     const pairs = origins.map(
       ({requestId, version}) => [requestId, version] as [string, string],
     );
     try {
-      await this.clients.clientFor(replica).noteOrigins({origins: pairs});
+      const client = this.clients.clientFor(replica);
+      const services = origins.some(({shouldAppend}) => shouldAppend)
+        ? origins.map(each => (each.shouldAppend ? each.service : null))
+        : undefined;
+      await client.noteOrigins({origins: pairs, services});
     } catch (thrown) {
       this.clients.drop(replica);
       throw thrown;
--- a/packages/banyanfold-gateway/src/streams/streamOrigins.ts
+++ b/packages/banyanfold-gateway/src/streams/streamOrigins.ts
@@ -10,6 +10,7 @@
 import {OriginRecords, type StreamOrigin} from './originRecords.js';
 import type {OriginReplicator} from './originReplicator.js';
 import {originKey} from './originKey.js';
+import type {StoredOrigin, StoredOrigins} from './storedOrigins.js';
 import {VersionHistory} from './versionHistory.js';
 
 export interface StreamOriginsOptions {
@@ -17,6 +18,7 @@
   metrics: Metrics;
   view: FleetView;
   lookup: OriginLookup;
+  stored: Pick<StoredOrigins, 'find' | 'refresh'>;
   replicator: OriginReplicator;
   /** How long a stream and its callers' returns can last, in ms. */
   memoryMs: number;
@@ -32,7 +34,7 @@
 /** A continuation, and the inputs of the decision for the log. */
 export interface ResolvedContinuation {
   continuation: Continuation;
-  source: 'own' | 'peer' | 'none';
+  source: 'own' | 'peer' | 'store' | 'none';
   /** Age of this entry's own record, in ms. */
   ageMs?: number;
   /** Peers that answered. */
@@ -52,6 +54,12 @@
 /** Entries know changes of the runners within this time while in touch. */
 const MAX_VIEW_AGE_MS = 2_000;
 
+const NOT_SOUGHT: StoredOrigin = {
+  version: undefined,
+  isMixed: false,
+  isCurrent: true,
+};
+
 const NO_ANSWERS: LookupResult = {
   version: undefined,
   answers: 0,
@@ -122,7 +130,7 @@
     const isDue = nowMs - replicatedMs >= REPLICATE_AGAIN_MS;
     if (!isDue || !this.history.hasSeveral(service)) return replicatedMs;
     this.records.put(origin);
-    this.options.replicator.add(origin);
+    this.options.replicator.add({...origin, service});
     return nowMs;
   }
 
@@ -159,12 +167,19 @@
     const own = key === undefined ? undefined : this.records.find(key);
     const found = own ? NO_ANSWERS : await this.lookUp(key, service);
     if (!own && !this.history.isComplete) await this.options.untilNotesRead();
-    const version = own?.version ?? found.version;
+    const remembered = own?.version ?? found.version;
+    const stored =
+      remembered === undefined && this.mayNeedStore(service, found)
+        ? await this.options.stored.find(key, service)
+        : NOT_SOUGHT;
+    const version = remembered ?? stored.version;
     const continuation = decideContinuation({
       originVersion: version,
       isOriginGone:
         version !== undefined && this.history.isGone(service, version),
-      onlyVersion: this.onlyVersion(service, found),
+      onlyVersion: stored.isMixed
+        ? undefined
+        : this.onlyVersion(service, found),
     });
     if (key !== undefined && version !== undefined) {
       this.records.put({requestId: key, version});
@@ -174,13 +189,13 @@
       outcome: kind === 'refuse' ? 'refused' : 'continued',
       reason,
     });
-    const source = own ? 'own' : found.version === undefined ? 'none' : 'peer';
     return {
       continuation,
-      source,
+      source: sourceOf(own?.version, found.version, stored.version),
       ageMs: own?.ageMs,
       answers: found.answers,
-      isFinal: version !== undefined || found.isExhaustive,
+      isFinal:
+        version !== undefined || (found.isExhaustive && stored.isCurrent),
     };
   }
 
@@ -189,12 +204,24 @@
     key: string | undefined,
     service: string,
   ): Promise<LookupResult> {
-    const maxWaitMs = this.history.hasSeveral(service)
-      ? LOOKUP_MS
-      : SINGLE_VERSION_LOOKUP_MS;
+    const {stored, notedServices} = this.options;
+    const hasSeveral = this.history.hasSeveral(service);
+    const isNoted = notedServices()?.has(service) ?? false;
+    // All entries may have ended at once, so that no peer has the record.
+    if (!this.history.isComplete && (hasSeveral || isNoted)) stored.refresh();
+    const maxWaitMs = hasSeveral ? LOOKUP_MS : SINGLE_VERSION_LOOKUP_MS;
     return this.options.lookup.find(key, maxWaitMs);
   }
 
+  /**
+   * Whether the store may know more of a stream that no entry knows: all
+   * entries may have ended at once, before a note of versions was written.
+   */
+  private mayNeedStore(service: string, found: LookupResult): boolean {
+    const isPastSeen = this.history.isComplete || found.hasCompleteHistory;
+    return !isPastSeen || this.onlyVersion(service, found) === undefined;
+  }
+
   /** The only version that has served; undefined if that is not certain. */
   private onlyVersion(
     service: string,
@@ -222,3 +249,13 @@
     return ageMs < this.clockJumps.sinceLastMs();
   }
 }
+
+function sourceOf(
+  own: string | undefined,
+  peer: string | undefined,
+  store: string | undefined,
+): ResolvedContinuation['source'] {
+  if (own !== undefined) return 'own';
+  if (peer !== undefined) return 'peer';
+  return store === undefined ? 'none' : 'store';
+}
--- a/packages/banyanfold-gateway/src/types.ts
+++ b/packages/banyanfold-gateway/src/types.ts
@@ -465,6 +465,35 @@
   ): Promise<Result<void, BanyanfoldError>>;
 }
 
+/** Batches of stream origins, and where the next read goes on. */
+export interface OriginBatches {
+  /** Oldest first. Other writers may have added some. */
+  batches: Buffer[];
+  cursor: number;
+}
+
+/** Stores which versions began recent streams, in batches, for some minutes. */
+export interface OriginBatchStore {
+  /** Writes that the store allows all entries together, per second. */
+  readonly writesPerSecond: number;
+  /**
+   * Registers a listener for when recent writes may be lost from the store, and
+   * cursors are no longer valid.
+   */
+  onReset(listener: () => void): void;
+  append(batch: Buffer): Promise<Result<void, BanyanfoldError>>;
+  /**
+   * Reads the newest batches.
+   *
+   * @param maxBatches older ones are left out.
+   * @param after cursor of the read before; only later batches are read.
+   */
+  readNewest(
+    maxBatches: number,
+    after?: number,
+  ): Promise<Result<OriginBatches, BanyanfoldError>>;
+}
+
 /** A stored quarantine. */
 export interface QuarantineRecord {
   /** The key of what is quarantined: one or several fingerprints. */
