--- a/packages/banyanfold-gateway/src/__tests__/meters.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/meters.model.test.ts
@@ -275,7 +275,9 @@
   await fc.assert(
     fc.asyncProperty(fc.array(step, {maxLength: 120}), async steps => {
       const clock = new VirtualClock();
-      const entries = ['a:7', 'b:7'].map(name => new PlayedEntry(name, clock));
+      const entries = ['10.1.0.1:7', '10.1.0.2:7'].map(
+        name => new PlayedEntry(name, clock),
+      );
       let holder = new PlayedHolder(clock);
       const at = <T>(list: readonly T[], i: number) => list[i % list.length];
       for (const played of steps) {
--- a/packages/banyanfold-gateway/src/__tests__/outOfStepFleet.ts
+++ b/packages/banyanfold-gateway/src/__tests__/outOfStepFleet.ts
@@ -145,7 +145,17 @@
         replicas,
         batchIntervalMs: () => DEFAULT_OPTIONS.originBatchMs,
         send: (to, origins) => this.send(to, origins),
+        // No origin is kept in the store, so that none helps the decision.
+        append: () => {},
       }),
+      stored: {
+        find: async () => ({
+          version: undefined,
+          isMixed: false,
+          isCurrent: !this.cut.toStore && !this.cut.fromStore,
+        }),
+        refresh: () => {},
+      },
       memoryMs: DEFAULT_OPTIONS.streamMemoryMs,
       notedServices: () => new Set(),
       untilNotesRead: () => Promise.resolve(),
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -90,7 +90,11 @@
 /** Streams, each as the id of the request that began it and the version. */
 const originsSchema = listOf(z.tuple([textSchema, textSchema]));
 
-export const noteOriginsInputSchema = z.object({origins: originsSchema});
+export const noteOriginsInputSchema = z.object({
+  origins: originsSchema,
+  /** The service of each that the receiver also appends to the store. */
+  services: z.array(z.string().nullable()).optional(),
+});
 
 export const findOriginsInputSchema = z.object({
   requestIds: listOf(textSchema),
--- a/packages/banyanfold-gateway/src/streams/streamOrigins.ts
+++ b/packages/banyanfold-gateway/src/streams/streamOrigins.ts
@@ -18,6 +18,7 @@
 import type {OriginReplicator} from './originReplicator.js';
 import {originKey} from './originKey.js';
 import {SharedRead} from './sharedRead.js';
+import type {StoredOrigin, StoredOrigins} from './storedOrigins.js';
 import {VersionHistory} from './versionHistory.js';
 
 export interface StreamOriginsOptions {
@@ -25,6 +26,7 @@
   metrics: Metrics;
   view: FleetView;
   lookup: OriginLookup;
+  stored: Pick<StoredOrigins, 'find' | 'refresh'>;
   replicator: OriginReplicator;
   /** How long a stream and its callers' returns can last, in ms. */
   memoryMs: number;
@@ -45,7 +47,7 @@
 /** A continuation, and the inputs of the decision for the log. */
 export interface ResolvedContinuation {
   continuation: Continuation;
-  source: 'own' | 'peer' | 'none';
+  source: 'own' | 'peer' | 'store' | 'none';
   /** Age of this entry's own record, in ms. */
   ageMs?: number;
   /** Peers that answered. */
@@ -84,6 +86,12 @@
   isConfirmed: boolean;
 }
 
+const NOT_SOUGHT: StoredOrigin = {
+  version: undefined,
+  isMixed: false,
+  isCurrent: true,
+};
+
 const NO_ANSWERS: Answers = {
   version: undefined,
   answers: 0,
@@ -166,7 +174,7 @@
     const isDue = nowMs - replicatedMs >= REPLICATE_AGAIN_MS;
     if (!isDue || !this.history.hasSeveral(service)) return replicatedMs;
     this.records.put(origin);
-    this.options.replicator.add(origin);
+    this.options.replicator.add({...origin, service});
     return nowMs;
   }
 
@@ -207,13 +215,18 @@
     const own = key === undefined ? undefined : this.records.find(key);
     const found = own ? NO_ANSWERS : await this.lookUp(key, service);
     if (!own && !this.history.isComplete) await this.options.untilNotesRead();
-    const version = own?.version ?? found.version;
+    const remembered = own?.version ?? found.version;
+    const stored =
+      remembered === undefined && this.mayNeedStore(service, found)
+        ? await this.options.stored.find(key, service)
+        : NOT_SOUGHT;
+    const version = remembered ?? stored.version;
     const evidence = this.evidenceOf(service, found);
     const continuation = decideContinuation({
       originVersion: version,
       isOriginGone:
         version !== undefined && this.history.isGone(service, version),
-      onlyVersion: findOnlyVersion(evidence),
+      onlyVersion: stored.isMixed ? undefined : findOnlyVersion(evidence),
     });
     if (key !== undefined && version !== undefined) {
       this.records.put({requestId: key, version});
@@ -223,17 +236,19 @@
       outcome: kind === 'refuse' ? 'refused' : 'continued',
       reason,
     });
-    const source = own ? 'own' : found.version === undefined ? 'none' : 'peer';
     return {
       continuation,
-      source,
+      source: sourceOf(own?.version, found.version, stored.version),
       ageMs: own?.ageMs,
       answers: found.answers,
       isConfirmed: found.isConfirmed,
       isFinal:
         version === undefined
-          ? found.isExhaustive && hasSeveralVersions(evidence)
-          : this.history.versionsOf(service).includes(version),
+          ? found.isExhaustive &&
+            stored.isCurrent &&
+            (stored.isMixed || hasSeveralVersions(evidence))
+          : found.isConfirmed ||
+            this.history.versionsOf(service).includes(version),
     };
   }
 
@@ -245,8 +260,12 @@
     key: string | undefined,
     service: string,
   ): Promise<Answers> {
-    const {lookup} = this.options;
-    if (this.history.hasSeveral(service)) {
+    const {lookup, stored, notedServices} = this.options;
+    const hasSeveral = this.history.hasSeveral(service);
+    const isNoted = notedServices()?.has(service) ?? false;
+    // All entries may have ended at once, so that no peer has the record.
+    if (!this.history.isComplete && (hasSeveral || isNoted)) stored.refresh();
+    if (hasSeveral) {
       const found = await lookup.find(key, LOOKUP_MS);
       return {...found, isConfirmed: false};
     }
@@ -265,6 +284,16 @@
     return {...found, isConfirmed};
   }
 
+  /**
+   * Whether the store may know more of a stream that no entry knows: all
+   * entries may have ended at once, before a note of versions was written.
+   */
+  private mayNeedStore(service: string, found: Answers): boolean {
+    const isPastKnown = this.history.isComplete || found.hasCompleteHistory;
+    const evidence = this.evidenceOf(service, found);
+    return !isPastKnown || findOnlyVersion(evidence) === undefined;
+  }
+
   /** Resolves to whether the view is now that of a read sent after this call. */
   private confirm(): Promise<boolean> {
     // A read that fails, for whatever reason, has confirmed nothing.
@@ -322,3 +351,13 @@
     return followedMs >= memoryMs || isNotedSingle;
   }
 }
+
+function sourceOf(
+  own: string | undefined,
+  peer: string | undefined,
+  store: string | undefined,
+): ResolvedContinuation['source'] {
+  if (own !== undefined) return 'own';
+  if (peer !== undefined) return 'peer';
+  return store === undefined ? 'none' : 'store';
+}
