Tell all listeners of a change of the fleet if one fails

Found by a review: listeners after one that throws never heard of the change, and nothing repeats a removal or a configuration. Each failure is logged (listener-failed), and the others are told. The new test failed before: the removal reached no second listener.

--- a/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/fleetView.test.ts
@@ -78,6 +78,23 @@
     expect(gapsMs).toEqual([3_400]);
   });
 
+  // Guards against a runner that one part still uses as another one failed.
+  it('tells all listeners of a change if one fails', () => {
+    const logger = new MemoryLogger();
+    const view = new FleetView(new VirtualClock(), logger);
+    const seen: string[] = [];
+    view.onChange(() => {
+      throw new Error('no such service');
+    });
+    view.onChange(({kind}) => seen.push(kind));
+    view.onRegistration(registration(1));
+    view.onRemoval('r1');
+    expect(seen).toEqual(['runner', 'runner-removed']);
+    expect(logger.lines).toContainEqual(
+      expect.stringContaining('event=listener-failed change=runner-removed'),
+    );
+  });
+
   it('keeps a runner leaving when an older heartbeat arrives late', () => {
     const view = createView();
     view.onRegistration(registration(4));
--- a/packages/banyanfold-gateway/src/view/fleetView.ts
+++ b/packages/banyanfold-gateway/src/view/fleetView.ts
@@ -1,4 +1,4 @@
-import type {Clock, Logger} from '@banyanfold/core';
+import {type Clock, type Logger, summarizeError} from '@banyanfold/core';
 import type {
   FleetConfig,
   FleetHandlers,
@@ -185,7 +185,7 @@
     this.removed.delete(runnerId);
     if (leaving) this.leaving.set(runnerId, bornMs);
     else this.leaving.delete(runnerId);
-    if (isRestart) for (const notify of this.restartListeners) notify(runnerId);
+    if (isRestart) this.notifyRestart(runnerId);
     const hasNews =
       !known || isRestart || known.leaving !== leaving || known.isUnregistered;
     if (hasNews) {
@@ -227,7 +227,7 @@
       heartbeatNumber: BEFORE_FIRST_HEARTBEAT,
     });
     this.leaving.delete(runnerId);
-    for (const notify of this.restartListeners) notify(runnerId);
+    this.notifyRestart(runnerId);
     this.logger.info('runner-restarted', {runner: runnerId, bornMs});
     this.notifyListeners({kind: 'runner', runnerId});
   }
@@ -371,7 +371,25 @@
   }
 
   private notifyListeners(change: ViewChange): void {
-    for (const listener of this.listeners) listener(change);
+    for (const listener of this.listeners) {
+      this.tryNotify(change.kind, () => listener(change));
+    }
+  }
+
+  private notifyRestart(runnerId: string): void {
+    for (const listener of this.restartListeners) {
+      this.tryNotify('restart', () => listener(runnerId));
+    }
+  }
+
+  /** A failure of one listener must not hide the change from the others. */
+  private tryNotify(change: string, notify: () => void): void {
+    try {
+      notify();
+    } catch (thrown) {
+      const error = summarizeError(thrown);
+      this.logger.error('listener-failed', {change, error});
+    }
   }
 
   private pruneRemovals(nowMs: number): void {
