Drain on if the release of the lease fails

Found by a review: a release that throws ended the drain, and with it the process and all its requests, which is likeliest when the drain follows an uncaught error. It is logged, and the requests are finished. drain.test.ts failed before: the drain rejected at once.

--- a/packages/banyanfold-gateway/src/drain.ts
+++ b/packages/banyanfold-gateway/src/drain.ts
@@ -1,4 +1,9 @@
-import {type Clock, type Logger, runInBackground} from '@banyanfold/core';
+import {
+  type Clock,
+  type Logger,
+  runInBackground,
+  summarizeError,
+} from '@banyanfold/core';
 import type {GatewayServer} from './gatewayServer.js';
 import type {GatewayOptions} from './options.js';
 import type {LeaseSource} from './types.js';
@@ -106,10 +111,17 @@
     runInBackground({logger, step: 'release-lease'}, () => this.releaseLease());
   }
 
+  /** A failure must not end the drain, which would cut off all requests. */
   private releaseLease(): Promise<void> {
-    this.release ??= this.options.lease.release().then(() => {
-      this.isReleased = true;
-    });
+    this.release ??= this.options.lease
+      .release()
+      .catch((thrown: unknown) => {
+        const error = summarizeError(thrown);
+        this.options.logger.error('lease-release-failed', {error});
+      })
+      .then(() => {
+        this.isReleased = true;
+      });
     return this.release;
   }
 
