Take the amounts of peers in one way: as sound or as nothing

What is added to sums over all entries counts as nothing now, in each field; answers of the holder are still refused. A request that was counted against a runner's rate and not sent is reported as -1, which counted as 0 (found by a review). Names may be as long as a head of a request.

--- a/packages/banyanfold-gateway/src/peers/contractRanges.ts
+++ b/packages/banyanfold-gateway/src/peers/contractRanges.ts
@@ -1,5 +1,6 @@
 import {isSocketAddress} from '@banyanfold/core';
 import {z} from 'zod';
+import {emptyRecord} from '../emptyRecord.js';
 
 /**
  * Ranges of what peers send. They are wider than anything that a sound peer
@@ -8,8 +9,8 @@
 
 /** Work times its target is the largest quantity. */
 const MAX_AMOUNT = 1e24;
-/** A key of several prompt parts is the longest text. */
-const MAX_TEXT_CHARS = 65_536;
+/** No name in a caller's request is longer than its head may be. */
+const MAX_TEXT_CHARS = 131_072;
 const MAX_ITEMS = 100_000;
 
 /** Where a peer listens; a connection can be opened to it. */
@@ -48,19 +49,42 @@
  * Quantities by the id of a runner or a model. Each exchange has several with
  * all runners, and a schema for each value took four times as long.
  */
-export const countsSchema = z.custom<Record<string, number>>(isCounts, {
-  error: 'not a record of numbers in range',
-});
+export const countsSchema = z.custom<Record<string, number>>(
+  value => isRecord(value) && Object.values(value as object).every(isAmount),
+  {error: 'not a record of numbers in range'},
+);
 
-function isCounts(value: unknown): boolean {
-  if (typeof value !== 'object' || value === null) return false;
-  return !Array.isArray(value) && Object.values(value).every(isAmount);
+/** The same, added to sums over all entries; see `addendSchema`. */
+export const addendsSchema = z
+  .custom<Record<string, unknown>>(isRecord, {error: 'not a record'})
+  .transform(toCounts);
+
+function isRecord(value: unknown): boolean {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
 
 function isAmount(value: unknown): boolean {
   return typeof value === 'number' && Math.abs(value) <= MAX_AMOUNT;
 }
 
+function toCounts(values: Record<string, unknown>): Record<string, number> {
+  const entries = Object.entries(values);
+  if (entries.every(([, value]) => isCount(value))) {
+    return values as Record<string, number>;
+  }
+  const counts = emptyRecord<number>();
+  for (const [name, value] of entries) {
+    counts[name] = isCount(value) ? value : 0;
+  }
+  return counts;
+}
+
+function isCount(value: unknown): value is number {
+  return (
+    typeof value === 'number' && value >= 0 && value <= Number.MAX_SAFE_INTEGER
+  );
+}
+
 /** Values by the id of a runner, a model or an organisation. */
 export function recordOf<S extends z.ZodType>(value: S) {
   return z.record(textSchema, value);
--- a/packages/banyanfold-gateway/src/peers/peerContract.ts
+++ b/packages/banyanfold-gateway/src/peers/peerContract.ts
@@ -10,6 +10,7 @@
 } from '../crashes/crashContract.js';
 import {
   addendSchema,
+  addendsSchema,
   addressSchema,
   amountSchema,
   countsSchema,
@@ -24,6 +25,10 @@
   type RetryGrantInput,
 } from './retryGrantContract.js';
 
+/** Requests that one entry admits and then doesn't send between two exchanges. */
+const MAX_UNSENT = 100_000;
+const MAX_USE = Number.MAX_SAFE_INTEGER;
+
 /** The models and adapters that one runner holds. */
 const runnerCopiesSchema = z.object({
   runnerId: textSchema,
@@ -161,7 +166,7 @@
       arrivals: addendSchema,
       promptTokens: addendSchema,
       outputTokens: addendSchema,
-      adapters: recordOf(addendSchema),
+      adapters: addendsSchema,
     }),
   ),
   /** Request outcomes by runner; omitted by releases that don't send them. */
@@ -176,7 +181,12 @@
   usage: listOf(usageReportSchema).optional(),
   /** Usage of rate-limited runners; omitted by releases that don't send it. */
   rateUse: listOf(
-    z.object({runnerId: textSchema, asked: addendSchema, used: addendSchema}),
+    z.object({
+      runnerId: textSchema,
+      asked: addendSchema,
+      /** Negative if a request that was counted before was not sent. */
+      used: z.number().min(-MAX_UNSENT).max(MAX_USE).catch(0),
+    }),
   ).optional(),
   /** Work by organisation; omitted by entries without fair shares. */
   demandByOrganisation: listOf(
@@ -215,13 +225,13 @@
   runnersChange: ordinalSchema,
   /** Last revision of the runners' copies that it has received. */
   known: z.object({epoch: textSchema, revision: ordinalSchema}).optional(),
-  openWork: countsSchema,
+  openWork: addendsSchema,
   /** Adapters used by its requests in flight, by runner. */
   adaptersInUse: recordOf(listOf(textSchema)),
   /** Requests in flight, by runner and model. */
-  modelsInUse: recordOf(countsSchema),
+  modelsInUse: recordOf(addendsSchema),
   /** Requests waiting for a copy, by model. */
-  waiting: countsSchema,
+  waiting: addendsSchema,
   batch: demandBatchSchema,
   /** Backlogs by pool; omitted by entries without fair shares. */
   poolBacklogs: recordOf(poolBacklogSchema).optional(),
