--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,6 +2,14 @@
 import {fileURLToPath} from 'node:url';
 import {defineConfig} from 'vitest/config';
 
+const TEST_FILES = [
+  'packages/*/src/**/__tests__/**/*.test.ts',
+  'platform/src/**/__tests__/**/*.test.ts',
+  'bench/src/**/__tests__/**/*.test.ts',
+  'soak/src/**/__tests__/**/*.test.ts',
+];
+const ISOLATED_TEST_FILES = ['platform/src/**/*.isolated.test.ts'];
+
 const PACKAGE_PREFIX = 'banyanfold-';
 
 /** Tests read the sources, so that a stale build can't hide a failure. */
@@ -21,16 +29,31 @@
 export default defineConfig({
   resolve: {alias: sourceAliases()},
   test: {
-    include: [
-      'packages/*/src/**/__tests__/**/*.test.ts',
-      'platform/src/**/__tests__/**/*.test.ts',
-      'bench/src/**/__tests__/**/*.test.ts',
-      'soak/src/**/__tests__/**/*.test.ts',
-    ],
     globalSetup: ['scripts/testSetup.mjs'],
     pool: 'forks',
-    maxWorkers: 4,
-    testTimeout: 60_000,
-    hookTimeout: 60_000,
+    projects: [
+      {
+        extends: true,
+        test: {
+          name: 'parallel',
+          include: TEST_FILES,
+          exclude: ISOLATED_TEST_FILES,
+          maxWorkers: 4,
+          testTimeout: 60_000,
+          hookTimeout: 60_000,
+        },
+      },
+      {
+        // They measure a process, so they run one at a time, after all others.
+        extends: true,
+        test: {
+          name: 'isolated',
+          include: ISOLATED_TEST_FILES,
+          maxWorkers: 1,
+          sequence: {groupOrder: 1},
+          testTimeout: 60_000,
+        },
+      },
+    ],
   },
 });
