Gather request bodies in blocks, at a cost of at most twice their length

Callers saw connections reset, and the entry exit with SIGABRT (heap exhausted): 20 clients with bodies in chunks of one byte ended it in both deployments, and so did a single body of 4 MB in such chunks, which is inside the limits.

Cause: readBody kept each chunk as the Buffer that the parser made of it. A chunk of one byte then takes some hundred bytes of heap, and the bound on held bytes counted it as one. Ruled out: the size of bodies alone, as the same clients with large chunks end nothing.

Chunks are copied into blocks that grow with what has arrived, from 1 KiB to 64 KiB each, up to the announced length, so that a body takes at most twice its length and a promise takes nothing. What is counted is the block, when it is allocated. A body that is given up frees its blocks at once; it was kept until its connection closed.

--- a/packages/banyanfold-gateway/src/requests/readBody.ts
+++ b/packages/banyanfold-gateway/src/requests/readBody.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import {BodyBuffer} from './bodyBuffer.js';
 
 /** Why a request body could not be read. */
 export type BodyReadError = 'too-large' | 'no-memory' | 'broken-off';
@@ -15,28 +16,24 @@
   {maxBytes, addBytes = () => true}: ReadBodyOptions,
 ): Promise<Buffer | BodyReadError> {
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new BodyBuffer({
+      announcedBytes: announcedBytes(request) || undefined,
+      addBlock: addBytes,
+    });
+    // What follows is discarded, so that the caller reads the refusal.
+    const giveUp = (error: BodyReadError) => {
+      request.off('data', addChunk);
+      body.clear();
+      resolve(error);
+    };
     const addChunk = (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maxBytes) {
-        request.pause();
-        resolve('too-large');
-        return;
-      }
-      if (!addBytes(chunk.length)) {
-        // What follows is discarded, so that the caller reads the refusal.
-        request.off('data', addChunk);
-        chunks.length = 0;
-        resolve('no-memory');
-        return;
-      }
-      chunks.push(chunk);
+      if (body.length + chunk.length > maxBytes) giveUp('too-large');
+      else if (!body.append(chunk)) giveUp('no-memory');
     };
     request.on('data', addChunk);
-    request.once('end', () => resolve(Buffer.concat(chunks)));
-    request.once('error', () => resolve('broken-off'));
-    request.once('close', () => resolve('broken-off'));
+    request.once('end', () => resolve(body.take()));
+    request.once('error', () => giveUp('broken-off'));
+    request.once('close', () => giveUp('broken-off'));
   });
 }
 
