Bound memory and descriptors of an entry in every deployment

Callers of an entry without the contract 'pressure' saw it exceed its machine: 80 clients with bodies that stop short took 395 and 401 MB of 210, bodies over the limit 233 MB, 600 connections 631 of 512 descriptors.

Cause: createEntry passed limits of the settings file on only under 'pressure', so the gateway counted nothing elsewhere. Ruled out: the bounds themselves; under the contract the same clients broke none of them.

Only the watch of processor and link still hangs on the contract, as it refuses requests for their target time.

--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -91,8 +91,10 @@
   bounds: DeploymentBounds;
   /** The whole system starts for the first time. */
   isFirstStart: boolean;
-  /** Undefined if the process need not limit what it uses of its machine. */
-  resources?: ResourceSettings;
+  /** What the process may use of its machine. */
+  resources: ResourceSettings;
+  /** Whether requests are refused that the process can't serve in time. */
+  isBacklogWatched: boolean;
 }
 
 export interface GatewayDependencies {
@@ -321,7 +323,7 @@
     const connections = new RunnerConnections(clock, options, opening =>
       this.noteOpening(opening),
     );
-    const {maxDescriptors} = settings.resources ?? {};
+    const {maxDescriptors} = settings.resources;
     this.context = {
       clock,
       logger,
@@ -364,15 +366,15 @@
         metrics,
         options,
       }),
-      backlog:
-        settings.resources &&
-        new BacklogWatch({
-          clock,
-          logger,
-          metrics,
-          resources: settings.resources,
-          movingBytes: () => this.context.heldBytes?.movingBytes ?? 0,
-        }),
+      backlog: settings.isBacklogWatched
+        ? new BacklogWatch({
+            clock,
+            logger,
+            metrics,
+            resources: settings.resources,
+            movingBytes: () => this.context.heldBytes?.movingBytes ?? 0,
+          })
+        : undefined,
       descriptors:
         maxDescriptors === undefined
           ? undefined
--- a/packages/banyanfold-gateway/src/resources/heldBytes.ts
+++ b/packages/banyanfold-gateway/src/resources/heldBytes.ts
@@ -37,7 +37,7 @@
 
 /** Returns undefined if the memory of the process is not limited. */
 export function createHeldBytes(
-  {memoryMb}: ResourceSettings = {},
+  {memoryMb}: ResourceSettings,
   dependencies: HeldBytesDependencies & {options: GatewayOptions},
 ): HeldBytes | undefined {
   if (memoryMb === undefined) return undefined;
