Handle the requests of a connection one after another, in bounded number

Cause: the runtime hands over all requests that it has read, and the gateway began each at once: a handler, a runner's connection, a place in the queues. Nothing bounded them by connection or process. Ruled out: the size of responses, which the runtime bounds itself.

RequestTurns handles one request of a connection at a time. Up to 100 (maxRequestsAhead) wait for it; with more, the connection is closed after its current response. RequestPlaces bounds the requests of the process, 0.15 of its memory (requestMemoryShare), of which those that wait may take half, so that they don't keep first requests of others out. A first request without a place gets 503 before its body is read. Requests behind a response that closes the connection no longer run. Requests without a host are refused in turn (400), in place of by the runtime.

'frees the memory of a refused request that is pipelined' asked for memory of a request that waits; it now asks that it is taken in turn, freed by a refusal, and that the refusal arrives.

--- a/packages/banyanfold-gateway/src/__tests__/descriptorBudget.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/descriptorBudget.test.ts
@@ -5,6 +5,7 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import type {GatewayContext} from '../context.js';
 import {GatewayServer} from '../gatewayServer.js';
+import {DEFAULT_OPTIONS} from '../options.js';
 import {decideDescriptors} from '../resources/decideDescriptors.js';
 import {DescriptorBudget} from '../resources/descriptorBudget.js';
 import type {RunnerConnections} from '../runners/runnerConnections.js';
@@ -83,6 +84,7 @@
       },
       random: () => 0,
       isDraining: () => false,
+      options: DEFAULT_OPTIONS,
     } as unknown as GatewayContext);
     await server.listen(0, '127.0.0.1');
   });
--- a/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
@@ -93,6 +93,17 @@
   server.stopAccepting();
 });
 
+function open(): net.Socket {
+  const {port} = server.server.address() as AddressInfo;
+  const socket = net.connect(port, '127.0.0.1');
+  socket.on('error', () => {});
+  return socket;
+}
+
+function closeOf(socket: net.Socket): Promise<void> {
+  return new Promise(resolve => socket.once('close', () => resolve()));
+}
+
 function sendRequest(): Promise<number | undefined> {
   const {port} = server.server.address() as AddressInfo;
   return new Promise((resolve, reject) => {
@@ -146,24 +157,37 @@
   });
 
   // Guards against an exception, which ends the process, when memory is freed
-  // by a refused request whose response waits behind an earlier one.
+  // by a refused request that was sent behind an earlier one.
   it('frees the memory of a refused request that is pipelined', async () => {
     hasRoute = false;
+    decoded = {request: {}};
     // Until the first request waits for it, so that only that one waits.
     isReady = false;
-    const {port} = server.server.address() as AddressInfo;
-    const socket = net.connect(port, '127.0.0.1');
-    socket.on('error', () => {});
-    const body = 'x'.repeat(5_000);
+    const socket = open();
+    const body = 'x'.repeat(4_999);
     const second = `POST /b HTTP/1.1\r\nhost: a\r\ncontent-length: 5000\r\n\r\n${body}`;
+    let received = '';
+    socket.on('data', bytes => (received += String(bytes)));
     socket.write(`GET /a HTTP/1.1\r\nhost: a\r\n\r\n${second}`);
-    await new Promise(resolve => setTimeout(resolve, 200));
-    expect(heldBytes.heldBytes).toBe(5_000);
+    await expect.poll(() => received).toMatch(/^HTTP\/1.1 404 /);
+    await expect.poll(() => heldBytes.heldBytes).toBeGreaterThan(4_000);
     const response = new http.ServerResponse(new http.IncomingMessage(socket));
-    expect(heldBytes.admit(response, 5_000)).toBeDefined();
+    await expect.poll(() => heldBytes.admit(response, 5_000)).toBeDefined();
+    await expect.poll(() => received).toMatch(/HTTP\/1.1 503 /);
+    expect(heldBytes.heldBytes).toBe(0);
     socket.destroy();
   });
 
+  // Guards against an answer of the runtime itself, which overtakes others.
+  it('responds with 400 to a request without a host', async () => {
+    const socket = open();
+    let received = '';
+    socket.on('data', bytes => (received += String(bytes)));
+    socket.write('GET /a HTTP/1.1\r\n\r\n');
+    await closeOf(socket);
+    expect(received).toMatch(/^HTTP\/1.1 400 /);
+  });
+
   // Guards against a new connection for each refusal of a request without a
   // body, which costs a late process more than the refusal itself.
   it('keeps the connection of a request without a body that it refuses', async () => {
--- a/packages/banyanfold-gateway/src/context.ts
+++ b/packages/banyanfold-gateway/src/context.ts
@@ -18,6 +18,7 @@
 import type {BacklogWatch} from './resources/backlogWatch.js';
 import type {DescriptorBudget} from './resources/descriptorBudget.js';
 import type {HeldBytes} from './resources/heldBytes.js';
+import type {RequestPlaces} from './resources/requestPlaces.js';
 import type {StreamOrigins} from './streams/streamOrigins.js';
 import type {RequestCodec} from './types.js';
 import type {FleetView} from './view/fleetView.js';
@@ -60,6 +61,8 @@
   backlog?: BacklogWatch;
   /** Undefined if the connections of the process are not limited. */
   descriptors?: DescriptorBudget;
+  /** Undefined if the requests of the process are not limited. */
+  requestPlaces?: RequestPlaces;
   fairShares: FairShares;
   workForecast: WorkForecast;
   streamOrigins: StreamOrigins;
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import {BacklogWatch} from './resources/backlogWatch.js';
 import {DescriptorBudget} from './resources/descriptorBudget.js';
 import {createHeldBytes} from './resources/heldBytes.js';
+import {createRequestPlaces} from './resources/requestPlaces.js';
 import type {ResourceSettings} from './resources/resourceSettings.js';
 import {HeldCopies} from './runners/heldCopies.js';
 import {PromptGate} from './runners/promptGate.js';
@@ -383,6 +384,10 @@
               maxDescriptors,
               connections,
             }),
+      requestPlaces: createRequestPlaces(settings.resources, {
+        metrics,
+        options,
+      }),
       fairShares,
       workForecast: new WorkForecast(() => clock.nowMs()),
       streamOrigins: this.originService.origins,
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -5,6 +5,7 @@
 } from 'node:http';
 import {summarizeError} from '@banyanfold/core';
 import type {GatewayContext} from './context.js';
+import {discardingClasses} from './requests/discardedExchange.js';
 import {ERROR_STATUS, sendErrorResponse} from './requests/errorResponse.js';
 import {HeadRefusals} from './requests/headRefusals.js';
 import {
@@ -13,6 +14,7 @@
   readBody,
 } from './requests/readBody.js';
 import {RequestHandler} from './requests/requestHandler.js';
+import {RequestTurns, type Exchange} from './requests/requestTurns.js';
 import {CallerConnections} from './resources/callerConnections.js';
 import {CallerIdentity} from './callers/callerIdentity.js';
 import type {CallerLimits} from './types.js';
@@ -39,22 +41,24 @@
   private readonly activeRequests = new Set<RequestHandler>();
   private readonly refusals: HeadRefusals;
   private readonly connections: CallerConnections;
+  private readonly turns: RequestTurns;
   openRequests = 0;
   private pendingLoopTurns: Promise<void> | undefined;
 
   constructor(private readonly context: GatewayContext) {
     this.refusals = new HeadRefusals(context);
+    this.turns = this.createTurns();
     this.server = http.createServer(
       {
+        ...discardingClasses(socket => this.turns.isDiscarding(socket)),
         maxHeaderSize: MAX_PARSED_HEADER_BYTES,
         requestTimeout: 0,
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
+        // The runtime would answer such requests before their turn.
+        requireHostHeader: false,
       },
-      (request, response) => {
-        this.handle(request, response).catch((thrown: unknown) =>
-          this.handleUnexpectedError(response, thrown),
-        );
-      },
+      (request, response) =>
+        this.turns.add({request, response, readMs: context.clock.nowMs()}),
     );
     this.connections = new CallerConnections({
       clock: context.clock,
@@ -126,17 +130,40 @@
     this.server.keepAliveTimeout = idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
   }
 
-  private async handle(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
-    const {context} = this;
-    const startedMs = context.clock.nowMs();
+  private createTurns(): RequestTurns {
+    const {requestPlaces, options, metrics, logger} = this.context;
+    return new RequestTurns({
+      maxAhead: options.maxRequestsAhead,
+      places: requestPlaces,
+      handle: exchange => {
+        this.handle(exchange).catch((thrown: unknown) =>
+          this.handleUnexpectedError(exchange.response, thrown),
+        );
+      },
+      refuse: exchange => {
+        this.noteOpen(exchange);
+        this.refusals.refuseForPlaces(exchange.request, exchange.response);
+      },
+      onDiscard: (reason, socket) => {
+        metrics.count('caller_connections_cut_total', {reason});
+        logger.info('connection-cut', {reason, caller: socket.remoteAddress});
+      },
+    });
+  }
+
+  /** Counts a request until its response is flushed or its connection closed. */
+  private noteOpen({request, response}: Exchange): void {
     this.openRequests += 1;
     this.connections.noteRequest(request.socket, response);
     response.once('close', () => {
       this.openRequests -= 1;
     });
+  }
+
+  private async handle(exchange: Exchange): Promise<void> {
+    const {context} = this;
+    const {request, response, readMs: startedMs} = exchange;
+    this.noteOpen(exchange);
     const errorStatus = this.checkHead(request);
     if (errorStatus !== undefined) {
       this.refusals.refuse(request, response, errorStatus, true);
@@ -337,6 +364,9 @@
     let bytes = 0;
     for (const value of request.rawHeaders) bytes += value.length + 2;
     if (bytes > this.limits.maxHeaderBytes) return ERROR_STATUS.headTooLarge;
+    if (request.headers.host === undefined && request.httpVersion === '1.1') {
+      return ERROR_STATUS.invalid;
+    }
     const isTooLarge = announcedBytes(request) > this.limits.maxBodyBytes;
     return isTooLarge ? ERROR_STATUS.tooLarge : undefined;
   }
--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -120,6 +120,18 @@
    * after 0.2 s, and a second time 0.4 s later.
    */
   stalledAfterMs: durationMs.default(1_000),
+  /**
+   * Requests that may wait on a connection for the one before them; a connection
+   * with more is closed. Clients that send ahead wait for responses after some
+   * tens of requests.
+   */
+  maxRequestsAhead: z.number().int().nonnegative().max(10_000).default(100),
+  /**
+   * Share of the process's memory that the objects of its requests may fill,
+   * apart from their data. On the smallest machine, 210 MB, it holds 2,016
+   * requests, more than its descriptors allow at once.
+   */
+  requestMemoryShare: z.number().positive().max(0.5).default(0.15),
   /**
    * Share of the allowed retries that is used, so that a deviation of a few
    * requests in the count does not exceed the limit.
--- a/packages/banyanfold-gateway/src/requests/headRefusals.ts
+++ b/packages/banyanfold-gateway/src/requests/headRefusals.ts
@@ -23,6 +23,8 @@
  * that long, and each that ends frees two.
  */
 const DESCRIPTORS_RETRY_AFTER_MS = 1_000;
+/** Retry delay for callers refused because the process holds too many requests. */
+const PLACES_RETRY_AFTER_MS = 1_000;
 /**
  * Time for the body of a request that is refused because of descriptors. Callers
  * abandon a silent connection after 1 s, and one that stops sending would keep
@@ -131,6 +133,23 @@
     );
   }
 
+  /** Refuses a request because the process holds as many as it can. */
+  refuseForPlaces(request: IncomingMessage, response: ServerResponse): void {
+    const {metrics, logger, random} = this.context;
+    const retryAfterMs = retryAfterPauseMs(PLACES_RETRY_AFTER_MS, random);
+    metrics.count('refused_for_places_total');
+    logger.info('refuse', {
+      reason: 'requests',
+      target: request.url,
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+    sendErrorResponse(
+      response,
+      {status: ERROR_STATUS.notRun, reason: 'requests', retryAfterMs},
+      true,
+    );
+  }
+
   /** Refuses a request that this process can't serve in time. */
   refuseForBacklog(request: IncomingMessage, response: ServerResponse): void {
     const {metrics, logger, random, isDraining, backlog} = this.context;
