Reuse the blocks of request bodies that were given up

Cause: blocks of bodies that are refused, too large or broken off were left to the garbage collector, and the next bodies took new ones, so that the process had several times what was held. Ruled out: the heap (no exit), and what is held.

--- a/packages/banyanfold-gateway/src/__tests__/bodyBuffer.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/bodyBuffer.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
+import {BlockPool, POOLED_BLOCK_BYTES} from '../requests/blockPool.js';
 import {BodyBuffer} from '../requests/bodyBuffer.js';
 
 /** The first block; a body that small may take this much. */
@@ -8,6 +9,7 @@
 function gather(chunks: Buffer[], announcedBytes?: number) {
   let heldBytes = 0;
   const buffer = new BodyBuffer({
+    pool: new BlockPool(),
     announcedBytes,
     addBlock: bytes => {
       heldBytes += bytes;
@@ -42,7 +44,29 @@
   });
 
   it('refuses a chunk that there is no memory for', () => {
-    const buffer = new BodyBuffer({addBlock: () => false});
+    const buffer = new BodyBuffer({
+      pool: new BlockPool(),
+      addBlock: () => false,
+    });
     expect(buffer.append(Buffer.from('a'))).toBe(false);
   });
+
+  // Guards against memory that is left to the collector by each body.
+  it('uses the blocks of bodies that were given up', () => {
+    const pool = new BlockPool();
+    const body = Buffer.alloc(4 * POOLED_BLOCK_BYTES, 'a');
+    const gatherAll = (fill: string) => {
+      const buffer = new BodyBuffer({pool, addBlock: () => true});
+      buffer.append(body.fill(fill));
+      return buffer;
+    };
+    const first = gatherAll('a');
+    first.clear();
+    const block = pool.take(POOLED_BLOCK_BYTES);
+    expect(block[0]).toBe('a'.charCodeAt(0));
+    pool.giveBack([block]);
+    const second = gatherAll('b').take();
+    gatherAll('c').clear();
+    expect(second.equals(Buffer.alloc(body.length, 'b'))).toBe(true);
+  });
 });
--- a/packages/banyanfold-gateway/src/gateway.ts
+++ b/packages/banyanfold-gateway/src/gateway.ts
@@ -615,6 +615,7 @@
     this.context.promptGate.prune(id => this.view.runner(id) !== undefined);
     this.context.connections.closeIdle();
     this.callerServer.closeStaleConnections();
+    this.callerServer.freeUnusedMemory();
     this.context.descriptors?.measure();
   }
 }
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -5,6 +5,7 @@
 } from 'node:http';
 import {summarizeError} from '@banyanfold/core';
 import type {GatewayContext} from './context.js';
+import {BlockPool} from './requests/blockPool.js';
 import {discardingClasses} from './requests/discardedExchange.js';
 import {ERROR_STATUS, sendErrorResponse} from './requests/errorResponse.js';
 import {HeadRefusals} from './requests/headRefusals.js';
@@ -42,6 +43,7 @@
   private readonly refusals: HeadRefusals;
   private readonly connections: CallerConnections;
   private readonly turns: RequestTurns;
+  private readonly blocks = new BlockPool();
   openRequests = 0;
   private pendingLoopTurns: Promise<void> | undefined;
 
@@ -106,6 +108,11 @@
     this.connections.closeIdle();
   }
 
+  /** Frees memory that is kept for the bodies of further requests. */
+  freeUnusedMemory(): void {
+    this.blocks.shrink();
+  }
+
   /** Refuses unsent requests, so that they can go to another entry. */
   refuseUnsent(): void {
     for (const handler of this.activeRequests) handler.refuseUnsent();
@@ -194,6 +201,7 @@
     const stopTimer = this.limitBodyTime(request, response);
     const body = await readBody(request, {
       maxBytes: this.limits.maxBodyBytes,
+      pool: this.blocks,
       addBytes: holding && (bytes => holding.addBody(bytes)),
     });
     stopTimer();
--- a/packages/banyanfold-gateway/src/requests/bodyBuffer.ts
+++ b/packages/banyanfold-gateway/src/requests/bodyBuffer.ts
@@ -1,8 +1,11 @@
+import {POOLED_BLOCK_BYTES, type BlockPool} from './blockPool.js';
+
 /** Room for the first bytes of a body whose length is not announced. */
 const FIRST_BLOCK_BYTES = 1_024;
-const MAX_BLOCK_BYTES = 65_536;
+const MAX_BLOCK_BYTES = POOLED_BLOCK_BYTES;
 
 export interface BodyBufferOptions {
+  pool: BlockPool;
   /** Length that the head announces; undefined if it announces none. */
   announcedBytes?: number;
   /** Returns false if there is no memory for a block of that many bytes. */
@@ -15,7 +18,7 @@
  * body of small chunks would take many times its length.
  *
  * @example
- * const buffer = new BodyBuffer({addBlock: () => true});
+ * const buffer = new BodyBuffer({pool: new BlockPool(), addBlock: () => true});
  * buffer.append(Buffer.from('a'));
  * buffer.take(); // <Buffer 61>
  */
@@ -48,13 +51,19 @@
   /** Returns what was gathered, and keeps nothing of it. */
   take(): Buffer {
     const {blocks, lengthBytes} = this;
-    this.clear();
     const [first] = blocks;
-    if (blocks.length === 1) return first!.subarray(0, lengthBytes);
-    return Buffer.concat(blocks, lengthBytes);
+    if (blocks.length === 1) {
+      this.blocks = [];
+      return first!.subarray(0, lengthBytes);
+    }
+    const body = Buffer.concat(blocks, lengthBytes);
+    this.clear();
+    return body;
   }
 
+  /** Gives up what was gathered. */
   clear(): void {
+    this.options.pool.giveBack(this.blocks);
     this.blocks = [];
     this.usedBytes = 0;
     this.lengthBytes = 0;
@@ -65,7 +74,7 @@
     if (last && this.usedBytes < last.length) return last;
     const bytes = this.nextBlockBytes(wantedBytes);
     if (!this.options.addBlock(bytes)) return undefined;
-    const block = Buffer.allocUnsafeSlow(bytes);
+    const block = this.options.pool.take(bytes);
     this.blocks.push(block);
     this.usedBytes = 0;
     return block;
--- a/packages/banyanfold-gateway/src/requests/readBody.ts
+++ b/packages/banyanfold-gateway/src/requests/readBody.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import type {BlockPool} from './blockPool.js';
 import {BodyBuffer} from './bodyBuffer.js';
 
 /** Why a request body could not be read. */
@@ -6,6 +7,7 @@
 
 export interface ReadBodyOptions {
   maxBytes: number;
+  pool: BlockPool;
   /** Returns false if there is no memory for that many more bytes. */
   addBytes?: (bytes: number) => boolean;
 }
@@ -13,10 +15,11 @@
 /** Buffers the complete request body, so that an attempt can be retried. */
 export function readBody(
   request: IncomingMessage,
-  {maxBytes, addBytes = () => true}: ReadBodyOptions,
+  {maxBytes, pool, addBytes = () => true}: ReadBodyOptions,
 ): Promise<Buffer | BodyReadError> {
   return new Promise(resolve => {
     const body = new BodyBuffer({
+      pool,
       announcedBytes: announcedBytes(request) || undefined,
       addBlock: addBytes,
     });
