Close connections whose refused body goes on, bound bodies without a route

Cause: the runtime waits for the rest of a body after its request was answered, and the time of a body was bounded by its route only.

After an answer, the rest of the body has unreadBodyMs (5 s); without a route the body has the idle timeout, and the request then gets 504, which promises nothing.

The test of a refused body that goes on fails without the change: the connection is never closed. A body that does end keeps its connection, with a test.

--- a/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
@@ -81,7 +81,7 @@
     },
     random: () => 0,
     isDraining: () => false,
-    options: DEFAULT_OPTIONS,
+    options: {...DEFAULT_OPTIONS, unreadBodyMs: 100},
     clock: systemClock,
   } as unknown as GatewayContext);
   await server.listen(0, '127.0.0.1');
@@ -188,6 +188,33 @@
     expect(received).toMatch(/^HTTP\/1.1 400 /);
   });
 
+  // Guards against callers that keep a connection by a body without an end.
+  it('closes the connection of a refused request whose body goes on', async () => {
+    isLate = true;
+    const socket = open();
+    let received = '';
+    socket.on('data', bytes => (received += String(bytes)));
+    socket.write('POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nx');
+    await closeOf(socket);
+    expect(received).toMatch(/^HTTP\/1.1 503 /);
+    expect(received).toMatch(/^connection: keep-alive\r$/im);
+  });
+
+  it('keeps the connection of a refused request whose body ends', async () => {
+    isLate = true;
+    const socket = open();
+    let received = '';
+    socket.on('data', bytes => (received += String(bytes)));
+    const head = 'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n';
+    socket.write(`${head}x`);
+    await expect.poll(() => received).toContain('503');
+    socket.write(`x${head}xx`);
+    await expect
+      .poll(() => [...received.matchAll(/HTTP\/1.1 503 /g)].length)
+      .toBe(2);
+    socket.destroy();
+  });
+
   // Guards against a new connection for each refusal of a request without a
   // body, which costs a late process more than the refusal itself.
   it('keeps the connection of a request without a body that it refuses', async () => {
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -165,6 +165,19 @@
     response.once('close', () => {
       this.openRequests -= 1;
     });
+    response.once('finish', () => this.limitUnreadBody(request));
+  }
+
+  /**
+   * Closes the connection of a request that was answered before its body had
+   * ended, unless the rest of it arrives soon.
+   */
+  private limitUnreadBody(request: IncomingMessage): void {
+    if (request.complete) return;
+    const {clock, options} = this.context;
+    const {socket} = request;
+    const timer = clock.setTimer(options.unreadBodyMs, () => socket.destroy());
+    request.once('close', () => timer.cancel());
   }
 
   private async handle(exchange: Exchange): Promise<void> {
@@ -341,14 +354,16 @@
   ): () => void {
     const {view, codec, options, clock} = this.context;
     const hasBody = announcedBytes(request) > 0 || hasUnknownLength(request);
+    if (!hasBody) return () => {};
     const host = request.headers.host ?? '';
-    const route = hasBody && view.findRoute(host, request.url ?? '/');
-    if (!route) return () => {};
+    const route = view.findRoute(host, request.url ?? '/');
+    // Without a route the request is refused once its body has ended.
+    const timeoutMs = route?.timeoutMs ?? this.limits.idleTimeoutMs;
     const deadlineMs = codec
       .decodeRequest(request.rawHeaders)
       .map(decoded => decoded.request.deadlineMs)
       .unwrapOr(undefined);
-    const allowedMs = Math.min(route.timeoutMs, deadlineMs ?? Infinity);
+    const allowedMs = Math.min(timeoutMs, deadlineMs ?? Infinity);
     const timer = clock.setTimer(allowedMs - options.deadlineMarginMs, () => {
       if (response.headersSent) return;
       this.refusals.refuse(request, response, ERROR_STATUS.timeout, true);
--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -132,6 +132,11 @@
    * requests, more than its descriptors allow at once.
    */
   requestMemoryShare: z.number().positive().max(0.5).default(0.15),
+  /**
+   * Time for the rest of a body after its request was answered. On the slowest
+   * link, 7 Mbit/s, 4 MB take 4.8 s.
+   */
+  unreadBodyMs: durationMs.default(5_000),
   /**
    * Share of the allowed retries that is used, so that a deviation of a few
    * requests in the count does not exceed the limit.
