Keep discarded requests out of the turns of connections

After a client had sent more requests ahead than may wait, the entry counted up to 101 open requests that never ended, each with a place.

Cause: the request object that discarded requests share belongs to no caller's connection, and was taken for the first request of one. Ruled out: the requests before it, whose places were free once their connection had closed.

The listener passes discarded requests over; they are counted when the parser makes them, by the connection they come from.

The test failed before (1 open request after the connection had closed) and passes.

--- a/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
@@ -178,6 +178,18 @@
     socket.destroy();
   });
 
+  // Guards against discarded requests that are handled and counted for ever.
+  it('handles no request that is beyond those that may be sent ahead', async () => {
+    hasRoute = false;
+    const socket = open();
+    let received = '';
+    socket.on('data', bytes => (received += String(bytes)));
+    socket.write('GET /a HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(500));
+    await closeOf(socket);
+    expect([...received.matchAll(/HTTP\/1.1 404 /g)]).toHaveLength(1);
+    await expect.poll(() => server.openRequests).toBe(0);
+  });
+
   // Guards against an answer of the runtime itself, which overtakes others.
   it('responds with 400 to a request without a host', async () => {
     const socket = open();
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -6,7 +6,10 @@
 import {summarizeError} from '@banyanfold/core';
 import type {GatewayContext} from './context.js';
 import {BlockPool} from './requests/blockPool.js';
-import {discardingClasses} from './requests/discardedExchange.js';
+import {
+  DiscardedRequest,
+  discardingClasses,
+} from './requests/discardedExchange.js';
 import {ERROR_STATUS, sendErrorResponse} from './requests/errorResponse.js';
 import {HeadRefusals} from './requests/headRefusals.js';
 import {
@@ -52,15 +55,17 @@
     this.turns = this.createTurns();
     this.server = http.createServer(
       {
-        ...discardingClasses(socket => this.turns.isDiscarding(socket)),
+        ...discardingClasses(socket => this.turns.discardsNext(socket)),
         maxHeaderSize: MAX_PARSED_HEADER_BYTES,
         requestTimeout: 0,
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
         // The runtime would answer such requests before their turn.
         requireHostHeader: false,
       },
-      (request, response) =>
-        this.turns.add({request, response, readMs: context.clock.nowMs()}),
+      (request, response) => {
+        if (request instanceof DiscardedRequest) return;
+        this.turns.add({request, response, readMs: context.clock.nowMs()});
+      },
     );
     this.connections = new CallerConnections({
       clock: context.clock,
--- a/packages/banyanfold-gateway/src/requests/discardedExchange.ts
+++ b/packages/banyanfold-gateway/src/requests/discardedExchange.ts
@@ -2,7 +2,7 @@
 import {Socket} from 'node:net';
 
 /** Takes what the runtime's parser gives it, and keeps nothing. */
-class DiscardedRequest extends IncomingMessage {
+export class DiscardedRequest extends IncomingMessage {
   override push(): boolean {
     return true;
   }
@@ -23,7 +23,7 @@
 
 /**
  * Returns the server options with which a request that is going to be discarded
- * takes no memory. The runtime makes a request and a response of some kilobytes
+ * takes no memory; the listener gets a `DiscardedRequest`. The runtime makes a request and a response of some kilobytes
  * for each head in the 64 KiB that it reads at once, and keeps them until the
  * connection is closed. All that are discarded share one of each.
  *
@@ -31,7 +31,7 @@
  * http.createServer(discardingClasses(socket => socket.destroyed), listener)
  */
 export function discardingClasses(
-  isDiscarding: (socket: Socket) => boolean,
+  discardsNext: (socket: Socket) => boolean,
 ): Pick<
   ServerOptions<typeof IncomingMessage, typeof ServerResponse>,
   'IncomingMessage' | 'ServerResponse'
@@ -40,7 +40,7 @@
   const discardedResponse = new DiscardedResponse(discardedRequest);
   class CallerRequest extends IncomingMessage {
     constructor(socket: Socket) {
-      if (isDiscarding(socket)) return discardedRequest as CallerRequest;
+      if (discardsNext(socket)) return discardedRequest as CallerRequest;
       super(socket);
     }
   }
--- a/packages/banyanfold-gateway/src/requests/requestTurns.ts
+++ b/packages/banyanfold-gateway/src/requests/requestTurns.ts
@@ -62,11 +62,7 @@
   add(exchange: Exchange): void {
     const {socket} = exchange.request;
     const connection = this.connections.get(socket) ?? this.open(socket);
-    if (this.isDiscarding(socket)) {
-      connection.discarded += 1;
-      if (connection.discarded > MAX_DISCARDED) socket.destroy();
-      return;
-    }
+    if (this.discardsNext(socket)) return;
     const {maxAhead, places, refuse} = this.options;
     const {exchanges} = connection;
     const isAhead = exchanges.length > 0;
@@ -83,9 +79,14 @@
     if (!isAhead) this.begin(connection, exchange);
   }
 
-  /** Whether nothing is done about further requests of a connection. */
-  isDiscarding(socket: Socket): boolean {
-    return socket.destroyed || !!this.connections.get(socket)?.isDiscarding;
+  /** Whether the next request of a connection is discarded; counts it if so. */
+  discardsNext(socket: Socket): boolean {
+    if (socket.destroyed) return true;
+    const connection = this.connections.get(socket);
+    if (!connection?.isDiscarding) return false;
+    connection.discarded += 1;
+    if (connection.discarded > MAX_DISCARDED) socket.destroy();
+    return true;
   }
 
   private open(socket: Socket): Connection {
