Answer requests with an Expect header in their turn

500 requests ahead that expect what isn't known left their connection open for longer than the test's 60 s.

Cause: the runtime answers such requests with 417 itself, and tells others to continue, before the listener of 'request' sees them. They were bounded by nothing, and what it wrote to the response that discarded requests share was kept.

The listeners of 'checkContinue' and 'checkExpectation' take them to the same turns; 100 Continue is sent when the body is wanted, after the checks of the head, and 417 as other final refusals. Discarded requests have no headers for the runtime to act on.

--- a/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/gatewayServer.test.ts
@@ -190,6 +190,27 @@
     await expect.poll(() => server.openRequests).toBe(0);
   });
 
+  // Guards against answers of the runtime to requests before their turn.
+  it.each([
+    ['100-continue', /^HTTP\/1.1 100 [^]*HTTP\/1.1 404 /],
+    ['other', /^HTTP\/1.1 417 /],
+  ])('answers only requests in turn that expect %s', async (value, answer) => {
+    hasRoute = false;
+    decoded = {request: {}};
+    process.once('uncaughtException', recordThrown);
+    const socket = open();
+    let received = '';
+    socket.on('data', bytes => (received += String(bytes)));
+    const head = `POST /a HTTP/1.1\r\nhost: a\r\nexpect: ${value}\r\n`;
+    socket.write(`${head}content-length: 1\r\n\r\nx`.repeat(500));
+    await closeOf(socket);
+    process.off('uncaughtException', recordThrown);
+    expect(received).toMatch(answer);
+    expect([...received.matchAll(/HTTP\/1.1 [^1]/g)]).toHaveLength(1);
+    await expect.poll(() => server.openRequests).toBe(0);
+    expect(thrown).toEqual([]);
+  });
+
   // Guards against an answer of the runtime itself, which overtakes others.
   it('responds with 400 to a request without a host', async () => {
     const socket = open();
--- a/packages/banyanfold-gateway/src/gatewayServer.ts
+++ b/packages/banyanfold-gateway/src/gatewayServer.ts
@@ -30,6 +30,7 @@
   headerTimeoutMs: 5_000,
   idleTimeoutMs: 15_000,
 };
+const CONTINUE_PATTERN = /(?:^|\W)100-continue(?:$|\W)/i;
 /** Parser limit; the configured limit is lower and may be raised later. */
 const MAX_PARSED_HEADER_BYTES = 131_072;
 /** Added to the announced timeout, until which callers reuse connections. */
@@ -53,20 +54,21 @@
   constructor(private readonly context: GatewayContext) {
     this.refusals = new HeadRefusals(context);
     this.turns = this.createTurns();
-    this.server = http.createServer(
-      {
-        ...discardingClasses(socket => this.turns.discardsNext(socket)),
-        maxHeaderSize: MAX_PARSED_HEADER_BYTES,
-        requestTimeout: 0,
-        connectionsCheckingInterval: CONNECTION_CHECK_MS,
-        // The runtime would answer such requests before their turn.
-        requireHostHeader: false,
-      },
-      (request, response) => {
+    this.server = http.createServer({
+      ...discardingClasses(socket => this.turns.discardsNext(socket)),
+      maxHeaderSize: MAX_PARSED_HEADER_BYTES,
+      requestTimeout: 0,
+      connectionsCheckingInterval: CONNECTION_CHECK_MS,
+      // The runtime would answer such requests before their turn.
+      requireHostHeader: false,
+    });
+    // The runtime would act on two of them before the turn of the request.
+    for (const event of ['request', 'checkContinue', 'checkExpectation']) {
+      this.server.on(event, (request, response) => {
         if (request instanceof DiscardedRequest) return;
         this.turns.add({request, response, readMs: context.clock.nowMs()});
-      },
-    );
+      });
+    }
     this.connections = new CallerConnections({
       clock: context.clock,
       maxIdleMs: () =>
@@ -217,6 +219,9 @@
       };
     }
     const stopTimer = this.limitBodyTime(request, response);
+    if (request.headers.expect !== undefined && request.httpVersion === '1.1') {
+      response.writeContinue();
+    }
     const body = await readBody(request, {
       maxBytes: this.limits.maxBodyBytes,
       pool: this.blocks,
@@ -392,8 +397,11 @@
     let bytes = 0;
     for (const value of request.rawHeaders) bytes += value.length + 2;
     if (bytes > this.limits.maxHeaderBytes) return ERROR_STATUS.headTooLarge;
-    if (request.headers.host === undefined && request.httpVersion === '1.1') {
-      return ERROR_STATUS.invalid;
+    const {host, expect} = request.headers;
+    const isCurrent = request.httpVersion === '1.1';
+    if (isCurrent && host === undefined) return ERROR_STATUS.invalid;
+    if (isCurrent && expect !== undefined && !CONTINUE_PATTERN.test(expect)) {
+      return ERROR_STATUS.unknownExpectation;
     }
     const isTooLarge = announcedBytes(request) > this.limits.maxBodyBytes;
     return isTooLarge ? ERROR_STATUS.tooLarge : undefined;
--- a/packages/banyanfold-gateway/src/requests/discardedExchange.ts
+++ b/packages/banyanfold-gateway/src/requests/discardedExchange.ts
@@ -37,6 +37,8 @@
   'IncomingMessage' | 'ServerResponse'
 > {
   const discardedRequest = new DiscardedRequest(new Socket());
+  // The runtime acts on what some headers of a request expect.
+  Object.defineProperty(discardedRequest, 'headers', {value: {}});
   const discardedResponse = new DiscardedResponse(discardedRequest);
   class CallerRequest extends IncomingMessage {
     constructor(socket: Socket) {
--- a/packages/banyanfold-gateway/src/requests/errorResponse.ts
+++ b/packages/banyanfold-gateway/src/requests/errorResponse.ts
@@ -14,6 +14,8 @@
   unauthorized: 401,
   noRoute: 404,
   tooLarge: 413,
+  /** The `Expect` header asks for what isn't known; the request has not run. */
+  unknownExpectation: 417,
   headTooLarge: 431,
   /** The usage cap is exceeded; the request has not run and never will. */
   overCap: 429,
