--- a/packages/banyanfold-gateway/src/options.ts
+++ b/packages/banyanfold-gateway/src/options.ts
@@ -122,8 +122,7 @@
   stalledAfterMs: durationMs.default(1_000),
   /**
    * Requests that may wait on a connection for the one before them; a connection
-   * with more is closed. Clients that send ahead wait for responses after some
-   * tens of requests.
+   * with more is closed. A client that waits for its responses sends none ahead.
    */
   maxRequestsAhead: z.number().int().nonnegative().max(10_000).default(100),
   /**
