Log how the runners' memory is used, and when prompt parts are suspects

The logs couldn't tell the three hypotheses apart: not whether memory lies in extra copies, in models that nobody requests or is too small; not when a part became a suspect, and how its trials ended. No decision changes.

--- a/packages/banyanfold-gateway/src/crashes/crashEvidence.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashEvidence.ts
@@ -135,6 +135,10 @@
     return this.rows.get(fingerprint)?.crashes.size ?? 0;
   }
 
+  unresolvedTrials(fingerprint: string): number {
+    return this.rows.get(fingerprint)?.unresolvedTrials ?? 0;
+  }
+
   /** Time since the last crash in ms; undefined if there is none. */
   crashedAgoMs(fingerprint: string): number | undefined {
     const times = [...(this.rows.get(fingerprint)?.crashes.values() ?? [])];
--- a/packages/banyanfold-gateway/src/crashes/crashLedger.ts
+++ b/packages/banyanfold-gateway/src/crashes/crashLedger.ts
@@ -193,9 +193,29 @@
     );
     if (areVerdictsEqual(before, this.verdicts)) return;
     this.revision += 1;
+    this.logSuspects(before);
     this.updateQuarantines(nowMs);
   }
 
+  private logSuspects(before: ReadonlyMap<string, CrashVerdict>): void {
+    const {logger} = this.options;
+    for (const [fingerprint, verdict] of this.verdicts) {
+      if (verdict !== 'suspect' || before.has(fingerprint)) continue;
+      logger.info('suspect', {
+        fingerprint,
+        crashes: this.evidence.crashIds(fingerprint).join(','),
+        answeredAgoMs: this.evidence.answeredAgoMs(fingerprint) ?? 'none',
+      });
+    }
+    for (const [fingerprint, verdict] of before) {
+      if (verdict !== 'suspect' || this.verdicts.has(fingerprint)) continue;
+      logger.info('suspect-cleared', {
+        fingerprint,
+        answeredAgoMs: this.evidence.answeredAgoMs(fingerprint) ?? 'none',
+      });
+    }
+  }
+
   /** Records the keys whose verdict changed to or from quarantine. */
   private updateQuarantines(nowMs: number): void {
     for (const [key, {isPrior}] of this.quarantines) {
@@ -219,6 +239,7 @@
     logger.warn('request-quarantined', {
       fingerprint: key,
       crashes: this.evidence.crashIds(members[0]!).join(','),
+      unresolvedTrials: this.evidence.unresolvedTrials(members[0]!),
       answeredAgoMs: members
         .map(each => this.evidence.answeredAgoMs(each) ?? 'none')
         .join(','),
--- a/packages/banyanfold-gateway/src/placement/leaseHolder.ts
+++ b/packages/banyanfold-gateway/src/placement/leaseHolder.ts
@@ -8,6 +8,7 @@
   chooseRelays,
   planCopies,
   type CopyOrder,
+  type CopyPlanInput,
   type CopyRunner,
   FleetUsage,
   type FleetUsageSnapshot,
@@ -45,6 +46,7 @@
 import {repeatEvery} from '../repeatEvery.js';
 import {CopyRevisions} from './copyRevisions.js';
 import {estimateCopyDelayMs, estimateLoadMs} from './copyTimes.js';
+import {summarizeCopies} from './summarizeCopies.js';
 import {toCopyRunner} from './toCopyRunner.js';
 import type {ModelDemand} from './demandMeter.js';
 import {FleetDemand} from './fleetDemand.js';
@@ -90,6 +92,8 @@
  * frozen.
  */
 const MAX_PAUSE_MS = 2_000;
+/** Interval at which the use of the runners' memory is logged. */
+const COPIES_LOG_INTERVAL_MS = 1_000;
 /** An unload completes right after the requests in progress. */
 const EXPECTED_UNLOAD_MS = 100;
 
@@ -145,6 +149,7 @@
   private newestRunnersChange = 0;
   private plannedMs = Number.NEGATIVE_INFINITY;
   private planTookMs = 0;
+  private readonly copiesLoggedMs = new Map<string, number>();
   /** When this process last held the lease. */
   private lastHeldMs = Number.NEGATIVE_INFINITY;
   private readonly reportPoller: ReportPoller;
@@ -579,7 +584,7 @@
       const speed = this.speeds.speed(runnerId, nowMs);
       runners.push({...toCopyRunner(controller, engine), inUse, speed});
     }
-    const orders = planCopies({
+    const input: CopyPlanInput = {
       runners,
       models: [...engine.models.values()].map(
         ({name, weightsMb, storeLoadMs, diskLoadMs, memoryLoadMs}) => ({
@@ -600,8 +605,9 @@
       ),
       canEvict: this.demand.observedForMs(nowMs) >= MIN_DEMAND_HISTORY_MS,
       storeLoadsLeft: loadRate.remaining(engine.loadsPerSecond, nowMs),
-    });
-    for (const order of orders) {
+    };
+    this.logCopies(service, input, nowMs);
+    for (const order of planCopies(input)) {
       const {logger} = this.deps;
       runInBackground({logger, step: 'order', peer: order.runnerId}, () =>
         this.sendOrder(order, engine),
@@ -609,6 +615,17 @@
     }
   }
 
+  private logCopies(
+    service: string,
+    input: CopyPlanInput,
+    nowMs: number,
+  ): void {
+    const loggedMs = this.copiesLoggedMs.get(service) ?? -Infinity;
+    if (nowMs - loggedMs < COPIES_LOG_INTERVAL_MS) return;
+    this.copiesLoggedMs.set(service, nowMs);
+    this.deps.logger.info('copies', {service, ...summarizeCopies(input)});
+  }
+
   private async sendOrder(order: CopyOrder, engine: EngineSpec): Promise<void> {
     const controller = this.controllers.get(order.runnerId);
     if (!controller) return;
--- a/packages/banyanfold-gateway/src/requests/suspectStatus.ts
+++ b/packages/banyanfold-gateway/src/requests/suspectStatus.ts
@@ -97,6 +97,12 @@
     const {trialKey} = this;
     this.trialKey = undefined;
     if (trialKey === undefined) return;
+    this.context.logger.info('trial-ended', {
+      fingerprint: trialKey,
+      result: result?.kind ?? 'not-sent',
+      error: result && 'error' in result ? result.error : undefined,
+      hasWritten: this.hasWritten,
+    });
     if (!result || NOT_RUN_KINDS.has(result.kind)) {
       suspects.noteTrialOver(trialKey, false);
       return;
