Evict copies of busy models although their requests wait for adapters

Cause: the planner took each request that waits for a model for one that waits for a copy. One that waits for a slot for its adapter, at runners that hold the model, waits too. No copy of such a model was ever evicted, however many there were, and a further one counted as saving all waiting requests. Class: one number with two meanings, read by a decision for either.

Now only the last copy stays while requests wait. Of several, each shares the waiting requests with the others: one more copy saves waiting / (copies + 1), one less costs waiting / (copies - 1).

Ruled out: that the memory is too small (49 to 58 of 105 places were second copies while 18 to 30 models in demand had none) and the rate of the weight store (6 to 35 loads were left).

--- a/packages/banyanfold-decisions/src/copies/copyMoves.ts
+++ b/packages/banyanfold-decisions/src/copies/copyMoves.ts
@@ -187,12 +187,15 @@
     return {saved: savedAtHolders, reason: 'relieve'};
   }
 
-  /** Callers that wait at holders of their model, beyond pending copies. */
-  private callersWaitingForSlots({name, waiting}: CopyModel): number {
+  /**
+   * Callers saved by one more copy of a model whose requests wait at its
+   * holders, unless the pending copies are enough for them.
+   */
+  private callersWaitingForSlots(model: CopyModel): number {
     const {waitingPerCopy} = this.options;
-    const pending = this.fleet.pendingCopies(name);
-    return Math.floor(waiting / waitingPerCopy) > pending
-      ? waiting - pending * waitingPerCopy
+    const pending = this.fleet.pendingCopies(model.name);
+    return Math.floor(model.waiting / waitingPerCopy) > pending
+      ? this.fleet.waitingSavedByCopy(model)
       : 0;
   }
 
--- a/packages/banyanfold-decisions/src/copies/copyVictims.ts
+++ b/packages/banyanfold-decisions/src/copies/copyVictims.ts
@@ -83,12 +83,15 @@
   }
 
   /**
-   * A copy stays while callers wait for its model, or while another copy of the
-   * model is pending: the plan counts the pending one, but it cannot serve
-   * callers yet.
+   * The last copy stays while callers wait for its model. Any copy stays while
+   * another one of the model is pending: the plan counts the pending one, but it
+   * cannot serve callers yet.
    */
   private isEvictable(victim: CopyModel): boolean {
-    return victim.waiting === 0 && this.fleet.pendingCopies(victim.name) === 0;
+    const {fleet} = this;
+    const isNeeded =
+      victim.waiting > 0 && fleet.servingCopies(victim.name) === 1;
+    return !isNeeded && fleet.pendingCopies(victim.name) === 0;
   }
 
   /** An unload waits for the longest of the requests in flight. */
@@ -116,7 +119,10 @@
     const {fleet, options} = this;
     if (fleet.servingCopies(victim.name) > 1) {
       const lost = fleet.callersLostByRemoval(victim, holder);
-      return Math.max(0, (lost * options.horizonMs) / MS_PER_SECOND);
+      return (
+        Math.max(0, (lost * options.horizonMs) / MS_PER_SECOND) +
+        fleet.waitingLostByRemoval(victim)
+      );
     }
     return (
       fleet.callersOverHorizon(victim) + this.demandShiftCost(victim, holder)
--- a/packages/banyanfold-decisions/src/copies/fleetCopies.ts
+++ b/packages/banyanfold-decisions/src/copies/fleetCopies.ts
@@ -228,6 +228,19 @@
     return lost;
   }
 
+  /**
+   * Waiting requests that one more copy serves. Requests for a model that is
+   * held wait for slots for their adapters, of which each copy adds as many.
+   */
+  waitingSavedByCopy({name, waiting}: CopyModel): number {
+    return waiting / (this.copyCount(name) + 1);
+  }
+
+  /** Requests that wait in addition when one of several copies is removed. */
+  waitingLostByRemoval({name, waiting}: CopyModel): number {
+    return waiting / (this.copyCount(name) - 1);
+  }
+
   /** Adds a copy that is going to be loaded. */
   addPending(
     target: PlannedRunner,
