Quarantine what was answered before only after two crashes in trials

All requests of a route may share a prompt part; expediente-voz has one in all. Where runners fail together, the part is a suspect, and one request with it runs in a trial. Two trials without a result, or one whose runner failed by chance, were proof: the part was refused for an hour, and with it the whole route.

A runner that returns an error, an answer that is lost and a caller that leaves end a trial without a result. That they count was meant for a request that no runner ever answers. What runners answered within the minute before the crashes now needs two crashes in trials; other requests and parts are judged as before.

Two tests of attributeCrashes failed before. A test that runners which fail together without a holder hold nothing back passed before.

--- a/packages/banyanfold-decisions/src/__tests__/attributeCrashes.test.ts
+++ b/packages/banyanfold-decisions/src/__tests__/attributeCrashes.test.ts
@@ -131,6 +131,35 @@
     expect(verdicts(rows)).toEqual({a: 'quarantined'});
   });
 
+  // Guards against refusing a part that sound requests share because a trial's
+  // runner returned an error, or its caller left.
+  it('takes no trials without a result as proof against what was answered', () => {
+    const shared = history('shared', ['1', '2', '3'], {
+      wasAnswered: true,
+      crashingForMs: 2_000,
+      hasCrashedAlone: false,
+      unresolvedTrials: 2,
+    });
+    expect(verdicts([shared])).toEqual({shared: 'suspect'});
+  });
+
+  // Guards against refusing a part that sound requests share because one more
+  // runner failed while it ran a trial.
+  it('quarantines what was answered after two crashes in trials, not one', () => {
+    const shared = history('shared', ['1', '2', '3', '4'], {
+      wasAnswered: true,
+      crashingForMs: 2_000,
+    });
+    const trial = (incarnation: string) => ({
+      incarnation,
+      suspects: ['shared'],
+    });
+    expect(verdicts([shared], [], [trial('3')])).toEqual({shared: 'suspect'});
+    expect(verdicts([shared], [], [trial('3'), trial('4')])).toEqual({
+      shared: 'quarantined',
+    });
+  });
+
   it('never quarantines a request that only ran beside the cause', () => {
     const incarnations = fc.uniqueArray(fc.nat(30), {
       minLength: 4,
--- a/packages/banyanfold-decisions/src/crashes/attributeCrashes.ts
+++ b/packages/banyanfold-decisions/src/crashes/attributeCrashes.ts
@@ -43,8 +43,13 @@
   suspectCrashes: number;
   /** Number of crashes from which a fingerprint may be quarantined. */
   quarantineCrashes: number;
-  /** Number of unresolved trials that counts as proof. */
+  /**
+   * Number of unresolved trials that counts as proof against a fingerprint that
+   * was not answered before.
+   */
   maxUnresolvedTrials: number;
+  /** Number of crashes in trials that prove a cause that was answered before. */
+  trialCrashesIfAnswered: number;
   /**
    * How long after its first crash a fingerprint that was answered before is
    * not a suspect yet, in ms.
@@ -61,6 +66,7 @@
   suspectCrashes: 2,
   quarantineCrashes: 3,
   maxUnresolvedTrials: 2,
+  trialCrashesIfAnswered: 2,
   answerGraceMs: 1_500,
 };
 
@@ -83,6 +89,11 @@
  * was at all the runners that crashed under it. Crashes attributed to it don't
  * count against others.
  *
+ * What runners answered shortly before is most likely sound: requests that share
+ * it were at several runners that failed together. A trial's runner may fail by
+ * chance too, or return an error, so one crash in a trial or trials without a
+ * result don't prove it the cause.
+ *
  * If the request of a trial had several suspects and no answer tells them apart,
  * only requests with all of them are quarantined, and each one by itself stays
  * a suspect.
@@ -188,6 +199,11 @@
 
   private isCause({fingerprints, crashes}: Candidate): boolean {
     if (crashes.length < this.options.quarantineCrashes) return false;
+    if (fingerprints.every(fingerprint => this.wasAnswered(fingerprint))) {
+      const {trialCrashesIfAnswered} = this.options;
+      if (this.trialCrashes(fingerprints) < trialCrashesIfAnswered)
+        return false;
+    }
     const [only, ...others] = fingerprints;
     if (others.length === 0) {
       const history = this.histories.get(only!);
@@ -201,6 +217,23 @@
     );
   }
 
+  private wasAnswered(fingerprint: string): boolean {
+    return this.histories.get(fingerprint)?.wasAnswered ?? false;
+  }
+
+  /** Number of trials with one of the fingerprints in which a runner crashed. */
+  private trialCrashes(fingerprints: readonly string[]): number {
+    const trials = [...this.evidence.trialCrashes].filter(
+      ({incarnation, suspects}) =>
+        fingerprints.some(
+          fingerprint =>
+            suspects.includes(fingerprint) &&
+            this.crashesOf(fingerprint).has(incarnation),
+        ),
+    );
+    return trials.length;
+  }
+
   private hasUnresolvedTrials({unresolvedTrials}: CrashHistory): boolean {
     return unresolvedTrials >= this.options.maxUnresolvedTrials;
   }
--- a/packages/banyanfold-gateway/src/__tests__/crashFleet.model.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/crashFleet.model.test.ts
@@ -39,6 +39,10 @@
   },
 };
 
+function isWithin(nowMs: number, fromMs: number, forMs: number): boolean {
+  return nowMs > fromMs && nowMs < fromMs + forMs;
+}
+
 /** Holder lost, one entry frozen, another cut off, and every fifth restarted. */
 function randomDisturbance(
   entries: number,
@@ -51,8 +55,6 @@
   const cutMs = from();
   const restartMs = Math.round(from() / 10) * 10;
   const struck = Math.floor(random() * entries);
-  const isWithin = (nowMs: number, fromMs: number, forMs: number) =>
-    nowMs > fromMs && nowMs < fromMs + forMs;
   return {
     isVacant: nowMs => isWithin(nowMs, vacantMs, vacancyMs),
     isFrozen: (entry, nowMs) =>
@@ -133,5 +135,22 @@
         expect(soundShare).toBeGreaterThanOrEqual(MIN_SOUND_SHARE);
       }
     });
+
+    // Guards against parts that stay suspects for as long as nobody holds trials.
+    it('is not seen where runners fail together without a holder', async () => {
+      for (const seed of SEEDS) {
+        const scenario = {
+          ...fleet,
+          random: randomOf(seed),
+          crashingPerSecond: 0,
+          isVacant: (nowMs: number) => isWithin(nowMs, 4_000, 9_000),
+          failingRunners: (nowMs: number) =>
+            [6_000, 8_500].includes(nowMs) ? 10 : 0,
+        };
+        const {soundShare, quarantined} = await new CrashFleet(scenario).play();
+        expect(quarantined).toEqual([]);
+        expect(soundShare).toBeGreaterThanOrEqual(MIN_SOUND_SHARE);
+      }
+    });
   },
 );
