--- a/packages/banyanfold-decisions/src/crashes/attributeCrashes.ts
+++ b/packages/banyanfold-decisions/src/crashes/attributeCrashes.ts
@@ -201,8 +201,9 @@
     if (crashes.length < this.options.quarantineCrashes) return false;
     if (fingerprints.every(fingerprint => this.wasAnswered(fingerprint))) {
       const {trialCrashesIfAnswered} = this.options;
-      if (this.trialCrashes(fingerprints) < trialCrashesIfAnswered)
+      if (this.trialCrashes(fingerprints) < trialCrashesIfAnswered) {
         return false;
+      }
     }
     const [only, ...others] = fingerprints;
     if (others.length === 0) {
