Pass on no response whose status is above 599

A runner in trouble answered with a status that HTTP doesn't define; the caller got it as an answer.

Such an answer now counts as broken: 502, or another runner if the request may be repeated.

--- a/packages/banyanfold-agent/src/__tests__/attemptOutcome.test.ts
+++ b/packages/banyanfold-agent/src/__tests__/attemptOutcome.test.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {request as httpRequest} from 'node:http';
+import net, {type AddressInfo} from 'node:net';
 import {HEADERS} from '@banyanfold/protocol';
 import {PlainServiceStandin} from '@banyanfold/standins';
 import {request} from 'undici';
@@ -259,6 +260,28 @@
     return {service, call, target};
   }
 
+  // Guards against passing on what HTTP doesn't define to callers.
+  it.each([600, 999])('has no status above 599: %i', async status => {
+    const service = net.createServer(socket => {
+      socket.once('data', () =>
+        socket.end(`HTTP/1.1 ${status} Odd\r\ncontent-length: 2\r\n\r\nhi`),
+      );
+    });
+    await new Promise<void>(resolve => {
+      service.listen(0, '127.0.0.1', resolve);
+    });
+    cleanups.push(async () => void service.close());
+    const {port} = service.address() as AddressInfo;
+    const url = `http://127.0.0.1:${port}/api`;
+    const target = await start({
+      settings: {services: [{name: 'lodging', url}]},
+    });
+    const {response} = await sendAttempt(target, {
+      path: 'services/lodging/claims',
+    });
+    expect(response.statusCode).toBe(502);
+  });
+
   it('is sent once, with its body and key', async () => {
     const {service, call} = await startWithService();
     const {response} = await call('claims?year=2');
--- a/packages/banyanfold-agent/src/attempts/serviceAttempt.ts
+++ b/packages/banyanfold-agent/src/attempts/serviceAttempt.ts
@@ -8,6 +8,9 @@
 import {sendRefusal, type Refusal} from './refusal.js';
 import {WholeResponseBuffer} from './wholeResponseBuffer.js';
 
+/** HTTP defines no status above this one. */
+const MAX_STATUS = 599;
+
 /** Headers of the service's response that are forwarded to the caller. */
 const FORWARDED_RESPONSE_HEADERS = ['content-type', 'retry-after', 'location'];
 
@@ -97,6 +100,10 @@
         body: input.body,
       });
       timer.cancel();
+      if (response.statusCode > MAX_STATUS) {
+        await response.body.dump();
+        throw new Error(`invalid status ${response.statusCode}`);
+      }
       const body = await readBody(response.body, {
         clock,
         maxBytes: settings.maxAnswerBytes,
--- a/packages/banyanfold-gateway/src/requests/incomingResponse.ts
+++ b/packages/banyanfold-gateway/src/requests/incomingResponse.ts
@@ -57,11 +57,15 @@
   return requestId === waitingRequestId ? 'own' : 'other';
 }
 
+/** HTTP defines no status above this one. */
+const MAX_STATUS = 599;
+
 /** Why a response can't be forwarded, by its head; undefined if it can. */
 export function integrityErrorOf(
-  info: ResponseInfo,
+  {head, info}: Pick<IncomingResponse, 'head' | 'info'>,
   {request}: DecodedRequest,
 ): string | undefined {
+  if (head.status > MAX_STATUS) return `invalid status ${head.status}`;
   if (namedRequestOf(info, request.requestId) === 'other') {
     return 'response belongs to another request';
   }
--- a/packages/banyanfold-gateway/src/requests/responseRelay.ts
+++ b/packages/banyanfold-gateway/src/requests/responseRelay.ts
@@ -192,7 +192,7 @@
         incoming = decodeHead(head, {...this.options, sentMs, runnerId});
         hooks.onResponse(incoming);
         if (!incoming.info.notExecuted) hooks.onFirstByte();
-        const integrityError = integrityErrorOf(incoming.info, decoded);
+        const integrityError = integrityErrorOf(incoming, decoded);
         if (integrityError !== undefined) return fail(integrityError);
         hooks.onResponseInfo(incoming.info);
         if (isUnattributed(incoming.info, {isReused, runsOnce})) {
