--- a/packages/banyanfold-decisions/src/crashes/attributeCrashes.ts
+++ b/packages/banyanfold-decisions/src/crashes/attributeCrashes.ts
@@ -117,6 +117,7 @@
 
 class Attribution {
   private readonly histories: ReadonlyMap<string, CrashHistory>;
+  private readonly trialCrashes: readonly TrialCrash[];
   private readonly verdicts = new Map<string, CrashVerdict>();
   private readonly explained = new Set<string>();
   /** Members of quarantined combinations. */
@@ -129,6 +130,7 @@
     this.histories = new Map(
       [...evidence.histories].map(each => [each.fingerprint, each]),
     );
+    this.trialCrashes = [...evidence.trialCrashes];
   }
 
   decide(): Map<string, CrashVerdict> {
@@ -148,7 +150,7 @@
 
   /** Suspects of trials, those with the most crashes first. */
   private orderedCandidates(): Array<readonly string[]> {
-    const ofTrials = [...this.evidence.trialCrashes].map(trial =>
+    const ofTrials = this.trialCrashes.map(trial =>
       trial.suspects.filter(fingerprint =>
         this.histories.get(fingerprint)?.crashes.has(trial.incarnation),
       ),
@@ -199,12 +201,7 @@
 
   private isCause({fingerprints, crashes}: Candidate): boolean {
     if (crashes.length < this.options.quarantineCrashes) return false;
-    if (fingerprints.every(fingerprint => this.wasAnswered(fingerprint))) {
-      const {trialCrashesIfAnswered} = this.options;
-      if (this.trialCrashes(fingerprints) < trialCrashesIfAnswered) {
-        return false;
-      }
-    }
+    if (this.needsMoreTrials(fingerprints)) return false;
     const [only, ...others] = fingerprints;
     if (others.length === 0) {
       const history = this.histories.get(only!);
@@ -218,21 +215,25 @@
     );
   }
 
-  private wasAnswered(fingerprint: string): boolean {
-    return this.histories.get(fingerprint)?.wasAnswered ?? false;
+  private needsMoreTrials(fingerprints: readonly string[]): boolean {
+    const wereAnswered = fingerprints.every(
+      fingerprint => this.histories.get(fingerprint)?.wasAnswered,
+    );
+    const {trialCrashesIfAnswered} = this.options;
+    return (
+      wereAnswered &&
+      this.countTrialCrashes(fingerprints) < trialCrashesIfAnswered
+    );
   }
 
-  /** Number of trials with one of the fingerprints in which a runner crashed. */
-  private trialCrashes(fingerprints: readonly string[]): number {
-    const trials = [...this.evidence.trialCrashes].filter(
+  /** Number of trials with all the fingerprints in which a runner crashed. */
+  private countTrialCrashes(fingerprints: readonly string[]): number {
+    const crashes = new Set(this.commonCrashes(fingerprints));
+    return this.trialCrashes.filter(
       ({incarnation, suspects}) =>
-        fingerprints.some(
-          fingerprint =>
-            suspects.includes(fingerprint) &&
-            this.crashesOf(fingerprint).has(incarnation),
-        ),
-    );
-    return trials.length;
+        crashes.has(incarnation) &&
+        fingerprints.every(fingerprint => suspects.includes(fingerprint)),
+    ).length;
   }
 
   private hasUnresolvedTrials({unresolvedTrials}: CrashHistory): boolean {
--- a/packages/banyanfold-gateway/src/__tests__/crashLedger.test.ts
+++ b/packages/banyanfold-gateway/src/__tests__/crashLedger.test.ts
@@ -146,6 +146,20 @@
     expect(requestTrial('a')).toEqual({reason: 'quarantined'});
   });
 
+  // Guards against refusing what sound requests share, and against runners that
+  // crash on and on under a part that was sound before.
+  it('quarantines what was answered before after two crashes in trials', async () => {
+    for (const life of ['l1', 'l2']) {
+      report({crashes: [{life, fingerprints: ['a'], answered: ['a']}]});
+    }
+    await clock.advance(2 * FULLY_REPORTED_MS);
+    expect(suspects()).toEqual(['a']);
+    await crashInTrial('a');
+    expect(suspects()).toEqual(['a']);
+    await crashInTrial('a');
+    expect(suspects()).toEqual(['a!']);
+  });
+
   it('does not count trials that never reached a runner', async () => {
     for (const id of ['l1', 'l2', 'l3']) await reportCrash(id, 'a', 'b');
     for (let i = 0; i < 5; i++) {
