--- a/packages/banyanfold-decisions/src/copies/types.ts
+++ b/packages/banyanfold-decisions/src/copies/types.ts
@@ -147,9 +147,9 @@
    */
   waitingPerCopy: number;
   /**
-   * While no caller waits for a copy, a model with more copies than this gives
-   * one up for a model that has none. Three copies tolerate the loss of one
-   * runner while another one is drained.
+   * While no caller waits, a model with more copies than this gives one up for
+   * a model that has none. Three copies tolerate the loss of one runner while
+   * another one is drained.
    */
   protectedCopies: number;
   /**
--- a/packages/banyanfold-decisions/src/planCopies.ts
+++ b/packages/banyanfold-decisions/src/planCopies.ts
@@ -17,8 +17,8 @@
  * callers of evicted models, the time until requests finish before an unload,
  * and the load time from where the weights are. A runner gets one order at a
  * time. A runner that left an order unanswered counts as slow, and the copy
- * that it was to load is not waited for. While no callers wait for a copy,
- * models without a copy are loaded again.
+ * that it was to load is not waited for. While no callers wait, models without
+ * a copy are loaded again.
  *
  * Designed for demand that moves to other models within seconds, and for more
  * models than memory: rare models are evicted for requested ones as long as
@@ -106,12 +106,10 @@
     }
   }
 
-  /** Loads models that nobody holds while no callers wait for a copy. */
+  /** Loads models that nobody holds while no callers wait. */
   restoreUnheldModels(): void {
     const models = [...this.fleet.models.values()];
-    const areCallersWaiting = models.some(
-      ({name, waiting}) => waiting > 0 && this.fleet.servingCopies(name) === 0,
-    );
+    const areCallersWaiting = models.some(({waiting}) => waiting > 0);
     if (this.orders.length > 0 || areCallersWaiting) return;
     const orphans = models
       .filter(({name}) => this.fleet.copyCount(name) === 0)
@@ -155,11 +153,9 @@
       .filter(victim => {
         const left = this.fleet.servingCopies(victim.name) - 1;
         if (left < protectedCopies) return false;
-        const lostPerSecond = this.fleet.callersLostByRemoval(victim, target);
         const lost =
-          (lostPerSecond * horizonMs) / MS_PER_SECOND +
-          this.fleet.waitingLostByRemoval(victim);
-        const isSpare = lost < minGain;
+          this.fleet.callersLostByRemoval(victim, target) * horizonMs;
+        const isSpare = lost / MS_PER_SECOND < minGain;
         return isSpare && target.freeMb + victim.weightsMb >= orphan.weightsMb;
       });
   }
