--- a/packages/banyanfold-gateway/src/__tests__/simulateCopies.ts
+++ b/packages/banyanfold-gateway/src/__tests__/simulateCopies.ts
@@ -8,7 +8,7 @@
 import {FleetDemand} from '../placement/fleetDemand.js';
 import {randomOf} from './randomOf.js';
 
-/** A fleet whose memory is too small for a copy of each model. */
+/** Requests for busy and rare models, and the runners that hold them. */
 export interface CopyScenario {
   seed: number;
   runners: number;
