--- a/review/kit-2/kit.mjs
+++ b/review/kit-2/kit.mjs
@@ -250,7 +250,15 @@
 }
 
 /** The settings of a process, with the figures of a small installation. */
-export function settingsOf({name, ip, ports, store, bootstrap, bounds = {}}) {
+export function settingsOf({
+  name,
+  ip,
+  ports,
+  store,
+  bootstrap,
+  bounds = {},
+  limits = {},
+}) {
   const [frontend, readiness, internal] = ports;
   return {
     node_name: name,
@@ -272,6 +280,7 @@
       max_fds: 4100,
       link_mbps: 1000,
       disk_mb: 0,
+      ...limits,
     },
     data_dir: null,
     discovery: 'platform',
@@ -323,7 +332,7 @@
   list = [];
 
   /** @param ip a loopback address of its own. */
-  async start({name, ip, store, bootstrap = true, bounds, ports}) {
+  async start({name, ip, store, bootstrap = true, bounds, limits, ports}) {
     const entryPorts = ports ?? (await freePorts(ip, 3));
     const path = join(this.folder, `${name}.json`);
     const settings = settingsOf({
@@ -333,6 +342,7 @@
       store,
       bootstrap,
       bounds,
+      limits,
     });
     writeFileSync(path, JSON.stringify(settings));
     const {PATH, HOME, LANG} = process.env;
